--- /dev/null
+++ b/components/contract/src/revision.rs
@@ -0,0 +1,81 @@
+//! A revision: the configuration and the hosts that act on it.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+
+use bergamottrack_coordination::{FailureDomain, HostId, Revision, SubmitId};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+
+use crate::config::Config;
+
+/// An entry host of the fleet.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Host {
+    /// Its name.
+    pub id: HostId,
+    /// The failure domain it stands in.
+    pub domain: FailureDomain,
+    /// Where other hosts reach it.
+    pub peer: SocketAddr,
+}
+
+/// One link of the chain of revisions.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RevisionDoc {
+    /// Its number; each revision is one more than the one it was made from.
+    pub number: Revision,
+    /// The submit that made it.
+    pub submit: SubmitId,
+    /// Who made it.
+    pub author: Box<str>,
+    /// When it was made, in seconds since 1970, for people to read.
+    pub at: u64,
+    /// What the operator describes; none before the first submit.
+    pub config: Option<Config>,
+    /// The hosts that act on it; none twice.
+    pub roster: Vec<Host>,
+}
+
+impl RevisionDoc {
+    /// The host of that name, if it is of the roster.
+    pub fn host(&self, id: &HostId) -> Option<&Host> {
+        self.roster.iter().find(|h| h.id == *id)
+    }
+}
+
+/// The revision that this host acts on; it never goes down.
+#[derive(Debug, Default)]
+pub struct Current {
+    doc: RefCell<Option<Rc<RevisionDoc>>>,
+    changed: Notify,
+}
+
+impl Current {
+    /// The revision in force here; `None` before the first one is known.
+    pub fn get(&self) -> Option<Rc<RevisionDoc>> {
+        self.doc.borrow().clone()
+    }
+
+    /// The number of the revision in force; 0 before the first one is known.
+    pub fn number(&self) -> Revision {
+        self.doc.borrow().as_ref().map(|doc| doc.number).unwrap_or_default()
+    }
+
+    /// Puts a revision in force unless a newer one, or the same, already is.
+    ///
+    /// Guards against an old object or a late message: without it a withdrawn
+    /// key would work again. The number alone decides, whatever the source.
+    pub fn advance(&self, doc: RevisionDoc) -> bool {
+        if doc.number <= self.number() {
+            return false;
+        }
+        *self.doc.borrow_mut() = Some(Rc::new(doc));
+        self.changed.notify_waiters();
+        true
+    }
+
+    /// Waits for the next revision.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+}
--- /dev/null
+++ b/components/contract/src/verifier.rs
@@ -0,0 +1,116 @@
+//! What a key is checked against: the SCRAM-SHA-256 verifier of RFC 5803.
+
+use std::{fmt, str::FromStr};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use hmac::{Hmac, Mac};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// Rounds of the salted hash for new verifiers.
+pub const ROUNDS: u32 = 4096;
+
+/// A text is not a verifier.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("not a SCRAM-SHA-256 verifier; make one with `bergamottrack key new`")]
+pub struct VerifierError;
+
+/// Proves that a caller knows a key without holding the key.
+#[derive(Clone, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(try_from = "Box<str>", into = "Box<str>")]
+pub struct Verifier {
+    /// Rounds of the salted hash.
+    pub rounds: u32,
+    /// The salt.
+    pub salt: Box<[u8]>,
+    /// The hash of the client's part.
+    pub stored: [u8; 32],
+    /// The server's part.
+    pub server: [u8; 32],
+}
+
+/// The keyed hash that SCRAM is built of.
+pub fn hmac(key: &[u8], data: &[u8]) -> [u8; 32] {
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("a key of any length");
+    mac.update(data);
+    mac.finalize().into_bytes().into()
+}
+
+/// The salted hash of a key.
+pub fn salted(key: &str, salt: &[u8], rounds: u32) -> [u8; 32] {
+    let mut out = [0; 32];
+    pbkdf2::pbkdf2::<Hmac<Sha256>>(key.as_bytes(), salt, rounds, &mut out)
+        .expect("a key of any length");
+    out
+}
+
+impl Verifier {
+    /// The verifier of `key` with the given salt.
+    pub fn new(key: &str, salt: &[u8]) -> Self {
+        let salted = salted(key, salt, ROUNDS);
+        Self {
+            rounds: ROUNDS,
+            salt: salt.into(),
+            stored: Sha256::digest(hmac(&salted, b"Client Key")).into(),
+            server: hmac(&salted, b"Server Key"),
+        }
+    }
+}
+
+impl fmt::Debug for Verifier {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Verifier(..)")
+    }
+}
+
+impl fmt::Display for Verifier {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let encode = |bytes: &[u8]| STANDARD.encode(bytes);
+        write!(
+            f,
+            "SCRAM-SHA-256${}:{}${}:{}",
+            self.rounds,
+            encode(&self.salt),
+            encode(&self.stored),
+            encode(&self.server)
+        )
+    }
+}
+
+impl FromStr for Verifier {
+    type Err = VerifierError;
+
+    fn from_str(text: &str) -> Result<Self, VerifierError> {
+        Self::parse(text).ok_or(VerifierError)
+    }
+}
+
+impl Verifier {
+    fn parse(text: &str) -> Option<Self> {
+        let rest = text.strip_prefix("SCRAM-SHA-256$")?;
+        let (head, keys) = rest.split_once('$')?;
+        let (rounds, salt) = head.split_once(':')?;
+        let (stored, server) = keys.split_once(':')?;
+        let decode = |part: &str| STANDARD.decode(part).ok();
+        Some(Self {
+            rounds: rounds.parse().ok().filter(|n| (1..=1_000_000).contains(n))?,
+            salt: decode(salt)?.into(),
+            stored: decode(stored)?.try_into().ok()?,
+            server: decode(server)?.try_into().ok()?,
+        })
+    }
+}
+
+impl TryFrom<Box<str>> for Verifier {
+    type Error = VerifierError;
+
+    fn try_from(text: Box<str>) -> Result<Self, VerifierError> {
+        text.parse()
+    }
+}
+
+impl From<Verifier> for Box<str> {
+    fn from(verifier: Verifier) -> Self {
+        verifier.to_string().into()
+    }
+}
--- /dev/null
+++ b/components/entry/src/context.rs
@@ -0,0 +1,81 @@
+//! What all callers' connections of one host share.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use bergamottrack_contract::{Config, Current, RevisionDoc};
+use bergamottrack_coordination::{AccountId, Clock, KeyId, Reason, Refusal, token::Secret};
+use bergamottrack_home::Homes;
+use bergamottrack_peer::{Exchange, Mesh, Open, open_local};
+use tokio::sync::Notify;
+
+/// When a caller may come back while a host lacks its configuration.
+const COME_BACK: Duration = Duration::from_millis(500);
+
+/// What all callers' connections of one host share.
+pub struct Entry {
+    /// The clock.
+    pub clock: Rc<dyn Clock>,
+    /// The revision in force here.
+    pub current: Rc<Current>,
+    /// Links to the other hosts.
+    pub mesh: Rc<Mesh>,
+    /// The groups whose home this host is.
+    pub homes: Rc<Homes>,
+    /// The secret that all hosts share.
+    pub secret: Secret,
+    /// Cancels of running connections, by process number.
+    pub cancels: RefCell<HashMap<i32, Cancel>>,
+    /// The last process number given out.
+    pub last_pid: Cell<i32>,
+}
+
+/// How a running connection is cancelled.
+#[derive(Clone)]
+pub struct Cancel {
+    /// What the caller must know to cancel.
+    pub secret: i32,
+    /// Wakes the connection.
+    pub wake: Rc<Notify>,
+}
+
+impl Entry {
+    /// The configuration in force here.
+    pub fn config(&self) -> Result<Rc<RevisionDoc>, Refusal> {
+        let doc = self.current.get().filter(|doc| doc.config.is_some());
+        doc.ok_or_else(|| {
+            let message = "this host has no configuration yet";
+            Refusal::not_run(Reason::Stale, Some(COME_BACK), message)
+        })
+    }
+
+    /// Checks that the key still stands; done again for every request.
+    pub fn standing(&self, account: &AccountId, key: &KeyId) -> Result<Rc<RevisionDoc>, Refusal> {
+        let doc = self.config()?;
+        let config = doc.config.as_ref();
+        let known = config.and_then(|c| c.account(account)).and_then(|a| a.key(key));
+        if known.is_none() {
+            let message = format!("the key {key} of account {account} does not stand");
+            return Err(Refusal::not_run(Reason::Denied, None, message));
+        }
+        Ok(doc)
+    }
+
+    /// Begins an exchange with the home of the group.
+    pub fn open(&self, config: &Config, open: Open) -> Exchange {
+        for host in self.mesh.homes(&open.group) {
+            if host == self.mesh.me.id {
+                break;
+            }
+            let exchange = self.mesh.link(&host).and_then(|link| link.open(open.clone()));
+            if let Some(exchange) = exchange {
+                return exchange;
+            }
+        }
+        open_local(open, |open, side| self.homes.serve(Some(config), open, side))
+    }
+}
--- /dev/null
+++ b/components/home/src/homes.rs
@@ -0,0 +1,54 @@
+//! The groups whose home this host is, or was asked to be.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc};
+
+use bergamottrack_contract::{Config, Group};
+use bergamottrack_coordination::{Clock, GroupId, Reason, Refusal};
+use bergamottrack_peer::{HomeSide, Open, ToEntry};
+
+use crate::{group::GroupHome, serve};
+
+/// The groups whose home this host is, or was asked to be.
+pub struct Homes {
+    clock: Rc<dyn Clock>,
+    groups: RefCell<HashMap<GroupId, (Group, Rc<GroupHome>)>>,
+}
+
+impl Homes {
+    /// A host that is home to no group yet.
+    pub fn new(clock: Rc<dyn Clock>) -> Rc<Self> {
+        Rc::new(Self { clock, groups: RefCell::default() })
+    }
+
+    /// The home of a group, started if it is not there yet.
+    pub fn home(&self, config: &Config, id: &GroupId) -> Option<Rc<GroupHome>> {
+        let contract = config.group(id)?;
+        let mut groups = self.groups.borrow_mut();
+        if let Some((known, home)) = groups.get(id)
+            && known == contract
+        {
+            return Some(home.clone());
+        }
+        let home = GroupHome::start(contract, config.policy.clone(), self.clock.clone());
+        let before = groups.insert(id.clone(), (contract.clone(), home.clone()));
+        if let Some((_, before)) = before {
+            before.closed.set(true);
+        }
+        Some(home)
+    }
+
+    /// Serves an exchange in a task of its own.
+    pub fn serve(&self, config: Option<&Config>, open: Open, side: HomeSide) {
+        let home = config.and_then(|config| self.home(config, &open.group));
+        match home {
+            Some(home) => {
+                monoio::spawn(serve::serve(home, open, side));
+            }
+            None => {
+                let message = format!("group {} is not known here", open.group);
+                let refusal = Refusal::not_run(Reason::Denied, None, message);
+                side.send(ToEntry::Refused(refusal));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/home/src/lib.rs
@@ -0,0 +1,12 @@
+//! The home of a database group: pool, slots, queue, watch and promotion.
+
+pub mod backend;
+pub mod border;
+pub mod group;
+pub mod homes;
+pub mod pool;
+pub mod serve;
+pub mod server;
+mod watch;
+
+pub use homes::Homes;
--- /dev/null
+++ b/components/home/src/pool.rs
@@ -0,0 +1,60 @@
+//! The connections to one backend server.
+
+use std::{cell::RefCell, time::Duration};
+
+use bergamottrack_contract::BackendServer;
+use bergamottrack_coordination::GroupId;
+use tokio::sync::{Semaphore, SemaphorePermit};
+
+use crate::backend::Conn;
+
+/// The connections to one backend server; idle ones belong to no transaction.
+pub struct Pool {
+    idle: RefCell<Vec<Conn>>,
+    places: Semaphore,
+}
+
+/// A connection that one transaction has. Unless given back it is closed,
+/// which rolls back whatever it was in.
+pub struct Taken<'a> {
+    /// The connection.
+    pub conn: Conn,
+    pool: &'a Pool,
+    _place: SemaphorePermit<'a>,
+}
+
+impl Pool {
+    /// A pool of at most `limit` connections.
+    pub fn new(limit: usize) -> Self {
+        Self { idle: RefCell::default(), places: Semaphore::new(limit) }
+    }
+
+    /// An idle connection, or a new one. The caller has a slot, so there is a
+    /// place as long as the limit is not below the slots.
+    pub async fn take(
+        &self,
+        server: &BackendServer,
+        group: &GroupId,
+        within: Duration,
+    ) -> anyhow::Result<Taken<'_>> {
+        let place = self.places.acquire().await?;
+        let idle = self.idle.borrow_mut().pop();
+        let conn = match idle {
+            Some(conn) => conn,
+            None => Conn::connect(server, group, within).await?,
+        };
+        Ok(Taken { conn, pool: self, _place: place })
+    }
+
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+}
+
+impl Taken<'_> {
+    /// Gives the connection back; only after a whole answer outside of any transaction.
+    pub fn give_back(self) {
+        self.pool.idle.borrow_mut().push(self.conn);
+    }
+}
--- /dev/null
+++ b/components/home/src/server.rs
@@ -0,0 +1,60 @@
+//! A backend server as its group's home sees it.
+
+use std::{
+    cell::Cell,
+    time::{Duration, Instant},
+};
+
+use bergamottrack_contract::BackendServer;
+use bergamottrack_coordination::leadership::Status;
+use tokio::sync::{Notify, Semaphore};
+
+use crate::pool::Pool;
+
+/// What a server said of itself, and when.
+#[derive(Clone, Copy, Debug)]
+pub struct Seen {
+    /// What it said.
+    pub status: Status,
+    /// It was so at this time or later: when the question was sent.
+    pub asked: Instant,
+}
+
+/// A backend server as its group's home sees it.
+pub struct Server {
+    /// What the operator says of it.
+    pub contract: BackendServer,
+    /// What it last said; `None` when it cannot be reached.
+    pub seen: Cell<Option<Seen>>,
+    /// When it was last heard of.
+    pub heard: Cell<Option<Instant>>,
+    /// Wakes the watch to ask at once.
+    pub probe: Notify,
+    /// Its connections.
+    pub pool: Pool,
+    /// Transactions that may run on it at once.
+    pub slots: Semaphore,
+}
+
+impl Server {
+    /// A server of which nothing is known yet.
+    pub fn new(contract: BackendServer) -> Self {
+        Self {
+            seen: Cell::new(None),
+            heard: Cell::new(None),
+            probe: Notify::new(),
+            pool: Pool::new(usize::from(contract.connections)),
+            slots: Semaphore::new(usize::from(contract.slots)),
+            contract,
+        }
+    }
+
+    /// What it last said, if it was heard of within `silence`.
+    pub fn status(&self, now: Instant, silence: Duration) -> Option<Status> {
+        let heard = self.heard.get()?;
+        if now > heard + silence {
+            return None;
+        }
+        self.seen.get().map(|seen| seen.status)
+    }
+}
--- /dev/null
+++ b/components/operator/src/lib.rs
@@ -0,0 +1,5 @@
+//! The operator's HTTP interface.
+
+pub mod serve;
+
+pub use serve::{Reply, Request, serve};
--- /dev/null
+++ b/components/operator/src/serve.rs
@@ -0,0 +1,104 @@
+//! HTTP/1.1 for operators: one task a connection.
+
+use std::{future::Future, net::SocketAddr, pin::Pin, rc::Rc};
+
+use anyhow::Context;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Method, Response, StatusCode, body::Incoming, header, server::conn::http1, service::service_fn,
+};
+use monoio::{io::IntoPollIo, net::TcpListener, net::TcpStream};
+use monoio_compat::hyper::MonoioIo;
+use tracing::{debug, info};
+
+/// The most bytes of a request's body.
+const MAX_BODY: usize = 4 << 20;
+
+/// A request, read whole.
+pub struct Request {
+    /// The method.
+    pub method: Method,
+    /// The path without the query.
+    pub path: Box<str>,
+    /// The query, not decoded.
+    pub query: Box<str>,
+    /// What follows `Bearer` in the authorization header.
+    pub key: Option<Box<str>>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// What is answered.
+pub struct Reply {
+    /// The status.
+    pub status: StatusCode,
+    /// The type of the body.
+    pub kind: &'static str,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// An answer in JSON.
+    pub fn json(status: StatusCode, value: &impl serde::Serialize) -> Self {
+        let body = serde_json::to_vec(value).unwrap_or_default();
+        Self { status, kind: "application/json", body: body.into() }
+    }
+
+    /// An answer in plain text.
+    pub fn text(status: StatusCode, text: impl Into<String>) -> Self {
+        Self { status, kind: "text/plain; charset=utf-8", body: text.into().into() }
+    }
+}
+
+/// Answers one request.
+pub type Handler = dyn Fn(Request) -> Pin<Box<dyn Future<Output = Reply>>>;
+
+/// Serves operators until the process ends.
+pub async fn serve(address: SocketAddr, handler: Rc<Handler>) -> anyhow::Result<()> {
+    let listener = TcpListener::bind(address)
+        .with_context(|| format!("listening for operators at {address}"))?;
+    info!("operator: listening at {}.", listener.local_addr()?);
+    loop {
+        let (stream, _) = listener.accept().await.context("accepting an operator")?;
+        monoio::spawn(connection(stream, handler.clone()));
+    }
+}
+
+async fn connection(stream: TcpStream, handler: Rc<Handler>) {
+    let Ok(io) = stream.into_poll_io() else { return };
+    let service = service_fn(move |request| answer(request, handler.clone()));
+    if let Err(error) = http1::Builder::new().serve_connection(MonoioIo::new(io), service).await {
+        debug!("operator: a connection ended: {error}.");
+    }
+}
+
+async fn answer(
+    request: hyper::Request<Incoming>,
+    handler: Rc<Handler>,
+) -> anyhow::Result<Response<Full<Bytes>>> {
+    let reply = match read(request).await {
+        Ok(request) => handler(request).await,
+        Err(error) => Reply::text(StatusCode::BAD_REQUEST, format!("{error:#}\n")),
+    };
+    Ok(Response::builder()
+        .status(reply.status)
+        .header(header::CONTENT_TYPE, reply.kind)
+        .body(Full::new(reply.body))?)
+}
+
+async fn read(request: hyper::Request<Incoming>) -> anyhow::Result<Request> {
+    let (parts, body) = request.into_parts();
+    let key = parts.headers.get(header::AUTHORIZATION).and_then(|v| v.to_str().ok());
+    let key = key.and_then(|v| v.strip_prefix("Bearer ")).map(Into::into);
+    let body = Limited::new(body, MAX_BODY).collect().await;
+    let body = body.map_err(|error| anyhow::anyhow!("reading the request: {error}"))?;
+    Ok(Request {
+        method: parts.method,
+        path: parts.uri.path().into(),
+        query: parts.uri.query().unwrap_or_default().into(),
+        key,
+        body: body.to_bytes(),
+    })
+}
--- /dev/null
+++ b/components/peer/src/accept.rs
@@ -0,0 +1,85 @@
+//! The accepting end of a link: one task a peer.
+
+use std::{collections::HashMap, rc::Rc};
+
+use anyhow::{Context, bail};
+use futures_util::StreamExt;
+use monoio::{io::IntoPollIo, net::TcpStream};
+use tokio::sync::mpsc::{self, UnboundedSender};
+use tracing::debug;
+
+use crate::{
+    exchange::HomeSide,
+    message::{Answer, Hello, Message, Open, Question, RequestNo, ToHome},
+    socket,
+};
+
+/// Answers a question of a peer at once.
+pub type Responder = dyn Fn(&Hello, Question) -> Answer;
+
+/// What a host does for its peers.
+pub struct Service {
+    /// Serves an exchange, in a task of its own.
+    pub serve: Box<dyn Fn(Open, HomeSide)>,
+    /// Answers a question at once.
+    pub answer: Box<Responder>,
+}
+
+/// Serves one peer until its link ends.
+pub async fn serve(stream: TcpStream, hello: Hello, service: Rc<Service>) {
+    if let Err(error) = run(stream, hello, &service).await {
+        debug!("link: a peer's link ended: {error:#}.");
+    }
+}
+
+async fn run(stream: TcpStream, hello: Hello, service: &Service) -> anyhow::Result<()> {
+    stream.set_nodelay(true)?;
+    let handshake = tokio_tungstenite::accept_async(stream.into_poll_io()?);
+    let ws = monoio::time::timeout(socket::HELLO_TIMEOUT, handshake)
+        .await
+        .context("the peer did not shake hands")??;
+    let (mut writing, mut reading) = ws.split();
+    let first = monoio::time::timeout(socket::HELLO_TIMEOUT, socket::next(&mut reading)).await??;
+    let Message::Hello(theirs) = first else { bail!("the peer did not say who it is") };
+    socket::send(&mut writing, &Message::Hello(hello)).await?;
+    let (out, mut rx) = mpsc::unbounded_channel();
+    monoio::select! {
+        result = socket::pump(&mut writing, &mut rx) => result,
+        result = dispatch(&mut reading, &theirs, out, service) => result,
+    }
+}
+
+async fn dispatch(
+    reading: &mut socket::Reading,
+    peer: &Hello,
+    out: UnboundedSender<Message>,
+    service: &Service,
+) -> anyhow::Result<()> {
+    // Dropping the senders, when the link ends, tells every home side that its entry is lost.
+    let mut exchanges: HashMap<RequestNo, UnboundedSender<ToHome>> = HashMap::new();
+    loop {
+        match socket::next(reading).await? {
+            Message::Open(no, open) => {
+                exchanges.retain(|_, tx| !tx.is_closed());
+                let (tx, rx) = mpsc::unbounded_channel();
+                exchanges.insert(no, tx);
+                (service.serve)(*open, HomeSide::on_link(no, out.clone(), rx));
+            }
+            Message::ToHome(no, item) => {
+                let last = matches!(item, ToHome::Close);
+                if let Some(tx) = exchanges.get(&no) {
+                    // The home may have ended the exchange already.
+                    let _ = tx.send(item);
+                }
+                if last {
+                    exchanges.remove(&no);
+                }
+            }
+            Message::Ask(no, question) => {
+                let answer = (service.answer)(peer, question);
+                let _ = out.send(Message::Tell(no, answer));
+            }
+            other => bail!("the peer said what only an accepting host says: {other:?}"),
+        }
+    }
+}
--- /dev/null
+++ b/components/peer/src/lib.rs
@@ -0,0 +1,13 @@
+//! Messages and links between the hosts.
+
+pub mod accept;
+pub mod exchange;
+pub mod link;
+pub mod mesh;
+pub mod message;
+mod socket;
+
+pub use exchange::{Exchange, HomeSide, open_local};
+pub use link::Link;
+pub use mesh::Mesh;
+pub use message::{Answer, Intent, Message, Open, Question, ToEntry, ToHome};
--- /dev/null
+++ b/components/peer/src/link.rs
@@ -0,0 +1,192 @@
+//! The dialling end of a link to another host: one task that connects, sends
+//! what is asked of it and hands answers to those who wait.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, bail};
+use bergamottrack_coordination::{Clock, HostId};
+use futures_util::StreamExt;
+use monoio::{io::IntoPollIo, net::TcpStream};
+use tokio::sync::{
+    mpsc::{self, UnboundedSender},
+    oneshot,
+};
+use tracing::{debug, info};
+
+use crate::{
+    exchange::Exchange,
+    message::{Answer, Hello, Message, Open, Question, RequestNo, ToEntry},
+    socket,
+};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// How often a link is tried out.
+pub const PING_EVERY: Duration = Duration::from_millis(100);
+
+/// How long a silent peer counts as there.
+pub const SILENCE: Duration = Duration::from_millis(600);
+
+enum Waiter {
+    Exchange(UnboundedSender<ToEntry>),
+    Question(oneshot::Sender<Answer>),
+}
+
+/// The dialling end of a link.
+pub struct Link {
+    /// The host at the other end.
+    pub host: HostId,
+    clock: Rc<dyn Clock>,
+    /// `None` while the link is down.
+    out: RefCell<Option<UnboundedSender<Message>>>,
+    /// Who waits for an answer, by number; emptied when the link goes down.
+    waiters: RefCell<HashMap<RequestNo, Waiter>>,
+    next_no: Cell<RequestNo>,
+    heard: Cell<Option<Instant>>,
+}
+
+impl Link {
+    /// Starts a link that connects again whenever it goes down.
+    ///
+    /// The task ends when the last other holder drops the link.
+    pub fn start(
+        host: HostId,
+        address: SocketAddr,
+        hello: Hello,
+        clock: Rc<dyn Clock>,
+    ) -> Rc<Self> {
+        let link = Rc::new(Self {
+            host,
+            clock,
+            out: RefCell::default(),
+            waiters: RefCell::default(),
+            next_no: Cell::default(),
+            heard: Cell::default(),
+        });
+        monoio::spawn(keep(link.clone(), address, hello));
+        link
+    }
+
+    /// Whether the peer answered lately.
+    pub fn is_up(&self) -> bool {
+        self.out.borrow().is_some()
+            && self.heard.get().is_some_and(|t| self.clock.now() < t + SILENCE)
+    }
+
+    /// Begins an exchange with the peer as home; `None` when the link is down.
+    pub fn open(&self, open: Open) -> Option<Exchange> {
+        let out = self.out.borrow().clone()?;
+        let (tx, rx) = mpsc::unbounded_channel();
+        let no = self.wait(Waiter::Exchange(tx));
+        out.send(Message::Open(no, Box::new(open))).ok()?;
+        Some(Exchange::on_link(no, out, rx))
+    }
+
+    /// Asks the peer; an error when the link is down or goes down.
+    pub async fn ask(&self, question: Question, within: Duration) -> anyhow::Result<Answer> {
+        let out = self.out.borrow().clone();
+        let out = out.with_context(|| format!("the link to {} is down", self.host))?;
+        let (tx, rx) = oneshot::channel();
+        let no = self.wait(Waiter::Question(tx));
+        let sent = out.send(Message::Ask(no, question));
+        let answer = monoio::time::timeout(within, rx).await;
+        self.waiters.borrow_mut().remove(&no);
+        sent.ok().with_context(|| format!("the link to {} is down", self.host))?;
+        answer
+            .with_context(|| format!("{} did not answer in {within:?}", self.host))?
+            .with_context(|| format!("the link to {} went down", self.host))
+    }
+
+    fn wait(&self, waiter: Waiter) -> RequestNo {
+        let no = self.next_no.get();
+        self.next_no.set(no + 1);
+        self.waiters.borrow_mut().insert(no, waiter);
+        no
+    }
+
+    async fn run(&self, address: SocketAddr, hello: &Hello) -> anyhow::Result<()> {
+        let connect = TcpStream::connect(address);
+        let stream =
+            monoio::time::timeout(CONNECT_TIMEOUT, connect).await.context("connecting")??;
+        stream.set_nodelay(true)?;
+        let url = format!("ws://{address}/");
+        let handshake = tokio_tungstenite::client_async(url, stream.into_poll_io()?);
+        let (ws, _) = monoio::time::timeout(socket::HELLO_TIMEOUT, handshake).await??;
+        let (mut writing, mut reading) = ws.split();
+        socket::send(&mut writing, &Message::Hello(hello.clone())).await?;
+        let theirs =
+            monoio::time::timeout(socket::HELLO_TIMEOUT, socket::next(&mut reading)).await??;
+        match theirs {
+            Message::Hello(theirs) if theirs.host == self.host => {}
+            _ => bail!("another host answered at {address}"),
+        }
+        let (tx, mut rx) = mpsc::unbounded_channel();
+        *self.out.borrow_mut() = Some(tx);
+        self.heard.set(Some(self.clock.now()));
+        info!("link: {} is up.", self.host);
+        monoio::select! {
+            result = socket::pump(&mut writing, &mut rx) => result,
+            result = self.dispatch(&mut reading) => result,
+            result = self.ping() => result,
+        }
+    }
+
+    async fn dispatch(&self, reading: &mut socket::Reading) -> anyhow::Result<()> {
+        loop {
+            let message = socket::next(reading).await?;
+            self.heard.set(Some(self.clock.now()));
+            match message {
+                Message::ToEntry(no, item) => self.hand_over(no, item),
+                Message::Tell(no, answer) => {
+                    // An answer that nobody waits for any more is late: dropped.
+                    if let Some(Waiter::Question(tx)) = self.waiters.borrow_mut().remove(&no) {
+                        let _ = tx.send(answer);
+                    }
+                }
+                other => bail!("the peer said what only a dialling host says: {other:?}"),
+            }
+        }
+    }
+
+    fn hand_over(&self, no: RequestNo, item: ToEntry) {
+        use crate::message::Standing;
+        let last =
+            matches!(item, ToEntry::Refused(_) | ToEntry::Turn { standing: Standing::Idle, .. });
+        let mut waiters = self.waiters.borrow_mut();
+        let gone = match waiters.get(&no) {
+            Some(Waiter::Exchange(tx)) => tx.send(item).is_err(),
+            _ => false,
+        };
+        if last || gone {
+            waiters.remove(&no);
+        }
+    }
+
+    async fn ping(&self) -> anyhow::Result<()> {
+        loop {
+            self.ask(Question::Ping, SILENCE).await?;
+            monoio::time::sleep(PING_EVERY).await;
+        }
+    }
+}
+
+async fn keep(link: Rc<Link>, address: SocketAddr, hello: Hello) {
+    while Rc::strong_count(&link) > 1 {
+        if let Err(error) = link.run(address, &hello).await {
+            debug!("link: {} is down: {error:#}.", link.host);
+        }
+        let was_up = link.out.borrow_mut().take().is_some();
+        link.waiters.borrow_mut().clear();
+        if was_up {
+            info!("link: {} is lost.", link.host);
+        }
+        monoio::time::sleep(RETRY_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/components/peer/src/message.rs
@@ -0,0 +1,148 @@
+//! What hosts say to each other, as CBOR in WebSocket messages.
+
+use std::time::Duration;
+
+use anyhow::Context;
+use bergamottrack_coordination::{
+    AccountId, FailureDomain, GroupId, HostId, Point, Refusal, RequestId,
+};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+/// Number of an exchange or question on its link; never used twice on one link.
+pub type RequestNo = u64;
+
+/// What an exchange needs of the server that runs it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Intent {
+    /// It may change data: the primary.
+    Write,
+    /// It reads: any server that shows all up to `floor`, or whose data is no
+    /// older than `max_age`; the primary when neither is stated.
+    Read {
+        /// What the session has been told of.
+        floor: Option<Point>,
+        /// The age that the caller accepts.
+        max_age: Option<Duration>,
+    },
+}
+
+/// Begins an exchange: one transaction, or one statement outside of any.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Open {
+    /// The database group.
+    pub group: GroupId,
+    /// The client account that it runs for.
+    pub account: AccountId,
+    /// What it needs.
+    pub intent: Intent,
+    /// The caller's id of it, if it must run at most once.
+    pub request: Option<RequestId>,
+    /// Time left until its deadline when it was sent.
+    pub budget: Duration,
+    /// Whole PostgreSQL messages, the last of them `Query` or `Sync`.
+    pub frames: Bytes,
+}
+
+/// What the entry says within an exchange.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum ToHome {
+    /// The next messages of the transaction, the last of them `Query` or `Sync`.
+    More {
+        /// Whole PostgreSQL messages.
+        frames: Bytes,
+        /// Time left until the deadline.
+        budget: Duration,
+    },
+    /// The entry has passed on this many bytes of the answer.
+    Credit(u64),
+    /// The caller wants the running statement cancelled.
+    Cancel,
+    /// The caller is gone: roll back.
+    Close,
+}
+
+/// How an exchange stands after a statement.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Standing {
+    /// The transaction is over, and so is the exchange.
+    Idle,
+    /// The transaction goes on.
+    Open,
+    /// The transaction has failed and waits for its rollback.
+    Failed,
+}
+
+/// What the home says within an exchange.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum ToEntry {
+    /// Part of an answer: whole PostgreSQL messages.
+    Part(Bytes),
+    /// The end of an answer, without its `ReadyForQuery`.
+    Turn {
+        /// Whole PostgreSQL messages.
+        frames: Bytes,
+        /// How the exchange stands.
+        standing: Standing,
+        /// What a confirmed write has reached.
+        point: Option<Point>,
+        /// Whether a replica answered.
+        replica: bool,
+    },
+    /// The exchange is over without an answer to the last messages.
+    Refused(Refusal),
+}
+
+/// A short question that one answer settles.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Question {
+    /// Is the host there?
+    Ping,
+}
+
+/// The answer to a question.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Answer {
+    /// The host is there.
+    Pong,
+}
+
+/// The first message each way.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Hello {
+    /// Who speaks.
+    pub host: HostId,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+}
+
+/// A message on a link.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Message {
+    /// Who speaks.
+    Hello(Hello),
+    /// Begins an exchange.
+    Open(RequestNo, Box<Open>),
+    /// Within an exchange, towards the home.
+    ToHome(RequestNo, ToHome),
+    /// Within an exchange, towards the entry.
+    ToEntry(RequestNo, ToEntry),
+    /// A question.
+    Ask(RequestNo, Question),
+    /// Its answer.
+    Tell(RequestNo, Answer),
+}
+
+impl Message {
+    /// The message as CBOR.
+    pub fn encode(&self) -> Bytes {
+        let mut out = Vec::with_capacity(128);
+        ciborium::into_writer(self, &mut out).expect("writing to memory");
+        out.into()
+    }
+
+    /// Reads a message.
+    pub fn decode(bytes: &[u8]) -> anyhow::Result<Self> {
+        ciborium::from_reader(bytes).context("reading a peer message")
+    }
+}
--- /dev/null
+++ b/components/pg/src/frame.rs
@@ -0,0 +1,91 @@
+//! One message as it stands on the wire.
+
+use anyhow::Context;
+use bytes::{BufMut, Bytes, BytesMut};
+use pgwire::messages::{DecodeContext, Message, PgWireBackendMessage, PgWireFrontendMessage};
+
+/// Bytes of a message before its body: the tag and the length.
+pub const HEADER_LEN: usize = 5;
+
+/// A message as it stands on the wire.
+#[derive(Clone, Debug)]
+pub struct Frame {
+    /// The kind of message.
+    pub tag: u8,
+    /// All of it: tag, length and body.
+    pub raw: Bytes,
+}
+
+impl Frame {
+    /// Splits the first message off `buf`; `None` when it is not whole yet.
+    ///
+    /// A length below 4 or above `max` is an error, so no peer makes us hold more.
+    pub fn split_from(buf: &mut BytesMut, max: usize) -> anyhow::Result<Option<Self>> {
+        let Some(header) = buf.first_chunk::<HEADER_LEN>() else {
+            return Ok(None);
+        };
+        let [tag, length @ ..] = *header;
+        let length = u32::from_be_bytes(length) as usize;
+        anyhow::ensure!(length >= 4, "a message of kind {:?} has no length", tag as char);
+        anyhow::ensure!(
+            length < max,
+            "a message of {length} bytes is over the limit of {max} bytes"
+        );
+        if buf.len() < length + 1 {
+            return Ok(None);
+        }
+        Ok(Some(Self { tag, raw: buf.split_to(length + 1).freeze() }))
+    }
+
+    /// The body without tag and length.
+    pub fn body(&self) -> &[u8] {
+        &self.raw[HEADER_LEN..]
+    }
+
+    /// Reads the message as one from a caller.
+    pub fn frontend(&self) -> anyhow::Result<PgWireFrontendMessage> {
+        let mut context = DecodeContext::default();
+        context.awaiting_frontend_ssl = false;
+        context.awaiting_frontend_startup = false;
+        PgWireFrontendMessage::decode(&mut BytesMut::from(&self.raw[..]), &context)
+            .with_context(|| format!("reading a message of kind {:?}", self.tag as char))?
+            .context("a message ended early")
+    }
+
+    /// Reads the message as one from a server.
+    pub fn backend(&self) -> anyhow::Result<PgWireBackendMessage> {
+        let mut context = DecodeContext::default();
+        context.awaiting_frontend_ssl = false;
+        context.awaiting_frontend_startup = false;
+        PgWireBackendMessage::decode(&mut BytesMut::from(&self.raw[..]), &context)
+            .with_context(|| format!("reading a message of kind {:?}", self.tag as char))?
+            .context("a message ended early")
+    }
+}
+
+/// Splits bytes that hold whole messages only.
+pub fn frames(bytes: Bytes) -> anyhow::Result<Vec<Frame>> {
+    let mut buf = BytesMut::from(bytes);
+    let mut out = Vec::new();
+    while let Some(frame) = Frame::split_from(&mut buf, usize::MAX)? {
+        out.push(frame);
+    }
+    anyhow::ensure!(buf.is_empty(), "half a message was handed on");
+    Ok(out)
+}
+
+/// Appends a message that this program makes.
+pub fn put(buf: &mut BytesMut, message: &impl Message) {
+    if let Err(error) = message.encode(buf) {
+        // The codec refuses only messages over its size limits.
+        debug_assert!(false, "encoding a message: {error}");
+        buf.put_slice(b"");
+    }
+}
+
+/// One message as bytes.
+pub fn bytes(message: &impl Message) -> Bytes {
+    let mut buf = BytesMut::new();
+    put(&mut buf, message);
+    buf.freeze()
+}
--- /dev/null
+++ b/components/pg/src/lib.rs
@@ -0,0 +1,9 @@
+//! PostgreSQL messages and streams over the codec of `pgwire`.
+
+pub mod answer;
+pub mod frame;
+pub mod scram;
+pub mod stream;
+
+pub use frame::Frame;
+pub use stream::{PgReader, PgWriter, split};
--- /dev/null
+++ b/components/pg/src/stream.rs
@@ -0,0 +1,111 @@
+//! Messages over a byte stream, with bounded memory.
+
+use anyhow::Context;
+use bytes::BytesMut;
+use pgwire::messages::{DecodeContext, PgWireFrontendMessage, SslNegotiationMetaMessage};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadHalf, WriteHalf};
+
+use crate::frame::Frame;
+
+/// The most bytes that a start-up message may have.
+pub const MAX_STARTUP: usize = 10_000;
+
+const READ_CHUNK: usize = 8 * 1024;
+
+/// Reads messages.
+#[derive(Debug)]
+pub struct PgReader<R> {
+    io: R,
+    buf: BytesMut,
+    /// The most bytes that one message may have.
+    max: usize,
+}
+
+/// Writes messages.
+#[derive(Debug)]
+pub struct PgWriter<W> {
+    io: W,
+}
+
+/// Makes a reader and a writer of one stream.
+pub fn split<S: AsyncRead + AsyncWrite>(
+    stream: S,
+    max: usize,
+) -> (PgReader<ReadHalf<S>>, PgWriter<WriteHalf<S>>) {
+    let (read, write) = tokio::io::split(stream);
+    (PgReader::new(read, max), PgWriter::new(write))
+}
+
+impl<R: AsyncRead + Unpin> PgReader<R> {
+    /// A reader that accepts messages up to `max` bytes.
+    pub fn new(io: R, max: usize) -> Self {
+        Self { io, buf: BytesMut::new(), max }
+    }
+
+    /// The next message; `None` when the stream has ended between two messages.
+    ///
+    /// May be dropped and called again: no byte is lost.
+    pub async fn next(&mut self) -> anyhow::Result<Option<Frame>> {
+        loop {
+            if let Some(frame) = Frame::split_from(&mut self.buf, self.max)? {
+                return Ok(Some(frame));
+            }
+            if !self.fill().await? {
+                anyhow::ensure!(self.buf.is_empty(), "the stream ended within a message");
+                return Ok(None);
+            }
+        }
+    }
+
+    /// The next message, if it has already arrived.
+    pub fn ready(&mut self) -> anyhow::Result<Option<Frame>> {
+        Frame::split_from(&mut self.buf, self.max)
+    }
+
+    /// The next message of the start-up phase, which has no kind.
+    ///
+    /// `tls_done` tells that encryption is no longer open to negotiation.
+    pub async fn startup(&mut self, tls_done: bool) -> anyhow::Result<PgWireFrontendMessage> {
+        let mut context = DecodeContext::default();
+        context.awaiting_frontend_ssl = !tls_done;
+        loop {
+            let message = PgWireFrontendMessage::decode(&mut self.buf, &context)
+                .context("reading the start-up message")?;
+            match message {
+                Some(PgWireFrontendMessage::SslNegotiation(SslNegotiationMetaMessage::None)) => {
+                    context.awaiting_frontend_ssl = false;
+                    continue;
+                }
+                Some(message) => return Ok(message),
+                None => {}
+            }
+            anyhow::ensure!(self.buf.len() < MAX_STARTUP, "the start-up message is too long");
+            anyhow::ensure!(self.fill().await?, "the stream ended within the start-up");
+        }
+    }
+
+    async fn fill(&mut self) -> anyhow::Result<bool> {
+        self.buf.reserve(READ_CHUNK);
+        let n = self.io.read_buf(&mut self.buf).await.context("reading from the stream")?;
+        Ok(n > 0)
+    }
+}
+
+impl<W: AsyncWrite + Unpin> PgWriter<W> {
+    /// A writer onto the stream.
+    pub fn new(io: W) -> Self {
+        Self { io }
+    }
+
+    /// Writes whole messages.
+    pub async fn send(&mut self, bytes: &[u8]) -> anyhow::Result<()> {
+        self.io.write_all(bytes).await.context("writing to the stream")?;
+        self.io.flush().await.context("writing to the stream")
+    }
+
+    /// Closes the writing side.
+    pub async fn close(&mut self) {
+        // The other side may be gone already.
+        let _ = self.io.shutdown().await;
+    }
+}
--- /dev/null
+++ b/components/platform/src/chain.rs
@@ -0,0 +1,149 @@
+//! The chain of revisions in the table service, moved on by compare-and-swap.
+
+use std::rc::Rc;
+
+use anyhow::Context;
+use bergamottrack_contract::RevisionDoc;
+use bergamottrack_coordination::{Revision, SubmitId};
+use serde::{Deserialize, Serialize};
+
+use crate::client::{Check, Commit, Outcome, Platform, Put, Row};
+
+const HEAD: &str = "head";
+
+/// The row that names the newest revision.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Head {
+    /// Its number.
+    pub number: Revision,
+    /// The object that holds it.
+    pub object: Box<str>,
+}
+
+/// What became of an attempt to move the chain on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Appended {
+    /// The revision is the newest, or was.
+    Yes,
+    /// Another came first.
+    Lost,
+}
+
+/// A line of the history.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Entry {
+    /// Number of the revision.
+    pub number: Revision,
+    /// The submit that made it.
+    pub submit: SubmitId,
+    /// Who made it.
+    pub author: Box<str>,
+    /// When, in seconds since 1970.
+    pub at: u64,
+    /// The object that holds it.
+    pub object: Box<str>,
+}
+
+/// The chain of revisions.
+#[derive(Clone, Debug)]
+pub struct Chain {
+    platform: Rc<Platform>,
+}
+
+impl Chain {
+    /// The chain that stands in this platform.
+    pub fn new(platform: Rc<Platform>) -> Self {
+        Self { platform }
+    }
+
+    /// The newest revision's head; `None` before the first revision.
+    pub async fn head(&self) -> anyhow::Result<Option<Head>> {
+        let row = self.platform.row(HEAD).await.context("reading the head of the chain")?;
+        parse_head(&row)
+    }
+
+    /// Reads the revision that a head names.
+    pub async fn load(&self, head: &Head) -> anyhow::Result<RevisionDoc> {
+        let bytes = self.platform.object(&head.object).await;
+        let bytes = bytes.with_context(|| format!("reading revision {}", head.number))?;
+        let doc: RevisionDoc = serde_json::from_slice(&bytes)
+            .with_context(|| format!("reading revision {}", head.number))?;
+        anyhow::ensure!(
+            doc.number == head.number,
+            "object {} holds revision {}, not {}",
+            head.object,
+            doc.number,
+            head.number
+        );
+        Ok(doc)
+    }
+
+    /// Moves the chain on to `doc` if the newest is still the one before it.
+    ///
+    /// After an error it may have moved: call again with the same document.
+    pub async fn append(&self, doc: &RevisionDoc) -> anyhow::Result<Appended> {
+        let row = self.platform.row(HEAD).await.context("reading the head of the chain")?;
+        let newest = parse_head(&row)?.map(|head| head.number).unwrap_or_default();
+        let object = format!("revision-{}-{}", doc.number, doc.submit);
+        if newest.next() != doc.number {
+            return self.settle(doc).await;
+        }
+        let bytes = serde_json::to_vec(doc).context("writing a revision")?;
+        self.platform.put_object(&object, bytes.into()).await?;
+        let outcome = self.platform.commit(&step(doc, &row, object)?).await?;
+        Ok(match outcome {
+            Outcome::Applied => Appended::Yes,
+            Outcome::Conflict => Appended::Lost,
+        })
+    }
+
+    /// Settles whether `doc` came into the chain at its number: a lost answer is
+    /// told from a lost race by the submit's own id.
+    async fn settle(&self, doc: &RevisionDoc) -> anyhow::Result<Appended> {
+        let entry = self.entry(doc.number).await?;
+        Ok(match entry {
+            Some(entry) if entry.submit == doc.submit => Appended::Yes,
+            _ => Appended::Lost,
+        })
+    }
+
+    /// The history's line of one revision.
+    pub async fn entry(&self, number: Revision) -> anyhow::Result<Option<Entry>> {
+        let row = self.platform.row(&entry_key(number)).await.context("reading the history")?;
+        if row.version == 0 {
+            return Ok(None);
+        }
+        serde_json::from_str(&row.value).context("reading the history").map(Some)
+    }
+}
+
+fn entry_key(number: Revision) -> String {
+    format!("revision-{:012}", number.0)
+}
+
+fn parse_head(row: &Row) -> anyhow::Result<Option<Head>> {
+    if row.version == 0 {
+        return Ok(None);
+    }
+    serde_json::from_str(&row.value).context("reading the head of the chain").map(Some)
+}
+
+fn step(doc: &RevisionDoc, head: &Row, object: String) -> anyhow::Result<Commit> {
+    let object: Box<str> = object.into();
+    let entry = Entry {
+        number: doc.number,
+        submit: doc.submit.clone(),
+        author: doc.author.clone(),
+        at: doc.at,
+        object: object.clone(),
+    };
+    let next = Head { number: doc.number, object };
+    Ok(Commit {
+        id: format!("{}-{}", doc.submit, doc.number).into(),
+        checks: vec![Check { key: HEAD.into(), version: head.version }],
+        puts: vec![
+            Put { key: HEAD.into(), value: serde_json::to_string(&next)?.into() },
+            Put { key: entry_key(doc.number).into(), value: serde_json::to_string(&entry)?.into() },
+        ],
+    })
+}
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,7 @@
+//! Stand-ins, faults, load and experiments for bergamottrack; not shipped.
+
+pub mod platform;
+pub mod ports;
+pub mod process;
+pub mod server;
+pub mod system;
--- /dev/null
+++ b/lab/src/server/session.rs
@@ -0,0 +1,662 @@
+//! A connection to the server: one task.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use anyhow::{Context, bail};
+use bergamottrack_coordination::{Point, Term};
+use bergamottrack_pg::{
+    Frame, PgReader, PgWriter,
+    answer::{self, Severity},
+    frame, stream,
+};
+use bytes::{BufMut, Bytes, BytesMut};
+use monoio::{
+    io::IntoPollIo,
+    net::{TcpStream, tcp::stream_poll::TcpStreamPoll},
+};
+use pgwire::messages::{
+    PgWireFrontendMessage,
+    data::{FieldDescription, NoData, ParameterDescription, RowDescription},
+    extendedquery::{BindComplete, CloseComplete, ParseComplete},
+    response::{EmptyQueryResponse, NotificationResponse, TransactionStatus},
+    startup::{Authentication, BackendKeyData, SecretKey},
+};
+use rusqlite::Connection;
+use tokio::{
+    io::{ReadHalf, WriteHalf},
+    sync::SemaphorePermit,
+};
+
+use super::{
+    engine::{Change, Engine},
+    sql::{self, Command},
+    values::{self, Value, oid},
+};
+
+const MAX_MESSAGE: usize = 64 << 20;
+const SEND_AT: usize = 32 * 1024;
+
+/// An error with its SQLSTATE.
+#[derive(Debug)]
+struct SqlError {
+    code: &'static str,
+    message: String,
+}
+
+impl SqlError {
+    fn new(code: &'static str, message: impl Into<String>) -> Self {
+        Self { code, message: message.into() }
+    }
+}
+
+impl From<rusqlite::Error> for SqlError {
+    fn from(error: rusqlite::Error) -> Self {
+        use rusqlite::ErrorCode;
+        let code = match error.sqlite_error_code() {
+            Some(ErrorCode::ConstraintViolation) => "23505",
+            Some(ErrorCode::DatabaseBusy | ErrorCode::DatabaseLocked) => "40001",
+            _ => "42601",
+        };
+        Self::new(code, error.to_string())
+    }
+}
+
+impl From<anyhow::Error> for SqlError {
+    fn from(error: anyhow::Error) -> Self {
+        Self::new("XX000", format!("{error:#}"))
+    }
+}
+
+#[derive(Clone)]
+struct Prepared {
+    sql: Box<str>,
+    oids: Vec<u32>,
+}
+
+#[derive(Clone)]
+struct Portal {
+    sql: Box<str>,
+    params: Vec<Value>,
+    formats: Vec<i16>,
+}
+
+/// Serves one connection until it ends.
+pub async fn serve(engine: Rc<Engine>, stream: TcpStream) {
+    if let Err(error) = open(&engine, stream).await {
+        tracing::debug!("server: a connection ended: {error:#}.");
+    }
+}
+
+async fn open(engine: &Rc<Engine>, stream: TcpStream) -> anyhow::Result<()> {
+    stream.set_nodelay(true)?;
+    let (mut reader, mut writer) = stream::split(stream.into_poll_io()?, MAX_MESSAGE);
+    match reader.startup(false).await? {
+        PgWireFrontendMessage::Startup(_) => {}
+        // Statements here are short: a cancel finds nothing to end.
+        PgWireFrontendMessage::CancelRequest(_) => return Ok(()),
+        _ => bail!("no start-up"),
+    }
+    if engine.sessions.get() >= engine.args.connections {
+        let text = "too many connections";
+        writer.send(&answer::error(Severity::Fatal, "53300", text, None, None)).await?;
+        bail!(text);
+    }
+    engine.sessions.set(engine.sessions.get() + 1);
+    let result = session(engine, reader, writer).await;
+    engine.sessions.set(engine.sessions.get() - 1);
+    result
+}
+
+async fn session(
+    engine: &Rc<Engine>,
+    reader: PgReader<ReadHalf<TcpStreamPoll>>,
+    mut writer: PgWriter<WriteHalf<TcpStreamPoll>>,
+) -> anyhow::Result<()> {
+    monoio::time::sleep(Duration::from_millis(engine.args.connect_ms)).await;
+    let pid = engine.last_session.get() + 1;
+    engine.last_session.set(pid);
+    let mut out = BytesMut::new();
+    frame::put(&mut out, &Authentication::Ok);
+    frame::put(&mut out, &BackendKeyData::new(pid, SecretKey::I32(pid)));
+    out.extend_from_slice(&answer::ready(TransactionStatus::Idle));
+    writer.send(&out).await?;
+    let session = Session {
+        engine,
+        db: engine.connect()?,
+        generation: engine.generation.get(),
+        reader,
+        writer,
+        out: BytesMut::new(),
+        open: false,
+        failed: false,
+        changes: Vec::new(),
+        writing: None,
+        told: Point::default(),
+        listens: false,
+        statements: HashMap::new(),
+        portals: HashMap::new(),
+    };
+    session.run().await
+}
+
+struct Session<'e> {
+    engine: &'e Engine,
+    db: Connection,
+    generation: u64,
+    reader: PgReader<ReadHalf<TcpStreamPoll>>,
+    writer: PgWriter<WriteHalf<TcpStreamPoll>>,
+    out: BytesMut,
+    /// Within a transaction.
+    open: bool,
+    /// Within a transaction that has failed.
+    failed: bool,
+    changes: Vec<Change>,
+    /// Held from the first write of a transaction to its end.
+    writing: Option<SemaphorePermit<'e>>,
+    /// The point that the caller was last told.
+    told: Point,
+    listens: bool,
+    statements: HashMap<Box<str>, Prepared>,
+    portals: HashMap<Box<str>, Portal>,
+}
+
+impl Session<'_> {
+    async fn run(mut self) -> anyhow::Result<()> {
+        loop {
+            let frame = monoio::select! {
+                frame = self.reader.next() => frame?,
+                _ = self.engine.changed.notified() => {
+                    self.check_generation()?;
+                    self.tell_status().await?;
+                    continue;
+                }
+            };
+            let Some(frame) = frame else { return Ok(()) };
+            self.check_generation()?;
+            match frame.tag {
+                b'X' => return Ok(()),
+                b'Q' => self.query(&frame).await?,
+                b'p' => bail!("no password is asked for"),
+                _ => self.extended(frame).await?,
+            }
+        }
+    }
+
+    /// Ends sessions that began before records were taken back: what they read
+    /// or tell could be of a log that is no more.
+    fn check_generation(&self) -> anyhow::Result<()> {
+        anyhow::ensure!(self.generation == self.engine.generation.get(), "the log was taken back");
+        Ok(())
+    }
+
+    async fn tell_status(&mut self) -> anyhow::Result<()> {
+        if !self.listens {
+            return Ok(());
+        }
+        let payload = self.engine.status().to_string();
+        let told = NotificationResponse::new(0, "group_status".into(), payload);
+        self.writer.send(&frame::bytes(&told)).await
+    }
+
+    async fn flush(&mut self) -> anyhow::Result<()> {
+        let out = self.out.split();
+        self.writer.send(&out).await
+    }
+
+    async fn ready(&mut self) -> anyhow::Result<()> {
+        let status = match (self.open, self.failed) {
+            (false, _) => TransactionStatus::Idle,
+            (true, false) => TransactionStatus::Transaction,
+            (true, true) => TransactionStatus::Error,
+        };
+        self.out.extend_from_slice(&answer::ready(status));
+        self.flush().await
+    }
+
+    fn error(&mut self, error: &SqlError) {
+        let bytes = answer::error(Severity::Error, error.code, &error.message, None, None);
+        self.out.extend_from_slice(&bytes);
+        if self.open {
+            self.failed = true;
+        }
+    }
+
+    async fn query(&mut self, frame: &Frame) -> anyhow::Result<()> {
+        let PgWireFrontendMessage::Query(query) = frame.frontend()? else { bail!("not a query") };
+        let parts = sql::split(&query.query);
+        if parts.is_empty() {
+            frame::put(&mut self.out, &EmptyQueryResponse::new());
+        }
+        let implicit = parts.len() > 1 && !self.open;
+        if implicit {
+            let _ = self.execute("BEGIN", &[], &[], false).await;
+        }
+        let mut result = Ok(());
+        for part in &parts {
+            result = self.execute(part, &[], &[], true).await;
+            if result.is_err() {
+                break;
+            }
+        }
+        if let Err(error) = &result {
+            self.error(error);
+        }
+        if implicit && self.open {
+            let end = if result.is_ok() { "COMMIT" } else { "ROLLBACK" };
+            let before = self.out.len();
+            if let Err(error) = self.execute(end, &[], &[], false).await {
+                self.error(&error);
+            } else {
+                self.drop_tag(before);
+            }
+        }
+        self.ready().await
+    }
+
+    /// Drops the end of the implicit `COMMIT`, which the caller did not send.
+    fn drop_tag(&mut self, from: usize) {
+        let mut tail = self.out.split_off(from);
+        while let Ok(Some(frame)) = Frame::split_from(&mut tail, usize::MAX) {
+            if frame.tag != b'C' {
+                self.out.extend_from_slice(&frame.raw);
+            }
+        }
+    }
+
+    async fn extended(&mut self, frame: Frame) -> anyhow::Result<()> {
+        let mut next = Some(frame);
+        let mut failed = false;
+        let mut wrote = false;
+        loop {
+            let frame = match next.take() {
+                Some(frame) => frame,
+                None => self.reader.next().await?.context("the stream ended")?,
+            };
+            match frame.tag {
+                b'S' => {
+                    let _ = wrote;
+                    return self.ready().await;
+                }
+                b'H' => self.flush().await?,
+                b'X' => bail!("the caller left"),
+                _ if failed => {}
+                _ => match self.step(&frame).await {
+                    Ok(()) => wrote = true,
+                    Err(error) => {
+                        self.error(&error);
+                        failed = true;
+                    }
+                },
+            }
+        }
+    }
+
+    async fn step(&mut self, frame: &Frame) -> Result<(), SqlError> {
+        match frame.frontend()? {
+            PgWireFrontendMessage::Parse(parse) => {
+                let oids = self.param_types(&parse.query, &parse.type_oids)?;
+                let name = parse.name.unwrap_or_default().into();
+                self.statements.insert(name, Prepared { sql: parse.query.into(), oids });
+                frame::put(&mut self.out, &ParseComplete::new());
+            }
+            PgWireFrontendMessage::Bind(bind) => {
+                let name = bind.statement_name.unwrap_or_default();
+                let statement = self.statement(&name)?;
+                let portal = Portal {
+                    sql: statement.sql,
+                    params: decode_params(
+                        &statement.oids,
+                        &bind.parameter_format_codes,
+                        &bind.parameters,
+                    )?,
+                    formats: bind.result_column_format_codes,
+                };
+                self.portals.insert(bind.portal_name.unwrap_or_default().into(), portal);
+                frame::put(&mut self.out, &BindComplete::new());
+            }
+            PgWireFrontendMessage::Describe(describe) => {
+                let name = describe.name.unwrap_or_default();
+                self.describe(describe.target_type, &name)?;
+            }
+            PgWireFrontendMessage::Execute(execute) => {
+                let name = execute.name.unwrap_or_default();
+                let portal = self.portals.get(name.as_str()).cloned();
+                let portal = portal.ok_or_else(|| SqlError::new("34000", "no such portal"))?;
+                self.execute(&portal.sql, &portal.params, &portal.formats, false).await?;
+            }
+            PgWireFrontendMessage::Close(close) => {
+                let name = close.name.unwrap_or_default();
+                match close.target_type {
+                    b'S' => drop(self.statements.remove(name.as_str())),
+                    _ => drop(self.portals.remove(name.as_str())),
+                }
+                frame::put(&mut self.out, &CloseComplete::new());
+            }
+            _ => return Err(SqlError::new("0A000", "a message that is not served")),
+        }
+        Ok(())
+    }
+
+    fn statement(&self, name: &str) -> Result<Prepared, SqlError> {
+        let found = self.statements.get(name).cloned();
+        found.ok_or_else(|| SqlError::new("26000", "no such prepared statement"))
+    }
+
+    fn param_types(&self, sql: &str, given: &[u32]) -> Result<Vec<u32>, SqlError> {
+        if sql::command(sql) != Command::Sql {
+            return Ok(Vec::new());
+        }
+        let statement = self.db.prepare(sql)?;
+        let mut oids = Vec::new();
+        while statement.parameter_index(&format!("${}", oids.len() + 1))?.is_some() {
+            let stated = given.get(oids.len()).copied().filter(|oid| *oid != 0);
+            oids.push(stated.unwrap_or(oid::TEXT));
+        }
+        Ok(oids)
+    }
+
+    fn describe(&mut self, kind: u8, name: &str) -> Result<(), SqlError> {
+        let (sql, formats) = match kind {
+            b'S' => {
+                let statement = self.statement(name)?;
+                frame::put(&mut self.out, &ParameterDescription::new(statement.oids));
+                (statement.sql, Vec::new())
+            }
+            _ => {
+                let portal = self.portals.get(name).cloned();
+                let portal = portal.ok_or_else(|| SqlError::new("34000", "no such portal"))?;
+                (portal.sql, portal.formats)
+            }
+        };
+        let fields = match sql::command(&sql) {
+            Command::Show(name) => vec![field(&name, oid::TEXT, 0)],
+            Command::Promise { .. } | Command::Promote { .. } => {
+                vec![field("status", oid::TEXT, 0)]
+            }
+            Command::Sql => fields(&self.db.prepare(&sql)?, &formats),
+            _ => Vec::new(),
+        };
+        if fields.is_empty() {
+            frame::put(&mut self.out, &NoData::new());
+        } else {
+            frame::put(&mut self.out, &RowDescription::new(fields));
+        }
+        Ok(())
+    }
+
+    /// Runs a statement; with `described` its columns go before its rows.
+    async fn execute(
+        &mut self,
+        sql: &str,
+        params: &[Value],
+        formats: &[i16],
+        described: bool,
+    ) -> Result<(), SqlError> {
+        let command = sql::command(sql);
+        if self.failed && !matches!(command, Command::Commit | Command::Rollback) {
+            return Err(SqlError::new("25P02", "the transaction has failed"));
+        }
+        let tag: String = match command {
+            Command::Empty => return Ok(()),
+            Command::Begin => self.begin()?,
+            Command::Commit => self.commit()?,
+            Command::Rollback => self.rollback()?,
+            Command::Set { name, value } => self.set(&name, &value)?,
+            Command::Show(name) => self.show(&name, formats, described),
+            Command::Listen => {
+                self.listens = true;
+                "LISTEN".into()
+            }
+            Command::Promise { term, holder } => {
+                let status = self.engine.promise(Term(term), &holder);
+                let status = status.map_err(|e| SqlError::new("55000", format!("{e:#}")))?;
+                self.text_row("status", &status.to_string(), formats, described)
+            }
+            Command::Promote { term, holder } => {
+                let status = self.engine.promote(Term(term), &holder);
+                let status = status.map_err(|e| SqlError::new("55000", format!("{e:#}")))?;
+                self.text_row("status", &status.to_string(), formats, described)
+            }
+            Command::Sql => self.run_sql(sql, params, formats, described).await?,
+        };
+        self.out.extend_from_slice(&answer::complete(&tag));
+        Ok(())
+    }
+
+    fn begin(&mut self) -> Result<String, SqlError> {
+        if !self.open {
+            self.db.execute_batch("BEGIN")?;
+            self.open = true;
+        }
+        Ok("BEGIN".into())
+    }
+
+    fn commit(&mut self) -> Result<String, SqlError> {
+        if self.failed {
+            return self.rollback();
+        }
+        if self.open {
+            if let Err(error) = self.check_leads() {
+                self.rollback()?;
+                return Err(error);
+            }
+            self.open = false;
+            let result = self.db.execute_batch("COMMIT");
+            let changes = std::mem::take(&mut self.changes);
+            if let Err(error) = result {
+                let _ = self.db.execute_batch("ROLLBACK");
+                self.writing = None;
+                return Err(error.into());
+            }
+            self.log(changes)?;
+        }
+        Ok("COMMIT".into())
+    }
+
+    /// Writes the committed changes to the log and tells the point reached.
+    fn log(&mut self, changes: Vec<Change>) -> Result<(), SqlError> {
+        if !changes.is_empty() {
+            let point = self.engine.append(changes)?;
+            self.tell_point(point);
+        }
+        self.writing = None;
+        Ok(())
+    }
+
+    fn check_leads(&self) -> Result<(), SqlError> {
+        if !self.changes.is_empty() && !self.engine.leads() {
+            return Err(SqlError::new("25006", "this server does not lead"));
+        }
+        Ok(())
+    }
+
+    fn rollback(&mut self) -> Result<String, SqlError> {
+        if self.open {
+            let _ = self.db.execute_batch("ROLLBACK");
+        }
+        (self.open, self.failed, self.writing) = (false, false, None);
+        self.changes.clear();
+        Ok("ROLLBACK".into())
+    }
+
+    fn set(&self, name: &str, value: &str) -> Result<String, SqlError> {
+        let millis = || {
+            let n = value.parse().map_err(|_| SqlError::new("22023", "milliseconds are wanted"));
+            n.map(Duration::from_millis)
+        };
+        match name {
+            "standin.lag_ms" => self.engine.knobs.lag.set(millis()?),
+            "standin.service_ms" => self.engine.knobs.service.set(millis()?),
+            _ => {}
+        }
+        Ok("SET".into())
+    }
+
+    fn show(&mut self, name: &str, formats: &[i16], described: bool) -> String {
+        let value = match name {
+            "group_status" => self.engine.status().to_string(),
+            "transaction_isolation" | "transaction isolation level" => "read committed".into(),
+            "server_version" => "16.0".into(),
+            _ => String::new(),
+        };
+        self.text_row(name, &value, formats, described);
+        "SHOW".into()
+    }
+
+    fn text_row(&mut self, name: &str, value: &str, _formats: &[i16], described: bool) -> String {
+        if described {
+            frame::put(&mut self.out, &RowDescription::new(vec![field(name, oid::TEXT, 0)]));
+        }
+        let mut row = BytesMut::new();
+        row.put_i16(1);
+        row.put_i32(value.len() as i32);
+        row.put_slice(value.as_bytes());
+        put_row(&mut self.out, &row);
+        "SELECT 1".into()
+    }
+
+    fn tell_point(&mut self, point: Point) {
+        if self.told != point {
+            self.told = point;
+            let setting = answer::parameter("group_point", &point.to_string());
+            self.out.extend_from_slice(&setting);
+        }
+    }
+
+    async fn run_sql(
+        &mut self,
+        sql: &str,
+        params: &[Value],
+        formats: &[i16],
+        described: bool,
+    ) -> Result<String, SqlError> {
+        let _slot = self.engine.slots.acquire().await.map_err(anyhow::Error::from)?;
+        let service = self.engine.knobs.service.get();
+        if !service.is_zero() {
+            monoio::time::sleep(service).await;
+        }
+        let reads = self.db.prepare_cached(sql)?.readonly();
+        if !reads {
+            if !self.engine.leads() {
+                return Err(SqlError::new("25006", "this server does not lead"));
+            }
+            if self.writing.is_none() {
+                let permit = self.engine.writing.acquire().await;
+                self.writing = Some(permit.map_err(anyhow::Error::from)?);
+            }
+            if !self.engine.leads() {
+                self.writing = None;
+                return Err(SqlError::new("25006", "this server does not lead"));
+            }
+        } else if !self.open || self.changes.is_empty() {
+            // Told before the rows, so that a reader can refuse a stale answer whole.
+            self.tell_point(self.engine.shown());
+        }
+        let result = self.step_sql(sql, params, formats, described).await;
+        if !reads && result.is_ok() {
+            self.changes.push(Change { sql: sql.into(), params: params.to_vec() });
+        }
+        if !self.open {
+            let changes = std::mem::take(&mut self.changes);
+            self.log(changes)?;
+        }
+        result
+    }
+
+    async fn step_sql(
+        &mut self,
+        sql: &str,
+        params: &[Value],
+        formats: &[i16],
+        described: bool,
+    ) -> Result<String, SqlError> {
+        let mut statement = self.db.prepare_cached(sql)?;
+        let fields = fields(&statement, formats);
+        values::bind(&mut statement, params)?;
+        if described && !fields.is_empty() {
+            frame::put(&mut self.out, &RowDescription::new(fields_of(&fields)));
+        }
+        let mut count = 0;
+        let mut row_bytes = BytesMut::new();
+        {
+            let mut rows = statement.raw_query();
+            while let Some(row) = rows.next()? {
+                row_bytes.clear();
+                row_bytes.put_i16(fields.len() as i16);
+                for (i, field) in fields.iter().enumerate() {
+                    let binary = field.format_code == 1;
+                    values::encode(&mut row_bytes, row.get_ref(i)?, field.type_id, binary)?;
+                }
+                put_row(&mut self.out, &row_bytes);
+                count += 1;
+                if self.out.len() >= SEND_AT && statement_reads(sql) {
+                    let out = self.out.split();
+                    self.writer.send(&out).await?;
+                }
+            }
+        }
+        drop(statement);
+        let changed = self.db.changes();
+        Ok(tag(sql, count, changed))
+    }
+}
+
+fn statement_reads(sql: &str) -> bool {
+    sql.trim_start().get(..6).is_some_and(|w| w.eq_ignore_ascii_case("select"))
+}
+
+fn tag(sql: &str, rows: u64, changed: u64) -> String {
+    let first = sql.split_ascii_whitespace().next().unwrap_or_default().to_ascii_uppercase();
+    match first.as_str() {
+        "INSERT" => format!("INSERT 0 {changed}"),
+        "UPDATE" | "DELETE" => format!("{first} {changed}"),
+        "CREATE" => "CREATE TABLE".into(),
+        "DROP" => "DROP TABLE".into(),
+        _ => format!("SELECT {rows}"),
+    }
+}
+
+fn put_row(out: &mut BytesMut, row: &[u8]) {
+    out.put_u8(b'D');
+    out.put_i32(row.len() as i32 + 4);
+    out.put_slice(row);
+}
+
+fn field(name: &str, type_id: u32, format: i16) -> FieldDescription {
+    FieldDescription::new(name.into(), 0, 0, type_id, -1, -1, format)
+}
+
+fn fields(statement: &rusqlite::Statement<'_>, formats: &[i16]) -> Vec<FieldDescription> {
+    let format = |i: usize| match formats {
+        [] => 0,
+        [one] => *one,
+        many => many.get(i).copied().unwrap_or(0),
+    };
+    let columns = statement.columns();
+    let described = columns.enumerate();
+    described
+        .map(|(i, c)| field(c.name(), values::column_type(c.decl_type(), c.name()), format(i)))
+        .collect()
+}
+
+fn fields_of(fields: &[FieldDescription]) -> Vec<FieldDescription> {
+    fields.iter().map(|f| field(&f.name, f.type_id, f.format_code)).collect()
+}
+
+fn decode_params(
+    oids: &[u32],
+    formats: &[i16],
+    params: &[Option<Bytes>],
+) -> Result<Vec<Value>, SqlError> {
+    let format = |i: usize| match formats {
+        [] => 0,
+        [one] => *one,
+        many => many.get(i).copied().unwrap_or(0),
+    };
+    let decode = |(i, bytes): (usize, &Option<Bytes>)| {
+        let oid = oids.get(i).copied().unwrap_or(oid::TEXT);
+        values::decode(bytes.as_deref(), oid, format(i) == 1)
+    };
+    let values = params.iter().enumerate().map(decode).collect::<anyhow::Result<_>>();
+    values.map_err(|error| SqlError::new("22P02", format!("{error:#}")))
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,4 @@
+//! The commands, a file each.
+
+pub mod key;
+pub mod serve;
--- /dev/null
+++ b/src/cmd/serve.rs
@@ -0,0 +1,122 @@
+//! Runs an entry host.
+
+use std::{cell::Cell, pin::Pin, rc::Rc, time::Duration};
+
+use anyhow::Context;
+use bergamottrack_contract::{Config, Current, Host};
+use bergamottrack_coordination::{Clock, SystemClock, token::Secret};
+use bergamottrack_entry::{Entry, caller};
+use bergamottrack_fleet::{Fleet, fleet};
+use bergamottrack_home::Homes;
+use bergamottrack_operator::{Reply, Request, serve::Handler};
+use bergamottrack_peer::{
+    Answer, Mesh, Question,
+    accept::{self, Service},
+};
+use bergamottrack_platform::{Chain, Platform};
+use monoio::net::TcpListener;
+use tracing::info;
+
+use crate::cli::ServeArgs;
+
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Runs an entry host until it is told to stop.
+pub fn run(args: ServeArgs) -> anyhow::Result<()> {
+    let filter = tracing_subscriber::EnvFilter::try_new(&args.log).context("the log level")?;
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).init();
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .context("starting the runtime")?;
+    runtime.block_on(host(args))
+}
+
+async fn host(args: ServeArgs) -> anyhow::Result<()> {
+    let clock: Rc<dyn Clock> = Rc::new(SystemClock);
+    let me = Host { id: args.host.clone(), domain: args.domain.clone(), peer: args.peer };
+    let current = Rc::new(Current::default());
+    let mesh = Mesh::new(me.clone(), clock.clone());
+    let homes = Homes::new(clock.clone());
+    let chain = Chain::new(Rc::new(Platform::new(args.platform, PLATFORM_TIMEOUT)));
+    let fleet = Fleet::new(me, current.clone(), mesh.clone(), chain, clock.clone());
+    let entry = Rc::new(Entry {
+        clock,
+        current: current.clone(),
+        mesh: mesh.clone(),
+        homes: homes.clone(),
+        secret: Secret::new(args.secret.as_bytes()),
+        cancels: Default::default(),
+        last_pid: Cell::default(),
+    });
+    let peers = listen(args.peer, "peers")?;
+    let callers = listen(args.listen, "callers")?;
+    monoio::spawn(accept_peers(peers, mesh, current, homes));
+    monoio::spawn(fleet.clone().run());
+    let operators = bergamottrack_operator::serve(args.operator, handler(fleet, args.operator_key));
+    monoio::select! {
+        result = accept_callers(callers, entry) => result,
+        result = operators => result,
+    }
+}
+
+fn listen(address: std::net::SocketAddr, whom: &str) -> anyhow::Result<TcpListener> {
+    let listener =
+        TcpListener::bind(address).with_context(|| format!("listening for {whom} at {address}"))?;
+    info!("serve: listening for {whom} at {address}.");
+    Ok(listener)
+}
+
+async fn accept_callers(listener: TcpListener, entry: Rc<Entry>) -> anyhow::Result<()> {
+    loop {
+        let (stream, _) = listener.accept().await.context("accepting a caller")?;
+        monoio::spawn(caller::serve(entry.clone(), stream));
+    }
+}
+
+async fn accept_peers(
+    listener: TcpListener,
+    mesh: Rc<Mesh>,
+    current: Rc<Current>,
+    homes: Rc<Homes>,
+) -> anyhow::Result<()> {
+    let service = Rc::new(Service {
+        serve: Box::new(move |open, side| {
+            let doc = current.get();
+            homes.serve(doc.as_ref().and_then(|doc| doc.config.as_ref()), open, side);
+        }),
+        answer: Box::new(|_, question| match question {
+            Question::Ping => Answer::Pong,
+        }),
+    });
+    loop {
+        let (stream, _) = listener.accept().await.context("accepting a peer")?;
+        monoio::spawn(accept::serve(stream, mesh.hello(), service.clone()));
+    }
+}
+
+fn handler(fleet: Rc<Fleet>, key: Option<String>) -> Rc<Handler> {
+    Rc::new(move |request: Request| -> Pin<Box<dyn Future<Output = Reply>>> {
+        let allowed = key.is_some() && request.key.as_deref() == key.as_deref();
+        Box::pin(operate(fleet.clone(), request, allowed))
+    })
+}
+
+async fn operate(fleet: Rc<Fleet>, request: Request, allowed: bool) -> Reply {
+    use hyper::StatusCode;
+    if !allowed {
+        return Reply::text(StatusCode::UNAUTHORIZED, "show the operator key\n");
+    }
+    if &*request.path != "/submit" {
+        return Reply::text(StatusCode::NOT_FOUND, "no such page\n");
+    }
+    let text = String::from_utf8_lossy(&request.body);
+    let config = match Config::parse(&text) {
+        Ok(config) => config,
+        Err(error) => return Reply::text(StatusCode::BAD_REQUEST, format!("{error:#}\n")),
+    };
+    match fleet.submit(config, "operator", fleet::new_submit()).await {
+        Ok(number) => Reply::text(StatusCode::OK, format!("{number}\n")),
+        Err(error) => Reply::text(StatusCode::CONFLICT, format!("{error}\n")),
+    }
+}
