--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -199,13 +199,18 @@
         kind: Kind,
         frames: Bytes,
     ) -> anyhow::Result<Result<BytesMut, Refusal>> {
-        let doc = match self.entry.standing(&self.caller.account, &self.caller.key) {
+        let budget = match self.entry.config() {
+            Ok(doc) => doc.config.as_ref().map(|c| Duration::from_millis(c.policy.request_ms)),
+            Err(refusal) => return Ok(Err(refusal)),
+        };
+        let budget = budget.unwrap_or_default();
+        let deadline = self.entry.clock.now() + budget;
+        let admitted = self.entry.admit(&self.caller.account, &self.caller.key, deadline).await;
+        let doc = match admitted {
             Ok(doc) => doc,
             Err(refusal) => return Ok(Err(refusal)),
         };
         let config = doc.config.as_ref().context("a revision without a configuration")?;
-        let budget = Duration::from_millis(config.policy.request_ms);
-        let deadline = self.entry.clock.now() + budget;
         let intent = self.intent(kind);
         match &self.exchange {
             Some(exchange) => {
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,5 +1,6 @@
 //! The entry: callers' connections, keys, session tokens, limits and answers.
 
+pub mod admit;
 pub mod caller;
 pub mod context;
 pub mod login;
--- a/components/home/src/group.rs
+++ b/components/home/src/group.rs
@@ -7,8 +7,7 @@
 };
 
 use bergamottrack_contract::{Group, Policy};
-use bergamottrack_coordination::{Clock, GroupId, Point, Reason, Refusal, leadership::Status};
-use bergamottrack_peer::Intent;
+use bergamottrack_coordination::{Clock, GroupId, Point, leadership::Status};
 use tokio::sync::Notify;
 
 use crate::{server::Server, watch};
@@ -61,7 +60,8 @@
         Duration::from_millis(self.policy.idle_ms)
     }
 
-    fn statuses(&self) -> impl Iterator<Item = (&Rc<Server>, Status)> {
+    /// The servers that answer, and what they last said.
+    pub fn statuses(&self) -> impl Iterator<Item = (&Rc<Server>, Status)> {
         let now = self.clock.now();
         let silence = self.silence();
         self.servers.iter().filter_map(move |s| Some((s, s.status(now, silence)?)))
@@ -96,29 +96,6 @@
         .unwrap_or(false)
     }
 
-    /// Chooses the server that runs an exchange; waits for one until `deadline`.
-    pub async fn route(&self, intent: &Intent, deadline: Instant) -> Result<Rc<Server>, Refusal> {
-        let found = self.until(deadline, || self.choose(intent)).await;
-        found.ok_or_else(|| {
-            let message = format!("group {} has no server for this now", self.id);
-            Refusal::not_run(Reason::Unavailable, Some(COME_BACK), message)
-        })
-    }
-
-    fn choose(&self, intent: &Intent) -> Option<Rc<Server>> {
-        let Intent::Read { floor: Some(floor), .. } = intent else {
-            return self.primary().map(|(server, _)| server);
-        };
-        let replica = self
-            .statuses()
-            .filter(|(_, status)| !status.leads() && status.applied.covers(*floor))
-            .max_by_key(|(server, _)| server.slots.available_permits());
-        match replica {
-            Some((server, _)) => Some(server.clone()),
-            None => self.primary().filter(|(_, s)| s.applied.covers(*floor)).map(|(s, _)| s),
-        }
-    }
-
     /// Looks again at each change until `look` gives something or `deadline` passes.
     pub async fn until<T>(&self, deadline: Instant, look: impl Fn() -> Option<T>) -> Option<T> {
         loop {
--- a/components/home/src/homes.rs
+++ b/components/home/src/homes.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
-use bergamottrack_contract::{Config, Group};
+use bergamottrack_contract::{Config, Group, Routes};
 use bergamottrack_coordination::{Clock, GroupId, Reason, Refusal};
 use bergamottrack_peer::{HomeSide, Open, ToEntry};
 
@@ -11,13 +11,14 @@
 /// The groups whose home this host is, or was asked to be.
 pub struct Homes {
     clock: Rc<dyn Clock>,
+    routes: Routes,
     groups: RefCell<HashMap<GroupId, (Group, Rc<GroupHome>)>>,
 }
 
 impl Homes {
     /// A host that is home to no group yet.
-    pub fn new(clock: Rc<dyn Clock>) -> Rc<Self> {
-        Rc::new(Self { clock, groups: RefCell::default() })
+    pub fn new(clock: Rc<dyn Clock>, routes: Routes) -> Rc<Self> {
+        Rc::new(Self { clock, routes, groups: RefCell::default() })
     }
 
     /// The home of a group, started if it is not there yet.
@@ -29,7 +30,11 @@
         {
             return Some(home.clone());
         }
-        let home = GroupHome::start(contract, config.policy.clone(), self.clock.clone());
+        let mut reached = contract.clone();
+        for server in &mut reached.servers {
+            server.address = self.routes.to(server.address);
+        }
+        let home = GroupHome::start(&reached, config.policy.clone(), self.clock.clone());
         let before = groups.insert(id.clone(), (contract.clone(), home.clone()));
         if let Some((_, before)) = before {
             before.closed.set(true);
--- a/components/peer/src/link.rs
+++ b/components/peer/src/link.rs
@@ -50,12 +50,13 @@
     waiters: RefCell<HashMap<RequestNo, Waiter>>,
     next_no: Cell<RequestNo>,
     heard: Cell<Option<Instant>>,
+    closed: Cell<bool>,
 }
 
 impl Link {
     /// Starts a link that connects again whenever it goes down.
     ///
-    /// The task ends when the last other holder drops the link.
+    /// The task ends soon after [`Link::close`].
     pub fn start(
         host: HostId,
         address: SocketAddr,
@@ -69,11 +70,17 @@
             waiters: RefCell::default(),
             next_no: Cell::default(),
             heard: Cell::default(),
+            closed: Cell::default(),
         });
         monoio::spawn(keep(link.clone(), address, hello));
         link
     }
 
+    /// Ends the link for good.
+    pub fn close(&self) {
+        self.closed.set(true);
+    }
+
     /// Whether the peer answered lately.
     pub fn is_up(&self) -> bool {
         self.out.borrow().is_some()
@@ -170,15 +177,16 @@
     }
 
     async fn ping(&self) -> anyhow::Result<()> {
-        loop {
+        while !self.closed.get() {
             self.ask(Question::Ping, SILENCE).await?;
             monoio::time::sleep(PING_EVERY).await;
         }
+        bail!("the host left the roster")
     }
 }
 
 async fn keep(link: Rc<Link>, address: SocketAddr, hello: Hello) {
-    while Rc::strong_count(&link) > 1 {
+    while !link.closed.get() {
         if let Err(error) = link.run(address, &hello).await {
             debug!("link: {} is down: {error:#}.", link.host);
         }
--- a/components/peer/src/mesh.rs
+++ b/components/peer/src/mesh.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
-use bergamottrack_contract::Host;
+use bergamottrack_contract::{Host, Routes};
 use bergamottrack_coordination::{Clock, GroupId, HostId, rendezvous};
 
 use crate::{link::Link, message::Hello};
@@ -12,13 +12,14 @@
     /// This host.
     pub me: Host,
     clock: Rc<dyn Clock>,
+    routes: Routes,
     links: RefCell<HashMap<HostId, (Host, Rc<Link>)>>,
 }
 
 impl Mesh {
     /// A mesh of this host alone.
-    pub fn new(me: Host, clock: Rc<dyn Clock>) -> Rc<Self> {
-        Rc::new(Self { me, clock, links: RefCell::default() })
+    pub fn new(me: Host, clock: Rc<dyn Clock>, routes: Routes) -> Rc<Self> {
+        Rc::new(Self { me, clock, routes, links: RefCell::default() })
     }
 
     /// Who this host says it is.
@@ -29,11 +30,17 @@
     /// Starts links to new hosts of the roster and drops those to hosts that left it.
     pub fn set_roster(&self, roster: &[Host]) {
         let mut links = self.links.borrow_mut();
-        links.retain(|_, (host, _)| roster.contains(host));
+        links.retain(|_, (host, link)| {
+            let stays = roster.contains(host);
+            if !stays {
+                link.close();
+            }
+            stays
+        });
         for host in roster.iter().filter(|h| h.id != self.me.id) {
             links.entry(host.id.clone()).or_insert_with(|| {
-                let link =
-                    Link::start(host.id.clone(), host.peer, self.hello(), self.clock.clone());
+                let address = self.routes.to(host.peer);
+                let link = Link::start(host.id.clone(), address, self.hello(), self.clock.clone());
                 (host.clone(), link)
             });
         }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, faults, load and experiments for bergamottrack; not shipped.
 
+pub mod link;
 pub mod platform;
 pub mod ports;
 pub mod process;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,7 +1,7 @@
 //! Stand-ins, faults, load and experiments for bergamottrack; not shipped.
 
 use clap::{Parser, Subcommand};
-use lab::{platform, server};
+use lab::{link, platform, server};
 
 /// Stand-ins, faults, load and experiments for bergamottrack.
 #[derive(Debug, Parser)]
@@ -16,6 +16,8 @@
 enum Command {
     /// Run a stand-in for a backend server.
     Server(server::ServerArgs),
+    /// Run links between processes that can be cut, delayed and reset.
+    Link(link::LinkArgs),
     /// Run a stand-in for the platform.
     Platform(platform::PlatformArgs),
 }
@@ -30,6 +32,7 @@
         monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer().build()?;
     match cli.command {
         Command::Server(args) => runtime.block_on(server::run(args)),
+        Command::Link(args) => runtime.block_on(link::run(args)),
         Command::Platform(args) => runtime.block_on(platform::run(args)),
     }
 }
--- a/lab/src/system.rs
+++ b/lab/src/system.rs
@@ -10,9 +10,13 @@
 use anyhow::Context;
 use bergamottrack_contract::Verifier;
 use tempfile::TempDir;
-use tokio_postgres::NoTls;
+use tokio_postgres::{Client, NoTls};
 
-use crate::{ports::Ports, process::Process};
+use crate::{
+    link::{Fault, Set},
+    ports::Ports,
+    process::Process,
+};
 
 /// The key that operators show.
 pub const OPERATOR_KEY: &str = "operator-key-of-the-lab";
@@ -23,6 +27,8 @@
 /// How long a condition is waited for; far more than any takes.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
+const PAUSE: Duration = Duration::from_millis(25);
+
 /// What a system is made of.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -30,10 +36,16 @@
     pub groups: usize,
     /// Entry hosts.
     pub hosts: usize,
-    /// Client accounts: name, rate and burst.
+    /// Client accounts: name, rate and burst. Each has the key `k1`.
     pub accounts: Vec<(String, f64, f64)>,
     /// Further arguments of each server.
     pub server_args: Vec<String>,
+    /// Lines of the configuration's `[policy]`.
+    pub policy: String,
+    /// Whether every connection between two processes goes through a link that
+    /// can be cut. Links are named `FROM>TO`: `h1>g1s1`, `h1>h2`, `h1>platform`,
+    /// and `g1s2>g1s1` for replication.
+    pub links: bool,
 }
 
 impl Default for Plan {
@@ -43,6 +55,8 @@
             hosts: 3,
             accounts: vec![("baobab".into(), 1000.0, 1000.0), ("hartwell".into(), 1000.0, 1000.0)],
             server_args: Vec::new(),
+            policy: String::new(),
+            links: false,
         }
     }
 }
@@ -58,28 +72,41 @@
     pub operator: SocketAddr,
 }
 
+/// Where a backend server listens.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerAddresses {
+    /// For statements.
+    pub statements: SocketAddr,
+    /// For the other servers of its group.
+    pub replication: SocketAddr,
+}
+
 /// A running system; its processes end when it is dropped.
 pub struct System {
     /// What it is made of.
     pub plan: Plan,
     /// The platform.
     pub platform: Process,
+    /// The link process, if there is one.
+    pub link: Option<Process>,
     /// The backend servers by name, such as `g1s2`.
     pub servers: BTreeMap<String, Process>,
-    /// Where each server takes statements.
-    pub server_addresses: BTreeMap<String, SocketAddr>,
-    /// The entry hosts.
+    /// Where each server listens.
+    pub server_addresses: BTreeMap<String, ServerAddresses>,
+    /// The entry hosts; `hosts[0]` is `h1`.
     pub hosts: Vec<Process>,
     /// Where each host listens.
     pub addresses: Vec<HostAddresses>,
     /// Where the platform listens.
     pub platform_address: SocketAddr,
-    _ports: Ports,
+    control: SocketAddr,
+    link_args: Vec<String>,
+    ports: Ports,
     dir: TempDir,
 }
 
-/// The programs, which stand beside the one that runs.
-fn program(name: &str) -> anyhow::Result<PathBuf> {
+/// One of the programs, which stand beside the one that runs.
+pub fn program(name: &str) -> anyhow::Result<PathBuf> {
     let me = std::env::current_exe().context("finding the programs")?;
     let found = me.ancestors().skip(1).take(2).map(|dir| dir.join(name)).find(|p| p.exists());
     found.with_context(|| format!("the program {name} has not been built"))
@@ -93,31 +120,59 @@
 impl System {
     /// Starts all processes and submits the configuration.
     pub async fn start(plan: Plan) -> anyhow::Result<Self> {
+        let mut system = Self::prepare(plan)?;
+        if let Some(link) = &mut system.link {
+            link.start()?;
+            system.await_listening(system.control).await?;
+        }
+        system.platform.start()?;
+        system.servers.values_mut().try_for_each(Process::start)?;
+        system.hosts.iter_mut().try_for_each(Process::start)?;
+        system.submit(&system.config()).await?;
+        Ok(system)
+    }
+
+    /// Lays out all processes without starting any.
+    pub fn prepare(plan: Plan) -> anyhow::Result<Self> {
         let dir = tempfile::tempdir()?;
         let mut ports = Ports::take()?;
         let platform_address = ports.address()?;
-        let listen = platform_address.to_string();
-        let args = vec!["platform".into(), "--listen".into(), listen];
+        let control = ports.address()?;
+        let args = vec!["platform".into(), format!("--listen={platform_address}")];
         let platform = Process::new("platform", &program("lab")?, args, dir.path());
         let mut system = Self {
             platform,
+            link: None,
             servers: BTreeMap::new(),
             server_addresses: BTreeMap::new(),
             hosts: Vec::new(),
             addresses: Vec::new(),
             platform_address,
-            _ports: ports,
+            control,
+            link_args: Vec::new(),
+            ports,
             dir,
             plan,
         };
-        system.platform.start()?;
         for group in 1..=system.plan.groups {
-            system.add_group(group)?;
+            system.prepare_group(group)?;
         }
-        for host in 1..=system.plan.hosts {
-            system.add_host(host)?;
+        for _ in 0..system.plan.hosts {
+            let addresses = HostAddresses {
+                callers: system.ports.address()?,
+                peer: system.ports.address()?,
+                operator: system.ports.address()?,
+            };
+            system.addresses.push(addresses);
+        }
+        for host in 0..system.plan.hosts {
+            system.prepare_host(host)?;
+        }
+        if system.plan.links {
+            let mut args = vec!["link".into(), format!("--control={control}")];
+            args.append(&mut system.link_args);
+            system.link = Some(Process::new("link", &program("lab")?, args, system.dir.path()));
         }
-        system.submit(&system.config()).await?;
         Ok(system)
     }
 
@@ -126,44 +181,60 @@
         self.dir.path()
     }
 
-    fn add_group(&mut self, group: usize) -> anyhow::Result<()> {
-        let ports = &mut self._ports;
-        let replication = [ports.address()?, ports.address()?, ports.address()?];
-        for i in 0..3 {
-            let name = format!("g{group}s{}", i + 1);
-            let listen = ports.address()?;
-            let peers: Vec<String> =
-                (0..3).filter(|j| *j != i).map(|j| replication[j].to_string()).collect();
-            let data = self.dir.path().join(&name);
+    /// The address by which `from` reaches `to`.
+    fn reach(&mut self, from: &str, to: &str, address: SocketAddr) -> anyhow::Result<SocketAddr> {
+        if !self.plan.links {
+            return Ok(address);
+        }
+        let listen = self.ports.address()?;
+        self.link_args.push(format!("--link={from}>{to}={listen}={address}"));
+        Ok(listen)
+    }
+
+    fn prepare_group(&mut self, group: usize) -> anyhow::Result<()> {
+        let names: Vec<String> = (1..=3).map(|i| format!("g{group}s{i}")).collect();
+        for name in &names {
+            let addresses = ServerAddresses {
+                statements: self.ports.address()?,
+                replication: self.ports.address()?,
+            };
+            self.server_addresses.insert(name.clone(), addresses);
+        }
+        for (i, name) in names.iter().enumerate() {
+            let mut peers = Vec::new();
+            for other in names.iter().filter(|other| *other != name) {
+                let address = self.server_addresses[other].replication;
+                peers.push(self.reach(name, other, address)?.to_string());
+            }
+            let addresses = self.server_addresses[name];
             let mut args = vec![
                 "server".into(),
                 format!("--id={name}"),
-                format!("--listen={listen}"),
-                format!("--replication={}", replication[i]),
+                format!("--listen={}", addresses.statements),
+                format!("--replication={}", addresses.replication),
                 format!("--peers={}", peers.join(",")),
-                format!("--data={}", data.display()),
+                format!("--data={}", self.dir.path().join(name).display()),
             ];
             if i == 0 {
                 args.push("--primary".into());
             }
             args.extend(self.plan.server_args.iter().cloned());
-            let mut process = Process::new(&name, &program("lab")?, args, self.dir.path());
-            process.start()?;
+            let process = Process::new(name, &program("lab")?, args, self.dir.path());
             self.servers.insert(name.clone(), process);
-            self.server_addresses.insert(name, listen);
         }
         Ok(())
     }
 
-    fn add_host(&mut self, host: usize) -> anyhow::Result<()> {
-        let ports = &mut self._ports;
-        let addresses = HostAddresses {
-            callers: ports.address()?,
-            peer: ports.address()?,
-            operator: ports.address()?,
-        };
-        let name = format!("h{host}");
-        let args = vec![
+    fn prepare_host(&mut self, host: usize) -> anyhow::Result<()> {
+        let name = format!("h{}", host + 1);
+        let mut targets: Vec<(String, SocketAddr)> =
+            vec![("platform".into(), self.platform_address)];
+        let servers = self.server_addresses.iter();
+        targets.extend(servers.map(|(name, addresses)| (name.clone(), addresses.statements)));
+        let peers = self.addresses.iter().enumerate().filter(|(i, _)| *i != host);
+        targets.extend(peers.map(|(i, addresses)| (format!("h{}", i + 1), addresses.peer)));
+        let addresses = self.addresses[host];
+        let mut args = vec![
             "serve".into(),
             format!("--host={name}"),
             format!("--domain=d{}", host % 3 + 1),
@@ -172,25 +243,28 @@
             format!("--operator={}", addresses.operator),
             format!("--platform={}", self.platform_address),
         ];
-        let program = program("bergamottrack")?;
-        let mut process = Process::new(&name, &program, args, self.dir.path())
+        for (to, address) in targets {
+            let via = self.reach(&name, &to, address)?;
+            if via != address {
+                args.push(format!("--via={address}={via}"));
+            }
+        }
+        let process = Process::new(&name, &program("bergamottrack")?, args, self.dir.path())
             .env("BERGAMOTTRACK_SECRET", SECRET)
             .env("BERGAMOTTRACK_OPERATOR_KEY", OPERATOR_KEY)
             .env("BERGAMOTTRACK_LOG", "debug");
-        process.start()?;
         self.hosts.push(process);
-        self.addresses.push(addresses);
         Ok(())
     }
 
     /// The configuration in TOML.
     pub fn config(&self) -> String {
-        let mut text = String::from("site = \"lab\"\n");
+        let mut text = format!("site = \"lab\"\n\n[policy]\n{}\n", self.plan.policy);
         for group in 1..=self.plan.groups {
             text += &format!("\n[[group]]\nid = \"g{group}\"\n");
             for i in 1..=3 {
                 let name = format!("g{group}s{i}");
-                let address = self.server_addresses[&name];
+                let address = self.server_addresses[&name].statements;
                 text += &format!(
                     "[[group.server]]\nid = \"{name}\"\naddress = \"{address}\"\ndomain = \"d{i}\"\n"
                 );
@@ -205,7 +279,7 @@
         text
     }
 
-    /// Submits a configuration through the first host that takes it.
+    /// Submits a configuration through the first host, as soon as it is taken.
     pub async fn submit(&self, config: &str) -> anyhow::Result<String> {
         let address = self.addresses[0].operator;
         let deadline = Instant::now() + PATIENCE;
@@ -213,18 +287,55 @@
             match post(address, "/submit", config).await {
                 Ok((200, text)) => return Ok(text),
                 other if Instant::now() > deadline => anyhow::bail!("submitting: {other:?}"),
-                _ => tokio::time::sleep(Duration::from_millis(50)).await,
+                _ => tokio::time::sleep(PAUSE).await,
             }
         }
     }
 
-    /// Connects to a host as an account.
-    pub async fn connect(
-        &self,
-        host: usize,
-        account: &str,
-        group: &str,
-    ) -> anyhow::Result<tokio_postgres::Client> {
+    /// Sets the fault of all links whose names match, such as `h1>*`.
+    pub async fn fault(&self, names: &str, fault: Fault) -> anyhow::Result<()> {
+        self.command("/set", &Set { names: names.into(), fault }).await
+    }
+
+    /// Mends all links whose names match.
+    pub async fn mend(&self, names: &str) -> anyhow::Result<()> {
+        self.fault(names, Fault::default()).await
+    }
+
+    /// Cuts all links whose names match, both ways.
+    pub async fn cut(&self, names: &str) -> anyhow::Result<()> {
+        self.fault(names, Fault { cut_up: true, cut_down: true, ..Fault::default() }).await
+    }
+
+    /// Resets the connections of all links whose names match.
+    pub async fn reset(&self, names: &str) -> anyhow::Result<()> {
+        self.command("/reset", &Set { names: names.into(), fault: Fault::default() }).await
+    }
+
+    async fn command(&self, path: &str, set: &Set) -> anyhow::Result<()> {
+        let (status, text) = post(self.control, path, &serde_json::to_string(set)?).await?;
+        anyhow::ensure!(status == 200, "a link command failed: {text}");
+        Ok(())
+    }
+
+    /// Sets faults of the platform, as JSON: `{"down": true}`.
+    pub async fn platform_faults(&self, json: &str) -> anyhow::Result<()> {
+        let (status, text) = post(self.platform_address, "/faults", json).await?;
+        anyhow::ensure!(status == 200, "a platform command failed: {text}");
+        Ok(())
+    }
+
+    async fn await_listening(&self, address: SocketAddr) -> anyhow::Result<()> {
+        let deadline = Instant::now() + PATIENCE;
+        while tokio::net::TcpStream::connect(address).await.is_err() {
+            anyhow::ensure!(Instant::now() < deadline, "nobody listens at {address}");
+            tokio::time::sleep(PAUSE).await;
+        }
+        Ok(())
+    }
+
+    /// How a caller connects to a host as an account.
+    pub fn caller(&self, host: usize, account: &str, group: &str) -> tokio_postgres::Config {
         let address = self.addresses[host].callers;
         let mut config = tokio_postgres::Config::new();
         config
@@ -233,30 +344,64 @@
             .user(format!("{account}.k1"))
             .password(key_of(account))
             .dbname(group);
-        let (client, connection) = config.connect(NoTls).await.context("connecting to a host")?;
-        tokio::spawn(connection);
-        Ok(client)
+        config
     }
 
-    /// Connects, trying again until the host serves.
-    pub async fn await_connect(
-        &self,
-        host: usize,
-        account: &str,
-        group: &str,
-    ) -> anyhow::Result<tokio_postgres::Client> {
+    /// Connects to a host as an account, trying again until the host serves.
+    pub async fn connect(&self, host: usize, account: &str, group: &str) -> anyhow::Result<Client> {
+        let config = self.caller(host, account, group);
         let deadline = Instant::now() + PATIENCE;
         loop {
-            match self.connect(host, account, group).await {
+            match connect(&config).await {
                 Ok(client) => return Ok(client),
                 Err(error) if Instant::now() > deadline => return Err(error),
-                Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+                Err(_) => tokio::time::sleep(PAUSE).await,
             }
         }
     }
+
+    /// Connects straight to a backend server, past the proxy.
+    pub async fn connect_server(&self, name: &str) -> anyhow::Result<Client> {
+        let address = self.server_addresses[name].statements;
+        let mut config = tokio_postgres::Config::new();
+        config.host(address.ip().to_string()).port(address.port()).user("lab").dbname("lab");
+        connect(&config).await
+    }
+}
+
+/// Connects once.
+pub async fn connect(config: &tokio_postgres::Config) -> anyhow::Result<Client> {
+    let (client, connection) = config.connect(NoTls).await.context("connecting")?;
+    tokio::spawn(connection);
+    Ok(client)
+}
+
+/// Runs a statement again and again until it succeeds.
+pub async fn until_runs(client: &Client, sql: &str) -> anyhow::Result<()> {
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        match client.simple_query(sql).await {
+            Ok(_) => return Ok(()),
+            Err(error) if Instant::now() > deadline => return Err(error).context(sql.to_owned()),
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
+
+/// The rows of a statement as text; columns joined by `|`, null as `NULL`.
+pub async fn rows(client: &Client, sql: &str) -> Result<Vec<String>, tokio_postgres::Error> {
+    let messages = client.simple_query(sql).await?;
+    let row = |message: &tokio_postgres::SimpleQueryMessage| match message {
+        tokio_postgres::SimpleQueryMessage::Row(row) => {
+            let columns = (0..row.len()).map(|i| row.get(i).unwrap_or("NULL"));
+            Some(columns.collect::<Vec<_>>().join("|"))
+        }
+        _ => None,
+    };
+    Ok(messages.iter().filter_map(row).collect())
 }
 
-/// Sends a request with the operator key; the status and the body.
+/// Sends a POST with the operator key; the status and the body.
 pub async fn post(address: SocketAddr, path: &str, body: &str) -> anyhow::Result<(u16, String)> {
     request(address, "POST", path, body).await
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bergamottrack_contract::Route;
 use bergamottrack_coordination::{FailureDomain, HostId};
 use clap::{Args, Parser, Subcommand};
 
@@ -50,6 +51,9 @@
     /// Key that operators must show; without one the operator interface is closed.
     #[arg(long, env = "BERGAMOTTRACK_OPERATOR_KEY", hide_env_values = true)]
     pub operator_key: Option<String>,
+    /// Address that this host reaches under another one: ADDRESS=OTHER, several by commas.
+    #[arg(long, env = "BERGAMOTTRACK_VIA", value_delimiter = ',')]
+    pub via: Vec<Route>,
     /// What is logged.
     #[arg(long, env = "BERGAMOTTRACK_LOG", default_value = "info")]
     pub log: String,
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, pin::Pin, rc::Rc, time::Duration};
 
 use anyhow::Context;
-use bergamottrack_contract::{Config, Current, Host};
+use bergamottrack_contract::{Config, Current, Host, Routes};
 use bergamottrack_coordination::{Clock, SystemClock, token::Secret};
 use bergamottrack_entry::{Entry, caller};
 use bergamottrack_fleet::{Fleet, fleet};
@@ -36,9 +36,11 @@
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let me = Host { id: args.host.clone(), domain: args.domain.clone(), peer: args.peer };
     let current = Rc::new(Current::default());
-    let mesh = Mesh::new(me.clone(), clock.clone());
-    let homes = Homes::new(clock.clone());
-    let chain = Chain::new(Rc::new(Platform::new(args.platform, PLATFORM_TIMEOUT)));
+    let routes = Routes::new(&args.via);
+    let platform = Platform::new(routes.to(args.platform), PLATFORM_TIMEOUT);
+    let mesh = Mesh::new(me.clone(), clock.clone(), routes.clone());
+    let homes = Homes::new(clock.clone(), routes);
+    let chain = Chain::new(Rc::new(platform));
     let fleet = Fleet::new(me, current.clone(), mesh.clone(), chain, clock.clone());
     let entry = Rc::new(Entry {
         clock,
