--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod ports;
 pub mod process;
 pub mod server;
+pub mod storm;
 pub mod system;
--- /dev/null
+++ b/lab/src/storm/callers.rs
@@ -0,0 +1,214 @@
+//! Callers that write and read through a storm and note what they were told.
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio_postgres::{Client, error::DbError};
+
+use crate::system::{self, System};
+
+/// The tables that the callers use.
+pub const TABLES: [&str; 2] = [
+    "CREATE TABLE IF NOT EXISTS booking (id TEXT, writer INTEGER)",
+    "CREATE TABLE IF NOT EXISTS pair (writer INTEGER, side TEXT, amount INTEGER)",
+];
+
+/// Longer than any deadline: an answer that has not come by then never will.
+const ANSWER_WITHIN: Duration = Duration::from_secs(12);
+
+/// What a caller was told of a write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fate {
+    /// It was done.
+    Done,
+    /// It did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// A write and what its caller was told.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// Id of the booking.
+    pub id: String,
+    /// Whether it was sent with a request id of the same text.
+    pub named: bool,
+    /// What the caller was told.
+    pub fate: Fate,
+    /// The answer, for the story.
+    pub answer: String,
+}
+
+/// A caller that writes bookings, one after another, through changing hosts.
+pub struct Writer {
+    number: usize,
+    configs: Vec<tokio_postgres::Config>,
+    told: Arc<Mutex<Vec<Told>>>,
+    broken: Arc<Mutex<Vec<String>>>,
+    rng: StdRng,
+    token: Option<String>,
+    /// The last booking that this session was told is done.
+    last: Option<String>,
+}
+
+impl Writer {
+    /// A writer; odd ones are of the second account.
+    pub fn new(
+        system: &System,
+        number: usize,
+        told: Arc<Mutex<Vec<Told>>>,
+        broken: Arc<Mutex<Vec<String>>>,
+    ) -> Self {
+        let account = if number.is_multiple_of(2) { "baobab" } else { "hartwell" };
+        let hosts = 0..system.hosts.len();
+        Self {
+            number,
+            configs: hosts.map(|host| system.caller(host, account, "g1")).collect(),
+            told,
+            broken,
+            rng: StdRng::seed_from_u64(number as u64),
+            token: None,
+            last: None,
+        }
+    }
+
+    /// Writes until told to stop.
+    pub async fn run(mut self, stop: Arc<AtomicBool>) {
+        let mut count = 0;
+        let mut client: Option<(usize, Client)> = None;
+        while !stop.load(Ordering::Relaxed) {
+            let host = match &client {
+                Some((host, _)) if self.rng.random_bool(0.8) => *host,
+                _ => self.rng.random_range(0..self.configs.len()),
+            };
+            if client.as_ref().is_none_or(|(at, c)| *at != host || c.is_closed()) {
+                client = self.connect(host).await.map(|c| (host, c));
+            }
+            let Some((_, connected)) = &client else {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            };
+            count += 1;
+            if !self.book(connected, count).await {
+                client = None;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn connect(&self, host: usize) -> Option<Client> {
+        let connect = system::connect(&self.configs[host]);
+        let client = tokio::time::timeout(Duration::from_secs(2), connect).await.ok()?.ok()?;
+        if let Some(token) = &self.token {
+            let set = format!("SET bergamottrack.session = '{token}'");
+            let set = client.simple_query(&set);
+            tokio::time::timeout(Duration::from_secs(2), set).await.ok()?.ok()?;
+        }
+        Some(client)
+    }
+
+    /// One booking and a look at the one before; false when the connection is to be left.
+    async fn book(&mut self, client: &Client, count: usize) -> bool {
+        if self.look(client).await == Some(false) {
+            return false;
+        }
+        let id = format!("w{}-{count}", self.number);
+        let named = self.rng.random_bool(0.5);
+        if named {
+            let set = client.batch_execute(&format!("SET bergamottrack.request = '{id}'")).await;
+            if set.is_err() {
+                return false;
+            }
+        }
+        let result = match self.rng.random_bool(0.5) {
+            true => self.autocommit(client, &id).await,
+            false => self.transaction(client, &id).await,
+        };
+        let fate = result.as_ref().map_or_else(|answer| fate(answer), |()| Fate::Done);
+        let answer = result.err().unwrap_or_default();
+        self.told.lock().expect("not poisoned").push(Told { id: id.clone(), named, fate, answer });
+        if fate == Fate::Done {
+            self.last = Some(id);
+            self.keep_token(client).await;
+        }
+        fate == Fate::Done
+    }
+
+    async fn autocommit(&self, client: &Client, id: &str) -> Result<(), String> {
+        let sql = format!("INSERT INTO booking VALUES ('{id}', {})", self.number);
+        within(client.batch_execute(&sql)).await
+    }
+
+    /// Moves an amount from one side to the other, in the booking's transaction.
+    async fn transaction(&self, client: &Client, id: &str) -> Result<(), String> {
+        let n = self.number;
+        let steps = [
+            "BEGIN".to_owned(),
+            format!("INSERT INTO booking VALUES ('{id}', {n})"),
+            format!("INSERT INTO pair VALUES ({n}, '{id}-left', 1)"),
+            format!("INSERT INTO pair VALUES ({n}, '{id}-right', -1)"),
+        ];
+        for sql in &steps {
+            // An error before the commit was sent means that nothing is kept.
+            let result = within(client.batch_execute(sql)).await;
+            result.map_err(|answer| format!("before commit: {answer}"))?;
+        }
+        within(client.batch_execute("COMMIT")).await
+    }
+
+    /// Whether the last booking is seen; `None` when the read was refused.
+    async fn look(&self, client: &Client) -> Option<bool> {
+        let last = self.last.as_ref()?;
+        let sql = format!("SELECT id FROM booking WHERE id = '{last}'");
+        let read = tokio::time::timeout(ANSWER_WITHIN, system::rows(client, &sql)).await;
+        let rows = read.ok()?.ok()?;
+        if rows.len() != 1 {
+            let story = format!("{last} was told done; the same session then reads {rows:?}");
+            self.broken.lock().expect("not poisoned").push(story);
+            return Some(false);
+        }
+        Some(true)
+    }
+
+    async fn keep_token(&mut self, client: &Client) {
+        let show = system::rows(client, "SHOW bergamottrack.session");
+        if let Ok(Ok(rows)) = tokio::time::timeout(ANSWER_WITHIN, show).await {
+            self.token = rows.into_iter().next().filter(|token| !token.is_empty());
+        } else {
+            // Without the token the session would promise nothing: start anew.
+            (self.token, self.last) = (None, None);
+        }
+    }
+}
+
+async fn within(
+    run: impl Future<Output = Result<(), tokio_postgres::Error>>,
+) -> Result<(), String> {
+    match tokio::time::timeout(ANSWER_WITHIN, run).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(error)) => Err(error.as_db_error().map_or_else(|| error.to_string(), describe)),
+        Err(_) => Err("no answer".into()),
+    }
+}
+
+fn describe(error: &DbError) -> String {
+    let detail = error.detail().unwrap_or("no detail");
+    format!("{} [{detail}] {}", error.code().code(), error.message())
+}
+
+/// What an answer says of the write's fate; all that does not say is unknown.
+fn fate(answer: &str) -> Fate {
+    match answer {
+        _ if answer.starts_with("before commit") => Fate::NotRun,
+        _ if answer.contains("[not run]") => Fate::NotRun,
+        _ if answer.contains("[done]") => Fate::Done,
+        _ => Fate::Unknown,
+    }
+}
--- /dev/null
+++ b/lab/src/storm/schedule.rs
@@ -0,0 +1,150 @@
+//! The draw of faults.
+
+use std::{fmt, time::Duration};
+
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
+
+use crate::{link::Fault as LinkFault, process::Process, system::System};
+
+/// A fault, or its end.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// Kill a process.
+    Kill(String),
+    /// Start it again.
+    Start(String),
+    /// Stop a process without ending it.
+    Freeze(String),
+    /// Let it go on.
+    Wake(String),
+    /// Set what is wrong with links.
+    Links(String, LinkFault),
+    /// Reset the connections of links.
+    Reset(String),
+    /// Set what is wrong with the platform, as JSON.
+    Platform(&'static str),
+    /// Set the lag of a backend server, in milliseconds.
+    Lag(String, u64),
+}
+
+/// A fault at a time.
+#[derive(Clone, Debug)]
+pub struct Step {
+    /// When, from the start of the storm.
+    pub at: Duration,
+    /// What.
+    pub fault: Fault,
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:>6} ms  {:?}", self.at.as_millis(), self.fault)
+    }
+}
+
+const PLATFORM_FAULTS: [&str; 3] =
+    [r#"{"down":true}"#, r#"{"slow_ms":2000}"#, r#"{"lose_answers":3}"#];
+
+/// Draws faults, two or three at a time, each with its end.
+pub fn draw(seed: u64, length: Duration, hosts: usize) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut steps = Vec::new();
+    let mut at = Duration::from_millis(500);
+    while at < length {
+        for _ in 0..rng.random_range(2..=3) {
+            let start = at + Duration::from_millis(rng.random_range(0..400));
+            let lasts = Duration::from_millis(rng.random_range(200..2500));
+            let (begin, end) = fault(&mut rng, hosts);
+            steps.push(Step { at: start, fault: begin });
+            steps.extend(end.map(|fault| Step { at: start + lasts, fault }));
+        }
+        at += Duration::from_millis(rng.random_range(2500..4500));
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+fn fault(rng: &mut StdRng, hosts: usize) -> (Fault, Option<Fault>) {
+    let server = |rng: &mut StdRng| format!("g1s{}", rng.random_range(1..=3));
+    let host = |rng: &mut StdRng| format!("h{}", rng.random_range(1..=hosts));
+    let cut = |names: String, fault: LinkFault| {
+        (Fault::Links(names.clone(), fault), Some(Fault::Links(names, LinkFault::default())))
+    };
+    let both = LinkFault { cut_up: true, cut_down: true, ..LinkFault::default() };
+    let one_way = match rng.random_bool(0.5) {
+        true => LinkFault { cut_up: true, ..LinkFault::default() },
+        false => LinkFault { cut_down: true, ..LinkFault::default() },
+    };
+    match rng.random_range(0..12) {
+        0 => pair(server(rng), Fault::Kill, Fault::Start),
+        1 => pair(server(rng), Fault::Freeze, Fault::Wake),
+        2 => pair(host(rng), Fault::Kill, Fault::Start),
+        3 => pair(host(rng), Fault::Freeze, Fault::Wake),
+        4 => cut(format!("h*>{}", server(rng)), both),
+        5 => cut(format!("{}>{}", host(rng), server(rng)), one_way),
+        6 => cut(format!("*>{}", server(rng)), both),
+        7 => cut(format!("{}>h*", host(rng)), one_way),
+        8 => cut(format!("g1s*>{}", server(rng)), both),
+        9 => (Fault::Reset(format!("*>{}", server(rng))), None),
+        10 => {
+            let faults = PLATFORM_FAULTS.choose(rng).copied().unwrap_or(PLATFORM_FAULTS[0]);
+            (Fault::Platform(faults), Some(Fault::Platform("{}")))
+        }
+        _ => {
+            let server = server(rng);
+            (Fault::Lag(server.clone(), rng.random_range(100..3000)), Some(Fault::Lag(server, 0)))
+        }
+    }
+}
+
+fn pair(
+    name: String,
+    begin: fn(String) -> Fault,
+    end: fn(String) -> Fault,
+) -> (Fault, Option<Fault>) {
+    (begin(name.clone()), Some(end(name)))
+}
+
+impl Fault {
+    /// Makes the fault.
+    pub async fn apply(&self, system: &mut System) -> anyhow::Result<()> {
+        match self {
+            Self::Kill(name) => system.process(name)?.kill(),
+            Self::Start(name) => system.process(name)?.start()?,
+            Self::Freeze(name) => signal(system.process(name)?, libc::SIGSTOP),
+            Self::Wake(name) => signal(system.process(name)?, libc::SIGCONT),
+            Self::Links(names, fault) => system.fault(names, fault.clone()).await?,
+            Self::Reset(names) => system.reset(names).await?,
+            Self::Platform(faults) => system.platform_faults(faults).await?,
+            Self::Lag(name, ms) => {
+                // A server that is down or frozen has no lag to set.
+                let _ = system.set_lag(name, *ms).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Signals a process that another fault may have killed.
+fn signal(process: &Process, signal: i32) {
+    if process.pid().is_some() {
+        let _ = process.signal(signal);
+    }
+}
+
+/// Ends all faults.
+pub async fn mend_all(system: &mut System) -> anyhow::Result<()> {
+    system.mend("*>*").await?;
+    system.platform_faults("{}").await?;
+    let names: Vec<String> = system.servers.keys().cloned().collect();
+    let hosts = (1..=system.hosts.len()).map(|i| format!("h{i}"));
+    for name in names.iter().cloned().chain(hosts) {
+        let process = system.process(&name)?;
+        process.start()?;
+        signal(process, libc::SIGCONT);
+    }
+    for name in names {
+        let _ = system.set_lag(&name, 0).await;
+    }
+    Ok(())
+}
--- a/lab/src/system.rs
+++ b/lab/src/system.rs
@@ -181,6 +181,40 @@
         self.dir.path()
     }
 
+    /// A server, a host such as `h1`, or the platform.
+    pub fn process(&mut self, name: &str) -> anyhow::Result<&mut Process> {
+        if name == "platform" {
+            return Ok(&mut self.platform);
+        }
+        let found = match name.strip_prefix('h').and_then(|n| n.parse::<usize>().ok()) {
+            Some(number) => self.hosts.get_mut(number.wrapping_sub(1)),
+            None => self.servers.get_mut(name),
+        };
+        found.with_context(|| format!("there is no process {name}"))
+    }
+
+    /// Sets how long a backend server takes to show what it has received.
+    pub async fn set_lag(&self, server: &str, ms: u64) -> anyhow::Result<()> {
+        let set = async {
+            let client = self.connect_server(server).await?;
+            anyhow::Ok(client.batch_execute(&format!("SET standin.lag_ms = {ms}")).await?)
+        };
+        tokio::time::timeout(Duration::from_secs(1), set).await.context("no answer")?
+    }
+
+    /// Keeps the logs when the system is dropped; gives their directory.
+    pub fn keep_logs(&self) -> anyhow::Result<PathBuf> {
+        let kept = std::env::temp_dir().join(format!("bergamottrack-{}", std::process::id()));
+        std::fs::create_dir_all(&kept)?;
+        for entry in std::fs::read_dir(self.dir())? {
+            let path = entry?.path();
+            if path.extension().is_some_and(|e| e == "log") {
+                std::fs::copy(&path, kept.join(path.file_name().unwrap_or_default()))?;
+            }
+        }
+        Ok(kept)
+    }
+
     /// The address by which `from` reaches `to`.
     fn reach(&mut self, from: &str, to: &str, address: SocketAddr) -> anyhow::Result<SocketAddr> {
         if !self.plan.links {
