--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -4,6 +4,53 @@
 //! Every part is a plain structure or function: it takes the time (and random
 //! numbers) as an argument, does no input or output and knows no runtime, so
 //! that a daemon, a test or another program can drive it.
+//!
+//! A busy server shared between two accounts:
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//!
+//! use bergamottrack_coordination::fair::{FairQueue, Ticket};
+//!
+//! let now = Instant::now();
+//! let mut queue = FairQueue::new(1, Duration::from_millis(2));
+//! let ticket = |account: &str| Ticket {
+//!     account: account.parse().unwrap(),
+//!     weight: 1,
+//!     deadline: now + Duration::from_secs(5),
+//!     urgent: false,
+//! };
+//! for n in 0..100 {
+//!     queue.push(&ticket("large"), now, n).unwrap();
+//! }
+//! queue.push(&ticket("small"), now, 1000).unwrap();
+//!
+//! // The small account does not wait behind the large one's hundred.
+//! let first = queue.pop().unwrap();
+//! queue.release(&first.account, first.cost, Duration::from_millis(2));
+//! let second = queue.pop().unwrap();
+//! assert!(first.item == 1000 || second.item == 1000);
+//! ```
+//!
+//! A session that roams:
+//!
+//! ```
+//! use bergamottrack_coordination::{
+//!     AccountId, GroupId, Point,
+//!     token::{Secret, SessionToken},
+//! };
+//!
+//! let secret = Secret::new(b"shared by all hosts");
+//! let account: AccountId = "baobab".parse().unwrap();
+//! let group: GroupId = "commissions".parse().unwrap();
+//! let mut token = SessionToken::default();
+//! token.raise(&group, Point::new(3, 120));
+//!
+//! let text = token.seal(&account, &secret);
+//! let elsewhere = SessionToken::open(&text, &account, &secret).unwrap();
+//! assert_eq!(elsewhere.floor(&group), Some(Point::new(3, 120)));
+//! assert!(!Point::new(3, 119).covers(Point::new(3, 120)));
+//! ```
 
 pub mod ages;
 pub mod clock;
