--- a/components/contract/src/revision.rs
+++ b/components/contract/src/revision.rs
@@ -1,12 +1,17 @@
 //! A revision: the configuration and the hosts that act on it.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
-use bergamottrack_coordination::{FailureDomain, HostId, Revision, SubmitId};
+use bergamottrack_coordination::{FailureDomain, Freshness, HostId, Revision, SubmitId};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
-use crate::config::Config;
+use crate::config::{Config, Policy};
 
 /// An entry host of the fleet.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -32,8 +37,12 @@
     pub at: u64,
     /// What the operator describes; none before the first submit.
     pub config: Option<Config>,
+    /// The revision that brought this configuration; later ones only changed the roster.
+    pub config_revision: Revision,
     /// The hosts that act on it; none twice.
     pub roster: Vec<Host>,
+    /// The roster of the revision before.
+    pub before: Vec<Host>,
 }
 
 impl RevisionDoc {
@@ -41,12 +50,19 @@
     pub fn host(&self, id: &HostId) -> Option<&Host> {
         self.roster.iter().find(|h| h.id == *id)
     }
+
+    /// How long a host may act on it without showing that it is the newest.
+    pub fn fresh_limit(&self) -> Duration {
+        let policy = self.config.as_ref().map(|config| config.policy.fresh_ms);
+        Duration::from_millis(policy.unwrap_or(Policy::default().fresh_ms))
+    }
 }
 
 /// The revision that this host acts on; it never goes down.
 #[derive(Debug, Default)]
 pub struct Current {
     doc: RefCell<Option<Rc<RevisionDoc>>>,
+    freshness: RefCell<Freshness>,
     changed: Notify,
 }
 
@@ -69,11 +85,33 @@
         if doc.number <= self.number() {
             return false;
         }
+        self.freshness.borrow_mut().learn(doc.number);
         *self.doc.borrow_mut() = Some(Rc::new(doc));
         self.changed.notify_waiters();
         true
     }
 
+    /// Notes that nothing newer than `newest` had been accepted at `asked`.
+    pub fn show(&self, newest: Revision, asked: Instant) {
+        self.freshness.borrow_mut().show(newest, asked);
+    }
+
+    /// Whether this host may vouch for others.
+    pub fn vouches(&self) -> bool {
+        self.freshness.borrow().vouches()
+    }
+
+    /// How long ago the revision in force here was the newest for certain.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.freshness.borrow().age(now)
+    }
+
+    /// Whether this host may act on its revision.
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        let limit = self.get().map(|doc| doc.fresh_limit());
+        limit.is_some_and(|limit| self.freshness.borrow().is_fresh(now, limit))
+    }
+
     /// Waits for the next revision.
     pub async fn changed(&self) {
         self.changed.notified().await;
--- /dev/null
+++ b/components/coordination/src/freshness.rs
@@ -0,0 +1,127 @@
+//! Whether a host may still act on the revision it knows.
+//!
+//! A revision is *accepted* once the table service has it and it has been told
+//! to a majority of its own roster and to a majority of the roster before it;
+//! no step is made from a revision that was not told so. A host acts only while
+//! it can show that no newer revision was accepted within a few seconds of now.
+//! It shows so by reading the head of the chain, or by the answers of a majority
+//! of its own roster, none of which knows a newer revision. Times count from
+//! when the question was *sent*: an answer may have been long under way.
+//!
+//! Why this holds. Say K+1 was accepted, and a host still at K asks the roster
+//! of K. Those told of K+1 are a majority of that roster, and so are those that
+//! answer: they meet in at least one host. It answers with K+1, unless it
+//! restarted since and forgot. But a restarted host vouches for nothing before
+//! it has itself shown freshness: by the platform, which names K+1, or by a
+//! majority of hosts that vouch, and fewer than a majority of them lack K+1.
+//! So the hosts that vouch and lack K+1 are never a majority, and the asker is
+//! not shown fresh after the acceptance. For a host further behind the same
+//! holds of the step after *its* revision, which was told before any later one
+//! could be made, whatever the roster became.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{HostId, Revision, leadership};
+
+/// What a host answers when another asks whether its revision is the newest.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Vouch {
+    /// The newest revision that it knows; 0 when it knows none.
+    pub known: Revision,
+    /// Whether it has shown freshness since it started. Before that its
+    /// ignorance of a newer revision means nothing.
+    pub vouches: bool,
+    /// The newest revision that it knows to have been told to majorities.
+    pub told: Revision,
+    /// Hosts that it has not heard for long.
+    pub silent: Vec<HostId>,
+}
+
+/// What a round of questions showed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Tally {
+    /// No revision newer than the asker's was accepted before the round began.
+    pub newest: bool,
+    /// The asker's revision is known to majorities of its roster and of the one before.
+    pub told: bool,
+    /// A host that knows a newer revision, and that revision.
+    pub newer: Option<(HostId, Revision)>,
+    /// Hosts of the roster that know the asker's revision or a newer one.
+    pub in_force: Vec<HostId>,
+}
+
+/// Counts the answers of one round. The asker's own answer is one of them.
+///
+/// Answers of hosts outside both rosters, and second answers of a host, do not count.
+pub fn tally(
+    known: Revision,
+    roster: &[HostId],
+    before: &[HostId],
+    answers: &[(HostId, Vouch)],
+) -> Tally {
+    let answer = |host: &HostId| answers.iter().find(|(id, _)| id == host).map(|(_, vouch)| vouch);
+    let knows = |host: &&HostId| answer(host).is_some_and(|vouch| vouch.known >= known);
+    let vouches = |host: &&HostId| answer(host).is_some_and(|vouch| vouch.vouches);
+    let newer = answers.iter().filter(|(_, vouch)| vouch.known > known);
+    let newer = newer.max_by_key(|(_, vouch)| vouch.known);
+    Tally {
+        newest: !roster.is_empty() && newer.is_none() && holds(roster, vouches),
+        told: holds(roster, knows) && holds(before, knows),
+        newer: newer.map(|(host, vouch)| (host.clone(), vouch.known)),
+        in_force: roster.iter().filter(knows).cloned().collect(),
+    }
+}
+
+/// Whether a majority of the hosts passes; of none, yes.
+pub fn holds<'a>(hosts: &'a [HostId], passes: impl Fn(&&'a HostId) -> bool) -> bool {
+    hosts.is_empty() || hosts.iter().filter(passes).count() >= leadership::majority(hosts.len())
+}
+
+/// Since when, and of what, a host can show freshness.
+#[derive(Clone, Debug, Default)]
+pub struct Freshness {
+    /// The latest time at which nothing newer than `known` had been accepted;
+    /// none until freshness was shown once since the start.
+    shown: Option<Instant>,
+    /// The revision known here; never goes down.
+    known: Revision,
+}
+
+impl Freshness {
+    /// Notes that a revision is known now.
+    ///
+    /// What was shown before stays shown: where nothing newer than the old
+    /// revision had been accepted, nothing newer than the new one had.
+    pub fn learn(&mut self, revision: Revision) {
+        self.known = self.known.max(revision);
+    }
+
+    /// Notes that nothing newer than `newest` had been accepted at `asked`.
+    ///
+    /// Does nothing when a newer revision than the one known here may exist.
+    pub fn show(&mut self, newest: Revision, asked: Instant) {
+        if newest <= self.known {
+            self.shown = self.shown.max(Some(asked));
+        }
+    }
+
+    /// Whether this host may vouch for others.
+    pub fn vouches(&self) -> bool {
+        self.shown.is_some()
+    }
+
+    /// How long ago the revision was the newest for certain.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.shown.map(|shown| now.saturating_duration_since(shown))
+    }
+
+    /// Whether this host may act.
+    ///
+    /// A host that was frozen finds its time run out when it wakes, since the
+    /// clock went on; it must show freshness again before it serves.
+    pub fn is_fresh(&self, now: Instant, limit: Duration) -> bool {
+        self.age(now).is_some_and(|age| age < limit)
+    }
+}
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -6,6 +6,7 @@
 //! that a daemon, a test or another program can drive it.
 
 pub mod clock;
+pub mod freshness;
 pub mod ids;
 pub mod leadership;
 pub mod refusal;
@@ -14,6 +15,7 @@
 pub mod units;
 
 pub use clock::{Clock, ManualClock, SystemClock};
+pub use freshness::Freshness;
 pub use ids::{
     AccountId, FailureDomain, GroupId, HostId, IdError, KeyId, RequestId, ServerId, SubmitId,
 };
--- /dev/null
+++ b/components/coordination/tests/freshness.rs
@@ -0,0 +1,101 @@
+//! Whether a host may still act on the revision it knows.
+
+use std::time::Duration;
+
+use bergamottrack_coordination::{
+    Clock, Freshness, HostId, ManualClock, Revision,
+    freshness::{self, Vouch},
+};
+
+const LIMIT: Duration = Duration::from_secs(3);
+
+fn hosts(names: &[&str]) -> Vec<HostId> {
+    names.iter().map(|name| name.parse().unwrap()).collect()
+}
+
+fn vouch(known: u64, vouches: bool) -> Vouch {
+    Vouch { known: Revision(known), vouches, told: Revision(0), silent: Vec::new() }
+}
+
+fn answers(list: &[(&str, u64, bool)]) -> Vec<(HostId, Vouch)> {
+    list.iter().map(|(id, known, vouches)| (id.parse().unwrap(), vouch(*known, *vouches))).collect()
+}
+
+#[test]
+fn a_majority_that_knows_nothing_newer_shows_freshness() {
+    let roster = hosts(&["h1", "h2", "h3"]);
+    let told = answers(&[("h1", 7, true), ("h2", 7, true)]);
+    let tally = freshness::tally(Revision(7), &roster, &roster, &told);
+    assert!(tally.newest && tally.told);
+    let alone = answers(&[("h1", 7, true)]);
+    assert!(!freshness::tally(Revision(7), &roster, &roster, &alone).newest);
+}
+
+#[test]
+fn one_host_that_knows_a_newer_revision_is_enough_to_stop() {
+    let roster = hosts(&["h1", "h2", "h3"]);
+    let told = answers(&[("h1", 7, true), ("h2", 8, true), ("h3", 7, true)]);
+    let tally = freshness::tally(Revision(7), &roster, &roster, &told);
+    assert!(!tally.newest);
+    assert_eq!(tally.newer, Some(("h2".parse().unwrap(), Revision(8))));
+}
+
+/// A key is withdrawn and two of three hosts are told. One of them restarts and
+/// forgets; the third asks it. Did its ignorance count, the withdrawn key would
+/// go on working at the third host.
+#[test]
+fn a_restarted_host_vouches_for_nothing() {
+    let roster = hosts(&["h1", "h2", "h3"]);
+    let told = answers(&[("h3", 7, true), ("h2", 7, false)]);
+    assert!(!freshness::tally(Revision(7), &roster, &roster, &told).newest);
+}
+
+#[test]
+fn hosts_outside_the_roster_and_second_answers_do_not_count() {
+    let roster = hosts(&["h1", "h2", "h3"]);
+    let told = answers(&[("h1", 7, true), ("h1", 7, true), ("h9", 7, true)]);
+    let tally = freshness::tally(Revision(7), &roster, &roster, &told);
+    assert!(!tally.newest && !tally.told);
+}
+
+/// The roster moves from h1-h3 to h3-h5. A host of the old one asks the old one
+/// only, so the new revision counts as told when majorities of both know it.
+#[test]
+fn a_roster_change_is_told_to_both_rosters() {
+    let (before, after) = (hosts(&["h1", "h2", "h3"]), hosts(&["h3", "h4", "h5"]));
+    let new_only = answers(&[("h3", 8, true), ("h4", 8, true), ("h5", 8, true)]);
+    assert!(!freshness::tally(Revision(8), &after, &before, &new_only).told);
+    let both = answers(&[("h3", 8, true), ("h4", 8, true), ("h1", 8, true)]);
+    assert!(freshness::tally(Revision(8), &after, &before, &both).told);
+}
+
+#[test]
+fn an_empty_roster_shows_nothing() {
+    assert!(!freshness::tally(Revision(0), &[], &[], &[]).newest);
+}
+
+#[test]
+fn freshness_counts_from_the_question_and_runs_out() {
+    let clock = ManualClock::new();
+    let mut freshness = Freshness::default();
+    freshness.learn(Revision(7));
+    let asked = clock.now();
+    assert!(!freshness.is_fresh(asked, LIMIT) && !freshness.vouches());
+    clock.advance(Duration::from_secs(2));
+    freshness.show(Revision(7), asked);
+    assert!(freshness.is_fresh(clock.now(), LIMIT));
+    clock.advance(Duration::from_secs(1));
+    assert!(!freshness.is_fresh(clock.now(), LIMIT), "a late answer is no younger");
+}
+
+#[test]
+fn what_shows_a_newer_revision_does_not_make_an_older_one_fresh() {
+    let clock = ManualClock::new();
+    let mut freshness = Freshness::default();
+    freshness.learn(Revision(7));
+    freshness.show(Revision(8), clock.now());
+    assert!(!freshness.is_fresh(clock.now(), LIMIT));
+    freshness.learn(Revision(8));
+    freshness.show(Revision(8), clock.now());
+    assert!(freshness.is_fresh(clock.now(), LIMIT));
+}
--- a/components/entry/src/admit.rs
+++ b/components/entry/src/admit.rs
@@ -1,12 +1,19 @@
 //! Whether a request may run at all: key, freshness and rate.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bergamottrack_contract::RevisionDoc;
-use bergamottrack_coordination::{AccountId, KeyId, Refusal};
+use bergamottrack_coordination::{AccountId, KeyId, Reason, Refusal};
 
 use crate::context::Entry;
 
+/// When a caller may come back to a host that cannot show freshness; another
+/// host may serve it at once.
+const FRESH_AGAIN: Duration = Duration::from_secs(1);
+
 impl Entry {
     /// Admits one request of the account; asked for every request, not at connect.
     pub async fn admit(
@@ -15,6 +22,18 @@
         key: &KeyId,
         _deadline: Instant,
     ) -> Result<Rc<RevisionDoc>, Refusal> {
+        self.check_fresh()?;
         self.standing(account, key)
     }
+
+    /// Guards against a host that is cut off: it would go on honouring a key
+    /// that was withdrawn, and a share that another host has by now. It serves
+    /// only while it can show that its revision is the newest.
+    fn check_fresh(&self) -> Result<(), Refusal> {
+        if self.current.is_fresh(self.clock.now()) {
+            return Ok(());
+        }
+        let message = "this host cannot show that its configuration is the newest";
+        Err(Refusal::not_run(Reason::Stale, Some(FRESH_AGAIN), message))
+    }
 }
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -1,19 +1,24 @@
-//! Keeps this host's revision up to date and this host in the roster.
+//! Keeps this host's revision up to date and shows that it is.
 
 use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
     rc::Rc,
-    time::{Duration, UNIX_EPOCH},
+    time::{Duration, Instant, UNIX_EPOCH},
 };
 
-use bergamottrack_contract::{Current, Host, RevisionDoc};
-use bergamottrack_coordination::{Clock, SubmitId};
-use bergamottrack_peer::Mesh;
-use bergamottrack_platform::{Chain, chain::Appended};
+use bergamottrack_contract::{Config, Current, Host, RevisionDoc};
+use bergamottrack_coordination::{Clock, HostId, Revision, SubmitId, freshness::Vouch};
+use bergamottrack_peer::{Answer, Mesh, Question};
+use bergamottrack_platform::{Chain, chain};
 use tracing::{info, warn};
 
 /// How often the table service is asked for the newest revision.
 const POLL_EVERY: Duration = Duration::from_secs(1);
 
+/// How soon it is asked again by a host that is not of the roster yet.
+const JOIN_AGAIN: Duration = Duration::from_millis(100);
+
 /// What a host knows of the fleet.
 pub struct Fleet {
     /// This host.
@@ -24,6 +29,14 @@
     pub mesh: Rc<Mesh>,
     pub(crate) chain: Chain,
     pub(crate) clock: Rc<dyn Clock>,
+    /// The newest revision known to have been told to majorities.
+    pub(crate) told: Cell<Revision>,
+    /// When each host of the roster was last heard, or first missed.
+    pub(crate) heard: RefCell<HashMap<HostId, Instant>>,
+    /// Hosts that a majority of the roster has not heard for long.
+    pub(crate) gone: RefCell<Vec<HostId>>,
+    /// Whether this host leaves the roster for good.
+    pub(crate) leaving: Cell<bool>,
 }
 
 impl Fleet {
@@ -35,72 +48,153 @@
         chain: Chain,
         clock: Rc<dyn Clock>,
     ) -> Rc<Self> {
-        Rc::new(Self { me, current, mesh, chain, clock })
+        Rc::new(Self {
+            me,
+            current,
+            mesh,
+            chain,
+            clock,
+            told: Cell::default(),
+            heard: RefCell::default(),
+            gone: RefCell::default(),
+            leaving: Cell::default(),
+        })
     }
 
     /// Follows the chain until the process ends.
+    ///
+    /// The platform and the peers are asked in tasks of their own, so that
+    /// neither a slow platform nor a frozen peer delays the other's answer.
     pub async fn run(self: Rc<Self>) {
+        monoio::spawn(self.clone().run_rounds());
         loop {
             if let Err(error) = self.follow().await {
                 warn!("fleet: the platform cannot be used: {error:#}.");
             }
-            monoio::time::sleep(POLL_EVERY).await;
+            let pause = if self.is_member() { POLL_EVERY } else { JOIN_AGAIN };
+            monoio::time::sleep(pause).await;
         }
     }
 
     async fn follow(&self) -> anyhow::Result<()> {
-        if let Some(head) = self.chain.head().await?
+        self.newest().await?;
+        self.keep_roster().await
+    }
+
+    /// Reads the head of the chain; what is newer is put in force here.
+    ///
+    /// Guards against an old row: a head older than the revision known here
+    /// proves nothing and must not count as shown freshness.
+    pub(crate) async fn newest(&self) -> anyhow::Result<Option<Rc<RevisionDoc>>> {
+        let asked = self.clock.now();
+        let head = self.chain.head().await?;
+        let number = head.as_ref().map(|head| head.number).unwrap_or_default();
+        if number < self.current.number() {
+            anyhow::bail!(
+                "the table service showed revision {number} after {}",
+                self.current.number()
+            );
+        }
+        if let Some(head) = head
             && head.number > self.current.number()
         {
             self.adopt(self.chain.load(&head).await?);
         }
-        let doc = self.current.get();
-        if !doc.as_ref().is_some_and(|doc| doc.roster.contains(&self.me)) {
-            self.join(doc.as_deref()).await?;
-        }
-        Ok(())
+        self.current.show(number, asked);
+        Ok(self.current.get())
     }
 
     /// Puts a revision in force here, unless a newer one is.
     pub fn adopt(&self, doc: RevisionDoc) {
         let number = doc.number;
-        let roster = doc.roster.clone();
+        let (roster, before) = (doc.roster.clone(), doc.before.clone());
         if self.current.advance(doc) {
             info!("fleet: revision {number} is in force here.");
-            self.mesh.set_roster(&roster);
+            self.mesh.set_roster(&roster, &before);
+        }
+    }
+
+    /// Answers a question of a peer.
+    pub fn answer(&self, question: Question) -> Answer {
+        match question {
+            Question::Ping => Answer::Pong,
+            Question::Vouch => Answer::Vouch(self.vouch()),
+            Question::Revision => {
+                Answer::Revision(self.current.get().map(|doc| Box::new((*doc).clone())))
+            }
+            Question::Adopt(doc) => {
+                self.adopt(*doc);
+                Answer::Adopted(self.current.number())
+            }
+        }
+    }
+
+    pub(crate) fn vouch(&self) -> Vouch {
+        Vouch {
+            known: self.current.number(),
+            vouches: self.current.vouches(),
+            told: self.told.get(),
+            silent: self.silent(),
         }
     }
 
-    async fn join(&self, before: Option<&RevisionDoc>) -> anyhow::Result<()> {
-        let mut roster = before.map(|doc| doc.roster.clone()).unwrap_or_default();
-        roster.retain(|host| host.id != self.me.id);
-        roster.push(self.me.clone());
-        let config = before.and_then(|doc| doc.config.clone());
-        let author = format!("host {}", self.me.id);
-        let doc = RevisionDoc { roster, ..self.draft(before, new_submit(), &author, config) };
-        if self.chain.append(&doc).await? == Appended::Yes {
-            self.adopt(doc);
+    /// Whether this host is of the roster, under its present address.
+    pub fn is_member(&self) -> bool {
+        self.current.get().is_some_and(|doc| doc.roster.contains(&self.me))
+    }
+
+    /// The last `n` revisions, newest first.
+    pub async fn history(&self, n: usize) -> anyhow::Result<Vec<chain::Entry>> {
+        let mut number = self.chain.head().await?.map(|head| head.number).unwrap_or_default();
+        let mut entries = Vec::new();
+        while number > Revision::default() && entries.len() < n {
+            entries.extend(self.chain.entry(number).await?);
+            number = Revision(number.0 - 1);
         }
-        Ok(())
+        Ok(entries)
     }
 
+    /// The revision of that number; `None` when there is none.
+    pub async fn load(&self, number: Revision) -> anyhow::Result<Option<RevisionDoc>> {
+        let Some(entry) = self.chain.entry(number).await? else { return Ok(None) };
+        let head = chain::Head { number, object: entry.object };
+        self.chain.load(&head).await.map(Some)
+    }
+
+    /// The revision after `before`, with the same configuration and roster.
     pub(crate) fn draft(
         &self,
         before: Option<&RevisionDoc>,
         submit: SubmitId,
         author: &str,
-        config: Option<bergamottrack_contract::Config>,
     ) -> RevisionDoc {
         let wall = self.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let roster = before.map(|doc| doc.roster.clone()).unwrap_or_default();
         RevisionDoc {
             number: before.map(|doc| doc.number).unwrap_or_default().next(),
             submit,
             author: author.into(),
             at: wall.as_secs(),
-            config,
-            roster: before.map(|doc| doc.roster.clone()).unwrap_or_default(),
+            config: before.and_then(|doc| doc.config.clone()),
+            config_revision: before.map(|doc| doc.config_revision).unwrap_or_default(),
+            before: roster.clone(),
+            roster,
         }
     }
+
+    /// The revision after `before`, with another configuration.
+    pub(crate) fn draft_config(
+        &self,
+        before: Option<&RevisionDoc>,
+        submit: SubmitId,
+        author: &str,
+        config: Config,
+    ) -> RevisionDoc {
+        let mut doc = self.draft(before, submit, author);
+        doc.config = Some(config);
+        doc.config_revision = doc.number;
+        doc
+    }
 }
 
 /// A fresh submit id.
--- /dev/null
+++ b/components/fleet/src/roster.rs
@@ -0,0 +1,72 @@
+//! Who is of the fleet: hosts join, leave and are taken out by new revisions.
+
+use anyhow::Context;
+use bergamottrack_contract::Host;
+use bergamottrack_platform::chain::Appended;
+use tracing::info;
+
+use crate::fleet::{Fleet, new_submit};
+
+impl Fleet {
+    /// Brings this host into the roster, and takes hosts out that are gone.
+    pub(crate) async fn keep_roster(&self) -> anyhow::Result<()> {
+        if self.leaving.get() {
+            return Ok(());
+        }
+        if !self.is_member() {
+            let me = self.me.clone();
+            return self
+                .change(|roster| {
+                    roster.retain(|host| host.id != me.id);
+                    roster.push(me.clone());
+                })
+                .await;
+        }
+        let gone = self.gone.borrow().clone();
+        if !gone.is_empty() {
+            info!("fleet: taking out {gone:?}, silent to a majority.");
+            self.change(|roster| roster.retain(|host| !gone.contains(&host.id))).await?;
+        }
+        Ok(())
+    }
+
+    /// Takes this host out of the roster for good, before it stops.
+    pub async fn leave(&self) -> anyhow::Result<()> {
+        self.leaving.set(true);
+        while self.is_member() {
+            self.change(|roster| roster.retain(|host| host.id != self.me.id)).await?;
+        }
+        Ok(())
+    }
+
+    /// Moves the chain on to a revision with another roster.
+    ///
+    /// Losing the race to another change is no error: the caller looks again.
+    async fn change(&self, edit: impl Fn(&mut Vec<Host>)) -> anyhow::Result<()> {
+        let before = self.newest().await?;
+        self.check_told().await?;
+        let author = format!("host {}", self.me.id);
+        let mut doc = self.draft(before.as_deref(), new_submit(), &author);
+        edit(&mut doc.roster);
+        if doc.roster == doc.before {
+            return Ok(());
+        }
+        if self.chain.append(&doc).await? == Appended::Yes {
+            self.adopt(doc);
+            self.tell().await;
+        }
+        Ok(())
+    }
+
+    /// Makes sure that the revision in force here was told to majorities.
+    ///
+    /// No step is made from one that was not: a host two steps behind asks the
+    /// roster of its own revision only, and must hear of the first step there.
+    pub(crate) async fn check_told(&self) -> anyhow::Result<()> {
+        let number = self.current.number();
+        if self.told.get() >= number || self.tell().await.told {
+            return Ok(());
+        }
+        None.with_context(|| format!("no majority of the hosts can be told of revision {number}"))
+    }
+}
--- a/components/peer/src/accept.rs
+++ b/components/peer/src/accept.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, rc::Rc};
 
 use anyhow::{Context, bail};
+use bergamottrack_coordination::token::Secret;
 use futures_util::StreamExt;
 use monoio::{io::IntoPollIo, net::TcpStream};
 use tokio::sync::mpsc::{self, UnboundedSender};
@@ -10,7 +11,7 @@
 
 use crate::{
     exchange::HomeSide,
-    message::{Answer, Hello, Message, Open, Question, RequestNo, ToHome},
+    message::{Answer, End, Hello, Message, Open, Proof, Question, RequestNo, ToHome},
     socket,
 };
 
@@ -19,6 +20,8 @@
 
 /// What a host does for its peers.
 pub struct Service {
+    /// The secret that all hosts share.
+    pub secret: Secret,
     /// Serves an exchange, in a task of its own.
     pub serve: Box<dyn Fn(Open, HomeSide)>,
     /// Answers a question at once.
@@ -39,9 +42,8 @@
         .await
         .context("the peer did not shake hands")??;
     let (mut writing, mut reading) = ws.split();
-    let first = monoio::time::timeout(socket::HELLO_TIMEOUT, socket::next(&mut reading)).await??;
-    let Message::Hello(theirs) = first else { bail!("the peer did not say who it is") };
-    socket::send(&mut writing, &Message::Hello(hello)).await?;
+    let prove = prove(&hello, &service.secret, &mut reading, &mut writing);
+    let theirs = monoio::time::timeout(socket::HELLO_TIMEOUT, prove).await??;
     let (out, mut rx) = mpsc::unbounded_channel();
     monoio::select! {
         result = socket::pump(&mut writing, &mut rx) => result,
@@ -49,6 +51,25 @@
     }
 }
 
+/// Says who this host is, and makes sure who the peer is.
+async fn prove(
+    mine: &Hello,
+    secret: &Secret,
+    reading: &mut socket::Reading,
+    writing: &mut socket::Writing,
+) -> anyhow::Result<Hello> {
+    let Message::Hello(theirs) = socket::next(reading).await? else {
+        bail!("the peer did not say who it is")
+    };
+    socket::send(writing, &Message::Hello(mine.clone())).await?;
+    let proof = Proof::new(secret, End::Accepting, &theirs, mine);
+    socket::send(writing, &Message::Proof(proof)).await?;
+    match socket::next(reading).await? {
+        Message::Proof(proof) if proof.holds(secret, End::Dialling, &theirs, mine) => Ok(theirs),
+        _ => bail!("who says to be {} does not know the fleet's secret", theirs.host),
+    }
+}
+
 async fn dispatch(
     reading: &mut socket::Reading,
     peer: &Hello,
--- a/components/peer/src/link.rs
+++ b/components/peer/src/link.rs
@@ -10,7 +10,7 @@
 };
 
 use anyhow::{Context, bail};
-use bergamottrack_coordination::{Clock, HostId};
+use bergamottrack_coordination::{Clock, HostId, token::Secret};
 use futures_util::StreamExt;
 use monoio::{io::IntoPollIo, net::TcpStream};
 use tokio::sync::{
@@ -21,7 +21,7 @@
 
 use crate::{
     exchange::Exchange,
-    message::{Answer, Hello, Message, Open, Question, RequestNo, ToEntry},
+    message::{Answer, End, Hello, Message, Open, Proof, Question, RequestNo, ToEntry},
     socket,
 };
 
@@ -60,7 +60,8 @@
     pub fn start(
         host: HostId,
         address: SocketAddr,
-        hello: Hello,
+        hello: impl Fn() -> Hello + 'static,
+        secret: Secret,
         clock: Rc<dyn Clock>,
     ) -> Rc<Self> {
         let link = Rc::new(Self {
@@ -72,7 +73,8 @@
             heard: Cell::default(),
             closed: Cell::default(),
         });
-        monoio::spawn(keep(link.clone(), address, hello));
+        let dialler = Dialler { address, hello: Box::new(hello), secret };
+        monoio::spawn(keep(link.clone(), dialler));
         link
     }
 
@@ -118,7 +120,8 @@
         no
     }
 
-    async fn run(&self, address: SocketAddr, hello: &Hello) -> anyhow::Result<()> {
+    async fn run(&self, dialler: &Dialler) -> anyhow::Result<()> {
+        let address = dialler.address;
         let connect = TcpStream::connect(address);
         let stream =
             monoio::time::timeout(CONNECT_TIMEOUT, connect).await.context("connecting")??;
@@ -127,13 +130,8 @@
         let handshake = tokio_tungstenite::client_async(url, stream.into_poll_io()?);
         let (ws, _) = monoio::time::timeout(socket::HELLO_TIMEOUT, handshake).await??;
         let (mut writing, mut reading) = ws.split();
-        socket::send(&mut writing, &Message::Hello(hello.clone())).await?;
-        let theirs =
-            monoio::time::timeout(socket::HELLO_TIMEOUT, socket::next(&mut reading)).await??;
-        match theirs {
-            Message::Hello(theirs) if theirs.host == self.host => {}
-            _ => bail!("another host answered at {address}"),
-        }
+        let prove = dialler.prove(&self.host, &mut reading, &mut writing);
+        monoio::time::timeout(socket::HELLO_TIMEOUT, prove).await??;
         let (tx, mut rx) = mpsc::unbounded_channel();
         *self.out.borrow_mut() = Some(tx);
         self.heard.set(Some(self.clock.now()));
@@ -185,9 +183,40 @@
     }
 }
 
-async fn keep(link: Rc<Link>, address: SocketAddr, hello: Hello) {
+/// What a link needs to connect.
+struct Dialler {
+    address: SocketAddr,
+    /// Who this host says it is; new for each connection.
+    hello: Box<dyn Fn() -> Hello>,
+    secret: Secret,
+}
+
+impl Dialler {
+    /// Says who this host is, and makes sure who the peer is.
+    async fn prove(
+        &self,
+        host: &HostId,
+        reading: &mut socket::Reading,
+        writing: &mut socket::Writing,
+    ) -> anyhow::Result<()> {
+        let mine = (self.hello)();
+        socket::send(writing, &Message::Hello(mine.clone())).await?;
+        let theirs = match socket::next(reading).await? {
+            Message::Hello(theirs) if theirs.host == *host => theirs,
+            _ => bail!("another host answered at {}", self.address),
+        };
+        match socket::next(reading).await? {
+            Message::Proof(proof) if proof.holds(&self.secret, End::Accepting, &mine, &theirs) => {}
+            _ => bail!("who answered at {} does not know the fleet's secret", self.address),
+        }
+        let proof = Proof::new(&self.secret, End::Dialling, &mine, &theirs);
+        socket::send(writing, &Message::Proof(proof)).await
+    }
+}
+
+async fn keep(link: Rc<Link>, dialler: Dialler) {
     while !link.closed.get() {
-        if let Err(error) = link.run(address, &hello).await {
+        if let Err(error) = link.run(&dialler).await {
             debug!("link: {} is down: {error:#}.", link.host);
         }
         let was_up = link.out.borrow_mut().take().is_some();
--- a/components/peer/src/mesh.rs
+++ b/components/peer/src/mesh.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
 use bergamottrack_contract::{Host, Routes};
-use bergamottrack_coordination::{Clock, GroupId, HostId, rendezvous};
+use bergamottrack_coordination::{Clock, GroupId, HostId, rendezvous, token::Secret};
 
 use crate::{link::Link, message::Hello};
 
@@ -11,36 +11,56 @@
 pub struct Mesh {
     /// This host.
     pub me: Host,
+    /// The secret that all hosts share.
+    pub secret: Secret,
     clock: Rc<dyn Clock>,
     routes: Routes,
+    /// Links to the hosts of the roster, and of the roster before it.
     links: RefCell<HashMap<HostId, (Host, Rc<Link>)>>,
+    /// The hosts that left with the last revision: they are told of it, and
+    /// asked for nothing else.
+    left: RefCell<Vec<HostId>>,
 }
 
 impl Mesh {
     /// A mesh of this host alone.
-    pub fn new(me: Host, clock: Rc<dyn Clock>, routes: Routes) -> Rc<Self> {
-        Rc::new(Self { me, clock, routes, links: RefCell::default() })
+    pub fn new(me: Host, secret: Secret, clock: Rc<dyn Clock>, routes: Routes) -> Rc<Self> {
+        Rc::new(Self {
+            me,
+            secret,
+            clock,
+            routes,
+            links: RefCell::default(),
+            left: RefCell::default(),
+        })
     }
 
-    /// Who this host says it is.
+    /// Who this host says it is, on a new connection.
     pub fn hello(&self) -> Hello {
-        Hello { host: self.me.id.clone(), domain: self.me.domain.clone() }
+        hello(&self.me)
     }
 
-    /// Starts links to new hosts of the roster and drops those to hosts that left it.
-    pub fn set_roster(&self, roster: &[Host]) {
+    /// Starts links to new hosts of the roster and drops those to hosts that
+    /// are neither of it nor of the one before.
+    pub fn set_roster(&self, roster: &[Host], before: &[Host]) {
+        let stays = |host: &Host| roster.iter().any(|other| other.id == host.id);
+        let left: Vec<&Host> = before.iter().filter(|host| !stays(host)).collect();
+        *self.left.borrow_mut() = left.iter().map(|host| host.id.clone()).collect();
         let mut links = self.links.borrow_mut();
         links.retain(|_, (host, link)| {
-            let stays = roster.contains(host);
+            let stays = roster.contains(host) || left.contains(&&*host);
             if !stays {
                 link.close();
             }
             stays
         });
-        for host in roster.iter().filter(|h| h.id != self.me.id) {
+        for host in roster.iter().chain(left).filter(|h| h.id != self.me.id) {
             links.entry(host.id.clone()).or_insert_with(|| {
                 let address = self.routes.to(host.peer);
-                let link = Link::start(host.id.clone(), address, self.hello(), self.clock.clone());
+                let me = self.me.clone();
+                let hello = move || hello(&me);
+                let (secret, clock) = (self.secret.clone(), self.clock.clone());
+                let link = Link::start(host.id.clone(), address, hello, secret, clock);
                 (host.clone(), link)
             });
         }
@@ -59,13 +79,19 @@
     /// The hosts that may serve `group`, best first: this one and those that answer.
     pub fn homes(&self, group: &GroupId) -> Vec<HostId> {
         let links = self.links.borrow();
-        let others =
-            links.values().filter(|(_, link)| link.is_up()).map(|(host, _)| candidate(host));
+        let left = self.left.borrow();
+        let serves = |host: &Host, link: &Link| link.is_up() && !left.contains(&host.id);
+        let others = links.values().filter(|(host, link)| serves(host, link));
+        let others = others.map(|(host, _)| candidate(host));
         let ranked = rendezvous::rank(group, others.chain([candidate(&self.me)]), None);
         ranked.into_iter().cloned().collect()
     }
 }
 
+fn hello(me: &Host) -> Hello {
+    Hello { host: me.id.clone(), domain: me.domain.clone(), nonce: rand::random() }
+}
+
 fn candidate(host: &Host) -> rendezvous::Candidate<'_> {
     rendezvous::Candidate { host: &host.id, domain: &host.domain }
 }
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use bergamottrack_contract::RevisionDoc;
 use bergamottrack_coordination::{
-    AccountId, FailureDomain, GroupId, HostId, Point, Refusal, RequestId,
+    AccountId, FailureDomain, GroupId, HostId, Point, Refusal, RequestId, Revision,
+    freshness::Vouch, token::Secret,
 };
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -98,6 +100,12 @@
 pub enum Question {
     /// Is the host there?
     Ping,
+    /// Is there a newer revision than the asker's?
+    Vouch,
+    /// What is the newest revision known?
+    Revision,
+    /// Take this revision, unless a newer one is in force.
+    Adopt(Box<RevisionDoc>),
 }
 
 /// The answer to a question.
@@ -105,6 +113,12 @@
 pub enum Answer {
     /// The host is there.
     Pong,
+    /// What the host can vouch for.
+    Vouch(Vouch),
+    /// The newest revision that the host knows.
+    Revision(Option<Box<RevisionDoc>>),
+    /// The revision that is now in force at the host.
+    Adopted(Revision),
 }
 
 /// The first message each way.
@@ -114,6 +128,57 @@
     pub host: HostId,
     /// Its failure domain.
     pub domain: FailureDomain,
+    /// Random bytes, new for each connection.
+    pub nonce: Nonce,
+}
+
+/// Random bytes of one end of a link.
+pub type Nonce = [u8; 16];
+
+/// Which end of a link speaks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// The one that connects.
+    Dialling,
+    /// The one that accepts.
+    Accepting,
+}
+
+/// Proves that one end of a link knows the fleet's secret.
+///
+/// Guards against a stranger on the network who speaks as a host: it could ask
+/// for statements to be run, hand out old revisions or vouch for them. The hash
+/// covers both nonces, so that an old proof is of no use on a new link, and the
+/// end, so that a host's own proof cannot be sent back to it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Proof([u8; 32]);
+
+impl Proof {
+    /// The proof that `end` gives.
+    pub fn new(secret: &Secret, end: End, dialling: &Hello, accepting: &Hello) -> Self {
+        Self(secret.sign(&parts(end, dialling, accepting)))
+    }
+
+    /// Whether this is the proof that `end` must give.
+    pub fn holds(&self, secret: &Secret, end: End, dialling: &Hello, accepting: &Hello) -> bool {
+        secret.verify(&parts(end, dialling, accepting), &self.0)
+    }
+}
+
+fn parts<'a>(end: End, dialling: &'a Hello, accepting: &'a Hello) -> [&'a [u8]; 7] {
+    let end: &[u8] = match end {
+        End::Dialling => b"peer link, dialling",
+        End::Accepting => b"peer link, accepting",
+    };
+    [
+        end,
+        dialling.host.as_str().as_bytes(),
+        dialling.domain.as_str().as_bytes(),
+        &dialling.nonce,
+        accepting.host.as_str().as_bytes(),
+        accepting.domain.as_str().as_bytes(),
+        &accepting.nonce,
+    ]
 }
 
 /// A message on a link.
@@ -121,6 +186,8 @@
 pub enum Message {
     /// Who speaks.
     Hello(Hello),
+    /// That it is so; nothing else is heard before.
+    Proof(Proof),
     /// Begins an exchange.
     Open(RequestNo, Box<Open>),
     /// Within an exchange, towards the home.
--- a/components/platform/src/chain.rs
+++ b/components/platform/src/chain.rs
@@ -1,6 +1,9 @@
 //! The chain of revisions in the table service, moved on by compare-and-swap.
 
-use std::rc::Rc;
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    rc::Rc,
+};
 
 use anyhow::Context;
 use bergamottrack_contract::RevisionDoc;
@@ -40,6 +43,8 @@
     pub author: Box<str>,
     /// When, in seconds since 1970.
     pub at: u64,
+    /// The revision that brought the configuration in it.
+    pub config_revision: Revision,
     /// The object that holds it.
     pub object: Box<str>,
 }
@@ -80,15 +85,17 @@
 
     /// Moves the chain on to `doc` if the newest is still the one before it.
     ///
-    /// After an error it may have moved: call again with the same document.
+    /// After an error it may have moved: call again with the same document. The
+    /// same id is never applied twice, and a change that was not applied is
+    /// answered as lost once the head has moved on.
     pub async fn append(&self, doc: &RevisionDoc) -> anyhow::Result<Appended> {
         let row = self.platform.row(HEAD).await.context("reading the head of the chain")?;
         let newest = parse_head(&row)?.map(|head| head.number).unwrap_or_default();
-        let object = format!("revision-{}-{}", doc.number, doc.submit);
+        let bytes = serde_json::to_vec(doc).context("writing a revision")?;
+        let object = object_key(doc, &bytes);
         if newest.next() != doc.number {
-            return self.settle(doc).await;
+            return self.settle(doc, &object).await;
         }
-        let bytes = serde_json::to_vec(doc).context("writing a revision")?;
         self.platform.put_object(&object, bytes.into()).await?;
         let outcome = self.platform.commit(&step(doc, &row, object)?).await?;
         Ok(match outcome {
@@ -98,15 +105,24 @@
     }
 
     /// Settles whether `doc` came into the chain at its number: a lost answer is
-    /// told from a lost race by the submit's own id.
-    async fn settle(&self, doc: &RevisionDoc) -> anyhow::Result<Appended> {
+    /// told from a lost race by the document's own object.
+    async fn settle(&self, doc: &RevisionDoc, object: &str) -> anyhow::Result<Appended> {
         let entry = self.entry(doc.number).await?;
         Ok(match entry {
-            Some(entry) if entry.submit == doc.submit => Appended::Yes,
+            Some(entry) if &*entry.object == object => Appended::Yes,
             _ => Appended::Lost,
         })
     }
 
+    /// The revision that a submit made, if it has made one.
+    pub async fn submitted(&self, submit: &SubmitId) -> anyhow::Result<Option<Revision>> {
+        let row = self.platform.row(&submit_key(submit)).await.context("reading a submit")?;
+        if row.version == 0 {
+            return Ok(None);
+        }
+        row.value.parse().map(Some).context("reading a submit")
+    }
+
     /// The history's line of one revision.
     pub async fn entry(&self, number: Revision) -> anyhow::Result<Option<Entry>> {
         let row = self.platform.row(&entry_key(number)).await.context("reading the history")?;
@@ -117,10 +133,22 @@
     }
 }
 
+/// The object of a revision. Two runs of one submit may write different
+/// documents at the same number, so its name depends on what it holds.
+fn object_key(doc: &RevisionDoc, bytes: &[u8]) -> String {
+    let mut hasher = DefaultHasher::new();
+    bytes.hash(&mut hasher);
+    format!("revision-{}-{}-{:016x}", doc.number, doc.submit, hasher.finish())
+}
+
 fn entry_key(number: Revision) -> String {
     format!("revision-{:012}", number.0)
 }
 
+fn submit_key(submit: &SubmitId) -> String {
+    format!("submit-{submit}")
+}
+
 fn parse_head(row: &Row) -> anyhow::Result<Option<Head>> {
     if row.version == 0 {
         return Ok(None);
@@ -135,14 +163,20 @@
         submit: doc.submit.clone(),
         author: doc.author.clone(),
         at: doc.at,
+        config_revision: doc.config_revision,
         object: object.clone(),
     };
-    let next = Head { number: doc.number, object };
+    let next = Head { number: doc.number, object: object.clone() };
     Ok(Commit {
-        id: format!("{}-{}", doc.submit, doc.number).into(),
-        checks: vec![Check { key: HEAD.into(), version: head.version }],
+        id: object,
+        checks: vec![
+            Check { key: HEAD.into(), version: head.version },
+            // A submit run twice at once is accepted once.
+            Check { key: submit_key(&doc.submit).into(), version: 0 },
+        ],
         puts: vec![
             Put { key: HEAD.into(), value: serde_json::to_string(&next)?.into() },
+            Put { key: submit_key(&doc.submit).into(), value: doc.number.to_string().into() },
             Put { key: entry_key(doc.number).into(), value: serde_json::to_string(&entry)?.into() },
         ],
     })
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -10,7 +10,7 @@
 use bergamottrack_home::Homes;
 use bergamottrack_operator::{Reply, Request, serve::Handler};
 use bergamottrack_peer::{
-    Answer, Mesh, Question,
+    Mesh,
     accept::{self, Service},
 };
 use bergamottrack_platform::{Chain, Platform};
@@ -38,7 +38,8 @@
     let current = Rc::new(Current::default());
     let routes = Routes::new(&args.via);
     let platform = Platform::new(routes.to(args.platform), PLATFORM_TIMEOUT);
-    let mesh = Mesh::new(me.clone(), clock.clone(), routes.clone());
+    let secret = Secret::new(args.secret.as_bytes());
+    let mesh = Mesh::new(me.clone(), secret.clone(), clock.clone(), routes.clone());
     let homes = Homes::new(clock.clone(), routes);
     let chain = Chain::new(Rc::new(platform));
     let fleet = Fleet::new(me, current.clone(), mesh.clone(), chain, clock.clone());
@@ -47,13 +48,13 @@
         current: current.clone(),
         mesh: mesh.clone(),
         homes: homes.clone(),
-        secret: Secret::new(args.secret.as_bytes()),
+        secret,
         cancels: Default::default(),
         last_pid: Cell::default(),
     });
     let peers = listen(args.peer, "peers")?;
     let callers = listen(args.listen, "callers")?;
-    monoio::spawn(accept_peers(peers, mesh, current, homes));
+    monoio::spawn(accept_peers(peers, fleet.clone(), homes));
     monoio::spawn(fleet.clone().run());
     let operators = bergamottrack_operator::serve(args.operator, handler(fleet, args.operator_key));
     monoio::select! {
@@ -78,18 +79,17 @@
 
 async fn accept_peers(
     listener: TcpListener,
-    mesh: Rc<Mesh>,
-    current: Rc<Current>,
+    fleet: Rc<Fleet>,
     homes: Rc<Homes>,
 ) -> anyhow::Result<()> {
+    let (mesh, current) = (fleet.mesh.clone(), fleet.current.clone());
     let service = Rc::new(Service {
+        secret: mesh.secret.clone(),
         serve: Box::new(move |open, side| {
             let doc = current.get();
             homes.serve(doc.as_ref().and_then(|doc| doc.config.as_ref()), open, side);
         }),
-        answer: Box::new(|_, question| match question {
-            Question::Ping => Answer::Pong,
-        }),
+        answer: Box::new(move |_, question| fleet.answer(question)),
     });
     loop {
         let (stream, _) = listener.accept().await.context("accepting a peer")?;
@@ -117,8 +117,9 @@
         Ok(config) => config,
         Err(error) => return Reply::text(StatusCode::BAD_REQUEST, format!("{error:#}\n")),
     };
-    match fleet.submit(config, "operator", fleet::new_submit()).await {
-        Ok(number) => Reply::text(StatusCode::OK, format!("{number}\n")),
+    let base = fleet.current.number();
+    match fleet.submit(config, "operator", fleet::new_submit(), base).await {
+        Ok(accepted) => Reply::text(StatusCode::OK, format!("{}\n", accepted.revision)),
         Err(error) => Reply::text(StatusCode::CONFLICT, format!("{error}\n")),
     }
 }
