--- a/components/contract/src/config.rs
+++ b/components/contract/src/config.rs
@@ -2,11 +2,10 @@
 
 use std::net::SocketAddr;
 
-use anyhow::Context;
 use bergamottrack_coordination::{AccountId, Burst, FailureDomain, GroupId, KeyId, Rate, ServerId};
 use serde::{Deserialize, Serialize};
 
-use crate::verifier::Verifier;
+use crate::{check, fault::Faults, source::Node, verifier::Verifier};
 
 /// All that an operator describes for one site.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -77,12 +76,18 @@
     pub leaving: bool,
 }
 
+/// Slots of a server of which nothing else is said.
+pub const SLOTS: u16 = 5;
+
+/// Connections of a server of which nothing else is said.
+pub const CONNECTIONS: u16 = 35;
+
 fn default_slots() -> u16 {
-    5
+    SLOTS
 }
 
 fn default_connections() -> u16 {
-    35
+    CONNECTIONS
 }
 
 /// A client account.
@@ -121,9 +126,9 @@
 }
 
 impl Config {
-    /// Reads a configuration in TOML.
-    pub fn parse(text: &str) -> anyhow::Result<Self> {
-        toml::from_str(text).context("reading the configuration")
+    /// Reads a whole configuration in TOML; every fault of it at once.
+    pub fn parse(text: &str) -> Result<Self, Faults> {
+        check::read(&Node::parse("configuration", text)?)
     }
 
     /// The group of that name.
--- /dev/null
+++ b/components/contract/src/schema.rs
@@ -0,0 +1,188 @@
+//! What a configuration may hold, field by field.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bergamottrack_coordination::{AccountId, Burst, Rate};
+
+use crate::{config::Policy, verifier::Verifier};
+
+/// What a field holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// Any text.
+    Text,
+    /// A name of a thing.
+    Name,
+    /// An IP address and a port.
+    Address,
+    /// Requests a second.
+    Rate,
+    /// Requests at once.
+    Burst,
+    /// A whole number of at least 1.
+    Count,
+    /// A time, kept in milliseconds.
+    Millis,
+    /// Any number.
+    Number,
+    /// Yes or no.
+    Flag,
+    /// A salted verifier of a key.
+    Verifier,
+}
+
+impl Kind {
+    /// What is wanted, for a person.
+    pub fn wanted(self) -> &'static str {
+        match self {
+            Self::Text => "a text",
+            Self::Name => "a name of letters, digits, '-', '_' and ':'",
+            Self::Address => "an address such as 10.0.0.1:5432",
+            Self::Rate => "a rate above 0 such as \"20/s\"",
+            Self::Burst => "a burst above 0 such as 40",
+            Self::Count => "a whole number from 1 to 65535",
+            Self::Millis => "a time such as \"450ms\" or \"5s\"",
+            Self::Number => "a number",
+            Self::Flag => "true or false",
+            Self::Verifier => "a SCRAM-SHA-256 verifier; make one with `bergamottrack key new`",
+        }
+    }
+
+    /// The value as the configuration keeps it; `None` when it is not of this kind.
+    pub fn read(self, value: &toml::Value) -> Option<toml::Value> {
+        let text = value.as_str();
+        match self {
+            Self::Text => text.map(|_| value.clone()),
+            Self::Name => text?.parse::<AccountId>().ok().map(|_| value.clone()),
+            Self::Address => text?.parse::<SocketAddr>().ok().map(|_| value.clone()),
+            Self::Rate => {
+                let rate = text.map(|text| text.strip_suffix("/s")?.parse::<Rate>().ok());
+                positive(rate.unwrap_or_else(|| number(value).map(Rate))?.0)
+            }
+            Self::Burst => positive(number(value).map(Burst)?.0),
+            Self::Count => {
+                value.as_integer().filter(|n| (1..=65_535).contains(n)).map(toml::Value::Integer)
+            }
+            Self::Millis => {
+                let millis = match text {
+                    Some(text) => duration(text)?.as_millis().try_into().ok()?,
+                    None => value.as_integer()?,
+                };
+                (millis > 0).then_some(toml::Value::Integer(millis))
+            }
+            Self::Number => number(value).map(|_| value.clone()),
+            Self::Flag => value.as_bool().map(toml::Value::Boolean),
+            Self::Verifier => text?.parse::<Verifier>().ok().map(|_| value.clone()),
+        }
+    }
+}
+
+fn number(value: &toml::Value) -> Option<f64> {
+    value.as_float().or_else(|| value.as_integer().map(|n| n as f64))
+}
+
+fn positive(number: f64) -> Option<toml::Value> {
+    (number.is_finite() && number > 0.0).then_some(toml::Value::Float(number))
+}
+
+/// Reads a time such as `450ms`, `5s` or `2m`.
+pub fn duration(text: &str) -> Option<Duration> {
+    let split = text.find(|c: char| !c.is_ascii_digit())?;
+    let (number, unit) = text.split_at(split);
+    let number: u64 = number.parse().ok()?;
+    let millis = match unit {
+        "ms" => 1,
+        "s" => 1_000,
+        "m" => 60_000,
+        _ => return None,
+    };
+    number.checked_mul(millis).map(Duration::from_millis)
+}
+
+/// A field of a table.
+#[derive(Clone, Debug)]
+pub struct Field {
+    /// Its name.
+    pub name: Box<str>,
+    /// What it holds.
+    pub kind: Kind,
+    /// Whether it must be there.
+    pub needed: bool,
+}
+
+/// What a table may hold.
+#[derive(Clone, Debug, Default)]
+pub struct Shape {
+    /// Its name; empty for the whole configuration.
+    pub name: &'static str,
+    /// Its fields.
+    pub fields: Vec<Field>,
+    /// Its lists of tables.
+    pub lists: Vec<Self>,
+    /// Its single tables.
+    pub tables: Vec<Self>,
+}
+
+/// The shape of a whole configuration.
+pub fn site() -> Shape {
+    Shape {
+        name: "",
+        fields: vec![needed("site", Kind::Name)],
+        lists: vec![group(), account()],
+        tables: vec![policy()],
+    }
+}
+
+fn group() -> Shape {
+    let server = listed(
+        "server",
+        vec![
+            needed("address", Kind::Address),
+            needed("domain", Kind::Name),
+            optional("slots", Kind::Count),
+            optional("connections", Kind::Count),
+            optional("leaving", Kind::Flag),
+        ],
+    );
+    Shape { lists: vec![server], ..listed("group", Vec::new()) }
+}
+
+fn account() -> Shape {
+    let key =
+        listed("key", vec![needed("verifier", Kind::Verifier), optional("withdrawn", Kind::Flag)]);
+    let fields = vec![
+        needed("rate", Kind::Rate),
+        needed("burst", Kind::Burst),
+        optional("weight", Kind::Count),
+    ];
+    Shape { lists: vec![key], ..listed("account", fields) }
+}
+
+/// A table of a list: it has an id and `fields`.
+fn listed(name: &'static str, mut fields: Vec<Field>) -> Shape {
+    fields.insert(0, needed("id", Kind::Name));
+    Shape { name, fields, ..Shape::default() }
+}
+
+/// The policy's fields are those of [`Policy`]; names that end in `_ms` hold times.
+fn policy() -> Shape {
+    let default = serde_json::to_value(Policy::default()).unwrap_or_default();
+    let field = |(name, value): (&String, &serde_json::Value)| {
+        let kind = match value {
+            serde_json::Value::Bool(_) => Kind::Flag,
+            _ if name.ends_with("_ms") => Kind::Millis,
+            _ => Kind::Number,
+        };
+        optional(name, kind)
+    };
+    let fields = default.as_object().map(|fields| fields.iter().map(field).collect());
+    Shape { name: "policy", fields: fields.unwrap_or_default(), ..Shape::default() }
+}
+
+fn needed(name: &str, kind: Kind) -> Field {
+    Field { name: name.into(), kind, needed: true }
+}
+
+fn optional(name: &str, kind: Kind) -> Field {
+    Field { name: name.into(), kind, needed: false }
+}
--- /dev/null
+++ b/components/contract/src/source.rs
@@ -0,0 +1,158 @@
+//! A configuration text as a tree in which each value knows its file and line.
+
+use std::{fmt, sync::Arc};
+
+use toml::{
+    Spanned,
+    de::{DeTable, DeValue},
+};
+
+use crate::fault::{Fault, Faults};
+
+/// Where a value was written.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Origin {
+    /// The file.
+    pub file: Arc<str>,
+    /// The line, counted from 1.
+    pub line: usize,
+}
+
+impl fmt::Display for Origin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.file, self.line)
+    }
+}
+
+/// A value and where it was written.
+#[derive(Clone, Debug)]
+pub struct Node {
+    /// Where it was written.
+    pub origin: Origin,
+    /// What was written.
+    pub data: Data,
+}
+
+/// What was written.
+#[derive(Clone, Debug)]
+pub enum Data {
+    /// A text, number or flag, or a plain list of them.
+    Value(toml::Value),
+    /// Named values in the order of the file; no name twice.
+    Table(Vec<(Box<str>, Node)>),
+    /// Tables of one kind, such as `[[group]]`.
+    List(Vec<Node>),
+}
+
+impl Node {
+    /// Reads a text; `file` names it in faults.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Faults> {
+        let reader = Reader { file: file.into(), text };
+        let (table, errors) = DeTable::parse_recoverable(text);
+        if !errors.is_empty() {
+            let fault = |error: &toml::de::Error| Fault {
+                origin: reader.origin(error.span().map_or(0, |span| span.start)),
+                place: "syntax".into(),
+                given: "text that is no TOML".into(),
+                wanted: error.message().into(),
+            };
+            let mut faults: Vec<_> = errors.iter().map(fault).collect();
+            faults.sort();
+            return Err(Faults(faults));
+        }
+        Ok(Self { origin: reader.origin(0), data: reader.table(table.get_ref()) })
+    }
+
+    /// The value of that name in a table.
+    pub fn get(&self, name: &str) -> Option<&Self> {
+        self.entries().iter().find(|(known, _)| &**known == name).map(|(_, node)| node)
+    }
+
+    /// The entries of a table; none of anything else.
+    pub fn entries(&self) -> &[(Box<str>, Self)] {
+        match &self.data {
+            Data::Table(entries) => entries,
+            _ => &[],
+        }
+    }
+
+    /// The tables of the list of that name; none when there is no such list.
+    pub fn list(&self, name: &str) -> &[Self] {
+        match self.get(name).map(|node| &node.data) {
+            Some(Data::List(items)) => items,
+            _ => &[],
+        }
+    }
+
+    /// The text of that name.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        match &self.get(name)?.data {
+            Data::Value(value) => value.as_str(),
+            _ => None,
+        }
+    }
+
+    /// The `id` of a table.
+    pub fn id(&self) -> Option<&str> {
+        self.text("id")
+    }
+}
+
+struct Reader<'a> {
+    file: Arc<str>,
+    text: &'a str,
+}
+
+impl Reader<'_> {
+    fn origin(&self, offset: usize) -> Origin {
+        let before = self.text.as_bytes().iter().take(offset);
+        Origin { file: self.file.clone(), line: 1 + before.filter(|byte| **byte == b'\n').count() }
+    }
+
+    fn table(&self, table: &DeTable<'_>) -> Data {
+        let mut entries: Vec<_> = table.iter().collect();
+        entries.sort_by_key(|(name, value)| (name.span().start, value.span().start));
+        let entry = |(name, value): (&Spanned<_>, &Spanned<DeValue<'_>>)| {
+            let name: &std::borrow::Cow<'_, str> = name.get_ref();
+            (Box::from(&**name), self.node(value))
+        };
+        Data::Table(entries.into_iter().map(entry).collect())
+    }
+
+    fn node(&self, value: &Spanned<DeValue<'_>>) -> Node {
+        let data = match value.get_ref() {
+            DeValue::Table(table) => self.table(table),
+            DeValue::Array(items) if items.iter().all(|item| item.get_ref().is_table()) => {
+                Data::List(items.iter().map(|item| self.node(item)).collect())
+            }
+            other => Data::Value(plain(other)),
+        };
+        Node { origin: self.origin(value.span().start), data }
+    }
+}
+
+fn plain(value: &DeValue<'_>) -> toml::Value {
+    match value {
+        DeValue::String(text) => toml::Value::String(text.to_string()),
+        DeValue::Integer(number) => match i64::from_str_radix(number.as_str(), number.radix()) {
+            Ok(number) => toml::Value::Integer(number),
+            Err(_) => toml::Value::String(number.as_str().to_owned()),
+        },
+        DeValue::Float(number) => match number.as_str().parse() {
+            Ok(number) => toml::Value::Float(number),
+            Err(_) => toml::Value::String(number.as_str().to_owned()),
+        },
+        DeValue::Boolean(flag) => toml::Value::Boolean(*flag),
+        DeValue::Datetime(time) => toml::Value::Datetime(*time),
+        DeValue::Array(items) => {
+            toml::Value::Array(items.iter().map(|item| plain(item.get_ref())).collect())
+        }
+        DeValue::Table(table) => {
+            let entry = |(name, value): (&Spanned<_>, &Spanned<DeValue<'_>>)| {
+                let name: &std::borrow::Cow<'_, str> = name.get_ref();
+                (name.to_string(), plain(value.get_ref()))
+            };
+            toml::Value::Table(table.iter().map(entry).collect())
+        }
+    }
+}
--- a/components/contract/src/verifier.rs
+++ b/components/contract/src/verifier.rs
@@ -57,6 +57,14 @@
     }
 }
 
+impl Verifier {
+    /// A few digits that tell verifiers apart for a person and prove nothing.
+    pub fn mark(&self) -> String {
+        let digest = Sha256::digest(self.stored);
+        digest.iter().take(3).map(|byte| format!("{byte:02x}")).collect()
+    }
+}
+
 impl fmt::Debug for Verifier {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Verifier(..)")
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,12 +1,14 @@
 //! Arguments. Each flag of `serve` has an environment variable.
 
-use std::net::SocketAddr;
+use std::path::PathBuf;
 
-use bergamottrack_contract::Route;
-use bergamottrack_coordination::{FailureDomain, HostId};
-use clap::{Args, Parser, Subcommand};
+use bergamottrack_coordination::{AccountId, KeyId};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 
 /// A database proxy with session consistency.
+///
+/// Exit codes: 0 done; 1 refused or not accepted, nothing was changed; 2 faulty use
+/// or settings; 3 not known yet, run it again.
 #[derive(Debug, Parser)]
 #[command(name = "bergamottrack", version)]
 pub struct Cli {
@@ -20,48 +22,113 @@
 pub enum Command {
     /// Run an entry host.
     Serve(Box<ServeArgs>),
-    /// Make a key: prints the key and the verifier for the configuration.
-    Key(KeyArgs),
+    /// Check a configuration; tells every fault at once.
+    Check(FileArgs),
+    /// Work with configuration files.
+    #[command(subcommand)]
+    Config(ConfigCommand),
+    /// Make, list and withdraw keys.
+    #[command(subcommand)]
+    Key(KeyCommand),
+    /// Print completions for a shell.
+    Completions {
+        /// The shell.
+        shell: clap_complete::Shell,
+    },
+    /// Print the manual page.
+    Man,
 }
 
-/// Settings of an entry host.
-#[derive(Args, Debug)]
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, ValueEnum)]
+pub enum LogFormat {
+    /// For a person.
+    #[default]
+    Plain,
+    /// A JSON object a line.
+    Json,
+}
+
+/// Settings of an entry host, not read yet: all faults are told at once.
+#[derive(Args, Debug, Default)]
 pub struct ServeArgs {
-    /// Name of this host.
-    #[arg(long, env = "BERGAMOTTRACK_HOST")]
-    pub host: HostId,
-    /// Failure domain this host stands in.
-    #[arg(long, env = "BERGAMOTTRACK_DOMAIN")]
-    pub domain: FailureDomain,
-    /// Address for callers.
-    #[arg(long, env = "BERGAMOTTRACK_LISTEN")]
-    pub listen: SocketAddr,
-    /// Address for the other hosts.
-    #[arg(long, env = "BERGAMOTTRACK_PEER")]
-    pub peer: SocketAddr,
-    /// Address for operators.
-    #[arg(long, env = "BERGAMOTTRACK_OPERATOR")]
-    pub operator: SocketAddr,
-    /// Address of the platform.
-    #[arg(long, env = "BERGAMOTTRACK_PLATFORM")]
-    pub platform: SocketAddr,
-    /// Secret that all hosts of the fleet share.
+    /// Name of this host [required].
+    #[arg(long, env = "BERGAMOTTRACK_HOST", value_name = "NAME")]
+    pub host: Option<String>,
+    /// Failure domain this host stands in [required].
+    #[arg(long, env = "BERGAMOTTRACK_DOMAIN", value_name = "NAME")]
+    pub domain: Option<String>,
+    /// Address for callers [required].
+    #[arg(long, env = "BERGAMOTTRACK_LISTEN", value_name = "ADDRESS")]
+    pub listen: Option<String>,
+    /// Address for the other hosts [required].
+    #[arg(long, env = "BERGAMOTTRACK_PEER", value_name = "ADDRESS")]
+    pub peer: Option<String>,
+    /// Address for operators [required].
+    #[arg(long, env = "BERGAMOTTRACK_OPERATOR", value_name = "ADDRESS")]
+    pub operator: Option<String>,
+    /// Address of the platform [required].
+    #[arg(long, env = "BERGAMOTTRACK_PLATFORM", value_name = "ADDRESS")]
+    pub platform: Option<String>,
+    /// Secret that all hosts of the fleet share [required, or its file].
     #[arg(long, env = "BERGAMOTTRACK_SECRET", hide_env_values = true)]
-    pub secret: String,
+    pub secret: Option<String>,
+    /// File that holds the secret.
+    #[arg(long, env = "BERGAMOTTRACK_SECRET_FILE", value_name = "FILE")]
+    pub secret_file: Option<PathBuf>,
     /// Key that operators must show; without one the operator interface is closed.
     #[arg(long, env = "BERGAMOTTRACK_OPERATOR_KEY", hide_env_values = true)]
     pub operator_key: Option<String>,
+    /// File that holds the operator key.
+    #[arg(long, env = "BERGAMOTTRACK_OPERATOR_KEY_FILE", value_name = "FILE")]
+    pub operator_key_file: Option<PathBuf>,
     /// Address that this host reaches under another one: ADDRESS=OTHER, several by commas.
     #[arg(long, env = "BERGAMOTTRACK_VIA", value_delimiter = ',')]
-    pub via: Vec<Route>,
-    /// What is logged.
+    pub via: Vec<String>,
+    /// What is logged, such as `info` or `warn,bergamottrack_home=debug`.
     #[arg(long, env = "BERGAMOTTRACK_LOG", default_value = "info")]
     pub log: String,
+    /// How log lines are written.
+    #[arg(long, env = "BERGAMOTTRACK_LOG_FORMAT", value_enum, default_value_t)]
+    pub log_format: LogFormat,
+}
+
+/// The files of a configuration.
+#[derive(Args, Debug)]
+pub struct FileArgs {
+    /// The base file.
+    #[arg(long, value_name = "FILE")]
+    pub base: PathBuf,
+    /// The overlay of one site.
+    #[arg(long, value_name = "FILE")]
+    pub overlay: Option<PathBuf>,
+}
+
+/// Work with configuration files.
+#[derive(Debug, Subcommand)]
+pub enum ConfigCommand {
+    /// Print the merged text with the file and line that each value came from.
+    Show(FileArgs),
+}
+
+/// Make, list and withdraw keys.
+#[derive(Debug, Subcommand)]
+pub enum KeyCommand {
+    /// Make a key: prints the key and the verifier for the configuration.
+    New(NewKeyArgs),
+    /// List the keys of a configuration.
+    List(FileArgs),
 }
 
-/// Settings of `key`.
+/// Settings of `key new`.
 #[derive(Args, Debug)]
-pub struct KeyArgs {
+pub struct NewKeyArgs {
+    /// The client account that gets it.
+    #[arg(long, value_name = "NAME")]
+    pub account: Option<AccountId>,
+    /// Name of the key within its account.
+    #[arg(long, value_name = "NAME", default_value = "k1")]
+    pub id: KeyId,
     /// Make the verifier of this key instead of a new one.
     #[arg(long, env = "BERGAMOTTRACK_KEY", hide_env_values = true)]
     pub key: Option<String>,
--- a/src/cmd/key.rs
+++ b/src/cmd/key.rs
@@ -1,15 +1,39 @@
-//! Makes a key and its verifier.
+//! Makes keys and lists them.
 
 use bergamottrack_contract::Verifier;
 
-use crate::cli::KeyArgs;
+use crate::{
+    cli::{FileArgs, NewKeyArgs},
+    cmd::files,
+    failure::Failure,
+    table::Table,
+};
 
-/// Prints the key and its verifier.
-pub fn run(args: &KeyArgs) -> anyhow::Result<()> {
+/// Prints a key, which is shown this once, and what the configuration gets of it.
+pub fn new(args: &NewKeyArgs) -> Result<(), Failure> {
     let made = || format!("{:032x}", rand::random::<u128>());
     let key = args.key.clone().unwrap_or_else(made);
     let salt: [u8; 16] = rand::random();
-    println!("key = {key}");
-    println!("verifier = {}", Verifier::new(&key, &salt));
+    let account = args.account.as_ref().map_or("ACCOUNT", |account| account.as_str());
+    println!("# For the caller, shown this once: user {account}.{}, password", args.id);
+    println!("# {key}");
+    println!("# For the configuration, under [[account]] with id = {account:?}:");
+    println!("[[account.key]]");
+    println!("id = {:?}", args.id.as_str());
+    println!("verifier = {:?}", Verifier::new(&key, &salt).to_string());
+    Ok(())
+}
+
+/// Prints the keys of a configuration.
+pub fn list(args: &FileArgs) -> Result<(), Failure> {
+    let mut table = Table::new(["ACCOUNT", "KEY", "STANDING", "VERIFIER"]);
+    for account in &files::read(args)?.config.accounts {
+        for key in &account.keys {
+            let standing = if key.withdrawn { "withdrawn" } else { "stands" };
+            let row = [account.id.as_str(), key.id.as_str(), standing, &key.verifier.mark()];
+            table.row(row);
+        }
+    }
+    print!("{table}");
     Ok(())
 }
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -16,23 +16,31 @@
 use bergamottrack_platform::{Chain, Platform};
 use monoio::net::TcpListener;
 use tracing::info;
+use tracing_subscriber::EnvFilter;
 
-use crate::cli::ServeArgs;
+use crate::{cli::LogFormat, settings::Settings};
 
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Runs an entry host until it is told to stop.
-pub fn run(args: ServeArgs) -> anyhow::Result<()> {
-    let filter = tracing_subscriber::EnvFilter::try_new(&args.log).context("the log level")?;
-    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).init();
+pub fn run(mut settings: Settings) -> anyhow::Result<()> {
+    start_log(std::mem::take(&mut settings.log), settings.log_format);
     let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
         .enable_timer()
         .build()
         .context("starting the runtime")?;
-    runtime.block_on(host(args))
+    runtime.block_on(host(settings))
 }
 
-async fn host(args: ServeArgs) -> anyhow::Result<()> {
+fn start_log(filter: EnvFilter, format: LogFormat) {
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match format {
+        LogFormat::Plain => log.init(),
+        LogFormat::Json => log.json().init(),
+    }
+}
+
+async fn host(args: Settings) -> anyhow::Result<()> {
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let me = Host { id: args.host.clone(), domain: args.domain.clone(), peer: args.peer };
     let current = Rc::new(Current::default());
@@ -97,7 +105,7 @@
     }
 }
 
-fn handler(fleet: Rc<Fleet>, key: Option<String>) -> Rc<Handler> {
+fn handler(fleet: Rc<Fleet>, key: Option<Box<str>>) -> Rc<Handler> {
     Rc::new(move |request: Request| -> Pin<Box<dyn Future<Output = Reply>>> {
         let allowed = key.is_some() && request.key.as_deref() == key.as_deref();
         Box::pin(operate(fleet.clone(), request, allowed))
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,18 +6,32 @@
 
 mod cli;
 mod cmd;
+mod failure;
+mod settings;
+mod table;
+
+use cli::{Command, ConfigCommand, KeyCommand};
+use failure::Failure;
 
 fn main() -> ExitCode {
-    let cli = cli::Cli::parse();
-    let result = match cli.command {
-        cli::Command::Serve(args) => cmd::serve::run(*args),
-        cli::Command::Key(args) => cmd::key::run(&args),
-    };
-    match result {
+    match run(cli::Cli::parse().command) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("bergamottrack: {error:#}");
-            ExitCode::from(2)
+        Err(failure) => {
+            eprintln!("bergamottrack: {:#}", failure.error());
+            failure.code()
         }
     }
 }
+
+fn run(command: Command) -> Result<(), Failure> {
+    match command {
+        Command::Serve(args) => cmd::serve::run(settings::Settings::read(&args)?)?,
+        Command::Check(args) => cmd::check::run(&args)?,
+        Command::Config(ConfigCommand::Show(args)) => cmd::check::show(&args)?,
+        Command::Key(KeyCommand::New(args)) => cmd::key::new(&args)?,
+        Command::Key(KeyCommand::List(args)) => cmd::key::list(&args)?,
+        Command::Completions { shell } => cmd::pages::completions(shell),
+        Command::Man => cmd::pages::man()?,
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,161 @@
+//! Reads the settings of an entry host; every fault of them at once.
+
+use std::{fmt, net::SocketAddr, path::Path, str::FromStr};
+
+use bergamottrack_contract::Route;
+use bergamottrack_coordination::{FailureDomain, HostId};
+use tracing_subscriber::EnvFilter;
+
+use crate::cli::{LogFormat, ServeArgs};
+
+const ADDRESS: &str = "an address such as 10.0.0.1:5432";
+const NAME: &str = "a name of letters, digits, '-', '_' and ':'";
+
+/// Settings of an entry host.
+pub struct Settings {
+    /// Name of this host.
+    pub host: HostId,
+    /// Failure domain this host stands in.
+    pub domain: FailureDomain,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for the other hosts.
+    pub peer: SocketAddr,
+    /// Address for operators.
+    pub operator: SocketAddr,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Secret that all hosts of the fleet share; not empty.
+    pub secret: Box<str>,
+    /// Key that operators must show; not empty.
+    pub operator_key: Option<Box<str>>,
+    /// Addresses that this host reaches under other ones.
+    pub via: Vec<Route>,
+    /// What is logged.
+    pub log: EnvFilter,
+    /// How log lines are written.
+    pub log_format: LogFormat,
+}
+
+/// One setting that is wrong.
+#[derive(Debug)]
+struct SettingFault {
+    flag: &'static str,
+    /// What was given; never a secret.
+    given: Box<str>,
+    wanted: Box<str>,
+}
+
+/// Everything that is wrong with the settings.
+#[derive(Debug, Default, thiserror::Error)]
+pub struct SettingFaults(Vec<SettingFault>);
+
+impl fmt::Display for SettingFaults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "faults in the settings ({}):", self.0.len())?;
+        for SettingFault { flag, given, wanted } in &self.0 {
+            let variable = flag.to_uppercase().replace('-', "_");
+            write!(f, "\n  --{flag} (BERGAMOTTRACK_{variable}): given {given}, wanted {wanted}")?;
+        }
+        Ok(())
+    }
+}
+
+impl SettingFaults {
+    fn note(
+        &mut self,
+        flag: &'static str,
+        given: impl Into<Box<str>>,
+        wanted: impl Into<Box<str>>,
+    ) {
+        self.0.push(SettingFault { flag, given: given.into(), wanted: wanted.into() });
+    }
+
+    fn need<T: FromStr>(
+        &mut self,
+        flag: &'static str,
+        text: Option<&str>,
+        wanted: &str,
+    ) -> Option<T> {
+        let read = text.and_then(|text| text.parse().ok());
+        if read.is_none() {
+            self.note(flag, text.map_or("nothing".to_owned(), |t| format!("{t:?}")), wanted);
+        }
+        read
+    }
+
+    /// A secret, from the setting itself or from a file, but not from both.
+    fn secret(
+        &mut self,
+        flags: [&'static str; 2],
+        text: Option<&str>,
+        file: Option<&Path>,
+    ) -> Option<Box<str>> {
+        let [flag, file_flag] = flags;
+        let secret: Box<str> = match (text, file) {
+            (Some(_), Some(_)) => {
+                self.note(flag, "both the setting and a file", "one of them");
+                return None;
+            }
+            (Some(text), None) => text.trim().into(),
+            (None, Some(file)) => match std::fs::read_to_string(file) {
+                Ok(text) => text.trim().into(),
+                Err(error) => {
+                    let given = format!("{} ({error})", file.display());
+                    self.note(file_flag, given, "a file that can be read");
+                    return None;
+                }
+            },
+            (None, None) => return None,
+        };
+        if secret.is_empty() {
+            let wanted = "some text";
+            self.note(if file.is_some() { file_flag } else { flag }, "nothing in it", wanted);
+            return None;
+        }
+        Some(secret)
+    }
+}
+
+impl Settings {
+    /// Reads the settings.
+    pub fn read(args: &ServeArgs) -> Result<Self, SettingFaults> {
+        let mut faults = SettingFaults::default();
+        let host = faults.need("host", args.host.as_deref(), NAME);
+        let domain = faults.need("domain", args.domain.as_deref(), NAME);
+        let listen = faults.need("listen", args.listen.as_deref(), ADDRESS);
+        let peer = faults.need("peer", args.peer.as_deref(), ADDRESS);
+        let operator = faults.need("operator", args.operator.as_deref(), ADDRESS);
+        let platform = faults.need("platform", args.platform.as_deref(), ADDRESS);
+        let (text, file) = (args.secret.as_deref(), args.secret_file.as_deref());
+        let secret = faults.secret(["secret", "secret-file"], text, file);
+        if text.is_none() && file.is_none() {
+            faults.note("secret", "nothing", "the fleet's secret, or --secret-file");
+        }
+        let (text, file) = (args.operator_key.as_deref(), args.operator_key_file.as_deref());
+        let operator_key = faults.secret(["operator-key", "operator-key-file"], text, file);
+        let route = "a pair of addresses such as 10.0.0.1:5432=192.0.2.1:5432";
+        let via =
+            args.via.iter().filter_map(|text| faults.need("via", Some(text), route)).collect();
+        let log = EnvFilter::try_new(&args.log).ok();
+        if log.is_none() {
+            faults.note("log", format!("{:?}", args.log), "a level such as info or debug");
+        }
+        let settings = (|| {
+            Some(Self {
+                host: host?,
+                domain: domain?,
+                listen: listen?,
+                peer: peer?,
+                operator: operator?,
+                platform: platform?,
+                secret: secret?,
+                operator_key,
+                via,
+                log: log?,
+                log_format: args.log_format,
+            })
+        })();
+        settings.filter(|_| faults.0.is_empty()).ok_or(faults)
+    }
+}
