Stand-in: parameter types from columns, portals in parts; a raw caller

Cause: a driver's typed parameters were refused, for every unstated type was taken as text; a portal gave all rows whatever limit was asked for. Types now come from INSERT's columns and from comparisons. Ruled out: stating types in the tests, which no ordinary driver does.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod platform;
 pub mod ports;
 pub mod process;
+pub mod raw;
 pub mod server;
 pub mod system;
--- /dev/null
+++ b/lab/src/raw.rs
@@ -0,0 +1,113 @@
+//! A caller that sends single messages of the protocol, as no driver would.
+
+use anyhow::{Context, bail};
+use bergamottrack_pg::{Frame, PgReader, PgWriter, frame, stream};
+use pgwire::messages::{
+    Message, PgWireBackendMessage,
+    startup::{Authentication, SASLInitialResponse, SASLResponse, Startup},
+};
+use postgres_protocol::authentication::sasl::{ChannelBinding, ScramSha256};
+use tokio::{
+    io::{ReadHalf, WriteHalf},
+    net::TcpStream,
+};
+
+use crate::system::{self, System};
+
+/// A caller that sends single messages.
+pub struct RawCaller {
+    /// Where answers come from.
+    pub reader: PgReader<ReadHalf<TcpStream>>,
+    /// Where messages go.
+    pub writer: PgWriter<WriteHalf<TcpStream>>,
+    /// Process number and secret, for a cancel.
+    pub key: Option<(i32, i32)>,
+}
+
+const MAX_MESSAGE: usize = 64 << 20;
+
+impl RawCaller {
+    /// Connects to a host and says nothing.
+    pub async fn open(system: &System, host: usize) -> anyhow::Result<Self> {
+        let stream = TcpStream::connect(system.addresses[host].callers).await?;
+        let (reader, writer) = stream::split(stream, MAX_MESSAGE);
+        Ok(Self { reader, writer, key: None })
+    }
+
+    /// Connects to a host and proves the account's key.
+    pub async fn login(system: &System, host: usize, account: &str) -> anyhow::Result<Self> {
+        let mut caller = Self::open(system, host).await?;
+        let mut startup = Startup::default();
+        (startup.protocol_number_major, startup.protocol_number_minor) = (3, 0);
+        startup.parameters.insert("user".into(), format!("{account}.k1"));
+        startup.parameters.insert("database".into(), "g1".into());
+        caller.send(&startup).await?;
+        caller.prove(&system::key_of(account)).await?;
+        for frame in caller.until_ready().await? {
+            if let PgWireBackendMessage::BackendKeyData(key) = frame.backend()? {
+                caller.key = key.secret_key.as_i32().map(|secret| (key.pid, secret));
+            }
+        }
+        Ok(caller)
+    }
+
+    async fn prove(&mut self, key: &str) -> anyhow::Result<()> {
+        let mut scram = ScramSha256::new(key.as_bytes(), ChannelBinding::unsupported());
+        loop {
+            match self.next().await?.backend()? {
+                PgWireBackendMessage::Authentication(Authentication::Ok) => return Ok(()),
+                PgWireBackendMessage::Authentication(Authentication::SASL(_)) => {
+                    let data = Some(scram.message().to_vec().into());
+                    let first = SASLInitialResponse::new("SCRAM-SHA-256".into(), data);
+                    self.send(&first).await?;
+                }
+                PgWireBackendMessage::Authentication(Authentication::SASLContinue(data)) => {
+                    scram.update(&data)?;
+                    let answer = SASLResponse::new(scram.message().to_vec().into());
+                    self.send(&answer).await?;
+                }
+                PgWireBackendMessage::Authentication(Authentication::SASLFinal(data)) => {
+                    scram.finish(&data)?;
+                }
+                other => bail!("the key was not taken: {other:?}"),
+            }
+        }
+    }
+
+    /// Sends one message.
+    pub async fn send(&mut self, message: &impl Message) -> anyhow::Result<()> {
+        self.writer.send(&frame::bytes(message)).await
+    }
+
+    /// The next message of the host.
+    pub async fn next(&mut self) -> anyhow::Result<Frame> {
+        let next = tokio::time::timeout(system::PATIENCE, self.reader.next()).await;
+        next.context("no answer came")??.context("the host closed the connection")
+    }
+
+    /// All messages up to the next `ReadyForQuery`, that included.
+    pub async fn until_ready(&mut self) -> anyhow::Result<Vec<Frame>> {
+        let mut frames = Vec::new();
+        loop {
+            frames.push(self.next().await?);
+            if frames.last().is_some_and(|frame| frame.tag == b'Z') {
+                return Ok(frames);
+            }
+        }
+    }
+
+    /// The kinds of the next `count` messages.
+    pub async fn tags(&mut self, count: usize) -> anyhow::Result<String> {
+        let mut tags = String::new();
+        while tags.len() < count {
+            tags.push(char::from(self.next().await?.tag));
+        }
+        Ok(tags)
+    }
+
+    /// Whether the host closes the connection, whatever it says before.
+    pub async fn is_closed(&mut self) -> bool {
+        let closed = async { while let Ok(Some(_)) = self.reader.next().await {} };
+        tokio::time::timeout(system::PATIENCE, closed).await.is_ok()
+    }
+}
--- /dev/null
+++ b/lab/src/server/extended.rs
@@ -0,0 +1,213 @@
+//! The extended query part of a connection to the server.
+
+use std::collections::VecDeque;
+
+use anyhow::{Context, bail};
+use bergamottrack_pg::{Frame, frame};
+use bytes::Bytes;
+use pgwire::messages::{
+    PgWireFrontendMessage,
+    data::{NoData, ParameterDescription, RowDescription},
+    extendedquery::{BindComplete, CloseComplete, ParseComplete, PortalSuspended},
+    response::EmptyQueryResponse,
+};
+
+use super::{
+    session::{Session, SqlError, field, fields},
+    sql::{self, Command},
+    types,
+    values::{self, Value, oid},
+};
+
+/// A prepared statement.
+#[derive(Clone)]
+pub struct Prepared {
+    sql: Box<str>,
+    oids: Vec<u32>,
+}
+
+/// A statement with its parameters.
+#[derive(Clone)]
+pub struct Portal {
+    sql: Box<str>,
+    params: Vec<Value>,
+    formats: Vec<i16>,
+    /// Its rows, and the end of its answer, once it has run with a limit of rows.
+    rest: Option<VecDeque<Bytes>>,
+}
+
+impl Session<'_> {
+    /// Serves messages up to a `Sync`.
+    pub async fn extended(&mut self, frame: Frame) -> anyhow::Result<()> {
+        let mut next = Some(frame);
+        let mut failed = false;
+        loop {
+            let frame = match next.take() {
+                Some(frame) => frame,
+                None => self.reader.next().await?.context("the stream ended")?,
+            };
+            match frame.tag {
+                b'S' => return self.ready().await,
+                b'H' => self.flush().await?,
+                b'X' => bail!("the caller left"),
+                _ if failed => {}
+                _ => {
+                    if let Err(error) = self.step(&frame).await {
+                        self.error(&error);
+                        failed = true;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self, frame: &Frame) -> Result<(), SqlError> {
+        match frame.frontend()? {
+            PgWireFrontendMessage::Parse(parse) => {
+                let oids = self.param_types(&parse.query, &parse.type_oids)?;
+                let name = parse.name.unwrap_or_default().into();
+                self.statements.insert(name, Prepared { sql: parse.query.into(), oids });
+                frame::put(&mut self.out, &ParseComplete::new());
+            }
+            PgWireFrontendMessage::Bind(bind) => {
+                let name = bind.statement_name.unwrap_or_default();
+                let statement = self.statement(&name)?;
+                let portal = Portal {
+                    sql: statement.sql,
+                    params: decode_params(
+                        &statement.oids,
+                        &bind.parameter_format_codes,
+                        &bind.parameters,
+                    )?,
+                    formats: bind.result_column_format_codes,
+                    rest: None,
+                };
+                self.portals.insert(bind.portal_name.unwrap_or_default().into(), portal);
+                frame::put(&mut self.out, &BindComplete::new());
+            }
+            PgWireFrontendMessage::Describe(describe) => {
+                let name = describe.name.unwrap_or_default();
+                self.describe(describe.target_type, &name)?;
+            }
+            PgWireFrontendMessage::Execute(execute) => {
+                let name = execute.name.unwrap_or_default();
+                let most = usize::try_from(execute.max_rows).unwrap_or(0);
+                self.execute_portal(&name, most).await?;
+            }
+            PgWireFrontendMessage::Close(close) => {
+                let name = close.name.unwrap_or_default();
+                match close.target_type {
+                    b'S' => drop(self.statements.remove(name.as_str())),
+                    _ => drop(self.portals.remove(name.as_str())),
+                }
+                frame::put(&mut self.out, &CloseComplete::new());
+            }
+            _ => return Err(SqlError::new("0A000", "a message that is not served")),
+        }
+        Ok(())
+    }
+
+    fn statement(&self, name: &str) -> Result<Prepared, SqlError> {
+        let found = self.statements.get(name).cloned();
+        found.ok_or_else(|| SqlError::new("26000", "no such prepared statement"))
+    }
+
+    fn param_types(&self, sql: &str, given: &[u32]) -> Result<Vec<u32>, SqlError> {
+        if sql::command(sql) != Command::Sql {
+            return Ok(Vec::new());
+        }
+        Ok(types::of_params(&self.db, sql, given)?)
+    }
+
+    /// Runs a portal; with `most` above 0 it stands still after so many rows.
+    async fn execute_portal(&mut self, name: &str, most: usize) -> Result<(), SqlError> {
+        let portal = self.portals.get(name).cloned();
+        let portal = portal.ok_or_else(|| SqlError::new("34000", "no such portal"))?;
+        if sql::command(&portal.sql) == Command::Empty {
+            frame::put(&mut self.out, &EmptyQueryResponse::new());
+            return Ok(());
+        }
+        let mut rest = match portal.rest {
+            Some(rest) => rest,
+            None if most == 0 => {
+                return self.execute(&portal.sql, &portal.params, &portal.formats, false).await;
+            }
+            None => self.hold(&portal).await?,
+        };
+        let mut rows = 0;
+        while let Some(frame) = rest.front() {
+            if frame.first() == Some(&b'D') && most > 0 && rows == most {
+                break;
+            }
+            rows += usize::from(frame.first() == Some(&b'D'));
+            self.out.extend_from_slice(frame);
+            rest.pop_front();
+        }
+        if !rest.is_empty() {
+            frame::put(&mut self.out, &PortalSuspended::new());
+        }
+        if let Some(portal) = self.portals.get_mut(name) {
+            portal.rest = Some(rest);
+        }
+        Ok(())
+    }
+
+    /// Runs a portal and holds its answer.
+    async fn hold(&mut self, portal: &Portal) -> Result<VecDeque<Bytes>, SqlError> {
+        let before = self.out.split();
+        self.holds = true;
+        let result = self.execute(&portal.sql, &portal.params, &portal.formats, false).await;
+        self.holds = false;
+        let answer = std::mem::replace(&mut self.out, before);
+        result?;
+        let frames = frame::frames(answer.freeze())?;
+        Ok(frames.into_iter().map(|frame| frame.raw).collect())
+    }
+
+    fn describe(&mut self, kind: u8, name: &str) -> Result<(), SqlError> {
+        let (sql, formats) = match kind {
+            b'S' => {
+                let statement = self.statement(name)?;
+                frame::put(&mut self.out, &ParameterDescription::new(statement.oids));
+                (statement.sql, Vec::new())
+            }
+            _ => {
+                let portal = self.portals.get(name).cloned();
+                let portal = portal.ok_or_else(|| SqlError::new("34000", "no such portal"))?;
+                (portal.sql, portal.formats)
+            }
+        };
+        let fields = match sql::command(&sql) {
+            Command::Show(name) => vec![field(&name, oid::TEXT, 0)],
+            Command::Promise { .. } | Command::Promote { .. } => {
+                vec![field("status", oid::TEXT, 0)]
+            }
+            Command::Sql => fields(&self.db.prepare(&sql)?, &formats),
+            _ => Vec::new(),
+        };
+        if fields.is_empty() {
+            frame::put(&mut self.out, &NoData::new());
+        } else {
+            frame::put(&mut self.out, &RowDescription::new(fields));
+        }
+        Ok(())
+    }
+}
+
+fn decode_params(
+    oids: &[u32],
+    formats: &[i16],
+    params: &[Option<Bytes>],
+) -> Result<Vec<Value>, SqlError> {
+    let format = |i: usize| match formats {
+        [] => 0,
+        [one] => *one,
+        many => many.get(i).copied().unwrap_or(0),
+    };
+    let decode = |(i, bytes): (usize, &Option<Bytes>)| {
+        let oid = oids.get(i).copied().unwrap_or(oid::TEXT);
+        values::decode(bytes.as_deref(), oid, format(i) == 1)
+    };
+    let values = params.iter().enumerate().map(decode).collect::<anyhow::Result<_>>();
+    values.map_err(|error| SqlError::new("22P02", format!("{error:#}")))
+}
--- a/lab/src/server/mod.rs
+++ b/lab/src/server/mod.rs
@@ -9,9 +9,11 @@
 use monoio::net::TcpListener;
 
 mod engine;
+mod extended;
 mod replication;
 mod session;
 mod sql;
+mod types;
 mod values;
 
 /// Settings of a server.
--- a/lab/src/server/session.rs
+++ b/lab/src/server/session.rs
@@ -2,22 +2,21 @@
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
-use anyhow::{Context, bail};
+use anyhow::bail;
 use bergamottrack_coordination::{Point, Term};
 use bergamottrack_pg::{
     Frame, PgReader, PgWriter,
     answer::{self, Severity},
     frame, stream,
 };
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{BufMut, BytesMut};
 use monoio::{
     io::IntoPollIo,
     net::{TcpStream, tcp::stream_poll::TcpStreamPoll},
 };
 use pgwire::messages::{
     PgWireFrontendMessage,
-    data::{FieldDescription, NoData, ParameterDescription, RowDescription},
-    extendedquery::{BindComplete, CloseComplete, ParseComplete},
+    data::{FieldDescription, RowDescription},
     response::{EmptyQueryResponse, NotificationResponse, TransactionStatus},
     startup::{Authentication, BackendKeyData, SecretKey},
 };
@@ -29,6 +28,7 @@
 
 use super::{
     engine::{Change, Engine},
+    extended::{Portal, Prepared},
     sql::{self, Command},
     values::{self, Value, oid},
 };
@@ -38,13 +38,14 @@
 
 /// An error with its SQLSTATE.
 #[derive(Debug)]
-struct SqlError {
+pub struct SqlError {
     code: &'static str,
     message: String,
 }
 
 impl SqlError {
-    fn new(code: &'static str, message: impl Into<String>) -> Self {
+    /// An error with its SQLSTATE.
+    pub fn new(code: &'static str, message: impl Into<String>) -> Self {
         Self { code, message: message.into() }
     }
 }
@@ -67,19 +68,6 @@
     }
 }
 
-#[derive(Clone)]
-struct Prepared {
-    sql: Box<str>,
-    oids: Vec<u32>,
-}
-
-#[derive(Clone)]
-struct Portal {
-    sql: Box<str>,
-    params: Vec<Value>,
-    formats: Vec<i16>,
-}
-
 /// Serves one connection until it ends.
 pub async fn serve(engine: Rc<Engine>, stream: TcpStream) {
     if let Err(error) = open(&engine, stream).await {
@@ -133,19 +121,21 @@
         writing: None,
         told: Point::default(),
         listens: false,
+        holds: false,
         statements: HashMap::new(),
         portals: HashMap::new(),
     };
     session.run().await
 }
 
-struct Session<'e> {
+/// A connection to the server.
+pub struct Session<'e> {
     engine: &'e Engine,
-    db: Connection,
+    pub(super) db: Connection,
     generation: u64,
-    reader: PgReader<ReadHalf<TcpStreamPoll>>,
+    pub(super) reader: PgReader<ReadHalf<TcpStreamPoll>>,
     writer: PgWriter<WriteHalf<TcpStreamPoll>>,
-    out: BytesMut,
+    pub(super) out: BytesMut,
     /// Within a transaction.
     open: bool,
     /// Within a transaction that has failed.
@@ -156,8 +146,10 @@
     /// The point that the caller was last told.
     told: Point,
     listens: bool,
-    statements: HashMap<Box<str>, Prepared>,
-    portals: HashMap<Box<str>, Portal>,
+    /// Whether rows wait until their statement has ended.
+    pub(super) holds: bool,
+    pub(super) statements: HashMap<Box<str>, Prepared>,
+    pub(super) portals: HashMap<Box<str>, Portal>,
 }
 
 impl Session<'_> {
@@ -198,12 +190,12 @@
         self.writer.send(&frame::bytes(&told)).await
     }
 
-    async fn flush(&mut self) -> anyhow::Result<()> {
+    pub(super) async fn flush(&mut self) -> anyhow::Result<()> {
         let out = self.out.split();
         self.writer.send(&out).await
     }
 
-    async fn ready(&mut self) -> anyhow::Result<()> {
+    pub(super) async fn ready(&mut self) -> anyhow::Result<()> {
         let status = match (self.open, self.failed) {
             (false, _) => TransactionStatus::Idle,
             (true, false) => TransactionStatus::Transaction,
@@ -213,7 +205,7 @@
         self.flush().await
     }
 
-    fn error(&mut self, error: &SqlError) {
+    pub(super) fn error(&mut self, error: &SqlError) {
         let bytes = answer::error(Severity::Error, error.code, &error.message, None, None);
         self.out.extend_from_slice(&bytes);
         if self.open {
@@ -263,129 +255,8 @@
         }
     }
 
-    async fn extended(&mut self, frame: Frame) -> anyhow::Result<()> {
-        let mut next = Some(frame);
-        let mut failed = false;
-        let mut wrote = false;
-        loop {
-            let frame = match next.take() {
-                Some(frame) => frame,
-                None => self.reader.next().await?.context("the stream ended")?,
-            };
-            match frame.tag {
-                b'S' => {
-                    let _ = wrote;
-                    return self.ready().await;
-                }
-                b'H' => self.flush().await?,
-                b'X' => bail!("the caller left"),
-                _ if failed => {}
-                _ => match self.step(&frame).await {
-                    Ok(()) => wrote = true,
-                    Err(error) => {
-                        self.error(&error);
-                        failed = true;
-                    }
-                },
-            }
-        }
-    }
-
-    async fn step(&mut self, frame: &Frame) -> Result<(), SqlError> {
-        match frame.frontend()? {
-            PgWireFrontendMessage::Parse(parse) => {
-                let oids = self.param_types(&parse.query, &parse.type_oids)?;
-                let name = parse.name.unwrap_or_default().into();
-                self.statements.insert(name, Prepared { sql: parse.query.into(), oids });
-                frame::put(&mut self.out, &ParseComplete::new());
-            }
-            PgWireFrontendMessage::Bind(bind) => {
-                let name = bind.statement_name.unwrap_or_default();
-                let statement = self.statement(&name)?;
-                let portal = Portal {
-                    sql: statement.sql,
-                    params: decode_params(
-                        &statement.oids,
-                        &bind.parameter_format_codes,
-                        &bind.parameters,
-                    )?,
-                    formats: bind.result_column_format_codes,
-                };
-                self.portals.insert(bind.portal_name.unwrap_or_default().into(), portal);
-                frame::put(&mut self.out, &BindComplete::new());
-            }
-            PgWireFrontendMessage::Describe(describe) => {
-                let name = describe.name.unwrap_or_default();
-                self.describe(describe.target_type, &name)?;
-            }
-            PgWireFrontendMessage::Execute(execute) => {
-                let name = execute.name.unwrap_or_default();
-                let portal = self.portals.get(name.as_str()).cloned();
-                let portal = portal.ok_or_else(|| SqlError::new("34000", "no such portal"))?;
-                self.execute(&portal.sql, &portal.params, &portal.formats, false).await?;
-            }
-            PgWireFrontendMessage::Close(close) => {
-                let name = close.name.unwrap_or_default();
-                match close.target_type {
-                    b'S' => drop(self.statements.remove(name.as_str())),
-                    _ => drop(self.portals.remove(name.as_str())),
-                }
-                frame::put(&mut self.out, &CloseComplete::new());
-            }
-            _ => return Err(SqlError::new("0A000", "a message that is not served")),
-        }
-        Ok(())
-    }
-
-    fn statement(&self, name: &str) -> Result<Prepared, SqlError> {
-        let found = self.statements.get(name).cloned();
-        found.ok_or_else(|| SqlError::new("26000", "no such prepared statement"))
-    }
-
-    fn param_types(&self, sql: &str, given: &[u32]) -> Result<Vec<u32>, SqlError> {
-        if sql::command(sql) != Command::Sql {
-            return Ok(Vec::new());
-        }
-        let statement = self.db.prepare(sql)?;
-        let mut oids = Vec::new();
-        while statement.parameter_index(&format!("${}", oids.len() + 1))?.is_some() {
-            let stated = given.get(oids.len()).copied().filter(|oid| *oid != 0);
-            oids.push(stated.unwrap_or(oid::TEXT));
-        }
-        Ok(oids)
-    }
-
-    fn describe(&mut self, kind: u8, name: &str) -> Result<(), SqlError> {
-        let (sql, formats) = match kind {
-            b'S' => {
-                let statement = self.statement(name)?;
-                frame::put(&mut self.out, &ParameterDescription::new(statement.oids));
-                (statement.sql, Vec::new())
-            }
-            _ => {
-                let portal = self.portals.get(name).cloned();
-                let portal = portal.ok_or_else(|| SqlError::new("34000", "no such portal"))?;
-                (portal.sql, portal.formats)
-            }
-        };
-        let fields = match sql::command(&sql) {
-            Command::Show(name) => vec![field(&name, oid::TEXT, 0)],
-            Command::Promise { .. } | Command::Promote { .. } => {
-                vec![field("status", oid::TEXT, 0)]
-            }
-            Command::Sql => fields(&self.db.prepare(&sql)?, &formats),
-            _ => Vec::new(),
-        };
-        if fields.is_empty() {
-            frame::put(&mut self.out, &NoData::new());
-        } else {
-            frame::put(&mut self.out, &RowDescription::new(fields));
-        }
-        Ok(())
-    }
-
     /// Runs a statement; with `described` its columns go before its rows.
-    async fn execute(
+    pub(super) async fn execute(
         &mut self,
         sql: &str,
         params: &[Value],
@@ -589,7 +460,7 @@
                 }
                 put_row(&mut self.out, &row_bytes);
                 count += 1;
-                if self.out.len() >= SEND_AT && statement_reads(sql) {
+                if self.out.len() >= SEND_AT && !self.holds && statement_reads(sql) {
                     let out = self.out.split();
                     self.writer.send(&out).await?;
                 }
@@ -622,11 +493,13 @@
     out.put_slice(row);
 }
 
-fn field(name: &str, type_id: u32, format: i16) -> FieldDescription {
+/// A column of text or numbers.
+pub fn field(name: &str, type_id: u32, format: i16) -> FieldDescription {
     FieldDescription::new(name.into(), 0, 0, type_id, -1, -1, format)
 }
 
-fn fields(statement: &rusqlite::Statement<'_>, formats: &[i16]) -> Vec<FieldDescription> {
+/// The columns of a statement.
+pub fn fields(statement: &rusqlite::Statement<'_>, formats: &[i16]) -> Vec<FieldDescription> {
     let format = |i: usize| match formats {
         [] => 0,
         [one] => *one,
@@ -642,21 +515,3 @@
 fn fields_of(fields: &[FieldDescription]) -> Vec<FieldDescription> {
     fields.iter().map(|f| field(&f.name, f.type_id, f.format_code)).collect()
 }
-
-fn decode_params(
-    oids: &[u32],
-    formats: &[i16],
-    params: &[Option<Bytes>],
-) -> Result<Vec<Value>, SqlError> {
-    let format = |i: usize| match formats {
-        [] => 0,
-        [one] => *one,
-        many => many.get(i).copied().unwrap_or(0),
-    };
-    let decode = |(i, bytes): (usize, &Option<Bytes>)| {
-        let oid = oids.get(i).copied().unwrap_or(oid::TEXT);
-        values::decode(bytes.as_deref(), oid, format(i) == 1)
-    };
-    let values = params.iter().enumerate().map(decode).collect::<anyhow::Result<_>>();
-    values.map_err(|error| SqlError::new("22P02", format!("{error:#}")))
-}
--- /dev/null
+++ b/lab/src/server/types.rs
@@ -0,0 +1,122 @@
+//! Types of parameters that a caller does not state, from the columns that they meet.
+
+use std::collections::HashMap;
+
+use rusqlite::Connection;
+
+use super::values::{self, oid};
+
+/// The types of the parameters `$1`, `$2` and so on; `given` ones go first.
+pub fn of_params(db: &Connection, sql: &str, given: &[u32]) -> rusqlite::Result<Vec<u32>> {
+    let statement = db.prepare(sql)?;
+    let words = words(sql);
+    let columns = columns(db, &words);
+    let inserted = inserted(db, &words);
+    let mut types = Vec::new();
+    loop {
+        let param = format!("${}", types.len() + 1);
+        if statement.parameter_index(&param)?.is_none() {
+            return Ok(types);
+        }
+        let stated = given.get(types.len()).copied().filter(|oid| *oid != 0);
+        let met = || inserted.get(&*param).or_else(|| compared(&words, &columns, &param)).copied();
+        types.push(stated.or_else(met).unwrap_or(oid::TEXT));
+    }
+}
+
+/// Names, numbers, parameters and operators, in small letters.
+fn words(sql: &str) -> Vec<String> {
+    let mut words: Vec<String> = Vec::new();
+    let in_word = |c: char| c.is_alphanumeric() || matches!(c, '_' | '$');
+    let in_operator = |c: char| matches!(c, '<' | '>' | '=' | '!');
+    let mut last = ' ';
+    for c in sql.chars().filter(|c| *c != '"') {
+        let joins = (in_word(c) && in_word(last)) || (in_operator(c) && in_operator(last));
+        match words.last_mut() {
+            Some(word) if joins => word.extend(c.to_lowercase()),
+            _ if c.is_whitespace() => {}
+            _ => words.push(c.to_lowercase().collect()),
+        }
+        last = c;
+    }
+    words
+}
+
+fn table(db: &Connection, name: &str) -> Vec<(String, u32)> {
+    let read = |row: &rusqlite::Row<'_>| {
+        let (column, declared): (String, String) = (row.get(0)?, row.get(1)?);
+        let type_id = values::column_type(Some(&declared), &column);
+        Ok((column.to_ascii_lowercase(), type_id))
+    };
+    let columns = db
+        .prepare_cached("SELECT name, type FROM pragma_table_info(?1)")
+        .and_then(|mut s| s.query_map([name], read)?.collect());
+    columns.unwrap_or_default()
+}
+
+fn columns(db: &Connection, words: &[String]) -> HashMap<String, u32> {
+    words.iter().flat_map(|word| table(db, word)).collect()
+}
+
+/// The types of parameters in `INSERT INTO t (a, b) VALUES ($1, $2), ($3, $4)`.
+fn inserted<'w>(db: &Connection, words: &'w [String]) -> HashMap<&'w str, u32> {
+    let mut types = HashMap::new();
+    let Some(at) = words.iter().position(|w| w == "into") else { return types };
+    let Some(values) = words.iter().position(|w| w == "values") else { return types };
+    let Some(name) = words.get(at + 1) else { return types };
+    let all = table(db, name);
+    let listed: Vec<&String> = words[(at + 2).min(values)..values]
+        .iter()
+        .filter(|w| !matches!(w.as_str(), "(" | ")" | ","))
+        .collect();
+    let type_of = |place: usize| match listed.get(place) {
+        Some(column) => all.iter().find(|(name, _)| name == *column).map(|(_, id)| *id),
+        None if listed.is_empty() => all.get(place).map(|(_, id)| *id),
+        None => None,
+    };
+    let (mut place, mut depth) = (0, 0);
+    for word in &words[values + 1..] {
+        match word.as_str() {
+            "(" => (place, depth) = (if depth == 0 { 0 } else { place }, depth + 1),
+            ")" => depth -= 1,
+            "," if depth == 1 => place += 1,
+            param if depth == 1 && param.starts_with('$') => {
+                if let Some(id) = type_of(place) {
+                    types.insert(param, id);
+                }
+            }
+            "on" | "returning" if depth == 0 => break,
+            _ => {}
+        }
+    }
+    types
+}
+
+/// The type of the column that a parameter is compared with or set to.
+fn compared<'c>(
+    words: &[String],
+    columns: &'c HashMap<String, u32>,
+    param: &str,
+) -> Option<&'c u32> {
+    const INT8: &u32 = &oid::INT8;
+    let at = words.iter().position(|w| w == param)?;
+    let before = |n: usize| at.checked_sub(n).and_then(|i| words.get(i)).map(String::as_str);
+    if matches!(before(1), Some("limit" | "offset")) {
+        return Some(INT8);
+    }
+    let is_operator = |w: &str| matches!(w, "=" | "<" | ">" | "<=" | ">=" | "<>" | "!=" | "like");
+    if before(1).is_some_and(is_operator) {
+        // `col = $1`, and `col = col + $1` is found below.
+        return columns.get(before(2)?);
+    }
+    if matches!(before(1), Some("+" | "-" | "*" | "/")) {
+        return columns.get(before(2)?);
+    }
+    if words.get(at + 1).is_some_and(|w| is_operator(w)) {
+        return columns.get(words.get(at + 2)?);
+    }
+    // `col IN ($1, $2)`
+    let open = words[..at].iter().rposition(|w| w == "(")?;
+    let is_in = open >= 2 && words[open - 1] == "in";
+    if is_in { columns.get(&words[open - 2]) } else { None }
+}
