--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -29,18 +29,51 @@
     /// The secret that all hosts share.
     pub secret: Secret,
     /// Cancels of running connections, by process number.
-    pub cancels: RefCell<HashMap<i32, Cancel>>,
+    pub cancels: RefCell<HashMap<i32, Rc<Cancel>>>,
     /// The last process number given out.
     pub last_pid: Cell<i32>,
 }
 
-/// How a running connection is cancelled.
-#[derive(Clone)]
+/// How what a connection runs is cancelled.
+#[derive(Default)]
 pub struct Cancel {
     /// What the caller must know to cancel.
     pub secret: i32,
-    /// Wakes the connection.
-    pub wake: Rc<Notify>,
+    /// Whether a request runs.
+    running: Cell<bool>,
+    /// Whether the running request is to be cancelled.
+    wanted: Cell<bool>,
+    wake: Notify,
+}
+
+impl Cancel {
+    /// Cancels the running request. Nothing is kept for a later one: a cancel
+    /// that comes late would hit a request that nobody wants cancelled.
+    pub fn ask(&self) {
+        if self.running.get() {
+            self.wanted.set(true);
+            self.wake.notify_one();
+        }
+    }
+
+    /// Notes that a request runs.
+    pub fn begin(&self) {
+        self.running.set(true);
+        self.wanted.set(false);
+    }
+
+    /// Notes that it ended.
+    pub fn end(&self) {
+        self.running.set(false);
+    }
+
+    /// Waits until the running request is to be cancelled.
+    pub async fn asked(&self) {
+        while !self.wanted.take() {
+            // May be left over from an earlier request, so the flag decides.
+            self.wake.notified().await;
+        }
+    }
 }
 
 impl Entry {
@@ -65,6 +98,15 @@
         Ok(doc)
     }
 
+    /// Gives a new connection its process number.
+    pub fn register(&self) -> (i32, Rc<Cancel>) {
+        let pid = self.last_pid.get().wrapping_add(1);
+        self.last_pid.set(pid);
+        let cancel = Rc::new(Cancel { secret: rand::random(), ..Cancel::default() });
+        self.cancels.borrow_mut().insert(pid, cancel.clone());
+        (pid, cancel)
+    }
+
     /// Begins an exchange with the home of the group.
     pub fn open(&self, config: &Config, open: Open) -> Exchange {
         for host in self.mesh.homes(&open.group) {
--- /dev/null
+++ b/components/entry/src/extended.rs
@@ -0,0 +1,321 @@
+//! Extended query: a caller's batches of messages and its prepared statements.
+//!
+//! Towards the home everything uses the unnamed statement, which is prepared
+//! again wherever it is needed. So a server's connection keeps nothing of one
+//! caller for the next.
+
+use std::rc::Rc;
+
+use anyhow::Context;
+use bergamottrack_pg::{Frame, answer::Severity, frame};
+use bytes::{Bytes, BytesMut};
+use pgwire::messages::{
+    Message, PgWireFrontendMessage,
+    data::ParameterDescription,
+    extendedquery::{
+        Bind, BindComplete, Close, CloseComplete, Describe, Execute, Parse, ParseComplete, Sync,
+    },
+};
+
+use crate::{
+    local,
+    session::{Request, Session, Work},
+    settings::Fault,
+    sql::Command,
+    statements::Statement,
+    steps::{Effect, Step, Steps},
+};
+
+/// The most bytes of one batch of messages.
+const MAX_BATCH: usize = 16 << 20;
+
+/// The most portals that a transaction holds.
+const MAX_PORTALS: usize = 1_000;
+
+/// Which kind of thing a message names.
+const STATEMENT: u8 = b'S';
+
+/// The messages since the last `Sync`.
+#[derive(Debug, Default)]
+pub struct Batch {
+    /// What goes to the home.
+    frames: BytesMut,
+    steps: Steps,
+    /// Statements that the batch prepares and, without one, closes.
+    named: Vec<(Box<str>, Option<Rc<Statement>>)>,
+    /// What the server's unnamed statement will be.
+    current: Option<Rc<Statement>>,
+    work: Work,
+    /// What the batch runs on a server, in order.
+    begins: bool,
+    ends: bool,
+    /// Why nothing of it runs.
+    fault: Option<Fault>,
+    /// Bytes of all its messages.
+    size: usize,
+}
+
+impl Batch {
+    fn send(&mut self, message: &impl Message, step: Step) {
+        frame::put(&mut self.frames, message);
+        self.steps.push(step);
+    }
+
+    fn send_parse(&mut self, statement: &Rc<Statement>, step: Step) {
+        self.frames.extend_from_slice(&statement.parse);
+        self.steps.push(step);
+        self.current = Some(statement.clone());
+    }
+
+    /// Has the server's unnamed statement be this one.
+    fn prepare(&mut self, statement: &Rc<Statement>) {
+        let is_current = self.current.as_ref().is_some_and(|c| Rc::ptr_eq(c, statement));
+        if !is_current {
+            self.send_parse(statement, Step::SKIP);
+        }
+    }
+
+    fn reply(&mut self, message: &impl Message) {
+        self.steps.push(Step::local(frame::bytes(message)));
+    }
+}
+
+impl Session {
+    /// Takes a message of a batch; nothing runs before its end.
+    pub(crate) fn collect(&mut self, frame: &Frame) {
+        if self.skipping || self.batch.fault.is_some() {
+            return;
+        }
+        self.batch.size += frame.raw.len();
+        let taken = if self.batch.size > MAX_BATCH {
+            Err(Fault::new("54000", format!("a batch has at most {MAX_BATCH} bytes")))
+        } else {
+            self.take(frame)
+        };
+        if let Err(fault) = taken {
+            // Nothing of the batch is sent, so "not run" is true of all of it.
+            self.batch = Batch { fault: Some(fault), ends: self.batch.ends, ..Batch::default() };
+        }
+    }
+
+    fn take(&mut self, frame: &Frame) -> Result<(), Fault> {
+        let message = frame.frontend().map_err(|e| Fault::new("08P01", format!("{e:#}")))?;
+        match message {
+            PgWireFrontendMessage::Parse(parse) => self.parse(parse),
+            PgWireFrontendMessage::Bind(bind) => self.bind(bind),
+            PgWireFrontendMessage::Describe(describe) => self.describe(describe),
+            PgWireFrontendMessage::Execute(execute) => self.execute(&execute),
+            PgWireFrontendMessage::Close(close) => self.close(close),
+            _ => Err(Fault::new("08P01", "a message that is not served here")),
+        }
+    }
+
+    fn prepared(&self, name: &str) -> Option<Rc<Statement>> {
+        match self.batch.named.iter().rfind(|(n, _)| **n == *name) {
+            Some((_, statement)) => statement.clone(),
+            None => self.statements.get(name),
+        }
+    }
+
+    fn parse(&mut self, parse: Parse) -> Result<(), Fault> {
+        let name: Box<str> = parse.name.as_deref().unwrap_or_default().into();
+        if !name.is_empty() && self.prepared(&name).is_some() {
+            let message = format!("the prepared statement {name:?} exists already");
+            return Err(Fault::new("42P05", message));
+        }
+        self.statements.check_room(self.batch.named.len())?;
+        let statement = Statement::new(parse);
+        match &statement.command {
+            Command::Unsupported(what) => return Err(Fault::unsupported(what)),
+            Command::End(_) => {}
+            _ if self.is_aborted() => return Err(local::aborted()),
+            _ => {}
+        }
+        let keep = Effect::Keep(name.clone(), statement.clone());
+        if statement.is_local() {
+            let complete = frame::bytes(&ParseComplete::new());
+            self.batch.steps.push(Step::local(complete).then(keep));
+        } else {
+            self.batch.send_parse(&statement, Step::PASS.then(keep));
+        }
+        self.batch.named.push((name, Some(statement)));
+        Ok(())
+    }
+
+    fn bind(&mut self, mut bind: Bind) -> Result<(), Fault> {
+        let name = bind.statement_name.take().unwrap_or_default();
+        let statement = self.prepared(&name).ok_or_else(|| no_statement(&name))?;
+        let portal: Box<str> = bind.portal_name.as_deref().unwrap_or_default().into();
+        if self.portals.len() >= MAX_PORTALS && !self.portals.contains_key(&portal) {
+            return Err(Fault::new("54000", format!("a caller has at most {MAX_PORTALS} portals")));
+        }
+        self.portals.insert(portal, statement.clone());
+        if statement.is_local() {
+            self.batch.reply(&BindComplete::new());
+        } else {
+            self.batch.prepare(&statement);
+            self.batch.send(&bind, Step::PASS);
+        }
+        Ok(())
+    }
+
+    fn describe(&mut self, mut describe: Describe) -> Result<(), Fault> {
+        let name = describe.name.clone().unwrap_or_default();
+        if describe.target_type != STATEMENT {
+            match self.portals.get(&*name).filter(|s| s.is_local()) {
+                Some(statement) => {
+                    let columns = local::columns(&statement.command);
+                    self.batch.steps.push(Step::local(columns));
+                }
+                None => self.batch.send(&describe, Step::PASS),
+            }
+            return Ok(());
+        }
+        let statement = self.prepared(&name).ok_or_else(|| no_statement(&name))?;
+        if statement.is_local() {
+            self.batch.reply(&ParameterDescription::new(Vec::new()));
+            self.batch.steps.push(Step::local(local::columns(&statement.command)));
+        } else {
+            self.batch.prepare(&statement);
+            describe.name = None;
+            self.batch.send(&describe, Step::PASS);
+        }
+        Ok(())
+    }
+
+    fn execute(&mut self, execute: &Execute) -> Result<(), Fault> {
+        let name = execute.name.as_deref().unwrap_or_default();
+        let statement = self.portals.get(name).cloned();
+        let Some(statement) = statement else {
+            // The server knows no such portal either, and says so.
+            self.batch.work = Work::Write;
+            self.batch.send(execute, Step::PASS);
+            return Ok(());
+        };
+        match &statement.command {
+            Command::End(_) if self.exchange.is_some() || !self.batch.frames.is_empty() => {
+                self.end_transaction(&statement);
+            }
+            command if statement.is_local() => {
+                let answer = self.execute_locally(command)?;
+                self.batch.steps.push(Step::local(answer));
+            }
+            command => {
+                self.check_place(command)?;
+                self.batch.work = self.batch.work.max(Work::of(command));
+                self.batch.send(execute, Step::PASS);
+            }
+        }
+        Ok(())
+    }
+
+    /// Runs a `COMMIT` or `ROLLBACK`, of which the server has heard nothing so far.
+    fn end_transaction(&mut self, statement: &Rc<Statement>) {
+        self.batch.prepare(statement);
+        self.batch.send(&Bind::new(None, None, vec![], vec![], vec![]), Step::SKIP);
+        self.batch.send(&Execute::new(None, 0), Step::PASS);
+        self.batch.work = Work::Write;
+        self.batch.ends = true;
+    }
+
+    fn check_place(&mut self, command: &Command) -> Result<(), Fault> {
+        match command {
+            Command::Begin if self.batch.ends => {
+                local::check_order(&[Command::End("COMMIT"), Command::Begin])
+            }
+            Command::Begin => {
+                self.batch.begins = true;
+                Ok(())
+            }
+            Command::SetLocal if self.exchange.is_none() && !self.batch.begins => {
+                Err(Fault::new("25P01", "SET LOCAL is for within a transaction"))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn close(&mut self, close: Close) -> Result<(), Fault> {
+        let name: Box<str> = close.name.as_deref().unwrap_or_default().into();
+        if close.target_type == STATEMENT {
+            self.batch.named.push((name.clone(), None));
+            let complete = frame::bytes(&CloseComplete::new());
+            self.batch.steps.push(Step::local(complete).then(Effect::Forget(name)));
+            return Ok(());
+        }
+        match self.portals.remove(&name) {
+            Some(statement) if !statement.is_local() => self.batch.send(&close, Step::PASS),
+            _ => self.batch.reply(&CloseComplete::new()),
+        }
+        Ok(())
+    }
+
+    /// Ends a batch.
+    pub(crate) async fn sync(&mut self) -> anyhow::Result<()> {
+        if std::mem::take(&mut self.skipping) {
+            self.batch = Batch::default();
+            return self.send(&self.ready()).await;
+        }
+        let batch = std::mem::take(&mut self.batch);
+        if let Some(fault) = batch.fault {
+            self.abort(batch.ends);
+            self.send(&fault.answer(Severity::Error)).await?;
+            return self.send(&self.ready()).await;
+        }
+        self.run_batch(batch, false).await
+    }
+
+    /// Gives the answers to what has come of a batch so far.
+    ///
+    /// A server is always sent a `Sync`. That makes no difference within a
+    /// transaction, nor as long as statements are only prepared. Elsewhere it
+    /// would commit what the caller may still want undone: refused.
+    pub(crate) async fn flush(&mut self) -> anyhow::Result<()> {
+        if self.skipping {
+            return Ok(());
+        }
+        let mut batch = std::mem::take(&mut self.batch);
+        let runs = batch.work > Work::Describe || !self.portals.is_empty();
+        if runs && self.exchange.is_none() && batch.fault.is_none() {
+            batch.fault = Some(Fault::unsupported("Flush after a statement outside a transaction"));
+        }
+        if let Some(fault) = batch.fault {
+            self.abort(batch.ends);
+            self.skipping = true;
+            return self.send(&fault.answer(Severity::Error)).await;
+        }
+        self.run_batch(batch, true).await
+    }
+
+    async fn run_batch(&mut self, mut batch: Batch, unfinished: bool) -> anyhow::Result<()> {
+        if batch.frames.is_empty() {
+            let answers = batch.steps.local(&mut self.statements);
+            self.send(&answers).await?;
+            if unfinished {
+                return Ok(());
+            }
+            if self.exchange.is_none() {
+                self.portals.clear();
+            }
+            return self.send(&self.ready()).await;
+        }
+        if self.is_aborted() {
+            // Run now, its statements would be outside of the transaction they are for.
+            self.skipping = unfinished;
+            self.send(&local::aborted().answer(Severity::Error)).await?;
+            return if unfinished { Ok(()) } else { self.send(&self.ready()).await };
+        }
+        frame::put(&mut batch.frames, &Sync::new());
+        let request = Request {
+            frames: Bytes::from(batch.frames),
+            steps: batch.steps,
+            work: batch.work,
+            ends: batch.ends,
+            unfinished,
+        };
+        self.finish(request).await.context("running a batch")
+    }
+}
+
+fn no_statement(name: &str) -> Fault {
+    Fault::new("26000", format!("the prepared statement {name:?} does not exist"))
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -3,8 +3,15 @@
 pub mod admit;
 pub mod caller;
 pub mod context;
+pub mod extended;
+pub mod local;
 pub mod login;
 pub mod relay;
+pub mod session;
+pub mod settings;
 pub mod sql;
+pub mod statements;
+pub mod steps;
+pub mod tokens;
 
 pub use context::Entry;
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -2,15 +2,27 @@
 
 use std::time::{Duration, Instant};
 
+use anyhow::Context;
 use bergamottrack_coordination::{Fate, Point, Reason, Refusal};
 use bergamottrack_peer::{Exchange, Intent, ToEntry, ToHome, message::Standing};
-use bergamottrack_pg::PgWriter;
 use bytes::Bytes;
-use tokio::{io::AsyncWrite, sync::Notify};
+
+use crate::{
+    context::Cancel,
+    session::{Reader, Writer},
+    statements::Statements,
+    steps::Steps,
+};
 
 /// When a caller may come back after a link or host was lost.
 const COME_BACK: Duration = Duration::from_millis(200);
 
+/// How much later than the home the entry gives up: the home knows more.
+const GRACE: Duration = Duration::from_millis(200);
+
+/// The most bytes read ahead of a caller while its request runs.
+const READ_AHEAD: usize = 64 << 10;
+
 /// The last part of an answer.
 pub struct Answered {
     /// Messages that end the answer, without `ReadyForQuery`.
@@ -21,45 +33,78 @@
     pub point: Option<Point>,
 }
 
-/// Passes an answer on to the caller up to its last part.
-pub async fn answer<W: AsyncWrite + Unpin>(
-    exchange: &mut Exchange,
-    writer: &mut PgWriter<W>,
-    intent: &Intent,
-    deadline: Instant,
-    cancel: &Notify,
-) -> anyhow::Result<Result<Answered, Refusal>> {
-    loop {
-        let item = monoio::select! {
-            item = exchange.recv() => item,
-            _ = cancel.notified() => {
-                exchange.send(ToHome::Cancel);
-                continue;
-            }
-            _ = monoio::time::sleep_until(deadline.into()) => {
-                return Ok(Err(lost(intent, Reason::Deadline, "the deadline passed")));
-            }
-        };
-        match item {
-            Some(ToEntry::Part(bytes)) => {
-                writer.send(&bytes).await?;
-                exchange.send(ToHome::Credit(bytes.len() as u64));
-            }
-            Some(ToEntry::Turn { frames, standing, point, .. }) => {
-                return Ok(Ok(Answered { frames, standing, point }));
-            }
-            Some(ToEntry::Refused(refusal)) => return Ok(Err(refusal)),
-            None => {
-                return Ok(Err(lost(intent, Reason::Lost, "the group's home was lost")));
+/// Passes an answer on to the caller.
+pub struct Relay<'a> {
+    /// Where the answer comes from.
+    pub exchange: &'a mut Exchange,
+    /// Where the caller's next messages come from.
+    pub reader: &'a mut Reader,
+    /// Where the answer goes.
+    pub writer: &'a mut Writer,
+    /// The caller's wish to have it cancelled.
+    pub cancel: &'a Cancel,
+    /// What the exchange was opened for.
+    pub intent: &'a Intent,
+    /// When the request is given up.
+    pub deadline: Instant,
+    /// What becomes of each message of the answer.
+    pub steps: Steps,
+    /// The caller's prepared statements.
+    pub statements: &'a mut Statements,
+    /// Whether it must be known if a message failed.
+    pub watch: bool,
+}
+
+impl Relay<'_> {
+    /// Passes an answer on up to its last part; an error when the caller is gone.
+    pub async fn run(mut self) -> anyhow::Result<(Result<Answered, Refusal>, Steps)> {
+        self.cancel.begin();
+        let result = self.answer().await;
+        self.cancel.end();
+        Ok((result?, self.steps))
+    }
+
+    async fn answer(&mut self) -> anyhow::Result<Result<Answered, Refusal>> {
+        loop {
+            let item = monoio::select! {
+                item = self.exchange.recv() => item,
+                _ = self.cancel.asked() => {
+                    self.exchange.send(ToHome::Cancel);
+                    continue;
+                }
+                result = self.reader.read_ahead(READ_AHEAD) => {
+                    result.context("the caller left while its request ran")?;
+                    continue;
+                }
+                _ = monoio::time::sleep_until((self.deadline + GRACE).into()) => {
+                    return Ok(Err(self.lost(Reason::Deadline, "the deadline passed")));
+                }
+            };
+            match item {
+                Some(ToEntry::Part(bytes)) => self.pass(bytes).await?,
+                Some(ToEntry::Turn { frames, standing, point, .. }) => {
+                    let frames = self.steps.pass(frames, self.statements, self.watch)?;
+                    return Ok(Ok(Answered { frames, standing, point }));
+                }
+                Some(ToEntry::Refused(refusal)) => return Ok(Err(refusal)),
+                None => return Ok(Err(self.lost(Reason::Lost, "the group's home was lost"))),
             }
         }
     }
-}
 
-fn lost(intent: &Intent, reason: Reason, message: &str) -> Refusal {
-    let fate = match intent {
-        Intent::Write => Fate::Unknown,
-        Intent::Read { .. } => Fate::NotRun,
-    };
-    Refusal { reason, fate, retry: Some(COME_BACK), message: message.into() }
+    async fn pass(&mut self, bytes: Bytes) -> anyhow::Result<()> {
+        let length = bytes.len() as u64;
+        let bytes = self.steps.pass(bytes, self.statements, self.watch)?;
+        self.writer.send(&bytes).await?;
+        self.exchange.send(ToHome::Credit(length));
+        Ok(())
+    }
+
+    fn lost(&self, reason: Reason, message: &str) -> Refusal {
+        let fate = match self.intent {
+            Intent::Write => Fate::Unknown,
+            Intent::Read { .. } => Fate::NotRun,
+        };
+        Refusal { reason, fate, retry: Some(COME_BACK), message: message.into() }
+    }
 }
--- /dev/null
+++ b/components/entry/src/session.rs
@@ -0,0 +1,357 @@
+//! A caller that has proved its key: its messages, one after another.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use anyhow::{Context, bail};
+use bergamottrack_coordination::{Reason, Refusal};
+use bergamottrack_peer::{Exchange, Intent, Open, ToHome, message::Standing};
+use bergamottrack_pg::{
+    Frame, PgReader, PgWriter,
+    answer::{self, Severity},
+    frame,
+};
+use bytes::{Bytes, BytesMut};
+use monoio::net::tcp::stream_poll::TcpStreamPoll;
+use pgwire::messages::{
+    PgWireFrontendMessage,
+    response::TransactionStatus,
+    startup::{Authentication, BackendKeyData, SecretKey},
+};
+use tokio::io::{ReadHalf, WriteHalf};
+
+use crate::{
+    context::{Cancel, Entry},
+    extended::Batch,
+    login::Caller,
+    relay::{Answered, Relay},
+    settings::{self, Fault, Owner, Settings},
+    sql::{self, Command},
+    statements::{Statement, Statements},
+    steps::Steps,
+};
+
+/// What a caller's messages are read from.
+pub type Reader = PgReader<ReadHalf<TcpStreamPoll>>;
+
+/// What a caller's answers are written to.
+pub type Writer = PgWriter<WriteHalf<TcpStreamPoll>>;
+
+/// What the statements of a request do, taken together.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Work {
+    /// No statement runs: they are only prepared and described.
+    #[default]
+    Describe,
+    /// All of them surely read.
+    Read,
+    /// One may change data.
+    Write,
+}
+
+impl Work {
+    /// What a statement does.
+    pub fn of(command: &Command) -> Self {
+        match command {
+            Command::Read | Command::Show(_) => Self::Read,
+            _ => Self::Write,
+        }
+    }
+}
+
+/// What goes to the home at once, and what becomes of its answer.
+#[derive(Debug, Default)]
+pub struct Request {
+    /// Whole messages, the last of them `Query` or `Sync`.
+    pub frames: Bytes,
+    /// What becomes of the answers.
+    pub steps: Steps,
+    /// What its statements do.
+    pub work: Work,
+    /// Whether it ends a transaction.
+    pub ends: bool,
+    /// Whether the caller has not ended its batch yet.
+    pub unfinished: bool,
+}
+
+/// A caller that has proved its key.
+pub struct Session {
+    pub(crate) entry: Rc<Entry>,
+    pub(crate) caller: Caller,
+    pub(crate) settings: Settings,
+    reader: Reader,
+    writer: Writer,
+    /// The transaction that is open, if one is.
+    pub(crate) exchange: Option<Exchange>,
+    /// `Failed` without an exchange stands for a transaction that is already
+    /// rolled back and whose end the caller has not asked for yet.
+    pub(crate) standing: Standing,
+    cancel: Rc<Cancel>,
+    pub(crate) statements: Statements,
+    /// What each portal runs; those of an open transaction stay.
+    pub(crate) portals: HashMap<Box<str>, Rc<Statement>>,
+    pub(crate) batch: Batch,
+    /// Whether messages are skipped up to the next `Sync`, after an error.
+    pub(crate) skipping: bool,
+}
+
+impl Session {
+    /// A session that has said nothing yet.
+    pub fn new(
+        entry: Rc<Entry>,
+        caller: Caller,
+        (reader, writer): (Reader, Writer),
+        cancel: Rc<Cancel>,
+    ) -> Self {
+        Self {
+            entry,
+            caller,
+            settings: Settings::default(),
+            reader,
+            writer,
+            exchange: None,
+            standing: Standing::Idle,
+            cancel,
+            statements: Statements::default(),
+            portals: HashMap::new(),
+            batch: Batch::default(),
+            skipping: false,
+        }
+    }
+
+    /// Serves the caller until it leaves.
+    pub async fn run(&mut self, pid: i32) -> anyhow::Result<()> {
+        let notices = match self.start_up() {
+            Ok(notices) => notices,
+            Err(fault) => {
+                self.send(&fault.answer(Severity::Fatal)).await?;
+                bail!("the start-up settings were refused: {}", fault.message);
+            }
+        };
+        self.greet(pid, &notices).await?;
+        loop {
+            let Some(frame) = self.reader.next().await? else { return Ok(()) };
+            match frame.tag {
+                b'Q' => self.query(&frame).await?,
+                b'P' | b'B' | b'D' | b'E' | b'C' => self.collect(&frame),
+                b'H' => self.flush().await?,
+                b'S' => self.sync().await?,
+                b'X' => return Ok(()),
+                // What is left of a COPY that was refused.
+                b'd' | b'c' | b'f' => {}
+                other => {
+                    let message = format!("a message of kind {:?} is not served", other as char);
+                    let fault = Fault::new("08P01", message);
+                    self.send(&fault.answer(Severity::Fatal)).await?;
+                    bail!("{}", fault.message);
+                }
+            }
+        }
+    }
+
+    /// Takes the settings of the start-up message; gives notices for the caller.
+    fn start_up(&mut self) -> Result<BytesMut, Fault> {
+        let given = std::mem::take(&mut self.caller.settings);
+        let mut notices = BytesMut::new();
+        for (name, value) in &given {
+            match &*name.to_ascii_lowercase() {
+                "user" | "database" => {}
+                "replication" => return Err(Fault::unsupported("replication")),
+                "options" => {
+                    for (name, value) in settings::options(value)? {
+                        self.set(&name, Some(&value))?;
+                    }
+                }
+                // Drivers ask for the time zone of their own machine. They are
+                // told of the one in force, as of any other setting.
+                "timezone" => {
+                    if let Err(fault) = self.set("timezone", Some(value)) {
+                        notices.extend_from_slice(&answer::notice(fault.code, &fault.message));
+                    }
+                }
+                name => self.set(name, Some(value))?,
+            }
+        }
+        Ok(notices)
+    }
+
+    pub(crate) fn set(&mut self, name: &str, value: Option<&str>) -> Result<(), Fault> {
+        let owner = Owner { account: &self.caller.account, secret: &self.entry.secret };
+        self.settings.set(name, value, owner)
+    }
+
+    async fn greet(&mut self, pid: i32, notices: &[u8]) -> anyhow::Result<()> {
+        let mut out = BytesMut::new();
+        frame::put(&mut out, &Authentication::Ok);
+        for (name, value) in self.settings.told() {
+            out.extend_from_slice(&answer::parameter(name, value));
+        }
+        out.extend_from_slice(notices);
+        frame::put(&mut out, &BackendKeyData::new(pid, SecretKey::I32(self.cancel.secret)));
+        out.extend_from_slice(&self.ready());
+        self.send(&out).await
+    }
+
+    pub(crate) async fn send(&mut self, bytes: &[u8]) -> anyhow::Result<()> {
+        self.writer.send(bytes).await
+    }
+
+    pub(crate) fn ready(&self) -> Bytes {
+        answer::ready(match self.standing {
+            Standing::Idle => TransactionStatus::Idle,
+            Standing::Open => TransactionStatus::Transaction,
+            Standing::Failed => TransactionStatus::Error,
+        })
+    }
+
+    /// Whether a transaction has failed and is already rolled back.
+    pub(crate) fn is_aborted(&self) -> bool {
+        self.standing == Standing::Failed && self.exchange.is_none()
+    }
+
+    /// Ends what a refused request leaves open.
+    ///
+    /// The transaction is over, and its server's connection given up. The caller
+    /// may already have sent its next statements: were the session idle, they
+    /// would run outside of the transaction they were meant for. So it counts as
+    /// failed until the caller asks for its end, as with any server.
+    pub(crate) fn abort(&mut self, ends: bool) {
+        let was_open = self.standing != Standing::Idle;
+        self.exchange = None;
+        self.portals.clear();
+        self.standing = if was_open && !ends { Standing::Failed } else { Standing::Idle };
+    }
+
+    async fn query(&mut self, frame: &Frame) -> anyhow::Result<()> {
+        let PgWireFrontendMessage::Query(query) = frame.frontend()? else {
+            bail!("a query was expected")
+        };
+        self.batch = Batch::default();
+        let commands = sql::commands(&query.query);
+        let ends = commands.iter().any(|c| matches!(c, Command::End(_)));
+        let result = match self.check_query(&commands) {
+            Ok(true) => self.run_locally(&commands),
+            Ok(false) => {
+                let request = Request {
+                    frames: frame.raw.clone(),
+                    work: commands.iter().map(Work::of).max().unwrap_or_default(),
+                    ends,
+                    ..Request::default()
+                };
+                return self.finish(request).await;
+            }
+            Err(fault) => Err(fault),
+        };
+        let bytes = result.unwrap_or_else(|fault| {
+            self.abort(ends);
+            fault.answer(Severity::Error)
+        });
+        self.send(&answer::join([&bytes, &self.ready()])).await
+    }
+
+    /// Runs a request and ends its answer.
+    pub(crate) async fn finish(&mut self, request: Request) -> anyhow::Result<()> {
+        let unfinished = request.unfinished;
+        let ends = request.ends;
+        match self.request(request).await? {
+            Ok(mut out) => {
+                if !unfinished {
+                    out.extend_from_slice(&self.ready());
+                }
+                self.send(&out).await
+            }
+            Err(refusal) => {
+                self.abort(ends);
+                self.skipping = unfinished;
+                let mut out = BytesMut::from(&answer::refusal(Severity::Error, &refusal)[..]);
+                if !unfinished {
+                    out.extend_from_slice(&self.ready());
+                }
+                self.send(&out).await
+            }
+        }
+    }
+
+    /// Runs a request; gives the end of its answer.
+    async fn request(&mut self, request: Request) -> anyhow::Result<Result<BytesMut, Refusal>> {
+        let budget = match self.budget() {
+            Ok(budget) => budget,
+            Err(refusal) => return Ok(Err(refusal)),
+        };
+        let deadline = self.entry.clock.now() + budget;
+        let admitted = self.entry.admit(&self.caller.account, &self.caller.key, deadline).await;
+        let doc = match admitted {
+            Ok(doc) => doc,
+            Err(refusal) => return Ok(Err(refusal)),
+        };
+        let config = doc.config.as_ref().context("a revision without a configuration")?;
+        let intent = self.intent(request.work);
+        let frames = request.frames;
+        match &self.exchange {
+            Some(exchange) => {
+                if !exchange.send(ToHome::More { frames, budget }) {
+                    let message = "the group's home was lost; the transaction is rolled back";
+                    return Ok(Err(Refusal::not_run(Reason::Lost, None, message)));
+                }
+            }
+            None => {
+                let id = &mut self.settings.request;
+                let open = Open {
+                    group: self.caller.group.clone(),
+                    account: self.caller.account.clone(),
+                    intent: intent.clone(),
+                    // Kept for the next write: a read in between, such as a
+                    // driver's own, must not use it up.
+                    request: if request.work == Work::Write { id.take() } else { None },
+                    budget,
+                    frames,
+                };
+                self.exchange = Some(self.entry.open(config, open));
+            }
+        }
+        let relay = Relay {
+            exchange: self.exchange.as_mut().context("an exchange was opened")?,
+            reader: &mut self.reader,
+            writer: &mut self.writer,
+            cancel: &self.cancel,
+            intent: &intent,
+            deadline,
+            steps: request.steps,
+            statements: &mut self.statements,
+            watch: request.unfinished,
+        };
+        let (answered, steps) = relay.run().await?;
+        self.skipping = request.unfinished && steps.failed();
+        Ok(answered.map(|answered| self.settle(answered)))
+    }
+
+    fn budget(&self) -> Result<Duration, Refusal> {
+        let doc = self.entry.config()?;
+        let policy = doc.config.as_ref().map(|c| Duration::from_millis(c.policy.request_ms));
+        Ok(self.settings.deadline.or(policy).unwrap_or_default())
+    }
+
+    fn intent(&self, work: Work) -> Intent {
+        let floor = self.settings.token.floor(&self.caller.group);
+        match work {
+            _ if self.exchange.is_some() => Intent::Write,
+            Work::Describe => Intent::Read { floor, max_age: None },
+            Work::Read => Intent::Read { floor, max_age: self.settings.max_age },
+            Work::Write => Intent::Write,
+        }
+    }
+
+    fn settle(&mut self, answered: Answered) -> BytesMut {
+        self.standing = answered.standing;
+        if answered.standing == Standing::Idle {
+            self.exchange = None;
+            self.portals.clear();
+        }
+        let mut out = BytesMut::from(&answered.frames[..]);
+        if let Some(point) = answered.point {
+            self.settings.token.raise(&self.caller.group, point);
+            let token = self.settings.token.seal(&self.caller.account, &self.entry.secret);
+            out.extend_from_slice(&answer::parameter(settings::SESSION, &token));
+        }
+        out
+    }
+}
--- /dev/null
+++ b/components/entry/src/tokens.rs
@@ -0,0 +1,139 @@
+//! The words of a statement, past comments and string constants.
+
+/// A part of a statement.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Token {
+    /// A keyword, number, parameter or unquoted name, in capitals.
+    Word(Box<str>),
+    /// A quoted name, as it stands.
+    Name(Box<str>),
+    /// A string constant, without its quotes.
+    Text(Box<str>),
+    /// Any other character.
+    Symbol(char),
+}
+
+impl Token {
+    /// The word, when it is one.
+    pub fn word(&self) -> Option<&str> {
+        match self {
+            Self::Word(word) => Some(word),
+            _ => None,
+        }
+    }
+}
+
+/// Splits a text into statements of tokens; empty ones are left out.
+///
+/// `None` when a quote or comment does not end: such a text is for the server to refuse.
+pub fn statements(sql: &str) -> Option<Vec<Vec<Token>>> {
+    let mut scan = Scan { rest: sql };
+    let mut all = vec![Vec::new()];
+    while let Some(token) = scan.next()? {
+        match token {
+            Token::Symbol(';') => all.push(Vec::new()),
+            token => all.last_mut()?.push(token),
+        }
+    }
+    all.retain(|tokens| !tokens.is_empty());
+    Some(all)
+}
+
+struct Scan<'a> {
+    rest: &'a str,
+}
+
+fn in_word(c: char) -> bool {
+    c.is_ascii_alphanumeric() || c == '_' || c == '$' || !c.is_ascii()
+}
+
+impl Scan<'_> {
+    /// The next token; `Some(None)` at the end and `None` when a part does not end.
+    #[allow(clippy::option_option)]
+    fn next(&mut self) -> Option<Option<Token>> {
+        loop {
+            self.rest = self.rest.trim_start();
+            if let Some(comment) = self.rest.strip_prefix("--") {
+                self.rest = comment.split_once('\n').map_or("", |(_, rest)| rest);
+            } else if self.rest.starts_with("/*") {
+                self.skip_comment()?;
+            } else {
+                break;
+            }
+        }
+        let Some(first) = self.rest.chars().next() else { return Some(None) };
+        let token = match first {
+            '\'' => Token::Text(self.quoted('\'', false)?),
+            '"' => Token::Name(self.quoted('"', false)?),
+            'e' | 'E' if self.rest[1..].starts_with('\'') => {
+                self.rest = &self.rest[1..];
+                Token::Text(self.quoted('\'', true)?)
+            }
+            '$' => self.dollar()?,
+            c if in_word(c) => self.word(),
+            c => {
+                self.rest = &self.rest[c.len_utf8()..];
+                Token::Symbol(c)
+            }
+        };
+        Some(Some(token))
+    }
+
+    /// Skips a comment; comments nest.
+    fn skip_comment(&mut self) -> Option<()> {
+        let mut depth = 0;
+        loop {
+            if let Some(rest) = self.rest.strip_prefix("/*") {
+                (self.rest, depth) = (rest, depth + 1);
+            } else if let Some(rest) = self.rest.strip_prefix("*/") {
+                (self.rest, depth) = (rest, depth - 1);
+            } else {
+                let first = self.rest.chars().next()?;
+                self.rest = &self.rest[first.len_utf8()..];
+            }
+            if depth == 0 {
+                return Some(());
+            }
+        }
+    }
+
+    fn quoted(&mut self, quote: char, escapes: bool) -> Option<Box<str>> {
+        let mut text = String::new();
+        let mut chars = self.rest[1..].char_indices();
+        while let Some((at, c)) = chars.next() {
+            if escapes && c == '\\' {
+                text.push(chars.next()?.1);
+            } else if c != quote {
+                text.push(c);
+            } else if self.rest[at + 2..].starts_with(quote) {
+                text.push(chars.next()?.1);
+            } else {
+                self.rest = &self.rest[at + 2..];
+                return Some(text.into());
+            }
+        }
+        None
+    }
+
+    /// A parameter such as `$1`, or a constant between two tags such as `$tag$`.
+    fn dollar(&mut self) -> Option<Token> {
+        let tag_len = self.rest[1..].find(|c: char| c == '$' || !in_word(c));
+        let tag = tag_len.and_then(|len| self.rest.get(..len + 2)).filter(|t| t.ends_with('$'));
+        match tag {
+            Some(tag) if !tag[1..].starts_with(|c: char| c.is_ascii_digit()) => {
+                let body = &self.rest[tag.len()..];
+                let (text, rest) = body.split_once(tag)?;
+                self.rest = rest;
+                Some(Token::Text(text.into()))
+            }
+            _ => Some(self.word()),
+        }
+    }
+
+    fn word(&mut self) -> Token {
+        let end = self.rest.find(|c| !in_word(c)).unwrap_or(self.rest.len());
+        let (word, rest) = self.rest.split_at(end);
+        self.rest = rest;
+        Token::Word(word.to_uppercase().into())
+    }
+}
--- a/components/pg/src/answer.rs
+++ b/components/pg/src/answer.rs
@@ -5,7 +5,7 @@
 use bergamottrack_coordination::{Fate, Reason, Refusal};
 use bytes::{Bytes, BytesMut};
 use pgwire::messages::{
-    response::{CommandComplete, ErrorResponse, ReadyForQuery, TransactionStatus},
+    response::{CommandComplete, ErrorResponse, NoticeResponse, ReadyForQuery, TransactionStatus},
     startup::ParameterStatus,
 };
 
@@ -48,6 +48,13 @@
     frame::bytes(&ErrorResponse::new(fields))
 }
 
+/// A notice, with a code of the SQL standard.
+pub fn notice(code: &str, message: &str) -> Bytes {
+    let fields = [(b'S', "WARNING"), (b'V', "WARNING"), (b'C', code), (b'M', message)];
+    let fields = fields.map(|(kind, text)| (kind, text.to_owned()));
+    frame::bytes(&NoticeResponse::new(fields.into()))
+}
+
 /// The code of the SQL standard for a refusal.
 pub fn code(refusal: &Refusal) -> &'static str {
     if refusal.fate == Fate::Unknown {
--- a/components/pg/src/frame.rs
+++ b/components/pg/src/frame.rs
@@ -1,8 +1,13 @@
 //! One message as it stands on the wire.
 
+use std::panic::{self, AssertUnwindSafe};
+
 use anyhow::Context;
 use bytes::{BufMut, Bytes, BytesMut};
-use pgwire::messages::{DecodeContext, Message, PgWireBackendMessage, PgWireFrontendMessage};
+use pgwire::{
+    error::PgWireResult,
+    messages::{DecodeContext, Message, PgWireBackendMessage, PgWireFrontendMessage},
+};
 
 /// Bytes of a message before its body: the tag and the length.
 pub const HEADER_LEN: usize = 5;
@@ -44,25 +49,37 @@
 
     /// Reads the message as one from a caller.
     pub fn frontend(&self) -> anyhow::Result<PgWireFrontendMessage> {
-        let mut context = DecodeContext::default();
-        context.awaiting_frontend_ssl = false;
-        context.awaiting_frontend_startup = false;
-        PgWireFrontendMessage::decode(&mut BytesMut::from(&self.raw[..]), &context)
-            .with_context(|| format!("reading a message of kind {:?}", self.tag as char))?
-            .context("a message ended early")
+        self.decode(PgWireFrontendMessage::decode)
     }
 
     /// Reads the message as one from a server.
     pub fn backend(&self) -> anyhow::Result<PgWireBackendMessage> {
+        self.decode(PgWireBackendMessage::decode)
+    }
+
+    fn decode<T>(
+        &self,
+        decode: fn(&mut BytesMut, &DecodeContext) -> PgWireResult<Option<T>>,
+    ) -> anyhow::Result<T> {
         let mut context = DecodeContext::default();
         context.awaiting_frontend_ssl = false;
         context.awaiting_frontend_startup = false;
-        PgWireBackendMessage::decode(&mut BytesMut::from(&self.raw[..]), &context)
+        guarded(|| decode(&mut BytesMut::from(&self.raw[..]), &context))
             .with_context(|| format!("reading a message of kind {:?}", self.tag as char))?
             .context("a message ended early")
     }
 }
 
+/// Runs the codec, which panics on a body that is shorter than its own counts say.
+///
+/// One caller's garbage would otherwise end the process and all callers with it.
+/// Nothing is shared with the codec but the bytes, which are dropped.
+pub(crate) fn guarded<T>(decode: impl FnOnce() -> PgWireResult<T>) -> anyhow::Result<T> {
+    let result = panic::catch_unwind(AssertUnwindSafe(decode));
+    let result = result.map_err(|_| anyhow::anyhow!("the message is damaged"))?;
+    Ok(result?)
+}
+
 /// Splits bytes that hold whole messages only.
 pub fn frames(bytes: Bytes) -> anyhow::Result<Vec<Frame>> {
     let mut buf = BytesMut::from(bytes);
--- a/components/pg/src/stream.rs
+++ b/components/pg/src/stream.rs
@@ -5,7 +5,7 @@
 use pgwire::messages::{DecodeContext, PgWireFrontendMessage, SslNegotiationMetaMessage};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadHalf, WriteHalf};
 
-use crate::frame::Frame;
+use crate::frame::{self, Frame};
 
 /// The most bytes that a start-up message may have.
 pub const MAX_STARTUP: usize = 10_000;
@@ -62,6 +62,16 @@
         Frame::split_from(&mut self.buf, self.max)
     }
 
+    /// Reads on while fewer than `limit` bytes are waiting, and no further.
+    ///
+    /// Ends with an error only, when the stream has. May be dropped and called again.
+    pub async fn read_ahead(&mut self, limit: usize) -> anyhow::Result<()> {
+        while self.buf.len() < limit {
+            anyhow::ensure!(self.fill().await?, "the stream ended");
+        }
+        std::future::pending().await
+    }
+
     /// The next message of the start-up phase, which has no kind.
     ///
     /// `tls_done` tells that encryption is no longer open to negotiation.
@@ -69,7 +79,8 @@
         let mut context = DecodeContext::default();
         context.awaiting_frontend_ssl = !tls_done;
         loop {
-            let message = PgWireFrontendMessage::decode(&mut self.buf, &context)
+            let buf = &mut self.buf;
+            let message = frame::guarded(|| PgWireFrontendMessage::decode(buf, &context))
                 .context("reading the start-up message")?;
             match message {
                 Some(PgWireFrontendMessage::SslNegotiation(SslNegotiationMetaMessage::None)) => {
--- /dev/null
+++ b/tests/transactions.rs
@@ -0,0 +1,43 @@
+//! What becomes of a transaction when something is lost on its way.
+
+use lab::system::{self, Plan, System};
+use tokio_postgres::{Client, error::SqlState};
+
+async fn start() -> (System, Client) {
+    let system = System::start(Plan { links: true, ..Plan::default() }).await.unwrap();
+    let client = system.connect(0, "baobab", "g1").await.unwrap();
+    system::until_runs(&client, "CREATE TABLE IF NOT EXISTS visit (id INTEGER)").await.unwrap();
+    (system, client)
+}
+
+fn code(error: &tokio_postgres::Error) -> &str {
+    error.code().map_or("none", SqlState::code)
+}
+
+/// A driver sends the statements of a transaction without waiting for each
+/// answer. The link to the server is lost in the middle. Were the caller's
+/// session idle again at once, the rest of the statements would run one by one
+/// and the books would show half of a transaction.
+#[tokio::test]
+async fn what_follows_a_lost_statement_in_its_transaction_does_not_run() {
+    let (system, client) = start().await;
+    let insert = client.prepare("INSERT INTO visit VALUES ($1)").await.unwrap();
+    client.simple_query("BEGIN").await.unwrap();
+    client.execute(&insert, &[&1]).await.unwrap();
+    system.reset("h*>*").await.unwrap();
+    let (second, third, fourth, end) = tokio::join!(
+        client.simple_query("INSERT INTO visit VALUES (2)"),
+        client.execute(&insert, &[&3]),
+        client.simple_query("INSERT INTO visit VALUES (4)"),
+        client.simple_query("COMMIT"),
+    );
+    second.unwrap_err();
+    assert_eq!(code(&third.unwrap_err()), "25P02");
+    assert_eq!(code(&fourth.unwrap_err()), "25P02");
+    end.unwrap();
+    let reader = system.connect(0, "baobab", "g1").await.unwrap();
+    system::until_runs(&reader, "SELECT id FROM visit").await.unwrap();
+    let rows = system::rows(&reader, "SELECT id FROM visit").await.unwrap();
+    assert!(rows.is_empty(), "half of a transaction stands: {rows:?}");
+    system::until_runs(&client, "INSERT INTO visit VALUES (5)").await.unwrap();
+}
