--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod process;
 pub mod raw;
 pub mod server;
+pub mod storm;
 pub mod system;
