--- a/lab/src/server/session.rs
+++ b/lab/src/server/session.rs
@@ -219,7 +219,10 @@
         if parts.is_empty() {
             frame::put(&mut self.out, &EmptyQueryResponse::new());
         }
-        let implicit = parts.len() > 1 && !self.open;
+        let controls = |part: &&str| {
+            matches!(sql::command(part), Command::Begin | Command::Commit | Command::Rollback)
+        };
+        let implicit = parts.len() > 1 && !self.open && !parts.iter().any(controls);
         if implicit {
             let _ = self.execute("BEGIN", &[], &[], false).await;
         }
