Promotion of another primary by the group's home

Cause: nobody else orders a promotion, so a lost primary left its group without writes for good. The home now judges leadership from what it sees (silence, refused connections, unconfirmed log, no leader), collects the promises of a majority for a new term and promotes the greatest log. Homes run without callers where the host ranks first and close when they do not. Exchanges that wait are placed anew, reads whose server is lost run again within a budget, writes on a replaced primary end at once as unknown.

--- a/components/coordination/src/leadership.rs
+++ b/components/coordination/src/leadership.rs
@@ -3,7 +3,11 @@
 //! No clock is trusted here and no safety rests on there being one promoter:
 //! a majority of the group's servers promises each term to one promoter only.
 
-use std::{fmt, str::FromStr};
+use std::{
+    fmt,
+    str::FromStr,
+    time::{Duration, Instant},
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -115,3 +119,182 @@
 pub fn lag(primary: Position, applied: Position) -> u64 {
     primary.0.saturating_sub(applied.0)
 }
+
+/// How long connections must have been refused before the server counts as gone.
+///
+/// A process that ends refuses at once, so this is quicker evidence than silence.
+pub const REFUSED_FOR: Duration = Duration::from_millis(150);
+
+/// A look that comes later than this after the one before means that the
+/// observer itself stood still.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// What an observer has seen of one server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sight {
+    /// What the server last said, however long ago.
+    pub status: Option<Status>,
+    /// When it was last heard of.
+    pub heard: Option<Instant>,
+    /// Since when it refuses connections.
+    pub refused: Option<Instant>,
+}
+
+/// Why a group needs another primary.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// The primary's machine refuses connections.
+    Refused,
+    /// The primary has not answered for too long.
+    Silent,
+    /// The primary answers, but its replicas no longer receive its log.
+    Unconfirmed,
+    /// No server leads in the greatest term promised.
+    Leaderless,
+    /// The operator takes the primary out of work.
+    Leaving,
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Refused => "the primary refuses connections",
+            Self::Silent => "the primary is silent",
+            Self::Unconfirmed => "the primary is cut from its replicas",
+            Self::Leaderless => "no server leads",
+            Self::Leaving => "the primary is leaving",
+        })
+    }
+}
+
+/// What is to be done about a group's leadership.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// A primary leads.
+    Led,
+    /// Something is wrong, but not for long enough.
+    Doubted,
+    /// Another primary is needed.
+    Promote(Cause),
+    /// Too few servers are reachable for a primary to be trusted.
+    NoMajority,
+}
+
+/// Judges from what is seen of a group whether it needs another primary.
+///
+/// It only ever makes a promotion start early or late: whether one is safe is
+/// decided by the promises of the servers.
+#[derive(Clone, Debug)]
+pub struct Detector {
+    /// How long a silent server counts as there.
+    pub silence: Duration,
+    /// When the observer last looked.
+    looked: Instant,
+    /// Silence is counted from here on: the observer itself stood still before.
+    from: Instant,
+    /// The greatest term promised, and since when it has been that.
+    newest: (Term, Instant),
+    /// The most that replicas held of the primary's log while it held more,
+    /// and since when that has been so.
+    behind: Option<(Point, Instant)>,
+}
+
+impl Detector {
+    /// A detector that has seen nothing yet.
+    pub fn new(silence: Duration, now: Instant) -> Self {
+        Self { silence, looked: now, from: now, newest: (Term(0), now), behind: None }
+    }
+
+    /// Judges what is seen now; to be called every few tens of milliseconds.
+    pub fn look(&mut self, now: Instant, sights: &[Sight]) -> Verdict {
+        // Guards against the observer's own pause: after it every server seems
+        // to have been silent, and a healthy primary would be replaced.
+        if now.saturating_duration_since(self.looked) > PAUSE {
+            (self.from, self.behind) = (now, None);
+        }
+        self.looked = now;
+        let newest = sights.iter().filter_map(|s| s.status).map(|s| s.promised).max();
+        let newest = newest.unwrap_or_default();
+        if newest != self.newest.0 {
+            self.newest = (newest, now);
+        }
+        let verdict = self.judge(now, newest, sights);
+        let there = sights.iter().filter(|s| self.is_there(now, s)).count();
+        match verdict {
+            Verdict::Doubted => verdict,
+            _ if there >= majority(sights.len()) => verdict,
+            _ if self.passed(now, None) <= self.silence => Verdict::Doubted,
+            _ => Verdict::NoMajority,
+        }
+    }
+
+    /// Notes that the observer was at work until `now` and did not stand still.
+    pub fn worked(&mut self, now: Instant) {
+        self.looked = now;
+    }
+
+    fn judge(&mut self, now: Instant, newest: Term, sights: &[Sight]) -> Verdict {
+        let leads = |s: &&Sight| s.status.is_some_and(|s| s.leads() && s.term == newest);
+        let Some(leader) = sights.iter().find(leads) else {
+            // Another observer may be at it: a new term gets its time first.
+            return after(self.silence, self.passed(now, Some(self.newest.1)), Cause::Leaderless);
+        };
+        if leader.refused.is_some_and(|since| now.saturating_duration_since(since) > REFUSED_FOR) {
+            return Verdict::Promote(Cause::Refused);
+        }
+        if !self.is_there(now, leader) {
+            return after(self.silence, self.passed(now, leader.heard), Cause::Silent);
+        }
+        self.judge_replicas(now, leader, sights)
+    }
+
+    /// A primary that answers its observers but has lost its replicas can have
+    /// no write confirmed: callers would wait in vain until the link is mended.
+    fn judge_replicas(&mut self, now: Instant, leader: &Sight, sights: &[Sight]) -> Verdict {
+        let Some(status) = leader.status else { return Verdict::Doubted };
+        let others = sights.iter().filter(|s| !std::ptr::eq(*s, leader) && self.is_there(now, s));
+        let held: Vec<Point> = others.filter_map(|s| Some(s.status?.held)).collect();
+        let best = held.iter().max().copied().unwrap_or_default();
+        if best >= status.held || held.len() < majority(sights.len()) {
+            self.behind = None;
+            return Verdict::Led;
+        }
+        match self.behind {
+            Some((point, since)) if point == best => {
+                let passed = now.saturating_duration_since(since);
+                match after(self.silence, passed, Cause::Unconfirmed) {
+                    Verdict::Doubted => Verdict::Led,
+                    verdict => verdict,
+                }
+            }
+            _ => {
+                self.behind = Some((best, now));
+                Verdict::Led
+            }
+        }
+    }
+
+    fn is_there(&self, now: Instant, sight: &Sight) -> bool {
+        sight.refused.is_none()
+            && sight.heard.is_some()
+            && self.passed(now, sight.heard) <= self.silence
+    }
+
+    /// The time since `at`, without that in which the observer stood still.
+    fn passed(&self, now: Instant, at: Option<Instant>) -> Duration {
+        now.saturating_duration_since(at.map_or(self.from, |at| at.max(self.from)))
+    }
+}
+
+fn after(limit: Duration, passed: Duration, cause: Cause) -> Verdict {
+    if passed > limit { Verdict::Promote(cause) } else { Verdict::Doubted }
+}
+
+/// How long to wait after `failures` failed promotions in a row; `chance` is
+/// a random number from 0 to 1, so that two promoters do not meet again.
+pub fn back_off(failures: u32, chance: f64) -> Duration {
+    const LEAST_MS: f64 = 40.0;
+    const MOST_MS: f64 = 1_000.0;
+    let most = (LEAST_MS * 2_f64.powi(failures.min(8) as i32)).min(MOST_MS);
+    Duration::from_millis((LEAST_MS + chance * (most - LEAST_MS)) as u64)
+}
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod leadership;
 pub mod refusal;
 pub mod rendezvous;
+pub mod retry;
 pub mod token;
 pub mod units;
 
--- a/components/home/src/backend.rs
+++ b/components/home/src/backend.rs
@@ -1,10 +1,10 @@
 //! A connection to a backend server.
 
-use std::time::Duration;
+use std::{fmt, io, time::Duration};
 
 use anyhow::{Context, bail};
 use bergamottrack_contract::BackendServer;
-use bergamottrack_coordination::GroupId;
+use bergamottrack_coordination::{GroupId, Point};
 use bergamottrack_pg::{Frame, PgReader, PgWriter, frame, stream};
 use bytes::{Buf, Bytes};
 use monoio::{
@@ -22,6 +22,31 @@
 /// The most bytes that one message of a server may have.
 const MAX_MESSAGE: usize = 64 << 20;
 
+/// The other end closed the connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Closed;
+
+impl fmt::Display for Closed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the connection was closed")
+    }
+}
+
+impl std::error::Error for Closed {}
+
+/// Whether an error is what a machine answers for a process that has ended.
+///
+/// A server that is there but takes no more connections says so in words, and
+/// one that hangs says nothing: neither counts.
+pub fn is_refusal(error: &anyhow::Error) -> bool {
+    use io::ErrorKind::{BrokenPipe, ConnectionAborted, ConnectionRefused, ConnectionReset};
+    let gone = [BrokenPipe, ConnectionAborted, ConnectionRefused, ConnectionReset];
+    error.chain().any(|cause| {
+        cause.is::<Closed>()
+            || cause.downcast_ref::<io::Error>().is_some_and(|e| gone.contains(&e.kind()))
+    })
+}
+
 /// A connection to a backend server; it belongs to one transaction at a time.
 pub struct Conn {
     reader: PgReader<ReadHalf<TcpStreamPoll>>,
@@ -84,7 +109,7 @@
     pub async fn next(&mut self) -> anyhow::Result<Frame> {
         let frame = self.reader.next().await;
         frame
-            .and_then(|frame| frame.context("the connection was closed"))
+            .and_then(|frame| frame.ok_or_else(|| Closed.into()))
             .with_context(|| format!("reading from {}", self.server.id))
     }
 
@@ -100,26 +125,26 @@
 
     /// Runs a statement and gives the first column of its first row.
     pub async fn text(&mut self, sql: &str) -> anyhow::Result<Option<Box<str>>> {
-        self.ask(sql).await?;
-        let mut first = None;
-        loop {
-            let frame = self.next().await?;
-            match frame.tag {
-                b'D' if first.is_none() => first = first_column(&frame),
-                b'E' => {
-                    let error = error_text(&frame);
-                    self.skip_to_ready().await?;
-                    bail!("{} answered: {error}", self.server.id);
-                }
-                b'Z' => return Ok(first),
-                _ => {}
-            }
+        let reply = self.run(sql).await?;
+        match reply.error {
+            Some(error) => bail!("{} answered: {}", self.server.id, error.text),
+            None => Ok(reply.first),
         }
     }
 
-    async fn skip_to_ready(&mut self) -> anyhow::Result<()> {
-        while self.next().await?.tag != b'Z' {}
-        Ok(())
+    /// Runs a statement that gives one text, within a time.
+    pub async fn text_within(&mut self, sql: &str, within: Duration) -> anyhow::Result<Box<str>> {
+        let text = monoio::time::timeout(within, self.text(sql)).await;
+        text.with_context(|| format!("{sql} at {}: no answer in {within:?}", self.server.id))??
+            .with_context(|| format!("{sql} at {}: an empty answer", self.server.id))
+    }
+
+    /// Runs a statement and reads its whole answer.
+    pub async fn run(&mut self, sql: &str) -> anyhow::Result<Reply> {
+        self.ask(sql).await?;
+        let mut reply = Reply::default();
+        while !reply.take(&self.next().await?) {}
+        Ok(reply)
     }
 
     /// Asks the server, over a connection of its own, to cancel what runs here.
@@ -138,6 +163,67 @@
     }
 }
 
+/// An error that a server answered.
+#[derive(Clone, Debug)]
+pub struct ServerError {
+    /// Its SQLSTATE.
+    pub code: Box<str>,
+    /// Its message, for people.
+    pub text: Box<str>,
+}
+
+/// The whole answer to a statement of this program's own.
+#[derive(Clone, Debug, Default)]
+pub struct Reply {
+    /// The first column of the first row.
+    pub first: Option<Box<str>>,
+    /// What was done, such as `INSERT 0 1`.
+    pub tag: Box<str>,
+    /// The first error.
+    pub error: Option<ServerError>,
+    /// What the server says that it has reached.
+    pub point: Option<Point>,
+    /// Whether a transaction is open afterwards, failed or not.
+    pub open: bool,
+}
+
+impl Reply {
+    /// Takes one message of the answer; true when it is the last.
+    fn take(&mut self, frame: &Frame) -> bool {
+        match frame.tag {
+            b'D' if self.first.is_none() => self.first = first_column(frame),
+            b'C' => self.tag = complete_tag(frame),
+            b'E' if self.error.is_none() => self.error = Some(server_error(frame)),
+            b'S' => self.point = point(frame).or(self.point),
+            b'Z' => self.open = frame.body().first() != Some(&b'I'),
+            _ => {}
+        }
+        frame.tag == b'Z'
+    }
+}
+
+/// What a server says, beside an answer, that the answer shows or has reached.
+pub fn point(frame: &Frame) -> Option<Point> {
+    match frame.backend().ok()? {
+        PgWireBackendMessage::ParameterStatus(setting) if setting.name == border::POINT_SETTING => {
+            border::parse_point(&setting.value).ok()
+        }
+        _ => None,
+    }
+}
+
+fn complete_tag(frame: &Frame) -> Box<str> {
+    match frame.backend() {
+        Ok(PgWireBackendMessage::CommandComplete(complete)) => complete.tag.into(),
+        _ => Box::default(),
+    }
+}
+
+fn server_error(frame: &Frame) -> ServerError {
+    let code = error_code(frame).unwrap_or_default().into();
+    ServerError { code, text: error_text(frame).into() }
+}
+
 /// A simple query as bytes.
 pub fn query(sql: &str) -> Bytes {
     frame::bytes(&Query::new(sql.to_owned()))
--- a/components/home/src/group.rs
+++ b/components/home/src/group.rs
@@ -1,20 +1,29 @@
 //! A database group as its home sees it.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use bergamottrack_contract::{Group, Policy};
-use bergamottrack_coordination::{Clock, GroupId, Point, leadership::Status};
+use bergamottrack_coordination::{
+    Clock, GroupId, HostId, Point, Reason, Refusal, Term,
+    leadership::{Status, Verdict},
+    retry::RetryBudget,
+};
+use bergamottrack_peer::Intent;
 use tokio::sync::Notify;
+use tracing::{info, warn};
 
-use crate::{server::Server, watch};
+use crate::{promotion, server::Server, watch};
 
 /// When a caller may come back while a group has no primary.
 pub const COME_BACK: Duration = Duration::from_millis(200);
 
+/// When a caller may come back while a group lacks a majority of its servers.
+pub const COME_BACK_LATER: Duration = Duration::from_secs(1);
+
 /// A database group as its home sees it.
 ///
 /// Two homes of one group at once are harmless: what they do is checked by the
@@ -26,38 +35,128 @@
     pub servers: Vec<Rc<Server>>,
     /// Woken whenever something is seen of a server.
     pub changed: Notify,
-    /// Set when this home is given up.
+    /// Set when this home is given up; what runs on it still ends.
     pub closed: Cell<bool>,
+    /// Whether this host ranks first for the group: only then it promotes.
+    pub first: Cell<bool>,
+    /// This host.
+    pub(crate) me: HostId,
     pub(crate) clock: Rc<dyn Clock>,
-    policy: Policy,
+    pub(crate) retries: RefCell<RetryBudget>,
+    policy: RefCell<Policy>,
+    verdict: Cell<Verdict>,
+    /// Exchanges that run.
+    active: Cell<usize>,
+    /// When an exchange last began or ended.
+    used: Cell<Instant>,
+}
+
+/// Counts an exchange as running until dropped.
+pub struct Active<'a>(&'a GroupHome);
+
+impl Drop for Active<'_> {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get() - 1);
+        self.0.used.set(self.0.clock.now());
+    }
 }
 
 impl GroupHome {
-    /// Starts a home: a watch on each server.
-    pub fn start(contract: &Group, policy: Policy, clock: Rc<dyn Clock>) -> Rc<Self> {
+    /// Starts a home: a watch on each server and one on the group's leadership.
+    pub fn start(contract: &Group, policy: Policy, clock: Rc<dyn Clock>, me: HostId) -> Rc<Self> {
         let servers = contract.servers.iter().cloned().map(|s| Rc::new(Server::new(s)));
         let home = Rc::new(Self {
             id: contract.id.clone(),
             servers: servers.collect(),
             changed: Notify::new(),
             closed: Cell::new(false),
+            first: Cell::new(false),
+            me,
+            retries: RefCell::default(),
+            policy: RefCell::new(policy),
+            verdict: Cell::new(Verdict::Doubted),
+            active: Cell::new(0),
+            used: Cell::new(clock.now()),
             clock,
-            policy,
         });
         for server in &home.servers {
             monoio::spawn(watch::watch(home.clone(), server.clone()));
         }
+        monoio::spawn(promotion::run(home.clone()));
         home
     }
 
+    /// Takes over what may change while the servers stay the same.
+    pub fn take_over(&self, policy: &Policy, contract: &Group) {
+        *self.policy.borrow_mut() = policy.clone();
+        for (server, contract) in self.servers.iter().zip(&contract.servers) {
+            server.leaving.set(contract.leaving);
+        }
+    }
+
+    /// Counts an exchange as running.
+    pub fn enter(&self) -> Active<'_> {
+        self.active.set(self.active.get() + 1);
+        self.used.set(self.clock.now());
+        Active(self)
+    }
+
+    /// Whether this home is given up and nothing runs on it any more.
+    pub fn is_over(&self) -> bool {
+        self.closed.get() && self.active.get() == 0
+    }
+
+    /// Whether nothing has run on this home for `time`.
+    pub fn is_idle(&self, time: Duration) -> bool {
+        self.active.get() == 0 && self.clock.now() > self.used.get() + time
+    }
+
+    /// Notes how the group's leadership stands.
+    pub(crate) fn note_verdict(&self, verdict: Verdict) {
+        let before = self.verdict.replace(verdict);
+        if before == verdict {
+            return;
+        }
+        if verdict == Verdict::NoMajority {
+            warn!(
+                "home: group {}: no majority of its servers is reachable; \
+                 what needs the primary is refused.",
+                self.id
+            );
+        } else if before == Verdict::NoMajority {
+            info!("home: group {}: a majority of its servers is reachable again.", self.id);
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// The refusal that all get at once who need a primary while there can be none.
+    pub fn no_majority(&self) -> Option<Refusal> {
+        (self.verdict.get() == Verdict::NoMajority).then(|| {
+            let message = format!("no majority of the servers of group {} is reachable", self.id);
+            Refusal::not_run(Reason::NoMajority, Some(COME_BACK_LATER), message)
+        })
+    }
+
+    /// The server that led the greatest term when last heard of.
+    pub fn last_leader(&self) -> Option<&Rc<Server>> {
+        let leads = |s: &&Rc<Server>| s.last.get().is_some_and(|status| status.leads());
+        self.servers.iter().filter(leads).max_by_key(|s| s.last.get().map(|status| status.term))
+    }
+
+    /// Whether a server has promised a later term: what runs in `term` can no
+    /// longer be confirmed.
+    pub fn is_past(&self, term: Term) -> bool {
+        self.statuses().any(|(_, status)| status.promised > term)
+    }
+
     /// How long a silent server counts as there.
     pub fn silence(&self) -> Duration {
-        Duration::from_millis(self.policy.silence_ms)
+        Duration::from_millis(self.policy.borrow().silence_ms)
     }
 
     /// The longest a transaction may stand idle.
     pub fn idle(&self) -> Duration {
-        Duration::from_millis(self.policy.idle_ms)
+        Duration::from_millis(self.policy.borrow().idle_ms)
     }
 
     /// The servers that answer, and what they last said.
@@ -89,13 +188,41 @@
             if self.is_confirmed(primary, point) {
                 return Some(true);
             }
-            let over = self.statuses().any(|(_, status)| status.promised > point.term);
-            over.then_some(false)
+            self.is_past(point.term).then_some(false)
         })
         .await
         .unwrap_or(false)
     }
 
+    /// This home's own reference to one of its servers.
+    pub fn own(&self, server: &Server) -> &Server {
+        let same = |s: &&Rc<Server>| s.contract.id == server.contract.id;
+        self.servers.iter().find(same).expect("a server that this home chose")
+    }
+
+    /// Whether a server, chosen in `term`, can no longer answer an exchange:
+    /// a primary was replaced, or a reader's server is lost.
+    ///
+    /// A frozen server closes nothing: without this what waits on it would
+    /// wait until its deadline, also long after another one leads.
+    pub fn is_unfit(&self, server: &Server, intent: &Intent, term: Term) -> bool {
+        match intent {
+            Intent::Write => self.is_past(term),
+            Intent::Read { .. } => server.status(self.clock.now(), self.silence()).is_none(),
+        }
+    }
+
+    /// Waits until a server is unfit for an exchange.
+    pub async fn unfit(&self, server: &Server, intent: &Intent, term: Term) {
+        loop {
+            let changed = self.changed.notified();
+            if self.is_unfit(server, intent, term) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Looks again at each change until `look` gives something or `deadline` passes.
     pub async fn until<T>(&self, deadline: Instant, look: impl Fn() -> Option<T>) -> Option<T> {
         loop {
--- a/components/home/src/homes.rs
+++ b/components/home/src/homes.rs
@@ -1,15 +1,24 @@
 //! The groups whose home this host is, or was asked to be.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc};
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
-use bergamottrack_contract::{Config, Group, Routes};
-use bergamottrack_coordination::{Clock, GroupId, Reason, Refusal};
-use bergamottrack_peer::{HomeSide, Open, ToEntry};
+use bergamottrack_contract::{Config, Current, Group, Routes};
+use bergamottrack_coordination::{Clock, GroupId, HostId, Reason, Refusal, Revision};
+use bergamottrack_peer::{HomeSide, Mesh, Open, ToEntry};
+use tracing::info;
 
 use crate::{group::GroupHome, serve};
 
+/// How often the ranking of the hosts is looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// How long a home that does not rank first is kept after its last exchange.
+const KEEP_FOR: Duration = Duration::from_secs(2);
+
 /// The groups whose home this host is, or was asked to be.
 pub struct Homes {
+    /// This host.
+    me: HostId,
     clock: Rc<dyn Clock>,
     routes: Routes,
     groups: RefCell<HashMap<GroupId, (Group, Rc<GroupHome>)>>,
@@ -17,8 +26,8 @@
 
 impl Homes {
     /// A host that is home to no group yet.
-    pub fn new(clock: Rc<dyn Clock>, routes: Routes) -> Rc<Self> {
-        Rc::new(Self { clock, routes, groups: RefCell::default() })
+    pub fn new(me: HostId, clock: Rc<dyn Clock>, routes: Routes) -> Rc<Self> {
+        Rc::new(Self { me, clock, routes, groups: RefCell::default() })
     }
 
     /// The home of a group, started if it is not there yet.
@@ -26,7 +35,7 @@
         let contract = config.group(id)?;
         let mut groups = self.groups.borrow_mut();
         if let Some((known, home)) = groups.get(id)
-            && known == contract
+            && is_same(known, contract)
         {
             return Some(home.clone());
         }
@@ -34,14 +43,62 @@
         for server in &mut reached.servers {
             server.address = self.routes.to(server.address);
         }
-        let home = GroupHome::start(&reached, config.policy.clone(), self.clock.clone());
+        let home = GroupHome::start(&reached, config.policy.clone(), self.clock.clone(), self.me.clone());
         let before = groups.insert(id.clone(), (contract.clone(), home.clone()));
         if let Some((_, before)) = before {
+            home.first.set(before.first.get());
             before.closed.set(true);
         }
         Some(home)
     }
 
+    /// Keeps the homes of the groups for which this host ranks first, so that
+    /// they are watched also when no caller comes; ends with the process.
+    pub async fn keep(self: Rc<Self>, current: Rc<Current>, mesh: Rc<Mesh>) {
+        let mut before = None;
+        loop {
+            let view = View::of(&current, &mesh);
+            if before.as_ref() != Some(&view) {
+                self.rank(&current, &mesh);
+                before = Some(view);
+            }
+            self.close_unused();
+            monoio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    fn rank(&self, current: &Current, mesh: &Mesh) {
+        let doc = current.get();
+        let Some(config) = doc.as_ref().and_then(|doc| doc.config.as_ref()) else { return };
+        for group in &config.groups {
+            let first = mesh.homes(&group.id).first() == Some(&self.me);
+            let known = self.groups.borrow().contains_key(&group.id);
+            if !first && !known {
+                continue;
+            }
+            if let Some(home) = self.home(config, &group.id) {
+                if home.first.replace(first) != first {
+                    let part = if first { "first for" } else { "no longer first for" };
+                    info!("home: this host ranks {part} group {}.", group.id);
+                }
+                home.take_over(&config.policy, group);
+            }
+        }
+        self.groups.borrow_mut().retain(|id, (_, home)| {
+            let stays = config.group(id).is_some();
+            home.closed.set(home.closed.get() || !stays);
+            stays
+        });
+    }
+
+    fn close_unused(&self) {
+        self.groups.borrow_mut().retain(|_, (_, home)| {
+            let stays = home.first.get() || !home.is_idle(KEEP_FOR);
+            home.closed.set(home.closed.get() || !stays);
+            stays
+        });
+    }
+
     /// Serves an exchange in a task of its own.
     pub fn serve(&self, config: Option<&Config>, open: Open, side: HomeSide) {
         let home = config.and_then(|config| self.home(config, &open.group));
@@ -57,3 +114,31 @@
         }
     }
 }
+
+/// What the ranking of the hosts depends on.
+#[derive(PartialEq)]
+struct View {
+    revision: Revision,
+    /// The hosts that answer, in order.
+    up: Vec<HostId>,
+}
+
+impl View {
+    fn of(current: &Current, mesh: &Mesh) -> Self {
+        let links = mesh.links();
+        let mut up: Vec<_> =
+            links.iter().filter(|link| link.is_up()).map(|link| link.host.clone()).collect();
+        up.sort();
+        Self { revision: current.number(), up }
+    }
+}
+
+/// Whether two contracts are of the same servers; one that leaves stays the same.
+fn is_same(a: &Group, b: &Group) -> bool {
+    let plain = |group: &Group| {
+        let mut group = group.clone();
+        group.servers.iter_mut().for_each(|server| server.leaving = false);
+        group
+    };
+    plain(a) == plain(b)
+}
--- a/components/home/src/lib.rs
+++ b/components/home/src/lib.rs
@@ -1,13 +1,16 @@
 //! The home of a database group: pool, slots, queue, watch and promotion.
 
 pub mod backend;
+pub mod batch;
 pub mod border;
 pub mod group;
 pub mod homes;
 pub mod pool;
+pub mod promotion;
 pub mod route;
 pub mod serve;
 pub mod server;
+pub mod turn;
 mod watch;
 
 pub use homes::Homes;
--- a/components/home/src/route.rs
+++ b/components/home/src/route.rs
@@ -13,10 +13,17 @@
 impl GroupHome {
     /// Chooses the server that runs an exchange; waits for one until `deadline`.
     pub async fn route(&self, intent: &Intent, deadline: Instant) -> Result<Rc<Server>, Refusal> {
-        let found = self.until(deadline, || self.choose(intent)).await;
-        found.ok_or_else(|| {
+        // A write that no other server can confirm is not even begun.
+        let refuse = || self.no_majority().map(Err);
+        let choose = || self.choose(intent).map(Ok);
+        let look = || match intent {
+            Intent::Write => refuse().or_else(choose),
+            Intent::Read { .. } => choose().or_else(refuse),
+        };
+        let found = self.until(deadline, look).await;
+        found.unwrap_or_else(|| {
             let message = format!("group {} has no server for this now", self.id);
-            Refusal::not_run(Reason::Unavailable, Some(COME_BACK), message)
+            Err(Refusal::not_run(Reason::Unavailable, Some(COME_BACK), message))
         })
     }
 
--- a/components/home/src/server.rs
+++ b/components/home/src/server.rs
@@ -6,7 +6,7 @@
 };
 
 use bergamottrack_contract::BackendServer;
-use bergamottrack_coordination::leadership::Status;
+use bergamottrack_coordination::leadership::{Sight, Status};
 use tokio::sync::{Notify, Semaphore};
 
 use crate::pool::Pool;
@@ -28,6 +28,14 @@
     pub seen: Cell<Option<Seen>>,
     /// When it was last heard of.
     pub heard: Cell<Option<Instant>>,
+    /// What it last said, kept while it cannot be reached: who led, in which term.
+    pub last: Cell<Option<Status>>,
+    /// Since when it refuses connections.
+    pub refused: Cell<Option<Instant>>,
+    /// Set while it is told that it was replaced as primary.
+    pub retiring: Cell<bool>,
+    /// Whether it is to get no new work.
+    pub leaving: Cell<bool>,
     /// Wakes the watch to ask at once.
     pub probe: Notify,
     /// Its connections.
@@ -42,6 +50,10 @@
         Self {
             seen: Cell::new(None),
             heard: Cell::new(None),
+            last: Cell::new(None),
+            refused: Cell::new(None),
+            retiring: Cell::new(false),
+            leaving: Cell::new(contract.leaving),
             probe: Notify::new(),
             pool: Pool::new(usize::from(contract.connections)),
             slots: Semaphore::new(usize::from(contract.slots)),
@@ -49,6 +61,22 @@
         }
     }
 
+    /// What has been seen of it, however long ago.
+    pub fn sight(&self) -> Sight {
+        Sight {
+            status: self.last.get(),
+            heard: self.heard.get(),
+            refused: self.refused.get(),
+        }
+    }
+
+    /// Notes that it refused a connection or closed one, as a process that has ended does.
+    pub fn note_refused(&self, now: Instant) {
+        if self.refused.get().is_none() {
+            self.refused.set(Some(now));
+        }
+    }
+
     /// What it last said, if it was heard of within `silence`.
     pub fn status(&self, now: Instant, silence: Duration) -> Option<Status> {
         let heard = self.heard.get()?;
--- a/components/home/src/watch.rs
+++ b/components/home/src/watch.rs
@@ -20,19 +20,23 @@
 const CONNECT_WITHIN: Duration = Duration::from_millis(400);
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
-/// Watches a server until its group's home is dropped.
+/// Watches a server until its group's home is over.
 pub async fn watch(group: Rc<GroupHome>, server: Rc<Server>) {
     let mut up = false;
-    while !group.closed.get() {
+    while !group.is_over() {
         let result = follow(&group, &server, &mut up).await;
         server.seen.set(None);
         server.pool.clear();
-        group.changed.notify_waiters();
-        if let Err(error) = result
-            && std::mem::take(&mut up)
-        {
-            info!("watch: {} is lost: {error:#}.", server.contract.id);
+        if let Err(error) = result {
+            if backend::is_refusal(&error) {
+                server.note_refused(group.clock.now());
+            }
+            if std::mem::take(&mut up) {
+                let id = &server.contract.id;
+                info!("watch: group {}: {id} is lost: {error:#}.", group.id);
+            }
         }
+        group.changed.notify_waiters();
         monoio::time::sleep(RETRY_PAUSE).await;
     }
 }
@@ -40,13 +44,13 @@
 async fn follow(group: &GroupHome, server: &Server, up: &mut bool) -> anyhow::Result<()> {
     let mut conn = Conn::connect(&server.contract, &group.id, CONNECT_WITHIN).await?;
     conn.text(border::LISTEN_STATUS).await?;
-    while !group.closed.get() {
+    while !group.is_over() {
         let asked = group.clock.now();
         conn.ask(border::SHOW_STATUS).await?;
         let answer = read_answer(group, server, &mut conn, asked);
         monoio::time::timeout(group.silence(), answer).await.context("no answer to a probe")??;
         if !std::mem::replace(up, true) {
-            info!("watch: {} is reached.", server.contract.id);
+            info!("watch: group {}: {} is reached.", group.id, server.contract.id);
         }
         idle(group, server, &mut conn).await?;
     }
@@ -104,7 +108,7 @@
     }
 }
 
-fn note(
+pub(crate) fn note(
     group: &GroupHome,
     server: &Server,
     text: &str,
@@ -112,7 +116,9 @@
 ) -> anyhow::Result<()> {
     let status = border::parse_status(text)?;
     let before = server.seen.replace(Some(Seen { status, asked }));
+    server.last.set(Some(status));
     server.heard.set(Some(group.clock.now()));
+    server.refused.set(None);
     if before.map(|seen| seen.status) != Some(status) || before.map(|s| s.asked) != Some(asked) {
         group.changed.notify_waiters();
     }
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -39,7 +39,7 @@
     let routes = Routes::new(&args.via);
     let platform = Platform::new(routes.to(args.platform), PLATFORM_TIMEOUT);
     let mesh = Mesh::new(me.clone(), clock.clone(), routes.clone());
-    let homes = Homes::new(clock.clone(), routes);
+    let homes = Homes::new(args.host.clone(), clock.clone(), routes);
     let chain = Chain::new(Rc::new(platform));
     let fleet = Fleet::new(me, current.clone(), mesh.clone(), chain, clock.clone());
     let entry = Rc::new(Entry {
@@ -53,6 +53,7 @@
     });
     let peers = listen(args.peer, "peers")?;
     let callers = listen(args.listen, "callers")?;
+    monoio::spawn(homes.clone().keep(current.clone(), mesh.clone()));
     monoio::spawn(accept_peers(peers, mesh, current, homes));
     monoio::spawn(fleet.clone().run());
     let operators = bergamottrack_operator::serve(args.operator, handler(fleet, args.operator_key));
