--- /dev/null
+++ b/components/coordination/tests/retry.rs
@@ -0,0 +1,18 @@
+//! The budget of retries.
+
+use bergamottrack_coordination::retry::RetryBudget;
+
+/// Every request fails and each wants to be retried: the work stays bounded.
+#[test]
+fn retries_stay_a_share_of_the_requests() {
+    let mut budget = RetryBudget::new(0.1, 10.0);
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        budget.earn();
+        while budget.spend() {
+            retries += 1;
+        }
+    }
+    assert!(retries <= 1_010, "{retries} retries for 10,000 requests");
+    assert!(retries >= 990, "{retries} retries for 10,000 requests");
+}
--- a/components/home/src/homes.rs
+++ b/components/home/src/homes.rs
@@ -43,7 +43,8 @@
         for server in &mut reached.servers {
             server.address = self.routes.to(server.address);
         }
-        let home = GroupHome::start(&reached, config.policy.clone(), self.clock.clone(), self.me.clone());
+        let home =
+            GroupHome::start(&reached, config.policy.clone(), self.clock.clone(), self.me.clone());
         let before = groups.insert(id.clone(), (contract.clone(), home.clone()));
         if let Some((_, before)) = before {
             home.first.set(before.first.get());
--- a/components/home/src/promotion.rs
+++ b/components/home/src/promotion.rs
@@ -202,7 +202,10 @@
     monoio::spawn(async move {
         let holder = new_holder(&home);
         match ask(&home, server.clone(), led.term, &holder).await {
-            Ok(_) => info!("home: group {}: {} is told that it was replaced.", home.id, server.contract.id),
+            Ok(_) => info!(
+                "home: group {}: {} is told that it was replaced.",
+                home.id, server.contract.id
+            ),
             Err(error) => debug!("home: group {}: retiring: {error:#}.", home.id),
         }
         server.retiring.set(false);
--- a/components/home/src/server.rs
+++ b/components/home/src/server.rs
@@ -63,11 +63,7 @@
 
     /// What has been seen of it, however long ago.
     pub fn sight(&self) -> Sight {
-        Sight {
-            status: self.last.get(),
-            heard: self.heard.get(),
-            refused: self.refused.get(),
-        }
+        Sight { status: self.last.get(), heard: self.heard.get(), refused: self.refused.get() }
     }
 
     /// Notes that it refused a connection or closed one, as a process that has ended does.
--- a/tests/failover.rs
+++ b/tests/failover.rs
@@ -148,3 +148,42 @@
     }
     panic!("no stall could be kept to 300 ms here");
 }
+
+/// A primary freezes with a booking on its way in it. Nothing closes, so only
+/// the new term tells that its answer cannot count any more: the caller hears
+/// "unknown" then, and not when its own long deadline has passed.
+#[tokio::test]
+async fn a_write_on_a_frozen_primary_ends_when_it_is_replaced() {
+    let plan = Plan { policy: "request_ms = 25000".into(), ..Plan::default() };
+    let system = System::start(plan).await.unwrap();
+    let client = system.connect(0, "baobab", "g1").await.unwrap();
+    system::until_runs(&client, "CREATE TABLE booking (id TEXT)").await.unwrap();
+    system.servers["g1s1"].signal(libc::SIGSTOP).unwrap();
+    let began = Instant::now();
+    let error = client.simple_query("INSERT INTO booking VALUES ('b1')").await.unwrap_err();
+    assert_eq!(ledger::told(&error), Told::Unknown, "{error:?}");
+    assert!(began.elapsed() < Duration::from_secs(15), "{:?}", began.elapsed());
+}
+
+/// A replica freezes with reads on their way in it. They changed nothing, so
+/// they run again on another server and their callers notice no error.
+#[tokio::test]
+async fn reads_on_a_frozen_replica_run_again_elsewhere() {
+    let plan = Plan { policy: "request_ms = 25000".into(), ..Plan::default() };
+    let system = System::start(plan).await.unwrap();
+    let mut readers = Vec::new();
+    for reader in 0..6 {
+        let client = system.connect(reader % 3, "baobab", "g1").await.unwrap();
+        let table = "CREATE TABLE IF NOT EXISTS booking (id TEXT)";
+        system::until_runs(&client, table).await.unwrap();
+        client.simple_query("INSERT INTO booking VALUES ('b1')").await.unwrap();
+        readers.push(client);
+    }
+    system.servers["g1s2"].signal(libc::SIGSTOP).unwrap();
+    let began = Instant::now();
+    for client in &readers {
+        let rows = system::rows(client, "SELECT DISTINCT id FROM booking").await.unwrap();
+        assert_eq!(rows, ["b1"]);
+    }
+    assert!(began.elapsed() < Duration::from_secs(15), "{:?}", began.elapsed());
+}
--- a/tests/ledger/mod.rs
+++ b/tests/ledger/mod.rs
@@ -53,8 +53,7 @@
     pub async fn start(system: &System) -> Self {
         let client = system.connect(0, "baobab", "g1").await.unwrap();
         system::until_runs(&client, "CREATE TABLE IF NOT EXISTS booking (id TEXT)").await.unwrap();
-        let mut ledger =
-            Self { told: Arc::default(), stop: Arc::default(), writers: Vec::new() };
+        let mut ledger = Self { told: Arc::default(), stop: Arc::default(), writers: Vec::new() };
         for writer in 0..2 * system.plan.hosts {
             let config = system.caller(writer % system.plan.hosts, "baobab", "g1");
             let work = write(writer, config, ledger.told.clone(), ledger.stop.clone());
@@ -150,7 +149,9 @@
     loop {
         let mut leading: Vec<(String, Status)> = Vec::new();
         for name in system.servers.keys() {
-            leading.extend(status(system, name).await.filter(Status::leads).map(|s| (name.clone(), s)));
+            leading.extend(
+                status(system, name).await.filter(Status::leads).map(|s| (name.clone(), s)),
+            );
         }
         if let Some(found) = leading.into_iter().max_by_key(|(_, status)| status.term) {
             return found;
