--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -48,7 +48,7 @@
     let platform = Platform::new(routes.to(args.platform), PLATFORM_TIMEOUT);
     let secret = Secret::new(args.secret.as_bytes());
     let mesh = Mesh::new(me.clone(), secret.clone(), clock.clone(), routes.clone());
-    let homes = Homes::new(clock.clone(), routes);
+    let homes = Homes::new(args.host.clone(), clock.clone(), routes);
     let chain = Chain::new(Rc::new(platform));
     let fleet = Fleet::new(me, current.clone(), mesh.clone(), chain, clock.clone());
     let entry = Rc::new(Entry {
@@ -62,6 +62,7 @@
     });
     let peers = listen(args.peer, "peers")?;
     let callers = listen(args.listen, "callers")?;
+    monoio::spawn(homes.clone().keep(current.clone(), mesh.clone()));
     monoio::spawn(accept_peers(peers, fleet.clone(), homes));
     monoio::spawn(fleet.clone().run());
     let operators = bergamottrack_operator::serve(args.operator, handler(fleet, args.operator_key));
