lab load: open-loop arrivals over the sites of examples/, one report

Cause: what the policy does under load could not be measured. Sites with the users' sizes; Poisson arrivals from a seed; sessions that roam with their token; shares, gaps, refusals, processor time and bytes in one report as text, JSON and SVG. The stand-in counts what it serves.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,8 +1,12 @@
 //! Stand-ins, faults, load and experiments for bergamottrack; not shipped.
 
 pub mod link;
+pub mod load;
 pub mod platform;
 pub mod ports;
 pub mod process;
+pub mod product;
 pub mod server;
+pub mod site;
 pub mod system;
+pub mod usage;
--- /dev/null
+++ b/lab/src/load/caller.rs
@@ -0,0 +1,191 @@
+//! Callers: sessions that roam between hosts over lasting connections.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    future::poll_fn,
+    rc::Rc,
+    task::Poll,
+    time::Duration,
+};
+
+use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage};
+
+use crate::system::key_of;
+
+/// The setting that carries the session token.
+const SESSION: &str = "bergamottrack.session";
+
+/// The table that the load writes to.
+pub const TABLE: &str = "CREATE TABLE IF NOT EXISTS visit (id TEXT PRIMARY KEY, n INT8)";
+
+/// Far more than any request may take.
+const GIVE_UP: Duration = Duration::from_secs(15);
+
+/// What became of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// It was served; whether its read was older than the session's own writes.
+    Served {
+        /// A read that lacks a write that this session was told of.
+        stale: bool,
+    },
+    /// It was refused with this SQLSTATE, or the connection was lost.
+    Refused(Box<str>),
+}
+
+/// A connection of a session to one host.
+struct Connection {
+    client: Client,
+    /// The token that the host last told.
+    told: Rc<RefCell<Option<String>>>,
+    /// The token that the host was last shown.
+    shown: RefCell<Option<String>>,
+}
+
+impl Connection {
+    async fn open(config: &Config) -> Result<Rc<Self>, tokio_postgres::Error> {
+        let (client, mut connection) = config.connect(NoTls).await?;
+        let told = Rc::new(RefCell::new(None));
+        let noted = told.clone();
+        tokio::task::spawn_local(poll_fn(move |cx| {
+            loop {
+                match connection.poll_message(cx) {
+                    Poll::Ready(Some(Ok(_))) => {}
+                    Poll::Ready(_) => return Poll::Ready(()),
+                    Poll::Pending => break,
+                }
+            }
+            if noted.borrow().as_deref() != connection.parameter(SESSION) {
+                *noted.borrow_mut() = connection.parameter(SESSION).map(str::to_owned);
+            }
+            Poll::Pending
+        }));
+        Ok(Rc::new(Self { client, told, shown: RefCell::default() }))
+    }
+}
+
+/// A session of a client account; it writes and reads a row of its own.
+pub struct Session {
+    /// Its account.
+    pub account: Rc<str>,
+    /// Its group.
+    pub group: Rc<str>,
+    row: String,
+    token: RefCell<Option<String>>,
+    connections: RefCell<HashMap<usize, Rc<Connection>>>,
+    /// The last number written.
+    written: Cell<u64>,
+    /// The last number that was acknowledged.
+    acknowledged: Cell<u64>,
+    /// The age that its reads accept, in milliseconds.
+    max_age: Option<u64>,
+}
+
+impl Session {
+    /// A session without a connection.
+    pub fn new(account: Rc<str>, group: Rc<str>, no: usize, max_age: Option<u64>) -> Self {
+        Self {
+            row: format!("{account}-{no}"),
+            account,
+            group,
+            token: RefCell::default(),
+            connections: RefCell::default(),
+            written: Cell::default(),
+            acknowledged: Cell::default(),
+            max_age,
+        }
+    }
+
+    /// Runs one request through a host.
+    pub async fn run(&self, host: usize, address: std::net::SocketAddr, write: bool) -> Outcome {
+        let work = async {
+            let connection = self.connection(host, address).await?;
+            if write { self.write(&connection).await } else { self.read(&connection).await }
+        };
+        match tokio::time::timeout(GIVE_UP, work).await {
+            Ok(Ok(stale)) => Outcome::Served { stale },
+            Ok(Err(error)) => {
+                let code = error.code().map_or("lost", |code| code.code());
+                Outcome::Refused(code.into())
+            }
+            Err(_) => Outcome::Refused("no answer".into()),
+        }
+    }
+
+    async fn connection(
+        &self,
+        host: usize,
+        address: std::net::SocketAddr,
+    ) -> Result<Rc<Connection>, tokio_postgres::Error> {
+        let known = self.connections.borrow().get(&host).cloned();
+        if let Some(known) = known.filter(|c| !c.client.is_closed()) {
+            return Ok(known);
+        }
+        let mut config = Config::new();
+        config
+            .host(address.ip().to_string())
+            .port(address.port())
+            .user(format!("{}.k1", self.account))
+            .password(key_of(&self.account))
+            .dbname(&*self.group);
+        let connection = Connection::open(&config).await?;
+        if let Some(age) = self.max_age {
+            let set = format!("SET bergamottrack.max_age = '{age}ms'");
+            connection.client.batch_execute(&set).await?;
+        }
+        self.connections.borrow_mut().insert(host, connection.clone());
+        Ok(connection)
+    }
+
+    async fn write(&self, connection: &Connection) -> Result<bool, tokio_postgres::Error> {
+        let n = self.written.get() + 1;
+        self.written.set(n);
+        let row = &self.row;
+        let sql = format!(
+            "INSERT INTO visit VALUES ('{row}', {n}) \
+             ON CONFLICT (id) DO UPDATE SET n = max(n, excluded.n)"
+        );
+        self.ask(connection, &sql).await?;
+        self.acknowledged.set(self.acknowledged.get().max(n));
+        Ok(false)
+    }
+
+    async fn read(&self, connection: &Connection) -> Result<bool, tokio_postgres::Error> {
+        let floor = self.acknowledged.get();
+        let sql = format!("SELECT n FROM visit WHERE id = '{}'", self.row);
+        let messages = self.ask(connection, &sql).await?;
+        let read = messages.iter().find_map(|message| match message {
+            SimpleQueryMessage::Row(row) => row.get(0)?.parse::<u64>().ok(),
+            _ => None,
+        });
+        Ok(self.max_age.is_none() && read.unwrap_or_default() < floor)
+    }
+
+    /// Shows the session's token first when this host has not seen it.
+    async fn ask(
+        &self,
+        connection: &Connection,
+        sql: &str,
+    ) -> Result<Vec<SimpleQueryMessage>, tokio_postgres::Error> {
+        let token = self.token.borrow().clone();
+        let known = token.is_none()
+            || *connection.shown.borrow() == token
+            || *connection.told.borrow() == token;
+        let query = connection.client.simple_query(sql);
+        let messages = if known {
+            query.await?
+        } else {
+            *connection.shown.borrow_mut() = token.clone();
+            let set = format!("SET {SESSION} = '{}'", token.unwrap_or_default());
+            let (shown, messages) = tokio::join!(connection.client.batch_execute(&set), query);
+            shown?;
+            messages?
+        };
+        let told = connection.told.borrow().clone();
+        if told.is_some() {
+            *self.token.borrow_mut() = told;
+        }
+        Ok(messages)
+    }
+}
--- /dev/null
+++ b/lab/src/load/report.rs
@@ -0,0 +1,284 @@
+//! What a load has shown.
+
+use std::{collections::BTreeMap, fmt};
+
+use bergamottrack_contract::{ClientAccount, Config};
+use serde::Serialize;
+
+use super::{
+    Load, Run,
+    caller::Outcome,
+    counters::{Counters, Window},
+    tally::{self, Sample, Tally},
+};
+
+/// What a load has shown.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// What was offered.
+    pub load: Load,
+    /// Requests offered and served.
+    pub offered: u64,
+    /// Requests served.
+    pub served: u64,
+    /// Served requests a second.
+    pub goodput: f64,
+    /// Latencies of what was served.
+    pub latency: Latency,
+    /// Share of the reads that replicas served.
+    pub replica_share: f64,
+    /// Reads that lacked a write that their session was told of; must be 0.
+    pub stale_reads: u64,
+    /// The longest time without an acknowledged write, by group, in milliseconds.
+    pub write_gaps: BTreeMap<Box<str>, f64>,
+    /// The longest that a caller waited for an answer of any kind, in milliseconds.
+    pub longest_wait: f64,
+    /// The account that got the least of what its contract entitled it to.
+    pub worst: Worst,
+    /// Refused for rate although within the rate.
+    pub wrongful: u64,
+    /// The most that an account got beyond its rate and burst.
+    pub overshoot: f64,
+    /// Each account.
+    pub accounts: Vec<AccountReport>,
+    /// What the system used.
+    pub usage: Usage,
+    /// For plots: when each request was due, its milliseconds, and whether it was served.
+    #[serde(skip)]
+    pub points: Vec<(f64, f64, bool)>,
+}
+
+/// Latencies in milliseconds, from the time a request was due.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Latency {
+    /// The median.
+    pub p50: f64,
+    /// The 99th of a hundred.
+    pub p99: f64,
+    /// The longest.
+    pub max: f64,
+}
+
+/// The account that got the least of what its contract entitled it to.
+#[derive(Clone, Debug, Serialize)]
+pub struct Worst {
+    /// The account.
+    pub account: Box<str>,
+    /// What it got of what it was entitled to.
+    pub share: f64,
+}
+
+/// What one account got.
+#[derive(Clone, Debug, Serialize)]
+pub struct AccountReport {
+    /// The account.
+    pub account: Box<str>,
+    /// Requests offered.
+    pub offered: u64,
+    /// Requests that one bucket for all hosts would have admitted.
+    pub entitled: u64,
+    /// Requests served.
+    pub served: u64,
+    /// Requests refused, by SQLSTATE.
+    pub refused: BTreeMap<Box<str>, u64>,
+    /// Refused for rate although within the rate.
+    pub wrongful: u64,
+    /// What it got beyond its rate and burst.
+    pub overshoot: f64,
+    /// Latencies of what was served.
+    pub latency: Latency,
+}
+
+/// What the system used.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Usage {
+    /// Processor time of all hosts, in microseconds a statement, idle use taken off.
+    pub hosts_us: f64,
+    /// Processor time of all servers, in microseconds a statement.
+    pub servers_us: f64,
+    /// Bytes a statement over all connections, idle use taken off.
+    pub bytes: f64,
+    /// Part of one core that an idle host uses, in percent.
+    pub idle_percent: f64,
+    /// Bytes a second that the idle system sends, by host.
+    pub idle_bytes: f64,
+    /// Memory of the host that has most, in MiB.
+    pub memory_mib: f64,
+}
+
+fn latency(histogram: &hdrhistogram::Histogram<u64>) -> Latency {
+    let millis = |q: f64| histogram.value_at_quantile(q) as f64 / 1000.0;
+    Latency { p50: millis(0.5), p99: millis(0.99), max: histogram.max() as f64 / 1000.0 }
+}
+
+pub(super) fn make(
+    run: &Run,
+    config: &Config,
+    idle: &Window,
+    before: &Counters,
+    after: &Counters,
+) -> Report {
+    let mut samples = run.samples.take();
+    samples.values_mut().for_each(|all| all.sort_by(|a, b| a.due.total_cmp(&b.due)));
+    let mut all = tally::histogram();
+    let mut accounts = Vec::new();
+    let mut stale_reads = 0;
+    for account in &config.accounts {
+        let tally = count(account, samples.get(account.id.as_str()).map_or(&[], Vec::as_slice));
+        all += &tally.latency;
+        stale_reads += tally.stale;
+        accounts.push(account_report(account, &tally));
+    }
+    let served = accounts.iter().map(|a| a.served).sum::<u64>();
+    let points: Vec<_> = samples.values().flatten().map(point).collect();
+    Report {
+        offered: accounts.iter().map(|a| a.offered).sum(),
+        served,
+        goodput: served as f64 / run.load.seconds,
+        latency: latency(&all),
+        replica_share: replica_share(before, after),
+        stale_reads,
+        write_gaps: write_gaps(run),
+        longest_wait: points.iter().map(|p| p.1).fold(0.0, f64::max),
+        worst: worst(&accounts),
+        wrongful: accounts.iter().map(|a| a.wrongful).sum(),
+        overshoot: accounts.iter().map(|a| a.overshoot).fold(0.0, f64::max),
+        usage: usage(run, idle, before, after, points.len()),
+        accounts,
+        points,
+        load: run.load.clone(),
+    }
+}
+
+fn point(sample: &Sample) -> (f64, f64, bool) {
+    let served = matches!(sample.outcome, Outcome::Served { .. });
+    (sample.due, (sample.done - sample.due) * 1000.0, served)
+}
+
+fn count(account: &ClientAccount, samples: &[Sample]) -> Tally {
+    let mut tally = Tally::new(account);
+    samples.iter().for_each(|sample| tally.count(sample));
+    tally
+}
+
+fn account_report(account: &ClientAccount, tally: &Tally) -> AccountReport {
+    AccountReport {
+        account: account.id.as_str().into(),
+        offered: tally.offered,
+        entitled: tally.entitled,
+        served: tally.served,
+        refused: tally.refused.clone(),
+        wrongful: tally.wrongful,
+        overshoot: tally.overshoot,
+        latency: latency(&tally.latency),
+    }
+}
+
+fn replica_share(before: &Counters, after: &Counters) -> f64 {
+    let replicas = after.replica_reads.saturating_sub(before.replica_reads) as f64;
+    let primaries = after.primary_reads.saturating_sub(before.primary_reads) as f64;
+    replicas / (replicas + primaries).max(1.0)
+}
+
+fn write_gaps(run: &Run) -> BTreeMap<Box<str>, f64> {
+    let gap = |times: &Vec<f64>| {
+        let mut times = times.clone();
+        times.sort_by(f64::total_cmp);
+        times.windows(2).map(|pair| pair[1] - pair[0]).fold(0.0, f64::max) * 1000.0
+    };
+    let acknowledged = run.acknowledged.borrow();
+    acknowledged.iter().map(|(group, times)| (Box::from(&**group), gap(times))).collect()
+}
+
+fn worst(accounts: &[AccountReport]) -> Worst {
+    let share = |a: &AccountReport| match a.entitled {
+        0 => 1.0,
+        entitled => a.served as f64 / entitled as f64,
+    };
+    let worst = accounts.iter().min_by(|a, b| share(a).total_cmp(&share(b)));
+    Worst {
+        account: worst.map(|a| a.account.clone()).unwrap_or_default(),
+        share: worst.map_or(1.0, share),
+    }
+}
+
+fn usage(run: &Run, idle: &Window, before: &Counters, after: &Counters, requests: usize) -> Usage {
+    let seconds = run.now();
+    let hosts = run.addresses.len() as f64;
+    let requests = (requests as f64).max(1.0);
+    let host_time = after.hosts.saturating_sub(before.hosts).as_secs_f64();
+    let server_time = after.servers.saturating_sub(before.servers).as_secs_f64();
+    let bytes = after.bytes.saturating_sub(before.bytes) as f64;
+    Usage {
+        hosts_us: (host_time - idle.processor * hosts * seconds).max(0.0) * 1e6 / requests,
+        servers_us: server_time * 1e6 / requests,
+        bytes: (bytes - idle.bytes * seconds).max(0.0) / requests,
+        idle_percent: idle.processor * 100.0,
+        idle_bytes: idle.bytes / hosts,
+        memory_mib: after.memory as f64 / f64::from(1 << 20),
+    }
+}
+
+impl fmt::Display for Latency {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "p50 {:.2} ms, p99 {:.2} ms, max {:.1} ms", self.p50, self.p99, self.max)
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { load, usage, worst, .. } = self;
+        writeln!(
+            f,
+            "site {}, {} hosts, seed {}, {} s, balance {:?}",
+            load.site, load.hosts, load.seed, load.seconds, load.balance
+        )?;
+        writeln!(
+            f,
+            "offered {}, served {} ({:.0}/s), {}",
+            self.offered, self.served, self.goodput, self.latency
+        )?;
+        writeln!(f, "reads served by replicas: {:.1} %", self.replica_share * 100.0)?;
+        writeln!(f, "reads older than the session's own writes: {}", self.stale_reads)?;
+        for (group, gap) in &self.write_gaps {
+            writeln!(f, "longest time without an acknowledged write, {group}: {gap:.0} ms")?;
+        }
+        writeln!(f, "longest wait of a caller: {:.0} ms", self.longest_wait)?;
+        writeln!(
+            f,
+            "worst-served account: {} with {:.1} % of what it was entitled to",
+            worst.account,
+            worst.share * 100.0
+        )?;
+        writeln!(
+            f,
+            "refused although within rate: {}; most beyond rate and burst: {:.1}",
+            self.wrongful, self.overshoot
+        )?;
+        writeln!(
+            f,
+            "a statement: {:.0} us of the hosts, {:.0} us of the servers, {:.0} bytes",
+            usage.hosts_us, usage.servers_us, usage.bytes
+        )?;
+        writeln!(
+            f,
+            "an idle host: {:.2} % of a core, {:.0} bytes/s, {:.1} MiB",
+            usage.idle_percent, usage.idle_bytes, usage.memory_mib
+        )?;
+        writeln!(
+            f,
+            "{:20} {:>8} {:>8} {:>8} {:>8} {:>8}",
+            "account", "offered", "entitled", "served", "p50 ms", "p99 ms"
+        )?;
+        for a in &self.accounts {
+            write!(
+                f,
+                "{:20} {:>8} {:>8} {:>8} {:>8.2} {:>8.2}",
+                a.account, a.offered, a.entitled, a.served, a.latency.p50, a.latency.p99
+            )?;
+            a.refused.iter().try_for_each(|(code, n)| write!(f, "  {code}: {n}"))?;
+            writeln!(f)?;
+        }
+        Ok(())
+    }
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,7 +1,9 @@
 //! Stand-ins, faults, load and experiments for bergamottrack; not shipped.
 
-use clap::{Parser, Subcommand};
-use lab::{link, platform, server};
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand};
+use lab::{link, load, platform, product, server};
 
 /// Stand-ins, faults, load and experiments for bergamottrack.
 #[derive(Debug, Parser)]
@@ -20,6 +22,21 @@
     Link(link::LinkArgs),
     /// Run a stand-in for the platform.
     Platform(platform::PlatformArgs),
+    /// Offer load to a system of its own and report what it got.
+    Load(LoadArgs),
+}
+
+/// Settings of `load`.
+#[derive(Args, Debug)]
+struct LoadArgs {
+    /// Settings of the load such as `seconds=20`, each a line of TOML.
+    settings: Vec<String>,
+    /// Writes the report as JSON.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// Draws each request as SVG.
+    #[arg(long)]
+    svg: Option<PathBuf>,
 }
 
 fn main() -> anyhow::Result<()> {
@@ -28,11 +45,31 @@
         .with_env_filter(tracing_subscriber::EnvFilter::from_env("LAB_LOG"))
         .with_writer(std::io::stderr)
         .init();
+    match cli.command {
+        Command::Server(args) => stand_in(server::run(args)),
+        Command::Link(args) => stand_in(link::run(args)),
+        Command::Platform(args) => stand_in(platform::run(args)),
+        Command::Load(args) => tool(run_load(args)),
+    }
+}
+
+fn stand_in(work: impl Future<Output = anyhow::Result<()>>) -> anyhow::Result<()> {
     let mut runtime =
         monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer().build()?;
-    match cli.command {
-        Command::Server(args) => runtime.block_on(server::run(args)),
-        Command::Link(args) => runtime.block_on(link::run(args)),
-        Command::Platform(args) => runtime.block_on(platform::run(args)),
+    runtime.block_on(work)
+}
+
+fn tool(work: impl Future<Output = anyhow::Result<()>>) -> anyhow::Result<()> {
+    product::build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, work)
+}
+
+async fn run_load(args: LoadArgs) -> anyhow::Result<()> {
+    let report = load::run(load::Load::parse(&args.settings)?).await?;
+    print!("{report}");
+    if let Some(path) = &args.json {
+        std::fs::write(path, serde_json::to_vec_pretty(&report)?)?;
     }
+    args.svg.as_deref().map_or(Ok(()), |path| load::plot::draw(&report, path))
 }
--- /dev/null
+++ b/lab/src/product.rs
@@ -0,0 +1,20 @@
+//! Builds the product beside the lab, so that one command runs the lab.
+
+use std::process::{Command, Stdio};
+
+use anyhow::Context;
+
+/// Builds the product with the profile of the lab. Under `cargo run` only:
+/// without cargo the program that stands beside the lab is taken.
+pub fn build() -> anyhow::Result<()> {
+    let Some(cargo) = std::env::var_os("CARGO") else { return Ok(()) };
+    let mut command = Command::new(cargo);
+    command.args(["build", "--quiet", "--locked", "--package", "bergamottrack"]);
+    command.arg("--manifest-path").arg(concat!(env!("CARGO_MANIFEST_DIR"), "/../Cargo.toml"));
+    if !cfg!(debug_assertions) {
+        command.arg("--release");
+    }
+    let status = command.stdin(Stdio::null()).status().context("building the product")?;
+    anyhow::ensure!(status.success(), "building the product failed");
+    Ok(())
+}
--- a/lab/src/server/engine.rs
+++ b/lab/src/server/engine.rs
@@ -49,10 +49,19 @@
     pub service: Cell<Duration>,
 }
 
+/// What a server has served.
+#[derive(Default)]
+pub struct Served {
+    pub primary_reads: Cell<u64>,
+    pub replica_reads: Cell<u64>,
+    pub writes: Cell<u64>,
+}
+
 /// One server.
 pub struct Engine {
     pub args: ServerArgs,
     pub knobs: Knobs,
+    pub served: Served,
     /// Statements that run at once.
     pub slots: Semaphore,
     /// Held by the one transaction that writes.
@@ -91,6 +100,7 @@
                 lag: Cell::new(Duration::from_millis(args.lag_ms)),
                 service: Cell::new(Duration::from_millis(args.service_ms)),
             },
+            served: Served::default(),
             slots: Semaphore::new(args.slots),
             writing: Semaphore::new(1),
             changed: Notify::new(),
@@ -118,6 +128,17 @@
         open_db(&db_path(&self.args.data, self.generation.get()))
     }
 
+    /// Counts a statement.
+    pub fn count(&self, reads: bool) {
+        let Served { primary_reads, replica_reads, writes } = &self.served;
+        let counter = match (reads, self.leads()) {
+            (false, _) => writes,
+            (true, true) => primary_reads,
+            (true, false) => replica_reads,
+        };
+        counter.set(counter.get() + 1);
+    }
+
     /// What this server says of itself.
     pub fn status(&self) -> Status {
         let vows = self.vows.borrow();
--- a/lab/src/server/session.rs
+++ b/lab/src/server/session.rs
@@ -497,6 +497,11 @@
             "group_status" => self.engine.status().to_string(),
             "transaction_isolation" | "transaction isolation level" => "read committed".into(),
             "server_version" => "16.0".into(),
+            "standin.counters" => {
+                let served = &self.engine.served;
+                let (primary, replica) = (served.primary_reads.get(), served.replica_reads.get());
+                format!("{primary} {replica} {}", served.writes.get())
+            }
             _ => String::new(),
         };
         self.text_row(name, &value, formats, described);
@@ -536,6 +541,7 @@
             monoio::time::sleep(service).await;
         }
         let reads = self.db.prepare_cached(sql)?.readonly();
+        self.engine.count(reads);
         if !reads {
             if !self.engine.leads() {
                 return Err(SqlError::new("25006", "this server does not lead"));
--- a/lab/src/system.rs
+++ b/lab/src/system.rs
@@ -2,13 +2,13 @@
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     time::{Duration, Instant},
 };
 
 use anyhow::Context;
-use bergamottrack_contract::Verifier;
+use bergamottrack_contract::{Config, Verifier};
 use tempfile::TempDir;
 use tokio_postgres::{Client, NoTls};
 
@@ -46,6 +46,13 @@
     /// can be cut. Links are named `FROM>TO`: `h1>g1s1`, `h1>h2`, `h1>platform`,
     /// and `g1s2>g1s1` for replication.
     pub links: bool,
+    /// The configuration to lay out instead of `accounts` and `policy`: server
+    /// `i` of its group `g` becomes the stand-in `g{g}s{i}`.
+    pub site: Option<Config>,
+    /// What the hosts log.
+    pub log: String,
+    /// Where host `i` listens for callers: this port and `i`, 0 for any.
+    pub port: u16,
 }
 
 impl Default for Plan {
@@ -57,6 +64,9 @@
             server_args: Vec::new(),
             policy: String::new(),
             links: false,
+            site: None,
+            log: "debug".into(),
+            port: 0,
         }
     }
 }
@@ -157,9 +167,13 @@
         for group in 1..=system.plan.groups {
             system.prepare_group(group)?;
         }
-        for _ in 0..system.plan.hosts {
+        for host in 1..=system.plan.hosts {
+            let callers = match system.plan.port {
+                0 => system.ports.address()?,
+                port => (Ipv4Addr::LOCALHOST, port + u16::try_from(host)?).into(),
+            };
             let addresses = HostAddresses {
-                callers: system.ports.address()?,
+                callers,
                 peer: system.ports.address()?,
                 operator: system.ports.address()?,
             };
@@ -252,13 +266,16 @@
         let process = Process::new(&name, &program("bergamottrack")?, args, self.dir.path())
             .env("BERGAMOTTRACK_SECRET", SECRET)
             .env("BERGAMOTTRACK_OPERATOR_KEY", OPERATOR_KEY)
-            .env("BERGAMOTTRACK_LOG", "debug");
+            .env("BERGAMOTTRACK_LOG", &self.plan.log);
         self.hosts.push(process);
         Ok(())
     }
 
     /// The configuration in TOML.
     pub fn config(&self) -> String {
+        if let Some(site) = &self.plan.site {
+            return self.site_config(site.clone());
+        }
         let mut text = format!("site = \"lab\"\n\n[policy]\n{}\n", self.plan.policy);
         for group in 1..=self.plan.groups {
             text += &format!("\n[[group]]\nid = \"g{group}\"\n");
@@ -279,6 +296,22 @@
         text
     }
 
+    /// A site's configuration with the addresses and keys of this system.
+    fn site_config(&self, mut config: Config) -> String {
+        for (g, group) in config.groups.iter_mut().enumerate() {
+            for (i, server) in group.servers.iter_mut().enumerate() {
+                let name = format!("g{}s{}", g + 1, i + 1);
+                server.address = self.server_addresses[&name].statements;
+            }
+        }
+        for account in &mut config.accounts {
+            let verifier =
+                Verifier::new(&key_of(account.id.as_str()), account.id.as_str().as_bytes());
+            account.keys.iter_mut().for_each(|key| key.verifier = verifier.clone());
+        }
+        toml::to_string(&config).expect("a configuration is written as it was read")
+    }
+
     /// Submits a configuration through the first host, as soon as it is taken.
     pub async fn submit(&self, config: &str) -> anyhow::Result<String> {
         let address = self.addresses[0].operator;
