--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, faults, load and experiments for bergamottrack; not shipped.
 
+pub mod cost;
 pub mod link;
 pub mod load;
 pub mod platform;
--- a/lab/src/load/counters.rs
+++ b/lab/src/load/counters.rs
@@ -72,8 +72,6 @@
     pub processor: f64,
     /// Bytes a second of the whole system.
     pub bytes: f64,
-    /// Memory of the host that has most.
-    pub memory: u64,
 }
 
 impl Window {
@@ -88,7 +86,6 @@
         Ok(Self {
             processor: used / seconds / system.hosts.len() as f64,
             bytes: after.bytes.saturating_sub(before.bytes) as f64 / seconds,
-            memory: after.memory,
         })
     }
 }
--- a/lab/src/load/mod.rs
+++ b/lab/src/load/mod.rs
@@ -28,6 +28,7 @@
 
 pub use fault::{Act, Fault, primary};
 pub use report::Report;
+pub use tally::histogram;
 
 use caller::{Outcome, Session};
 use tally::Sample;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand};
-use lab::{link, load, platform, product, server};
+use lab::{cost, link, load, platform, product, server};
 
 /// Stand-ins, faults, load and experiments for bergamottrack.
 #[derive(Debug, Parser)]
@@ -24,6 +24,8 @@
     Platform(platform::PlatformArgs),
     /// Offer load to a system of its own and report what it got.
     Load(LoadArgs),
+    /// Measure what a statement costs: direct, through its home, with the hop.
+    Cost(cost::CostArgs),
 }
 
 /// Settings of `load`.
@@ -50,6 +52,10 @@
         Command::Link(args) => stand_in(link::run(args)),
         Command::Platform(args) => stand_in(platform::run(args)),
         Command::Load(args) => tool(run_load(args)),
+        Command::Cost(args) => tool(async {
+            print!("{}", cost::run(args).await?);
+            Ok(())
+        }),
     }
 }
 
