--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -9,5 +9,7 @@
 pub mod product;
 pub mod server;
 pub mod site;
+pub mod storm;
 pub mod system;
+pub mod up;
 pub mod usage;
--- a/lab/src/load/fault.rs
+++ b/lab/src/load/fault.rs
@@ -67,13 +67,7 @@
             Some(group) => primary(system, group).await?,
             None => self.target.to_string(),
         };
-        let process = system.servers.get_mut(&name);
-        let host = name.strip_prefix('h').and_then(|i| i.parse::<usize>().ok());
-        let process = match (process, host) {
-            (Some(server), _) => server,
-            (None, Some(host)) => system.hosts.get_mut(host - 1).context("no such host")?,
-            (None, None) => anyhow::bail!("no process is called {name}"),
-        };
+        let process = system.process(&name)?;
         match self.act {
             Act::Kill => process.kill(),
             Act::Start => process.start()?,
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand};
-use lab::{cost, link, load, platform, product, server};
+use lab::{cost, link, load, platform, product, server, storm, up};
 
 /// Stand-ins, faults, load and experiments for bergamottrack.
 #[derive(Debug, Parser)]
@@ -20,8 +20,12 @@
     Server(server::ServerArgs),
     /// Run links between processes that can be cut, delayed and reset.
     Link(link::LinkArgs),
+    /// Run faults drawn from a seed over a system under load, then check the promises.
+    Storm(storm::StormArgs),
     /// Run a stand-in for the platform.
     Platform(platform::PlatformArgs),
+    /// Hold a whole system up for use by hand.
+    Up(up::UpArgs),
     /// Offer load to a system of its own and report what it got.
     Load(LoadArgs),
     /// Measure what a statement costs: direct, through its home, with the hop.
@@ -51,6 +55,11 @@
         Command::Server(args) => stand_in(server::run(args)),
         Command::Link(args) => stand_in(link::run(args)),
         Command::Platform(args) => stand_in(platform::run(args)),
+        Command::Storm(args) => {
+            product::build()?;
+            tokio::runtime::Runtime::new()?.block_on(storm::run(args))
+        }
+        Command::Up(args) => tool(up::run(args)),
         Command::Load(args) => tool(run_load(args)),
         Command::Cost(args) => tool(async {
             print!("{}", cost::run(args).await?);
