--- a/components/home/src/lib.rs
+++ b/components/home/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod group;
 pub mod homes;
 pub mod pool;
+pub mod queue;
 pub mod promotion;
 pub mod route;
 pub mod serve;
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -10,35 +10,44 @@
 use bergamottrack_home::Homes;
 use bergamottrack_operator::{Reply, Request, serve::Handler};
 use bergamottrack_peer::{
-    Answer, Mesh, Question,
+    Mesh,
     accept::{self, Service},
 };
 use bergamottrack_platform::{Chain, Platform};
 use monoio::net::TcpListener;
 use tracing::info;
+use tracing_subscriber::EnvFilter;
 
-use crate::cli::ServeArgs;
+use crate::{cli::LogFormat, settings::Settings};
 
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Runs an entry host until it is told to stop.
-pub fn run(args: ServeArgs) -> anyhow::Result<()> {
-    let filter = tracing_subscriber::EnvFilter::try_new(&args.log).context("the log level")?;
-    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).init();
+pub fn run(mut settings: Settings) -> anyhow::Result<()> {
+    start_log(std::mem::take(&mut settings.log), settings.log_format);
     let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
         .enable_timer()
         .build()
         .context("starting the runtime")?;
-    runtime.block_on(host(args))
+    runtime.block_on(host(settings))
 }
 
-async fn host(args: ServeArgs) -> anyhow::Result<()> {
+fn start_log(filter: EnvFilter, format: LogFormat) {
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match format {
+        LogFormat::Plain => log.init(),
+        LogFormat::Json => log.json().init(),
+    }
+}
+
+async fn host(args: Settings) -> anyhow::Result<()> {
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let me = Host { id: args.host.clone(), domain: args.domain.clone(), peer: args.peer };
     let current = Rc::new(Current::default());
     let routes = Routes::new(&args.via);
     let platform = Platform::new(routes.to(args.platform), PLATFORM_TIMEOUT);
-    let mesh = Mesh::new(me.clone(), clock.clone(), routes.clone());
+    let secret = Secret::new(args.secret.as_bytes());
+    let mesh = Mesh::new(me.clone(), secret.clone(), clock.clone(), routes.clone());
     let homes = Homes::new(args.host.clone(), clock.clone(), routes);
     let chain = Chain::new(Rc::new(platform));
     let fleet = Fleet::new(me, current.clone(), mesh.clone(), chain, clock.clone());
@@ -47,14 +56,14 @@
         current: current.clone(),
         mesh: mesh.clone(),
         homes: homes.clone(),
-        secret: Secret::new(args.secret.as_bytes()),
+        secret,
         cancels: Default::default(),
         last_pid: Cell::default(),
     });
     let peers = listen(args.peer, "peers")?;
     let callers = listen(args.listen, "callers")?;
     monoio::spawn(homes.clone().keep(current.clone(), mesh.clone()));
-    monoio::spawn(accept_peers(peers, mesh, current, homes));
+    monoio::spawn(accept_peers(peers, fleet.clone(), homes));
     monoio::spawn(fleet.clone().run());
     let operators = bergamottrack_operator::serve(args.operator, handler(fleet, args.operator_key));
     monoio::select! {
@@ -79,18 +88,17 @@
 
 async fn accept_peers(
     listener: TcpListener,
-    mesh: Rc<Mesh>,
-    current: Rc<Current>,
+    fleet: Rc<Fleet>,
     homes: Rc<Homes>,
 ) -> anyhow::Result<()> {
+    let (mesh, current) = (fleet.mesh.clone(), fleet.current.clone());
     let service = Rc::new(Service {
+        secret: mesh.secret.clone(),
         serve: Box::new(move |open, side| {
             let doc = current.get();
             homes.serve(doc.as_ref().and_then(|doc| doc.config.as_ref()), open, side);
         }),
-        answer: Box::new(|_, question| match question {
-            Question::Ping => Answer::Pong,
-        }),
+        answer: Box::new(move |_, question| fleet.answer(question)),
     });
     loop {
         let (stream, _) = listener.accept().await.context("accepting a peer")?;
@@ -98,7 +106,7 @@
     }
 }
 
-fn handler(fleet: Rc<Fleet>, key: Option<String>) -> Rc<Handler> {
+fn handler(fleet: Rc<Fleet>, key: Option<Box<str>>) -> Rc<Handler> {
     Rc::new(move |request: Request| -> Pin<Box<dyn Future<Output = Reply>>> {
         let allowed = key.is_some() && request.key.as_deref() == key.as_deref();
         Box::pin(operate(fleet.clone(), request, allowed))
@@ -118,8 +126,9 @@
         Ok(config) => config,
         Err(error) => return Reply::text(StatusCode::BAD_REQUEST, format!("{error:#}\n")),
     };
-    match fleet.submit(config, "operator", fleet::new_submit()).await {
-        Ok(number) => Reply::text(StatusCode::OK, format!("{number}\n")),
+    let base = fleet.current.number();
+    match fleet.submit(config, "operator", fleet::new_submit(), base).await {
+        Ok(accepted) => Reply::text(StatusCode::OK, format!("{}\n", accepted.revision)),
         Err(error) => Reply::text(StatusCode::CONFLICT, format!("{error}\n")),
     }
 }
