--- /dev/null
+++ b/components/coordination/src/lenders.rs
@@ -0,0 +1,78 @@
+//! Whom a host asks for tokens, so that few messages are needed.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use crate::{HostId, shares::Share};
+
+/// How long a host's word on its tokens is believed: longer than that its own
+/// demand may have ended.
+const BELIEVED: Duration = Duration::from_millis(50);
+
+/// How long a host that did not answer is passed over.
+const PASSED_OVER: Duration = Duration::from_secs(1);
+
+/// What was last heard of a lender.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    /// Tokens that it could still lend.
+    spare: f64,
+    at: Instant,
+    answered: bool,
+}
+
+/// What is known of the hosts that may lend.
+#[derive(Debug, Default)]
+pub struct Lenders {
+    heard: HashMap<HostId, Heard>,
+}
+
+impl Lenders {
+    /// Notes that a host answered, and what it could still lend.
+    pub fn answered(&mut self, host: &HostId, spare: f64, now: Instant) {
+        self.heard.insert(host.clone(), Heard { spare, at: now, answered: true });
+    }
+
+    /// Notes that a host did not answer.
+    pub fn failed(&mut self, host: &HostId, now: Instant) {
+        self.heard.insert(host.clone(), Heard { spare: 0.0, at: now, answered: false });
+    }
+
+    /// The fewest hosts that may have `want` tokens together, the richest
+    /// first, and how many to ask of each. Empty when no host is known to have
+    /// a whole one; then asking is not worth it.
+    pub fn choose(
+        &self,
+        hosts: impl IntoIterator<Item = HostId>,
+        share: Share,
+        want: f64,
+        now: Instant,
+    ) -> Vec<(HostId, f64)> {
+        let guess = |host: &HostId| self.guess(host, share, now);
+        let mut hosts: Vec<_> = hosts.into_iter().map(|host| (guess(&host), host)).collect();
+        hosts.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+        let mut left = want;
+        let mut chosen = Vec::new();
+        for (guess, host) in hosts {
+            if guess < 1.0 || left <= 0.0 {
+                break;
+            }
+            let tokens = guess.min(left);
+            left -= tokens;
+            chosen.push((host, tokens));
+        }
+        chosen
+    }
+
+    fn guess(&self, host: &HostId, share: Share, now: Instant) -> f64 {
+        let Some(heard) = self.heard.get(host) else { return share.burst.0 };
+        let since = now.saturating_duration_since(heard.at);
+        match heard.answered {
+            false if since < PASSED_OVER => 0.0,
+            true if since < BELIEVED => heard.spare + share.rate.0 * since.as_secs_f64(),
+            _ => share.burst.0,
+        }
+    }
+}
--- a/components/coordination/src/rendezvous.rs
+++ b/components/coordination/src/rendezvous.rs
@@ -13,9 +13,9 @@
     pub domain: &'a FailureDomain,
 }
 
-fn weight(group: &GroupId, host: &HostId) -> u64 {
+fn weight(key: &str, host: &HostId) -> u64 {
     let mut hasher = xxh3::Xxh3::new();
-    hasher.update(group.as_str().as_bytes());
+    hasher.update(key.as_bytes());
     hasher.update(&[0]);
     hasher.update(host.as_str().as_bytes());
     hasher.digest()
@@ -33,8 +33,15 @@
 ) -> Vec<&'a HostId> {
     let mut ranked: Vec<_> = candidates
         .into_iter()
-        .map(|c| (near == Some(c.domain), weight(group, c.host), c.host))
+        .map(|c| (near == Some(c.domain), weight(group.as_str(), c.host), c.host))
         .collect();
     ranked.sort_by(|a, b| b.cmp(a));
     ranked.into_iter().map(|(_, _, host)| host).collect()
 }
+
+/// Orders the hosts for `key`, best first; it depends on the names only.
+pub fn order<'a>(key: &str, hosts: &'a [HostId]) -> Vec<&'a HostId> {
+    let mut ordered: Vec<_> = hosts.iter().map(|host| (weight(key, host), host)).collect();
+    ordered.sort_by(|a, b| b.cmp(a));
+    ordered.into_iter().map(|(_, host)| host).collect()
+}
--- /dev/null
+++ b/components/coordination/tests/shares.rs
@@ -0,0 +1,101 @@
+//! Each host's part of every account's rate and burst.
+
+use std::time::{Duration, Instant};
+
+use bergamottrack_coordination::{
+    AccountId, Allotment, Burst, HostId, Rate, Revision, Share, Shares, bucket,
+};
+
+const FRESH: Duration = Duration::from_secs(3);
+
+fn account() -> AccountId {
+    "baobab".parse().unwrap()
+}
+
+fn allotment(number: u64, hosts: &[&str], rate: f64, burst: f64) -> Allotment {
+    Allotment {
+        revision: Revision(number),
+        fresh: FRESH,
+        roster: hosts.iter().map(|id| id.parse().unwrap()).collect(),
+        contracts: [(account(), Share { rate: Rate(rate), burst: Burst(burst) })].into(),
+    }
+}
+
+fn me() -> Shares {
+    Shares::new("h1".parse::<HostId>().unwrap())
+}
+
+fn rate(shares: &Shares) -> f64 {
+    shares.share(&account()).rate.0
+}
+
+/// h3 leaves and the others' parts grow. h3 may not know of it for as long as
+/// its freshness lasts, and what it lent may be spent a while longer: until
+/// then the parts of before hold, or the account would get too much.
+#[test]
+fn a_part_that_grows_waits_until_no_host_uses_the_old_one() {
+    let now = Instant::now();
+    let mut shares = me();
+    shares.begin();
+    shares.advance(allotment(1, &["h1", "h2", "h3"], 60.0, 60.0));
+    assert_eq!(rate(&shares), 20.0);
+    shares.advance(allotment(2, &["h1", "h2"], 60.0, 60.0));
+    assert_eq!(rate(&shares), 20.0);
+    assert!(!shares.settle(now + FRESH * 10), "the revision was not told yet");
+    shares.told(Revision(2), now);
+    assert!(!shares.settle(now + FRESH + bucket::HELD_FOR));
+    assert_eq!(rate(&shares), 20.0);
+    assert!(shares.settle(now + FRESH * 2));
+    assert_eq!(rate(&shares), 30.0);
+}
+
+#[test]
+fn a_part_that_shrinks_does_so_at_once() {
+    let mut shares = me();
+    shares.begin();
+    shares.advance(allotment(1, &["h1", "h2"], 60.0, 60.0));
+    shares.advance(allotment(2, &["h1", "h2", "h3"], 60.0, 60.0));
+    assert_eq!(rate(&shares), 20.0);
+    shares.advance(allotment(3, &["h1", "h2", "h3"], 30.0, 60.0));
+    assert_eq!(rate(&shares), 10.0);
+}
+
+/// A host is replaced under its old name. Its predecessor may have served from
+/// its part a moment ago, so the new one waits before it uses it.
+#[test]
+fn a_host_that_has_just_started_uses_nothing() {
+    let now = Instant::now();
+    let mut shares = me();
+    shares.advance(allotment(5, &["h1", "h2"], 60.0, 60.0));
+    assert_eq!(rate(&shares), 0.0);
+    shares.told(Revision(5), now);
+    assert!(shares.settle(now + FRESH * 2));
+    assert_eq!(rate(&shares), 30.0);
+}
+
+#[test]
+fn a_change_between_starts_the_wait_anew() {
+    let now = Instant::now();
+    let mut shares = me();
+    shares.advance(allotment(5, &["h1", "h2"], 60.0, 60.0));
+    shares.told(Revision(5), now);
+    shares.advance(allotment(6, &["h1", "h2"], 60.0, 60.0));
+    assert!(!shares.settle(now + FRESH * 2));
+    assert_eq!(rate(&shares), 0.0);
+}
+
+/// A burst of five over eight hosts: parts of less than a token would never let
+/// anything through, so two hosts hold a part, and all agree on which.
+#[test]
+fn an_account_of_a_small_burst_has_few_holders() {
+    let hosts = ["h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8"];
+    let allotment = allotment(1, &hosts, 60.0, 5.0);
+    assert_eq!(allotment.holders(&account()).len(), 2);
+    let parts = hosts.iter().map(|id| {
+        let mut shares = Shares::new(id.parse().unwrap());
+        shares.begin();
+        shares.advance(allotment.clone());
+        shares.share(&account()).burst.0
+    });
+    assert_eq!(parts.sum::<f64>(), 5.0);
+}
--- a/components/entry/src/admit.rs
+++ b/components/entry/src/admit.rs
@@ -15,13 +15,22 @@
 const FRESH_AGAIN: Duration = Duration::from_secs(1);
 
 impl Entry {
-    /// Admits one request of the account; asked for every request, not at connect.
+    /// Admits one transaction, or one statement outside of any, of the account;
+    /// asked for every one, not at connect. It costs one token.
     pub async fn admit(
         &self,
         account: &AccountId,
         key: &KeyId,
         _deadline: Instant,
     ) -> Result<Rc<RevisionDoc>, Refusal> {
+        self.check(account, key)?;
+        self.limits.take(account).await?;
+        // Borrowing a token takes a while, in which the key may have been withdrawn.
+        self.check(account, key)
+    }
+
+    /// Admits a further statement of an open transaction.
+    pub fn check(&self, account: &AccountId, key: &KeyId) -> Result<Rc<RevisionDoc>, Refusal> {
         self.check_fresh()?;
         self.standing(account, key)
     }
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -205,7 +205,11 @@
         };
         let budget = budget.unwrap_or_default();
         let deadline = self.entry.clock.now() + budget;
-        let admitted = self.entry.admit(&self.caller.account, &self.caller.key, deadline).await;
+        let (account, key) = (&self.caller.account, &self.caller.key);
+        let admitted = match &self.exchange {
+            Some(_) => self.entry.check(account, key),
+            None => self.entry.admit(account, key, deadline).await,
+        };
         let doc = match admitted {
             Ok(doc) => doc,
             Err(refusal) => return Ok(Err(refusal)),
--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -9,6 +9,7 @@
 
 use bergamottrack_contract::{Config, Current, RevisionDoc};
 use bergamottrack_coordination::{AccountId, Clock, KeyId, Reason, Refusal, token::Secret};
+use bergamottrack_fleet::Limits;
 use bergamottrack_home::Homes;
 use bergamottrack_peer::{Exchange, Mesh, Open, open_local};
 use tokio::sync::Notify;
@@ -24,6 +25,8 @@
     pub current: Rc<Current>,
     /// Links to the other hosts.
     pub mesh: Rc<Mesh>,
+    /// The rates of all accounts.
+    pub limits: Rc<Limits>,
     /// The groups whose home this host is.
     pub homes: Rc<Homes>,
     /// The secret that all hosts share.
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -9,10 +9,12 @@
 
 use bergamottrack_contract::{Config, Current, Host, RevisionDoc};
 use bergamottrack_coordination::{Clock, HostId, Revision, SubmitId, freshness::Vouch};
-use bergamottrack_peer::{Answer, Mesh, Question};
+use bergamottrack_peer::{Answer, Mesh, Question, message::Hello};
 use bergamottrack_platform::{Chain, chain};
 use tracing::{info, warn};
 
+use crate::limits::Limits;
+
 /// How often the table service is asked for the newest revision.
 const POLL_EVERY: Duration = Duration::from_secs(1);
 
@@ -27,6 +29,8 @@
     pub current: Rc<Current>,
     /// Links to the other hosts.
     pub mesh: Rc<Mesh>,
+    /// The rates of all accounts.
+    pub limits: Rc<Limits>,
     pub(crate) chain: Chain,
     pub(crate) clock: Rc<dyn Clock>,
     /// The newest revision known to have been told to majorities.
@@ -48,8 +52,10 @@
         chain: Chain,
         clock: Rc<dyn Clock>,
     ) -> Rc<Self> {
+        let limits = Limits::new(current.clone(), mesh.clone(), clock.clone());
         Rc::new(Self {
             me,
+            limits,
             current,
             mesh,
             chain,
@@ -107,15 +113,18 @@
     /// Puts a revision in force here, unless a newer one is.
     pub fn adopt(&self, doc: RevisionDoc) {
         let number = doc.number;
-        let (roster, before) = (doc.roster.clone(), doc.before.clone());
-        if self.current.advance(doc) {
-            info!("fleet: revision {number} is in force here.");
-            self.mesh.set_roster(&roster, &before);
+        if !self.current.advance(doc) {
+            return;
+        }
+        info!("fleet: revision {number} is in force here.");
+        if let Some(doc) = self.current.get() {
+            self.mesh.set_roster(&doc.roster, &doc.before);
+            self.limits.advance(&doc);
         }
     }
 
     /// Answers a question of a peer.
-    pub fn answer(&self, question: Question) -> Answer {
+    pub fn answer(&self, peer: &Hello, question: Question) -> Answer {
         match question {
             Question::Ping => Answer::Pong,
             Question::Vouch => Answer::Vouch(self.vouch()),
@@ -126,6 +135,7 @@
                 self.adopt(*doc);
                 Answer::Adopted(self.current.number())
             }
+            Question::Lend(lend) => self.limits.lend(&peer.host, &lend),
         }
     }
 
--- a/components/fleet/src/roster.rs
+++ b/components/fleet/src/roster.rs
@@ -52,6 +52,9 @@
             return Ok(());
         }
         if self.chain.append(&doc).await? == Appended::Yes {
+            if doc.before.is_empty() && before.is_none() {
+                self.limits.begin();
+            }
             self.adopt(doc);
             self.tell().await;
         }
--- a/components/fleet/src/rounds.rs
+++ b/components/fleet/src/rounds.rs
@@ -100,6 +100,7 @@
         let told = others.max(own);
         if told > self.told.get() {
             self.told.set(told);
+            self.limits.told(told);
             info!("fleet: revision {told} is known to a majority.");
         }
     }
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 use bergamottrack_contract::RevisionDoc;
 use bergamottrack_coordination::{
-    AccountId, FailureDomain, GroupId, HostId, Point, Refusal, RequestId, Revision,
+    AccountId, FailureDomain, GroupId, HostId, Point, Refusal, RequestId, Revision, bucket::LoanNo,
     freshness::Vouch, token::Secret,
 };
 use bytes::Bytes;
@@ -106,6 +106,21 @@
     Revision,
     /// Take this revision, unless a newer one is in force.
     Adopt(Box<RevisionDoc>),
+    /// Lend tokens.
+    Lend(Lend),
+}
+
+/// A question for tokens of an account.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Lend {
+    /// The account.
+    pub account: AccountId,
+    /// Number of the loan.
+    pub no: LoanNo,
+    /// Tokens wanted.
+    pub tokens: f64,
+    /// Earlier loans of the host that is asked, of which nothing will be spent any more.
+    pub over: Vec<LoanNo>,
 }
 
 /// The answer to a question.
@@ -119,6 +134,13 @@
     Revision(Option<Box<RevisionDoc>>),
     /// The revision that is now in force at the host.
     Adopted(Revision),
+    /// Tokens, already deducted at the host.
+    Lent {
+        /// How many.
+        tokens: f64,
+        /// How many it could still lend.
+        spare: f64,
+    },
 }
 
 /// The first message each way.
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -44,6 +44,7 @@
     let chain = Chain::new(Rc::new(platform));
     let fleet = Fleet::new(me, current.clone(), mesh.clone(), chain, clock.clone());
     let entry = Rc::new(Entry {
+        limits: fleet.limits.clone(),
         clock,
         current: current.clone(),
         mesh: mesh.clone(),
@@ -89,7 +90,7 @@
             let doc = current.get();
             homes.serve(doc.as_ref().and_then(|doc| doc.config.as_ref()), open, side);
         }),
-        answer: Box::new(move |_, question| fleet.answer(question)),
+        answer: Box::new(move |peer, question| fleet.answer(peer, question)),
     });
     loop {
         let (stream, _) = listener.accept().await.context("accepting a peer")?;
