--- /dev/null
+++ b/components/metrics/src/gauges.rs
@@ -0,0 +1,94 @@
+//! What a report tells, as gauges. They are made anew for each scrape, so that
+//! what is gone from the report is gone from the answer.
+
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{family::Family, gauge::Gauge},
+    registry::{Registry, Unit},
+};
+
+use crate::{
+    label::{GroupLabels, Label, ServerLabels},
+    metrics::PREFIX,
+    report::{GroupReport, HostReport, ServerReport},
+};
+
+type Float = Gauge<f64, AtomicU64>;
+
+/// The gauges of a report.
+pub fn registry(report: &HostReport) -> Registry {
+    let mut registry = Registry::with_prefix(PREFIX);
+    let r = &mut registry;
+    one(r, "revision", "Revision in force here", report.revision.0);
+    one(r, "acts", "Whether this host may serve: 1 or 0", u64::from(report.acts));
+    one(r, "draining", "Whether this host is stopping: 1 or 0", u64::from(report.draining));
+    one(r, "platform_calls", "Calls of the platform since the start", report.platform_calls);
+    if let Some(fresh) = report.fresh {
+        let gauge = Float::default();
+        gauge.set(fresh.as_secs_f64());
+        let help = "Time since the revision was last shown to be the newest";
+        r.register_with_unit("fresh_age", help, Unit::Seconds, gauge);
+    }
+    groups(r, &report.groups);
+    servers(r, &report.groups);
+    registry
+}
+
+fn one(registry: &mut Registry, name: &str, help: &str, value: u64) {
+    let gauge = Float::default();
+    gauge.set(value as f64);
+    registry.register(name, help, gauge);
+}
+
+fn family<L>(registry: &mut Registry, name: &str, help: &str) -> Family<L, Float>
+where
+    L: Clone + EncodeLabelSet + Eq + std::fmt::Debug + std::hash::Hash + Send + Sync + 'static,
+{
+    let family = Family::<L, Float>::default();
+    registry.register(name, help, family.clone());
+    family
+}
+
+fn groups(r: &mut Registry, groups: &[GroupReport]) {
+    let term = family(r, "group_term", "Greatest term seen");
+    let primary = family(r, "group_primary", "Whether a primary is known: 1 or 0");
+    let queue = family(r, "group_queue", "Requests that wait for a slot");
+    for report in groups {
+        let labels = GroupLabels::new(&report.group);
+        term.get_or_create(&labels).set(report.term.0 as f64);
+        primary.get_or_create(&labels).set(f64::from(u8::from(report.primary.is_some())));
+        queue.get_or_create(&labels).set(report.queue as f64);
+    }
+}
+
+fn servers(r: &mut Registry, groups: &[GroupReport]) {
+    let up = family(r, "server_up", "Whether the server answers: 1 or 0");
+    let position = family(r, "server_position", "Last position that its reads show");
+    let heard = family(r, "server_heard_age_seconds", "Time since it was last heard of");
+    let busy = family(r, "server_slots_in_use", "Transactions that it runs for this home");
+    let slots = family(r, "server_slots", "Transactions that it may run at once");
+    let connections = family(r, "server_connections", "Connections of this home to it");
+    let leaving = family(r, "server_leaving", "Whether it gets no new work: 1 or 0");
+    let all = groups.iter().flat_map(|group| group.servers.iter().map(move |s| (group, s)));
+    for (group, report) in all {
+        let labels = labels(group, report);
+        let set = |family: &Family<ServerLabels, Float>, value: f64| {
+            family.get_or_create(&labels).set(value);
+        };
+        set(&up, f64::from(u8::from(report.role.is_some())));
+        set(&position, report.applied.position.0 as f64);
+        set(&busy, report.busy as f64);
+        set(&slots, report.slots as f64);
+        set(&connections, report.connections as f64);
+        set(&leaving, f64::from(u8::from(report.leaving)));
+        if let Some(age) = report.heard {
+            set(&heard, age.as_secs_f64());
+        }
+    }
+}
+
+fn labels(group: &GroupReport, server: &ServerReport) -> ServerLabels {
+    ServerLabels { group: Label::new(&group.group), server: Label::new(&server.server) }
+}
--- /dev/null
+++ b/components/metrics/src/lib.rs
@@ -0,0 +1,9 @@
+//! What a host measures and what it reports of itself.
+
+mod gauges;
+mod label;
+pub mod metrics;
+pub mod report;
+
+pub use metrics::{Caller, Metrics, Phase, Timing};
+pub use report::{AccountReport, GroupReport, HostReport, ServerReport};
--- /dev/null
+++ b/components/metrics/src/metrics.rs
@@ -0,0 +1,306 @@
+//! What a host measures while it serves.
+
+use std::{cell::RefCell, collections::{HashMap, HashSet}, fmt, rc::Rc, time::Duration};
+
+use bergamottrack_contract::Config;
+use bergamottrack_coordination::{AccountId, GroupId, Reason, refusal::REASONS};
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{
+        counter::Counter,
+        family::{Family, MetricConstructor},
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::{Registry, Unit},
+};
+
+use crate::{
+    gauges,
+    label::{AccountLabels, GroupLabels, PhaseLabels, ReadLabels, RefusalLabels},
+    report::{AccountReport, HostReport, Refused},
+};
+
+/// The prefix of every name.
+pub(crate) const PREFIX: &str = "bergamottrack";
+
+/// Buckets from 0.5 ms to 8.2 s, each twice the one before.
+#[derive(Clone)]
+struct Seconds;
+
+impl MetricConstructor<Histogram> for Seconds {
+    fn new_metric(&self) -> Histogram {
+        Histogram::new(exponential_buckets(0.000_5, 2.0, 15))
+    }
+}
+
+type Histograms<L> = Family<L, Histogram, Seconds>;
+
+/// A step of a promotion.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    /// From the last sign of the primary to the decision.
+    Notice,
+    /// Until a majority had promised the new term.
+    Promise,
+    /// Until the new primary answered that it leads.
+    Promote,
+}
+
+const PHASES: [Phase; 3] = [Phase::Notice, Phase::Promise, Phase::Promote];
+
+impl fmt::Display for Phase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Notice => "notice",
+            Self::Promise => "promise",
+            Self::Promote => "promote",
+        })
+    }
+}
+
+/// How long a statement took at its group's home.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Timing {
+    /// From its arrival to the slot and connection that it got.
+    pub wait: Duration,
+    /// From then to the end of its answer.
+    pub service: Duration,
+}
+
+/// What was served for an account, beside the histogram, which can't be read back.
+#[derive(Clone, Copy, Default)]
+struct Served {
+    count: u64,
+    total: Duration,
+}
+
+/// What a host measures while it serves.
+pub struct Metrics {
+    registry: Registry,
+    account_total: Histograms<AccountLabels>,
+    account_wait: Histograms<AccountLabels>,
+    account_service: Histograms<AccountLabels>,
+    group_total: Histograms<GroupLabels>,
+    group_wait: Histograms<GroupLabels>,
+    group_service: Histograms<GroupLabels>,
+    refusals: Family<RefusalLabels, Counter>,
+    reads: Family<ReadLabels, Counter>,
+    promotions: Histograms<PhaseLabels>,
+    lent: Family<AccountLabels, Counter<f64>>,
+    borrowed: Family<AccountLabels, Counter<f64>>,
+    unproved: Counter,
+    callers: Gauge,
+    /// Accounts and groups that have labels; what leaves the configuration loses them.
+    accounts: RefCell<HashMap<AccountId, Served>>,
+    groups: RefCell<HashSet<GroupId>>,
+}
+
+fn seconds<L>(registry: &mut Registry, name: &str, help: &str) -> Histograms<L>
+where
+    L: Clone + EncodeLabelSet + Eq + fmt::Debug + std::hash::Hash + Send + Sync + 'static,
+{
+    let family = Family::new_with_constructor(Seconds);
+    registry.register_with_unit(name, help, Unit::Seconds, family.clone());
+    family
+}
+
+fn register<M: Clone + Default + prometheus_client::registry::Metric>(
+    registry: &mut Registry,
+    name: &str,
+    help: &str,
+) -> M {
+    let metric = M::default();
+    registry.register(name, help, metric.clone());
+    metric
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix(PREFIX);
+        let r = &mut registry;
+        Self {
+            account_total: seconds(r, "account_total", "From a caller's message to its answer"),
+            account_wait: seconds(r, "account_wait", "Wait for a slot and a connection"),
+            account_service: seconds(r, "account_service", "Time at the backend server"),
+            group_total: seconds(r, "group_total", "From a caller's message to its answer"),
+            group_wait: seconds(r, "group_wait", "Wait for a slot and a connection"),
+            group_service: seconds(r, "group_service", "Time at the backend server"),
+            refusals: register(r, "refusals", "Requests refused"),
+            reads: register(r, "reads", "Reads answered, by the kind of server"),
+            promotions: seconds(r, "promotion", "Phases of promotions of a new primary"),
+            lent: register(r, "tokens_lent", "Tokens of the rate lent to other hosts"),
+            borrowed: register(r, "tokens_borrowed", "Tokens of the rate borrowed"),
+            unproved: register(r, "callers_unproved", "Callers that did not prove a key"),
+            callers: register(r, "callers", "Callers connected"),
+            accounts: RefCell::default(),
+            groups: RefCell::default(),
+            registry,
+        }
+    }
+}
+
+/// A connected caller; counted until dropped.
+pub struct Caller(Rc<Metrics>);
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        self.0.callers.dec();
+    }
+}
+
+impl Metrics {
+    /// Counts a caller until what is returned is dropped.
+    pub fn caller(self: &Rc<Self>) -> Caller {
+        self.callers.inc();
+        Caller(self.clone())
+    }
+
+    /// A caller that did not prove a key; it has no account to count it for.
+    pub fn unproved(&self) {
+        self.unproved.inc();
+    }
+
+    /// A request was answered at its entry.
+    pub fn answered(&self, account: &AccountId, group: &GroupId, total: Duration) {
+        self.account_total.get_or_create(&self.account(account)).observe(total.as_secs_f64());
+        if let Some(served) = self.accounts.borrow_mut().get_mut(account) {
+            served.count += 1;
+            served.total += total;
+        }
+        self.group_total.get_or_create(&self.group(group)).observe(total.as_secs_f64());
+    }
+
+    /// A read was answered by a replica, or by the primary.
+    pub fn read(&self, group: &GroupId, replica: bool) {
+        self.group(group);
+        self.reads.get_or_create(&ReadLabels::new(group, replica)).inc();
+    }
+
+    /// A request was refused at its entry, whoever refused it.
+    pub fn refused(&self, account: &AccountId, reason: Reason) {
+        self.account(account);
+        self.refusals.get_or_create(&RefusalLabels::new(account, reason)).inc();
+    }
+
+    /// A statement was served at its group's home.
+    pub fn served(&self, account: &AccountId, group: &GroupId, timing: Timing) {
+        let (wait, service) = (timing.wait.as_secs_f64(), timing.service.as_secs_f64());
+        let labels = self.account(account);
+        self.account_wait.get_or_create(&labels).observe(wait);
+        self.account_service.get_or_create(&labels).observe(service);
+        let labels = self.group(group);
+        self.group_wait.get_or_create(&labels).observe(wait);
+        self.group_service.get_or_create(&labels).observe(service);
+    }
+
+    /// A phase of a promotion ended.
+    pub fn promotion(&self, group: &GroupId, phase: Phase, took: Duration) {
+        self.group(group);
+        let labels = PhaseLabels::new(group, &phase);
+        self.promotions.get_or_create(&labels).observe(took.as_secs_f64());
+    }
+
+    /// Tokens of an account's rate were lent to another host.
+    pub fn lent(&self, account: &AccountId, tokens: f64) {
+        self.lent.get_or_create(&self.account(account)).inc_by(tokens);
+    }
+
+    /// Tokens of an account's rate were borrowed from another host.
+    pub fn borrowed(&self, account: &AccountId, tokens: f64) {
+        self.borrowed.get_or_create(&self.account(account)).inc_by(tokens);
+    }
+
+    /// Callers connected now.
+    pub fn callers(&self) -> u64 {
+        self.callers.get().try_into().unwrap_or_default()
+    }
+
+    /// What was served and refused for each account of the configuration.
+    pub fn accounts(&self, config: &Config) -> Vec<AccountReport> {
+        config.accounts.iter().map(|account| self.report(&account.id)).collect()
+    }
+
+    fn report(&self, account: &AccountId) -> AccountReport {
+        let served = self.accounts.borrow().get(account).copied().unwrap_or_default();
+        let refused = REASONS.iter().filter_map(|&reason| {
+            let count = self.refusals.get(&RefusalLabels::new(account, reason))?.get();
+            (count > 0).then_some(Refused { reason, count })
+        });
+        AccountReport {
+            account: account.clone(),
+            served: served.count,
+            seconds: served.total.as_secs_f64(),
+            refused: refused.collect(),
+        }
+    }
+
+    fn account(&self, account: &AccountId) -> AccountLabels {
+        if !self.accounts.borrow().contains_key(account) {
+            self.accounts.borrow_mut().insert(account.clone(), Served::default());
+        }
+        AccountLabels::new(account)
+    }
+
+    fn group(&self, group: &GroupId) -> GroupLabels {
+        if !self.groups.borrow().contains(group) {
+            self.groups.borrow_mut().insert(group.clone());
+        }
+        GroupLabels::new(group)
+    }
+
+    /// Drops what was measured for accounts and groups that left the configuration.
+    ///
+    /// Guards against labels that only grow: over months of changes a scrape
+    /// would become slow and large.
+    pub fn keep(&self, config: &Config) {
+        self.accounts.borrow_mut().retain(|account, _| {
+            let stays = config.account(account).is_some();
+            if !stays {
+                self.forget_account(account);
+            }
+            stays
+        });
+        self.groups.borrow_mut().retain(|group| {
+            let stays = config.group(group).is_some();
+            if !stays {
+                self.forget_group(group);
+            }
+            stays
+        });
+    }
+
+    fn forget_account(&self, account: &AccountId) {
+        let labels = AccountLabels::new(account);
+        self.account_total.remove(&labels);
+        self.account_wait.remove(&labels);
+        self.account_service.remove(&labels);
+        self.lent.remove(&labels);
+        self.borrowed.remove(&labels);
+        for reason in REASONS {
+            self.refusals.remove(&RefusalLabels::new(account, reason));
+        }
+    }
+
+    fn forget_group(&self, group: &GroupId) {
+        let labels = GroupLabels::new(group);
+        self.group_total.remove(&labels);
+        self.group_wait.remove(&labels);
+        self.group_service.remove(&labels);
+        for replica in [true, false] {
+            self.reads.remove(&ReadLabels::new(group, replica));
+        }
+        for phase in PHASES {
+            self.promotions.remove(&PhaseLabels::new(group, &phase));
+        }
+    }
+
+    /// All that is measured and reported, in the OpenMetrics text format.
+    pub fn render(&self, report: &HostReport) -> Result<String, fmt::Error> {
+        let mut out = String::new();
+        text::encode_registry(&mut out, &self.registry)?;
+        text::encode_registry(&mut out, &gauges::registry(report))?;
+        text::encode_eof(&mut out)?;
+        Ok(out)
+    }
+}
