--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod ages;
 pub mod clock;
 pub mod fair;
+pub mod freshness;
 pub mod ids;
 pub mod leadership;
 pub mod refusal;
@@ -63,6 +64,7 @@
 pub mod units;
 
 pub use clock::{Clock, ManualClock, SystemClock};
+pub use freshness::Freshness;
 pub use ids::{
     AccountId, FailureDomain, GroupId, HostId, IdError, KeyId, RequestId, ServerId, SubmitId,
 };
