--- a/components/coordination/src/ids.rs
+++ b/components/coordination/src/ids.rs
@@ -102,6 +102,10 @@
     /// A key of a client account.
     KeyId
 }
+id! {
+    /// An operator, as the history names who made a change.
+    OperatorId
+}
 id! {
     /// A caller's own name for a request that runs at most once.
     RequestId
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -66,7 +66,8 @@
 pub use clock::{Clock, ManualClock, SystemClock};
 pub use freshness::Freshness;
 pub use ids::{
-    AccountId, FailureDomain, GroupId, HostId, IdError, KeyId, RequestId, ServerId, SubmitId,
+    AccountId, FailureDomain, GroupId, HostId, IdError, KeyId, OperatorId, RequestId, ServerId,
+    SubmitId,
 };
 pub use refusal::{Fate, Reason, Refusal};
 pub use units::{Burst, Point, Position, Rate, Revision, Term, UnitError};
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -114,9 +114,9 @@
         }
     }
 
-    /// Answers a question of a peer.
-    pub fn answer(&self, question: Question) -> Answer {
-        match question {
+    /// Answers a question of a peer; `None` when it is not about the fleet.
+    pub fn answer(&self, question: Question) -> Option<Answer> {
+        Some(match question {
             Question::Ping => Answer::Pong,
             Question::Vouch => Answer::Vouch(self.vouch()),
             Question::Revision => {
@@ -126,7 +126,8 @@
                 self.adopt(*doc);
                 Answer::Adopted(self.current.number())
             }
-        }
+            Question::Report => return None,
+        })
     }
 
     pub(crate) fn vouch(&self) -> Vouch {
--- a/components/home/src/homes.rs
+++ b/components/home/src/homes.rs
@@ -42,6 +42,11 @@
         Some(home)
     }
 
+    /// All homes on this host.
+    pub fn all(&self) -> Vec<Rc<GroupHome>> {
+        self.groups.borrow().values().map(|(_, home)| home.clone()).collect()
+    }
+
     /// Serves an exchange in a task of its own.
     pub fn serve(&self, config: Option<&Config>, open: Open, side: HomeSide) {
         let home = config.and_then(|config| self.home(config, &open.group));
--- a/components/home/src/lib.rs
+++ b/components/home/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod homes;
 pub mod pool;
 pub mod queue;
+pub mod report;
 pub mod route;
 pub mod serve;
 pub mod server;
--- a/components/home/src/pool.rs
+++ b/components/home/src/pool.rs
@@ -10,6 +10,7 @@
 
 /// The connections to one backend server; idle ones belong to no transaction.
 pub struct Pool {
+    limit: usize,
     idle: RefCell<Vec<Conn>>,
     places: Semaphore,
 }
@@ -26,7 +27,7 @@
 impl Pool {
     /// A pool of at most `limit` connections.
     pub fn new(limit: usize) -> Self {
-        Self { idle: RefCell::default(), places: Semaphore::new(limit) }
+        Self { limit, idle: RefCell::default(), places: Semaphore::new(limit) }
     }
 
     /// An idle connection, or a new one. The caller has a slot, so there is a
@@ -46,6 +47,16 @@
         Ok(Taken { conn, pool: self, _place: place })
     }
 
+    /// Connections, idle and taken.
+    pub fn len(&self) -> usize {
+        self.limit - self.places.available_permits() + self.idle.borrow().len()
+    }
+
+    /// Whether there is no connection.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Closes all idle connections.
     pub fn clear(&self) {
         self.idle.borrow_mut().clear();
--- a/components/home/src/server.rs
+++ b/components/home/src/server.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Requests that wait for a slot and requests that have one.
+    pub fn load(&self) -> (usize, usize) {
+        (0, usize::from(self.contract.slots) - self.slots.available_permits())
+    }
+
     /// What it last said, if it was heard of within `silence`.
     pub fn status(&self, now: Instant, silence: Duration) -> Option<Status> {
         let heard = self.heard.get()?;
--- a/components/metrics/src/metrics.rs
+++ b/components/metrics/src/metrics.rs
@@ -1,6 +1,12 @@
 //! What a host measures while it serves.
 
-use std::{cell::RefCell, collections::{HashMap, HashSet}, fmt, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet},
+    fmt,
+    rc::Rc,
+    time::Duration,
+};
 
 use bergamottrack_contract::Config;
 use bergamottrack_coordination::{AccountId, GroupId, Reason, refusal::REASONS};
--- /dev/null
+++ b/components/operator/src/pages/mod.rs
@@ -0,0 +1,64 @@
+//! The pages, a file each.
+
+pub mod change;
+pub mod config;
+pub mod drain;
+pub mod metrics;
+pub mod status;
+
+use std::str::FromStr;
+
+use hyper::{Method, StatusCode};
+
+use crate::{
+    api::Verdict,
+    operator::Operator,
+    serve::{Reply, Request},
+};
+
+/// Why a page can't be shown, as the answer to it.
+type Shown = Result<Reply, Reply>;
+
+/// Answers a request that has shown the key.
+pub async fn answer(operator: &Operator, request: &Request) -> Reply {
+    let shown = match (&request.method, &*request.path) {
+        (&Method::GET, "/config") => config::show(operator),
+        (&Method::GET, "/history") => config::history(operator, request).await,
+        (&Method::POST, "/submit") => change::submit(operator, request).await,
+        (&Method::POST, "/rollback") => change::rollback(operator, request).await,
+        (&Method::POST, "/withdraw") => change::withdraw(operator, request).await,
+        (&Method::GET, "/status") => Ok(status::show(operator).await),
+        (&Method::POST, "/drain") => Ok(drain::start(operator)),
+        (_, path) => {
+            let message = format!("there is no page {} {path}", request.method);
+            Err(Reply::error(StatusCode::NOT_FOUND, Verdict::Faulty, message))
+        }
+    };
+    shown.unwrap_or_else(|error| error)
+}
+
+/// A setting of the query; `None` when it is not there.
+fn setting<T: FromStr>(request: &Request, name: &str) -> Result<Option<T>, Reply> {
+    let pairs = request.query.split('&').filter_map(|pair| pair.split_once('='));
+    let Some((_, text)) = pairs.into_iter().find(|(known, _)| *known == name) else {
+        return Ok(None);
+    };
+    text.parse().map(Some).map_err(|_| faulty(format!("{name}={text} can't be read")))
+}
+
+/// A setting of the query that must be there.
+fn needed<T: FromStr>(request: &Request, name: &str) -> Result<T, Reply> {
+    setting(request, name)?.ok_or_else(|| faulty(format!("the setting {name} is missing")))
+}
+
+fn faulty(message: impl Into<Box<str>>) -> Reply {
+    Reply::error(StatusCode::BAD_REQUEST, Verdict::Faulty, message)
+}
+
+fn refused(message: impl Into<Box<str>>) -> Reply {
+    Reply::error(StatusCode::CONFLICT, Verdict::Refused, message)
+}
+
+fn unknown(message: impl Into<Box<str>>) -> Reply {
+    Reply::error(StatusCode::SERVICE_UNAVAILABLE, Verdict::Unknown, message)
+}
--- a/components/operator/src/serve.rs
+++ b/components/operator/src/serve.rs
@@ -12,6 +12,8 @@
 use monoio_compat::hyper::MonoioIo;
 use tracing::{debug, info};
 
+use crate::api::{ErrorPage, Verdict};
+
 /// The most bytes of a request's body.
 const MAX_BODY: usize = 4 << 20;
 
@@ -46,6 +48,11 @@
         Self { status, kind: "application/json", body: body.into() }
     }
 
+    /// An answer that tells why nothing else is answered.
+    pub fn error(status: StatusCode, verdict: Verdict, message: impl Into<Box<str>>) -> Self {
+        Self::json(status, &ErrorPage { verdict, message: message.into() })
+    }
+
     /// An answer in plain text.
     pub fn text(status: StatusCode, text: impl Into<String>) -> Self {
         Self { status, kind: "text/plain; charset=utf-8", body: text.into().into() }
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -8,6 +8,7 @@
     AccountId, FailureDomain, GroupId, HostId, Point, Refusal, RequestId, Revision,
     freshness::Vouch, token::Secret,
 };
+use bergamottrack_metrics::HostReport;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -104,6 +105,8 @@
     Vouch,
     /// What is the newest revision known?
     Revision,
+    /// What does the host report of itself?
+    Report,
     /// Take this revision, unless a newer one is in force.
     Adopt(Box<RevisionDoc>),
 }
@@ -115,6 +118,8 @@
     Pong,
     /// What the host can vouch for.
     Vouch(Vouch),
+    /// What the host reports of itself.
+    Report(Box<HostReport>),
     /// The newest revision that the host knows.
     Revision(Option<Box<RevisionDoc>>),
     /// The revision that is now in force at the host.
--- a/components/platform/src/http.rs
+++ b/components/platform/src/http.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, StatusCode, client::conn::http1, header};
-use monoio::{io::IntoPollIo, net::TcpStream};
+use monoio::{io::IntoPollIo, net::TcpStream, time::Instant};
 use monoio_compat::hyper::MonoioIo;
 
 /// The most bytes of an answer that are read.
@@ -14,33 +14,70 @@
 
 /// An answer.
 pub struct Response {
+    /// Its status.
     pub status: StatusCode,
+    /// Its body.
     pub body: Bytes,
 }
 
 /// A request.
 pub struct Call<'a> {
+    /// The method.
     pub method: Method,
+    /// The path and the query.
     pub path: &'a str,
+    /// Further headers.
     pub headers: &'a [(&'static str, &'a str)],
+    /// The body.
     pub body: Bytes,
 }
 
+/// Why there is no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum HttpError {
+    /// Nothing was sent.
+    #[error("{address} cannot be reached: {error}")]
+    Unreachable {
+        /// The address.
+        address: SocketAddr,
+        /// What failed.
+        error: std::io::Error,
+    },
+    /// The request may have been acted on.
+    #[error("no answer from {address}: {error:#}")]
+    NoAnswer {
+        /// The address.
+        address: SocketAddr,
+        /// What failed.
+        error: anyhow::Error,
+    },
+}
+
 /// Sends a request and reads the whole answer, all of it `within` that time.
 pub async fn call(
     address: SocketAddr,
     call: Call<'_>,
     within: Duration,
-) -> anyhow::Result<Response> {
-    let what = format!("{} {} at the platform", call.method, call.path);
-    monoio::time::timeout(within, exchange(address, call))
+) -> Result<Response, HttpError> {
+    let deadline = Instant::now() + within;
+    let late = || std::io::Error::from(std::io::ErrorKind::TimedOut);
+    let stream = monoio::time::timeout_at(deadline, TcpStream::connect(address))
+        .await
+        .unwrap_or_else(|_| Err(late()))
+        .map_err(|error| HttpError::Unreachable { address, error })?;
+    let what = format!("{} {}", call.method, call.path);
+    monoio::time::timeout_at(deadline, exchange(address, stream, call))
         .await
-        .with_context(|| format!("{what}: no answer in {within:?}"))?
-        .with_context(|| what)
+        .unwrap_or_else(|_| Err(late().into()))
+        .context(what)
+        .map_err(|error| HttpError::NoAnswer { address, error })
 }
 
-async fn exchange(address: SocketAddr, call: Call<'_>) -> anyhow::Result<Response> {
-    let stream = TcpStream::connect(address).await.context("connecting")?;
+async fn exchange(
+    address: SocketAddr,
+    stream: TcpStream,
+    call: Call<'_>,
+) -> anyhow::Result<Response> {
     stream.set_nodelay(true)?;
     let io = MonoioIo::new(stream.into_poll_io()?);
     let (mut sender, conn) = http1::handshake(io).await.context("shaking hands")?;
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -2,7 +2,7 @@
 
 pub mod chain;
 pub mod client;
-mod http;
+pub mod http;
 
 pub use chain::Chain;
 pub use client::{Check, Commit, Outcome, Platform, Put, Row};
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -1,16 +1,16 @@
 //! Runs an entry host.
 
-use std::{cell::Cell, pin::Pin, rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use anyhow::Context;
-use bergamottrack_contract::{Config, Current, Host, Routes};
+use bergamottrack_contract::{Current, Host, Routes};
 use bergamottrack_coordination::{Clock, SystemClock, token::Secret};
 use bergamottrack_entry::{Entry, caller};
-use bergamottrack_fleet::{Fleet, fleet};
+use bergamottrack_fleet::Fleet;
 use bergamottrack_home::Homes;
-use bergamottrack_operator::{Reply, Request, serve::Handler};
+use bergamottrack_operator::{Operator, operator::OperatorKey};
 use bergamottrack_peer::{
-    Mesh,
+    Answer, Mesh,
     accept::{self, Service},
 };
 use bergamottrack_platform::{Chain, Platform};
@@ -49,8 +49,18 @@
     let secret = Secret::new(args.secret.as_bytes());
     let mesh = Mesh::new(me.clone(), secret.clone(), clock.clone(), routes.clone());
     let homes = Homes::new(clock.clone(), routes);
-    let chain = Chain::new(Rc::new(platform));
+    let platform = Rc::new(platform);
+    let chain = Chain::new(platform.clone());
     let fleet = Fleet::new(me, current.clone(), mesh.clone(), chain, clock.clone());
+    let operator = Rc::new(Operator {
+        fleet: fleet.clone(),
+        homes: homes.clone(),
+        metrics: Rc::default(),
+        platform,
+        clock: clock.clone(),
+        key: args.operator_key.as_deref().map(OperatorKey::new),
+        drain: Rc::default(),
+    });
     let entry = Rc::new(Entry {
         clock,
         current: current.clone(),
@@ -62,9 +72,10 @@
     });
     let peers = listen(args.peer, "peers")?;
     let callers = listen(args.listen, "callers")?;
-    monoio::spawn(accept_peers(peers, fleet.clone(), homes));
-    monoio::spawn(fleet.clone().run());
-    let operators = bergamottrack_operator::serve(args.operator, handler(fleet, args.operator_key));
+    monoio::spawn(accept_peers(peers, operator.clone()));
+    monoio::spawn(fleet.run());
+    monoio::spawn(operator.clone().keep_metrics());
+    let operators = bergamottrack_operator::serve(args.operator, operator.handler());
     monoio::select! {
         result = accept_callers(callers, entry) => result,
         result = operators => result,
@@ -85,49 +96,20 @@
     }
 }
 
-async fn accept_peers(
-    listener: TcpListener,
-    fleet: Rc<Fleet>,
-    homes: Rc<Homes>,
-) -> anyhow::Result<()> {
+async fn accept_peers(listener: TcpListener, operator: Rc<Operator>) -> anyhow::Result<()> {
+    let (fleet, homes) = (operator.fleet.clone(), operator.homes.clone());
     let (mesh, current) = (fleet.mesh.clone(), fleet.current.clone());
+    let report = move || Answer::Report(Box::new(operator.report()));
     let service = Rc::new(Service {
         secret: mesh.secret.clone(),
         serve: Box::new(move |open, side| {
             let doc = current.get();
             homes.serve(doc.as_ref().and_then(|doc| doc.config.as_ref()), open, side);
         }),
-        answer: Box::new(move |_, question| fleet.answer(question)),
+        answer: Box::new(move |_, question| fleet.answer(question).unwrap_or_else(&report)),
     });
     loop {
         let (stream, _) = listener.accept().await.context("accepting a peer")?;
         monoio::spawn(accept::serve(stream, mesh.hello(), service.clone()));
     }
 }
-
-fn handler(fleet: Rc<Fleet>, key: Option<Box<str>>) -> Rc<Handler> {
-    Rc::new(move |request: Request| -> Pin<Box<dyn Future<Output = Reply>>> {
-        let allowed = key.is_some() && request.key.as_deref() == key.as_deref();
-        Box::pin(operate(fleet.clone(), request, allowed))
-    })
-}
-
-async fn operate(fleet: Rc<Fleet>, request: Request, allowed: bool) -> Reply {
-    use hyper::StatusCode;
-    if !allowed {
-        return Reply::text(StatusCode::UNAUTHORIZED, "show the operator key\n");
-    }
-    if &*request.path != "/submit" {
-        return Reply::text(StatusCode::NOT_FOUND, "no such page\n");
-    }
-    let text = String::from_utf8_lossy(&request.body);
-    let config = match Config::parse(&text) {
-        Ok(config) => config,
-        Err(error) => return Reply::text(StatusCode::BAD_REQUEST, format!("{error:#}\n")),
-    };
-    let base = fleet.current.number();
-    match fleet.submit(config, "operator", fleet::new_submit(), base).await {
-        Ok(accepted) => Reply::text(StatusCode::OK, format!("{}\n", accepted.revision)),
-        Err(error) => Reply::text(StatusCode::CONFLICT, format!("{error}\n")),
-    }
-}
