Commands against any one host: diff, submit, history, rollback, status, hosts, groups, accounts, key withdraw, drain

A submit names the revision it was made against and never looks it up itself, or one operator's change would silently undo another's. Its id follows from that revision, the content and the author, so the same command run again is the same submit.

Without the check of withdrawn keys the test of the key withdrawn by phone fails: the next submit of the files, or a rollback, lets the key work again (seen: exit code 0 and 'withdrawn -> stands').

--- a/components/operator/src/pages/change.rs
+++ b/components/operator/src/pages/change.rs
@@ -1,6 +1,6 @@
 //! Changes of the configuration.
 
-use bergamottrack_contract::{Config, RevisionDoc, diff};
+use bergamottrack_contract::{Config, diff};
 use bergamottrack_coordination::{AccountId, KeyId, OperatorId, Revision, SubmitId};
 use bergamottrack_fleet::{SubmitError, fleet};
 use hyper::StatusCode;
@@ -38,11 +38,43 @@
         })
     }
 
+    /// Guards against a withdrawn key that works again because the operator's files
+    /// still have it standing: it shows as a caller that gets in after the phone call
+    /// that withdrew it. What is in force here knows of the withdrawal, or else the
+    /// submit loses against the revision that made it.
+    async fn check_withdrawn(&self, operator: &Operator) -> Result<(), Reply> {
+        let doc = operator.fleet.current.get();
+        let before = doc.as_ref().and_then(|doc| doc.config.as_ref());
+        let restored = before.iter().flat_map(|before| diff::restored(before, &self.config));
+        let names: Vec<String> =
+            restored.map(|(account, key)| format!("{}.{}", account.id, key.id)).collect();
+        if names.is_empty() || self.was_accepted(operator).await? {
+            return Ok(());
+        }
+        Err(super::refused(format!(
+            "not accepted, nothing changed: it would let withdrawn keys work again: {}; set \
+             withdrawn = true for them in the files, or submit with --restore-keys",
+            names.join(", ")
+        )))
+    }
+
+    /// A submit that was accepted before the key was withdrawn is told so.
+    async fn was_accepted(&self, operator: &Operator) -> Result<bool, Reply> {
+        let number = operator.fleet.submitted(&self.submit).await;
+        let number = number.map_err(|error| {
+            let message = "not yet known whether it was accepted; run the same submit again";
+            super::unknown(format!("{message}: {error:#}"))
+        })?;
+        Ok(number.is_some())
+    }
+
     async fn send(self, operator: &Operator) -> Result<AcceptedPage, SubmitError> {
         let Self { config, author, submit, base, notes } = self;
         let accepted = operator.fleet.submit(config, author.as_str(), submit, base).await?;
         info!("operator: {author} made revision {}.", accepted.revision);
-        let (in_force, missing) = (accepted.in_force, accepted.missing);
+        let (mut in_force, mut missing) = (accepted.in_force, accepted.missing);
+        in_force.sort();
+        missing.sort();
         Ok(AcceptedPage { revision: accepted.revision, in_force, missing, notes })
     }
 }
@@ -52,29 +84,11 @@
     let text = String::from_utf8_lossy(&request.body);
     let config = Config::parse(&text).map_err(|faults| super::faulty(faults.to_string()))?;
     let restores: bool = super::setting(request, "restore")?.unwrap_or_default();
-    if !restores && let Some(doc) = operator.fleet.current.get() {
-        check_withdrawn(&doc, &config)?;
-    }
     let change = Change::read(operator, request, config)?;
-    shown(change.send(operator).await)
-}
-
-/// Guards against a withdrawn key that works again because the operator's files
-/// still have it standing: it shows as a caller that gets in after the phone call
-/// that withdrew it. What is in force here knows of the withdrawal, or else the
-/// submit loses against the revision that made it.
-fn check_withdrawn(doc: &RevisionDoc, config: &Config) -> Result<(), Reply> {
-    let restored = doc.config.iter().flat_map(|before| diff::restored(before, config));
-    let names: Vec<String> =
-        restored.map(|(account, key)| format!("{}.{}", account.id, key.id)).collect();
-    if names.is_empty() {
-        return Ok(());
+    if !restores {
+        change.check_withdrawn(operator).await?;
     }
-    Err(super::refused(format!(
-        "not accepted, nothing changed: it would let withdrawn keys work again: {}; set \
-         withdrawn = true for them in the files, or submit with --restore-keys",
-        names.join(", ")
-    )))
+    shown(change.send(operator).await)
 }
 
 /// Puts an earlier configuration in force as a new revision; withdrawn keys stay withdrawn.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,8 +1,8 @@
 //! Arguments. Each flag of `serve` has an environment variable.
 
-use std::path::PathBuf;
+use std::{net::SocketAddr, path::PathBuf};
 
-use bergamottrack_coordination::{AccountId, KeyId};
+use bergamottrack_coordination::{AccountId, KeyId, OperatorId, Revision};
 use clap::{Args, Parser, Subcommand, ValueEnum};
 
 /// A database proxy with session consistency.
@@ -27,9 +27,29 @@
     /// Work with configuration files.
     #[command(subcommand)]
     Config(ConfigCommand),
+    /// Show what files would change of the configuration in force.
+    Diff(DiffArgs),
+    /// Put a configuration in force everywhere.
+    ///
+    /// Run again after a lost answer, the same submit says whether it was accepted.
+    Submit(SubmitArgs),
+    /// Show the last revisions, newest first.
+    History(HistoryArgs),
+    /// Put an earlier configuration in force again; withdrawn keys stay withdrawn.
+    Rollback(RollbackArgs),
     /// Make, list and withdraw keys.
     #[command(subcommand)]
     Key(KeyCommand),
+    /// Show the whole fleet: hosts and database groups.
+    Status(StatusArgs),
+    /// Show the hosts.
+    Hosts(RemoteArgs),
+    /// Show the database groups and their servers.
+    Groups(RemoteArgs),
+    /// Show the client accounts.
+    Accounts(RemoteArgs),
+    /// Drain the host at `--at`: it takes nothing new, finishes what it has and ends.
+    Drain(RemoteArgs),
     /// Print completions for a shell.
     Completions {
         /// The shell.
@@ -118,6 +138,8 @@
     New(NewKeyArgs),
     /// List the keys of a configuration.
     List(FileArgs),
+    /// Withdraw a key now, everywhere; then set `withdrawn = true` in the files too.
+    Withdraw(WithdrawArgs),
 }
 
 /// Settings of `key new`.
@@ -133,3 +155,111 @@
     #[arg(long, env = "BERGAMOTTRACK_KEY", hide_env_values = true)]
     pub key: Option<String>,
 }
+
+/// Which host is asked, and how.
+#[derive(Args, Debug)]
+pub struct RemoteArgs {
+    /// Operator address of any one host.
+    #[arg(long, env = "BERGAMOTTRACK_AT", value_name = "ADDRESS")]
+    pub at: SocketAddr,
+    /// The operator key.
+    #[arg(long, env = "BERGAMOTTRACK_OPERATOR_KEY", hide_env_values = true)]
+    pub operator_key: Option<String>,
+    /// File that holds the operator key.
+    #[arg(long, env = "BERGAMOTTRACK_OPERATOR_KEY_FILE", value_name = "FILE")]
+    pub operator_key_file: Option<PathBuf>,
+    /// Print JSON for a script.
+    #[arg(long)]
+    pub json: bool,
+}
+
+/// Settings of `diff`.
+#[derive(Args, Debug)]
+pub struct DiffArgs {
+    /// The files.
+    #[command(flatten)]
+    pub files: FileArgs,
+    /// The host.
+    #[command(flatten)]
+    pub remote: RemoteArgs,
+}
+
+/// Settings of every change.
+#[derive(Args, Debug)]
+pub struct ChangeArgs {
+    /// The revision that the change is made against, as `diff` and `status` show it.
+    #[arg(long, value_name = "REVISION")]
+    pub against: Option<Revision>,
+    /// Who makes the change, for the history.
+    #[arg(long, env = "BERGAMOTTRACK_AUTHOR", value_name = "NAME", default_value = "operator")]
+    pub author: OperatorId,
+}
+
+/// Settings of `submit`.
+#[derive(Args, Debug)]
+pub struct SubmitArgs {
+    /// The files.
+    #[command(flatten)]
+    pub files: FileArgs,
+    /// The change.
+    #[command(flatten)]
+    pub change: ChangeArgs,
+    /// Let keys work again that were withdrawn.
+    #[arg(long)]
+    pub restore_keys: bool,
+    /// The host.
+    #[command(flatten)]
+    pub remote: RemoteArgs,
+}
+
+/// Settings of `history`.
+#[derive(Args, Debug)]
+pub struct HistoryArgs {
+    /// How many revisions.
+    #[arg(short, long, default_value_t = 20)]
+    pub number: usize,
+    /// The host.
+    #[command(flatten)]
+    pub remote: RemoteArgs,
+}
+
+/// Settings of `rollback`.
+#[derive(Args, Debug)]
+pub struct RollbackArgs {
+    /// The revision whose configuration is put in force again.
+    pub to: Revision,
+    /// The change.
+    #[command(flatten)]
+    pub change: ChangeArgs,
+    /// The host.
+    #[command(flatten)]
+    pub remote: RemoteArgs,
+}
+
+/// Settings of `key withdraw`.
+#[derive(Args, Debug)]
+pub struct WithdrawArgs {
+    /// The client account.
+    #[arg(long, value_name = "NAME")]
+    pub account: AccountId,
+    /// Name of the key within its account.
+    #[arg(long, value_name = "NAME")]
+    pub id: KeyId,
+    /// Who withdraws it, for the history.
+    #[arg(long, env = "BERGAMOTTRACK_AUTHOR", value_name = "NAME", default_value = "operator")]
+    pub author: OperatorId,
+    /// The host.
+    #[command(flatten)]
+    pub remote: RemoteArgs,
+}
+
+/// Settings of `status`.
+#[derive(Args, Debug)]
+pub struct StatusArgs {
+    /// Show it again every two seconds.
+    #[arg(long)]
+    pub watch: bool,
+    /// The host.
+    #[command(flatten)]
+    pub remote: RemoteArgs,
+}
--- a/src/cmd/key.rs
+++ b/src/cmd/key.rs
@@ -3,8 +3,8 @@
 use bergamottrack_contract::Verifier;
 
 use crate::{
-    cli::{FileArgs, NewKeyArgs},
-    cmd::files,
+    cli::{FileArgs, NewKeyArgs, WithdrawArgs},
+    cmd::{files, remote::Remote},
     failure::Failure,
     table::Table,
 };
@@ -37,3 +37,14 @@
     print!("{table}");
     Ok(())
 }
+
+/// Withdraws a key in the configuration in force.
+pub fn withdraw(args: &WithdrawArgs) -> Result<(), Failure> {
+    let WithdrawArgs { account, id, author, remote } = args;
+    Remote::new(remote)?
+        .change(&format!("/withdraw?account={account}&key={id}&author={author}"), "")?;
+    if !remote.json {
+        println!("set withdrawn = true for key {id} of account {account} in the files too");
+    }
+    Ok(())
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,7 +1,13 @@
 //! The commands, a file each.
 
+pub mod accounts;
 pub mod check;
+pub mod drain;
 pub mod files;
+pub mod history;
 pub mod key;
 pub mod pages;
+pub mod remote;
 pub mod serve;
+pub mod status;
+pub mod submit;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -117,6 +117,16 @@
     }
 }
 
+/// The operator key of a command.
+pub fn operator_key(text: Option<&str>, file: Option<&Path>) -> Result<Box<str>, SettingFaults> {
+    let mut faults = SettingFaults::default();
+    let key = faults.secret(["operator-key", "operator-key-file"], text, file);
+    if text.is_none() && file.is_none() {
+        faults.note("operator-key", "nothing", "the operator key, or --operator-key-file");
+    }
+    key.ok_or(faults)
+}
+
 impl Settings {
     /// Reads the settings.
     pub fn read(args: &ServeArgs) -> Result<Self, SettingFaults> {
--- /dev/null
+++ b/tests/operator.rs
@@ -0,0 +1,220 @@
+//! The operator's commands against a running system.
+
+use std::{
+    path::PathBuf,
+    process::Command,
+    time::{Duration, Instant},
+};
+
+use lab::{
+    ports::Ports,
+    process::Process,
+    system::{self, OPERATOR_KEY, PATIENCE, Plan, SECRET, System},
+};
+
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// What a command answered.
+#[derive(Debug)]
+struct Answered {
+    code: i32,
+    out: String,
+    error: String,
+}
+
+struct Desk {
+    system: System,
+    file: PathBuf,
+}
+
+impl Desk {
+    /// A system, and its configuration in a file.
+    async fn new() -> Self {
+        let system = System::start(Plan::default()).await.unwrap();
+        let file = system.dir().join("base.toml");
+        std::fs::write(&file, system.config()).unwrap();
+        Self { system, file }
+    }
+
+    /// Runs a command against a host.
+    fn run(&self, host: usize, author: &str, args: &[&str]) -> Answered {
+        let output = Command::new(env!("CARGO_BIN_EXE_bergamottrack"))
+            .args(args)
+            .env("BERGAMOTTRACK_AT", self.system.addresses[host].operator.to_string())
+            .env("BERGAMOTTRACK_OPERATOR_KEY", OPERATOR_KEY)
+            .env("BERGAMOTTRACK_AUTHOR", author)
+            .output()
+            .unwrap();
+        Answered {
+            code: output.status.code().unwrap(),
+            out: String::from_utf8(output.stdout).unwrap(),
+            error: String::from_utf8(output.stderr).unwrap(),
+        }
+    }
+
+    /// Submits the file with a text replaced.
+    fn submit(&self, host: usize, author: &str, against: u64, from: &str, to: &str) -> Answered {
+        let file = self.file.with_file_name(format!("{author}.toml"));
+        let text = std::fs::read_to_string(&self.file).unwrap();
+        std::fs::write(&file, text.replacen(from, to, 1)).unwrap();
+        let base = format!("--base={}", file.display());
+        self.run(host, author, &["submit", &base, &format!("--against={against}")])
+    }
+
+    /// A field of the JSON that `status` prints.
+    fn status(&self, host: usize) -> serde_json::Value {
+        let answered = self.run(host, "nobody", &["status", "--json"]);
+        serde_json::from_str(&answered.out).unwrap_or_default()
+    }
+
+    /// Checks that baobab's key lets nobody in.
+    async fn is_denied(&self) {
+        let error = system::connect(&self.system.caller(0, "baobab", "g1")).await.unwrap_err();
+        let text = format!("{error:#}");
+        assert!(text.contains("key"), "{text}");
+    }
+
+    fn revision(&self) -> u64 {
+        self.status(0)["revision"].as_u64().unwrap()
+    }
+
+    /// Waits until all hosts are of the roster and act on the same revision.
+    fn settle(&self) {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let status = self.status(0);
+            let hosts = status["hosts"].as_array().cloned().unwrap_or_default();
+            let settled = hosts.iter().filter(|host| {
+                host["report"]["acts"] == true && host["report"]["revision"] == status["revision"]
+            });
+            if settled.count() == self.system.plan.hosts {
+                return;
+            }
+            assert!(Instant::now() < deadline, "the hosts did not settle: {status}");
+            std::thread::sleep(PAUSE);
+        }
+    }
+}
+
+/// One operator's change disappears: two terminals show the same revision, both
+/// change a rate, and the second submit carries the first one's old value.
+#[tokio::test]
+async fn the_second_of_two_racing_operators_is_told_who_was_first() {
+    let desk = Desk::new().await;
+    desk.settle();
+    let against = desk.revision();
+    let first = desk.submit(0, "ana", against, "rate = 1000.0", "rate = \"2000/s\"");
+    assert_eq!(first.code, 0, "{first:?}");
+    assert!(first.out.contains("in force at h1, h2, h3"), "{first:?}");
+    let second = desk.submit(1, "ben", against, "burst = 1000.0", "burst = 500");
+    assert_eq!(second.code, 1, "{second:?}");
+    assert!(
+        second.error.contains("nothing changed") && second.error.contains("by ana"),
+        "{second:?}"
+    );
+    let accounts = desk.run(2, "ben", &["accounts"]).out;
+    assert!(accounts.contains("2000/s  1000"), "{accounts}");
+}
+
+/// The operator's terminal dies and nobody knows whether the change was made: the
+/// platform takes the change, its answers are lost. The same command is run again.
+#[tokio::test]
+async fn a_submit_run_again_after_a_lost_answer_says_that_it_was_accepted() {
+    let desk = Desk::new().await;
+    desk.settle();
+    let against = desk.revision();
+    desk.system.platform_faults(r#"{"lose_answers": 2}"#).await.unwrap();
+    let first = desk.submit(0, "ana", against, "rate = 1000.0", "rate = \"2000/s\"");
+    assert!(matches!(first.code, 0 | 3), "{first:?}");
+    desk.system.platform_faults("{}").await.unwrap();
+    let again = desk.submit(1, "ana", against, "rate = 1000.0", "rate = \"2000/s\"");
+    assert_eq!(again.code, 0, "{again:?}");
+    let history = desk.run(2, "ana", &["history"]).out;
+    assert_eq!(history.matches("configuration").count(), 2, "{history}");
+}
+
+/// In a platform outage the operator must know that a submit changed nothing, and
+/// still see the fleet.
+#[tokio::test]
+async fn a_platform_outage_refuses_a_submit_and_shows_the_fleet() {
+    let desk = Desk::new().await;
+    desk.settle();
+    let against = desk.revision();
+    desk.system.platform_faults(r#"{"down": true}"#).await.unwrap();
+    let refused = desk.submit(0, "ana", against, "rate = 1000.0", "rate = \"2000/s\"");
+    assert_eq!(refused.code, 1, "{refused:?}");
+    assert!(refused.error.contains("not accepted"), "{refused:?}");
+    assert_eq!(desk.run(1, "ana", &["hosts"]).code, 0);
+    assert_eq!(desk.revision(), against);
+}
+
+/// A withdrawn key works again: it was withdrawn by phone, the files still have it
+/// standing, and the next submit of the files, or a rollback, brings it back.
+#[tokio::test]
+async fn a_key_withdrawn_by_phone_stays_withdrawn() {
+    let desk = Desk::new().await;
+    desk.settle();
+    let withdrawn = desk.run(1, "ana", &["key", "withdraw", "--account=baobab", "--id=k1"]);
+    assert_eq!(withdrawn.code, 0, "{withdrawn:?}");
+    desk.is_denied().await;
+    let against = desk.revision();
+    let refused = desk.submit(2, "ben", against, "burst = 1000.0", "burst = 500");
+    assert_eq!(refused.code, 1, "{refused:?}");
+    assert!(refused.error.contains("baobab.k1"), "{refused:?}");
+    let (to, against) = (format!("{}", against - 1), format!("--against={against}"));
+    let rolled = desk.run(0, "ben", &["rollback", &to, &against]);
+    assert_eq!(rolled.code, 0, "{rolled:?}");
+    assert!(rolled.out.contains("baobab.k1 stays withdrawn"), "{rolled:?}");
+    desk.is_denied().await;
+}
+
+/// Whoever reaches the operator's port could change the configuration: a host is
+/// asked without a key, with a wrong one, or was given none itself.
+#[tokio::test]
+async fn the_operator_interface_is_closed_without_its_key() {
+    let desk = Desk::new().await;
+    for key in ["--operator-key=wrong", "--operator-key=x"] {
+        let refused = desk.run(0, "eve", &["hosts", key]);
+        assert_eq!(refused.code, 1, "{refused:?}");
+        assert!(refused.error.contains("key is missing or wrong"), "{refused:?}");
+    }
+    let mut ports = Ports::take().unwrap();
+    let mut address = |name: &str| format!("--{name}={}", ports.address().unwrap());
+    let operator = address("operator");
+    let mut args = vec!["serve".into(), "--host=h9".into(), "--domain=d9".into()];
+    args.extend([address("listen"), address("peer"), operator.clone()]);
+    args.push(format!("--platform={}", desk.system.platform_address));
+    args.push(format!("--secret={SECRET}"));
+    let program = std::path::Path::new(env!("CARGO_BIN_EXE_bergamottrack"));
+    let mut host = Process::new("h9", program, args, desk.system.dir());
+    host.start().unwrap();
+    let at = operator.replace("operator", "at");
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        let refused = desk.run(0, "ana", &["hosts", &at]);
+        assert_eq!(refused.code, 1, "{refused:?}");
+        if refused.error.contains("was given no operator key") {
+            break;
+        }
+        assert!(Instant::now() < deadline, "{refused:?}");
+        std::thread::sleep(PAUSE);
+    }
+}
+
+/// An operator reads the tables while a host is dead: every command works against
+/// any host that lives, and the dead one is named.
+#[tokio::test]
+async fn any_host_shows_the_fleet_and_names_a_dead_one() {
+    let mut desk = Desk::new().await;
+    desk.settle();
+    desk.system.hosts[2].kill();
+    for host in 0..2 {
+        let hosts = desk.run(host, "ana", &["hosts"]);
+        assert_eq!(hosts.code, 0, "{hosts:?}");
+        let dead = hosts.out.lines().find(|line| line.starts_with("h3")).unwrap();
+        assert!(dead.contains("no answer"), "{hosts:?}");
+    }
+    let unreached = desk.run(2, "ana", &["hosts"]);
+    assert_eq!(unreached.code, 1, "{unreached:?}");
+    assert!(unreached.error.contains("cannot be reached"), "{unreached:?}");
+}
