--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -35,11 +35,13 @@
         Ok(Ok(Some(caller))) => caller,
         Ok(Ok(None)) => return Ok(()),
         Ok(Err(error)) => {
+            entry.metrics.unproved();
             writer.send(&login::refused(&error)).await?;
             return Err(error);
         }
         Err(_) => bail!("the caller did not prove its key in {LOGIN_WITHIN:?}"),
     };
+    let _counted = entry.metrics.caller();
     let (pid, cancel) = entry.register();
     let mut session = Session::new(entry.clone(), caller, (reader, writer), cancel);
     let result = session.run(pid).await;
--- a/components/home/src/report.rs
+++ b/components/home/src/report.rs
@@ -1,5 +1,7 @@
 //! What the homes on this host report of their groups.
 
+use std::time::Duration;
+
 use bergamottrack_metrics::{GroupReport, ServerReport};
 
 use crate::{group::GroupHome, homes::Homes, server::Server};
@@ -7,7 +9,9 @@
 impl Homes {
     /// A report of each group whose home this host is, in order of their names.
     pub fn reports(&self) -> Vec<GroupReport> {
-        let mut reports: Vec<_> = self.all().iter().map(|home| home.report()).collect();
+        let homes = self.all();
+        let used = homes.iter().filter(|home| home.first.get() || !home.is_idle(Duration::ZERO));
+        let mut reports: Vec<_> = used.map(|home| home.report()).collect();
         reports.sort_by(|a, b| a.group.cmp(&b.group));
         reports
     }
@@ -38,7 +42,7 @@
             busy: server.load().1 as u64,
             slots: server.contract.slots.into(),
             connections: server.pool.len() as u64,
-            leaving: server.contract.leaving,
+            leaving: server.leaving.get(),
         }
     }
 }
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -8,6 +8,7 @@
 use bergamottrack_entry::{Entry, caller};
 use bergamottrack_fleet::Fleet;
 use bergamottrack_home::Homes;
+use bergamottrack_metrics::Metrics;
 use bergamottrack_operator::{Operator, operator::OperatorKey};
 use bergamottrack_peer::{
     Answer, Mesh,
@@ -48,14 +49,15 @@
     let platform = Platform::new(routes.to(args.platform), PLATFORM_TIMEOUT);
     let secret = Secret::new(args.secret.as_bytes());
     let mesh = Mesh::new(me.clone(), secret.clone(), clock.clone(), routes.clone());
-    let homes = Homes::new(clock.clone(), routes);
+    let metrics = Rc::new(Metrics::default());
+    let homes = Homes::new(args.host.clone(), clock.clone(), routes, metrics.clone());
     let platform = Rc::new(platform);
     let chain = Chain::new(platform.clone());
     let fleet = Fleet::new(me, current.clone(), mesh.clone(), chain, clock.clone());
     let operator = Rc::new(Operator {
         fleet: fleet.clone(),
         homes: homes.clone(),
-        metrics: Rc::default(),
+        metrics: metrics.clone(),
         platform,
         clock: clock.clone(),
         key: args.operator_key.as_deref().map(OperatorKey::new),
@@ -67,11 +69,13 @@
         mesh: mesh.clone(),
         homes: homes.clone(),
         secret,
+        metrics,
         cancels: Default::default(),
         last_pid: Cell::default(),
     });
     let peers = listen(args.peer, "peers")?;
     let callers = listen(args.listen, "callers")?;
+    monoio::spawn(homes.keep(current, mesh));
     monoio::spawn(accept_peers(peers, operator.clone()));
     monoio::spawn(fleet.run());
     monoio::spawn(operator.clone().keep_metrics());
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -218,3 +218,36 @@
     assert_eq!(unreached.code, 1, "{unreached:?}");
     assert!(unreached.error.contains("cannot be reached"), "{unreached:?}");
 }
+
+/// An operator asks how an account fares: each host measures what it served, the
+/// table adds it up, and a scraper reads it without the key.
+#[tokio::test]
+async fn what_an_account_was_served_and_refused_is_measured() {
+    let desk = Desk::new().await;
+    desk.settle();
+    let mut clients = Vec::new();
+    for host in 0..2 {
+        let client = desk.system.connect(host, "baobab", "g1").await.unwrap();
+        system::until_runs(&client, "CREATE TABLE IF NOT EXISTS visit (id TEXT)").await.unwrap();
+        system::rows(&client, "SELECT id FROM visit").await.unwrap();
+        clients.push(client);
+    }
+    let mut wrong = desk.system.caller(0, "baobab", "g1");
+    assert!(system::connect(wrong.password("wrong")).await.is_err());
+    let lines: serde_json::Value =
+        serde_json::from_str(&desk.run(2, "ana", &["accounts", "--json"]).out).unwrap();
+    assert!(lines[0]["served"].as_u64().unwrap() >= 4, "{lines}");
+    let address = desk.system.addresses[0].operator;
+    let (status, text) = system::request(address, "GET", "/metrics", "").await.unwrap();
+    assert_eq!(status, 200);
+    for part in [
+        "bergamottrack_account_total_seconds_count{account=\"baobab\"}",
+        "bergamottrack_group_total_seconds_bucket{le=\"0.001\",group=\"g1\"}",
+        "bergamottrack_reads_total{group=\"g1\",server=",
+        "bergamottrack_callers_unproved_total 1",
+        "bergamottrack_callers 1",
+    ] {
+        assert!(text.contains(part), "{part} in {text}");
+    }
+    assert!(!text.contains("wrong") && !text.contains(&system::key_of("baobab")), "{text}");
+}
