--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -71,7 +71,8 @@
 pub use clock::{Clock, ManualClock, SystemClock};
 pub use freshness::Freshness;
 pub use ids::{
-    AccountId, FailureDomain, GroupId, HostId, IdError, KeyId, RequestId, ServerId, SubmitId,
+    AccountId, FailureDomain, GroupId, HostId, IdError, KeyId, OperatorId, RequestId, ServerId,
+    SubmitId,
 };
 pub use lenders::Lenders;
 pub use refusal::{Fate, Reason, Refusal};
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -123,9 +123,9 @@
         }
     }
 
-    /// Answers a question of a peer.
-    pub fn answer(&self, peer: &Hello, question: Question) -> Answer {
-        match question {
+    /// Answers a question of a peer; `None` when it is not about the fleet.
+    pub fn answer(&self, peer: &Hello, question: Question) -> Option<Answer> {
+        Some(match question {
             Question::Ping => Answer::Pong,
             Question::Vouch => Answer::Vouch(self.vouch()),
             Question::Revision => {
@@ -136,7 +136,8 @@
                 Answer::Adopted(self.current.number())
             }
             Question::Lend(lend) => self.limits.lend(&peer.host, &lend),
-        }
+            Question::Report => return None,
+        })
     }
 
     pub(crate) fn vouch(&self) -> Vouch {
@@ -153,6 +154,11 @@
         self.current.get().is_some_and(|doc| doc.roster.contains(&self.me))
     }
 
+    /// The revision that a submit made, if the chain has it.
+    pub async fn submitted(&self, submit: &SubmitId) -> anyhow::Result<Option<Revision>> {
+        self.chain.submitted(submit).await
+    }
+
     /// The last `n` revisions, newest first.
     pub async fn history(&self, n: usize) -> anyhow::Result<Vec<chain::Entry>> {
         let mut number = self.chain.head().await?.map(|head| head.number).unwrap_or_default();
