Slots by statement through the fair queue; reads proved by the point that comes with the answer

Slots: a transaction that its caller left open kept one of the five slots of its server for up to the idle limit, so five idle callers stopped a server, and slots were given first come first served. Now a slot is held while a statement runs, a connection while its transaction does; the queue is fair over client accounts.

Reads: a replica was trusted on what the watch had last seen. The answer's own point, told before its rows, now decides; a stated age needs a replica that covers the primary's position as seen that long ago, and a read of age 0 needs the primary to be seen to lead after the read came, beside another server in its term.

--- a/components/home/src/backend.rs
+++ b/components/home/src/backend.rs
@@ -53,6 +53,9 @@
     writer: PgWriter<WriteHalf<TcpStreamPoll>>,
     server: BackendServer,
     key: Option<BackendKeyData>,
+    /// What the server last said that its answers here show or have reached; it
+    /// says so only when that changes.
+    pub point: Option<Point>,
 }
 
 impl Conn {
@@ -72,7 +75,7 @@
         let stream = TcpStream::connect(server.address).await?;
         stream.set_nodelay(true)?;
         let (reader, writer) = stream::split(stream.into_poll_io()?, MAX_MESSAGE);
-        let mut conn = Self { reader, writer, server: server.clone(), key: None };
+        let mut conn = Self { reader, writer, server: server.clone(), key: None, point: None };
         let mut startup = Startup::default();
         startup.protocol_number_major = 3;
         startup.protocol_number_minor = 0;
--- a/components/home/src/group.rs
+++ b/components/home/src/group.rs
@@ -9,6 +9,7 @@
 use bergamottrack_contract::{Group, Policy};
 use bergamottrack_coordination::{
     Clock, GroupId, HostId, Point, Reason, Refusal, Term,
+    ages::{Ages, Observed},
     leadership::{Status, Verdict},
     retry::RetryBudget,
 };
@@ -46,6 +47,8 @@
     /// What this host measures.
     pub(crate) metrics: Rc<Metrics>,
     pub(crate) retries: RefCell<RetryBudget>,
+    /// Where the primary stood over time.
+    pub(crate) ages: RefCell<Ages>,
     policy: RefCell<Policy>,
     verdict: Cell<Verdict>,
     /// Exchanges that run.
@@ -73,7 +76,8 @@
         me: HostId,
         metrics: Rc<Metrics>,
     ) -> Rc<Self> {
-        let servers = contract.servers.iter().cloned().map(|s| Rc::new(Server::new(s)));
+        let servers =
+            contract.servers.iter().cloned().map(|s| Rc::new(Server::new(s, clock.clone())));
         let home = Rc::new(Self {
             id: contract.id.clone(),
             servers: servers.collect(),
@@ -83,6 +87,7 @@
             me,
             metrics,
             retries: RefCell::default(),
+            ages: RefCell::default(),
             policy: RefCell::new(policy),
             verdict: Cell::new(Verdict::Doubted),
             active: Cell::new(0),
@@ -159,6 +164,18 @@
         self.statuses().any(|(_, status)| status.promised > term)
     }
 
+    /// Notes where the primary stands, from what the servers last said.
+    pub(crate) fn note_ages(&self) {
+        let seen = |server: &Rc<Server>| {
+            server.seen.get().map(|seen| Observed { status: seen.status, asked: seen.asked })
+        };
+        let Some((primary, _)) = self.primary() else { return };
+        let Some(observed) = seen(&primary) else { return };
+        let others = self.servers.iter().filter(|s| s.contract.id != primary.contract.id);
+        let others: Vec<_> = others.filter_map(seen).collect();
+        self.ages.borrow_mut().note(observed, &others);
+    }
+
     /// How long a silent server counts as there.
     pub fn silence(&self) -> Duration {
         Duration::from_millis(self.policy.borrow().silence_ms)
--- a/components/home/src/homes.rs
+++ b/components/home/src/homes.rs
@@ -115,9 +115,11 @@
     /// Serves an exchange in a task of its own.
     pub fn serve(&self, config: Option<&Config>, open: Open, side: HomeSide) {
         let home = config.and_then(|config| self.home(config, &open.group));
+        let account = config.and_then(|config| config.account(&open.account));
+        let weight = account.map_or(1, |account| account.weight);
         match home {
             Some(home) => {
-                monoio::spawn(serve::serve(home, open, side));
+                monoio::spawn(serve::serve(home, open, weight, side));
             }
             None => {
                 let message = format!("group {} is not known here", open.group);
--- a/components/home/src/serve.rs
+++ b/components/home/src/serve.rs
@@ -5,11 +5,10 @@
     time::{Duration, Instant},
 };
 
-use bergamottrack_coordination::{Reason, Refusal, Term};
+use bergamottrack_coordination::{Reason, Refusal, Term, fair::Ticket};
 use bergamottrack_metrics::Timing;
 use bergamottrack_peer::{HomeSide, Intent, Open, ToEntry, ToHome, message::Standing};
 use bytes::Bytes;
-use tokio::sync::SemaphorePermit;
 use tracing::debug;
 
 use crate::{
@@ -17,6 +16,8 @@
     batch::Batch,
     group::{COME_BACK, GroupHome},
     pool::Taken,
+    queue::{NoSlot, Slot},
+    route::Need,
     server::Server,
     turn::{Failure, Turn},
 };
@@ -24,10 +25,10 @@
 /// Before a server that could not be connected to is chosen again.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
-/// Serves an exchange to its end.
-pub async fn serve(home: Rc<GroupHome>, open: Open, mut side: HomeSide) {
+/// Serves an exchange to its end; `weight` is its account's share beside others.
+pub async fn serve(home: Rc<GroupHome>, open: Open, weight: u32, mut side: HomeSide) {
     let _active = home.enter();
-    if let Err(refusal) = run(&home, &open, &mut side).await {
+    if let Err(refusal) = run(&home, &open, weight, &mut side).await {
         debug!("home: group {}: {refusal}.", home.id);
         side.send(ToEntry::Refused(refusal));
     }
@@ -35,11 +36,17 @@
 
 /// Runs an exchange; a read whose server was lost runs again on another one,
 /// within the deadline and the budget of retries.
-async fn run(home: &GroupHome, open: &Open, side: &mut HomeSide) -> Result<(), Refusal> {
+async fn run(
+    home: &GroupHome,
+    open: &Open,
+    weight: u32,
+    side: &mut HomeSide,
+) -> Result<(), Refusal> {
     let deadline = home.clock.now() + open.budget;
     home.retries.borrow_mut().earn();
+    let ticket = Ticket { account: open.account.clone(), weight, deadline, urgent: false };
     loop {
-        let Err(failure) = attempt(home, open, side, deadline).await else { return Ok(()) };
+        let Err(failure) = attempt(home, open, side, &ticket).await else { return Ok(()) };
         let in_time = home.clock.now() < deadline;
         if !failure.again || !in_time || !home.retries.borrow_mut().spend() {
             return Err(failure.refusal);
@@ -51,16 +58,19 @@
     home: &GroupHome,
     open: &Open,
     side: &mut HomeSide,
-    deadline: Instant,
+    ticket: &Ticket,
 ) -> Result<(), Failure> {
     let mut arrived = home.clock.now();
-    let place = place(home, &open.intent, deadline).await?;
+    let place = place(home, &open.intent, ticket).await?;
     let mut placed = home.clock.now();
-    let Place { server, term, _slot, mut taken } = place;
-    let mut turn = Turn { home, server, term, intent: &open.intent, within: false, deadline };
+    let Place { server, term, need, mut slot, mut taken } = place;
+    let deadline = ticket.deadline;
+    let intent = &open.intent;
+    let mut turn =
+        Turn { home, server, term, intent, need, since: arrived, within: false, deadline };
     let mut batch = Batch::new(open.frames.clone());
     loop {
-        let (standing, answer) = turn.run(&mut taken.conn, side, &batch).await?;
+        let (standing, answer) = turn.run(&mut taken.conn, side, &batch, slot).await?;
         turn.finish(side, standing, answer).await?;
         let wait = placed.saturating_duration_since(arrived);
         let service = home.clock.now().saturating_duration_since(placed);
@@ -74,9 +84,10 @@
             Some((more, until)) => (batch, turn.deadline) = (Batch::new(more), until),
             None => return Ok(()),
         }
-        // The next batch waits for nothing: the transaction has its place.
         arrived = home.clock.now();
-        placed = arrived;
+        let ticket = Ticket { urgent: true, deadline: turn.deadline, ..ticket.clone() };
+        slot = take_slot(home, server, &ticket).await?;
+        placed = home.clock.now();
     }
 }
 
@@ -86,8 +97,10 @@
     pub server: &'a Server,
     /// Its term when it was chosen.
     pub term: Term,
-    /// One of the transactions that may run on it at once.
-    pub _slot: SemaphorePermit<'a>,
+    /// What its answer must show.
+    pub need: Need,
+    /// One of the statements that may run on it at once.
+    pub slot: Slot,
     /// A connection to it.
     pub taken: Taken<'a>,
 }
@@ -97,31 +110,52 @@
 pub async fn place<'a>(
     home: &'a GroupHome,
     intent: &Intent,
-    deadline: Instant,
+    ticket: &Ticket,
 ) -> Result<Place<'a>, Refusal> {
+    let deadline = ticket.deadline;
     loop {
         let server = home.route(intent, deadline).await?;
         let server = home.own(&server);
         let term = server.last.get().map(|status| status.term).unwrap_or_default();
-        let slot = monoio::time::timeout_at(deadline.into(), server.slots.acquire());
         let slot = monoio::select! {
-            slot = slot => slot.ok().and_then(Result::ok).ok_or_else(|| overloaded(home))?,
+            slot = server.slots.acquire(ticket) => slot,
             _ = home.unfit(server, intent, term) => continue,
         };
-        if home.is_unfit(server, intent, term) {
+        let slot = match slot {
+            Ok(slot) => slot,
+            Err(NoSlot::Lost) => continue,
+            Err(NoSlot::Hopeless(hopeless)) => {
+                return Err(overloaded(home, ticket, hopeless.retry));
+            }
+        };
+        // It may have waited: what it needs of a stated age has moved on.
+        let primary = server.last.get().is_some_and(|status| status.leads());
+        let (false, Some(need)) = (home.is_unfit(server, intent, term), home.need(intent, primary))
+        else {
             continue;
-        }
+        };
         match connect(home, server, deadline).await {
-            Ok(taken) => return Ok(Place { server, term, _slot: slot, taken }),
+            Ok(taken) => return Ok(Place { server, term, need, slot, taken }),
             Err(refusal) if home.clock.now() + RETRY_PAUSE >= deadline => return Err(refusal),
             Err(_) => monoio::time::sleep(RETRY_PAUSE).await,
         }
     }
 }
 
-fn overloaded(home: &GroupHome) -> Refusal {
-    let message = format!("group {} is busy", home.id);
-    Refusal::not_run(Reason::Overload, Some(COME_BACK), message)
+/// A slot for the next statement of an open transaction.
+async fn take_slot(home: &GroupHome, server: &Server, ticket: &Ticket) -> Result<Slot, Refusal> {
+    server.slots.acquire(ticket).await.map_err(|no_slot| match no_slot {
+        NoSlot::Hopeless(hopeless) => overloaded(home, ticket, hopeless.retry),
+        NoSlot::Lost => {
+            let message = "the server was lost; the transaction is rolled back";
+            Refusal::not_run(Reason::Lost, Some(COME_BACK), message)
+        }
+    })
+}
+
+fn overloaded(home: &GroupHome, ticket: &Ticket, retry: Duration) -> Refusal {
+    let message = format!("group {} is too busy for account {}", home.id, ticket.account);
+    Refusal::not_run(Reason::Overload, Some(retry), message)
 }
 
 async fn connect<'a>(
--- a/components/home/src/server.rs
+++ b/components/home/src/server.rs
@@ -2,14 +2,18 @@
 
 use std::{
     cell::Cell,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
 use bergamottrack_contract::BackendServer;
-use bergamottrack_coordination::leadership::{Sight, Status};
-use tokio::sync::{Notify, Semaphore};
+use bergamottrack_coordination::{
+    Clock,
+    leadership::{Sight, Status},
+};
+use tokio::sync::Notify;
 
-use crate::pool::Pool;
+use crate::{pool::Pool, queue::Slots};
 
 /// What a server said of itself, and when.
 #[derive(Clone, Copy, Debug)]
@@ -40,13 +44,13 @@
     pub probe: Notify,
     /// Its connections.
     pub pool: Pool,
-    /// Transactions that may run on it at once.
-    pub slots: Semaphore,
+    /// Statements that may run on it at once, and the queue for them.
+    pub slots: Rc<Slots>,
 }
 
 impl Server {
     /// A server of which nothing is known yet.
-    pub fn new(contract: BackendServer) -> Self {
+    pub fn new(contract: BackendServer, clock: Rc<dyn Clock>) -> Self {
         Self {
             seen: Cell::new(None),
             heard: Cell::new(None),
@@ -56,14 +60,14 @@
             leaving: Cell::new(contract.leaving),
             probe: Notify::new(),
             pool: Pool::new(usize::from(contract.connections)),
-            slots: Semaphore::new(usize::from(contract.slots)),
+            slots: Slots::new(usize::from(contract.slots), clock),
             contract,
         }
     }
 
     /// Requests that wait for a slot and requests that have one.
     pub fn load(&self) -> (usize, usize) {
-        (0, usize::from(self.contract.slots) - self.slots.available_permits())
+        self.slots.load()
     }
 
     /// What has been seen of it, however long ago.
--- a/components/home/src/turn.rs
+++ b/components/home/src/turn.rs
@@ -12,6 +12,8 @@
     backend::{self, Conn},
     batch::Batch,
     group::{COME_BACK, GroupHome},
+    queue::Slot,
+    route::Need,
     server::Server,
 };
 
@@ -47,6 +49,10 @@
     pub term: Term,
     /// What the exchange needs.
     pub intent: &'a Intent,
+    /// What the answer must show.
+    pub need: Need,
+    /// When the exchange came.
+    pub since: Instant,
     /// Whether a transaction that the caller ends itself was open before.
     pub within: bool,
     /// When the caller stops waiting.
@@ -62,8 +68,12 @@
     pub point: Option<Point>,
     /// Whether it holds an error.
     pub failed: bool,
+    /// Whether it was checked that it shows enough.
+    checked: bool,
     /// Whether part of it was handed on.
     parted: bool,
+    /// Whether it holds a row or the end of a statement.
+    data: bool,
     /// Whether a statement has ended in it.
     complete: bool,
     /// Bytes handed on that the entry has not passed on yet.
@@ -71,12 +81,15 @@
 }
 
 impl Turn<'_> {
-    /// Sends the batch and reads its answer up to the end.
+    /// Sends the batch and reads its answer up to the end. The slot is given
+    /// back then: while a write is confirmed, or the caller thinks, the server
+    /// works for others.
     pub async fn run(
         &self,
         conn: &mut Conn,
         side: &mut HomeSide,
         batch: &Batch,
+        _slot: Slot,
     ) -> Result<(Standing, Answer), Failure> {
         let mut answer = Answer::default();
         let result = self.read(conn, side, batch, &mut answer).await;
@@ -111,10 +124,14 @@
                     return Err(refusal(Reason::Deadline, "the deadline passed"));
                 }
             };
-            if let Some(standing) = take(frame, answer) {
+            if let Some(standing) = take(frame, conn, answer) {
+                self.check(conn, answer).await?;
                 return Ok(standing);
             }
-            self.hand_on(side, answer);
+            if answer.pending.len() >= PART_LEN {
+                self.check(conn, answer).await?;
+                self.hand_on(side, answer);
+            }
         }
     }
 
@@ -122,7 +139,7 @@
     /// a caller that saw it could take the write for done before it is confirmed.
     fn hand_on(&self, side: &HomeSide, answer: &mut Answer) {
         let held_back = answer.complete && matches!(self.intent, Intent::Write);
-        if answer.pending.len() < PART_LEN || held_back {
+        if held_back {
             return;
         }
         let part = answer.pending.split().freeze();
@@ -131,6 +148,44 @@
         side.send(ToEntry::Part(part));
     }
 
+    /// Checks once, before any of the answer is handed on, that it shows enough.
+    async fn check(&self, conn: &Conn, answer: &mut Answer) -> Result<(), Refusal> {
+        if std::mem::replace(&mut answer.checked, true) {
+            return Ok(());
+        }
+        self.check_point(conn, answer)?;
+        self.check_current().await
+    }
+
+    /// Refuses a read whose server shows less than the session has been told.
+    ///
+    /// The watch chose the server from what it last said; a server that took
+    /// records back since, or another one at its address, would answer from the
+    /// past. The point that comes with the answer, before its rows, decides.
+    fn check_point(&self, conn: &Conn, answer: &Answer) -> Result<(), Refusal> {
+        let shown = conn.point.is_some_and(|point| self.need.is_met(point));
+        // A batch that only prepares or describes shows no data.
+        if self.need.is_open() || !answer.data || shown {
+            return Ok(());
+        }
+        self.server.seen.set(None);
+        self.server.probe.notify_one();
+        let message = format!("{} shows less than was asked for", self.server.contract.id);
+        Err(refusal(Reason::Lost, &message))
+    }
+
+    /// Refuses a read that had to be current when its primary cannot be shown
+    /// to have led after the exchange came.
+    async fn check_current(&self) -> Result<(), Refusal> {
+        if !self.need.current {
+            return Ok(());
+        }
+        match self.home.is_current(self.server, self.since, self.deadline).await {
+            true => Ok(()),
+            false => Err(refusal(Reason::TooOld, "no server can show that its data is current")),
+        }
+    }
+
     async fn meanwhile(
         &self,
         item: Option<ToHome>,
@@ -212,16 +267,18 @@
 }
 
 /// Takes one message of the answer; the standing when it is the last one.
-fn take(frame: Frame, answer: &mut Answer) -> Option<Standing> {
+fn take(frame: Frame, conn: &mut Conn, answer: &mut Answer) -> Option<Standing> {
     match frame.tag {
         b'Z' => return Some(standing(&frame)),
         b'S' => {
             if let Some(point) = backend::point(&frame) {
                 answer.point = Some(point);
+                conn.point = Some(point);
                 return None;
             }
         }
-        b'C' => answer.complete = true,
+        b'C' => (answer.complete, answer.data) = (true, true),
+        b'D' => answer.data = true,
         b'E' => answer.failed = true,
         _ => {}
     }
--- a/components/home/src/watch.rs
+++ b/components/home/src/watch.rs
@@ -119,6 +119,7 @@
     server.last.set(Some(status));
     server.heard.set(Some(group.clock.now()));
     server.refused.set(None);
+    group.note_ages();
     if before.map(|seen| seen.status) != Some(status) || before.map(|s| s.asked) != Some(asked) {
         group.changed.notify_waiters();
     }
--- a/lab/src/server/session.rs
+++ b/lab/src/server/session.rs
@@ -367,6 +367,7 @@
     }
 
     fn show(&mut self, name: &str, formats: &[i16], described: bool) -> String {
+        self.tell_point(self.engine.shown());
         let value = match name {
             "group_status" => self.engine.status().to_string(),
             "transaction_isolation" | "transaction isolation level" => "read committed".into(),
