Requests with an id run at most once: the outcome table and its questions

Cause: a lost answer left the caller unable to tell whether its booking went through. The id's row is written in the request's own transaction; each attempt plans from the row it read first, so one alone gets through. Any host answers what became of an id (Homes::outcome), through the group's home.

--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -8,7 +8,9 @@
 };
 
 use bergamottrack_contract::{Config, Current, Host, RevisionDoc};
-use bergamottrack_coordination::{Clock, HostId, Revision, SubmitId, freshness::Vouch};
+use bergamottrack_coordination::{
+    Clock, HostId, Revision, SubmitId, freshness::Vouch, outcome::Outcome,
+};
 use bergamottrack_peer::{Answer, Mesh, Question};
 use bergamottrack_platform::{Chain, chain};
 use tracing::{info, warn};
@@ -126,6 +128,8 @@
                 self.adopt(*doc);
                 Answer::Adopted(self.current.number())
             }
+            // Asked of a group's home, never of the fleet.
+            Question::Outcome(_) => Answer::Outcome(Outcome::Unknown { again: POLL_EVERY }),
         }
     }
 
--- a/components/home/src/batch.rs
+++ b/components/home/src/batch.rs
@@ -45,12 +45,18 @@
         self.opaque || self.words().any(|word| ENDS.contains(&word))
     }
 
+    /// Whether a statement of it begins a transaction that the caller ends.
+    pub fn begins(&self) -> bool {
+        let statements = self.texts.iter().flat_map(|text| text.split(';'));
+        statements.filter_map(|text| words(text).next()).any(is_begin)
+    }
+
     /// Whether it is one statement that begins a transaction and nothing else.
     pub fn only_begins(&self) -> bool {
         let [text] = &self.texts[..] else { return false };
         let text = text.trim().trim_end_matches(';');
         let first = words(text).next().unwrap_or_default();
-        !self.opaque && matches!(first, "BEGIN" | "START") && !text.contains(';')
+        !self.opaque && is_begin(first) && !text.contains(';')
     }
 
     fn words(&self) -> impl Iterator<Item = &str> {
@@ -58,6 +64,10 @@
     }
 }
 
+fn is_begin(word: &str) -> bool {
+    matches!(word, "BEGIN" | "START")
+}
+
 fn words(text: &str) -> impl Iterator<Item = &str> {
     text.split(|c: char| !c.is_ascii_alphanumeric() && c != '_').filter(|word| !word.is_empty())
 }
--- a/components/home/src/group.rs
+++ b/components/home/src/group.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashSet,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -16,7 +17,7 @@
 use tokio::sync::Notify;
 use tracing::{info, warn};
 
-use crate::{promotion, server::Server, watch};
+use crate::{outcome::Key, promotion, server::Server, watch};
 
 /// When a caller may come back while a group has no primary.
 pub const COME_BACK: Duration = Duration::from_millis(200);
@@ -45,6 +46,8 @@
     pub(crate) retries: RefCell<RetryBudget>,
     policy: RefCell<Policy>,
     verdict: Cell<Verdict>,
+    /// Requests with an id that run here.
+    pub(crate) running: RefCell<HashSet<Key>>,
     /// Exchanges that run.
     active: Cell<usize>,
     /// When an exchange last began or ended.
@@ -75,6 +78,7 @@
             retries: RefCell::default(),
             policy: RefCell::new(policy),
             verdict: Cell::new(Verdict::Doubted),
+            running: RefCell::default(),
             active: Cell::new(0),
             used: Cell::new(clock.now()),
             clock,
--- a/components/home/src/homes.rs
+++ b/components/home/src/homes.rs
@@ -2,12 +2,20 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
-use bergamottrack_contract::{Config, Current, Group, Routes};
-use bergamottrack_coordination::{Clock, GroupId, HostId, Reason, Refusal, Revision};
-use bergamottrack_peer::{HomeSide, Mesh, Open, ToEntry};
-use tracing::info;
+use bergamottrack_contract::{Config, Current, Group, RevisionDoc, Routes};
+use bergamottrack_coordination::{
+    Clock, GroupId, HostId, Reason, Refusal, Revision, outcome::Outcome,
+};
+use bergamottrack_peer::{
+    Answer, HomeSide, Mesh, Open, OutcomeOf, Question, ToEntry, accept::Teller,
+};
+use tracing::{debug, info};
 
-use crate::{group::GroupHome, serve};
+use crate::{
+    group::{COME_BACK, COME_BACK_LATER, GroupHome},
+    outcome::{self, Key},
+    serve,
+};
 
 /// How often the ranking of the hosts is looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
@@ -68,6 +76,48 @@
         }
     }
 
+    /// What became of a request, asked of the home of its group wherever it is.
+    ///
+    /// Works as long as the group has a primary and the hosts reach each other,
+    /// also while the platform is down.
+    pub async fn outcome(&self, config: &Config, mesh: &Mesh, of: OutcomeOf) -> Outcome {
+        for host in mesh.homes(&of.group) {
+            if host == self.me {
+                return self.outcome_here(config, &of).await;
+            }
+            let Some(link) = mesh.link(&host) else { continue };
+            match link.ask(Question::Outcome(Box::new(of.clone())), of.within).await {
+                Ok(Answer::Outcome(outcome)) => return outcome,
+                Ok(other) => debug!("home: {host} answered {other:?} for an outcome."),
+                Err(error) => debug!("home: an outcome is not known: {error:#}."),
+            }
+            // Asked again soon, the question finds the next home.
+            return Outcome::Unknown { again: COME_BACK };
+        }
+        self.outcome_here(config, &of).await
+    }
+
+    async fn outcome_here(&self, config: &Config, of: &OutcomeOf) -> Outcome {
+        let Some(home) = self.home(config, &of.group) else {
+            return Outcome::Unknown { again: COME_BACK_LATER };
+        };
+        let _active = home.enter();
+        let deadline = self.clock.now() + of.within;
+        let key = Key { account: of.account.clone(), request: of.request.clone() };
+        outcome::ask(&home, &key, deadline).await
+    }
+
+    /// Answers a peer's question in a task of its own.
+    pub fn tell_outcome(self: Rc<Self>, doc: Option<Rc<RevisionDoc>>, of: OutcomeOf, to: Teller) {
+        monoio::spawn(async move {
+            let outcome = match doc.as_ref().and_then(|doc| doc.config.as_ref()) {
+                Some(config) => self.outcome_here(config, &of).await,
+                None => Outcome::Unknown { again: COME_BACK_LATER },
+            };
+            to.tell(Answer::Outcome(outcome));
+        });
+    }
+
     fn rank(&self, current: &Current, mesh: &Mesh) {
         let doc = current.get();
         let Some(config) = doc.as_ref().and_then(|doc| doc.config.as_ref()) else { return };
--- a/components/home/src/serve.rs
+++ b/components/home/src/serve.rs
@@ -5,19 +5,20 @@
     time::{Duration, Instant},
 };
 
-use bergamottrack_coordination::{Reason, Refusal, Term};
+use bergamottrack_coordination::{Fate, Reason, Refusal, Term};
 use bergamottrack_peer::{HomeSide, Intent, Open, ToEntry, ToHome, message::Standing};
 use bytes::Bytes;
 use tokio::sync::SemaphorePermit;
 use tracing::debug;
 
 use crate::{
-    backend,
+    backend::{self, Conn},
     batch::Batch,
     group::{COME_BACK, GroupHome},
+    outcome::{self, Key, Running},
     pool::Taken,
     server::Server,
-    turn::{Failure, Turn},
+    turn::{Answer, Failure, Turn},
 };
 
 /// Before a server that could not be connected to is chosen again.
@@ -39,6 +40,9 @@
     home.retries.borrow_mut().earn();
     loop {
         let Err(failure) = attempt(home, open, side, deadline).await else { return Ok(()) };
+        if let Some(key) = key(open).filter(|_| failure.refusal.fate == Fate::Unknown) {
+            return Err(outcome::settle(home, &key, failure.refusal, deadline).await);
+        }
         let in_time = home.clock.now() < deadline;
         if !failure.again || !in_time || !home.retries.borrow_mut().spend() {
             return Err(failure.refusal);
@@ -46,18 +50,29 @@
     }
 }
 
+/// The request's id, if it must run at most once. A read may run again.
+fn key(open: &Open) -> Option<Key> {
+    let request = open.request.clone().filter(|_| open.intent == Intent::Write)?;
+    Some(Key { account: open.account.clone(), request })
+}
+
 async fn attempt(
     home: &GroupHome,
     open: &Open,
     side: &mut HomeSide,
     deadline: Instant,
 ) -> Result<(), Failure> {
+    let running = key(open).map(|key| Running::begin(home, key)).transpose()?;
     let place = place(home, &open.intent, deadline).await?;
     let Place { server, term, _slot, mut taken } = place;
     let mut turn = Turn { home, server, term, intent: &open.intent, within: false, deadline };
     let mut batch = Batch::new(open.frames.clone());
+    let mut first = running.as_ref();
     loop {
-        let (standing, answer) = turn.run(&mut taken.conn, side, &batch).await?;
+        let (standing, answer) = match first.take() {
+            Some(running) => claimed(running, &mut turn, &mut taken.conn, side, &batch).await?,
+            None => turn.run(&mut taken.conn, side, &batch).await?,
+        };
         turn.finish(side, standing, answer).await?;
         if standing == Standing::Idle {
             taken.give_back();
@@ -71,6 +86,34 @@
     }
 }
 
+/// Runs the first batch of a request with an id, which writes the id's row.
+///
+/// A statement outside of any transaction gets one of its own around it; a
+/// transaction that the caller begins itself has the row right after its begin.
+async fn claimed(
+    running: &Running<'_>,
+    turn: &mut Turn<'_>,
+    conn: &mut Conn,
+    side: &mut HomeSide,
+    batch: &Batch,
+) -> Result<(Standing, Answer), Failure> {
+    let claim = running.plan(turn, conn).await?;
+    if batch.only_begins() {
+        let (standing, answer) = turn.run(conn, side, batch).await?;
+        if standing == Standing::Open {
+            running.claim(turn, conn, &claim).await?;
+        }
+        return Ok((standing, answer));
+    }
+    running.open(turn, conn, &claim).await?;
+    turn.within = true;
+    let (mut standing, mut answer) = turn.run(conn, side, batch).await?;
+    if !batch.begins() {
+        standing = running.close(turn, conn, standing, &mut answer).await?;
+    }
+    Ok((standing, answer))
+}
+
 /// Where an exchange runs.
 pub struct Place<'a> {
     /// The server.
--- a/components/peer/src/accept.rs
+++ b/components/peer/src/accept.rs
@@ -15,8 +15,22 @@
     socket,
 };
 
-/// Answers a question of a peer at once.
-pub type Responder = dyn Fn(&Hello, Question) -> Answer;
+/// Answers a question of a peer, at once or later.
+pub type Responder = dyn Fn(&Hello, Question, Teller);
+
+/// Takes the answer to one question.
+#[derive(Debug)]
+pub struct Teller {
+    no: RequestNo,
+    out: UnboundedSender<Message>,
+}
+
+impl Teller {
+    /// Tells the answer to the peer, which may be gone by now.
+    pub fn tell(self, answer: Answer) {
+        let _ = self.out.send(Message::Tell(self.no, answer));
+    }
+}
 
 /// What a host does for its peers.
 pub struct Service {
@@ -24,7 +38,7 @@
     pub secret: Secret,
     /// Serves an exchange, in a task of its own.
     pub serve: Box<dyn Fn(Open, HomeSide)>,
-    /// Answers a question at once.
+    /// Answers a question.
     pub answer: Box<Responder>,
 }
 
@@ -97,8 +111,7 @@
                 }
             }
             Message::Ask(no, question) => {
-                let answer = (service.answer)(peer, question);
-                let _ = out.send(Message::Tell(no, answer));
+                (service.answer)(peer, question, Teller { no, out: out.clone() });
             }
             other => bail!("the peer said what only an accepting host says: {other:?}"),
         }
--- a/components/peer/src/lib.rs
+++ b/components/peer/src/lib.rs
@@ -10,4 +10,4 @@
 pub use exchange::{Exchange, HomeSide, open_local};
 pub use link::Link;
 pub use mesh::Mesh;
-pub use message::{Answer, Intent, Message, Open, Question, ToEntry, ToHome};
+pub use message::{Answer, Intent, Message, Open, OutcomeOf, Question, ToEntry, ToHome};
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -6,7 +6,7 @@
 use bergamottrack_contract::RevisionDoc;
 use bergamottrack_coordination::{
     AccountId, FailureDomain, GroupId, HostId, Point, Refusal, RequestId, Revision,
-    freshness::Vouch, token::Secret,
+    freshness::Vouch, outcome::Outcome, token::Secret,
 };
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -106,6 +106,21 @@
     Revision,
     /// Take this revision, unless a newer one is in force.
     Adopt(Box<RevisionDoc>),
+    /// What became of a request that runs at most once?
+    Outcome(Box<OutcomeOf>),
+}
+
+/// A request of which somebody wants to know what became of it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct OutcomeOf {
+    /// The database group.
+    pub group: GroupId,
+    /// The client account.
+    pub account: AccountId,
+    /// The caller's id of the request.
+    pub request: RequestId,
+    /// How long the asker waits.
+    pub within: Duration,
 }
 
 /// The answer to a question.
@@ -119,6 +134,8 @@
     Revision(Option<Box<RevisionDoc>>),
     /// The revision that is now in force at the host.
     Adopted(Revision),
+    /// What became of the request.
+    Outcome(Outcome),
 }
 
 /// The first message each way.
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -10,7 +10,7 @@
 use bergamottrack_home::Homes;
 use bergamottrack_operator::{Reply, Request, serve::Handler};
 use bergamottrack_peer::{
-    Mesh,
+    Mesh, Question,
     accept::{self, Service},
 };
 use bergamottrack_platform::{Chain, Platform};
@@ -92,13 +92,17 @@
     homes: Rc<Homes>,
 ) -> anyhow::Result<()> {
     let (mesh, current) = (fleet.mesh.clone(), fleet.current.clone());
+    let (opening, asked) = (homes.clone(), homes);
     let service = Rc::new(Service {
         secret: mesh.secret.clone(),
         serve: Box::new(move |open, side| {
             let doc = current.get();
-            homes.serve(doc.as_ref().and_then(|doc| doc.config.as_ref()), open, side);
+            opening.serve(doc.as_ref().and_then(|doc| doc.config.as_ref()), open, side);
+        }),
+        answer: Box::new(move |_, question, teller| match question {
+            Question::Outcome(of) => asked.clone().tell_outcome(fleet.current.get(), *of, teller),
+            other => teller.tell(fleet.answer(other)),
         }),
-        answer: Box::new(move |_, question| fleet.answer(question)),
     });
     loop {
         let (stream, _) = listener.accept().await.context("accepting a peer")?;
