--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -53,22 +53,29 @@
 //! ```
 
 pub mod ages;
+pub mod bucket;
 pub mod clock;
 pub mod fair;
 pub mod freshness;
 pub mod ids;
 pub mod leadership;
+pub mod lenders;
 pub mod outcome;
 pub mod refusal;
 pub mod rendezvous;
 pub mod retry;
+pub mod shares;
 pub mod token;
 pub mod units;
 
+pub use bucket::Bucket;
 pub use clock::{Clock, ManualClock, SystemClock};
 pub use freshness::Freshness;
 pub use ids::{
-    AccountId, FailureDomain, GroupId, HostId, IdError, KeyId, RequestId, ServerId, SubmitId,
+    AccountId, FailureDomain, GroupId, HostId, IdError, KeyId, OperatorId, RequestId, ServerId,
+    SubmitId,
 };
+pub use lenders::Lenders;
 pub use refusal::{Fate, Reason, Refusal};
+pub use shares::{Allotment, Share, Shares};
 pub use units::{Burst, Point, Position, Rate, Revision, Term, UnitError};
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -31,6 +31,8 @@
     pub standing: Standing,
     /// What a confirmed write has reached.
     pub point: Option<Point>,
+    /// Whether a replica answered.
+    pub replica: bool,
 }
 
 /// Passes an answer on to the caller.
@@ -82,9 +84,9 @@
             };
             match item {
                 Some(ToEntry::Part(bytes)) => self.pass(bytes).await?,
-                Some(ToEntry::Turn { frames, standing, point, .. }) => {
+                Some(ToEntry::Turn { frames, standing, point, replica }) => {
                     let frames = self.steps.pass(frames, self.statements, self.watch)?;
-                    return Ok(Ok(Answered { frames, standing, point }));
+                    return Ok(Ok(Answered { frames, standing, point, replica }));
                 }
                 Some(ToEntry::Refused(refusal)) => return Ok(Err(refusal)),
                 None => return Ok(Err(self.lost(Reason::Lost, "the group's home was lost"))),
--- a/components/entry/src/session.rs
+++ b/components/entry/src/session.rs
@@ -1,6 +1,10 @@
 //! A caller that has proved its key: its messages, one after another.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use anyhow::{Context, bail};
 use bergamottrack_coordination::{Reason, Refusal};
@@ -252,7 +256,10 @@
     pub(crate) async fn finish(&mut self, request: Request) -> anyhow::Result<()> {
         let unfinished = request.unfinished;
         let ends = request.ends;
-        match self.request(request).await? {
+        let began = self.entry.clock.now();
+        let result = self.request(request).await?;
+        self.measure(began, &result);
+        match result {
             Ok(mut out) => {
                 if !unfinished {
                     out.extend_from_slice(&self.ready());
@@ -271,6 +278,15 @@
         }
     }
 
+    fn measure(&self, began: Instant, result: &Result<BytesMut, Refusal>) {
+        let Caller { account, group, .. } = &self.caller;
+        let total = self.entry.clock.now().saturating_duration_since(began);
+        match result {
+            Ok(_) => self.entry.metrics.answered(account, group, total),
+            Err(refusal) => self.entry.metrics.refused(account, refusal.reason),
+        }
+    }
+
     /// Runs a request; gives the end of its answer.
     async fn request(&mut self, request: Request) -> anyhow::Result<Result<BytesMut, Refusal>> {
         let budget = match self.budget() {
@@ -278,7 +294,11 @@
             Err(refusal) => return Ok(Err(refusal)),
         };
         let deadline = self.entry.clock.now() + budget;
-        let admitted = self.entry.admit(&self.caller.account, &self.caller.key, deadline).await;
+        let (account, key) = (&self.caller.account, &self.caller.key);
+        let admitted = match &self.exchange {
+            Some(_) => self.entry.check(account, key),
+            None => self.entry.admit(account, key, deadline).await,
+        };
         let doc = match admitted {
             Ok(doc) => doc,
             Err(refusal) => return Ok(Err(refusal)),
@@ -320,6 +340,11 @@
             watch: request.unfinished,
         };
         let (answered, steps) = relay.run().await?;
+        if let Ok(answered) = &answered
+            && request.work == Work::Read
+        {
+            self.entry.metrics.read(&self.caller.group, answered.replica);
+        }
         self.skipping = request.unfinished && steps.failed();
         Ok(answered.map(|answered| self.settle(answered)))
     }
--- a/components/home/src/group.rs
+++ b/components/home/src/group.rs
@@ -13,6 +13,7 @@
     leadership::{Status, Verdict},
     retry::RetryBudget,
 };
+use bergamottrack_metrics::Metrics;
 use bergamottrack_peer::Intent;
 use tokio::sync::Notify;
 use tracing::{info, warn};
@@ -43,6 +44,8 @@
     /// This host.
     pub(crate) me: HostId,
     pub(crate) clock: Rc<dyn Clock>,
+    /// What this host measures.
+    pub(crate) metrics: Rc<Metrics>,
     pub(crate) retries: RefCell<RetryBudget>,
     policy: RefCell<Policy>,
     verdict: Cell<Verdict>,
@@ -66,7 +69,13 @@
 
 impl GroupHome {
     /// Starts a home: a watch on each server and one on the group's leadership.
-    pub fn start(contract: &Group, policy: Policy, clock: Rc<dyn Clock>, me: HostId) -> Rc<Self> {
+    pub fn start(
+        contract: &Group,
+        policy: Policy,
+        clock: Rc<dyn Clock>,
+        me: HostId,
+        metrics: Rc<Metrics>,
+    ) -> Rc<Self> {
         let servers = contract.servers.iter().cloned().map(|s| Rc::new(Server::new(s)));
         let home = Rc::new(Self {
             id: contract.id.clone(),
@@ -75,6 +84,7 @@
             closed: Cell::new(false),
             first: Cell::new(false),
             me,
+            metrics,
             retries: RefCell::default(),
             policy: RefCell::new(policy),
             verdict: Cell::new(Verdict::Doubted),
--- a/components/home/src/homes.rs
+++ b/components/home/src/homes.rs
@@ -6,6 +6,7 @@
 use bergamottrack_coordination::{
     Clock, GroupId, HostId, Reason, Refusal, Revision, outcome::Outcome,
 };
+use bergamottrack_metrics::Metrics;
 use bergamottrack_peer::{
     Answer, HomeSide, Mesh, Open, OutcomeOf, Question, ToEntry, accept::Teller,
 };
@@ -29,13 +30,14 @@
     me: HostId,
     clock: Rc<dyn Clock>,
     routes: Routes,
+    metrics: Rc<Metrics>,
     groups: RefCell<HashMap<GroupId, (Group, Rc<GroupHome>)>>,
 }
 
 impl Homes {
     /// A host that is home to no group yet.
-    pub fn new(me: HostId, clock: Rc<dyn Clock>, routes: Routes) -> Rc<Self> {
-        Rc::new(Self { me, clock, routes, groups: RefCell::default() })
+    pub fn new(me: HostId, clock: Rc<dyn Clock>, routes: Routes, metrics: Rc<Metrics>) -> Rc<Self> {
+        Rc::new(Self { me, clock, routes, metrics, groups: RefCell::default() })
     }
 
     /// The home of a group, started if it is not there yet.
@@ -51,8 +53,13 @@
         for server in &mut reached.servers {
             server.address = self.routes.to(server.address);
         }
-        let home =
-            GroupHome::start(&reached, config.policy.clone(), self.clock.clone(), self.me.clone());
+        let home = GroupHome::start(
+            &reached,
+            config.policy.clone(),
+            self.clock.clone(),
+            self.me.clone(),
+            self.metrics.clone(),
+        );
         let before = groups.insert(id.clone(), (contract.clone(), home.clone()));
         if let Some((_, before)) = before {
             home.first.set(before.first.get());
@@ -61,6 +68,11 @@
         Some(home)
     }
 
+    /// All homes on this host.
+    pub fn all(&self) -> Vec<Rc<GroupHome>> {
+        self.groups.borrow().values().map(|(_, home)| home.clone()).collect()
+    }
+
     /// Keeps the homes of the groups for which this host ranks first, so that
     /// they are watched also when no caller comes; ends with the process.
     pub async fn keep(self: Rc<Self>, current: Rc<Current>, mesh: Rc<Mesh>) {
--- a/components/home/src/lib.rs
+++ b/components/home/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod pool;
 pub mod promotion;
 pub mod queue;
+pub mod report;
 pub mod route;
 pub mod serve;
 pub mod server;
--- a/components/home/src/promotion.rs
+++ b/components/home/src/promotion.rs
@@ -17,6 +17,7 @@
     ServerId, Term,
     leadership::{self, Cause, Detector, Status, Verdict},
 };
+use bergamottrack_metrics::Phase;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use tracing::{debug, info, warn};
 
@@ -110,13 +111,17 @@
     let text = conn.text_within(&border::promote(term, &holder), PROMOTE_WITHIN).await?;
     watch::note(home, &server, &text, asked)?;
     home.servers.iter().for_each(|server| server.probe.notify_one());
+    let took = home.clock.now().saturating_duration_since(asked);
+    home.metrics.promotion(&home.id, Phase::Notice, detect);
+    home.metrics.promotion(&home.id, Phase::Promise, promised - began);
+    home.metrics.promotion(&home.id, Phase::Promote, took);
     info!(
         "home: group {}: {} leads term {term}; detect {} ms, promise {} ms, promote {} ms.",
         home.id,
         server.contract.id,
         detect.as_millis(),
         (promised - began).as_millis(),
-        asked.elapsed().as_millis()
+        took.as_millis()
     );
     Ok(())
 }
--- a/components/home/src/serve.rs
+++ b/components/home/src/serve.rs
@@ -6,6 +6,7 @@
 };
 
 use bergamottrack_coordination::{Fate, Reason, Refusal, Term};
+use bergamottrack_metrics::Timing;
 use bergamottrack_peer::{HomeSide, Intent, Open, ToEntry, ToHome, message::Standing};
 use bytes::Bytes;
 use tokio::sync::SemaphorePermit;
@@ -63,7 +64,9 @@
     deadline: Instant,
 ) -> Result<(), Failure> {
     let running = key(open).map(|key| Running::begin(home, key)).transpose()?;
+    let mut arrived = home.clock.now();
     let place = place(home, &open.intent, deadline).await?;
+    let mut placed = home.clock.now();
     let Place { server, term, _slot, mut taken } = place;
     let mut turn = Turn { home, server, term, intent: &open.intent, within: false, deadline };
     let mut batch = Batch::new(open.frames.clone());
@@ -74,6 +77,9 @@
             None => turn.run(&mut taken.conn, side, &batch).await?,
         };
         turn.finish(side, standing, answer).await?;
+        let wait = placed.saturating_duration_since(arrived);
+        let service = home.clock.now().saturating_duration_since(placed);
+        home.metrics.served(&open.account, &home.id, Timing { wait, service });
         if standing == Standing::Idle {
             taken.give_back();
             return Ok(());
@@ -83,6 +89,9 @@
             Some((more, until)) => (batch, turn.deadline) = (Batch::new(more), until),
             None => return Ok(()),
         }
+        // The next batch waits for nothing: the transaction has its place.
+        arrived = home.clock.now();
+        placed = arrived;
     }
 }
 
--- a/components/home/src/server.rs
+++ b/components/home/src/server.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Requests that wait for a slot and requests that have one.
+    pub fn load(&self) -> (usize, usize) {
+        (0, usize::from(self.contract.slots) - self.slots.available_permits())
+    }
+
     /// What has been seen of it, however long ago.
     pub fn sight(&self) -> Sight {
         Sight { status: self.last.get(), heard: self.heard.get(), refused: self.refused.get() }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,10 +1,16 @@
 //! Stand-ins, faults, load and experiments for bergamottrack; not shipped.
 
+pub mod cost;
 pub mod link;
+pub mod load;
 pub mod platform;
 pub mod ports;
 pub mod process;
+pub mod product;
 pub mod raw;
 pub mod server;
+pub mod site;
 pub mod storm;
 pub mod system;
+pub mod up;
+pub mod usage;
