--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -11,7 +11,7 @@
 use bergamottrack_metrics::Metrics;
 use bergamottrack_operator::{Operator, operator::OperatorKey};
 use bergamottrack_peer::{
-    Answer, Mesh,
+    Answer, Mesh, Question,
     accept::{self, Service},
 };
 use bergamottrack_platform::{Chain, Platform};
@@ -104,15 +104,17 @@
 async fn accept_peers(listener: TcpListener, operator: Rc<Operator>) -> anyhow::Result<()> {
     let (fleet, homes) = (operator.fleet.clone(), operator.homes.clone());
     let (mesh, current) = (fleet.mesh.clone(), fleet.current.clone());
+    let (opening, asked) = (homes.clone(), homes);
     let report = move || Answer::Report(Box::new(operator.report()));
     let service = Rc::new(Service {
         secret: mesh.secret.clone(),
         serve: Box::new(move |open, side| {
             let doc = current.get();
-            homes.serve(doc.as_ref().and_then(|doc| doc.config.as_ref()), open, side);
+            opening.serve(doc.as_ref().and_then(|doc| doc.config.as_ref()), open, side);
         }),
-        answer: Box::new(move |peer, question| {
-            fleet.answer(peer, question).unwrap_or_else(&report)
+        answer: Box::new(move |peer, question, teller| match question {
+            Question::Outcome(of) => asked.clone().tell_outcome(fleet.current.get(), *of, teller),
+            other => teller.tell(fleet.answer(peer, other).unwrap_or_else(&report)),
         }),
     });
     loop {
