--- a/components/entry/src/local.rs
+++ b/components/entry/src/local.rs
@@ -77,7 +77,7 @@
     /// Runs one statement without a server; its answer without its columns.
     pub(crate) fn execute_locally(&mut self, command: &Command) -> Result<Bytes, Fault> {
         // The key is looked up for these too: a withdrawn one gets no answer.
-        let standing = self.entry.standing(&self.caller.account, &self.caller.key);
+        let standing = self.entry.check(&self.caller.account, &self.caller.key);
         standing.map_err(|refusal| Fault::new(answer::code(&refusal), refusal.message))?;
         let tag = match command {
             Command::Set { name, value } => {
--- a/components/entry/src/session.rs
+++ b/components/entry/src/session.rs
@@ -294,7 +294,11 @@
             Err(refusal) => return Ok(Err(refusal)),
         };
         let deadline = self.entry.clock.now() + budget;
-        let admitted = self.entry.admit(&self.caller.account, &self.caller.key, deadline).await;
+        let (account, key) = (&self.caller.account, &self.caller.key);
+        let admitted = match &self.exchange {
+            Some(_) => self.entry.check(account, key),
+            None => self.entry.admit(account, key, deadline).await,
+        };
         let doc = match admitted {
             Ok(doc) => doc,
             Err(refusal) => return Ok(Err(refusal)),
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 use bergamottrack_contract::RevisionDoc;
 use bergamottrack_coordination::{
-    AccountId, FailureDomain, GroupId, HostId, Point, Refusal, RequestId, Revision,
+    AccountId, FailureDomain, GroupId, HostId, Point, Refusal, RequestId, Revision, bucket::LoanNo,
     freshness::Vouch, token::Secret,
 };
 use bergamottrack_metrics::HostReport;
@@ -96,6 +96,13 @@
     Refused(Refusal),
 }
 
+impl ToEntry {
+    /// Whether the home says nothing more within the exchange.
+    pub fn is_last(&self) -> bool {
+        matches!(self, Self::Refused(_) | Self::Turn { standing: Standing::Idle, .. })
+    }
+}
+
 /// A short question that one answer settles.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Question {
@@ -109,6 +116,21 @@
     Report,
     /// Take this revision, unless a newer one is in force.
     Adopt(Box<RevisionDoc>),
+    /// Lend tokens.
+    Lend(Lend),
+}
+
+/// A question for tokens of an account.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Lend {
+    /// The account.
+    pub account: AccountId,
+    /// Number of the loan.
+    pub no: LoanNo,
+    /// Tokens wanted.
+    pub tokens: f64,
+    /// Earlier loans of the host that is asked, of which nothing will be spent any more.
+    pub over: Vec<LoanNo>,
 }
 
 /// The answer to a question.
@@ -124,6 +146,13 @@
     Revision(Option<Box<RevisionDoc>>),
     /// The revision that is now in force at the host.
     Adopted(Revision),
+    /// Tokens, already deducted at the host.
+    Lent {
+        /// How many.
+        tokens: f64,
+        /// How many it could still lend.
+        spare: f64,
+    },
 }
 
 /// The first message each way.
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -53,7 +53,8 @@
     let homes = Homes::new(args.host.clone(), clock.clone(), routes, metrics.clone());
     let platform = Rc::new(platform);
     let chain = Chain::new(platform.clone());
-    let fleet = Fleet::new(me, current.clone(), mesh.clone(), chain, clock.clone());
+    let fleet =
+        Fleet::new(me, current.clone(), mesh.clone(), chain, clock.clone(), metrics.clone());
     let operator = Rc::new(Operator {
         fleet: fleet.clone(),
         homes: homes.clone(),
@@ -64,6 +65,7 @@
         drain: Rc::default(),
     });
     let entry = Rc::new(Entry {
+        limits: fleet.limits.clone(),
         clock,
         current: current.clone(),
         mesh: mesh.clone(),
@@ -110,7 +112,9 @@
             let doc = current.get();
             homes.serve(doc.as_ref().and_then(|doc| doc.config.as_ref()), open, side);
         }),
-        answer: Box::new(move |_, question| fleet.answer(question).unwrap_or_else(&report)),
+        answer: Box::new(move |peer, question| {
+            fleet.answer(peer, question).unwrap_or_else(&report)
+        }),
     });
     loop {
         let (stream, _) = listener.accept().await.context("accepting a peer")?;
