--- a/components/contract/src/check.rs
+++ b/components/contract/src/check.rs
@@ -18,6 +18,7 @@
 pub fn read(node: &Node) -> Result<Config, Faults> {
     let mut check = Check::default();
     let value = check.table("", node, &schema::site());
+    check.policy(node, &value);
     check.groups(node);
     check.unique("account", node.list("account"));
     let mut faults = check.faults;
@@ -37,6 +38,12 @@
     Err(faults)
 }
 
+/// Bounds of policies in milliseconds, and why.
+const BOUNDS: [(&str, i64, i64, &str); 2] = [
+    ("fresh_ms", 2_000, 10_000, "hosts show freshness once a second, and withdrawn keys end by it"),
+    ("silence_ms", 350, 5_000, "a stall of 300 ms is no failure, and callers wait for a failover"),
+];
+
 #[derive(Default)]
 struct Check {
     faults: Faults,
@@ -111,6 +118,20 @@
         toml::Value::Array(out)
     }
 
+    /// Guards against a policy with which the whole fleet would stop, or a
+    /// promise would be void, as soon as it is in force.
+    fn policy(&mut self, node: &Node, value: &toml::Value) {
+        let Some(policy) = node.get("policy") else { return };
+        for (name, least, most, why) in BOUNDS {
+            let millis = value.get("policy").and_then(|p| p.get(name)?.as_integer());
+            let (Some(millis), Some(at)) = (millis, policy.get(name)) else { continue };
+            if !(least..=most).contains(&millis) {
+                let wanted = format!("from {least}ms to {most}ms: {why}");
+                self.fault(&at.origin, &format!("policy, {name}"), format!("{millis}ms"), wanted);
+            }
+        }
+    }
+
     fn groups(&mut self, node: &Node) {
         let groups = node.list("group");
         self.unique("group", groups);
--- a/components/fleet/src/submit.rs
+++ b/components/fleet/src/submit.rs
@@ -49,6 +49,17 @@
         /// What changed it since, newest first.
         changes: Vec<Entry>,
     },
+    /// The revision that it names does not exist.
+    #[error(
+        "not accepted, nothing changed: there is no revision {base} to make it against, the newest \
+         is {newest}"
+    )]
+    Ahead {
+        /// What the submit was made against.
+        base: Revision,
+        /// The newest revision.
+        newest: Revision,
+    },
     /// The platform could not be read, so nothing was sent to it.
     #[error(
         "not accepted, this run changed nothing: the platform cannot be used: {0:#}; if an \
@@ -118,6 +129,11 @@
         newest: Option<&RevisionDoc>,
         base: Revision,
     ) -> Result<(), SubmitError> {
+        // A number that was mistyped must not pass for one that is newer than all.
+        let number = newest.map(|doc| doc.number).unwrap_or_default();
+        if base > number {
+            return Err(SubmitError::Ahead { base, newest: number });
+        }
         let Some(newest) = newest.filter(|doc| doc.config_revision > base) else {
             return Ok(());
         };
--- a/components/operator/src/pages/change.rs
+++ b/components/operator/src/pages/change.rs
@@ -22,11 +22,18 @@
     author: OperatorId,
     submit: SubmitId,
     base: Revision,
+    /// What the log says of it.
+    what: Box<str>,
     notes: Vec<Box<str>>,
 }
 
 impl Change {
-    fn read(operator: &Operator, request: &Request, config: Config) -> Result<Self, Reply> {
+    fn read(
+        operator: &Operator,
+        request: &Request,
+        config: Config,
+        what: impl Into<Box<str>>,
+    ) -> Result<Self, Reply> {
         let author = super::setting(request, "author")?;
         Ok(Self {
             config,
@@ -34,6 +41,7 @@
             submit: super::setting(request, "submit")?.unwrap_or_else(fleet::new_submit),
             base: super::setting(request, "base")?
                 .unwrap_or_else(|| operator.fleet.current.number()),
+            what: what.into(),
             notes: Vec::new(),
         })
     }
@@ -69,9 +77,9 @@
     }
 
     async fn send(self, operator: &Operator) -> Result<AcceptedPage, SubmitError> {
-        let Self { config, author, submit, base, notes } = self;
+        let Self { config, author, submit, base, what, notes } = self;
         let accepted = operator.fleet.submit(config, author.as_str(), submit, base).await?;
-        info!("operator: {author} made revision {}.", accepted.revision);
+        info!("operator: {author} {what}: revision {} is accepted.", accepted.revision);
         let (mut in_force, mut missing) = (accepted.in_force, accepted.missing);
         in_force.sort();
         missing.sort();
@@ -84,7 +92,7 @@
     let text = String::from_utf8_lossy(&request.body);
     let config = Config::parse(&text).map_err(|faults| super::faulty(faults.to_string()))?;
     let restores: bool = super::setting(request, "restore")?.unwrap_or_default();
-    let change = Change::read(operator, request, config)?;
+    let change = Change::read(operator, request, config, "submitted a configuration")?;
     if !restores {
         change.check_withdrawn(operator).await?;
     }
@@ -102,7 +110,8 @@
     let config = doc.and_then(|doc| doc.config).ok_or_else(|| {
         super::refused(format!("not accepted, nothing changed: revision {to} has no configuration"))
     })?;
-    let mut change = Change::read(operator, request, config)?;
+    let what = format!("went back to the configuration of revision {to}");
+    let mut change = Change::read(operator, request, config, what)?;
     if let Some(now) = operator.fleet.current.get().and_then(|doc| doc.config.clone()) {
         change.notes = keep_withdrawn(&now, &mut change.config);
     }
@@ -136,7 +145,8 @@
             let message = format!("account {account} has no key {key}");
             super::refused(format!("not accepted, nothing changed: {message}"))
         })?;
-        let mut change = Change::read(operator, request, config)?;
+        let what = format!("withdrew key {account}.{key}");
+        let mut change = Change::read(operator, request, config, what)?;
         change.base = doc.number;
         match change.send(operator).await {
             Err(SubmitError::Lost { .. }) if tries < WITHDRAW_TRIES => {}
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -112,6 +112,8 @@
         second.error.contains("nothing changed") && second.error.contains("by ana"),
         "{second:?}"
     );
+    let ahead = desk.submit(1, "ben", against + 1_000, "burst = 1000.0", "burst = 500");
+    assert_eq!(ahead.code, 1, "{ahead:?}");
     let accounts = desk.run(2, "ben", &["accounts"]).out;
     assert!(accounts.contains("2000/s  1000"), "{accounts}");
 }
