--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod freshness;
 pub mod ids;
 pub mod leadership;
+pub mod pace;
 pub mod refusal;
 pub mod rendezvous;
 pub mod retry;
--- /dev/null
+++ b/components/entry/src/callers.rs
@@ -0,0 +1,104 @@
+//! The callers of one host: how many there are, and whether they are to leave.
+
+use std::{cell::Cell, rc::Rc};
+
+use tokio::sync::Notify;
+
+/// Connections above the limit that are told so at the same time; all further
+/// ones are closed without a word.
+const MAX_REFUSED: usize = 64;
+
+/// The callers of one host.
+pub struct Callers {
+    /// The most connections at once.
+    limit: usize,
+    there: Cell<usize>,
+    refused: Cell<usize>,
+    /// Callers whose request runs or whose transaction is open.
+    busy: Cell<usize>,
+    draining: Cell<bool>,
+    leave: Notify,
+}
+
+/// A place among the callers; given back when it is dropped.
+pub struct Seat {
+    callers: Rc<Callers>,
+    busy: Cell<bool>,
+    /// Whether the caller is above the limit, and only there to be told so.
+    pub refused: bool,
+}
+
+impl Callers {
+    /// No callers yet, and at most `limit` at once.
+    pub fn new(limit: usize) -> Rc<Self> {
+        Rc::new(Self {
+            limit,
+            there: Cell::default(),
+            refused: Cell::default(),
+            busy: Cell::default(),
+            draining: Cell::default(),
+            leave: Notify::new(),
+        })
+    }
+
+    /// A place for a new connection; `None` when it is to be closed at once.
+    pub fn enter(self: &Rc<Self>) -> Option<Seat> {
+        let refused = self.there.get() >= self.limit;
+        let count = if refused { &self.refused } else { &self.there };
+        if refused && count.get() >= MAX_REFUSED {
+            return None;
+        }
+        count.set(count.get() + 1);
+        Some(Seat { callers: self.clone(), busy: Cell::default(), refused })
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.there.get()
+    }
+
+    /// Tells all callers to leave as soon as their requests and transactions have ended.
+    pub fn drain(&self) {
+        self.draining.set(true);
+        self.leave.notify_waiters();
+    }
+
+    /// Whether callers are told to leave.
+    pub fn is_draining(&self) -> bool {
+        self.draining.get()
+    }
+
+    /// Whether no request runs and no transaction is open.
+    pub fn is_idle(&self) -> bool {
+        self.busy.get() == 0
+    }
+}
+
+impl Seat {
+    /// Notes whether a request runs or a transaction is open.
+    pub fn set_busy(&self, busy: bool) {
+        if self.busy.replace(busy) != busy {
+            let count = self.callers.busy.get();
+            self.callers.busy.set(if busy { count + 1 } else { count - 1 });
+        }
+    }
+
+    /// Waits until callers are told to leave.
+    pub async fn leaving(&self) {
+        loop {
+            let told = self.callers.leave.notified();
+            if self.callers.draining.get() {
+                return;
+            }
+            told.await;
+        }
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.set_busy(false);
+        let count = if self.refused { &self.callers.refused } else { &self.callers.there };
+        count.set(count.get() - 1);
+    }
+}
--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -13,6 +13,8 @@
 use bergamottrack_peer::{Exchange, Mesh, Open, open_local};
 use tokio::sync::Notify;
 
+use crate::callers::Callers;
+
 /// When a caller may come back while a host lacks its configuration.
 const COME_BACK: Duration = Duration::from_millis(500);
 
@@ -28,6 +30,8 @@
     pub homes: Rc<Homes>,
     /// The secret that all hosts share.
     pub secret: Secret,
+    /// The callers that are there.
+    pub callers: Rc<Callers>,
     /// Cancels of running connections, by process number.
     pub cancels: RefCell<HashMap<i32, Rc<Cancel>>>,
     /// The last process number given out.
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admit;
 pub mod caller;
+pub mod callers;
 pub mod context;
 pub mod extended;
 pub mod local;
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use bergamottrack_coordination::{Fate, Point, Reason, Refusal};
+use bergamottrack_coordination::{Fate, Point, Reason, Refusal, pace};
 use bergamottrack_peer::{Exchange, Intent, ToEntry, ToHome, message::Standing};
 use bytes::Bytes;
 
@@ -53,6 +53,8 @@
     pub statements: &'a mut Statements,
     /// Whether it must be known if a message failed.
     pub watch: bool,
+    /// Bytes of the answer that the caller has taken.
+    pub taken: u64,
 }
 
 impl Relay<'_> {
@@ -66,6 +68,7 @@
 
     async fn answer(&mut self) -> anyhow::Result<Result<Answered, Refusal>> {
         loop {
+            let until = self.until() + GRACE;
             let item = monoio::select! {
                 item = self.exchange.recv() => item,
                 _ = self.cancel.asked() => {
@@ -76,7 +79,7 @@
                     result.context("the caller left while its request ran")?;
                     continue;
                 }
-                _ = monoio::time::sleep_until((self.deadline + GRACE).into()) => {
+                _ = monoio::time::sleep_until(until.into()) => {
                     return Ok(Err(self.lost(Reason::Deadline, "the deadline passed")));
                 }
             };
@@ -92,11 +95,19 @@
         }
     }
 
+    /// When the request is given up; a large answer has the longer for being taken.
+    fn until(&self) -> Instant {
+        self.deadline + pace::time_for(self.taken)
+    }
+
     async fn pass(&mut self, bytes: Bytes) -> anyhow::Result<()> {
         let length = bytes.len() as u64;
         let bytes = self.steps.pass(bytes, self.statements, self.watch)?;
-        self.writer.send(&bytes).await?;
+        let until = self.until() + GRACE;
+        let sent = monoio::time::timeout_at(until.into(), self.writer.send(&bytes)).await;
+        sent.context("the caller does not take its answer")??;
         self.exchange.send(ToHome::Credit(length));
+        self.taken += length;
         Ok(())
     }
 
--- a/components/entry/src/session.rs
+++ b/components/entry/src/session.rs
@@ -20,6 +20,8 @@
 use tokio::io::{ReadHalf, WriteHalf};
 
 use crate::{
+    caller,
+    callers::Seat,
     context::{Cancel, Entry},
     extended::Batch,
     login::Caller,
@@ -30,6 +32,12 @@
     steps::Steps,
 };
 
+/// How long one message of a caller may be on its way.
+const MESSAGE_WITHIN: Duration = Duration::from_secs(30);
+
+/// How long a request may have been on its way when a host says goodbye.
+const CROSSING: Duration = Duration::from_millis(100);
+
 /// What a caller's messages are read from.
 pub type Reader = PgReader<ReadHalf<TcpStreamPoll>>;
 
@@ -80,6 +88,9 @@
     pub(crate) settings: Settings,
     reader: Reader,
     writer: Writer,
+    seat: Seat,
+    /// Whether the caller may know that the host is being stopped.
+    told: bool,
     /// The transaction that is open, if one is.
     pub(crate) exchange: Option<Exchange>,
     /// `Failed` without an exchange stands for a transaction that is already
@@ -101,6 +112,7 @@
         caller: Caller,
         (reader, writer): (Reader, Writer),
         cancel: Rc<Cancel>,
+        seat: Seat,
     ) -> Self {
         Self {
             entry,
@@ -108,6 +120,8 @@
             settings: Settings::default(),
             reader,
             writer,
+            seat,
+            told: false,
             exchange: None,
             standing: Standing::Idle,
             cancel,
@@ -122,14 +136,17 @@
     pub async fn run(&mut self, pid: i32) -> anyhow::Result<()> {
         let notices = match self.start_up() {
             Ok(notices) => notices,
-            Err(fault) => {
-                self.send(&fault.answer(Severity::Fatal)).await?;
-                bail!("the start-up settings were refused: {}", fault.message);
-            }
+            Err(fault) => return self.fatal(&fault).await,
         };
         self.greet(pid, &notices).await?;
         loop {
-            let Some(frame) = self.reader.next().await? else { return Ok(()) };
+            self.seat.set_busy(self.exchange.is_some());
+            let frame = match self.next().await {
+                Ok(Some(frame)) => frame,
+                Ok(None) => return Ok(()),
+                Err(error) => return self.fatal(&Fault::new("08P01", format!("{error:#}"))).await,
+            };
+            self.seat.set_busy(true);
             match frame.tag {
                 b'Q' => self.query(&frame).await?,
                 b'P' | b'B' | b'D' | b'E' | b'C' => self.collect(&frame),
@@ -140,14 +157,50 @@
                 b'd' | b'c' | b'f' => {}
                 other => {
                     let message = format!("a message of kind {:?} is not served", other as char);
-                    let fault = Fault::new("08P01", message);
-                    self.send(&fault.answer(Severity::Fatal)).await?;
-                    bail!("{}", fault.message);
+                    return self.fatal(&Fault::new("08P01", message)).await;
                 }
             }
         }
     }
 
+    /// Ends the connection with a reason.
+    async fn fatal(&mut self, fault: &Fault) -> anyhow::Result<()> {
+        // Rolled back first: the caller may read on for as long as it likes.
+        self.exchange = None;
+        self.send(&fault.answer(Severity::Fatal)).await?;
+        bail!("{}", fault.message)
+    }
+
+    /// The next message. Between two requests a host that is being stopped says
+    /// goodbye instead; a request that crosses that on its way is still served.
+    async fn next(&mut self) -> anyhow::Result<Option<Frame>> {
+        if self.exchange.is_some() {
+            return self.reader.next_within(MESSAGE_WITHIN).await;
+        }
+        if let Some(frame) = self.reader.ready()? {
+            return Ok(Some(frame));
+        }
+        monoio::select! {
+            frame = self.reader.next_within(MESSAGE_WITHIN) => return frame,
+            _ = self.seat.leaving() => {}
+        }
+        // A caller without pauses would be served for ever, so this is done once.
+        let wait = if self.told { Duration::ZERO } else { CROSSING };
+        self.told = true;
+        let frame = monoio::time::timeout(wait, self.reader.next_within(MESSAGE_WITHIN)).await;
+        if let Ok(frame) = frame {
+            return frame;
+        }
+        let refusal = caller::stopping();
+        self.send(&answer::refusal(Severity::Fatal, &refusal)).await?;
+        bail!("{refusal}")
+    }
+
+    /// The stream, when the session is over.
+    pub fn into_stream(self) -> (Reader, Writer) {
+        (self.reader, self.writer)
+    }
+
     /// Takes the settings of the start-up message; gives notices for the caller.
     fn start_up(&mut self) -> Result<BytesMut, Fault> {
         let given = std::mem::take(&mut self.caller.settings);
@@ -222,8 +275,10 @@
     }
 
     async fn query(&mut self, frame: &Frame) -> anyhow::Result<()> {
-        let PgWireFrontendMessage::Query(query) = frame.frontend()? else {
-            bail!("a query was expected")
+        let query = match frame.frontend() {
+            Ok(PgWireFrontendMessage::Query(query)) => query,
+            Ok(_) => bail!("a query was expected"),
+            Err(error) => return self.fatal(&Fault::new("08P01", format!("{error:#}"))).await,
         };
         self.batch = Batch::default();
         let commands = sql::commands(&query.query);
@@ -318,6 +373,7 @@
             steps: request.steps,
             statements: &mut self.statements,
             watch: request.unfinished,
+            taken: 0,
         };
         let (answered, steps) = relay.run().await?;
         self.skipping = request.unfinished && steps.failed();
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -117,6 +117,7 @@
     /// Answers a question of a peer.
     pub fn answer(&self, question: Question) -> Answer {
         match question {
+            Question::Ping if self.leaving.get() => Answer::Leaving,
             Question::Ping => Answer::Pong,
             Question::Vouch => Answer::Vouch(self.vouch()),
             Question::Revision => {
--- a/components/fleet/src/roster.rs
+++ b/components/fleet/src/roster.rs
@@ -30,9 +30,14 @@
         Ok(())
     }
 
+    /// Tells the other hosts that this one is to get nothing new.
+    pub fn begin_leaving(&self) {
+        self.leaving.set(true);
+    }
+
     /// Takes this host out of the roster for good, before it stops.
     pub async fn leave(&self) -> anyhow::Result<()> {
-        self.leaving.set(true);
+        self.begin_leaving();
         while self.is_member() {
             self.change(|roster| roster.retain(|host| host.id != self.me.id)).await?;
         }
--- a/components/home/src/backend.rs
+++ b/components/home/src/backend.rs
@@ -1,6 +1,6 @@
 //! A connection to a backend server.
 
-use std::{fmt, io, time::Duration};
+use std::{cell::Cell, fmt, io, time::Duration};
 
 use anyhow::{Context, bail};
 use bergamottrack_contract::BackendServer;
@@ -53,6 +53,8 @@
     writer: PgWriter<WriteHalf<TcpStreamPoll>>,
     server: BackendServer,
     key: Option<BackendKeyData>,
+    /// Whether a cancel was sent for it.
+    cancelled: Cell<bool>,
 }
 
 impl Conn {
@@ -72,7 +74,8 @@
         let stream = TcpStream::connect(server.address).await?;
         stream.set_nodelay(true)?;
         let (reader, writer) = stream::split(stream.into_poll_io()?, MAX_MESSAGE);
-        let mut conn = Self { reader, writer, server: server.clone(), key: None };
+        let mut conn =
+            Self { reader, writer, server: server.clone(), key: None, cancelled: Cell::default() };
         let mut startup = Startup::default();
         startup.protocol_number_major = 3;
         startup.protocol_number_minor = 0;
@@ -147,9 +150,15 @@
         Ok(reply)
     }
 
+    /// Whether a cancel was sent for it, which may still be on its way.
+    pub fn is_cancelled(&self) -> bool {
+        self.cancelled.get()
+    }
+
     /// Asks the server, over a connection of its own, to cancel what runs here.
     pub async fn cancel(&self, within: Duration) -> anyhow::Result<()> {
         let Some(key) = &self.key else { return Ok(()) };
+        self.cancelled.set(true);
         let request = frame::bytes(&CancelRequest::new(key.pid, key.secret_key.clone()));
         let send = async {
             let stream = TcpStream::connect(self.server.address).await?;
--- a/components/home/src/homes.rs
+++ b/components/home/src/homes.rs
@@ -92,6 +92,11 @@
         });
     }
 
+    /// Whether nothing has run here for `time`.
+    pub fn is_idle(&self, time: Duration) -> bool {
+        self.groups.borrow().values().all(|(_, home)| home.is_idle(time))
+    }
+
     fn close_unused(&self) {
         self.groups.borrow_mut().retain(|_, (_, home)| {
             let stays = home.first.get() || !home.is_idle(KEEP_FOR);
@@ -127,8 +132,11 @@
 impl View {
     fn of(current: &Current, mesh: &Mesh) -> Self {
         let links = mesh.links();
-        let mut up: Vec<_> =
-            links.iter().filter(|link| link.is_up()).map(|link| link.host.clone()).collect();
+        let mut up: Vec<_> = links
+            .iter()
+            .filter(|link| link.is_up() && !link.is_leaving())
+            .map(|link| link.host.clone())
+            .collect();
         up.sort();
         Self { revision: current.number(), up }
     }
--- a/components/home/src/pool.rs
+++ b/components/home/src/pool.rs
@@ -54,7 +54,14 @@
 
 impl Taken<'_> {
     /// Gives the connection back; only after a whole answer outside of any transaction.
+    ///
+    /// One that a cancel was sent for is closed instead. The cancel goes over a
+    /// connection of its own and may come late: it would end a statement of
+    /// whichever transaction has this connection next.
     pub fn give_back(self) {
+        if self.conn.is_cancelled() {
+            return;
+        }
         self.pool.idle.borrow_mut().push(self.conn);
     }
 }
--- a/components/home/src/turn.rs
+++ b/components/home/src/turn.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use bergamottrack_coordination::{Fate, Point, Reason, Refusal, Term};
+use bergamottrack_coordination::{Fate, Point, Reason, Refusal, Term, pace};
 use bergamottrack_peer::{HomeSide, Intent, ToEntry, ToHome, message::Standing};
 use bergamottrack_pg::Frame;
 use bytes::{Bytes, BytesMut};
@@ -68,6 +68,8 @@
     complete: bool,
     /// Bytes handed on that the entry has not passed on yet.
     ahead: u64,
+    /// Bytes that the caller has taken.
+    taken: u64,
 }
 
 impl Turn<'_> {
@@ -107,7 +109,7 @@
                     let message = format!("{} was lost or replaced", self.server.contract.id);
                     return Err(refusal(Reason::Lost, &message));
                 }
-                _ = monoio::time::sleep_until(self.deadline.into()) => {
+                _ = monoio::time::sleep_until((self.deadline + pace::time_for(answer.taken)).into()) => {
                     return Err(refusal(Reason::Deadline, "the deadline passed"));
                 }
             };
@@ -147,6 +149,7 @@
             }
             Some(ToHome::Credit(bytes)) => {
                 answer.ahead = answer.ahead.saturating_sub(bytes);
+                answer.taken += bytes;
                 Ok(())
             }
             Some(ToHome::More { .. }) => Ok(()),
--- a/components/peer/src/link.rs
+++ b/components/peer/src/link.rs
@@ -51,6 +51,8 @@
     next_no: Cell<RequestNo>,
     heard: Cell<Option<Instant>>,
     closed: Cell<bool>,
+    /// Whether the peer is being stopped.
+    leaving: Cell<bool>,
 }
 
 impl Link {
@@ -72,6 +74,7 @@
             next_no: Cell::default(),
             heard: Cell::default(),
             closed: Cell::default(),
+            leaving: Cell::default(),
         });
         let dialler = Dialler { address, hello: Box::new(hello), secret };
         monoio::spawn(keep(link.clone(), dialler));
@@ -89,6 +92,11 @@
             && self.heard.get().is_some_and(|t| self.clock.now() < t + SILENCE)
     }
 
+    /// Whether the peer is being stopped: it ends what it has and gets nothing new.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
     /// Begins an exchange with the peer as home; `None` when the link is down.
     pub fn open(&self, open: Open) -> Option<Exchange> {
         let out = self.out.borrow().clone()?;
@@ -134,6 +142,7 @@
         monoio::time::timeout(socket::HELLO_TIMEOUT, prove).await??;
         let (tx, mut rx) = mpsc::unbounded_channel();
         *self.out.borrow_mut() = Some(tx);
+        self.leaving.set(false);
         self.heard.set(Some(self.clock.now()));
         info!("link: {} is up.", self.host);
         monoio::select! {
@@ -176,7 +185,8 @@
 
     async fn ping(&self) -> anyhow::Result<()> {
         while !self.closed.get() {
-            self.ask(Question::Ping, SILENCE).await?;
+            let answer = self.ask(Question::Ping, SILENCE).await?;
+            self.leaving.set(matches!(answer, Answer::Leaving));
             monoio::time::sleep(PING_EVERY).await;
         }
         bail!("the host left the roster")
--- a/components/peer/src/mesh.rs
+++ b/components/peer/src/mesh.rs
@@ -80,7 +80,9 @@
     pub fn homes(&self, group: &GroupId) -> Vec<HostId> {
         let links = self.links.borrow();
         let left = self.left.borrow();
-        let serves = |host: &Host, link: &Link| link.is_up() && !left.contains(&host.id);
+        let serves = |host: &Host, link: &Link| {
+            link.is_up() && !link.is_leaving() && !left.contains(&host.id)
+        };
         let others = links.values().filter(|(host, link)| serves(host, link));
         let others = others.map(|(host, _)| candidate(host));
         let ranked = rendezvous::rank(group, others.chain([candidate(&self.me)]), None);
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -113,6 +113,8 @@
 pub enum Answer {
     /// The host is there.
     Pong,
+    /// The host is there, but being stopped: it is to get nothing new.
+    Leaving,
     /// What the host can vouch for.
     Vouch(Vouch),
     /// The newest revision that the host knows.
--- a/components/pg/src/stream.rs
+++ b/components/pg/src/stream.rs
@@ -1,5 +1,7 @@
 //! Messages over a byte stream, with bounded memory.
 
+use std::time::Duration;
+
 use anyhow::Context;
 use bytes::BytesMut;
 use pgwire::messages::{DecodeContext, PgWireFrontendMessage, SslNegotiationMetaMessage};
@@ -57,6 +59,30 @@
         }
     }
 
+    /// Accepts messages up to `max` bytes from now on.
+    pub fn set_max(&mut self, max: usize) {
+        self.max = max;
+    }
+
+    /// The next message, which must be whole soon after its first byte.
+    ///
+    /// Guards against a sender that holds memory with a message it never ends.
+    pub async fn next_within(&mut self, limit: Duration) -> anyhow::Result<Option<Frame>> {
+        if self.buf.is_empty() && !self.fill().await? {
+            return Ok(None);
+        }
+        let next = monoio::time::timeout(limit, self.next()).await;
+        next.with_context(|| format!("a message did not come to its end in {limit:?}"))?
+    }
+
+    /// Reads to the end of the stream and keeps nothing.
+    pub async fn discard(&mut self) {
+        // An error ends the stream as well.
+        while self.fill().await.unwrap_or(false) {
+            self.buf.clear();
+        }
+    }
+
     /// The next message, if it has already arrived.
     pub fn ready(&mut self) -> anyhow::Result<Option<Frame>> {
         Frame::split_from(&mut self.buf, self.max)
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -85,6 +85,12 @@
     /// Address that this host reaches under another one: ADDRESS=OTHER, several by commas.
     #[arg(long, env = "BERGAMOTTRACK_VIA", value_delimiter = ',')]
     pub via: Vec<String>,
+    /// Callers that may be connected at once.
+    #[arg(long, env = "BERGAMOTTRACK_CALLERS", value_name = "NUMBER", default_value = "4000")]
+    pub callers: String,
+    /// Seconds that a planned stop waits for requests and transactions to end.
+    #[arg(long, env = "BERGAMOTTRACK_STOP_SECS", value_name = "SECONDS", default_value = "30")]
+    pub stop_secs: String,
     /// What is logged, such as `info` or `warn,bergamottrack_home=debug`.
     #[arg(long, env = "BERGAMOTTRACK_LOG", default_value = "info")]
     pub log: String,
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,3 +5,4 @@
 pub mod key;
 pub mod pages;
 pub mod serve;
+mod stop;
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 use bergamottrack_contract::{Config, Current, Host, Routes};
 use bergamottrack_coordination::{Clock, SystemClock, token::Secret};
-use bergamottrack_entry::{Entry, caller};
+use bergamottrack_entry::{Entry, caller, callers::Callers};
 use bergamottrack_fleet::{Fleet, fleet};
 use bergamottrack_home::Homes;
 use bergamottrack_operator::{Reply, Request, serve::Handler};
@@ -18,7 +18,11 @@
 use tracing::info;
 use tracing_subscriber::EnvFilter;
 
-use crate::{cli::LogFormat, settings::Settings};
+use crate::{
+    cli::LogFormat,
+    cmd::stop::{self, Signals},
+    settings::Settings,
+};
 
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -41,6 +45,7 @@
 }
 
 async fn host(args: Settings) -> anyhow::Result<()> {
+    let signals = Signals::register()?;
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let me = Host { id: args.host.clone(), domain: args.domain.clone(), peer: args.peer };
     let current = Rc::new(Current::default());
@@ -57,6 +62,7 @@
         mesh: mesh.clone(),
         homes: homes.clone(),
         secret,
+        callers: Callers::new(args.callers),
         cancels: Default::default(),
         last_pid: Cell::default(),
     });
@@ -65,10 +71,15 @@
     monoio::spawn(homes.clone().keep(current.clone(), mesh.clone()));
     monoio::spawn(accept_peers(peers, fleet.clone(), homes));
     monoio::spawn(fleet.clone().run());
-    let operators = bergamottrack_operator::serve(args.operator, handler(fleet, args.operator_key));
+    let operators =
+        bergamottrack_operator::serve(args.operator, handler(fleet.clone(), args.operator_key));
     monoio::select! {
-        result = accept_callers(callers, entry) => result,
+        result = accept_callers(callers, entry.clone()) => result,
         result = operators => result,
+        _ = signals.asked() => {
+            stop::drain(&entry, &fleet, args.stop_within).await;
+            Ok(())
+        }
     }
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! Reads the settings of an entry host; every fault of them at once.
 
-use std::{fmt, net::SocketAddr, path::Path, str::FromStr};
+use std::{fmt, net::SocketAddr, path::Path, str::FromStr, time::Duration};
 
 use bergamottrack_contract::Route;
 use bergamottrack_coordination::{FailureDomain, HostId};
@@ -31,6 +31,10 @@
     pub operator_key: Option<Box<str>>,
     /// Addresses that this host reaches under other ones.
     pub via: Vec<Route>,
+    /// Callers that may be connected at once.
+    pub callers: usize,
+    /// How long a planned stop waits for requests and transactions to end.
+    pub stop_within: Duration,
     /// What is logged.
     pub log: EnvFilter,
     /// How log lines are written.
@@ -137,6 +141,8 @@
         let route = "a pair of addresses such as 10.0.0.1:5432=192.0.2.1:5432";
         let via =
             args.via.iter().filter_map(|text| faults.need("via", Some(text), route)).collect();
+        let callers = faults.need("callers", Some(&args.callers), "a number of connections");
+        let stop = faults.need("stop-secs", Some(&args.stop_secs), "a number of seconds");
         let log = EnvFilter::try_new(&args.log).ok();
         if log.is_none() {
             faults.note("log", format!("{:?}", args.log), "a level such as info or debug");
@@ -152,6 +158,8 @@
                 secret: secret?,
                 operator_key,
                 via,
+                callers: callers?,
+                stop_within: Duration::from_secs(stop?),
                 log: log?,
                 log_format: args.log_format,
             })
