--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -128,6 +128,7 @@
     /// Answers a question of a peer; `None` when it is not about the fleet.
     pub fn answer(&self, peer: &Hello, question: Question) -> Option<Answer> {
         Some(match question {
+            Question::Ping if self.leaving.get() => Answer::Leaving,
             Question::Ping => Answer::Pong,
             Question::Vouch => Answer::Vouch(self.vouch()),
             Question::Revision => {
--- a/components/operator/src/operator.rs
+++ b/components/operator/src/operator.rs
@@ -69,7 +69,7 @@
             revision: current.number(),
             fresh: current.age(now),
             acts: current.is_fresh(now),
-            draining: false,
+            draining: self.fleet.is_leaving(),
             callers: self.metrics.callers(),
             platform_calls: self.platform.calls.get(),
             groups: self.homes.reports(),
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -10,4 +10,5 @@
 pub mod remote;
 pub mod serve;
 pub mod status;
+mod stop;
 pub mod submit;
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -253,3 +253,22 @@
     }
     assert!(!text.contains("wrong") && !text.contains(&system::key_of("baobab")), "{text}");
 }
+
+/// An operator takes a host out by hand: it finishes, ends well and leaves the
+/// fleet, and the others say so.
+#[tokio::test]
+async fn a_drained_host_ends_and_leaves_the_fleet() {
+    let mut desk = Desk::new().await;
+    desk.settle();
+    let drained = desk.run(2, "ana", &["drain"]);
+    assert_eq!(drained.code, 0, "{drained:?}");
+    assert!(drained.out.starts_with("h3 drains"), "{drained:?}");
+    let deadline = Instant::now() + PATIENCE;
+    while desk.system.hosts[2].is_running() {
+        assert!(Instant::now() < deadline, "{}", desk.system.hosts[2].log());
+        std::thread::sleep(PAUSE);
+    }
+    assert_eq!(desk.system.hosts[2].wait().unwrap(), Some(0));
+    let hosts = desk.run(0, "ana", &["hosts"]).out;
+    assert!(!hosts.contains("h3"), "{hosts}");
+}
