--- a/components/fleet/src/limits.rs
+++ b/components/fleet/src/limits.rs
@@ -19,6 +19,7 @@
 use bergamottrack_coordination::{
     AccountId, Allotment, Bucket, Clock, HostId, Lenders, Reason, Refusal, Revision, Share, Shares,
 };
+use bergamottrack_metrics::Metrics;
 use bergamottrack_peer::{Answer, Mesh, Question, message::Lend};
 use tokio::sync::Mutex;
 
@@ -47,15 +48,21 @@
     current: Rc<Current>,
     mesh: Rc<Mesh>,
     clock: Rc<dyn Clock>,
+    metrics: Rc<Metrics>,
     shares: RefCell<Shares>,
     accounts: RefCell<HashMap<AccountId, Rc<Account>>>,
 }
 
 impl Limits {
     /// A host that may use nothing yet.
-    pub fn new(current: Rc<Current>, mesh: Rc<Mesh>, clock: Rc<dyn Clock>) -> Rc<Self> {
+    pub fn new(
+        current: Rc<Current>,
+        mesh: Rc<Mesh>,
+        clock: Rc<dyn Clock>,
+        metrics: Rc<Metrics>,
+    ) -> Rc<Self> {
         let shares = RefCell::new(Shares::new(mesh.me.id.clone()));
-        Rc::new(Self { current, mesh, clock, shares, accounts: RefCell::default() })
+        Rc::new(Self { current, mesh, clock, metrics, shares, accounts: RefCell::default() })
     }
 
     /// Takes one token of the account; refused at once when no host has one.
@@ -109,6 +116,7 @@
         match answer {
             Some(Answer::Lent { tokens, spare }) => {
                 account.bucket.borrow_mut().receive(no, tokens, now);
+                self.metrics.borrowed(id, tokens);
                 account.lenders.borrow_mut().answered(&host, spare, now);
             }
             _ => {
@@ -130,6 +138,7 @@
         };
         let mut bucket = account.bucket.borrow_mut();
         let tokens = bucket.lend(borrower, lend.no, lend.tokens, &lend.over, now);
+        self.metrics.lent(&lend.account, tokens);
         Answer::Lent { tokens, spare: bucket.spare(now) }
     }
 
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -153,6 +153,8 @@
 pub enum Answer {
     /// The host is there.
     Pong,
+    /// The host is there, but being stopped: it is to get nothing new.
+    Leaving,
     /// What the host can vouch for.
     Vouch(Vouch),
     /// What the host reports of itself.
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 use bergamottrack_contract::{Current, Host, Routes};
 use bergamottrack_coordination::{Clock, SystemClock, token::Secret};
-use bergamottrack_entry::{Entry, caller};
+use bergamottrack_entry::{Entry, caller, callers::Callers};
 use bergamottrack_fleet::Fleet;
 use bergamottrack_home::Homes;
 use bergamottrack_metrics::Metrics;
@@ -19,7 +19,11 @@
 use tracing::info;
 use tracing_subscriber::EnvFilter;
 
-use crate::{cli::LogFormat, settings::Settings};
+use crate::{
+    cli::LogFormat,
+    cmd::stop::{self, Signals},
+    settings::Settings,
+};
 
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -42,6 +46,7 @@
 }
 
 async fn host(args: Settings) -> anyhow::Result<()> {
+    let signals = Signals::register()?;
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let me = Host { id: args.host.clone(), domain: args.domain.clone(), peer: args.peer };
     let current = Rc::new(Current::default());
@@ -53,7 +58,8 @@
     let homes = Homes::new(args.host.clone(), clock.clone(), routes, metrics.clone());
     let platform = Rc::new(platform);
     let chain = Chain::new(platform.clone());
-    let fleet = Fleet::new(me, current.clone(), mesh.clone(), chain, clock.clone());
+    let fleet =
+        Fleet::new(me, current.clone(), mesh.clone(), chain, clock.clone(), metrics.clone());
     let operator = Rc::new(Operator {
         fleet: fleet.clone(),
         homes: homes.clone(),
@@ -71,6 +77,7 @@
         homes: homes.clone(),
         secret,
         metrics,
+        callers: Callers::new(args.callers),
         cancels: Default::default(),
         last_pid: Cell::default(),
     });
@@ -78,12 +85,21 @@
     let callers = listen(args.listen, "callers")?;
     monoio::spawn(homes.keep(current, mesh));
     monoio::spawn(accept_peers(peers, operator.clone()));
-    monoio::spawn(fleet.run());
+    monoio::spawn(fleet.clone().run());
     monoio::spawn(operator.clone().keep_metrics());
+    let drain = operator.drain.clone();
     let operators = bergamottrack_operator::serve(args.operator, operator.handler());
+    let mut operators = std::pin::pin!(operators);
+    monoio::select! {
+        result = accept_callers(callers, entry.clone()) => return result,
+        result = &mut operators => return result,
+        _ = signals.asked() => {}
+        _ = drain.notified() => {}
+    }
+    // Operators are answered to the end, so that they can see the host drain.
     monoio::select! {
-        result = accept_callers(callers, entry) => result,
         result = operators => result,
+        _ = stop::drain(&entry, &fleet, args.stop_within) => Ok(()),
     }
 }
 
