--- /dev/null
+++ b/lab/src/experiment.rs
@@ -0,0 +1,132 @@
+//! Experiments: a file names a load, its faults and a baseline.
+
+use std::{fmt, path::Path};
+
+use anyhow::Context;
+use clap::Args;
+use serde::{Deserialize, Serialize};
+
+use crate::load::{self, Load, Report, report};
+
+/// Settings of `experiment`.
+#[derive(Args, Clone, Debug)]
+pub struct ExperimentArgs {
+    /// Its name, that of a file of `lab/experiments/` without `.toml`.
+    pub name: String,
+    /// Writes all reports as JSON.
+    #[arg(long)]
+    pub json: Option<std::path::PathBuf>,
+    /// Prints each report whole.
+    #[arg(long)]
+    pub whole: bool,
+}
+
+/// An experiment as its file describes it.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Experiment {
+    /// What is asked.
+    about: Box<str>,
+    /// What all runs share.
+    #[serde(default)]
+    load: toml::Table,
+    /// The runs; the first one is the baseline.
+    #[serde(rename = "run")]
+    runs: Vec<RunPlan>,
+}
+
+/// One run of an experiment.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RunPlan {
+    name: Box<str>,
+    /// What differs from what all runs share.
+    #[serde(default)]
+    load: toml::Table,
+}
+
+/// A run and what it has shown.
+#[derive(Debug, Serialize)]
+struct Shown {
+    name: Box<str>,
+    report: Report,
+}
+
+/// Runs an experiment and prints one line a run.
+pub async fn run(args: ExperimentArgs) -> anyhow::Result<()> {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments");
+    let path = dir.join(format!("{}.toml", args.name));
+    let text = std::fs::read_to_string(&path)
+        .with_context(|| format!("reading the experiment {}", path.display()))?;
+    let experiment: Experiment = toml::from_str(&text)?;
+    println!("{}", experiment.about);
+    println!("{HEAD}");
+    let mut shown = Vec::new();
+    for plan in experiment.runs {
+        let load = merge(experiment.load.clone(), plan.load);
+        let load: Load = load.try_into().with_context(|| format!("the run {:?}", plan.name))?;
+        let report = load::run(load).await?;
+        let run = Shown { name: plan.name, report };
+        println!("{run}");
+        if args.whole {
+            println!("{}", run.report);
+        }
+        shown.push(run);
+    }
+    if let Some(path) = &args.json {
+        std::fs::write(path, serde_json::to_vec_pretty(&shown)?)?;
+    }
+    Ok(())
+}
+
+/// Lays one table over another, tables within tables too.
+fn merge(mut base: toml::Table, over: toml::Table) -> toml::Table {
+    for (name, value) in over {
+        let merged = match (base.remove(&name), value) {
+            (Some(toml::Value::Table(below)), toml::Value::Table(above)) => {
+                toml::Value::Table(merge(below, above))
+            }
+            (_, value) => value,
+        };
+        base.insert(name, merged);
+    }
+    base
+}
+
+const HEAD: &str = "run                offered  served   /s      p50 ms  p99 ms   wait ms  \
+replica%  worst%  others%  wrongful over   stale gap p50/p90/max ms  refused";
+
+impl fmt::Display for Shown {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Report { latency, .. } = &self.report;
+        let r = &self.report;
+        let gap = |part| report::quantile(&r.failover_gaps, part);
+        write!(
+            f,
+            "{:18} {:>7} {:>7} {:>6.0} {:>8.2} {:>7.1} {:>9.0} {:>8.1} {:>7.1} {:>8.1} {:>9} {:>5.1} {:>5} {:>6.0}/{:.0}/{:.0}  ",
+            self.name,
+            r.offered,
+            r.served,
+            r.goodput,
+            latency.p50,
+            latency.p99,
+            r.longest_wait,
+            r.replica_share * 100.0,
+            r.worst.share * 100.0,
+            others(r) * 100.0,
+            r.wrongful,
+            r.overshoot,
+            r.stale_reads,
+            gap(0.5),
+            gap(0.9),
+            gap(1.0),
+        )?;
+        r.refused().iter().try_for_each(|(code, count)| write!(f, " {code}:{count}"))
+    }
+}
+
+/// The least that an account got which stayed within its rate.
+fn others(report: &Report) -> f64 {
+    let within = report.accounts.iter().filter(|a| a.entitled == a.offered);
+    within.map(|a| a.served as f64 / a.entitled.max(1) as f64).fold(1.0, f64::min)
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,6 +1,8 @@
 //! Stand-ins, faults, load and experiments for bergamottrack; not shipped.
 
 pub mod cost;
+pub mod demo;
+pub mod experiment;
 pub mod link;
 pub mod load;
 pub mod platform;
--- a/lab/src/load/fault.rs
+++ b/lab/src/load/fault.rs
@@ -1,8 +1,9 @@
 //! Faults that a run causes at set times.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use anyhow::Context;
+use bergamottrack_coordination::leadership::Status;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -16,10 +17,16 @@
 pub struct Fault {
     /// Seconds after the load began.
     pub at: f64,
+    /// Seconds from one time to the next.
+    #[serde(default)]
+    pub every: f64,
+    /// How many times it comes.
+    #[serde(default = "once")]
+    pub times: u32,
     /// What happens.
     pub act: Act,
     /// To whom: a process such as `h2` or `g1s1`, `g1.primary` for the server
-    /// that leads, or links such as `h1>*`.
+    /// that leads, names with a `*` for settings, or links such as `h1>*`.
     #[serde(default)]
     pub target: Box<str>,
     /// Its parameter: JSON of the platform's faults, the fault of a link as
@@ -28,18 +35,22 @@
     pub with: Box<str>,
 }
 
+fn once() -> u32 {
+    1
+}
+
 /// What happens.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Act {
     /// The process is killed.
     Kill,
-    /// It is started again.
-    Start,
     /// It stands still.
     Freeze,
-    /// It goes on.
-    Thaw,
+    /// No byte reaches or leaves it; needs links.
+    Cut,
+    /// What was last done to the target is undone.
+    Heal,
     /// Links get a fault; none mends them.
     Link,
     /// Every server that `target` matches gets a setting.
@@ -49,49 +60,81 @@
 }
 
 impl Fault {
-    /// Causes the fault.
-    pub async fn cause(&self, system: &mut System) -> anyhow::Result<()> {
-        match self.act {
+    /// When it comes.
+    pub fn dates(&self) -> impl Iterator<Item = f64> {
+        (0..self.times).map(|i| self.at + f64::from(i) * self.every)
+    }
+
+    /// The group whose primary it strikes.
+    pub fn group(&self) -> Option<&str> {
+        let strikes = matches!(self.act, Act::Kill | Act::Freeze | Act::Cut);
+        self.target.strip_suffix(".primary").filter(|_| strikes)
+    }
+}
+
+/// What is broken at the moment, by the target that was named.
+#[derive(Debug, Default)]
+pub struct Broken(BTreeMap<Box<str>, (Act, String)>);
+
+impl Broken {
+    /// Causes a fault.
+    pub async fn cause(&mut self, fault: &Fault, system: &mut System) -> anyhow::Result<()> {
+        match fault.act {
             Act::Link => {
-                let fault = match &*self.with {
+                let what = match &*fault.with {
                     "" => link::Fault::default(),
                     json => serde_json::from_str(json).context("the fault of a link")?,
                 };
-                return system.fault(&self.target, fault).await;
+                return system.fault(&fault.target, what).await;
             }
-            Act::Platform => return system.platform_faults(&self.with).await,
-            Act::Server => return self.set_servers(system).await,
-            _ => {}
+            Act::Platform => return system.platform_faults(&fault.with).await,
+            Act::Server => return set_servers(fault, system).await,
+            Act::Heal => return self.heal(&fault.target, system).await,
+            Act::Kill | Act::Freeze | Act::Cut => {}
         }
-        let name = match self.target.strip_suffix(".primary") {
+        let name = match fault.target.strip_suffix(".primary") {
             Some(group) => primary(system, group).await?,
-            None => self.target.to_string(),
+            None => fault.target.to_string(),
         };
-        let process = system.process(&name)?;
-        match self.act {
-            Act::Kill => process.kill(),
-            Act::Start => process.start()?,
-            Act::Freeze => process.signal(libc::SIGSTOP)?,
-            _ => process.signal(libc::SIGCONT)?,
+        match fault.act {
+            Act::Kill => system.process(&name)?.kill(),
+            Act::Freeze => system.process(&name)?.signal(libc::SIGSTOP)?,
+            _ => {
+                system.cut(&format!("*>{name}")).await?;
+                system.cut(&format!("{name}>*")).await?;
+            }
         }
+        self.0.insert(fault.target.clone(), (fault.act, name));
         Ok(())
     }
 
-    async fn set_servers(&self, system: &System) -> anyhow::Result<()> {
-        let names = system.servers.keys().filter(|name| link::matches(&self.target, name));
-        for name in names {
-            let client = system.connect_server(name).await?;
-            client.batch_execute(&format!("SET {}", self.with)).await?;
+    async fn heal(&mut self, target: &str, system: &mut System) -> anyhow::Result<()> {
+        let Some((act, name)) = self.0.remove(target) else { return Ok(()) };
+        match act {
+            Act::Kill => system.process(&name)?.start(),
+            Act::Freeze => system.process(&name)?.signal(libc::SIGCONT),
+            _ => {
+                system.mend(&format!("*>{name}")).await?;
+                system.mend(&format!("{name}>*")).await
+            }
         }
-        Ok(())
     }
 }
 
+async fn set_servers(fault: &Fault, system: &System) -> anyhow::Result<()> {
+    let names = system.servers.keys().filter(|name| link::matches(&fault.target, name));
+    for name in names {
+        let client = system.connect_server(name).await?;
+        client.batch_execute(&format!("SET {}", fault.with)).await?;
+    }
+    Ok(())
+}
+
 /// The server that leads a group, asked of the servers themselves.
 pub async fn primary(system: &System, group: &str) -> anyhow::Result<String> {
     let mut best = None;
     for name in system.servers.keys().filter(|name| name.starts_with(&format!("{group}s"))) {
-        let status = tokio::time::timeout(Duration::from_secs(1), status(system, name)).await;
+        let status = tokio::time::timeout(Duration::from_millis(500), status(system, name)).await;
         if let Ok(Ok(status)) = status
             && status.leads()
         {
@@ -101,10 +144,7 @@
     best.map(|(_, name)| name).with_context(|| format!("{group} has no primary"))
 }
 
-async fn status(
-    system: &System,
-    name: &str,
-) -> anyhow::Result<bergamottrack_coordination::leadership::Status> {
+async fn status(system: &System, name: &str) -> anyhow::Result<Status> {
     let client = system.connect_server(name).await?;
     let rows = system::rows(&client, "SHOW group_status").await?;
     Ok(rows.first().context("a server without a status")?.parse()?)
--- a/lab/src/load/mod.rs
+++ b/lab/src/load/mod.rs
@@ -1,7 +1,7 @@
 //! The load generator: arrivals that do not wait for answers, from a set seed.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
@@ -151,7 +151,10 @@
     samples: RefCell<BTreeMap<Rc<str>, Vec<Sample>>>,
     /// When writes were acknowledged, by group.
     acknowledged: RefCell<BTreeMap<Rc<str>, Vec<f64>>>,
-    running: std::cell::Cell<usize>,
+    /// When a group's primary was struck.
+    strikes: RefCell<Vec<(Rc<str>, f64)>>,
+    running: Cell<usize>,
+    groups: Vec<Rc<str>>,
 }
 
 impl Run {
@@ -159,6 +162,12 @@
         self.began.elapsed().as_secs_f64()
     }
 
+    /// The group whose servers are called `g2s1` and so on when given `g2`.
+    fn group(&self, name: &str) -> Option<Rc<str>> {
+        let number: usize = name.strip_prefix('g')?.parse().ok()?;
+        self.groups.get(number.checked_sub(1)?).cloned()
+    }
+
     fn host(&self, due: f64, rng: &mut StdRng) -> usize {
         let hosts = self.addresses.len();
         let favoured = match self.load.balance {
@@ -187,7 +196,9 @@
         began: Instant::now(),
         samples: RefCell::default(),
         acknowledged: RefCell::default(),
-        running: Default::default(),
+        strikes: RefCell::default(),
+        running: Cell::default(),
+        groups: config.groups.iter().map(|g| g.id.as_str().into()).collect(),
         load,
     });
     let arrivals: Vec<JoinHandle<()>> = sessions
@@ -197,10 +208,7 @@
             tokio::task::spawn_local(arrivals(run.clone(), account, sessions, i as u64))
         })
         .collect();
-    for fault in &run.load.faults {
-        sleep_until(&run, fault.at).await;
-        fault.cause(&mut system).await.with_context(|| format!("causing {fault:?}"))?;
-    }
+    cause_faults(&run, &mut system).await?;
     for task in arrivals {
         task.await?;
     }
@@ -209,6 +217,23 @@
     Ok(report::make(&run, &config, &idle, &before, &after))
 }
 
+/// Causes all faults in the order of their times.
+async fn cause_faults(run: &Run, system: &mut System) -> anyhow::Result<()> {
+    let faults = run.load.faults.iter();
+    let mut dates: Vec<(f64, &Fault)> =
+        faults.flat_map(|f| f.dates().map(move |t| (t, f))).collect();
+    dates.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut broken = fault::Broken::default();
+    for (at, fault) in dates {
+        sleep_until(run, at).await;
+        if let Some(group) = fault.group().and_then(|name| run.group(name)) {
+            run.strikes.borrow_mut().push((group, run.now()));
+        }
+        broken.cause(fault, system).await.with_context(|| format!("causing {fault:?}"))?;
+    }
+    Ok(())
+}
+
 async fn sleep_until(run: &Run, at: f64) {
     tokio::time::sleep_until((run.began + Duration::from_secs_f64(at)).into()).await;
 }
--- a/lab/src/load/report.rs
+++ b/lab/src/load/report.rs
@@ -1,6 +1,6 @@
 //! What a load has shown.
 
-use std::{collections::BTreeMap, fmt};
+use std::{collections::BTreeMap, fmt, rc::Rc};
 
 use bergamottrack_contract::{ClientAccount, Config};
 use serde::Serialize;
@@ -31,6 +31,9 @@
     pub stale_reads: u64,
     /// The longest time without an acknowledged write, by group, in milliseconds.
     pub write_gaps: BTreeMap<Box<str>, f64>,
+    /// For each time that a primary was struck: from the last acknowledged write
+    /// of its group before to the first after, in milliseconds, in order of length.
+    pub failover_gaps: Vec<f64>,
     /// The longest that a caller waited for an answer of any kind, in milliseconds.
     pub longest_wait: f64,
     /// The account that got the least of what its contract entitled it to.
@@ -106,6 +109,17 @@
     pub memory_mib: f64,
 }
 
+impl Report {
+    /// All refusals, by SQLSTATE.
+    pub fn refused(&self) -> BTreeMap<&str, u64> {
+        let mut all = BTreeMap::new();
+        for (code, count) in self.accounts.iter().flat_map(|a| &a.refused) {
+            *all.entry(&**code).or_default() += count;
+        }
+        all
+    }
+}
+
 fn latency(histogram: &hdrhistogram::Histogram<u64>) -> Latency {
     let millis = |q: f64| histogram.value_at_quantile(q) as f64 / 1000.0;
     Latency { p50: millis(0.5), p99: millis(0.99), max: histogram.max() as f64 / 1000.0 }
@@ -139,6 +153,7 @@
         replica_share: replica_share(before, after),
         stale_reads,
         write_gaps: write_gaps(run),
+        failover_gaps: failover_gaps(run),
         longest_wait: points.iter().map(|p| p.1).fold(0.0, f64::max),
         worst: worst(&accounts),
         wrongful: accounts.iter().map(|a| a.wrongful).sum(),
@@ -190,6 +205,27 @@
     acknowledged.iter().map(|(group, times)| (Box::from(&**group), gap(times))).collect()
 }
 
+fn failover_gaps(run: &Run) -> Vec<f64> {
+    let acknowledged = run.acknowledged.borrow();
+    let gap = |(group, at): &(Rc<str>, f64)| {
+        let times = acknowledged.get(group)?.iter().copied();
+        let before = times.clone().filter(|t| t <= at).max_by(f64::total_cmp)?;
+        let after = times.filter(|t| t > at).min_by(f64::total_cmp);
+        // A group that took no write again was away up to the end of the run.
+        Some((after.unwrap_or(run.now()) - before) * 1000.0)
+    };
+    let mut gaps: Vec<f64> = run.strikes.borrow().iter().filter_map(gap).collect();
+    gaps.sort_by(f64::total_cmp);
+    gaps
+}
+
+/// The value below which a part of the sorted values lies.
+pub fn quantile(sorted: &[f64], part: f64) -> f64 {
+    let last = sorted.len().saturating_sub(1);
+    let rank = (sorted.len() as f64 * part).ceil() as usize;
+    sorted.get(rank.saturating_sub(1).min(last)).copied().unwrap_or_default()
+}
+
 fn worst(accounts: &[AccountReport]) -> Worst {
     let share = |a: &AccountReport| match a.entitled {
         0 => 1.0,
@@ -243,6 +279,17 @@
         for (group, gap) in &self.write_gaps {
             writeln!(f, "longest time without an acknowledged write, {group}: {gap:.0} ms")?;
         }
+        if !self.failover_gaps.is_empty() {
+            let at = |part| quantile(&self.failover_gaps, part);
+            writeln!(
+                f,
+                "failover gap over {} strikes: p50 {:.0} ms, p90 {:.0} ms, max {:.0} ms",
+                self.failover_gaps.len(),
+                at(0.5),
+                at(0.9),
+                at(1.0)
+            )?;
+        }
         writeln!(f, "longest wait of a caller: {:.0} ms", self.longest_wait)?;
         writeln!(
             f,
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand};
-use lab::{cost, link, load, platform, product, server, storm, up};
+use lab::{cost, demo, experiment, link, load, platform, product, server, storm, up};
 
 /// Stand-ins, faults, load and experiments for bergamottrack.
 #[derive(Debug, Parser)]
@@ -24,6 +24,10 @@
     Storm(storm::StormArgs),
     /// Run a stand-in for the platform.
     Platform(platform::PlatformArgs),
+    /// Show the promises in under a minute: a booking kept over a failover.
+    Demo,
+    /// Run an experiment of `lab/experiments/`.
+    Experiment(experiment::ExperimentArgs),
     /// Hold a whole system up for use by hand.
     Up(up::UpArgs),
     /// Offer load to a system of its own and report what it got.
@@ -59,6 +63,8 @@
             product::build()?;
             tokio::runtime::Runtime::new()?.block_on(storm::run(args))
         }
+        Command::Demo => tool(demo::run()),
+        Command::Experiment(args) => tool(experiment::run(args)),
         Command::Up(args) => tool(up::run(args)),
         Command::Load(args) => tool(run_load(args)),
         Command::Cost(args) => tool(async {
