--- a/lab/src/cost.rs
+++ b/lab/src/cost.rs
@@ -12,7 +12,7 @@
 use tokio_postgres::Client;
 
 use crate::{
-    load::{histogram, primary},
+    load::{primary, tally},
     system::{self, Plan, System},
     usage,
 };
@@ -78,7 +78,7 @@
     let way = |name, client| Measured {
         name,
         client,
-        latency: histogram(),
+        latency: tally::histogram(),
         processor: Duration::ZERO,
         time: Duration::ZERO,
     };
@@ -127,12 +127,12 @@
 /// host is asked.
 async fn home(system: &System, through: &[Client; 2], sql: &str) -> anyhow::Result<usize> {
     let mut used = [Duration::ZERO; 2];
-    for asked in 0..2 {
+    for (asked, client) in through.iter().enumerate() {
         let other = 1 - asked;
         let pid = system.hosts[other].pid().unwrap_or_default();
         let before = usage::processor(pid);
         for _ in 0..500 {
-            through[asked].simple_query(sql).await?;
+            client.simple_query(sql).await?;
         }
         used[other] = usage::processor(pid) - before;
     }
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -1,6 +1,9 @@
 //! Experiments: a file names a load, its faults and a baseline.
 
-use std::{fmt, path::Path};
+use std::{
+    fmt,
+    path::{Path, PathBuf},
+};
 
 use anyhow::Context;
 use clap::Args;
@@ -15,7 +18,7 @@
     pub name: String,
     /// Writes all reports as JSON.
     #[arg(long)]
-    pub json: Option<std::path::PathBuf>,
+    pub json: Option<PathBuf>,
     /// Prints each report whole.
     #[arg(long)]
     pub whole: bool,
@@ -45,6 +48,14 @@
     load: toml::Table,
 }
 
+/// An experiment that can be run.
+pub struct Readied {
+    /// What is asked.
+    pub about: Box<str>,
+    /// The runs and their names; the first one is the baseline.
+    pub runs: Vec<(Box<str>, Load)>,
+}
+
 /// A run and what it has shown.
 #[derive(Debug, Serialize)]
 struct Shown {
@@ -52,21 +63,34 @@
     report: Report,
 }
 
-/// Runs an experiment and prints one line a run.
-pub async fn run(args: ExperimentArgs) -> anyhow::Result<()> {
-    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments");
-    let path = dir.join(format!("{}.toml", args.name));
+/// Where the experiments are.
+pub fn dir() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments")
+}
+
+/// Reads an experiment from its file.
+pub fn read(name: &str) -> anyhow::Result<Readied> {
+    let path = dir().join(format!("{name}.toml"));
     let text = std::fs::read_to_string(&path)
         .with_context(|| format!("reading the experiment {}", path.display()))?;
     let experiment: Experiment = toml::from_str(&text)?;
-    println!("{}", experiment.about);
+    let load = |plan: RunPlan| {
+        let load = merge(experiment.load.clone(), plan.load);
+        let load = load.try_into().with_context(|| format!("the run {:?}", plan.name))?;
+        Ok((plan.name, load))
+    };
+    let runs = experiment.runs.into_iter().map(load).collect::<anyhow::Result<_>>()?;
+    Ok(Readied { about: experiment.about, runs })
+}
+
+/// Runs an experiment and prints one line a run.
+pub async fn run(args: ExperimentArgs) -> anyhow::Result<()> {
+    let Readied { about, runs } = read(&args.name)?;
+    println!("{about}");
     println!("{HEAD}");
     let mut shown = Vec::new();
-    for plan in experiment.runs {
-        let load = merge(experiment.load.clone(), plan.load);
-        let load: Load = load.try_into().with_context(|| format!("the run {:?}", plan.name))?;
-        let report = load::run(load).await?;
-        let run = Shown { name: plan.name, report };
+    for (name, load) in runs {
+        let run = Shown { name, report: load::run(load).await? };
         println!("{run}");
         if args.whole {
             println!("{}", run.report);
--- a/lab/src/load/mod.rs
+++ b/lab/src/load/mod.rs
@@ -19,16 +19,15 @@
     system::{self, Plan, System},
 };
 
-mod caller;
+pub mod caller;
 mod counters;
 mod fault;
 pub mod plot;
 pub mod report;
-mod tally;
+pub mod tally;
 
 pub use fault::{Act, Fault, primary};
 pub use report::Report;
-pub use tally::histogram;
 
 use caller::{Outcome, Session};
 use tally::Sample;
