--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod ports;
 pub mod process;
 pub mod product;
+pub mod raw;
 pub mod server;
 pub mod site;
 pub mod storm;
