--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod raw;
 pub mod server;
 pub mod site;
+pub mod slopes;
 pub mod storm;
 pub mod system;
 pub mod up;
--- a/lab/src/load/counters.rs
+++ b/lab/src/load/counters.rs
@@ -46,7 +46,8 @@
         Ok(counters)
     }
 
-    fn of_processes(system: &System) -> Self {
+    /// Reads what the processes use, without asking the servers.
+    pub fn of_processes(system: &System) -> Self {
         let hosts = system.hosts.iter().filter_map(|host| host.pid());
         let servers = system.servers.values().filter_map(|server| server.pid());
         Self {
--- a/lab/src/load/mod.rs
+++ b/lab/src/load/mod.rs
@@ -20,7 +20,7 @@
 };
 
 pub mod caller;
-mod counters;
+pub mod counters;
 mod fault;
 pub mod plot;
 pub mod report;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand};
-use lab::{cost, demo, experiment, link, load, platform, product, server, storm, up};
+use lab::{cost, demo, experiment, link, load, platform, product, server, slopes, storm, up};
 
 /// Stand-ins, faults, load and experiments for bergamottrack.
 #[derive(Debug, Parser)]
@@ -28,6 +28,8 @@
     Demo,
     /// Run an experiment of `lab/experiments/`.
     Experiment(experiment::ExperimentArgs),
+    /// Measure what idle hosts use as something grows.
+    Slopes(slopes::SlopesArgs),
     /// Hold a whole system up for use by hand.
     Up(up::UpArgs),
     /// Offer load to a system of its own and report what it got.
@@ -65,6 +67,7 @@
         }
         Command::Demo => tool(demo::run()),
         Command::Experiment(args) => tool(experiment::run(args)),
+        Command::Slopes(args) => tool(slopes::run(args)),
         Command::Up(args) => tool(up::run(args)),
         Command::Load(args) => tool(run_load(args)),
         Command::Cost(args) => tool(async {
--- /dev/null
+++ b/lab/src/slopes.rs
@@ -0,0 +1,129 @@
+//! Slopes: what hosts use with more hosts, callers, accounts, groups and
+//! revisions, while nothing is asked of them.
+
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use bergamottrack_contract::Config;
+use bergamottrack_coordination::GroupId;
+use clap::{Args, ValueEnum};
+
+use crate::{
+    load::counters::{Counters, Window},
+    system::{self, Plan, System},
+};
+
+/// How long each point is watched.
+const WATCHED: Duration = Duration::from_secs(5);
+
+/// How long a system settles first.
+const SETTLED: Duration = Duration::from_secs(3);
+
+/// Settings of `slopes`.
+#[derive(Args, Clone, Debug)]
+pub struct SlopesArgs {
+    /// What grows.
+    pub of: Of,
+    /// Its sizes.
+    #[arg(value_delimiter = ',')]
+    pub sizes: Vec<usize>,
+}
+
+/// What grows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
+pub enum Of {
+    /// Entry hosts.
+    Hosts,
+    /// Idle connections of callers to one host.
+    Callers,
+    /// Client accounts.
+    Accounts,
+    /// Database groups, all on the same three servers, each in use once.
+    Groups,
+    /// Submits, one after the other.
+    Submits,
+}
+
+/// Measures each size and prints a line for it.
+pub async fn run(args: SlopesArgs) -> anyhow::Result<()> {
+    println!(
+        "{:>8} {:>12} {:>14} {:>12} {:>12}",
+        "size", "core %/host", "bytes/s/host", "MiB/host", "submit ms"
+    );
+    for size in args.sizes {
+        let hosts = if args.of == Of::Hosts { size } else { 2 };
+        let server_args = vec!["--connections=4000".into()];
+        let log = "warn".into();
+        let mut system = System::start(Plan { hosts, server_args, log, ..Plan::default() }).await?;
+        system.connect(0, "baobab", "g1").await?;
+        let began = Instant::now();
+        let held = grow(&mut system, args.of, size).await?;
+        let submit = began.elapsed().as_secs_f64() * 1000.0;
+        tokio::time::sleep(SETTLED).await;
+        let idle = Window::measure(&system, WATCHED).await?;
+        let memory = Counters::of_processes(&system).memory as f64 / f64::from(1 << 20);
+        println!(
+            "{size:>8} {:>12.3} {:>14.0} {memory:>12.1} {submit:>12.1}",
+            idle.processor * 100.0,
+            idle.bytes / hosts as f64,
+        );
+        drop(held);
+    }
+    Ok(())
+}
+
+/// Brings the system to the size; what is held keeps it there.
+async fn grow(
+    system: &mut System,
+    of: Of,
+    size: usize,
+) -> anyhow::Result<Vec<tokio_postgres::Client>> {
+    let mut held = Vec::new();
+    let mut config = Config::parse(&system.config())?;
+    match of {
+        Of::Hosts => {}
+        Of::Callers => {
+            for _ in 0..size {
+                held.push(system.connect(0, "baobab", "g1").await?);
+            }
+        }
+        Of::Accounts => {
+            let account = config.accounts.first().cloned().context("no account")?;
+            for i in config.accounts.len()..size {
+                let id = format!("account-{i}").parse()?;
+                config
+                    .accounts
+                    .push(bergamottrack_contract::ClientAccount { id, ..account.clone() });
+            }
+            system.submit(&toml::to_string(&config)?).await?;
+        }
+        Of::Groups => held = grow_groups(system, config, size).await?,
+        Of::Submits => {
+            for i in 0..size {
+                config.policy.idle_ms = 10_000 + i as u64;
+                system.submit(&toml::to_string(&config)?).await?;
+            }
+        }
+    }
+    Ok(held)
+}
+
+async fn grow_groups(
+    system: &System,
+    mut config: Config,
+    size: usize,
+) -> anyhow::Result<Vec<tokio_postgres::Client>> {
+    let group = config.groups.first().cloned().context("no group")?;
+    let name = |i: usize| -> anyhow::Result<GroupId> { Ok(format!("g{}", i + 1).parse()?) };
+    for i in config.groups.len()..size {
+        config.groups.push(bergamottrack_contract::Group { id: name(i)?, ..group.clone() });
+    }
+    system.submit(&toml::to_string(&config)?).await?;
+    let mut held = Vec::new();
+    for i in 0..size {
+        let client = system.connect(0, "baobab", name(i)?.as_str()).await?;
+        system::until_runs(&client, "SELECT 1").await?;
+        held.push(client);
+    }
+    Ok(held)
+}
