--- a/lab/src/system.rs
+++ b/lab/src/system.rs
@@ -9,6 +9,7 @@
 
 use anyhow::Context;
 use bergamottrack_contract::{Config, Verifier};
+use bergamottrack_operator::api::{HostLine, StatusPage};
 use tempfile::TempDir;
 use tokio_postgres::{Client, NoTls};
 
@@ -139,6 +140,7 @@
         system.servers.values_mut().try_for_each(Process::start)?;
         system.hosts.iter_mut().try_for_each(Process::start)?;
         system.submit(&system.config()).await?;
+        system.await_members().await?;
         Ok(system)
     }
 
@@ -392,6 +394,28 @@
         Ok(())
     }
 
+    /// Waits until every host knows all others and the configuration: a host
+    /// joins by compare-and-swap, so several that start at once take a while.
+    pub async fn await_members(&self) -> anyhow::Result<()> {
+        let deadline = Instant::now() + PATIENCE;
+        for addresses in &self.addresses {
+            while !self.is_joined(addresses.operator).await {
+                anyhow::ensure!(Instant::now() < deadline, "the hosts did not find each other");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether all hosts are seen, each with the newest revision, from one of them.
+    async fn is_joined(&self, operator: SocketAddr) -> bool {
+        let Ok((200, text)) = request(operator, "GET", "/status", "").await else { return false };
+        let Ok(page) = serde_json::from_str::<StatusPage>(&text) else { return false };
+        let newest =
+            |line: &HostLine| line.report.as_ref().is_some_and(|r| r.revision == page.revision);
+        page.site.is_some() && page.hosts.len() == self.hosts.len() && page.hosts.iter().all(newest)
+    }
+
     async fn await_listening(&self, address: SocketAddr) -> anyhow::Result<()> {
         let deadline = Instant::now() + PATIENCE;
         while tokio::net::TcpStream::connect(address).await.is_err() {
