A host goes on when its part of a rate grows while it borrows

Cause: borrow_and_take moved the host's part on (self.now()) inside the call that held the account's bucket, so the bucket was borrowed twice and the host panicked, with all its callers. Ruled out: the drain itself (the host's log ended in the panic, not in a wait).

Before: a_host_goes_on_when_its_part_grows_while_it_borrows fails, the host never comes back.

--- a/components/fleet/src/limits.rs
+++ b/components/fleet/src/limits.rs
@@ -88,10 +88,11 @@
 
     async fn borrow_and_take(&self, id: &AccountId, account: &Account) -> bool {
         for _ in 0..MAX_ROUNDS {
-            if account.bucket.borrow_mut().retake(self.now()) {
+            // Not within the call: it moves parts on, which takes the bucket too.
+            let now = self.now();
+            if account.bucket.borrow_mut().retake(now) {
                 return true;
             }
-            let now = self.clock.now();
             let want = account.bucket.borrow_mut().want(account.waiting.get(), now);
             let (hosts, share) = self.holders(id);
             let chosen = account.lenders.borrow().choose(hosts, share, want, now);
@@ -102,7 +103,8 @@
                 chosen.into_iter().map(|(host, tokens)| self.ask(id, account, host, tokens));
             futures_util::future::join_all(asked).await;
         }
-        account.bucket.borrow_mut().retake(self.now())
+        let now = self.now();
+        account.bucket.borrow_mut().retake(now)
     }
 
     async fn ask(&self, id: &AccountId, account: &Account, host: HostId, tokens: f64) {
--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -150,3 +150,33 @@
     system.hosts[0].signal(libc::SIGINT).unwrap();
     assert_eq!(until_stopped(&mut system, 0).await, Some(130));
 }
+
+/// An account is short of tokens all the time: its host asks others for them
+/// while its own part grows because a host has left. The host went down with
+/// all its callers: it moved the part on while it held the account's bucket.
+#[tokio::test]
+async fn a_host_goes_on_when_its_part_grows_while_it_borrows() {
+    let plan = Plan { accounts: vec![("baobab".into(), 60.0, 6.0)], ..Plan::default() };
+    let mut system = System::start(plan).await.unwrap();
+    let mut asking = Vec::new();
+    for host in [0, 0, 2, 2] {
+        let client = system.connect(host, "baobab", "g1").await.unwrap();
+        asking.push(tokio::spawn(async move {
+            // Refused most of the time; ends when the connection does.
+            while !client.is_closed() {
+                let _ = client.simple_query("SELECT 1").await;
+            }
+        }));
+    }
+    for _ in 0..3 {
+        system.hosts[1].signal(libc::SIGTERM).unwrap();
+        assert_eq!(until_stopped(&mut system, 1).await, Some(0));
+        // Longer than the time after which a part grows.
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        system.hosts[1].start().unwrap();
+        system.await_members().await.unwrap();
+    }
+    for task in &asking {
+        assert!(!task.is_finished(), "a caller's connection was lost");
+    }
+}
