--- /dev/null
+++ b/tests/outcome.rs
@@ -0,0 +1,179 @@
+//! Requests with an id run at most once, and what became of them is told truthfully.
+
+mod ledger;
+
+use std::time::{Duration, Instant};
+
+use lab::{
+    link::Fault,
+    system::{self, PATIENCE, Plan, System},
+};
+use ledger::Told;
+use tokio_postgres::Client;
+
+async fn start(plan: Plan) -> (System, Client) {
+    let system = System::start(plan).await.unwrap();
+    let client = system.connect(0, "baobab", "g1").await.unwrap();
+    system::until_runs(&client, "CREATE TABLE IF NOT EXISTS booking (id TEXT)").await.unwrap();
+    (system, client)
+}
+
+fn booking(id: &str) -> String {
+    format!("INSERT INTO booking VALUES ('{id}')")
+}
+
+/// Runs a statement under a request id; what the caller is told.
+async fn send(client: &Client, id: &str, sql: &str) -> Told {
+    client.batch_execute(&format!("SET bergamottrack.request = '{id}'")).await.unwrap();
+    client.simple_query(sql).await.map_or_else(|error| ledger::told(&error), |_| Told::Done)
+}
+
+/// How often a booking is in the primary's table.
+async fn times(system: &System, id: &str) -> usize {
+    let (primary, _) = ledger::primary(system).await;
+    let client = system.connect_server(&primary).await.unwrap();
+    let sql = format!("SELECT id FROM booking WHERE id = '{id}'");
+    system::rows(&client, &sql).await.unwrap().len()
+}
+
+/// A customer presses the button twice: the second time nothing runs, whether
+/// the booking is one statement, a prepared one or a transaction.
+#[tokio::test]
+async fn a_request_sent_again_is_not_run_again() {
+    let (system, client) = start(Plan::default()).await;
+    assert_eq!(send(&client, "r1", &booking("b1")).await, Told::Done);
+    client.batch_execute("SET bergamottrack.request = 'r1'").await.unwrap();
+    let error = client.simple_query(&booking("b1")).await.unwrap_err();
+    let answer = error.as_db_error().unwrap();
+    assert_eq!((answer.code().code(), answer.detail()), ("23505", Some("done")));
+
+    let other = system.connect(1, "baobab", "g1").await.unwrap();
+    for host in [&client, &other] {
+        host.batch_execute("SET bergamottrack.request = 'r2'").await.unwrap();
+        // The second time it is refused as done.
+        let _ = host.execute("INSERT INTO booking VALUES ($1)", &[&"b2"]).await;
+        let _ = send(host, "r3", "BEGIN").await;
+        let _ = host.batch_execute(&booking("b3")).await;
+        let _ = host.batch_execute("COMMIT").await;
+    }
+    for id in ["b1", "b2"] {
+        assert_eq!(times(&system, id).await, 1, "{id}");
+    }
+    assert_eq!(send(&other, "r3", "BEGIN").await, Told::Done);
+    assert_eq!(send(&other, "r4", "BEGIN; INSERT INTO booking VALUES ('b4')").await, Told::Done);
+    other.batch_execute("COMMIT").await.unwrap();
+    assert_eq!(send(&client, "r4", &booking("b4")).await, Told::Done);
+    assert_eq!(times(&system, "b4").await, 1);
+    // The id is the account's own: another account may use the same one.
+    let hartwell = system.connect(0, "hartwell", "g1").await.unwrap();
+    assert_eq!(send(&hartwell, "r1", &booking("b5")).await, Told::Done);
+    assert_eq!(times(&system, "b5").await, 1);
+}
+
+/// A booking fails in the database: the caller sees the database's own error,
+/// and the same id may be sent again, for nothing ran.
+#[tokio::test]
+async fn a_failed_request_may_be_sent_again() {
+    let (system, client) = start(Plan::default()).await;
+    client.batch_execute("SET bergamottrack.request = 'r1'").await.unwrap();
+    let error = client.simple_query("INSERT INTO nowhere VALUES (1)").await.unwrap_err();
+    assert_eq!(error.as_db_error().unwrap().detail(), None, "{error:?}");
+    assert_eq!(send(&client, "r1", &booking("b1")).await, Told::Done);
+    assert_eq!(times(&system, "b1").await, 1);
+}
+
+/// The same booking arrives at three hosts at once, as after an impatient
+/// retry: one runs, and no caller hears that it did not.
+#[tokio::test]
+async fn one_id_at_all_hosts_at_once_runs_once() {
+    let (system, _client) = start(Plan::default()).await;
+    for round in 0..10 {
+        let id = format!("b{round}");
+        let mut sent = Vec::new();
+        for host in 0..system.plan.hosts {
+            let client = system.connect(host, "baobab", "g1").await.unwrap();
+            let id = id.clone();
+            sent.push(tokio::spawn(async move { send(&client, &id, &booking(&id)).await }));
+        }
+        for told in sent {
+            assert_eq!(told.await.unwrap(), Told::Done);
+        }
+        assert_eq!(times(&system, &id).await, 1, "{id}");
+    }
+}
+
+/// The primary commits a booking and feeds its replicas, but its answer is
+/// lost on the way to the hosts. The home finds the booking on the next
+/// primary and says so; sent again, it is not run again.
+#[tokio::test]
+async fn an_answer_lost_after_the_commit_is_found() {
+    let (system, client) = start(Plan { links: true, ..Plan::default() }).await;
+    assert_eq!(send(&client, "r0", &booking("b0")).await, Told::Done);
+    assert_eq!(send(&client, "r1", "BEGIN").await, Told::Done);
+    client.batch_execute(&booking("b1")).await.unwrap();
+    let fault = Fault { cut_down: true, ..Fault::default() };
+    system.fault("h*>g1s1", fault).await.unwrap();
+    let error = client.batch_execute("COMMIT").await.unwrap_err();
+    assert_eq!(ledger::told(&error), Told::Done, "{error:?}");
+    system.mend("*").await.unwrap();
+    assert_eq!(send(&client, "r1", &booking("b1")).await, Told::Done);
+    assert_eq!(times(&system, "b1").await, 1);
+}
+
+/// Sends a booking again and again until it is told done.
+async fn until_done(client: &Client, id: &str) {
+    let sql = booking(&id.replace('r', "b"));
+    let deadline = Instant::now() + PATIENCE;
+    while send(client, id, &sql).await != Told::Done {
+        assert!(Instant::now() < deadline, "{id} is not done");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// A primary freezes with a booking in it, is replaced, and wakes. The home has
+/// ruled the attempt out at the new primary, and what the old one still does
+/// counts nowhere: "not run" stays true until the caller sends the id again.
+#[tokio::test]
+async fn an_attempt_that_wakes_does_not_run() {
+    let (system, client) = start(Plan::default()).await;
+    assert_eq!(send(&client, "r0", &booking("b0")).await, Told::Done);
+    system.servers["g1s1"].signal(libc::SIGSTOP).unwrap();
+    let told = send(&client, "r1", &booking("b1")).await;
+    assert_eq!(told, Told::NotRun);
+    system.servers["g1s1"].signal(libc::SIGCONT).unwrap();
+    ledger::until_follows(&system, "g1s1", 1).await;
+    assert_eq!(times(&system, "b1").await, 0);
+    assert_eq!(send(&client, "r1", &booking("b1")).await, Told::Done);
+    assert_eq!(send(&client, "r1", &booking("b1")).await, Told::Done);
+    assert_eq!(times(&system, "b1").await, 1);
+}
+
+/// Bookings with ids are sent again until done, through all hosts, while the
+/// primary is killed: each is there exactly once in the end.
+#[tokio::test]
+async fn requests_sent_again_over_a_failover_run_once() {
+    let (mut system, _client) = start(Plan::default()).await;
+    let mut callers = Vec::new();
+    for host in 0..system.plan.hosts {
+        let client = system.connect(host, "baobab", "g1").await.unwrap();
+        callers.push(tokio::spawn(async move {
+            for number in 0..40 {
+                until_done(&client, &format!("r{host}-{number}")).await;
+            }
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    system.servers.get_mut("g1s1").unwrap().kill();
+    for caller in callers {
+        caller.await.unwrap();
+    }
+    let (primary, status) = ledger::primary(&system).await;
+    assert!(status.term.0 > 1, "nobody was promoted");
+    let client = system.connect_server(&primary).await.unwrap();
+    let mut found = system::rows(&client, "SELECT id FROM booking").await.unwrap();
+    found.sort();
+    let mut wanted: Vec<_> =
+        (0..3).flat_map(|host| (0..40).map(move |n| format!("b{host}-{n}"))).collect();
+    wanted.sort();
+    assert_eq!(found, wanted);
+}
