--- a/components/home/src/backend.rs
+++ b/components/home/src/backend.rs
@@ -7,6 +7,7 @@
 use bergamottrack_coordination::{GroupId, Point};
 use bergamottrack_pg::{Frame, PgReader, PgWriter, frame, stream};
 use bytes::{Buf, Bytes};
+use futures_util::FutureExt;
 use monoio::{
     io::IntoPollIo,
     net::{TcpStream, tcp::stream_poll::TcpStreamPoll},
@@ -53,6 +54,9 @@
     writer: PgWriter<WriteHalf<TcpStreamPoll>>,
     server: BackendServer,
     key: Option<BackendKeyData>,
+    /// What the server last said that its answers here show or have reached; it
+    /// says so only when that changes.
+    pub point: Option<Point>,
 }
 
 impl Conn {
@@ -72,7 +76,7 @@
         let stream = TcpStream::connect(server.address).await?;
         stream.set_nodelay(true)?;
         let (reader, writer) = stream::split(stream.into_poll_io()?, MAX_MESSAGE);
-        let mut conn = Self { reader, writer, server: server.clone(), key: None };
+        let mut conn = Self { reader, writer, server: server.clone(), key: None, point: None };
         let mut startup = Startup::default();
         startup.protocol_number_major = 3;
         startup.protocol_number_minor = 0;
@@ -113,6 +117,11 @@
             .with_context(|| format!("reading from {}", self.server.id))
     }
 
+    /// Whether nothing has come and the connection has not ended.
+    pub fn is_quiet(&mut self) -> bool {
+        self.reader.next().now_or_never().is_none()
+    }
+
     /// The next message, if it has already arrived.
     pub fn ready(&mut self) -> anyhow::Result<Option<Frame>> {
         self.reader.ready()
--- a/components/home/src/outcome.rs
+++ b/components/home/src/outcome.rs
@@ -10,6 +10,7 @@
 use anyhow::{bail, ensure};
 use bergamottrack_coordination::{
     AccountId, Fate, Point, Reason, Refusal, RequestId,
+    fair::Ticket,
     outcome::{self, Attempt, Claim, Outcome, Plan},
 };
 use bergamottrack_peer::{Intent, message::Standing};
@@ -259,9 +260,12 @@
     key: &Key,
     deadline: Instant,
 ) -> Result<Option<Outcome>, Refusal> {
-    let Place { server, term, _slot, mut taken } =
-        serve::place(home, &Intent::Write, deadline).await?;
-    let turn = Turn { home, server, term, intent: &Intent::Write, within: false, deadline };
+    // Somebody waits on the telephone for the answer.
+    let ticket = Ticket { account: key.account.clone(), weight: 1, deadline, urgent: true };
+    let since = home.clock.now();
+    let intent = &Intent::Write;
+    let Place { server, term, need, slot, mut taken } = serve::place(home, intent, &ticket).await?;
+    let turn = Turn { home, server, term, intent, need, since, within: false, deadline };
     let conn = &mut taken.conn;
     let look = async {
         match read(conn, key).await? {
@@ -275,6 +279,7 @@
     };
     let found = within(&turn, look).await.map_err(not_begun)?;
     taken.give_back();
+    drop(slot);
     match found {
         None => Ok(None),
         Some((outcome, point)) if home.confirm(server, point, deadline).await => Ok(Some(outcome)),
