--- a/components/home/src/backend.rs
+++ b/components/home/src/backend.rs
@@ -7,6 +7,7 @@
 use bergamottrack_coordination::{GroupId, Point};
 use bergamottrack_pg::{Frame, PgReader, PgWriter, frame, stream};
 use bytes::{Buf, Bytes};
+use futures_util::FutureExt;
 use monoio::{
     io::IntoPollIo,
     net::{TcpStream, tcp::stream_poll::TcpStreamPoll},
@@ -125,6 +126,11 @@
             .with_context(|| format!("reading from {}", self.server.id))
     }
 
+    /// Whether nothing has come and the connection has not ended.
+    pub fn is_quiet(&mut self) -> bool {
+        self.reader.next().now_or_never().is_none()
+    }
+
     /// The next message, if it has already arrived.
     pub fn ready(&mut self) -> anyhow::Result<Option<Frame>> {
         self.reader.ready()
--- a/components/home/src/pool.rs
+++ b/components/home/src/pool.rs
@@ -1,6 +1,6 @@
 //! The connections to one backend server.
 
-use std::{cell::RefCell, time::Duration};
+use std::{cell::RefCell, fmt, time::Duration};
 
 use bergamottrack_contract::BackendServer;
 use bergamottrack_coordination::GroupId;
@@ -24,29 +24,56 @@
     _place: SemaphorePermit<'a>,
 }
 
+/// All connections to a server are in use by open transactions.
+#[derive(Clone, Copy, Debug)]
+pub struct Full;
+
+impl fmt::Display for Full {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("all connections are in use by open transactions")
+    }
+}
+
+impl std::error::Error for Full {}
+
 impl Pool {
     /// A pool of at most `limit` connections.
     pub fn new(limit: usize) -> Self {
         Self { limit, idle: RefCell::default(), places: Semaphore::new(limit) }
     }
 
-    /// An idle connection, or a new one. The caller has a slot, so there is a
-    /// place as long as the limit is not below the slots.
+    /// An idle connection, or a new one; an error at once when there is no place.
+    ///
+    /// Whoever waited here would hold a slot that the transactions that have
+    /// the connections need for their next statements.
     pub async fn take(
         &self,
         server: &BackendServer,
         group: &GroupId,
         within: Duration,
     ) -> anyhow::Result<Taken<'_>> {
-        let place = self.places.acquire().await?;
-        let idle = self.idle.borrow_mut().pop();
-        let conn = match idle {
+        let place = self.places.try_acquire().map_err(|_| Full)?;
+        let conn = match self.pop() {
             Some(conn) => conn,
             None => Conn::connect(server, group, within).await?,
         };
         Ok(Taken { conn, pool: self, _place: place })
     }
 
+    /// The last idle connection that is still quiet.
+    ///
+    /// Guards against one that the server has closed meanwhile, which would
+    /// leave a write unknown that was never read, and against one on which
+    /// something has come unasked: it would be taken for the next answer.
+    fn pop(&self) -> Option<Conn> {
+        loop {
+            let mut conn = self.idle.borrow_mut().pop()?;
+            if conn.is_quiet() {
+                return Some(conn);
+            }
+        }
+    }
+
     /// Connections, idle and taken.
     pub fn len(&self) -> usize {
         self.limit - self.places.available_permits() + self.idle.borrow().len()
