--- a/components/entry/src/callers.rs
+++ b/components/entry/src/callers.rs
@@ -1,13 +1,25 @@
 //! The callers of one host: how many there are, and whether they are to leave.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc};
 
+use monoio::net::{ListenerOpts, TcpListener};
 use tokio::sync::Notify;
 
+/// Bytes of an answer that the machine holds for each caller.
+///
+/// What the machine takes counts as taken by the caller. By itself it takes up
+/// to 4 MB, so that one that reads nothing would keep a server's slot for long.
+const SEND_BUFFER: usize = 128 << 10;
+
 /// Connections above the limit that are told so at the same time; all further
 /// ones are closed without a word.
 const MAX_REFUSED: usize = 64;
 
+/// Listens for callers.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind_with_config(address, &ListenerOpts::new().send_buf_size(SEND_BUFFER))
+}
+
 /// The callers of one host.
 pub struct Callers {
     /// The most connections at once.
--- a/lab/src/server/engine.rs
+++ b/lab/src/server/engine.rs
@@ -2,10 +2,11 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::VecDeque,
+    collections::{HashMap, VecDeque},
     fs::{self, File, OpenOptions},
     io::Write,
     path::{Path, PathBuf},
+    rc::Rc,
     time::{Duration, Instant},
 };
 
@@ -47,6 +48,8 @@
 pub struct Knobs {
     pub lag: Cell<Duration>,
     pub service: Cell<Duration>,
+    /// How long a cancel is on its way.
+    pub cancel: Cell<Duration>,
 }
 
 /// One server.
@@ -64,6 +67,8 @@
     pub sessions: Cell<usize>,
     /// The number of the last session, for cancels.
     pub last_session: Cell<i32>,
+    /// What each running session is cancelled by.
+    pub running: RefCell<HashMap<i32, Rc<Notify>>>,
     vows: RefCell<Vows>,
     log: RefCell<Vec<Record>>,
     /// When each record that is held but not applied was received.
@@ -90,6 +95,7 @@
             knobs: Knobs {
                 lag: Cell::new(Duration::from_millis(args.lag_ms)),
                 service: Cell::new(Duration::from_millis(args.service_ms)),
+                cancel: Cell::default(),
             },
             slots: Semaphore::new(args.slots),
             writing: Semaphore::new(1),
@@ -97,6 +103,7 @@
             generation: Cell::new(0),
             sessions: Cell::new(0),
             last_session: Cell::new(0),
+            running: RefCell::default(),
             vows: RefCell::new(vows),
             applied: Cell::new(0),
             received: RefCell::default(),
--- a/lab/src/server/session.rs
+++ b/lab/src/server/session.rs
@@ -23,7 +23,7 @@
 use rusqlite::Connection;
 use tokio::{
     io::{ReadHalf, WriteHalf},
-    sync::SemaphorePermit,
+    sync::{Notify, SemaphorePermit},
 };
 
 use super::{
@@ -80,8 +80,12 @@
     let (mut reader, mut writer) = stream::split(stream.into_poll_io()?, MAX_MESSAGE);
     match reader.startup(false).await? {
         PgWireFrontendMessage::Startup(_) => {}
-        // Statements here are short: a cancel finds nothing to end.
-        PgWireFrontendMessage::CancelRequest(_) => return Ok(()),
+        PgWireFrontendMessage::CancelRequest(request) => {
+            monoio::time::sleep(engine.knobs.cancel.get()).await;
+            let running = engine.running.borrow().get(&request.pid).cloned();
+            running.inspect(|running| running.notify_one());
+            return Ok(());
+        }
         _ => bail!("no start-up"),
     }
     if engine.sessions.get() >= engine.args.connections {
@@ -110,6 +114,7 @@
     writer.send(&out).await?;
     let session = Session {
         engine,
+        pid,
         db: engine.connect()?,
         generation: engine.generation.get(),
         reader,
@@ -131,6 +136,7 @@
 /// A connection to the server.
 pub struct Session<'e> {
     engine: &'e Engine,
+    pid: i32,
     pub(super) db: Connection,
     generation: u64,
     pub(super) reader: PgReader<ReadHalf<TcpStreamPoll>>,
@@ -360,6 +366,7 @@
         };
         match name {
             "standin.lag_ms" => self.engine.knobs.lag.set(millis()?),
+            "standin.cancel_ms" => self.engine.knobs.cancel.set(millis()?),
             "standin.service_ms" => self.engine.knobs.service.set(millis()?),
             _ => {}
         }
@@ -404,20 +411,18 @@
         formats: &[i16],
         described: bool,
     ) -> Result<String, SqlError> {
-        let _slot = self.engine.slots.acquire().await.map_err(anyhow::Error::from)?;
-        let service = self.engine.knobs.service.get();
-        if !service.is_zero() {
-            monoio::time::sleep(service).await;
-        }
         let reads = self.db.prepare_cached(sql)?.readonly();
+        let cancel = Rc::new(Notify::new());
+        self.engine.running.borrow_mut().insert(self.pid, cancel.clone());
+        let write = !reads && self.writing.is_none();
+        let turn = monoio::select! {
+            turn = turn(self.engine, write) => turn,
+            _ = cancel.notified() => Err(SqlError::new("57014", "cancelled on request")),
+        };
+        self.engine.running.borrow_mut().remove(&self.pid);
+        let (_slot, writing) = turn?;
         if !reads {
-            if !self.engine.leads() {
-                return Err(SqlError::new("25006", "this server does not lead"));
-            }
-            if self.writing.is_none() {
-                let permit = self.engine.writing.acquire().await;
-                self.writing = Some(permit.map_err(anyhow::Error::from)?);
-            }
+            self.writing = self.writing.take().or(writing);
             if !self.engine.leads() {
                 self.writing = None;
                 return Err(SqlError::new("25006", "this server does not lead"));
@@ -475,6 +480,26 @@
     }
 }
 
+/// Waits until a statement may run.
+async fn turn(
+    engine: &Engine,
+    write: bool,
+) -> Result<(SemaphorePermit<'_>, Option<SemaphorePermit<'_>>), SqlError> {
+    let slot = engine.slots.acquire().await.map_err(anyhow::Error::from)?;
+    let service = engine.knobs.service.get();
+    if !service.is_zero() {
+        monoio::time::sleep(service).await;
+    }
+    if !write {
+        return Ok((slot, None));
+    }
+    if !engine.leads() {
+        return Err(SqlError::new("25006", "this server does not lead"));
+    }
+    let writing = engine.writing.acquire().await.map_err(anyhow::Error::from)?;
+    Ok((slot, Some(writing)))
+}
+
 fn statement_reads(sql: &str) -> bool {
     sql.trim_start().get(..6).is_some_and(|w| w.eq_ignore_ascii_case("select"))
 }
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -5,7 +5,10 @@
 use anyhow::Context;
 use bergamottrack_contract::{Config, Current, Host, Routes};
 use bergamottrack_coordination::{Clock, SystemClock, token::Secret};
-use bergamottrack_entry::{Entry, caller, callers::Callers};
+use bergamottrack_entry::{
+    Entry, caller,
+    callers::{self, Callers},
+};
 use bergamottrack_fleet::{Fleet, fleet};
 use bergamottrack_home::Homes;
 use bergamottrack_operator::{Reply, Request, serve::Handler};
@@ -67,7 +70,9 @@
         last_pid: Cell::default(),
     });
     let peers = listen(args.peer, "peers")?;
-    let callers = listen(args.listen, "callers")?;
+    let callers = callers::listen(args.listen)
+        .with_context(|| format!("listening for callers at {}", args.listen))?;
+    info!("serve: listening for callers at {}.", args.listen);
     monoio::spawn(homes.clone().keep(current.clone(), mesh.clone()));
     monoio::spawn(accept_peers(peers, fleet.clone(), homes));
     monoio::spawn(fleet.clone().run());
