--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -157,11 +157,6 @@
         self.current.get().is_some_and(|doc| doc.roster.contains(&self.me))
     }
 
-    /// The revision that a submit made, if the chain has it.
-    pub async fn submitted(&self, submit: &SubmitId) -> anyhow::Result<Option<Revision>> {
-        self.chain.submitted(submit).await
-    }
-
     /// The last `n` revisions, newest first.
     pub async fn history(&self, n: usize) -> anyhow::Result<Vec<chain::Entry>> {
         let mut number = self.chain.head().await?.map(|head| head.number).unwrap_or_default();
--- a/components/home/src/report.rs
+++ b/components/home/src/report.rs
@@ -32,12 +32,11 @@
     fn server_report(&self, server: &Server) -> ServerReport {
         let now = self.clock.now();
         let status = server.status(now, self.silence());
-        let seen = server.seen.get().map(|seen| seen.status);
         ServerReport {
             server: server.contract.id.clone(),
             domain: server.contract.domain.clone(),
             role: status.map(|status| status.role),
-            applied: status.or(seen).map(|status| status.applied).unwrap_or_default(),
+            applied: server.last.get().map(|status| status.applied).unwrap_or_default(),
             heard: server.heard.get().map(|heard| now.saturating_duration_since(heard)),
             busy: server.load().1 as u64,
             slots: server.contract.slots.into(),
--- a/components/operator/src/pages/change.rs
+++ b/components/operator/src/pages/change.rs
@@ -1,8 +1,11 @@
 //! Changes of the configuration.
 
+use std::time::UNIX_EPOCH;
+
 use bergamottrack_contract::{Config, diff};
 use bergamottrack_coordination::{AccountId, KeyId, OperatorId, Revision, SubmitId};
 use bergamottrack_fleet::{SubmitError, fleet};
+use bergamottrack_platform::chain::Entry;
 use hyper::StatusCode;
 use tracing::info;
 
@@ -16,6 +19,9 @@
 /// How often a withdrawal is made again on top of other changes.
 const WITHDRAW_TRIES: usize = 5;
 
+/// The most differences that a lost race shows.
+const SHOWN: usize = 20;
+
 /// A change as an operator sent it.
 struct Change {
     config: Config,
@@ -50,13 +56,16 @@
     /// still have it standing: it shows as a caller that gets in after the phone call
     /// that withdrew it. What is in force here knows of the withdrawal, or else the
     /// submit loses against the revision that made it.
-    async fn check_withdrawn(&self, operator: &Operator) -> Result<(), Reply> {
-        let doc = operator.fleet.current.get();
-        let before = doc.as_ref().and_then(|doc| doc.config.as_ref());
-        let restored = before.iter().flat_map(|before| diff::restored(before, &self.config));
+    fn check_withdrawn(&self, operator: &Operator) -> Result<(), Reply> {
+        let Some(doc) = operator.fleet.current.get() else { return Ok(()) };
+        // Made against an older configuration it loses anyway, or was accepted before.
+        if self.base < doc.config_revision {
+            return Ok(());
+        }
+        let restored = doc.config.iter().flat_map(|now| diff::restored(now, &self.config));
         let names: Vec<String> =
             restored.map(|(account, key)| format!("{}.{}", account.id, key.id)).collect();
-        if names.is_empty() || self.was_accepted(operator).await? {
+        if names.is_empty() {
             return Ok(());
         }
         Err(super::refused(format!(
@@ -66,16 +75,6 @@
         )))
     }
 
-    /// A submit that was accepted before the key was withdrawn is told so.
-    async fn was_accepted(&self, operator: &Operator) -> Result<bool, Reply> {
-        let number = operator.fleet.submitted(&self.submit).await;
-        let number = number.map_err(|error| {
-            let message = "not yet known whether it was accepted; run the same submit again";
-            super::unknown(format!("{message}: {error:#}"))
-        })?;
-        Ok(number.is_some())
-    }
-
     async fn send(self, operator: &Operator) -> Result<AcceptedPage, SubmitError> {
         let Self { config, author, submit, base, what, notes } = self;
         let accepted = operator.fleet.submit(config, author.as_str(), submit, base).await?;
@@ -94,9 +93,9 @@
     let restores: bool = super::setting(request, "restore")?.unwrap_or_default();
     let change = Change::read(operator, request, config, "submitted a configuration")?;
     if !restores {
-        change.check_withdrawn(operator).await?;
+        change.check_withdrawn(operator)?;
     }
-    shown(change.send(operator).await)
+    shown(operator, change.send(operator).await).await
 }
 
 /// Puts an earlier configuration in force as a new revision; withdrawn keys stay withdrawn.
@@ -115,7 +114,7 @@
     if let Some(now) = operator.fleet.current.get().and_then(|doc| doc.config.clone()) {
         change.notes = keep_withdrawn(&now, &mut change.config);
     }
-    shown(change.send(operator).await)
+    shown(operator, change.send(operator).await).await
 }
 
 fn keep_withdrawn(now: &Config, config: &mut Config) -> Vec<Box<str>> {
@@ -150,7 +149,7 @@
         change.base = doc.number;
         match change.send(operator).await {
             Err(SubmitError::Lost { .. }) if tries < WITHDRAW_TRIES => {}
-            result => return shown(result),
+            result => return shown(operator, result).await,
         }
     }
 }
@@ -162,12 +161,35 @@
     key.map(|key| key.withdrawn = true).is_some()
 }
 
-fn shown(result: Result<AcceptedPage, SubmitError>) -> Shown {
+async fn shown(operator: &Operator, result: Result<AcceptedPage, SubmitError>) -> Shown {
     match result {
         Ok(page) => Ok(Reply::json(StatusCode::OK, &page)),
+        Err(SubmitError::Lost { base, changes }) => {
+            Err(super::refused(lost(operator, base, &changes).await))
+        }
         Err(error @ (SubmitError::Unknown(_) | SubmitError::NotTold { .. })) => {
             Err(super::unknown(error.to_string()))
         }
         Err(error) => Err(super::refused(error.to_string())),
     }
 }
+
+/// Who changed what since the revision that a submit was made against.
+async fn lost(operator: &Operator, base: Revision, changes: &[Entry]) -> String {
+    let mut text = format!(
+        "not accepted, nothing changed: the configuration has been changed since revision {base}:"
+    );
+    let now = operator.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
+    for Entry { number, author, at, .. } in changes {
+        text += &format!("\n  revision {number} by {author}, {}s ago", now.saturating_sub(*at));
+    }
+    // Without the platform it is still told who made the changes.
+    let before = operator.fleet.load(base).await.ok().flatten();
+    let after = operator.fleet.current.get();
+    if let (Some(before), Some(after)) = (before, after.and_then(|doc| doc.config.clone())) {
+        for change in diff::diff(before.config.as_ref(), &after).iter().take(SHOWN) {
+            text += &format!("\n  {change}");
+        }
+    }
+    text
+}
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -1,6 +1,6 @@
 //! Runs an entry host.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, io::IsTerminal, rc::Rc, time::Duration};
 
 use anyhow::Context;
 use bergamottrack_contract::{Current, Host, Routes};
@@ -38,7 +38,11 @@
 }
 
 fn start_log(filter: EnvFilter, format: LogFormat) {
-    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let log = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_ansi(std::io::stderr().is_terminal())
+        .with_target(false)
+        .with_writer(std::io::stderr);
     match format {
         LogFormat::Plain => log.init(),
         LogFormat::Json => log.json().init(),
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -108,6 +108,7 @@
     assert!(first.out.contains("in force at h1, h2, h3"), "{first:?}");
     let second = desk.submit(1, "ben", against, "burst = 1000.0", "burst = 500");
     assert_eq!(second.code, 1, "{second:?}");
+    assert!(second.error.contains("account baobab, rate: 1000/s -> 2000/s"), "{second:?}");
     assert!(
         second.error.contains("nothing changed") && second.error.contains("by ana"),
         "{second:?}"
