--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod ids;
 pub mod leadership;
 pub mod lenders;
+pub mod outcome;
 pub mod pace;
 pub mod refusal;
 pub mod rendezvous;
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -139,7 +139,7 @@
                 Answer::Adopted(self.current.number())
             }
             Question::Lend(lend) => self.limits.lend(&peer.host, &lend),
-            Question::Report => return None,
+            Question::Outcome(_) | Question::Report => return None,
         })
     }
 
--- a/components/home/src/group.rs
+++ b/components/home/src/group.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashSet,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -18,7 +19,7 @@
 use tokio::sync::Notify;
 use tracing::{info, warn};
 
-use crate::{promotion, server::Server, watch};
+use crate::{outcome::Key, promotion, server::Server, watch};
 
 /// When a caller may come back while a group has no primary.
 pub const COME_BACK: Duration = Duration::from_millis(200);
@@ -51,6 +52,8 @@
     pub(crate) ages: RefCell<Ages>,
     policy: RefCell<Policy>,
     verdict: Cell<Verdict>,
+    /// Requests with an id that run here.
+    pub(crate) running: RefCell<HashSet<Key>>,
     /// Exchanges that run.
     active: Cell<usize>,
     /// When an exchange last began or ended.
@@ -90,6 +93,7 @@
             ages: RefCell::default(),
             policy: RefCell::new(policy),
             verdict: Cell::new(Verdict::Doubted),
+            running: RefCell::default(),
             active: Cell::new(0),
             used: Cell::new(clock.now()),
             clock,
--- a/components/home/src/turn.rs
+++ b/components/home/src/turn.rs
@@ -12,7 +12,6 @@
     backend::{self, Conn},
     batch::Batch,
     group::{COME_BACK, GroupHome},
-    queue::Slot,
     route::Need,
     server::Server,
 };
@@ -83,15 +82,12 @@
 }
 
 impl Turn<'_> {
-    /// Sends the batch and reads its answer up to the end. The slot is given
-    /// back then: while a write is confirmed, or the caller thinks, the server
-    /// works for others.
+    /// Sends the batch and reads its answer up to the end.
     pub async fn run(
         &self,
         conn: &mut Conn,
         side: &mut HomeSide,
         batch: &Batch,
-        _slot: Slot,
     ) -> Result<(Standing, Answer), Failure> {
         let mut answer = Answer::default();
         let result = self.read(conn, side, batch, &mut answer).await;
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -6,7 +6,7 @@
 use bergamottrack_contract::RevisionDoc;
 use bergamottrack_coordination::{
     AccountId, FailureDomain, GroupId, HostId, Point, Refusal, RequestId, Revision, bucket::LoanNo,
-    freshness::Vouch, token::Secret,
+    freshness::Vouch, outcome::Outcome, token::Secret,
 };
 use bergamottrack_metrics::HostReport;
 use bytes::Bytes;
@@ -118,6 +118,21 @@
     Adopt(Box<RevisionDoc>),
     /// Lend tokens.
     Lend(Lend),
+    /// What became of a request that runs at most once?
+    Outcome(Box<OutcomeOf>),
+}
+
+/// A request of which somebody wants to know what became of it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct OutcomeOf {
+    /// The database group.
+    pub group: GroupId,
+    /// The client account.
+    pub account: AccountId,
+    /// The caller's id of the request.
+    pub request: RequestId,
+    /// How long the asker waits.
+    pub within: Duration,
 }
 
 /// A question for tokens of an account.
@@ -148,6 +163,8 @@
     Revision(Option<Box<RevisionDoc>>),
     /// The revision that is now in force at the host.
     Adopted(Revision),
+    /// What became of the request.
+    Outcome(Outcome),
     /// Tokens, already deducted at the host.
     Lent {
         /// How many.
--- a/lab/src/cost.rs
+++ b/lab/src/cost.rs
@@ -12,7 +12,7 @@
 use tokio_postgres::Client;
 
 use crate::{
-    load::{histogram, primary},
+    load::{primary, tally},
     system::{self, Plan, System},
     usage,
 };
@@ -78,7 +78,7 @@
     let way = |name, client| Measured {
         name,
         client,
-        latency: histogram(),
+        latency: tally::histogram(),
         processor: Duration::ZERO,
         time: Duration::ZERO,
     };
