--- a/components/operator/src/serve.rs
+++ b/components/operator/src/serve.rs
@@ -1,15 +1,16 @@
 //! HTTP/1.1 for operators: one task a connection.
 
-use std::{future::Future, net::SocketAddr, pin::Pin, rc::Rc};
+use std::{future::Future, net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
 
 use anyhow::Context;
+use bergamottrack_peer::accept;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     Method, Response, StatusCode, body::Incoming, header, server::conn::http1, service::service_fn,
 };
 use monoio::{io::IntoPollIo, net::TcpListener, net::TcpStream};
-use monoio_compat::hyper::MonoioIo;
+use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 use tracing::{debug, info};
 
 use crate::api::{ErrorPage, Verdict};
@@ -17,6 +18,9 @@
 /// The most bytes of a request's body.
 const MAX_BODY: usize = 4 << 20;
 
+/// How long a connection may stay without a whole head of a request.
+const HEADER_WITHIN: Duration = Duration::from_secs(30);
+
 /// A request, read whole.
 pub struct Request {
     /// The method.
@@ -68,7 +72,7 @@
         .with_context(|| format!("listening for operators at {address}"))?;
     info!("operator: listening at {}.", listener.local_addr()?);
     loop {
-        let (stream, _) = listener.accept().await.context("accepting an operator")?;
+        let stream = accept::stream(&listener, "operators").await;
         monoio::spawn(connection(stream, handler.clone()));
     }
 }
@@ -76,7 +80,9 @@
 async fn connection(stream: TcpStream, handler: Rc<Handler>) {
     let Ok(io) = stream.into_poll_io() else { return };
     let service = service_fn(move |request| answer(request, handler.clone()));
-    if let Err(error) = http1::Builder::new().serve_connection(MonoioIo::new(io), service).await {
+    let mut builder = http1::Builder::new();
+    builder.timer(MonoioTimer).header_read_timeout(HEADER_WITHIN);
+    if let Err(error) = builder.serve_connection(MonoioIo::new(io), service).await {
         debug!("operator: a connection ended: {error}.");
     }
 }
--- a/components/peer/src/accept.rs
+++ b/components/peer/src/accept.rs
@@ -1,13 +1,16 @@
 //! The accepting end of a link: one task a peer.
 
-use std::{collections::HashMap, rc::Rc};
+use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use anyhow::{Context, bail};
 use bergamottrack_coordination::token::Secret;
 use futures_util::StreamExt;
-use monoio::{io::IntoPollIo, net::TcpStream};
+use monoio::{
+    io::IntoPollIo,
+    net::{TcpListener, TcpStream},
+};
 use tokio::sync::mpsc::{self, UnboundedSender};
-use tracing::debug;
+use tracing::{debug, warn};
 
 use crate::{
     exchange::HomeSide,
@@ -19,6 +22,9 @@
 /// say that it is done with an exchange that the home has ended.
 const SWEEP_FROM: usize = 64;
 
+/// Before accepting is tried again after it failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
 /// Answers a question of a peer, at once or later.
 pub type Responder = dyn Fn(&Hello, Question, Teller);
 
@@ -126,3 +132,18 @@
         }
     }
 }
+
+/// The next connection of a listener.
+///
+/// Guards against a host that ends when it has no file left for a connection:
+/// accepting then fails, though all that is connected could go on. So the
+/// failure is logged and accepting is tried again until files are free.
+pub async fn stream(listener: &TcpListener, whom: &str) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => warn!("link: a connection of {whom} cannot be accepted: {error}."),
+        }
+        monoio::time::sleep(ACCEPT_PAUSE).await;
+    }
+}
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -95,7 +95,7 @@
     let operators = bergamottrack_operator::serve(args.operator, operator.handler());
     let mut operators = std::pin::pin!(operators);
     monoio::select! {
-        result = accept_callers(callers, entry.clone()) => return result,
+        _ = accept_callers(callers, entry.clone()) => {}
         result = &mut operators => return result,
         _ = signals.asked() => {}
         _ = drain.notified() => {}
@@ -114,14 +114,14 @@
     Ok(listener)
 }
 
-async fn accept_callers(listener: TcpListener, entry: Rc<Entry>) -> anyhow::Result<()> {
+async fn accept_callers(listener: TcpListener, entry: Rc<Entry>) {
     loop {
-        let (stream, _) = listener.accept().await.context("accepting a caller")?;
+        let stream = accept::stream(&listener, "callers").await;
         monoio::spawn(caller::serve(entry.clone(), stream));
     }
 }
 
-async fn accept_peers(listener: TcpListener, operator: Rc<Operator>) -> anyhow::Result<()> {
+async fn accept_peers(listener: TcpListener, operator: Rc<Operator>) {
     let (fleet, homes) = (operator.fleet.clone(), operator.homes.clone());
     let (mesh, current) = (fleet.mesh.clone(), fleet.current.clone());
     let (opening, asked) = (homes.clone(), homes);
@@ -138,7 +138,7 @@
         }),
     });
     loop {
-        let (stream, _) = listener.accept().await.context("accepting a peer")?;
+        let stream = accept::stream(&listener, "peers").await;
         monoio::spawn(accept::serve(stream, mesh.hello(), service.clone()));
     }
 }
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -273,3 +273,60 @@
     let hosts = desk.run(0, "ana", &["hosts"]).out;
     assert!(!hosts.contains("h3"), "{hosts}");
 }
+
+/// Callers of a host are cut off although all its servers are well: somebody opens
+/// more connections to it than the process may have files, accepting one fails, and
+/// the host gives up.
+#[tokio::test]
+async fn a_host_that_runs_out_of_files_recovers() {
+    let mut desk = Desk::new().await;
+    desk.settle();
+    limit_files(desk.system.hosts[0].pid().unwrap(), 64);
+    let address = desk.system.addresses[0].operator;
+    let crowd: Vec<_> = (0..100).map(|_| std::net::TcpStream::connect(address)).collect();
+    let deadline = Instant::now() + PATIENCE;
+    while !desk.system.hosts[0].log().contains("cannot be accepted") {
+        assert!(desk.system.hosts[0].is_running(), "{}", desk.system.hosts[0].log());
+        assert!(Instant::now() < deadline, "the files never ran out");
+        std::thread::sleep(PAUSE);
+    }
+    drop(crowd);
+    while desk.run(0, "ana", &["hosts"]).code != 0 {
+        assert!(desk.system.hosts[0].is_running(), "{}", desk.system.hosts[0].log());
+        assert!(Instant::now() < deadline, "the host did not recover");
+        std::thread::sleep(PAUSE);
+    }
+}
+
+/// Limits how many files a process may have open.
+fn limit_files(pid: u32, files: u64) {
+    let limit = libc::rlimit { rlim_cur: files, rlim_max: files };
+    // The process is a child that has not been waited for, so its number is its own.
+    #[allow(unsafe_code)]
+    let set =
+        unsafe { libc::prlimit(pid as i32, libc::RLIMIT_NOFILE, &limit, std::ptr::null_mut()) };
+    assert_eq!(set, 0);
+}
+
+/// What a person reads, but for what differs from run to run.
+#[tokio::test]
+async fn the_tables_read_as_they_should() {
+    let desk = Desk::new().await;
+    desk.settle();
+    let client = desk.system.connect(0, "baobab", "g1").await.unwrap();
+    system::until_runs(&client, "SELECT 1").await.unwrap();
+    let mut settings = insta::Settings::clone_current();
+    settings.add_filter(r"[0-9a-f]{12,}", "[id]");
+    settings.add_filter(r"\d+\.\d+(m?s)\b", "[time]$1");
+    settings.add_filter(r"\b\d+s ago", "[ago]");
+    settings.add_filter(r"(?m)^\d+ .* hosts .*\n", "");
+    settings.add_filter(r" +", " ");
+    settings.add_filter(r"\b(revision|serves) \d+", "$1 [n]");
+    settings.add_filter(r"(?m)^(h\d d\d) \d+ (serves \S+) .*$", "$1 [n] $2 ...");
+    settings.add_filter(r"(?m)^(g1 g1s\d d\d \S+) .* (\d/5) .*$", "$1 ... $2 ...");
+    settings.bind(|| {
+        for command in ["hosts", "groups", "accounts", "history"] {
+            insta::assert_snapshot!(command, desk.run(1, "ana", &[command]).out);
+        }
+    });
+}
