--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -322,6 +322,8 @@
     settings.add_filter(r"(?m)^\d+ .* hosts .*\n", "");
     settings.add_filter(r" +", " ");
     settings.add_filter(r"\b(revision|serves) \d+", "$1 [n]");
+    settings.add_filter(r"(?m)^\d+ (\[ago\])", "[n] $1");
+    settings.add_filter(r"(?m)^(baobab( \S+){4}) .*$", "$1 ...");
     settings.add_filter(r"(?m)^(h\d d\d) \d+ (serves \S+) .*$", "$1 [n] $2 ...");
     settings.add_filter(r"(?m)^(g1 g1s\d d\d \S+) .* (\d/5) .*$", "$1 ... $2 ...");
     settings.bind(|| {
