--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use bergamottrack_coordination::{AccountId, KeyId, OperatorId, Revision};
+use bergamottrack_coordination::{AccountId, GroupId, KeyId, OperatorId, RequestId, Revision};
 use clap::{Args, Parser, Subcommand, ValueEnum};
 
 /// A database proxy with session consistency.
@@ -48,6 +48,8 @@
     Groups(RemoteArgs),
     /// Show the client accounts.
     Accounts(RemoteArgs),
+    /// Tell what became of a request: done, not run, or not yet known (exit code 3).
+    Outcome(OutcomeArgs),
     /// Drain the host at `--at`: it takes nothing new, finishes what it has and ends.
     Drain(RemoteArgs),
     /// Print completions for a shell.
@@ -269,3 +271,22 @@
     #[command(flatten)]
     pub remote: RemoteArgs,
 }
+
+/// Settings of `outcome`.
+#[derive(Args, Debug)]
+pub struct OutcomeArgs {
+    /// The caller's id of the request.
+    pub id: RequestId,
+    /// The client account that sent it.
+    #[arg(long, value_name = "NAME")]
+    pub account: AccountId,
+    /// The database group that it was sent to.
+    #[arg(long, value_name = "NAME")]
+    pub group: GroupId,
+    /// How long to go on asking while it is not yet known.
+    #[arg(long, value_name = "SECONDS", default_value_t = 5)]
+    pub wait: u64,
+    /// The host.
+    #[command(flatten)]
+    pub remote: RemoteArgs,
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 pub mod files;
 pub mod history;
 pub mod key;
+pub mod outcome;
 pub mod pages;
 pub mod remote;
 pub mod serve;
--- a/src/main.rs
+++ b/src/main.rs
@@ -36,6 +36,7 @@
         Command::Hosts(args) => cmd::status::hosts(&args)?,
         Command::Groups(args) => cmd::status::groups(&args)?,
         Command::Accounts(args) => cmd::accounts::run(&args)?,
+        Command::Outcome(args) => cmd::outcome::run(&args)?,
         Command::Drain(args) => cmd::drain::run(&args)?,
         Command::Key(KeyCommand::Withdraw(args)) => cmd::key::withdraw(&args)?,
         Command::Key(KeyCommand::New(args)) => cmd::key::new(&args)?,
