--- a/components/metrics/src/metrics.rs
+++ b/components/metrics/src/metrics.rs
@@ -16,7 +16,7 @@
         counter::Counter,
         family::{Family, MetricConstructor},
         gauge::Gauge,
-        histogram::{Histogram, exponential_buckets},
+        histogram::Histogram,
     },
     registry::{Registry, Unit},
 };
@@ -25,6 +25,7 @@
     gauges,
     label::{AccountLabels, GroupLabels, PhaseLabels, ReadLabels, RefusalLabels},
     report::{AccountReport, HostReport, Refused},
+    spread::{self, Spread},
 };
 
 /// The prefix of every name.
@@ -36,7 +37,7 @@
 
 impl MetricConstructor<Histogram> for Seconds {
     fn new_metric(&self) -> Histogram {
-        Histogram::new(exponential_buckets(0.000_5, 2.0, 15))
+        Histogram::new(spread::bounds())
     }
 }
 
@@ -75,10 +76,10 @@
 }
 
 /// What was served for an account, beside the histogram, which can't be read back.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Default)]
 struct Served {
-    count: u64,
     total: Duration,
+    spread: Spread,
 }
 
 /// What a host measures while it serves.
@@ -171,8 +172,8 @@
     pub fn answered(&self, account: &AccountId, group: &GroupId, total: Duration) {
         self.account_total.get_or_create(&self.account(account)).observe(total.as_secs_f64());
         if let Some(served) = self.accounts.borrow_mut().get_mut(account) {
-            served.count += 1;
             served.total += total;
+            served.spread.add(total);
         }
         self.group_total.get_or_create(&self.group(group)).observe(total.as_secs_f64());
     }
@@ -228,15 +229,16 @@
     }
 
     fn report(&self, account: &AccountId) -> AccountReport {
-        let served = self.accounts.borrow().get(account).copied().unwrap_or_default();
+        let served = self.accounts.borrow().get(account).cloned().unwrap_or_default();
         let refused = REASONS.iter().filter_map(|&reason| {
             let count = self.refusals.get(&RefusalLabels::new(account, reason))?.get();
             (count > 0).then_some(Refused { reason, count })
         });
         AccountReport {
             account: account.clone(),
-            served: served.count,
+            served: served.spread.total(),
             seconds: served.total.as_secs_f64(),
+            spread: served.spread,
             refused: refused.collect(),
         }
     }
--- a/components/metrics/src/report.rs
+++ b/components/metrics/src/report.rs
@@ -8,6 +8,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::spread::Spread;
+
 /// What a host reports of itself.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct HostReport {
@@ -80,6 +82,8 @@
     pub served: u64,
     /// Seconds that all of them took together, from the caller's message to the answer.
     pub seconds: f64,
+    /// How long they took.
+    pub spread: Spread,
     /// Requests refused, by reason; none that is 0.
     pub refused: Vec<Refused>,
 }
--- a/components/metrics/tests/labels.rs
+++ b/components/metrics/tests/labels.rs
@@ -1,10 +1,10 @@
-//! Label sets stay bounded.
+//! Label sets stay bounded, and times add up.
 
 use std::time::Duration;
 
 use bergamottrack_contract::Config;
 use bergamottrack_coordination::{AccountId, GroupId, Reason, Revision};
-use bergamottrack_metrics::{HostReport, Metrics, Phase, Timing};
+use bergamottrack_metrics::{HostReport, Metrics, Phase, Spread, Timing};
 
 fn report() -> HostReport {
     HostReport {
@@ -54,3 +54,17 @@
     }
     assert_eq!(text.matches("# EOF").count(), 1);
 }
+
+#[test]
+fn times_of_several_hosts_add_up() {
+    let (mut here, mut there) = (Spread::default(), Spread::default());
+    assert_eq!(here.within(0.99), None);
+    (0..99).for_each(|_| here.add(Duration::from_micros(900)));
+    assert_eq!(here.within(0.99), Some(Duration::from_millis(1)));
+    (0..2).for_each(|_| there.add(Duration::from_millis(30)));
+    here.merge(&there);
+    assert_eq!(here.total(), 101);
+    assert_eq!(here.within(0.99), Some(Duration::from_millis(32)));
+    (0..200).for_each(|_| here.add(Duration::from_secs(20)));
+    assert_eq!(here.within(0.99), None, "beyond the last bound");
+}
--- a/src/cmd/accounts.rs
+++ b/src/cmd/accounts.rs
@@ -4,7 +4,7 @@
 
 use bergamottrack_contract::ClientAccount;
 use bergamottrack_coordination::{AccountId, Reason};
-use bergamottrack_metrics::AccountReport;
+use bergamottrack_metrics::{AccountReport, Spread};
 use bergamottrack_operator::api::{ConfigPage, HostLine, StatusPage};
 use serde::Serialize;
 
@@ -15,6 +15,7 @@
 struct Faring {
     served: u64,
     seconds: f64,
+    spread: Spread,
     refused: BTreeMap<Reason, u64>,
 }
 
@@ -57,6 +58,7 @@
 fn add(mut faring: Faring, report: &AccountReport) -> Faring {
     faring.served += report.served;
     faring.seconds += report.seconds;
+    faring.spread.merge(&report.spread);
     for refused in &report.refused {
         *faring.refused.entry(refused.reason).or_default() += refused.count;
     }
@@ -64,14 +66,20 @@
 }
 
 fn table(lines: &[Line]) -> Table {
-    let headings = ["ACCOUNT", "RATE", "BURST", "WEIGHT", "KEYS", "SERVED", "MEAN", "REFUSED"];
+    let headings =
+        ["ACCOUNT", "RATE", "BURST", "WEIGHT", "KEYS", "SERVED", "MEAN", "P99", "REFUSED"];
     let mut table = Table::new(headings);
     for line in lines {
-        let Faring { served, seconds, refused } = &line.faring;
+        let Faring { served, seconds, spread, refused } = &line.faring;
         let mean = match served {
             0 => "-".to_owned(),
             served => format!("{:.1}ms", seconds * 1_000.0 / *served as f64),
         };
+        let worst = match spread.within(0.99) {
+            Some(time) => format!("{time:?}"),
+            None if *served == 0 => "-".to_owned(),
+            None => "long".to_owned(),
+        };
         let refused: Vec<_> = refused.iter().map(|(why, count)| format!("{why} {count}")).collect();
         table.row([
             line.account.as_str(),
@@ -81,6 +89,7 @@
             &line.keys.to_string(),
             &served.to_string(),
             &mean,
+            &worst,
             &if refused.is_empty() { "-".to_owned() } else { refused.join(", ") },
         ]);
     }
