--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -2,7 +2,7 @@
 
 use std::{
     path::PathBuf,
-    process::Command,
+    process::{Command, Stdio},
     time::{Duration, Instant},
 };
 
@@ -22,6 +22,17 @@
     error: String,
 }
 
+impl Answered {
+    fn of(command: &mut Command) -> Self {
+        let output = command.output().unwrap();
+        Self {
+            code: output.status.code().unwrap(),
+            out: String::from_utf8(output.stdout).unwrap(),
+            error: String::from_utf8(output.stderr).unwrap(),
+        }
+    }
+}
+
 struct Desk {
     system: System,
     file: PathBuf,
@@ -36,29 +47,36 @@
         Self { system, file }
     }
 
-    /// Runs a command against a host.
-    fn run(&self, host: usize, author: &str, args: &[&str]) -> Answered {
-        let output = Command::new(env!("CARGO_BIN_EXE_bergamottrack"))
+    /// A command against a host.
+    fn command(&self, host: usize, author: &str, args: &[&str]) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_bergamottrack"));
+        command
             .args(args)
             .env("BERGAMOTTRACK_AT", self.system.addresses[host].operator.to_string())
             .env("BERGAMOTTRACK_OPERATOR_KEY", OPERATOR_KEY)
             .env("BERGAMOTTRACK_AUTHOR", author)
-            .output()
-            .unwrap();
-        Answered {
-            code: output.status.code().unwrap(),
-            out: String::from_utf8(output.stdout).unwrap(),
-            error: String::from_utf8(output.stderr).unwrap(),
-        }
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped());
+        command
     }
 
-    /// Submits the file with a text replaced.
-    fn submit(&self, host: usize, author: &str, against: u64, from: &str, to: &str) -> Answered {
+    /// Runs a command against a host.
+    fn run(&self, host: usize, author: &str, args: &[&str]) -> Answered {
+        Answered::of(&mut self.command(host, author, args))
+    }
+
+    /// The submit of the file with a text replaced.
+    fn submission(&self, host: usize, author: &str, against: u64, from: &str, to: &str) -> Command {
         let file = self.file.with_file_name(format!("{author}.toml"));
         let text = std::fs::read_to_string(&self.file).unwrap();
         std::fs::write(&file, text.replacen(from, to, 1)).unwrap();
         let base = format!("--base={}", file.display());
-        self.run(host, author, &["submit", &base, &format!("--against={against}")])
+        self.command(host, author, &["submit", &base, &format!("--against={against}")])
+    }
+
+    /// Submits the file with a text replaced.
+    fn submit(&self, host: usize, author: &str, against: u64, from: &str, to: &str) -> Answered {
+        Answered::of(&mut self.submission(host, author, against, from, to))
     }
 
     /// A field of the JSON that `status` prints.
@@ -136,6 +154,28 @@
     assert_eq!(history.matches("configuration").count(), 2, "{history}");
 }
 
+/// Nobody knows whether a change was made: the terminal is killed while the submit
+/// runs, at whatever step, with a slow platform. Run again, it is in force, once.
+#[tokio::test]
+async fn a_submit_that_was_killed_and_is_run_again_is_accepted_once() {
+    let desk = Desk::new().await;
+    desk.settle();
+    desk.system.platform_faults(r#"{"slow_ms": 100}"#).await.unwrap();
+    for (step, killed_after) in [20, 150, 350, 550, 750].into_iter().enumerate() {
+        let against = desk.revision();
+        let rate = format!("rate = {}", 2_000 + step);
+        let mut child = desk.submission(0, "ana", against, "rate = 1000.0", &rate).spawn().unwrap();
+        std::thread::sleep(Duration::from_millis(killed_after));
+        child.kill().unwrap();
+        child.wait().unwrap();
+        let again = desk.submit(1, "ana", against, "rate = 1000.0", &rate);
+        assert_eq!(again.code, 0, "killed after {killed_after} ms: {again:?}");
+        let history = desk.run(2, "ana", &["history"]).out;
+        assert_eq!(history.matches("ana ").count(), step + 1, "{history}");
+        desk.settle();
+    }
+}
+
 /// In a platform outage the operator must know that a submit changed nothing, and
 /// still see the fleet.
 #[tokio::test]
