--- a/components/home/src/outcome.rs
+++ b/components/home/src/outcome.rs
@@ -260,12 +260,11 @@
     key: &Key,
     deadline: Instant,
 ) -> Result<Option<Outcome>, Refusal> {
-    // A person waits on the phone: before the account's own queue.
+    // Somebody waits on the telephone for the answer.
     let ticket = Ticket { account: key.account.clone(), weight: 1, deadline, urgent: true };
-    let place = serve::place(home, &Intent::Write, &ticket).await?;
-    let Place { server, term, need, slot: _slot, mut taken } = place;
     let since = home.clock.now();
     let intent = &Intent::Write;
+    let Place { server, term, need, slot, mut taken } = serve::place(home, intent, &ticket).await?;
     let turn = Turn { home, server, term, intent, need, since, within: false, deadline };
     let conn = &mut taken.conn;
     let look = async {
@@ -280,6 +279,7 @@
     };
     let found = within(&turn, look).await.map_err(not_begun)?;
     taken.give_back();
+    drop(slot);
     match found {
         None => Ok(None),
         Some((outcome, point)) if home.confirm(server, point, deadline).await => Ok(Some(outcome)),
