--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -1,6 +1,6 @@
 //! Runs an entry host.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, io::IsTerminal, rc::Rc, time::Duration};
 
 use anyhow::Context;
 use bergamottrack_contract::{Current, Host, Routes};
@@ -41,7 +41,11 @@
 }
 
 fn start_log(filter: EnvFilter, format: LogFormat) {
-    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let log = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_ansi(std::io::stderr().is_terminal())
+        .with_target(false)
+        .with_writer(std::io::stderr);
     match format {
         LogFormat::Plain => log.init(),
         LogFormat::Json => log.json().init(),
@@ -96,7 +100,7 @@
     let operators = bergamottrack_operator::serve(args.operator, operator.handler());
     let mut operators = std::pin::pin!(operators);
     monoio::select! {
-        result = accept_callers(callers, entry.clone()) => return result,
+        _ = accept_callers(callers, entry.clone()) => {}
         result = &mut operators => return result,
         _ = signals.asked() => {}
         _ = drain.notified() => {}
@@ -115,14 +119,14 @@
     Ok(listener)
 }
 
-async fn accept_callers(listener: TcpListener, entry: Rc<Entry>) -> anyhow::Result<()> {
+async fn accept_callers(listener: TcpListener, entry: Rc<Entry>) {
     loop {
-        let (stream, _) = listener.accept().await.context("accepting a caller")?;
+        let stream = accept::stream(&listener, "callers").await;
         monoio::spawn(caller::serve(entry.clone(), stream));
     }
 }
 
-async fn accept_peers(listener: TcpListener, operator: Rc<Operator>) -> anyhow::Result<()> {
+async fn accept_peers(listener: TcpListener, operator: Rc<Operator>) {
     let (fleet, homes) = (operator.fleet.clone(), operator.homes.clone());
     let (mesh, current) = (fleet.mesh.clone(), fleet.current.clone());
     let (opening, asked) = (homes.clone(), homes);
@@ -139,7 +143,7 @@
         }),
     });
     loop {
-        let (stream, _) = listener.accept().await.context("accepting a peer")?;
+        let stream = accept::stream(&listener, "peers").await;
         monoio::spawn(accept::serve(stream, mesh.hello(), service.clone()));
     }
 }
