--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -118,7 +118,7 @@
 }
 
 const HEAD: &str = "run                offered  served   /s      p50 ms  p99 ms   wait ms  \
-replica%  worst%  others%  wrongful over   stale gap p50/p90/max ms  refused";
+replica%  worst%  others%  wrongful over   stale gap p50/p90/max ms promoted refused";
 
 impl fmt::Display for Shown {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -127,7 +127,7 @@
         let gap = |part| report::quantile(&r.failover_gaps, part);
         write!(
             f,
-            "{:18} {:>7} {:>7} {:>6.0} {:>8.2} {:>7.1} {:>9.0} {:>8.1} {:>7.1} {:>8.1} {:>9} {:>5.1} {:>5} {:>6.0}/{:.0}/{:.0}  ",
+            "{:18} {:>7} {:>7} {:>6.0} {:>8.2} {:>7.1} {:>9.0} {:>8.1} {:>7.1} {:>8.1} {:>9} {:>5.1} {:>5} {:>6.0}/{:.0}/{:.0} {:>6}  ",
             self.name,
             r.offered,
             r.served,
--- a/lab/src/load/counters.rs
+++ b/lab/src/load/counters.rs
@@ -4,6 +4,7 @@
 
 use anyhow::Context;
 
+use super::fault;
 use crate::{
     system::{self, System},
     usage,
@@ -24,6 +25,8 @@
     pub primary_reads: u64,
     /// Reads that replicas served.
     pub replica_reads: u64,
+    /// The newest terms of all groups, added up.
+    pub terms: u64,
 }
 
 impl Counters {
@@ -43,6 +46,9 @@
             counters.primary_reads += numbers.next().unwrap_or_default();
             counters.replica_reads += numbers.next().unwrap_or_default();
         }
+        for group in 1..=system.plan.groups {
+            counters.terms += fault::newest_term(system, &format!("g{group}")).await;
+        }
         Ok(counters)
     }
 
--- a/lab/src/load/fault.rs
+++ b/lab/src/load/fault.rs
@@ -132,16 +132,28 @@
 
 /// The server that leads a group, asked of the servers themselves.
 pub async fn primary(system: &System, group: &str) -> anyhow::Result<String> {
-    let mut best = None;
+    let statuses = statuses(system, group).await.into_iter();
+    let leading = statuses.filter(|(_, status)| status.leads());
+    let newest = leading.max_by_key(|(_, status)| status.term);
+    newest.map(|(name, _)| name).with_context(|| format!("{group} has no primary"))
+}
+
+/// The newest term that a server of the group is in; 0 when none answers.
+pub async fn newest_term(system: &System, group: &str) -> u64 {
+    let statuses = statuses(system, group).await;
+    statuses.into_iter().map(|(_, status)| status.term.0).max().unwrap_or_default()
+}
+
+/// What the servers of a group that answer say of themselves.
+async fn statuses(system: &System, group: &str) -> Vec<(String, Status)> {
+    let mut found = Vec::new();
     for name in system.servers.keys().filter(|name| name.starts_with(&format!("{group}s"))) {
         let status = tokio::time::timeout(Duration::from_millis(500), status(system, name)).await;
-        if let Ok(Ok(status)) = status
-            && status.leads()
-        {
-            best = best.max(Some((status.term, name.clone())));
+        if let Ok(Ok(status)) = status {
+            found.push((name.clone(), status));
         }
     }
-    best.map(|(_, name)| name).with_context(|| format!("{group} has no primary"))
+    found
 }
 
 async fn status(system: &System, name: &str) -> anyhow::Result<Status> {
--- a/lab/src/load/report.rs
+++ b/lab/src/load/report.rs
@@ -31,9 +31,11 @@
     pub stale_reads: u64,
     /// The longest time without an acknowledged write, by group, in milliseconds.
     pub write_gaps: BTreeMap<Box<str>, f64>,
-    /// For each time that a primary was struck: from the last acknowledged write
-    /// of its group before to the first after, in milliseconds, in order of length.
+    /// For each time that a primary was struck: the longest time between two
+    /// acknowledged writes of its group, in milliseconds, in order of length.
     pub failover_gaps: Vec<f64>,
+    /// Changes of term, over all groups.
+    pub promotions: u64,
     /// The longest that a caller waited for an answer of any kind, in milliseconds.
     pub longest_wait: f64,
     /// The account that got the least of what its contract entitled it to.
@@ -154,6 +156,7 @@
         stale_reads,
         write_gaps: write_gaps(run),
         failover_gaps: failover_gaps(run),
+        promotions: after.terms.saturating_sub(before.terms),
         longest_wait: points.iter().map(|p| p.1).fold(0.0, f64::max),
         worst: worst(&accounts),
         wrongful: accounts.iter().map(|a| a.wrongful).sum(),
@@ -205,16 +208,24 @@
     acknowledged.iter().map(|(group, times)| (Box::from(&**group), gap(times))).collect()
 }
 
+/// For each strike the longest time between two acknowledged writes of the
+/// group, from the last one before the strike up to the group's next strike.
 fn failover_gaps(run: &Run) -> Vec<f64> {
+    let strikes = run.strikes.borrow();
     let acknowledged = run.acknowledged.borrow();
-    let gap = |(group, at): &(Rc<str>, f64)| {
-        let times = acknowledged.get(group)?.iter().copied();
-        let before = times.clone().filter(|t| t <= at).max_by(f64::total_cmp)?;
-        let after = times.filter(|t| t > at).min_by(f64::total_cmp);
-        // A group that took no write again was away up to the end of the run.
-        Some((after.unwrap_or(run.now()) - before) * 1000.0)
+    let gap = |(i, (group, at)): (usize, &(Rc<str>, f64))| {
+        let later = strikes[i + 1..].iter().find(|(other, _)| other == group);
+        let until = later.map_or(run.load.seconds, |(_, next)| *next);
+        let mut times = acknowledged.get(group)?.clone();
+        times.sort_by(f64::total_cmp);
+        let before = times.iter().copied().rfind(|t| t <= at)?;
+        let within = times.iter().copied().filter(|t| *t > at && *t < until);
+        // A group that took no write again was away up to the end.
+        let all: Vec<f64> = [before].into_iter().chain(within).chain([until]).collect();
+        let longest = all.windows(2).map(|pair| pair[1] - pair[0]).fold(0.0, f64::max);
+        Some(longest * 1000.0)
     };
-    let mut gaps: Vec<f64> = run.strikes.borrow().iter().filter_map(gap).collect();
+    let mut gaps: Vec<f64> = strikes.iter().enumerate().filter_map(gap).collect();
     gaps.sort_by(f64::total_cmp);
     gaps
 }
@@ -283,8 +294,9 @@
             let at = |part| quantile(&self.failover_gaps, part);
             writeln!(
                 f,
-                "failover gap over {} strikes: p50 {:.0} ms, p90 {:.0} ms, max {:.0} ms",
+                "failover gap over {} strikes ({} promotions): p50 {:.0} ms, p90 {:.0} ms, max {:.0} ms",
                 self.failover_gaps.len(),
+                self.promotions,
                 at(0.5),
                 at(0.9),
                 at(1.0)
