--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -60,6 +60,8 @@
 pub mod ids;
 pub mod leadership;
 pub mod lenders;
+pub mod outcome;
+pub mod pace;
 pub mod refusal;
 pub mod rendezvous;
 pub mod retry;
--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -15,6 +15,8 @@
 use bergamottrack_peer::{Exchange, Mesh, Open, open_local};
 use tokio::sync::Notify;
 
+use crate::callers::Callers;
+
 /// When a caller may come back while a host lacks its configuration.
 const COME_BACK: Duration = Duration::from_millis(500);
 
@@ -34,6 +36,8 @@
     pub secret: Secret,
     /// What this host measures.
     pub metrics: Rc<Metrics>,
+    /// The callers that are there.
+    pub callers: Rc<Callers>,
     /// Cancels of running connections, by process number.
     pub cancels: RefCell<HashMap<i32, Rc<Cancel>>>,
     /// The last process number given out.
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -9,6 +9,7 @@
 
 use bergamottrack_contract::{Config, Current, Host, RevisionDoc};
 use bergamottrack_coordination::{Clock, HostId, Revision, SubmitId, freshness::Vouch};
+use bergamottrack_metrics::Metrics;
 use bergamottrack_peer::{Answer, Mesh, Question, message::Hello};
 use bergamottrack_platform::{Chain, chain};
 use tracing::{info, warn};
@@ -51,8 +52,9 @@
         mesh: Rc<Mesh>,
         chain: Chain,
         clock: Rc<dyn Clock>,
+        metrics: Rc<Metrics>,
     ) -> Rc<Self> {
-        let limits = Limits::new(current.clone(), mesh.clone(), clock.clone());
+        let limits = Limits::new(current.clone(), mesh.clone(), clock.clone(), metrics);
         Rc::new(Self {
             me,
             limits,
@@ -126,6 +128,7 @@
     /// Answers a question of a peer; `None` when it is not about the fleet.
     pub fn answer(&self, peer: &Hello, question: Question) -> Option<Answer> {
         Some(match question {
+            Question::Ping if self.leaving.get() => Answer::Leaving,
             Question::Ping => Answer::Pong,
             Question::Vouch => Answer::Vouch(self.vouch()),
             Question::Revision => {
@@ -136,7 +139,7 @@
                 Answer::Adopted(self.current.number())
             }
             Question::Lend(lend) => self.limits.lend(&peer.host, &lend),
-            Question::Report => return None,
+            Question::Outcome(_) | Question::Report => return None,
         })
     }
 
--- a/components/home/src/lib.rs
+++ b/components/home/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod border;
 pub mod group;
 pub mod homes;
+pub mod outcome;
 pub mod pool;
 pub mod promotion;
 pub mod queue;
