--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -144,6 +144,7 @@
             gap(0.5),
             gap(0.9),
             gap(1.0),
+            r.promotions,
         )?;
         r.refused().iter().try_for_each(|(code, count)| write!(f, " {code}:{count}"))
     }
--- a/lab/src/load/report.rs
+++ b/lab/src/load/report.rs
@@ -219,7 +219,7 @@
         let mut times = acknowledged.get(group)?.clone();
         times.sort_by(f64::total_cmp);
         let before = times.iter().copied().rfind(|t| t <= at)?;
-        let within = times.iter().copied().filter(|t| *t > at && *t < until);
+        let within = times.iter().copied().filter(|t| t > at && *t < until);
         // A group that took no write again was away up to the end.
         let all: Vec<f64> = [before].into_iter().chain(within).chain([until]).collect();
         let longest = all.windows(2).map(|pair| pair[1] - pair[0]).fold(0.0, f64::max);
