--- a/lab/src/load/mod.rs
+++ b/lab/src/load/mod.rs
@@ -32,8 +32,9 @@
 use caller::{Outcome, Session};
 use tally::Sample;
 
-/// How long the system is watched before the load begins.
-const IDLE: Duration = Duration::from_secs(2);
+/// How long the system is watched before the load begins; longer than any burst of
+/// the sites takes to fill again.
+const IDLE: Duration = Duration::from_secs(4);
 
 /// How long the last answers are waited for.
 const DRAIN: Duration = Duration::from_secs(16);
