Keys: tests with real processes; what was told is marked in the table service

Cause: a host that was cut off from its peers right after it joined could not learn that its revision was told, so it never used its part of the rates and refused all as over their rate (seen in a_key_stops_on_a_host_cut_off_from_its_peers). A host that reaches the platform now learns it from a row, written once a revision by each host that finds it missing. Ruled out: using the part without knowing (the part may be in use by another host).

--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -35,6 +35,8 @@
     pub(crate) clock: Rc<dyn Clock>,
     /// The newest revision known to have been told to majorities.
     pub(crate) told: Cell<Revision>,
+    /// The newest revision known to be marked as told in the table service.
+    pub(crate) marked: Cell<Revision>,
     /// When each host of the roster was last heard, or first missed.
     pub(crate) heard: RefCell<HashMap<HostId, Instant>>,
     /// Hosts that a majority of the roster has not heard for long.
@@ -61,6 +63,7 @@
             chain,
             clock,
             told: Cell::default(),
+            marked: Cell::default(),
             heard: RefCell::default(),
             gone: RefCell::default(),
             leaving: Cell::default(),
@@ -84,7 +87,8 @@
 
     async fn follow(&self) -> anyhow::Result<()> {
         self.newest().await?;
-        self.keep_roster().await
+        self.keep_roster().await?;
+        self.keep_told().await
     }
 
     /// Reads the head of the chain; what is newer is put in force here.
--- a/components/fleet/src/rounds.rs
+++ b/components/fleet/src/rounds.rs
@@ -97,12 +97,29 @@
     fn note_told(&self, doc: &RevisionDoc, tally: &Tally, answers: &[(HostId, Vouch)]) {
         let others = answers.iter().map(|(_, vouch)| vouch.told).max().unwrap_or_default();
         let own = if tally.told { doc.number } else { Revision::default() };
-        let told = others.max(own);
+        self.learn_told(others.max(own));
+    }
+
+    fn learn_told(&self, told: Revision) {
         if told > self.told.get() {
             self.told.set(told);
-            self.limits.told(told);
             info!("fleet: revision {told} is known to a majority.");
         }
+        self.limits.told(self.told.get());
+    }
+
+    /// Marks what was told in the table service, or learns it from there.
+    pub(crate) async fn keep_told(&self) -> anyhow::Result<()> {
+        let told = self.told.get();
+        if told < self.current.number() {
+            let marked = self.chain.told().await?;
+            self.marked.set(marked.max(self.marked.get()));
+            self.learn_told(marked);
+        } else if self.marked.get() < told {
+            self.chain.mark_told(told).await?;
+            self.marked.set(told);
+        }
+        Ok(())
     }
 
     fn note_heard(&self, doc: &RevisionDoc, answers: &[(HostId, Vouch)]) {
--- a/components/platform/src/chain.rs
+++ b/components/platform/src/chain.rs
@@ -14,6 +14,10 @@
 
 const HEAD: &str = "head";
 
+/// The row with the newest revision known to majorities. A host that cannot
+/// reach its peers learns from it when it may use its part of the rates.
+const TOLD: &str = "told";
+
 /// The row that names the newest revision.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Head {
@@ -123,6 +127,28 @@
         row.value.parse().map(Some).context("reading a submit")
     }
 
+    /// The newest revision that was told to majorities, as far as marked.
+    pub async fn told(&self) -> anyhow::Result<Revision> {
+        let row = self.platform.row(TOLD).await.context("reading what was told")?;
+        parse_told(&row)
+    }
+
+    /// Marks a revision as told to majorities, unless a newer one is.
+    ///
+    /// Losing a race is well: the other host marked this one or a newer one, or
+    /// the next call does.
+    pub async fn mark_told(&self, number: Revision) -> anyhow::Result<()> {
+        let row = self.platform.row(TOLD).await.context("reading what was told")?;
+        if parse_told(&row)? >= number {
+            return Ok(());
+        }
+        let put = Put { key: TOLD.into(), value: number.to_string().into() };
+        let check = Check { key: TOLD.into(), version: row.version };
+        let id = format!("told-{number}-{}", row.version).into();
+        let commit = Commit { id, checks: vec![check], puts: vec![put] };
+        self.platform.commit(&commit).await.context("marking what was told").map(drop)
+    }
+
     /// The history's line of one revision.
     pub async fn entry(&self, number: Revision) -> anyhow::Result<Option<Entry>> {
         let row = self.platform.row(&entry_key(number)).await.context("reading the history")?;
@@ -149,6 +175,13 @@
     format!("submit-{submit}")
 }
 
+fn parse_told(row: &Row) -> anyhow::Result<Revision> {
+    if row.version == 0 {
+        return Ok(Revision::default());
+    }
+    row.value.parse().context("reading what was told")
+}
+
 fn parse_head(row: &Row) -> anyhow::Result<Option<Head>> {
     if row.version == 0 {
         return Ok(None);
--- a/lab/src/link.rs
+++ b/lab/src/link.rs
@@ -4,7 +4,10 @@
 use std::{
     cell::RefCell,
     collections::BTreeMap,
+    fs::File,
+    io::Write,
     net::SocketAddr,
+    path::PathBuf,
     pin::Pin,
     rc::Rc,
     time::{Duration, Instant},
@@ -36,6 +39,9 @@
     /// A link to begin with: NAME=LISTEN=TO.
     #[arg(long)]
     pub link: Vec<String>,
+    /// File to which all bytes that pass are appended.
+    #[arg(long)]
+    pub record: Option<PathBuf>,
 }
 
 /// A link: whoever connects to `listen` reaches `to`.
@@ -90,16 +96,25 @@
 }
 
 struct Link {
+    record: Option<Rc<File>>,
     fault: RefCell<Fault>,
     changed: Notify,
     reset: Notify,
 }
 
-type Links = Rc<RefCell<BTreeMap<Box<str>, Rc<Link>>>>;
+#[derive(Clone, Default)]
+struct Links {
+    named: Rc<RefCell<BTreeMap<Box<str>, Rc<Link>>>>,
+    record: Option<Rc<File>>,
+}
 
 /// Runs links until the process ends.
 pub async fn run(args: LinkArgs) -> anyhow::Result<()> {
-    let links = Links::default();
+    let record = match &args.record {
+        Some(path) => Some(Rc::new(File::options().append(true).create(true).open(path)?)),
+        None => None,
+    };
+    let links = Links { record, ..Links::default() };
     for text in &args.link {
         let mut parts = text.splitn(3, '=');
         let mut part = || parts.next().unwrap_or_default().to_owned();
@@ -140,15 +155,19 @@
 }
 
 fn each(links: &Links, names: &str, act: impl Fn(&Link)) {
-    let links = links.borrow();
+    let links = links.named.borrow();
     links.iter().filter(|(name, _)| matches(names, name)).for_each(|(_, link)| act(link));
 }
 
 fn add(links: &Links, add: Add) -> anyhow::Result<()> {
     let listener = TcpListener::bind(add.listen)?;
-    let link =
-        Rc::new(Link { fault: RefCell::default(), changed: Notify::new(), reset: Notify::new() });
-    links.borrow_mut().insert(add.name, link.clone());
+    let link = Rc::new(Link {
+        record: links.record.clone(),
+        fault: RefCell::default(),
+        changed: Notify::new(),
+        reset: Notify::new(),
+    });
+    links.named.borrow_mut().insert(add.name, link.clone());
     monoio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             monoio::spawn(forward(link.clone(), stream, add.to));
@@ -217,6 +236,11 @@
                 let secs = chunk.len() as f64 / rate as f64;
                 monoio::time::sleep(Duration::from_secs_f64(secs)).await;
             }
+            if let Some(record) = &link.record
+                && let Err(error) = (&**record).write_all(&chunk)
+            {
+                tracing::warn!("link: recording failed: {error}.");
+            }
             if to.write_all(&chunk).await.is_err() {
                 return;
             }
--- a/lab/src/platform/mod.rs
+++ b/lab/src/platform/mod.rs
@@ -42,7 +42,7 @@
     }
     let write = request.method != Method::GET;
     let reply = serve(&mut store.borrow_mut(), &request);
-    if write && store.borrow_mut().lose_answer() {
+    if write && store.borrow_mut().lose_answer(&request.path) {
         monoio::time::sleep(Duration::from_secs(3600)).await;
     }
     reply
@@ -51,7 +51,7 @@
 fn serve(store: &mut Store, request: &Request) -> Reply {
     let path = &*request.path;
     if let Some(key) = path.strip_prefix("/table/row/") {
-        return Reply::json(StatusCode::OK, &store.row(key));
+        return Reply::json(StatusCode::OK, &store.read(key));
     }
     if let Some(prefix) = path.strip_prefix("/table/rows/") {
         return Reply::json(StatusCode::OK, &store.rows(prefix));
--- a/lab/src/platform/store.rs
+++ b/lab/src/platform/store.rs
@@ -22,6 +22,10 @@
     pub slow_ms: u64,
     /// So many answers to writes are lost after the change took effect.
     pub lose_answers: u32,
+    /// So many answers to commits are lost after the change took effect.
+    pub lose_commits: u32,
+    /// Reads show each row as it was before its last change.
+    pub old_rows: bool,
     /// The list of machines is so late.
     pub list_lag_ms: u64,
 }
@@ -31,6 +35,8 @@
 pub struct Store {
     pub faults: Faults,
     rows: BTreeMap<Box<str>, (u64, Box<str>)>,
+    /// Each row before its last change.
+    before: BTreeMap<Box<str>, (u64, Box<str>)>,
     commits: HashMap<Box<str>, Outcome>,
     objects: HashMap<Box<str>, Bytes>,
     lists: Vec<(Instant, Vec<Listed>)>,
@@ -47,12 +53,24 @@
         }
     }
 
-    pub fn lose_answer(&mut self) -> bool {
-        let lose = self.faults.lose_answers > 0;
-        self.faults.lose_answers = self.faults.lose_answers.saturating_sub(1);
+    pub fn lose_answer(&mut self, path: &str) -> bool {
+        let faults = &mut self.faults;
+        let mut lose = take(&mut faults.lose_answers);
+        if path == "/table/commit" {
+            lose |= take(&mut faults.lose_commits);
+        }
         lose
     }
 
+    /// A row as a reader sees it.
+    pub fn read(&self, key: &str) -> Row {
+        if !self.faults.old_rows {
+            return self.row(key);
+        }
+        let (version, value) = self.before.get(key).cloned().unwrap_or_default();
+        Row { key: key.into(), version, value }
+    }
+
     pub fn row(&self, key: &str) -> Row {
         let (version, value) = self.rows.get(key).cloned().unwrap_or_default();
         Row { key: key.into(), version, value }
@@ -75,7 +93,8 @@
         let outcome = if holds { Outcome::Applied } else { Outcome::Conflict };
         if holds {
             for put in commit.puts {
-                let row = self.rows.entry(put.key).or_default();
+                let row = self.rows.entry(put.key.clone()).or_default();
+                self.before.insert(put.key, row.clone());
                 *row = (row.0 + 1, put.value);
             }
             self.commits.insert(commit.id, outcome);
@@ -120,6 +139,13 @@
     }
 }
 
+/// Counts one down; whether there was one.
+fn take(count: &mut u32) -> bool {
+    let some = *count > 0;
+    *count = count.saturating_sub(1);
+    some
+}
+
 fn bad(error: &serde_json::Error) -> Reply {
     Reply::text(StatusCode::BAD_REQUEST, format!("{error}\n"))
 }
--- a/lab/src/system.rs
+++ b/lab/src/system.rs
@@ -8,7 +8,8 @@
 };
 
 use anyhow::Context;
-use bergamottrack_contract::Verifier;
+use bergamottrack_contract::{RevisionDoc, Verifier};
+use bergamottrack_platform::chain;
 use tempfile::TempDir;
 use tokio_postgres::{Client, NoTls};
 
@@ -46,6 +47,8 @@
     /// can be cut. Links are named `FROM>TO`: `h1>g1s1`, `h1>h2`, `h1>platform`,
     /// and `g1s2>g1s1` for replication.
     pub links: bool,
+    /// Whether the link process records all bytes, in `bytes` of its directory.
+    pub record: bool,
 }
 
 impl Default for Plan {
@@ -57,6 +60,7 @@
             server_args: Vec::new(),
             policy: String::new(),
             links: false,
+            record: false,
         }
     }
 }
@@ -171,6 +175,9 @@
         if system.plan.links {
             let mut args = vec!["link".into(), format!("--control={control}")];
             args.append(&mut system.link_args);
+            if system.plan.record {
+                args.push(format!("--record={}", system.dir.path().join("bytes").display()));
+            }
             system.link = Some(Process::new("link", &program("lab")?, args, system.dir.path()));
         }
         Ok(system)
@@ -326,6 +333,35 @@
         }
     }
 
+    /// Waits until all hosts are of the roster and a majority knows so.
+    pub async fn await_roster(&self) -> anyhow::Result<()> {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let (head, told) = (self.row("head").await?, self.row("told").await?);
+            let head: Option<chain::Head> = serde_json::from_str(&head).ok();
+            if let Some(head) = head
+                && told == head.number.to_string()
+            {
+                let path = format!("/objects/{}", head.object);
+                let (_, text) = request(self.platform_address, "GET", &path, "").await?;
+                let doc: RevisionDoc = serde_json::from_str(&text)?;
+                if doc.roster.len() == self.plan.hosts {
+                    return Ok(());
+                }
+            }
+            anyhow::ensure!(Instant::now() < deadline, "not all hosts came into the roster");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// The value of a row of the platform's table service.
+    pub async fn row(&self, key: &str) -> anyhow::Result<String> {
+        let path = format!("/table/row/{key}");
+        let (_, text) = request(self.platform_address, "GET", &path, "").await?;
+        let row: bergamottrack_platform::Row = serde_json::from_str(&text)?;
+        Ok(row.value.into())
+    }
+
     /// Sets the fault of all links whose names match, such as `h1>*`.
     pub async fn fault(&self, names: &str, fault: Fault) -> anyhow::Result<()> {
         self.command("/set", &Set { names: names.into(), fault }).await
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -6,7 +6,7 @@
 use bergamottrack_contract::{Config, Current, Host, Routes};
 use bergamottrack_coordination::{Clock, SystemClock, token::Secret};
 use bergamottrack_entry::{Entry, caller};
-use bergamottrack_fleet::{Fleet, fleet};
+use bergamottrack_fleet::{Fleet, SubmitError, fleet};
 use bergamottrack_home::Homes;
 use bergamottrack_operator::{Reply, Request, serve::Handler};
 use bergamottrack_peer::{
@@ -127,9 +127,19 @@
         Ok(config) => config,
         Err(error) => return Reply::text(StatusCode::BAD_REQUEST, format!("{error:#}\n")),
     };
-    let base = fleet.current.number();
-    match fleet.submit(config, "operator", fleet::new_submit(), base).await {
+    let setting = |name: &str| {
+        let pairs = request.query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
+    };
+    let base = setting("base").and_then(|base| base.parse().ok());
+    let base = base.unwrap_or_else(|| fleet.current.number());
+    let submit = setting("submit").and_then(|submit| submit.parse().ok());
+    let author = setting("author").unwrap_or("operator");
+    match fleet.submit(config, author, submit.unwrap_or_else(fleet::new_submit), base).await {
         Ok(accepted) => Reply::text(StatusCode::OK, format!("{}\n", accepted.revision)),
+        Err(error @ (SubmitError::Unknown(_) | SubmitError::NotTold { .. })) => {
+            Reply::text(StatusCode::SERVICE_UNAVAILABLE, format!("{error}\n"))
+        }
         Err(error) => Reply::text(StatusCode::CONFLICT, format!("{error}\n")),
     }
 }
