A part that grows in the middle of a request no longer ends the host

Found by tests/revisions.rs a_revision_outlives_all_hosts, red 2 times in about 30 runs: a restarted host ended 4 s after its start with "RefCell already borrowed", its callers saw "connection closed". Cause: a request held its account's bucket while it asked for the time, and asking for the time may change all buckets when a part grows. Ruled out: ports taken by others, promotion, the told row (all hosts had logged the revision as known to a majority).

A request that ends while it waits for tokens no longer counts as waiting for ever.

--- a/components/fleet/src/limits.rs
+++ b/components/fleet/src/limits.rs
@@ -43,6 +43,23 @@
     waiting: Cell<usize>,
 }
 
+/// Counts a request that waits for tokens, until it is dropped: the request may
+/// end early, when its caller leaves.
+struct Waiting<'a>(&'a Cell<usize>);
+
+impl<'a> Waiting<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// The rates of all accounts at this host.
 pub struct Limits {
     current: Rc<Current>,
@@ -74,11 +91,10 @@
         if account.bucket.borrow_mut().take(now) {
             return Ok(());
         }
-        account.waiting.set(account.waiting.get() + 1);
+        let waiting = Waiting::new(&account.waiting);
         let turn = account.borrowing.lock().await;
         let taken = self.borrow_and_take(id, &account).await;
-        drop(turn);
-        account.waiting.set(account.waiting.get() - 1);
+        drop((turn, waiting));
         if taken {
             return Ok(());
         }
@@ -88,10 +104,10 @@
 
     async fn borrow_and_take(&self, id: &AccountId, account: &Account) -> bool {
         for _ in 0..MAX_ROUNDS {
-            if account.bucket.borrow_mut().retake(self.now()) {
+            let now = self.now();
+            if account.bucket.borrow_mut().retake(now) {
                 return true;
             }
-            let now = self.clock.now();
             let want = account.bucket.borrow_mut().want(account.waiting.get(), now);
             let (hosts, share) = self.holders(id);
             let chosen = account.lenders.borrow().choose(hosts, share, want, now);
@@ -102,7 +118,8 @@
                 chosen.into_iter().map(|(host, tokens)| self.ask(id, account, host, tokens));
             futures_util::future::join_all(asked).await;
         }
-        account.bucket.borrow_mut().retake(self.now())
+        let now = self.now();
+        account.bucket.borrow_mut().retake(now)
     }
 
     async fn ask(&self, id: &AccountId, account: &Account, host: HostId, tokens: f64) {
@@ -177,7 +194,8 @@
         self.shares.borrow_mut().told(revision, self.clock.now());
     }
 
-    /// The time, after parts that grow by then have grown.
+    /// The time, after parts that grow by then have grown. It changes all
+    /// buckets, so none may be held when it is called.
     fn now(&self) -> Instant {
         let now = self.clock.now();
         let mut shares = self.shares.borrow_mut();
