--- a/components/fleet/src/limits.rs
+++ b/components/fleet/src/limits.rs
@@ -104,6 +104,7 @@
 
     async fn borrow_and_take(&self, id: &AccountId, account: &Account) -> bool {
         for _ in 0..MAX_ROUNDS {
+            // Not within the call: it moves parts on, which takes the bucket too.
             let now = self.now();
             if account.bucket.borrow_mut().retake(now) {
                 return true;
--- a/components/home/src/serve.rs
+++ b/components/home/src/serve.rs
@@ -16,7 +16,7 @@
     batch::Batch,
     group::{COME_BACK, GroupHome},
     outcome::{self, Key, Running},
-    pool::Taken,
+    pool::{self, Taken},
     queue::{NoSlot, Slot},
     route::Need,
     server::Server,
@@ -82,15 +82,13 @@
     let mut batch = Batch::new(open.frames.clone());
     let mut first = running.as_ref();
     loop {
-        let (standing, answer) = {
-            // Held until the answer is read: while a write is confirmed, or its
-            // caller thinks, the server works for others.
-            let _slot = slot;
-            match first.take() {
-                Some(running) => claimed(running, &mut turn, &mut taken.conn, side, &batch).await?,
-                None => turn.run(&mut taken.conn, side, &batch).await?,
-            }
+        let result = match first.take() {
+            Some(running) => claimed(running, &mut turn, &mut taken.conn, side, &batch).await,
+            None => turn.run(&mut taken.conn, side, &batch).await,
         };
+        // While a write is confirmed, or the caller thinks, the server works for others.
+        drop(slot);
+        let (standing, answer) = result?;
         turn.finish(side, standing, answer).await?;
         let wait = placed.saturating_duration_since(arrived);
         let service = home.clock.now().saturating_duration_since(placed);
@@ -184,7 +182,12 @@
         };
         match connect(home, server, deadline).await {
             Ok(taken) => return Ok(Place { server, term, need, slot, taken }),
-            Err(refusal) if home.clock.now() + RETRY_PAUSE >= deadline => return Err(refusal),
+            Err(refusal)
+                if refusal.reason == Reason::Overload
+                    || home.clock.now() + RETRY_PAUSE >= deadline =>
+            {
+                return Err(refusal);
+            }
             Err(_) => monoio::time::sleep(RETRY_PAUSE).await,
         }
     }
@@ -217,7 +220,9 @@
         if backend::is_refusal(&error) {
             server.note_refused(home.clock.now());
         }
-        Refusal::not_run(Reason::Unavailable, Some(COME_BACK), format!("{error:#}"))
+        let full = error.is::<pool::Full>();
+        let reason = if full { Reason::Overload } else { Reason::Unavailable };
+        Refusal::not_run(reason, Some(COME_BACK), format!("{}: {error:#}", server.contract.id))
     })
 }
 
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -1,11 +1,14 @@
 //! Runs an entry host.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, io::IsTerminal, rc::Rc, time::Duration};
 
 use anyhow::Context;
 use bergamottrack_contract::{Current, Host, Routes};
 use bergamottrack_coordination::{Clock, SystemClock, token::Secret};
-use bergamottrack_entry::{Entry, caller, callers::Callers};
+use bergamottrack_entry::{
+    Entry, caller,
+    callers::{self, Callers},
+};
 use bergamottrack_fleet::Fleet;
 use bergamottrack_home::Homes;
 use bergamottrack_metrics::Metrics;
@@ -38,7 +41,11 @@
 }
 
 fn start_log(filter: EnvFilter, format: LogFormat) {
-    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let log = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_ansi(std::io::stderr().is_terminal())
+        .with_target(false)
+        .with_writer(std::io::stderr);
     match format {
         LogFormat::Plain => log.init(),
         LogFormat::Json => log.json().init(),
@@ -82,7 +89,9 @@
         last_pid: Cell::default(),
     });
     let peers = listen(args.peer, "peers")?;
-    let callers = listen(args.listen, "callers")?;
+    let callers = callers::listen(args.listen)
+        .with_context(|| format!("listening for callers at {}", args.listen))?;
+    info!("serve: listening for callers at {}.", args.listen);
     monoio::spawn(homes.keep(current, mesh));
     monoio::spawn(accept_peers(peers, operator.clone()));
     monoio::spawn(fleet.clone().run());
@@ -91,7 +100,7 @@
     let operators = bergamottrack_operator::serve(args.operator, operator.handler());
     let mut operators = std::pin::pin!(operators);
     monoio::select! {
-        result = accept_callers(callers, entry.clone()) => return result,
+        _ = accept_callers(callers, entry.clone()) => {}
         result = &mut operators => return result,
         _ = signals.asked() => {}
         _ = drain.notified() => {}
@@ -110,14 +119,14 @@
     Ok(listener)
 }
 
-async fn accept_callers(listener: TcpListener, entry: Rc<Entry>) -> anyhow::Result<()> {
+async fn accept_callers(listener: TcpListener, entry: Rc<Entry>) {
     loop {
-        let (stream, _) = listener.accept().await.context("accepting a caller")?;
+        let stream = accept::stream(&listener, "callers").await;
         monoio::spawn(caller::serve(entry.clone(), stream));
     }
 }
 
-async fn accept_peers(listener: TcpListener, operator: Rc<Operator>) -> anyhow::Result<()> {
+async fn accept_peers(listener: TcpListener, operator: Rc<Operator>) {
     let (fleet, homes) = (operator.fleet.clone(), operator.homes.clone());
     let (mesh, current) = (fleet.mesh.clone(), fleet.current.clone());
     let (opening, asked) = (homes.clone(), homes);
@@ -134,7 +143,7 @@
         }),
     });
     loop {
-        let (stream, _) = listener.accept().await.context("accepting a peer")?;
+        let stream = accept::stream(&listener, "peers").await;
         monoio::spawn(accept::serve(stream, mesh.hello(), service.clone()));
     }
 }
--- a/tests/revisions.rs
+++ b/tests/revisions.rs
@@ -19,8 +19,7 @@
 }
 
 async fn start() -> System {
-    let system = System::start(Plan::default()).await.unwrap();
-    system
+    System::start(Plan::default()).await.unwrap()
 }
 
 /// The number of the newest revision.
