--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -54,6 +54,7 @@
         Ok(Ok(Some(caller))) => caller,
         Ok(Ok(None)) => return Ok(()),
         Ok(Err(error)) => {
+            entry.metrics.unproved();
             writer.send(&refused(&error)).await?;
             hang_up(&mut reader, &mut writer).await;
             return Err(error);
@@ -61,6 +62,7 @@
         Err(_) => bail!("the caller did not prove its key in {within:?}"),
     };
     reader.set_max(MAX_MESSAGE);
+    let _counted = entry.metrics.caller();
     let (pid, cancel) = entry.register();
     let mut session = Session::new(entry.clone(), caller, (reader, writer), cancel, seat);
     let result = session.run(pid).await;
--- a/components/fleet/src/roster.rs
+++ b/components/fleet/src/roster.rs
@@ -35,6 +35,11 @@
         self.leaving.set(true);
     }
 
+    /// Whether this host is to get nothing new.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
     /// Takes this host out of the roster for good, before it stops.
     pub async fn leave(&self) -> anyhow::Result<()> {
         self.begin_leaving();
@@ -57,6 +62,9 @@
             return Ok(());
         }
         if self.chain.append(&doc).await? == Appended::Yes {
+            if doc.before.is_empty() && before.is_none() {
+                self.limits.begin();
+            }
             self.adopt(doc);
             self.tell().await;
         }
--- a/components/home/src/backend.rs
+++ b/components/home/src/backend.rs
@@ -55,6 +55,9 @@
     key: Option<BackendKeyData>,
     /// Whether a cancel was sent for it.
     cancelled: Cell<bool>,
+    /// What the server last said that its answers here show or have reached; it
+    /// says so only when that changes.
+    pub point: Option<Point>,
 }
 
 impl Conn {
@@ -74,8 +77,14 @@
         let stream = TcpStream::connect(server.address).await?;
         stream.set_nodelay(true)?;
         let (reader, writer) = stream::split(stream.into_poll_io()?, MAX_MESSAGE);
-        let mut conn =
-            Self { reader, writer, server: server.clone(), key: None, cancelled: Cell::default() };
+        let mut conn = Self {
+            reader,
+            writer,
+            server: server.clone(),
+            key: None,
+            cancelled: Cell::default(),
+            point: None,
+        };
         let mut startup = Startup::default();
         startup.protocol_number_major = 3;
         startup.protocol_number_minor = 0;
--- a/components/home/src/homes.rs
+++ b/components/home/src/homes.rs
@@ -4,6 +4,7 @@
 
 use bergamottrack_contract::{Config, Current, Group, Routes};
 use bergamottrack_coordination::{Clock, GroupId, HostId, Reason, Refusal, Revision};
+use bergamottrack_metrics::Metrics;
 use bergamottrack_peer::{HomeSide, Mesh, Open, ToEntry};
 use tracing::info;
 
@@ -21,13 +22,14 @@
     me: HostId,
     clock: Rc<dyn Clock>,
     routes: Routes,
+    metrics: Rc<Metrics>,
     groups: RefCell<HashMap<GroupId, (Group, Rc<GroupHome>)>>,
 }
 
 impl Homes {
     /// A host that is home to no group yet.
-    pub fn new(me: HostId, clock: Rc<dyn Clock>, routes: Routes) -> Rc<Self> {
-        Rc::new(Self { me, clock, routes, groups: RefCell::default() })
+    pub fn new(me: HostId, clock: Rc<dyn Clock>, routes: Routes, metrics: Rc<Metrics>) -> Rc<Self> {
+        Rc::new(Self { me, clock, routes, metrics, groups: RefCell::default() })
     }
 
     /// The home of a group, started if it is not there yet.
@@ -43,8 +45,13 @@
         for server in &mut reached.servers {
             server.address = self.routes.to(server.address);
         }
-        let home =
-            GroupHome::start(&reached, config.policy.clone(), self.clock.clone(), self.me.clone());
+        let home = GroupHome::start(
+            &reached,
+            config.policy.clone(),
+            self.clock.clone(),
+            self.me.clone(),
+            self.metrics.clone(),
+        );
         let before = groups.insert(id.clone(), (contract.clone(), home.clone()));
         if let Some((_, before)) = before {
             home.first.set(before.first.get());
@@ -53,6 +60,11 @@
         Some(home)
     }
 
+    /// All homes on this host.
+    pub fn all(&self) -> Vec<Rc<GroupHome>> {
+        self.groups.borrow().values().map(|(_, home)| home.clone()).collect()
+    }
+
     /// Keeps the homes of the groups for which this host ranks first, so that
     /// they are watched also when no caller comes; ends with the process.
     pub async fn keep(self: Rc<Self>, current: Rc<Current>, mesh: Rc<Mesh>) {
@@ -108,9 +120,11 @@
     /// Serves an exchange in a task of its own.
     pub fn serve(&self, config: Option<&Config>, open: Open, side: HomeSide) {
         let home = config.and_then(|config| self.home(config, &open.group));
+        let account = config.and_then(|config| config.account(&open.account));
+        let weight = account.map_or(1, |account| account.weight);
         match home {
             Some(home) => {
-                monoio::spawn(serve::serve(home, open, side));
+                monoio::spawn(serve::serve(home, open, weight, side));
             }
             None => {
                 let message = format!("group {} is not known here", open.group);
--- a/components/home/src/lib.rs
+++ b/components/home/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod pool;
 pub mod promotion;
 pub mod queue;
+pub mod report;
 pub mod route;
 pub mod serve;
 pub mod server;
--- a/lab/src/server/session.rs
+++ b/lab/src/server/session.rs
@@ -374,10 +374,16 @@
     }
 
     fn show(&mut self, name: &str, formats: &[i16], described: bool) -> String {
+        self.tell_point(self.engine.shown());
         let value = match name {
             "group_status" => self.engine.status().to_string(),
             "transaction_isolation" | "transaction isolation level" => "read committed".into(),
             "server_version" => "16.0".into(),
+            "standin.counters" => {
+                let served = &self.engine.served;
+                let (primary, replica) = (served.primary_reads.get(), served.replica_reads.get());
+                format!("{primary} {replica} {}", served.writes.get())
+            }
             _ => String::new(),
         };
         self.text_row(name, &value, formats, described);
@@ -421,6 +427,7 @@
         };
         self.engine.running.borrow_mut().remove(&self.pid);
         let (_slot, writing) = turn?;
+        self.engine.count(reads);
         if !reads {
             self.writing = self.writing.take().or(writing);
             if !self.engine.leads() {
--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -6,8 +6,13 @@
 use tokio::sync::Mutex;
 use tokio_postgres::Client;
 
+/// Accounts whose rate no caller here reaches: each inserts without a pause.
+fn plenty() -> Vec<(String, f64, f64)> {
+    vec![("baobab".into(), 100_000.0, 100_000.0)]
+}
+
 async fn start() -> (System, Client) {
-    let system = System::start(Plan::default()).await.unwrap();
+    let system = System::start(Plan { accounts: plenty(), ..Plan::default() }).await.unwrap();
     let client = system.connect(0, "baobab", "g1").await.unwrap();
     system::until_runs(&client, "CREATE TABLE IF NOT EXISTS visit (id INTEGER)").await.unwrap();
     (system, client)
@@ -106,7 +111,8 @@
 /// on as home until it ends, what runs there at that moment is cut.
 #[tokio::test]
 async fn callers_of_other_hosts_notice_no_planned_stop() {
-    let mut system = System::start(Plan { groups: 3, ..Plan::default() }).await.unwrap();
+    let plan = Plan { groups: 3, accounts: plenty(), ..Plan::default() };
+    let mut system = System::start(plan).await.unwrap();
     let mut told = Vec::new();
     for group in ["g1", "g2", "g3"] {
         let client = system.connect(0, "baobab", group).await.unwrap();
@@ -118,7 +124,17 @@
     for host in [1, 2, 1, 2] {
         for caller in &told {
             let before = caller.lock().await.done.len();
-            until(async || caller.lock().await.done.len() > before + 3).await;
+            until(async || {
+                let caller = caller.lock().await;
+                if caller.over {
+                    for (i, h) in system.hosts.iter().enumerate() {
+                        std::fs::write(format!("/tmp/stop-h{}.log", i + 1), h.log()).unwrap();
+                    }
+                }
+                assert!(!caller.over, "the caller was told {:?}", caller.end);
+                caller.done.len() > before + 3
+            })
+            .await;
         }
         homes += usize::from(system.hosts[host].log().contains("ranks first for"));
         system.hosts[host].signal(libc::SIGTERM).unwrap();
