--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -34,10 +34,10 @@
     pub homes: Rc<Homes>,
     /// The secret that all hosts share.
     pub secret: Secret,
-    /// The callers that are there.
-    pub callers: Rc<Callers>,
     /// What this host measures.
     pub metrics: Rc<Metrics>,
+    /// The callers that are there.
+    pub callers: Rc<Callers>,
     /// Cancels of running connections, by process number.
     pub cancels: RefCell<HashMap<i32, Rc<Cancel>>>,
     /// The last process number given out.
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -9,6 +9,7 @@
 
 use bergamottrack_contract::{Config, Current, Host, RevisionDoc};
 use bergamottrack_coordination::{Clock, HostId, Revision, SubmitId, freshness::Vouch};
+use bergamottrack_metrics::Metrics;
 use bergamottrack_peer::{Answer, Mesh, Question, message::Hello};
 use bergamottrack_platform::{Chain, chain};
 use tracing::{info, warn};
@@ -51,8 +52,9 @@
         mesh: Rc<Mesh>,
         chain: Chain,
         clock: Rc<dyn Clock>,
+        metrics: Rc<Metrics>,
     ) -> Rc<Self> {
-        let limits = Limits::new(current.clone(), mesh.clone(), clock.clone());
+        let limits = Limits::new(current.clone(), mesh.clone(), clock.clone(), metrics);
         Rc::new(Self {
             me,
             limits,
@@ -137,7 +139,7 @@
                 Answer::Adopted(self.current.number())
             }
             Question::Lend(lend) => self.limits.lend(&peer.host, &lend),
-            Question::Report => return None,
+            Question::Outcome(_) | Question::Report => return None,
         })
     }
 
@@ -155,11 +157,6 @@
         self.current.get().is_some_and(|doc| doc.roster.contains(&self.me))
     }
 
-    /// The revision that a submit made, if the chain has it.
-    pub async fn submitted(&self, submit: &SubmitId) -> anyhow::Result<Option<Revision>> {
-        self.chain.submitted(submit).await
-    }
-
     /// The last `n` revisions, newest first.
     pub async fn history(&self, n: usize) -> anyhow::Result<Vec<chain::Entry>> {
         let mut number = self.chain.head().await?.map(|head| head.number).unwrap_or_default();
--- a/components/fleet/src/limits.rs
+++ b/components/fleet/src/limits.rs
@@ -19,6 +19,7 @@
 use bergamottrack_coordination::{
     AccountId, Allotment, Bucket, Clock, HostId, Lenders, Reason, Refusal, Revision, Share, Shares,
 };
+use bergamottrack_metrics::Metrics;
 use bergamottrack_peer::{Answer, Mesh, Question, message::Lend};
 use tokio::sync::Mutex;
 
@@ -47,15 +48,21 @@
     current: Rc<Current>,
     mesh: Rc<Mesh>,
     clock: Rc<dyn Clock>,
+    metrics: Rc<Metrics>,
     shares: RefCell<Shares>,
     accounts: RefCell<HashMap<AccountId, Rc<Account>>>,
 }
 
 impl Limits {
     /// A host that may use nothing yet.
-    pub fn new(current: Rc<Current>, mesh: Rc<Mesh>, clock: Rc<dyn Clock>) -> Rc<Self> {
+    pub fn new(
+        current: Rc<Current>,
+        mesh: Rc<Mesh>,
+        clock: Rc<dyn Clock>,
+        metrics: Rc<Metrics>,
+    ) -> Rc<Self> {
         let shares = RefCell::new(Shares::new(mesh.me.id.clone()));
-        Rc::new(Self { current, mesh, clock, shares, accounts: RefCell::default() })
+        Rc::new(Self { current, mesh, clock, metrics, shares, accounts: RefCell::default() })
     }
 
     /// Takes one token of the account; refused at once when no host has one.
@@ -81,10 +88,11 @@
 
     async fn borrow_and_take(&self, id: &AccountId, account: &Account) -> bool {
         for _ in 0..MAX_ROUNDS {
-            if account.bucket.borrow_mut().retake(self.now()) {
+            // Not within the call: it moves parts on, which takes the bucket too.
+            let now = self.now();
+            if account.bucket.borrow_mut().retake(now) {
                 return true;
             }
-            let now = self.clock.now();
             let want = account.bucket.borrow_mut().want(account.waiting.get(), now);
             let (hosts, share) = self.holders(id);
             let chosen = account.lenders.borrow().choose(hosts, share, want, now);
@@ -95,7 +103,8 @@
                 chosen.into_iter().map(|(host, tokens)| self.ask(id, account, host, tokens));
             futures_util::future::join_all(asked).await;
         }
-        account.bucket.borrow_mut().retake(self.now())
+        let now = self.now();
+        account.bucket.borrow_mut().retake(now)
     }
 
     async fn ask(&self, id: &AccountId, account: &Account, host: HostId, tokens: f64) {
@@ -109,6 +118,7 @@
         match answer {
             Some(Answer::Lent { tokens, spare }) => {
                 account.bucket.borrow_mut().receive(no, tokens, now);
+                self.metrics.borrowed(id, tokens);
                 account.lenders.borrow_mut().answered(&host, spare, now);
             }
             _ => {
@@ -130,6 +140,7 @@
         };
         let mut bucket = account.bucket.borrow_mut();
         let tokens = bucket.lend(borrower, lend.no, lend.tokens, &lend.over, now);
+        self.metrics.lent(&lend.account, tokens);
         Answer::Lent { tokens, spare: bucket.spare(now) }
     }
 
--- a/components/fleet/src/roster.rs
+++ b/components/fleet/src/roster.rs
@@ -30,16 +30,16 @@
         Ok(())
     }
 
+    /// Whether this host takes nothing new and leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
     /// Tells the other hosts that this one is to get nothing new.
     pub fn begin_leaving(&self) {
         self.leaving.set(true);
     }
 
-    /// Whether this host is to get nothing new.
-    pub fn is_leaving(&self) -> bool {
-        self.leaving.get()
-    }
-
     /// Takes this host out of the roster for good, before it stops.
     pub async fn leave(&self) -> anyhow::Result<()> {
         self.begin_leaving();
--- a/components/home/src/serve.rs
+++ b/components/home/src/serve.rs
@@ -5,21 +5,22 @@
     time::{Duration, Instant},
 };
 
-use bergamottrack_coordination::{Reason, Refusal, Term, fair::Ticket};
+use bergamottrack_coordination::{Fate, Reason, Refusal, Term, fair::Ticket};
 use bergamottrack_metrics::Timing;
 use bergamottrack_peer::{HomeSide, Intent, Open, ToEntry, ToHome, message::Standing};
 use bytes::Bytes;
 use tracing::debug;
 
 use crate::{
-    backend,
+    backend::{self, Conn},
     batch::Batch,
     group::{COME_BACK, GroupHome},
-    pool::Taken,
+    outcome::{self, Key, Running},
+    pool::{self, Taken},
     queue::{NoSlot, Slot},
     route::Need,
     server::Server,
-    turn::{Failure, Turn},
+    turn::{Answer, Failure, Turn},
 };
 
 /// Before a server that could not be connected to is chosen again.
@@ -47,6 +48,9 @@
     let ticket = Ticket { account: open.account.clone(), weight, deadline, urgent: false };
     loop {
         let Err(failure) = attempt(home, open, side, &ticket).await else { return Ok(()) };
+        if let Some(key) = key(open).filter(|_| failure.refusal.fate == Fate::Unknown) {
+            return Err(outcome::settle(home, &key, failure.refusal, deadline).await);
+        }
         let in_time = home.clock.now() < deadline;
         if !failure.again || !in_time || !home.retries.borrow_mut().spend() {
             return Err(failure.refusal);
@@ -54,12 +58,19 @@
     }
 }
 
+/// The request's id, if it must run at most once. A read may run again.
+fn key(open: &Open) -> Option<Key> {
+    let request = open.request.clone().filter(|_| open.intent == Intent::Write)?;
+    Some(Key { account: open.account.clone(), request })
+}
+
 async fn attempt(
     home: &GroupHome,
     open: &Open,
     side: &mut HomeSide,
     ticket: &Ticket,
 ) -> Result<(), Failure> {
+    let running = key(open).map(|key| Running::begin(home, key)).transpose()?;
     let mut arrived = home.clock.now();
     let place = place(home, &open.intent, ticket).await?;
     let mut placed = home.clock.now();
@@ -69,8 +80,15 @@
     let mut turn =
         Turn { home, server, term, intent, need, since: arrived, within: false, deadline };
     let mut batch = Batch::new(open.frames.clone());
+    let mut first = running.as_ref();
     loop {
-        let (standing, answer) = turn.run(&mut taken.conn, side, &batch, slot).await?;
+        let result = match first.take() {
+            Some(running) => claimed(running, &mut turn, &mut taken.conn, side, &batch).await,
+            None => turn.run(&mut taken.conn, side, &batch).await,
+        };
+        // While a write is confirmed, or the caller thinks, the server works for others.
+        drop(slot);
+        let (standing, answer) = result?;
         turn.finish(side, standing, answer).await?;
         let wait = placed.saturating_duration_since(arrived);
         let service = home.clock.now().saturating_duration_since(placed);
@@ -91,6 +109,34 @@
     }
 }
 
+/// Runs the first batch of a request with an id, which writes the id's row.
+///
+/// A statement outside of any transaction gets one of its own around it; a
+/// transaction that the caller begins itself has the row right after its begin.
+async fn claimed(
+    running: &Running<'_>,
+    turn: &mut Turn<'_>,
+    conn: &mut Conn,
+    side: &mut HomeSide,
+    batch: &Batch,
+) -> Result<(Standing, Answer), Failure> {
+    let claim = running.plan(turn, conn).await?;
+    if batch.only_begins() {
+        let (standing, answer) = turn.run(conn, side, batch).await?;
+        if standing == Standing::Open {
+            running.claim(turn, conn, &claim).await?;
+        }
+        return Ok((standing, answer));
+    }
+    running.open(turn, conn, &claim).await?;
+    turn.within = true;
+    let (mut standing, mut answer) = turn.run(conn, side, batch).await?;
+    if !batch.begins() {
+        standing = running.close(turn, conn, standing, &mut answer).await?;
+    }
+    Ok((standing, answer))
+}
+
 /// Where an exchange runs.
 pub struct Place<'a> {
     /// The server.
@@ -136,7 +182,12 @@
         };
         match connect(home, server, deadline).await {
             Ok(taken) => return Ok(Place { server, term, need, slot, taken }),
-            Err(refusal) if home.clock.now() + RETRY_PAUSE >= deadline => return Err(refusal),
+            Err(refusal)
+                if refusal.reason == Reason::Overload
+                    || home.clock.now() + RETRY_PAUSE >= deadline =>
+            {
+                return Err(refusal);
+            }
             Err(_) => monoio::time::sleep(RETRY_PAUSE).await,
         }
     }
@@ -169,7 +220,9 @@
         if backend::is_refusal(&error) {
             server.note_refused(home.clock.now());
         }
-        Refusal::not_run(Reason::Unavailable, Some(COME_BACK), format!("{error:#}"))
+        let full = error.is::<pool::Full>();
+        let reason = if full { Reason::Overload } else { Reason::Unavailable };
+        Refusal::not_run(reason, Some(COME_BACK), format!("{}: {error:#}", server.contract.id))
     })
 }
 
--- a/components/peer/src/accept.rs
+++ b/components/peer/src/accept.rs
@@ -1,13 +1,16 @@
 //! The accepting end of a link: one task a peer.
 
-use std::{collections::HashMap, rc::Rc};
+use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use anyhow::{Context, bail};
 use bergamottrack_coordination::token::Secret;
 use futures_util::StreamExt;
-use monoio::{io::IntoPollIo, net::TcpStream};
+use monoio::{
+    io::IntoPollIo,
+    net::{TcpListener, TcpStream},
+};
 use tokio::sync::mpsc::{self, UnboundedSender};
-use tracing::debug;
+use tracing::{debug, warn};
 
 use crate::{
     exchange::HomeSide,
@@ -19,8 +22,25 @@
 /// say that it is done with an exchange that the home has ended.
 const SWEEP_FROM: usize = 64;
 
-/// Answers a question of a peer at once.
-pub type Responder = dyn Fn(&Hello, Question) -> Answer;
+/// Before accepting is tried again after it failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Answers a question of a peer, at once or later.
+pub type Responder = dyn Fn(&Hello, Question, Teller);
+
+/// Takes the answer to one question.
+#[derive(Debug)]
+pub struct Teller {
+    no: RequestNo,
+    out: UnboundedSender<Message>,
+}
+
+impl Teller {
+    /// Tells the answer to the peer, which may be gone by now.
+    pub fn tell(self, answer: Answer) {
+        let _ = self.out.send(Message::Tell(self.no, answer));
+    }
+}
 
 /// What a host does for its peers.
 pub struct Service {
@@ -28,7 +48,7 @@
     pub secret: Secret,
     /// Serves an exchange, in a task of its own.
     pub serve: Box<dyn Fn(Open, HomeSide)>,
-    /// Answers a question at once.
+    /// Answers a question.
     pub answer: Box<Responder>,
 }
 
@@ -106,10 +126,24 @@
                 }
             }
             Message::Ask(no, question) => {
-                let answer = (service.answer)(peer, question);
-                let _ = out.send(Message::Tell(no, answer));
+                (service.answer)(peer, question, Teller { no, out: out.clone() });
             }
             other => bail!("the peer said what only an accepting host says: {other:?}"),
         }
     }
 }
+
+/// The next connection of a listener.
+///
+/// Guards against a host that ends when it has no file left for a connection:
+/// accepting then fails, though all that is connected could go on. So the
+/// failure is logged and accepting is tried again until files are free.
+pub async fn stream(listener: &TcpListener, whom: &str) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => warn!("link: a connection of {whom} cannot be accepted: {error}."),
+        }
+        monoio::time::sleep(ACCEPT_PAUSE).await;
+    }
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,6 +1,8 @@
 //! Stand-ins, faults, load and experiments for bergamottrack; not shipped.
 
 pub mod cost;
+pub mod demo;
+pub mod experiment;
 pub mod link;
 pub mod load;
 pub mod platform;
@@ -10,6 +12,7 @@
 pub mod raw;
 pub mod server;
 pub mod site;
+pub mod slopes;
 pub mod storm;
 pub mod system;
 pub mod up;
--- a/lab/src/server/session.rs
+++ b/lab/src/server/session.rs
@@ -418,6 +418,7 @@
         described: bool,
     ) -> Result<String, SqlError> {
         let reads = self.db.prepare_cached(sql)?.readonly();
+        self.engine.count(reads);
         let cancel = Rc::new(Notify::new());
         self.engine.running.borrow_mut().insert(self.pid, cancel.clone());
         let write = !reads && self.writing.is_none();
@@ -427,7 +428,6 @@
         };
         self.engine.running.borrow_mut().remove(&self.pid);
         let (_slot, writing) = turn?;
-        self.engine.count(reads);
         if !reads {
             self.writing = self.writing.take().or(writing);
             if !self.engine.leads() {
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -1,6 +1,6 @@
 //! Runs an entry host.
 
-use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
+use std::{cell::Cell, io::IsTerminal, rc::Rc, time::Duration};
 
 use anyhow::Context;
 use bergamottrack_contract::{Current, Host, Routes};
@@ -14,7 +14,7 @@
 use bergamottrack_metrics::Metrics;
 use bergamottrack_operator::{Operator, operator::OperatorKey};
 use bergamottrack_peer::{
-    Answer, Mesh,
+    Answer, Mesh, Question,
     accept::{self, Service},
 };
 use bergamottrack_platform::{Chain, Platform};
@@ -41,7 +41,11 @@
 }
 
 fn start_log(filter: EnvFilter, format: LogFormat) {
-    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let log = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_ansi(std::io::stderr().is_terminal())
+        .with_target(false)
+        .with_writer(std::io::stderr);
     match format {
         LogFormat::Plain => log.init(),
         LogFormat::Json => log.json().init(),
@@ -61,7 +65,8 @@
     let homes = Homes::new(args.host.clone(), clock.clone(), routes, metrics.clone());
     let platform = Rc::new(platform);
     let chain = Chain::new(platform.clone());
-    let fleet = Fleet::new(me, current.clone(), mesh.clone(), chain, clock.clone());
+    let fleet =
+        Fleet::new(me, current.clone(), mesh.clone(), chain, clock.clone(), metrics.clone());
     let operator = Rc::new(Operator {
         fleet: fleet.clone(),
         homes: homes.clone(),
@@ -78,8 +83,8 @@
         mesh: mesh.clone(),
         homes: homes.clone(),
         secret,
-        callers: Callers::new(args.callers),
         metrics,
+        callers: Callers::new(args.callers),
         cancels: Default::default(),
         last_pid: Cell::default(),
     });
@@ -91,17 +96,18 @@
     monoio::spawn(accept_peers(peers, operator.clone()));
     monoio::spawn(fleet.clone().run());
     monoio::spawn(operator.clone().keep_metrics());
-    let handler = operator.clone().handler();
-    let mut operators = pin!(bergamottrack_operator::serve(args.operator, handler));
+    let drain = operator.drain.clone();
+    let operators = bergamottrack_operator::serve(args.operator, operator.handler());
+    let mut operators = std::pin::pin!(operators);
     monoio::select! {
-        result = accept_callers(callers, entry.clone()) => return result,
+        _ = accept_callers(callers, entry.clone()) => {}
         result = &mut operators => return result,
         _ = signals.asked() => {}
-        _ = operator.drain.notified() => {}
+        _ = drain.notified() => {}
     }
-    // Callers are no longer listened to; an operator still sees what goes on.
+    // Operators are answered to the end, so that they can see the host drain.
     monoio::select! {
-        result = &mut operators => result,
+        result = operators => result,
         _ = stop::drain(&entry, &fleet, args.stop_within) => Ok(()),
     }
 }
@@ -113,29 +119,31 @@
     Ok(listener)
 }
 
-async fn accept_callers(listener: TcpListener, entry: Rc<Entry>) -> anyhow::Result<()> {
+async fn accept_callers(listener: TcpListener, entry: Rc<Entry>) {
     loop {
-        let (stream, _) = listener.accept().await.context("accepting a caller")?;
+        let stream = accept::stream(&listener, "callers").await;
         monoio::spawn(caller::serve(entry.clone(), stream));
     }
 }
 
-async fn accept_peers(listener: TcpListener, operator: Rc<Operator>) -> anyhow::Result<()> {
+async fn accept_peers(listener: TcpListener, operator: Rc<Operator>) {
     let (fleet, homes) = (operator.fleet.clone(), operator.homes.clone());
     let (mesh, current) = (fleet.mesh.clone(), fleet.current.clone());
+    let (opening, asked) = (homes.clone(), homes);
     let report = move || Answer::Report(Box::new(operator.report()));
     let service = Rc::new(Service {
         secret: mesh.secret.clone(),
         serve: Box::new(move |open, side| {
             let doc = current.get();
-            homes.serve(doc.as_ref().and_then(|doc| doc.config.as_ref()), open, side);
+            opening.serve(doc.as_ref().and_then(|doc| doc.config.as_ref()), open, side);
         }),
-        answer: Box::new(move |peer, question| {
-            fleet.answer(peer, question).unwrap_or_else(&report)
+        answer: Box::new(move |peer, question, teller| match question {
+            Question::Outcome(of) => asked.clone().tell_outcome(fleet.current.get(), *of, teller),
+            other => teller.tell(fleet.answer(peer, other).unwrap_or_else(&report)),
         }),
     });
     loop {
-        let (stream, _) = listener.accept().await.context("accepting a peer")?;
+        let stream = accept::stream(&listener, "peers").await;
         monoio::spawn(accept::serve(stream, mesh.hello(), service.clone()));
     }
 }
