--- a/lab/src/system.rs
+++ b/lab/src/system.rs
@@ -41,6 +41,8 @@
     pub accounts: Vec<(String, f64, f64)>,
     /// Further arguments of each server.
     pub server_args: Vec<String>,
+    /// Further arguments of each entry host.
+    pub host_args: Vec<String>,
     /// Lines of the configuration's `[policy]`.
     pub policy: String,
     /// Whether every connection between two processes goes through a link that
@@ -63,6 +65,7 @@
             hosts: 3,
             accounts: vec![("baobab".into(), 1000.0, 1000.0), ("hartwell".into(), 1000.0, 1000.0)],
             server_args: Vec::new(),
+            host_args: Vec::new(),
             policy: String::new(),
             links: false,
             site: None,
@@ -293,6 +296,7 @@
             format!("--operator={}", addresses.operator),
             format!("--platform={}", self.platform_address),
         ];
+        args.extend(self.plan.host_args.iter().cloned());
         for (to, address) in targets {
             let via = self.reach(&name, &to, address)?;
             if via != address {
--- a/tests/cancel.rs
+++ b/tests/cancel.rs
@@ -2,7 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use lab::system::{self, Plan, System};
+use lab::{
+    raw::RawCaller,
+    system::{self, Plan, System},
+};
+use pgwire::messages::{cancel::CancelRequest, simplequery::Query, startup::SecretKey};
 use tokio_postgres::{Client, NoTls, error::SqlState};
 
 async fn start() -> (System, Client) {
@@ -72,11 +76,17 @@
 /// kept for the next one.
 #[tokio::test]
 async fn a_cancel_with_nothing_to_cancel_is_dropped() {
-    let (_system, client) = start().await;
-    for i in 0..20 {
-        client.cancel_token().cancel_query(NoTls).await.unwrap();
-        client.batch_execute(&format!("INSERT INTO visit VALUES ({i})")).await.unwrap();
-    }
+    let (system, _client) = start().await;
+    let mut caller = RawCaller::login(&system, 0, "baobab").await.unwrap();
+    let (pid, secret) = caller.key.unwrap();
+    set(&system, "service_ms", 200).await;
+    let mut cancel = RawCaller::open(&system, 0).await.unwrap();
+    cancel.send(&CancelRequest::new(pid, SecretKey::I32(secret))).await.unwrap();
+    // It has been seen to when the host closes the connection.
+    assert!(cancel.is_closed().await);
+    caller.send(&Query::new("INSERT INTO visit VALUES (1)".into())).await.unwrap();
+    let answer = caller.until_ready().await.unwrap();
+    assert!(answer.iter().all(|frame| frame.tag != b'E'), "{answer:?}");
 }
 
 /// A caller's process is killed in the middle of a transaction that has written.
--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -6,6 +6,9 @@
 use tokio::sync::Mutex;
 use tokio_postgres::Client;
 
+/// Longer than it takes a host that joined to get its part of the rate.
+const PART_AFTER: Duration = Duration::from_secs(5);
+
 /// Callers here insert without a pause: no limit may get in their way.
 fn plan(groups: usize) -> Plan {
     Plan { groups, accounts: vec![("baobab".into(), 1e6, 1e6)], ..Plan::default() }
@@ -120,10 +123,18 @@
         told.push(insert(client, 1));
     }
     let mut homes = 0;
-    for host in [1, 2, 1, 2] {
+    for host in [1, 2, 1] {
+        // A host that joined gets its part of the rate only when the one before
+        // can no longer use it. Were all replaced sooner, none would have a part.
+        tokio::time::sleep(PART_AFTER).await;
         for caller in &told {
             let before = caller.lock().await.done.len();
-            until(async || caller.lock().await.done.len() > before + 3).await;
+            until(async || {
+                let caller = caller.lock().await;
+                assert!(!caller.over, "the caller was told {:?}", caller.end);
+                caller.done.len() > before + 3
+            })
+            .await;
         }
         homes += usize::from(system.hosts[host].log().contains("ranks first for"));
         system.hosts[host].signal(libc::SIGTERM).unwrap();
@@ -171,8 +182,7 @@
     for _ in 0..3 {
         system.hosts[1].signal(libc::SIGTERM).unwrap();
         assert_eq!(until_stopped(&mut system, 1).await, Some(0));
-        // Longer than the time after which a part grows.
-        tokio::time::sleep(Duration::from_secs(5)).await;
+        tokio::time::sleep(PART_AFTER).await;
         system.hosts[1].start().unwrap();
         system.await_members().await.unwrap();
     }
