--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -12,9 +12,12 @@
 use bergamottrack_metrics::Metrics;
 use bergamottrack_peer::{Answer, Mesh, Question, message::Hello};
 use bergamottrack_platform::{Chain, chain};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
-use crate::limits::Limits;
+use crate::{
+    limits::Limits,
+    spell::{Seen, Spell},
+};
 
 /// How often the table service is asked for the newest revision.
 const POLL_EVERY: Duration = Duration::from_secs(1);
@@ -75,9 +78,21 @@
     /// neither a slow platform nor a frozen peer delays the other's answer.
     pub async fn run(self: Rc<Self>) {
         monoio::spawn(self.clone().run_rounds());
+        monoio::spawn(self.clone().tell_standing());
+        let outage = Spell::default();
         loop {
-            if let Err(error) = self.follow().await {
-                warn!("fleet: the platform cannot be used: {error:#}.");
+            let result = self.follow().await;
+            let seen = outage.note(result.is_err(), self.clock.now());
+            match (seen, result) {
+                (Seen::Began, Err(error)) => warn!(
+                    "fleet: the platform cannot be used, so no change is accepted; callers are \
+                     served on: {error:#}."
+                ),
+                (Seen::Ended(time), _) => {
+                    info!("fleet: the platform can be used again after {} s.", time.as_secs())
+                }
+                (_, Err(error)) => debug!("fleet: the platform cannot be used: {error:#}."),
+                _ => {}
             }
             let pause = if self.is_member() { POLL_EVERY } else { JOIN_AGAIN };
             monoio::time::sleep(pause).await;
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod limits;
 mod roster;
 mod rounds;
+pub mod spell;
+mod standing;
 pub mod submit;
 
 pub use fleet::Fleet;
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -177,7 +177,7 @@
 }
 
 /// In a platform outage the operator must know that a submit changed nothing, and
-/// still see the fleet.
+/// still see the fleet; the log tells of the outage once and not each second.
 #[tokio::test]
 async fn a_platform_outage_refuses_a_submit_and_shows_the_fleet() {
     let desk = Desk::new().await;
@@ -189,6 +189,14 @@
     assert!(refused.error.contains("not accepted"), "{refused:?}");
     assert_eq!(desk.run(1, "ana", &["hosts"]).code, 0);
     assert_eq!(desk.revision(), against);
+    desk.system.platform_faults("{}").await.unwrap();
+    let deadline = Instant::now() + PATIENCE;
+    while !desk.system.hosts[0].log().contains("the platform can be used again") {
+        assert!(Instant::now() < deadline, "{}", desk.system.hosts[0].log());
+        std::thread::sleep(PAUSE);
+    }
+    let log = desk.system.hosts[0].log();
+    assert_eq!(log.matches("WARN fleet: the platform cannot be used").count(), 1, "{log}");
 }
 
 /// A withdrawn key works again: it was withdrawn by phone, the files still have it
