--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -5,7 +5,10 @@
 use anyhow::Context;
 use bergamottrack_contract::{Current, Host, Routes};
 use bergamottrack_coordination::{Clock, SystemClock, token::Secret};
-use bergamottrack_entry::{Entry, caller, callers::Callers};
+use bergamottrack_entry::{
+    Entry, caller,
+    callers::{self, Callers},
+};
 use bergamottrack_fleet::Fleet;
 use bergamottrack_home::Homes;
 use bergamottrack_metrics::Metrics;
@@ -86,7 +89,9 @@
         last_pid: Cell::default(),
     });
     let peers = listen(args.peer, "peers")?;
-    let callers = listen(args.listen, "callers")?;
+    let callers = callers::listen(args.listen)
+        .with_context(|| format!("listening for callers at {}", args.listen))?;
+    info!("serve: listening for callers at {}.", args.listen);
     monoio::spawn(homes.keep(current, mesh));
     monoio::spawn(accept_peers(peers, operator.clone()));
     monoio::spawn(fleet.clone().run());
