--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -108,7 +108,7 @@
     ///
     /// Guards against an old row: a head older than the revision known here
     /// proves nothing and must not count as shown freshness.
-    pub(crate) async fn newest(&self) -> anyhow::Result<Option<Rc<RevisionDoc>>> {
+    pub async fn newest(&self) -> anyhow::Result<Option<Rc<RevisionDoc>>> {
         let asked = self.clock.now();
         let head = self.chain.head().await?;
         let number = head.as_ref().map(|head| head.number).unwrap_or_default();
--- a/components/operator/src/pages/change.rs
+++ b/components/operator/src/pages/change.rs
@@ -54,8 +54,8 @@
 
     /// Guards against a withdrawn key that works again because the operator's files
     /// still have it standing: it shows as a caller that gets in after the phone call
-    /// that withdrew it. What is in force here knows of the withdrawal, or else the
-    /// submit loses against the revision that made it.
+    /// that withdrew it. What is in force here was just read anew, so it knows of the
+    /// withdrawal, or else the submit loses against the revision that made it.
     fn check_withdrawn(&self, operator: &Operator) -> Result<(), Reply> {
         let Some(doc) = operator.fleet.current.get() else { return Ok(()) };
         // Made against an older configuration it loses anyway, or was accepted before.
@@ -86,10 +86,19 @@
     }
 }
 
+/// Reads the newest revision, so that what is checked here is not checked against
+/// an older one than the operator has seen through another host.
+async fn look_anew(operator: &Operator) -> Result<(), Reply> {
+    let newest = operator.fleet.newest().await;
+    newest.map_err(|error| super::refused(SubmitError::Platform(error).to_string()))?;
+    Ok(())
+}
+
 /// Puts a whole configuration in force.
 pub async fn submit(operator: &Operator, request: &Request) -> Shown {
     let text = String::from_utf8_lossy(&request.body);
     let config = Config::parse(&text).map_err(|faults| super::faulty(faults.to_string()))?;
+    look_anew(operator).await?;
     let restores: bool = super::setting(request, "restore")?.unwrap_or_default();
     let change = Change::read(operator, request, config, "submitted a configuration")?;
     if !restores {
@@ -101,6 +110,7 @@
 /// Puts an earlier configuration in force as a new revision; withdrawn keys stay withdrawn.
 pub async fn rollback(operator: &Operator, request: &Request) -> Shown {
     let to: Revision = super::needed(request, "to")?;
+    look_anew(operator).await?;
     let doc = operator.fleet.load(to).await;
     let doc = doc.map_err(|error| {
         let message = format!("not accepted, nothing changed: reading revision {to}: {error:#}");
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -88,6 +88,18 @@
         read
     }
 
+    /// Checks that each address stands for one thing only.
+    fn distinct(&mut self, addresses: [(&'static str, Option<SocketAddr>); 3]) {
+        for (i, (flag, address)) in addresses.iter().enumerate() {
+            let other =
+                addresses[..i].iter().find(|(_, other)| address.is_some() && other == address);
+            if let (Some((first, _)), Some(address)) = (other, address) {
+                let given = format!("{:?}", address.to_string());
+                self.note(flag, given, format!("an address other than that of --{first}"));
+            }
+        }
+    }
+
     /// A secret, from the setting itself or from a file, but not from both.
     fn secret(
         &mut self,
@@ -141,6 +153,7 @@
         let peer = faults.need("peer", args.peer.as_deref(), ADDRESS);
         let operator = faults.need("operator", args.operator.as_deref(), ADDRESS);
         let platform = faults.need("platform", args.platform.as_deref(), ADDRESS);
+        faults.distinct([("listen", listen), ("peer", peer), ("operator", operator)]);
         let (text, file) = (args.secret.as_deref(), args.secret_file.as_deref());
         let secret = faults.secret(["secret", "secret-file"], text, file);
         if text.is_none() && file.is_none() {
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -36,7 +36,8 @@
 
 #[test]
 fn all_faulty_settings_are_told_at_once() {
-    let args = ["serve", "--listen=5432", "--log===", "--via=a", "--secret-file=missing"];
+    let mut args = vec!["serve", "--listen=5432", "--log===", "--via=a", "--secret-file=missing"];
+    args.extend(["--peer=127.0.0.1:5433", "--operator=127.0.0.1:5433"]);
     assert_snapshot!(seen(&args));
 }
 
