--- a/components/operator/src/pages/config.rs
+++ b/components/operator/src/pages/config.rs
@@ -1,5 +1,6 @@
 //! The configuration in force and how it came about.
 
+use bergamottrack_coordination::Revision;
 use hyper::StatusCode;
 
 use super::Shown;
@@ -22,11 +23,21 @@
     Ok(Reply::json(StatusCode::OK, &ConfigPage::from(&*doc)))
 }
 
+/// Shows a revision of the history.
+pub async fn revision(operator: &Operator, request: &Request) -> Shown {
+    let number: Revision = super::needed(request, "number")?;
+    let doc = operator.fleet.load(number).await.map_err(unusable)?;
+    let doc = doc.ok_or_else(|| super::faulty(format!("there is no revision {number}")))?;
+    Ok(Reply::json(StatusCode::OK, &ConfigPage::from(&doc)))
+}
+
+fn unusable(error: anyhow::Error) -> Reply {
+    super::refused(format!("the platform cannot be used: {error:#}"))
+}
+
 /// Shows the last revisions, newest first.
 pub async fn history(operator: &Operator, request: &Request) -> Shown {
     let n = super::setting(request, "n")?.unwrap_or(SHOWN).min(MOST);
-    let entries = operator.fleet.history(n).await;
-    let entries = entries
-        .map_err(|error| super::refused(format!("the platform cannot be used: {error:#}")))?;
+    let entries = operator.fleet.history(n).await.map_err(unusable)?;
     Ok(Reply::json(StatusCode::OK, &entries))
 }
--- a/components/operator/src/pages/mod.rs
+++ b/components/operator/src/pages/mod.rs
@@ -25,6 +25,7 @@
     let shown = match (&request.method, &*request.path) {
         (&Method::GET, "/config") => config::show(operator),
         (&Method::GET, "/history") => config::history(operator, request).await,
+        (&Method::GET, "/revision") => config::revision(operator, request).await,
         (&Method::POST, "/submit") => change::submit(operator, request).await,
         (&Method::POST, "/rollback") => change::rollback(operator, request).await,
         (&Method::POST, "/withdraw") => change::withdraw(operator, request).await,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -226,6 +226,9 @@
     /// How many revisions.
     #[arg(short, long, default_value_t = 20)]
     pub number: usize,
+    /// Show what each revision changed of the configuration.
+    #[arg(long)]
+    pub changes: bool,
     /// The host.
     #[command(flatten)]
     pub remote: RemoteArgs,
