--- a/components/contract/src/diff.rs
+++ b/components/contract/src/diff.rs
@@ -1,10 +1,13 @@
 //! What differs between two configurations.
 
-use std::{collections::BTreeMap, fmt};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
 
 use serde::{Deserialize, Serialize};
 
-use crate::config::{BackendServer, ClientAccount, Config, Group, Key};
+use crate::config::{BackendServer, ClientAccount, Config, Key};
 
 /// One thing that differs.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -28,21 +31,39 @@
     }
 }
 
-/// What differs, in order of place.
+/// What differs, in order of place. What one of them lacks whole is one change.
 pub fn diff(before: Option<&Config>, after: &Config) -> Vec<Change> {
-    let before = before.map(facts).unwrap_or_default();
-    let after = facts(after);
-    let places: std::collections::BTreeSet<_> = before.keys().chain(after.keys()).collect();
-    let change = |place: &str| Change {
-        place: place.into(),
-        before: before.get(place).cloned(),
-        after: after.get(place).cloned(),
+    let before = before.map(things).unwrap_or_default();
+    let after = things(after);
+    let places: BTreeSet<_> = before.keys().chain(after.keys()).collect();
+    let mut changes = Vec::new();
+    for place in places {
+        match (before.get(place), after.get(place)) {
+            (Some(before), Some(after)) => changes.extend(compare(place, before, after)),
+            (before, after) => changes.push(Change {
+                place: place.clone(),
+                before: before.map(whole),
+                after: after.map(whole),
+            }),
+        }
+    }
+    changes
+}
+
+/// The fields that differ; both things have the same ones.
+fn compare(place: &str, before: &Thing, after: &Thing) -> Vec<Change> {
+    let pairs = before.iter().zip(after).filter(|(before, after)| before.value != after.value);
+    let change = |(before, after): (&Fact, &Fact)| Change {
+        place: format!("{place}, {}", before.name).into(),
+        before: Some(before.value.clone()),
+        after: Some(after.value.clone()),
     };
-    places
-        .into_iter()
-        .map(|place| change(place))
-        .filter(|change| change.before != change.after)
-        .collect()
+    pairs.map(change).collect()
+}
+
+fn whole(thing: &Thing) -> Box<str> {
+    let facts = thing.iter().map(|fact| format!("{} {}", fact.name, fact.value));
+    facts.collect::<Vec<_>>().join(", ").into()
 }
 
 /// The keys that `before` withdrew and `after` would let work again.
@@ -57,44 +78,59 @@
         .collect()
 }
 
-type Facts = BTreeMap<Box<str>, Box<str>>;
+/// A field as a person reads it.
+struct Fact {
+    name: Box<str>,
+    value: Box<str>,
+}
 
-fn facts(config: &Config) -> Facts {
-    let mut facts = Facts::new();
-    add(&mut facts, "site", &config.site);
-    let policy = serde_json::to_value(&config.policy).unwrap_or_default();
-    for (name, value) in policy.as_object().into_iter().flatten() {
-        add(&mut facts, &format!("policy, {name}"), value);
+/// A thing's fields; those of the same kind have the same ones.
+type Thing = Vec<Fact>;
+
+fn fact(name: &str, value: impl fmt::Display) -> Fact {
+    Fact { name: name.into(), value: value.to_string().into() }
+}
+
+/// All things by what they are called.
+fn things(config: &Config) -> BTreeMap<Box<str>, Thing> {
+    let mut things = BTreeMap::new();
+    things.insert("site".into(), vec![fact("name", &config.site)]);
+    things.insert("policy".into(), policy(config));
+    for group in &config.groups {
+        let servers = group.servers.iter();
+        things.extend(
+            servers.map(|s| (format!("group {}, server {}", group.id, s.id).into(), server(s))),
+        );
     }
-    config.groups.iter().for_each(|group| group_facts(&mut facts, group));
-    config.accounts.iter().for_each(|account| account_facts(&mut facts, account));
-    facts
+    for account in &config.accounts {
+        let place = format!("account {}", account.id);
+        let keys = account.keys.iter();
+        things.extend(keys.map(|k| (format!("{place}, key {}", k.id).into(), key(k))));
+        things.insert(place.into(), contract(account));
+    }
+    things
 }
 
-fn add(facts: &mut Facts, place: &str, value: impl fmt::Display) {
-    facts.insert(place.into(), value.to_string().into());
+fn policy(config: &Config) -> Thing {
+    let policy = serde_json::to_value(&config.policy).unwrap_or_default();
+    policy.as_object().into_iter().flatten().map(|(name, value)| fact(name, value)).collect()
 }
 
-fn group_facts(facts: &mut Facts, group: &Group) {
-    for server in &group.servers {
-        let BackendServer { id, address, domain, slots, connections, leaving } = server;
-        let place = format!("group {}, server {id}", group.id);
-        add(facts, &format!("{place}, address"), address);
-        add(facts, &format!("{place}, domain"), domain);
-        add(facts, &format!("{place}, slots"), slots);
-        add(facts, &format!("{place}, connections"), connections);
-        add(facts, &format!("{place}, leaving"), leaving);
-    }
+fn server(server: &BackendServer) -> Thing {
+    vec![
+        fact("address", server.address),
+        fact("domain", &server.domain),
+        fact("slots", server.slots),
+        fact("connections", server.connections),
+        fact("leaving", server.leaving),
+    ]
 }
 
-fn account_facts(facts: &mut Facts, account: &ClientAccount) {
-    let place = format!("account {}", account.id);
-    add(facts, &format!("{place}, rate"), account.rate);
-    add(facts, &format!("{place}, burst"), account.burst);
-    add(facts, &format!("{place}, weight"), account.weight);
-    for key in &account.keys {
-        let standing = if key.withdrawn { "withdrawn" } else { "stands" };
-        let mark = key.verifier.mark();
-        add(facts, &format!("{place}, key {}", key.id), format!("{standing} (verifier {mark})"));
-    }
+fn contract(account: &ClientAccount) -> Thing {
+    vec![fact("rate", account.rate), fact("burst", account.burst), fact("weight", account.weight)]
+}
+
+fn key(key: &Key) -> Thing {
+    let standing = if key.withdrawn { "withdrawn" } else { "stands" };
+    vec![fact("standing", standing), fact("verifier", key.verifier.mark())]
 }
