--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -274,7 +274,8 @@
 }
 
 /// An operator asks how an account fares: each host measures what it served, the
-/// table adds it up, and a scraper reads it without the key.
+/// table adds it up, and a scraper reads it without the key. No key or secret shows
+/// in it, nor in the logs at their most talkative.
 #[tokio::test]
 async fn what_an_account_was_served_and_refused_is_measured() {
     let desk = Desk::new().await;
@@ -303,7 +304,12 @@
     ] {
         assert!(text.contains(part), "{part} in {text}");
     }
-    assert!(!text.contains("wrong") && !text.contains(&system::key_of("baobab")), "{text}");
+    let logs = desk.system.hosts.iter().map(Process::log);
+    for shown in logs.chain([text]) {
+        for secret in ["wrong", &system::key_of("baobab"), OPERATOR_KEY, SECRET] {
+            assert!(!shown.contains(secret), "{secret} in {shown}");
+        }
+    }
 }
 
 /// An operator takes a host out by hand: it finishes, ends well and leaves the
