--- a/components/metrics/tests/labels.rs
+++ b/components/metrics/tests/labels.rs
@@ -1,10 +1,12 @@
-//! Label sets stay bounded, and times add up.
+//! Label sets stay bounded, times add up, and the page of metrics is complete.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use bergamottrack_contract::Config;
 use bergamottrack_coordination::{AccountId, GroupId, Reason, Revision};
-use bergamottrack_metrics::{HostReport, Metrics, Phase, Spread, Timing};
+use bergamottrack_metrics::{
+    GroupReport, HostReport, Metrics, Phase, ServerReport, Spread, Timing,
+};
 
 fn report() -> HostReport {
     HostReport {
@@ -21,22 +23,27 @@
     }
 }
 
+/// Measures one of everything.
+fn measure(metrics: &Metrics, account: &AccountId, group: &GroupId) {
+    let second = Duration::from_secs(1);
+    metrics.answered(account, group, second);
+    metrics.served(account, group, Timing { wait: second, service: second });
+    metrics.refused(account, Reason::Rate);
+    metrics.read(group, true);
+    metrics.promotion(group, Phase::Promise, second);
+    metrics.lent(account, 1.0);
+    metrics.borrowed(account, 1.0);
+}
+
 /// A host's memory and its scrapes grow for months: accounts and groups come and
 /// go with each change of the configuration, and what was measured for them stays.
 #[test]
 fn what_leaves_the_configuration_loses_its_labels() {
     let config = Config::parse("site = \"s\"\n[[account]]\nid = \"stays\"\nrate = 1\nburst = 1");
     let metrics = Metrics::default();
-    let second = Duration::from_secs(1);
     for name in ["stays", "goes"] {
         let (account, group): (AccountId, GroupId) = (name.parse().unwrap(), name.parse().unwrap());
-        metrics.answered(&account, &group, second);
-        metrics.served(&account, &group, Timing { wait: second, service: second });
-        metrics.refused(&account, Reason::Rate);
-        metrics.read(&group, true);
-        metrics.promotion(&group, Phase::Promise, second);
-        metrics.lent(&account, 1.0);
-        metrics.borrowed(&account, 1.0);
+        measure(&metrics, &account, &group);
     }
     assert!(metrics.render(&report()).unwrap().contains("\"goes\""));
     metrics.keep(&config.unwrap());
@@ -68,3 +75,49 @@
     (0..200).for_each(|_| here.add(Duration::from_secs(20)));
     assert_eq!(here.within(0.99), None, "beyond the last bound");
 }
+
+/// An alert never fires, or an operator looks for a metric in vain: it was renamed
+/// in the code and not on the page.
+#[test]
+fn the_page_and_the_alerts_name_what_there_is() {
+    let server = ServerReport {
+        server: "s1".parse().unwrap(),
+        domain: "d1".parse().unwrap(),
+        role: None,
+        applied: Default::default(),
+        heard: Some(Duration::ZERO),
+        busy: 0,
+        slots: 5,
+        connections: 0,
+        leaving: false,
+    };
+    let group = GroupReport {
+        group: "g1".parse().unwrap(),
+        primary: None,
+        term: Default::default(),
+        queue: 0,
+        servers: vec![server],
+    };
+    let metrics = Metrics::default();
+    measure(&metrics, &"a1".parse().unwrap(), &"g1".parse().unwrap());
+    let text = metrics.render(&HostReport { groups: vec![group], ..report() }).unwrap();
+    let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let there: BTreeSet<String> = types
+        .map(|line| match line.split_once(' ') {
+            Some((name, "counter")) => format!("{name}_total"),
+            other => other.unwrap().0.to_owned(),
+        })
+        .collect();
+    let page = include_str!("../../../docs/METRICS.md").replace("`_group", "`bergamottrack_group");
+    let alerts = include_str!("../../../examples/alerts.yml");
+    let named = names(&page);
+    assert_eq!(named, there, "the page names what there is");
+    assert!(names(alerts).is_subset(&there), "{:?}", names(alerts).difference(&there));
+}
+
+/// The names of metrics in a text, without the suffix of a histogram's part.
+fn names(text: &str) -> BTreeSet<String> {
+    let words = text.split(|c: char| !c.is_ascii_alphanumeric() && c != '_');
+    let names = words.filter(|word| word.starts_with("bergamottrack_"));
+    names.map(|name| name.trim_end_matches("_bucket").to_owned()).collect()
+}
