--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -118,7 +118,7 @@
 }
 
 const HEAD: &str = "run                offered  served   /s      p50 ms  p99 ms   wait ms  \
-replica%  worst%  others%  wrongful over   stale gap p50/p90/max ms promoted refused";
+replica%  worst%  others%  wrongful over   stale gap p50/p90/max ms promoted conns waiting amplif refused";
 
 impl fmt::Display for Shown {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -127,7 +127,7 @@
         let gap = |part| report::quantile(&r.failover_gaps, part);
         write!(
             f,
-            "{:18} {:>7} {:>7} {:>6.0} {:>8.2} {:>7.1} {:>9.0} {:>8.1} {:>7.1} {:>8.1} {:>9} {:>5.1} {:>5} {:>6.0}/{:.0}/{:.0} {:>6}  ",
+            "{:18} {:>7} {:>7} {:>6.0} {:>8.2} {:>7.1} {:>9.0} {:>8.1} {:>7.1} {:>8.1} {:>9} {:>5.1} {:>5} {:>6.0}/{:.0}/{:.0} {:>6} {:>5} {:>7} {:>6.2} ",
             self.name,
             r.offered,
             r.served,
@@ -145,6 +145,9 @@
             gap(0.9),
             gap(1.0),
             r.promotions,
+            r.connections,
+            r.waiting,
+            r.amplification,
         )?;
         r.refused().iter().try_for_each(|(code, count)| write!(f, " {code}:{count}"))
     }
--- a/lab/src/load/counters.rs
+++ b/lab/src/load/counters.rs
@@ -25,6 +25,12 @@
     pub primary_reads: u64,
     /// Reads that replicas served.
     pub replica_reads: u64,
+    /// Writes that servers ran.
+    pub writes: u64,
+    /// The most connections at once to one server.
+    pub connections: u64,
+    /// The most statements at once that waited for a slot of one server.
+    pub waiting: u64,
     /// The newest terms of all groups, added up.
     pub terms: u64,
 }
@@ -43,8 +49,12 @@
                 continue;
             };
             let mut numbers = line.split(' ').filter_map(|n| n.parse::<u64>().ok());
-            counters.primary_reads += numbers.next().unwrap_or_default();
-            counters.replica_reads += numbers.next().unwrap_or_default();
+            let mut next = || numbers.next().unwrap_or_default();
+            counters.primary_reads += next();
+            counters.replica_reads += next();
+            counters.writes += next();
+            counters.connections = counters.connections.max(next());
+            counters.waiting = counters.waiting.max(next());
         }
         for group in 1..=system.plan.groups {
             counters.terms += fault::newest_term(system, &format!("g{group}")).await;
--- a/lab/src/load/report.rs
+++ b/lab/src/load/report.rs
@@ -46,6 +46,12 @@
     pub overshoot: f64,
     /// Each account.
     pub accounts: Vec<AccountReport>,
+    /// Statements that servers ran for each request that was not refused for rate.
+    pub amplification: f64,
+    /// The most connections at once to one server.
+    pub connections: u64,
+    /// The most statements at once that waited for a slot of one server.
+    pub waiting: u64,
     /// What the system used.
     pub usage: Usage,
     /// For plots: when each request was due, its milliseconds, and whether it was served.
@@ -162,6 +168,9 @@
         wrongful: accounts.iter().map(|a| a.wrongful).sum(),
         overshoot: accounts.iter().map(|a| a.overshoot).fold(0.0, f64::max),
         usage: usage(run, idle, before, after, points.len()),
+        amplification: amplification(&accounts, before, after),
+        connections: after.connections,
+        waiting: after.waiting,
         accounts,
         points,
         load: run.load.clone(),
@@ -198,6 +207,13 @@
     replicas / (replicas + primaries).max(1.0)
 }
 
+fn amplification(accounts: &[AccountReport], before: &Counters, after: &Counters) -> f64 {
+    let ran = |c: &Counters| c.primary_reads + c.replica_reads + c.writes;
+    let over_rate = |a: &AccountReport| a.refused.get(tally::OVER_RATE).copied();
+    let due = accounts.iter().map(|a| a.offered - over_rate(a).unwrap_or_default()).sum::<u64>();
+    ran(after).saturating_sub(ran(before)) as f64 / due.max(1) as f64
+}
+
 fn write_gaps(run: &Run) -> BTreeMap<Box<str>, f64> {
     let gap = |times: &Vec<f64>| {
         let mut times = times.clone();
@@ -314,6 +330,12 @@
             "refused although within rate: {}; most beyond rate and burst: {:.1}",
             self.wrongful, self.overshoot
         )?;
+        writeln!(
+            f,
+            "at one server: at most {} connections, {} statements waiting for a slot; \
+             {:.2} statements run a request",
+            self.connections, self.waiting, self.amplification
+        )?;
         writeln!(
             f,
             "a statement: {:.0} us of the hosts, {:.0} us of the servers, {:.0} bytes",
--- a/lab/src/load/tally.rs
+++ b/lab/src/load/tally.rs
@@ -11,7 +11,7 @@
 const LONGEST: u64 = 60_000_000;
 
 /// The SQLSTATE of a refusal for rate.
-const OVER_RATE: &str = "53400";
+pub const OVER_RATE: &str = "53400";
 
 /// An empty histogram of microseconds.
 pub fn histogram() -> Histogram<u64> {
--- a/lab/src/server/engine.rs
+++ b/lab/src/server/engine.rs
@@ -17,7 +17,7 @@
 };
 use rusqlite::Connection;
 use serde::{Deserialize, Serialize};
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 
 use super::{ServerArgs, values::Value};
 
@@ -58,6 +58,43 @@
     pub primary_reads: Cell<u64>,
     pub replica_reads: Cell<u64>,
     pub writes: Cell<u64>,
+    /// The most connections at once.
+    pub connections: Cell<usize>,
+    /// The most statements at once that waited for a slot.
+    pub waiting: Cell<usize>,
+}
+
+impl Served {
+    /// Primary reads, replica reads, writes, most connections, most waiting.
+    pub fn line(&self) -> String {
+        let Self { primary_reads, replica_reads, writes, connections, waiting } = self;
+        let [primary, replica, writes] = [primary_reads, replica_reads, writes].map(Cell::get);
+        format!("{primary} {replica} {writes} {} {}", connections.get(), waiting.get())
+    }
+}
+
+/// A statement that waits for a slot; it may be given up.
+struct Waiting<'a>(&'a Engine);
+
+impl<'a> Waiting<'a> {
+    fn new(engine: &'a Engine) -> Self {
+        // One that finds a slot does not wait.
+        let waiting = engine.waiting.get() + usize::from(engine.slots.available_permits() == 0);
+        engine.waiting.set(engine.waiting.get() + 1);
+        raise(&engine.served.waiting, waiting);
+        Self(engine)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.waiting.set(self.0.waiting.get() - 1);
+    }
+}
+
+/// Notes a value if it is the greatest so far.
+pub fn raise(greatest: &Cell<usize>, value: usize) {
+    greatest.set(greatest.get().max(value));
 }
 
 /// One server.
@@ -74,6 +111,8 @@
     /// Grows when records are taken back; sessions of an older one are closed.
     pub generation: Cell<u64>,
     pub sessions: Cell<usize>,
+    /// Statements that wait for a slot.
+    pub waiting: Cell<usize>,
     /// The number of the last session, for cancels.
     pub last_session: Cell<i32>,
     /// What each running session is cancelled by.
@@ -112,6 +151,7 @@
             changed: Notify::new(),
             generation: Cell::new(0),
             sessions: Cell::new(0),
+            waiting: Cell::new(0),
             last_session: Cell::new(0),
             running: RefCell::default(),
             vows: RefCell::new(vows),
@@ -137,7 +177,7 @@
 
     /// Counts a statement.
     pub fn count(&self, reads: bool) {
-        let Served { primary_reads, replica_reads, writes } = &self.served;
+        let Served { primary_reads, replica_reads, writes, .. } = &self.served;
         let counter = match (reads, self.leads()) {
             (false, _) => writes,
             (true, true) => primary_reads,
@@ -146,6 +186,14 @@
         counter.set(counter.get() + 1);
     }
 
+    /// Waits for a slot.
+    pub async fn slot(&self) -> anyhow::Result<SemaphorePermit<'_>> {
+        let waiting = Waiting::new(self);
+        let slot = self.slots.acquire().await?;
+        drop(waiting);
+        Ok(slot)
+    }
+
     /// What this server says of itself.
     pub fn status(&self) -> Status {
         let vows = self.vows.borrow();
--- a/lab/src/server/session.rs
+++ b/lab/src/server/session.rs
@@ -27,7 +27,7 @@
 };
 
 use super::{
-    engine::{Change, Engine},
+    engine::{self, Change, Engine},
     extended::{Portal, Prepared},
     sql::{self, Command},
     values::{self, Value, oid},
@@ -94,6 +94,7 @@
         bail!(text);
     }
     engine.sessions.set(engine.sessions.get() + 1);
+    engine::raise(&engine.served.connections, engine.sessions.get());
     let result = session(engine, reader, writer).await;
     engine.sessions.set(engine.sessions.get() - 1);
     result
@@ -379,11 +380,7 @@
             "group_status" => self.engine.status().to_string(),
             "transaction_isolation" | "transaction isolation level" => "read committed".into(),
             "server_version" => "16.0".into(),
-            "standin.counters" => {
-                let served = &self.engine.served;
-                let (primary, replica) = (served.primary_reads.get(), served.replica_reads.get());
-                format!("{primary} {replica} {}", served.writes.get())
-            }
+            "standin.counters" => self.engine.served.line(),
             _ => String::new(),
         };
         self.text_row(name, &value, formats, described);
@@ -492,7 +489,7 @@
     engine: &Engine,
     write: bool,
 ) -> Result<(SemaphorePermit<'_>, Option<SemaphorePermit<'_>>), SqlError> {
-    let slot = engine.slots.acquire().await.map_err(anyhow::Error::from)?;
+    let slot = engine.slot().await?;
     let service = engine.knobs.service.get();
     if !service.is_zero() {
         monoio::time::sleep(service).await;
