--- a/lab/src/load/mod.rs
+++ b/lab/src/load/mod.rs
@@ -32,10 +32,6 @@
 use caller::{Outcome, Session};
 use tally::Sample;
 
-/// How long the system is watched before the load begins; longer than any burst of
-/// the sites takes to fill again.
-const IDLE: Duration = Duration::from_secs(4);
-
 /// How long the last answers are waited for.
 const DRAIN: Duration = Duration::from_secs(16);
 
@@ -65,6 +61,9 @@
     pub hosts: usize,
     /// What the random numbers start from.
     pub seed: u64,
+    /// How long the system is watched before the load begins, in seconds; longer
+    /// than any burst of the sites takes to fill again.
+    pub idle: f64,
     /// How long requests arrive.
     pub seconds: f64,
     /// The part of its rate that each account offers.
@@ -98,6 +97,7 @@
             site: Site::default(),
             hosts: 6,
             seed: 1,
+            idle: 4.0,
             seconds: 10.0,
             offered: 0.5,
             factors: BTreeMap::new(),
@@ -189,7 +189,7 @@
     prepare(&system, &config).await?;
     let sessions = sessions(&config, &load);
     warm_up(&system, &sessions).await?;
-    let idle = counters::Window::measure(&system, IDLE).await?;
+    let idle = counters::Window::measure(&system, Duration::from_secs_f64(load.idle)).await?;
     let before = counters::Counters::read(&system).await?;
     let run = Rc::new(Run {
         addresses: system.addresses.iter().map(|a| a.callers).collect(),
