A host has its ports to itself; what a killed test leaves behind does not disturb the next

Cause: the runtime's listeners share a port with any other process that asks for it. Processes left behind by a killed test or lab took part in the next system at the same ports: tests failed with another fleet's answers ('revision 2 after 62', keys withdrawn elsewhere). For an operator a host started twice would answer callers from two fleets. Ruled out: the port blocks (their lock held; it went with the killed test).

Now listeners do not share ports (the second start fails with exit code 2), the lab's processes end with the thread that started them, and a block with a port in use is passed over.

--- a/components/entry/src/callers.rs
+++ b/components/entry/src/callers.rs
@@ -17,7 +17,9 @@
 
 /// Listens for callers.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind_with_config(address, &ListenerOpts::new().send_buf_size(SEND_BUFFER))
+    // Without its own port a host would share callers with another one, or fail to say so.
+    let options = ListenerOpts::new().send_buf_size(SEND_BUFFER).reuse_port(false);
+    TcpListener::bind_with_config(address, &options)
 }
 
 /// The callers of one host.
--- a/components/operator/src/serve.rs
+++ b/components/operator/src/serve.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 for operators: one task a connection.
 
-use std::{future::Future, net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
+use std::{future::Future, io, net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
 
 use anyhow::Context;
 use bergamottrack_peer::accept;
@@ -9,7 +9,10 @@
 use hyper::{
     Method, Response, StatusCode, body::Incoming, header, server::conn::http1, service::service_fn,
 };
-use monoio::{io::IntoPollIo, net::TcpListener, net::TcpStream};
+use monoio::{
+    io::IntoPollIo,
+    net::{ListenerOpts, TcpListener, TcpStream},
+};
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 use tracing::{debug, info};
 
@@ -66,10 +69,19 @@
 /// Answers one request.
 pub type Handler = dyn Fn(Request) -> Pin<Box<dyn Future<Output = Reply>>>;
 
+/// Listens at an address that no other process has.
+///
+/// The runtime's default lets several processes share a port, each getting some
+/// of the connections: a second host on a machine, or one left over, would take
+/// callers and answer them from another fleet. Now the second start fails.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind_with_config(address, &ListenerOpts::new().reuse_port(false))
+}
+
 /// Serves operators until the process ends.
 pub async fn serve(address: SocketAddr, handler: Rc<Handler>) -> anyhow::Result<()> {
-    let listener = TcpListener::bind(address)
-        .with_context(|| format!("listening for operators at {address}"))?;
+    let listener =
+        listen(address).with_context(|| format!("listening for operators at {address}"))?;
     info!("operator: listening at {}.", listener.local_addr()?);
     loop {
         let stream = accept::stream(&listener, "operators").await;
--- a/lab/src/link.rs
+++ b/lab/src/link.rs
@@ -13,12 +13,15 @@
     time::{Duration, Instant},
 };
 
-use bergamottrack_operator::{Reply, Request, serve::Handler};
+use bergamottrack_operator::{
+    Reply, Request,
+    serve::{Handler, listen},
+};
 use clap::Args;
 use hyper::StatusCode;
 use monoio::{
     io::IntoPollIo,
-    net::{TcpListener, TcpStream, tcp::stream_poll::TcpStreamPoll},
+    net::{TcpStream, tcp::stream_poll::TcpStreamPoll},
 };
 use serde::{Deserialize, Serialize};
 use tokio::{
@@ -160,7 +163,7 @@
 }
 
 fn add(links: &Links, add: Add) -> anyhow::Result<()> {
-    let listener = TcpListener::bind(add.listen)?;
+    let listener = listen(add.listen)?;
     let link = Rc::new(Link {
         record: links.record.clone(),
         fault: RefCell::default(),
--- a/lab/src/ports.rs
+++ b/lab/src/ports.rs
@@ -25,6 +25,11 @@
         let blocks = (FIRST..LAST).step_by(usize::from(BLOCK));
         let taken = blocks.into_iter().find_map(|first| {
             let lock = TcpListener::bind((Ipv4Addr::LOCALHOST, first)).ok()?;
+            // A test that was killed may have left processes behind on its ports.
+            let free = |port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok();
+            if !(first + 1..first + BLOCK).all(free) {
+                return None;
+            }
             Some(Self { _lock: lock, next: first + 1, end: first + BLOCK })
         });
         taken.context("no block of ports is free")
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fs::File,
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
 };
@@ -45,12 +46,15 @@
             return Ok(());
         }
         let log = File::options().append(true).create(true).open(&self.log)?;
-        let child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        command
             .args(&self.args)
             .envs(self.envs.iter().map(|(name, value)| (name, value)))
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
+            .stderr(log);
+        end_with_parent(&mut command);
+        let child = command
             .spawn()
             .with_context(|| format!("starting {} ({})", self.name, self.program.display()))?;
         self.child = Some(child);
@@ -98,6 +102,21 @@
     }
 }
 
+/// Has the process killed when the thread that starts it ends.
+///
+/// A test that is itself killed drops nothing: what it had started would go on
+/// and take part in the next test's system at the same ports.
+fn end_with_parent(command: &mut Command) {
+    // The closure runs between fork and exec and makes one system call only.
+    #[allow(unsafe_code)]
+    unsafe {
+        command.pre_exec(|| {
+            libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL);
+            Ok(())
+        });
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
--- a/lab/src/server/mod.rs
+++ b/lab/src/server/mod.rs
@@ -5,8 +5,8 @@
 
 use anyhow::Context;
 use bergamottrack_coordination::ServerId;
+use bergamottrack_operator::serve::listen;
 use clap::Args;
-use monoio::net::TcpListener;
 
 mod engine;
 mod extended;
@@ -57,13 +57,13 @@
 /// Runs a server until the process ends.
 pub async fn run(args: ServerArgs) -> anyhow::Result<()> {
     let engine = Rc::new(engine::Engine::open(&args)?);
-    let replicas = TcpListener::bind(args.replication).context("listening for replicas")?;
+    let replicas = listen(args.replication).context("listening for replicas")?;
     monoio::spawn(replication::serve(engine.clone(), replicas));
     for peer in &args.peers {
         monoio::spawn(replication::follow(engine.clone(), *peer));
     }
     monoio::spawn(replication::apply(engine.clone()));
-    let listener = TcpListener::bind(args.listen).context("listening for statements")?;
+    let listener = listen(args.listen).context("listening for statements")?;
     loop {
         let (stream, _) = listener.accept().await.context("accepting a connection")?;
         monoio::spawn(session::serve(engine.clone(), stream));
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -113,8 +113,8 @@
 }
 
 fn listen(address: std::net::SocketAddr, whom: &str) -> anyhow::Result<TcpListener> {
-    let listener =
-        TcpListener::bind(address).with_context(|| format!("listening for {whom} at {address}"))?;
+    let listener = bergamottrack_operator::serve::listen(address)
+        .with_context(|| format!("listening for {whom} at {address}"))?;
     info!("serve: listening for {whom} at {address}.");
     Ok(listener)
 }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -1,6 +1,10 @@
 //! The whole path, as separate processes.
 
-use lab::system::{self, Plan, System};
+use lab::{
+    ports::Ports,
+    process::Process,
+    system::{self, Plan, SECRET, System},
+};
 
 async fn write_here_read_everywhere(plan: Plan) {
     let system = System::start(plan).await.unwrap();
@@ -28,3 +32,27 @@
 async fn the_path_is_served_through_links() {
     write_here_read_everywhere(Plan { links: true, ..Plan::default() }).await;
 }
+
+/// A host is started twice by mistake, or one was left behind. The two shared the
+/// port, and callers were answered by one or the other, perhaps of another fleet.
+#[tokio::test]
+async fn a_second_host_at_the_same_address_does_not_start() {
+    let system = System::start(Plan { hosts: 1, ..Plan::default() }).await.unwrap();
+    let first = system.addresses[0];
+    let mut ports = Ports::take().unwrap();
+    let args = vec![
+        "serve".into(),
+        "--host=twin".into(),
+        "--domain=d1".into(),
+        format!("--listen={}", first.callers),
+        format!("--peer={}", ports.address().unwrap()),
+        format!("--operator={}", ports.address().unwrap()),
+        format!("--platform={}", system.platform_address),
+    ];
+    let program = system::program("bergamottrack").unwrap();
+    let mut twin =
+        Process::new("twin", &program, args, system.dir()).env("BERGAMOTTRACK_SECRET", SECRET);
+    twin.start().unwrap();
+    assert_eq!(twin.wait().unwrap(), Some(2), "{}", twin.log());
+    assert!(twin.log().contains("listening for callers"), "{}", twin.log());
+}
