--- a/components/coordination/src/freshness.rs
+++ b/components/coordination/src/freshness.rs
@@ -54,21 +54,30 @@
 
 /// Counts the answers of one round. The asker's own answer is one of them.
 ///
-/// Answers of hosts outside both rosters, and second answers of a host, do not count.
+/// Answers of hosts outside both rosters, and second answers of a host, do not
+/// count. Hosts that are `dead` for certain need not be told: they act no more.
+/// Without that, the loss of a majority of the hosts for good would stop all
+/// changes for good. The caller must be sure of it: a majority that is called
+/// dead, but goes on vouching for each other where nobody reaches it, would act
+/// on an old revision.
 pub fn tally(
     known: Revision,
     roster: &[HostId],
     before: &[HostId],
+    dead: &[HostId],
     answers: &[(HostId, Vouch)],
 ) -> Tally {
     let answer = |host: &HostId| answers.iter().find(|(id, _)| id == host).map(|(_, vouch)| vouch);
     let knows = |host: &&HostId| answer(host).is_some_and(|vouch| vouch.known >= known);
     let vouches = |host: &&HostId| answer(host).is_some_and(|vouch| vouch.vouches);
+    let alive = |hosts: &[HostId]| -> Vec<HostId> {
+        hosts.iter().filter(|host| !dead.contains(host)).cloned().collect()
+    };
     let newer = answers.iter().filter(|(_, vouch)| vouch.known > known);
     let newer = newer.max_by_key(|(_, vouch)| vouch.known);
     Tally {
         newest: !roster.is_empty() && newer.is_none() && holds(roster, vouches),
-        told: holds(roster, knows) && holds(before, knows),
+        told: holds(&alive(roster), knows) && holds(&alive(before), knows),
         newer: newer.map(|(host, vouch)| (host.clone(), vouch.known)),
         in_force: roster.iter().filter(knows).cloned().collect(),
     }
--- a/components/coordination/tests/freshness.rs
+++ b/components/coordination/tests/freshness.rs
@@ -25,17 +25,17 @@
 fn a_majority_that_knows_nothing_newer_shows_freshness() {
     let roster = hosts(&["h1", "h2", "h3"]);
     let told = answers(&[("h1", 7, true), ("h2", 7, true)]);
-    let tally = freshness::tally(Revision(7), &roster, &roster, &told);
+    let tally = freshness::tally(Revision(7), &roster, &roster, &[], &told);
     assert!(tally.newest && tally.told);
     let alone = answers(&[("h1", 7, true)]);
-    assert!(!freshness::tally(Revision(7), &roster, &roster, &alone).newest);
+    assert!(!freshness::tally(Revision(7), &roster, &roster, &[], &alone).newest);
 }
 
 #[test]
 fn one_host_that_knows_a_newer_revision_is_enough_to_stop() {
     let roster = hosts(&["h1", "h2", "h3"]);
     let told = answers(&[("h1", 7, true), ("h2", 8, true), ("h3", 7, true)]);
-    let tally = freshness::tally(Revision(7), &roster, &roster, &told);
+    let tally = freshness::tally(Revision(7), &roster, &roster, &[], &told);
     assert!(!tally.newest);
     assert_eq!(tally.newer, Some(("h2".parse().unwrap(), Revision(8))));
 }
@@ -47,14 +47,14 @@
 fn a_restarted_host_vouches_for_nothing() {
     let roster = hosts(&["h1", "h2", "h3"]);
     let told = answers(&[("h3", 7, true), ("h2", 7, false)]);
-    assert!(!freshness::tally(Revision(7), &roster, &roster, &told).newest);
+    assert!(!freshness::tally(Revision(7), &roster, &roster, &[], &told).newest);
 }
 
 #[test]
 fn hosts_outside_the_roster_and_second_answers_do_not_count() {
     let roster = hosts(&["h1", "h2", "h3"]);
     let told = answers(&[("h1", 7, true), ("h1", 7, true), ("h9", 7, true)]);
-    let tally = freshness::tally(Revision(7), &roster, &roster, &told);
+    let tally = freshness::tally(Revision(7), &roster, &roster, &[], &told);
     assert!(!tally.newest && !tally.told);
 }
 
@@ -64,14 +64,26 @@
 fn a_roster_change_is_told_to_both_rosters() {
     let (before, after) = (hosts(&["h1", "h2", "h3"]), hosts(&["h3", "h4", "h5"]));
     let new_only = answers(&[("h3", 8, true), ("h4", 8, true), ("h5", 8, true)]);
-    assert!(!freshness::tally(Revision(8), &after, &before, &new_only).told);
+    assert!(!freshness::tally(Revision(8), &after, &before, &[], &new_only).told);
     let both = answers(&[("h3", 8, true), ("h4", 8, true), ("h1", 8, true)]);
-    assert!(freshness::tally(Revision(8), &after, &before, &both).told);
+    assert!(freshness::tally(Revision(8), &after, &before, &[], &both).told);
+}
+
+/// Two of three hosts die for good, and the platform says so. The third must be
+/// able to go on to a roster without them, but not to vouch for itself alone.
+#[test]
+fn a_majority_that_is_dead_need_not_be_told() {
+    let roster = hosts(&["h1", "h2", "h3"]);
+    let dead = hosts(&["h2", "h3"]);
+    let own = answers(&[("h1", 7, true)]);
+    let tally = freshness::tally(Revision(7), &roster, &roster, &dead, &own);
+    assert!(tally.told && !tally.newest);
+    assert!(!freshness::tally(Revision(7), &roster, &roster, &[], &own).told);
 }
 
 #[test]
 fn an_empty_roster_shows_nothing() {
-    assert!(!freshness::tally(Revision(0), &[], &[], &[]).newest);
+    assert!(!freshness::tally(Revision(0), &[], &[], &[], &[]).newest);
 }
 
 #[test]
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -43,6 +43,8 @@
     pub(crate) marked: Cell<Revision>,
     /// When each host of the roster was last heard, or first missed.
     pub(crate) heard: RefCell<HashMap<HostId, Instant>>,
+    /// Hosts that are silent and that the platform does not list any more.
+    pub(crate) dead: RefCell<Vec<HostId>>,
     /// Hosts that a majority of the roster has not heard for long.
     pub(crate) gone: RefCell<Vec<HostId>>,
     /// Whether this host leaves the roster for good.
@@ -70,6 +72,7 @@
             told: Cell::default(),
             marked: Cell::default(),
             heard: RefCell::default(),
+            dead: RefCell::default(),
             gone: RefCell::default(),
             leaving: Cell::default(),
         })
@@ -104,6 +107,7 @@
 
     async fn follow(&self) -> anyhow::Result<()> {
         self.newest().await?;
+        self.keep_dead().await?;
         self.keep_roster().await?;
         self.keep_told().await
     }
--- a/components/fleet/src/roster.rs
+++ b/components/fleet/src/roster.rs
@@ -2,6 +2,7 @@
 
 use anyhow::Context;
 use bergamottrack_contract::Host;
+use bergamottrack_coordination::HostId;
 use bergamottrack_platform::chain::Appended;
 use tracing::info;
 
@@ -40,6 +41,21 @@
         self.leaving.set(true);
     }
 
+    /// Notes which silent hosts the platform does not list any more.
+    ///
+    /// The list must name this host, so that an empty or partial one proves
+    /// nothing; it lags, so a host that it lacks has been gone for a while.
+    pub(crate) async fn keep_dead(&self) -> anyhow::Result<()> {
+        let mut dead = self.silent();
+        if !dead.is_empty() {
+            let list = self.chain.listed().await?;
+            let lists = |host: &HostId| list.iter().any(|machine| *machine.id == *host.as_str());
+            dead.retain(|host| lists(&self.me.id) && !lists(host));
+        }
+        *self.dead.borrow_mut() = dead;
+        Ok(())
+    }
+
     /// Takes this host out of the roster for good, before it stops.
     pub async fn leave(&self) -> anyhow::Result<()> {
         self.begin_leaving();
--- a/components/fleet/src/rounds.rs
+++ b/components/fleet/src/rounds.rs
@@ -57,8 +57,10 @@
         let answers = future::join_all(questions).await;
         let mut answers: Vec<(HostId, Vouch)> = answers.into_iter().flatten().collect();
         self.note_heard(&doc, &answers);
+        let dead = self.dead.borrow().clone();
         answers.push((self.me.id.clone(), Vouch { known: doc.number, ..self.vouch() }));
-        let tally = freshness::tally(doc.number, &ids(&doc.roster), &ids(&doc.before), &answers);
+        let tally =
+            freshness::tally(doc.number, &ids(&doc.roster), &ids(&doc.before), &dead, &answers);
         if tally.newest {
             self.current.show(doc.number, asked);
         }
@@ -125,9 +127,10 @@
     fn note_heard(&self, doc: &RevisionDoc, answers: &[(HostId, Vouch)]) {
         let now = self.clock.now();
         let mut heard = self.heard.borrow_mut();
-        heard.retain(|id, _| doc.host(id).is_some());
-        for host in doc.roster.iter().filter(|host| host.id != self.me.id) {
-            heard.entry(host.id.clone()).or_insert(now);
+        let others: Vec<_> = voters(doc).into_iter().filter(|id| *id != self.me.id).collect();
+        heard.retain(|id, _| others.contains(id));
+        for id in others {
+            heard.entry(id).or_insert(now);
         }
         for (id, _) in answers {
             if let Some(at) = heard.get_mut(id) {
@@ -147,11 +150,13 @@
     /// A host is gone when a majority of the roster has not heard it for long:
     /// a link that is broken between two hosts only takes out neither.
     fn note_gone(&self, doc: &RevisionDoc, answers: &[(HostId, Vouch)]) {
+        let dead = self.dead.borrow();
         let roster = ids(&doc.roster);
+        let alive: Vec<_> = roster.iter().filter(|host| !dead.contains(host)).cloned().collect();
         let misses = |host: &HostId, by: &HostId| {
             answers.iter().any(|(id, vouch)| id == by && vouch.silent.contains(host))
         };
-        let gone = roster.iter().filter(|host| freshness::holds(&roster, |by| misses(host, by)));
+        let gone = roster.iter().filter(|host| freshness::holds(&alive, |by| misses(host, by)));
         *self.gone.borrow_mut() = gone.cloned().collect();
     }
 
--- a/components/platform/src/chain.rs
+++ b/components/platform/src/chain.rs
@@ -10,7 +10,7 @@
 use bergamottrack_coordination::{Revision, SubmitId};
 use serde::{Deserialize, Serialize};
 
-use crate::client::{Check, Commit, Outcome, Platform, Put, Row};
+use crate::client::{Check, Commit, Listed, Outcome, Platform, Put, Row};
 
 const HEAD: &str = "head";
 
@@ -149,6 +149,11 @@
         self.platform.commit(&commit).await.context("marking what was told").map(drop)
     }
 
+    /// The platform's list of machines, some time late.
+    pub async fn listed(&self) -> anyhow::Result<Vec<Listed>> {
+        self.platform.listed().await.context("reading the list of machines")
+    }
+
     /// The history's line of one revision.
     pub async fn entry(&self, number: Revision) -> anyhow::Result<Option<Entry>> {
         let row = self.platform.row(&entry_key(number)).await.context("reading the history")?;
--- a/tests/revisions.rs
+++ b/tests/revisions.rs
@@ -189,3 +189,25 @@
         system::until_runs(&client, "SELECT 1").await.unwrap();
     }
 }
+
+/// The platform answers each call late, near the limit of what is waited for. No
+/// caller notices, and a submit takes its time and is accepted.
+#[tokio::test]
+async fn a_slow_platform_stops_neither_callers_nor_submits() {
+    let mut system = start().await;
+    let client = system.connect(1, "baobab", "g1").await.unwrap();
+    system::until_runs(&client, "SELECT 1").await.unwrap();
+    system.platform_faults(r#"{"slow_ms": 1500}"#).await.unwrap();
+    let config = with_account(&mut system, "third");
+    let submitting = submit(&system, 0, "submit=slow", &config);
+    let asking = async {
+        let since = Instant::now();
+        while since.elapsed() < SECONDS {
+            client.simple_query("SELECT 1").await.unwrap();
+            tokio::time::sleep(PAUSE).await;
+        }
+    };
+    let ((status, text), ()) = tokio::join!(submitting, asking);
+    assert_eq!(status, 200, "{text}");
+    in_force_everywhere(&system, "third").await;
+}
