A host that wakes is also cut off in its test

Before, the host heard of the withdrawal from its peers while it woke, so the test passed without the check of freshness; now it fails without it (seen), and passes with it.

--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -151,13 +151,17 @@
     cut_off(true, true).await;
 }
 
-/// A host is frozen, a key is withdrawn, and the host wakes and reads what its
-/// callers sent meanwhile. It must not serve them from the past.
+/// A host is cut off and frozen at once, a key is withdrawn, and the host wakes
+/// and reads what its caller sent meanwhile. It has heard nothing, and its last
+/// proof of being up to date is old: it must not serve the caller from the past.
 #[tokio::test]
 async fn a_host_that_wakes_does_not_honour_a_withdrawn_key() {
-    let system = System::start(Plan::default()).await.unwrap();
+    let system = System::start(Plan { links: true, ..Plan::default() }).await.unwrap();
     let withdrawn = connect_all(&system, "baobab").await;
     let others = connect_all(&system, "hartwell").await;
+    for names in ["h3>platform", "h3>h*", "h*>h3"] {
+        system.cut(names).await.unwrap();
+    }
     system.hosts[2].signal(libc::SIGSTOP).unwrap();
     system.submit(&without_key(&system.config(), "baobab")).await.unwrap();
     // Longer than freshness lasts.
@@ -170,7 +174,9 @@
     woken.unwrap();
     assert!(asked.is_err(), "a withdrawn key was honoured by a host that woke");
     is_stopped(&withdrawn[2]).await;
+    system.mend("h*>*").await.unwrap();
     is_served(&others[2]).await;
+    is_stopped(&withdrawn[2]).await;
 }
 
 /// All bytes between any two processes are recorded while callers prove their
