--- a/components/operator/src/api.rs
+++ b/components/operator/src/api.rs
@@ -95,6 +95,8 @@
     pub author: Box<str>,
     /// When, in seconds since 1970.
     pub at: u64,
+    /// The database groups of the configuration.
+    pub groups: Vec<GroupId>,
     /// All hosts of the roster.
     pub hosts: Vec<HostLine>,
 }
--- a/components/operator/src/pages/status.rs
+++ b/components/operator/src/pages/status.rs
@@ -33,6 +33,7 @@
         config_revision: doc.as_ref().map(|doc| doc.config_revision).unwrap_or_default(),
         author: doc.as_ref().map(|doc| doc.author.clone()).unwrap_or_default(),
         at: doc.as_ref().map_or(0, |doc| doc.at),
+        groups: config.into_iter().flat_map(|c| &c.groups).map(|g| g.id.clone()).collect(),
         hosts,
     };
     Reply::json(StatusCode::OK, &page)
--- /dev/null
+++ b/src/cmd/concerns.rs
@@ -0,0 +1,61 @@
+//! What an operator should look at first.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bergamottrack_coordination::leadership;
+use bergamottrack_metrics::{GroupReport, HostReport};
+use bergamottrack_operator::api::{HostLine, StatusPage};
+
+/// What is not as it should be; empty when all is well.
+pub fn concerns(page: &StatusPage) -> Vec<String> {
+    let mut found: Vec<String> =
+        page.hosts.iter().filter_map(|line| host(line, page.revision.0)).collect();
+    let mut reports: BTreeMap<_, Vec<&GroupReport>> = BTreeMap::new();
+    for group in page.hosts.iter().flat_map(groups) {
+        reports.entry(&group.group).or_default().push(group);
+    }
+    for id in &page.groups {
+        match reports.get(id) {
+            Some(reports) => found.extend(group(reports)),
+            None => found.push(format!("group {id}: no host that answers is its home")),
+        }
+    }
+    found
+}
+
+fn groups(line: &HostLine) -> &[GroupReport] {
+    line.report.as_ref().map_or(&[], |report| &report.groups)
+}
+
+fn host(line: &HostLine, revision: u64) -> Option<String> {
+    let HostLine { host, report, .. } = line;
+    match report {
+        None => Some(format!("host {host}: no answer")),
+        Some(HostReport { draining: true, .. }) => Some(format!("host {host}: draining")),
+        Some(HostReport { acts: false, .. }) => Some(format!(
+            "host {host}: refuses all requests, it cannot show that its revision is the newest"
+        )),
+        Some(report) if report.revision.0 < revision => {
+            Some(format!("host {host}: has revision {} in force still", report.revision))
+        }
+        Some(_) => None,
+    }
+}
+
+/// What one home sees well is well, though another may be cut off from it.
+fn group(reports: &[&GroupReport]) -> Vec<String> {
+    let mut found = Vec::new();
+    let Some(first) = reports.first() else { return found };
+    let servers = reports.iter().flat_map(|report| &report.servers);
+    let up: BTreeSet<_> = servers.filter(|s| s.role.is_some()).map(|s| &s.server).collect();
+    if up.len() < leadership::majority(first.servers.len()) {
+        let message = "no majority of its servers answers, so nothing is written";
+        found.push(format!("group {}: {message}", first.group));
+    } else if reports.iter().all(|report| report.primary.is_none()) {
+        found.push(format!("group {}: no primary, so nothing is written", first.group));
+    }
+    for server in first.servers.iter().filter(|s| !up.contains(&s.server)) {
+        found.push(format!("group {}: server {} does not answer", first.group, server.server));
+    }
+    found
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod accounts;
 pub mod check;
+mod concerns;
 pub mod drain;
 pub mod files;
 pub mod history;
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -5,9 +5,14 @@
 use bergamottrack_metrics::{GroupReport, HostReport, ServerReport};
 use bergamottrack_operator::api::{HostLine, StatusPage};
 
+use serde::Serialize;
+
 use crate::{
     cli::{RemoteArgs, StatusArgs},
-    cmd::remote::{self, Remote},
+    cmd::{
+        concerns,
+        remote::{self, Remote},
+    },
     failure::Failure,
     table::Table,
 };
@@ -22,6 +27,7 @@
     let mut remote = Remote::new(&args.remote)?;
     loop {
         let shown = remote.get("/status").and_then(|page: StatusPage| {
+            let page = Fleet { concerns: concerns::concerns(&page), page };
             if args.watch && !args.remote.json {
                 print!("{CLEAR}");
             }
@@ -51,7 +57,16 @@
     remote.print(&homes, |_| print!("{}", group_table(&page.hosts)))
 }
 
-fn show(page: &StatusPage) {
+/// The fleet and what is not as it should be.
+#[derive(Serialize)]
+struct Fleet {
+    concerns: Vec<String>,
+    #[serde(flatten)]
+    page: StatusPage,
+}
+
+fn show(fleet: &Fleet) {
+    let Fleet { concerns, page } = fleet;
     let site = page.site.as_deref().unwrap_or("without a configuration");
     println!(
         "site {site}: revision {} (by {}, {}), configuration of revision {}, seen from {}",
@@ -61,7 +76,11 @@
         page.config_revision,
         page.from
     );
-    println!("\n{}\n{}", host_table(&page.hosts), group_table(&page.hosts));
+    concerns.iter().for_each(|concern| println!("! {concern}"));
+    if concerns.is_empty() {
+        println!("all is well");
+    }
+    print!("\n{}\n{}", host_table(&page.hosts), group_table(&page.hosts));
 }
 
 fn host_table(hosts: &[HostLine]) -> Table {
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -85,6 +85,19 @@
         serde_json::from_str(&answered.out).unwrap_or_default()
     }
 
+    /// Waits until `status` says something.
+    fn until_status(&self, wanted: &str) {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let status = self.run(0, "ana", &["status"]).out;
+            if status.contains(wanted) {
+                return;
+            }
+            assert!(Instant::now() < deadline, "{wanted:?} in vain: {status}");
+            std::thread::sleep(PAUSE);
+        }
+    }
+
     /// Checks that baobab's key lets nobody in.
     async fn is_denied(&self) {
         let error = system::connect(&self.system.caller(0, "baobab", "g1")).await.unwrap_err();
@@ -261,7 +274,12 @@
 async fn any_host_shows_the_fleet_and_names_a_dead_one() {
     let mut desk = Desk::new().await;
     desk.settle();
+    desk.until_status("all is well");
     desk.system.hosts[2].kill();
+    desk.system.servers.get_mut("g1s3").unwrap().kill();
+    desk.until_status("! host h3: no answer\n! group g1: server g1s3 does not answer\n");
+    desk.system.servers.get_mut("g1s2").unwrap().kill();
+    desk.until_status("! group g1: no majority of its servers answers, so nothing is written\n");
     for host in 0..2 {
         let hosts = desk.run(host, "ana", &["hosts"]);
         assert_eq!(hosts.code, 0, "{hosts:?}");
