--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -82,7 +82,7 @@
     /// A field of the JSON that `status` prints.
     fn status(&self, host: usize) -> serde_json::Value {
         let answered = self.run(host, "nobody", &["status", "--json"]);
-        serde_json::from_str(&answered.out).unwrap_or_default()
+        serde_json::from_str(&answered.out).unwrap_or_else(|_| panic!("{answered:?}"))
     }
 
     /// Waits until `status` says something.
