A request that is held up on its way does not run after 'not run' was told

Cause: an attempt that reaches the home only after a question was answered 'not run' planned from the void row of that very answer, and ran. The home now makes sure, once it has planned, that the entry still waits.

--- a/components/home/src/outcome.rs
+++ b/components/home/src/outcome.rs
@@ -13,8 +13,9 @@
     fair::Ticket,
     outcome::{self, Attempt, Claim, Outcome, Plan},
 };
-use bergamottrack_peer::{Intent, message::Standing};
+use bergamottrack_peer::{HomeSide, Intent, ToEntry, ToHome, message::Standing};
 use bergamottrack_pg::answer::{self, Severity};
+use bytes::Bytes;
 use tracing::{debug, info};
 
 use crate::{
@@ -66,7 +67,10 @@
     /// on finds the row changed and cannot run any more.
     pub async fn plan(&self, turn: &Turn<'_>, conn: &mut Conn) -> Result<Claim, Refusal> {
         match within(turn, read(conn, &self.key)).await.map_err(not_begun)? {
-            Plan::Write(claim) => Ok(claim),
+            Plan::Write(claim) => {
+                debug!("home: group {}: request {} is planned.", self.home.id, self.key.request);
+                Ok(claim)
+            }
             Plan::Done => Err(self.done_before(turn, conn).await),
         }
     }
@@ -80,6 +84,26 @@
         }
     }
 
+    /// Makes sure that the entry still waits for the request, now that it is planned.
+    ///
+    /// Guards against a request that was held up on its way here. Its caller has
+    /// been told that its end is unknown, has asked, and has heard "not run"; the
+    /// request would plan from the row that this very answer wrote, and run. An
+    /// entry that has given up does not pass anything on any more.
+    pub async fn is_wanted(&self, turn: &Turn<'_>, side: &mut HomeSide) -> Result<(), Refusal> {
+        side.send(ToEntry::Part(Bytes::new()));
+        let answer = within(turn, async {
+            loop {
+                match side.recv().await {
+                    Some(ToHome::Credit(_)) => return Ok(()),
+                    Some(ToHome::Close) | None => bail!("the caller is gone"),
+                    Some(ToHome::Cancel | ToHome::More { .. }) => {}
+                }
+            }
+        });
+        answer.await.map_err(not_begun)
+    }
+
     /// Begins the transaction of a statement that stands outside of any.
     pub async fn open(
         &self,
--- a/components/home/src/serve.rs
+++ b/components/home/src/serve.rs
@@ -121,6 +121,7 @@
     batch: &Batch,
 ) -> Result<(Standing, Answer), Failure> {
     let claim = running.plan(turn, conn).await?;
+    running.is_wanted(turn, side).await?;
     if batch.only_begins() {
         let (standing, answer) = turn.run(conn, side, batch).await?;
         if standing == Standing::Open {
--- a/components/operator/src/api.rs
+++ b/components/operator/src/api.rs
@@ -1,7 +1,9 @@
 //! What the pages answer, as JSON.
 
 use bergamottrack_contract::{Config, Host, RevisionDoc};
-use bergamottrack_coordination::{FailureDomain, HostId, Revision};
+use bergamottrack_coordination::{
+    AccountId, FailureDomain, GroupId, HostId, RequestId, Revision, outcome::Outcome,
+};
 use bergamottrack_metrics::HostReport;
 use serde::{Deserialize, Serialize};
 
@@ -45,6 +47,19 @@
     pub notes: Vec<Box<str>>,
 }
 
+/// What became of a caller's request that runs at most once.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OutcomePage {
+    /// The database group.
+    pub group: GroupId,
+    /// The client account.
+    pub account: AccountId,
+    /// The caller's id of the request.
+    pub request: RequestId,
+    /// What became of it.
+    pub outcome: Outcome,
+}
+
 /// What became of a request that was not carried out.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Verdict {
--- a/components/operator/src/pages/mod.rs
+++ b/components/operator/src/pages/mod.rs
@@ -4,6 +4,7 @@
 pub mod config;
 pub mod drain;
 pub mod metrics;
+pub mod outcome;
 pub mod status;
 
 use std::str::FromStr;
@@ -28,6 +29,7 @@
         (&Method::POST, "/rollback") => change::rollback(operator, request).await,
         (&Method::POST, "/withdraw") => change::withdraw(operator, request).await,
         (&Method::GET, "/status") => Ok(status::show(operator).await),
+        (&Method::GET, "/outcome") => outcome::show(operator, request).await,
         (&Method::POST, "/drain") => Ok(drain::start(operator)),
         (_, path) => {
             let message = format!("there is no page {} {path}", request.method);
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -79,7 +79,8 @@
 /// What the home says within an exchange.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum ToEntry {
-    /// Part of an answer: whole PostgreSQL messages.
+    /// Part of an answer: whole PostgreSQL messages. An entry that still waits
+    /// passes it on and says so by [`ToHome::Credit`], also of an empty one.
     Part(Bytes),
     /// The end of an answer, without its `ReadyForQuery`.
     Turn {
--- a/tests/outcome.rs
+++ b/tests/outcome.rs
@@ -4,6 +4,11 @@
 
 use std::time::{Duration, Instant};
 
+use bergamottrack_coordination::{
+    HostId,
+    outcome::Outcome,
+    rendezvous::{self, Candidate},
+};
 use lab::{
     link::Fault,
     system::{self, PATIENCE, Plan, System},
@@ -15,6 +20,7 @@
     let system = System::start(plan).await.unwrap();
     let client = system.connect(0, "baobab", "g1").await.unwrap();
     system::until_runs(&client, "CREATE TABLE IF NOT EXISTS booking (id TEXT)").await.unwrap();
+    until_all_serve(&system).await;
     (system, client)
 }
 
@@ -28,6 +34,28 @@
     client.simple_query(sql).await.map_or_else(|error| ledger::told(&error), |_| Told::Done)
 }
 
+/// What a host says became of a request.
+async fn ask(system: &System, host: usize, id: &str) -> Outcome {
+    let path = format!("/outcome?group=g1&account=baobab&id={id}");
+    let address = system.addresses[host].operator;
+    let (status, body) = system::request(address, "GET", &path, "").await.unwrap();
+    assert_eq!(status, 200, "{body}");
+    let page: serde_json::Value = serde_json::from_str(&body).unwrap();
+    serde_json::from_value(page["outcome"].clone()).unwrap()
+}
+
+/// Asks until it is known.
+async fn until_known(system: &System, host: usize, id: &str) -> Outcome {
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        match ask(system, host, id).await {
+            Outcome::Unknown { again } => tokio::time::sleep(again).await,
+            known => return known,
+        }
+        assert!(Instant::now() < deadline, "nobody knows what became of {id}");
+    }
+}
+
 /// How often a booking is in the primary's table.
 async fn times(system: &System, id: &str) -> usize {
     let (primary, _) = ledger::primary(system).await;
@@ -177,3 +205,127 @@
     wanted.sort();
     assert_eq!(found, wanted);
 }
+
+/// The platform is down, and the telephone rings: "did my booking go through?"
+/// Any host answers truthfully, also right after a failover, and "not run"
+/// holds until the customer books again.
+#[tokio::test]
+async fn any_host_tells_outcomes_while_the_platform_is_down() {
+    let (mut system, client) = start(Plan::default()).await;
+    system.platform_faults(r#"{"down": true}"#).await.unwrap();
+    assert_eq!(send(&client, "r1", &booking("b1")).await, Told::Done);
+    for host in 0..system.plan.hosts {
+        assert_eq!(until_known(&system, host, "r1").await, Outcome::Done);
+        assert_eq!(until_known(&system, host, &format!("never-{host}")).await, Outcome::NotRun);
+    }
+    system.servers.get_mut("g1s1").unwrap().kill();
+    for host in 0..system.plan.hosts {
+        assert_eq!(until_known(&system, host, "r1").await, Outcome::Done);
+        assert_eq!(until_known(&system, host, "never-1").await, Outcome::NotRun);
+    }
+    assert_eq!(send(&client, "never-1", &booking("b2")).await, Told::Done);
+    assert_eq!(until_known(&system, 2, "never-1").await, Outcome::Done);
+    assert_eq!((times(&system, "b1").await, times(&system, "b2").await), (1, 1));
+}
+
+/// A booking is open in a transaction that its caller may yet commit: nobody
+/// may say that it did not run.
+#[tokio::test]
+async fn a_request_that_runs_is_not_told_as_not_run() {
+    let (system, client) = start(Plan::default()).await;
+    assert_eq!(send(&client, "r1", "BEGIN").await, Told::Done);
+    client.batch_execute(&booking("b1")).await.unwrap();
+    for host in 0..system.plan.hosts {
+        let outcome = ask(&system, host, "r1").await;
+        assert!(matches!(outcome, Outcome::Unknown { .. }), "{outcome}");
+    }
+    client.batch_execute("COMMIT").await.unwrap();
+    assert_eq!(until_known(&system, 1, "r1").await, Outcome::Done);
+}
+
+/// An attempt is delayed between its first look and its claim. Meanwhile the
+/// hosts lose each other, another one takes itself for the home and tells the
+/// customer "not run". The attempt must not run after that.
+#[tokio::test]
+async fn an_attempt_that_was_ruled_out_meanwhile_does_not_run() {
+    // Delays must not look like silence.
+    let policy = "silence_ms = 10000\nrequest_ms = 20000".to_owned();
+    let (system, client) = start(Plan { links: true, policy, ..Plan::default() }).await;
+    assert_eq!(send(&client, "r0", &booking("b0")).await, Told::Done);
+    until_alone(&system, &client).await;
+    // A void row, from which the attempt plans.
+    assert_eq!(until_known(&system, 2, "r1").await, Outcome::NotRun);
+    let delay = Fault { delay_ms: 1000, ..Fault::default() };
+    system.fault("h1>g1s1", delay).await.unwrap();
+    let sending = tokio::spawn(async move { send(&client, "r1", &booking("b1")).await });
+    let planned = async || system.hosts[0].log().contains("request r1 is planned");
+    ledger::until("the attempt is planned", planned).await;
+    assert_eq!(until_known(&system, 2, "r1").await, Outcome::NotRun);
+    assert_ne!(sending.await.unwrap(), Told::Done);
+    assert_eq!(times(&system, "b1").await, 0);
+}
+
+/// A booking is held up on its way to the home. Its caller is told that its end
+/// is unknown, asks, and hears "not run". When the network delivers the booking
+/// after all, it must not run.
+#[tokio::test]
+async fn a_request_that_comes_late_does_not_run() {
+    let (system, _client) = start(Plan { links: true, ..Plan::default() }).await;
+    let home = home_of(&system, "g1");
+    let entry = (home + 1) % system.plan.hosts;
+    let client = system.connect(entry, "baobab", "g1").await.unwrap();
+    until_alone(&system, &client).await;
+    system.mend("*").await.unwrap();
+    let mut warm = 0;
+    while !system.hosts[home].log().contains("is planned") {
+        warm += 1;
+        assert!(warm < 300, "the home is not found again");
+        until_done(&client, &format!("r-warm-{warm}")).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let link = format!("h{}>h{}", entry + 1, home + 1);
+    system.fault(&link, Fault { cut_up: true, ..Fault::default() }).await.unwrap();
+    assert_eq!(send(&client, "r1", &booking("b1")).await, Told::Unknown);
+    assert_eq!(until_known(&system, home, "r1").await, Outcome::NotRun);
+    system.mend("*").await.unwrap();
+    let arrived = async || system.hosts[home].log().contains("request r1 is planned");
+    ledger::until("the booking comes late", arrived).await;
+    assert_eq!(send(&client, "r1", &booking("again")).await, Told::Done);
+    assert_eq!((times(&system, "b1").await, times(&system, "again").await), (0, 1));
+}
+
+/// Cuts the hosts off from each other for good, once the caller's host serves
+/// it alone: a host that has just joined has no part of the account's rate yet.
+async fn until_alone(system: &System, client: &Client) {
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        system.cut("h*>h*").await.unwrap();
+        for _ in 0..8 {
+            if client.simple_query(&booking("b0")).await.is_ok() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        assert!(Instant::now() < deadline, "the host does not serve alone");
+        system.mend("h*>h*").await.unwrap();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+}
+
+/// Waits until every host serves callers.
+async fn until_all_serve(system: &System) {
+    for host in 0..system.plan.hosts {
+        let client = system.connect(host, "baobab", "g1").await.unwrap();
+        system::until_runs(&client, "SELECT id FROM booking").await.unwrap();
+    }
+}
+
+/// The host that ranks first for a group.
+fn home_of(system: &System, group: &str) -> usize {
+    let hosts: Vec<HostId> =
+        (1..=system.plan.hosts).map(|host| format!("h{host}").parse().unwrap()).collect();
+    let domain = "d1".parse().unwrap();
+    let candidates = hosts.iter().map(|host| Candidate { host, domain: &domain });
+    let first = rendezvous::rank(&group.parse().unwrap(), candidates, None)[0];
+    hosts.iter().position(|host| host == first).unwrap()
+}
