--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod leadership;
 pub mod lenders;
 pub mod outcome;
+pub mod pace;
 pub mod refusal;
 pub mod rendezvous;
 pub mod retry;
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -9,11 +9,15 @@
 
 use bergamottrack_contract::{Config, Current, Host, RevisionDoc};
 use bergamottrack_coordination::{Clock, HostId, Revision, SubmitId, freshness::Vouch};
+use bergamottrack_metrics::Metrics;
 use bergamottrack_peer::{Answer, Mesh, Question, message::Hello};
 use bergamottrack_platform::{Chain, chain};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
-use crate::limits::Limits;
+use crate::{
+    limits::Limits,
+    spell::{Seen, Spell},
+};
 
 /// How often the table service is asked for the newest revision.
 const POLL_EVERY: Duration = Duration::from_secs(1);
@@ -35,6 +39,8 @@
     pub(crate) clock: Rc<dyn Clock>,
     /// The newest revision known to have been told to majorities.
     pub(crate) told: Cell<Revision>,
+    /// The newest revision known to be marked as told in the table service.
+    pub(crate) marked: Cell<Revision>,
     /// When each host of the roster was last heard, or first missed.
     pub(crate) heard: RefCell<HashMap<HostId, Instant>>,
     /// Hosts that a majority of the roster has not heard for long.
@@ -51,8 +57,9 @@
         mesh: Rc<Mesh>,
         chain: Chain,
         clock: Rc<dyn Clock>,
+        metrics: Rc<Metrics>,
     ) -> Rc<Self> {
-        let limits = Limits::new(current.clone(), mesh.clone(), clock.clone());
+        let limits = Limits::new(current.clone(), mesh.clone(), clock.clone(), metrics);
         Rc::new(Self {
             me,
             limits,
@@ -61,6 +68,7 @@
             chain,
             clock,
             told: Cell::default(),
+            marked: Cell::default(),
             heard: RefCell::default(),
             gone: RefCell::default(),
             leaving: Cell::default(),
@@ -73,9 +81,21 @@
     /// neither a slow platform nor a frozen peer delays the other's answer.
     pub async fn run(self: Rc<Self>) {
         monoio::spawn(self.clone().run_rounds());
+        monoio::spawn(self.clone().tell_standing());
+        let outage = Spell::default();
         loop {
-            if let Err(error) = self.follow().await {
-                warn!("fleet: the platform cannot be used: {error:#}.");
+            let result = self.follow().await;
+            let seen = outage.note(result.is_err(), self.clock.now());
+            match (seen, result) {
+                (Seen::Began, Err(error)) => warn!(
+                    "fleet: the platform cannot be used, so no change is accepted; callers are \
+                     served on: {error:#}."
+                ),
+                (Seen::Ended(time), _) => {
+                    info!("fleet: the platform can be used again after {} s.", time.as_secs())
+                }
+                (_, Err(error)) => debug!("fleet: the platform cannot be used: {error:#}."),
+                _ => {}
             }
             let pause = if self.is_member() { POLL_EVERY } else { JOIN_AGAIN };
             monoio::time::sleep(pause).await;
@@ -84,14 +104,15 @@
 
     async fn follow(&self) -> anyhow::Result<()> {
         self.newest().await?;
-        self.keep_roster().await
+        self.keep_roster().await?;
+        self.keep_told().await
     }
 
     /// Reads the head of the chain; what is newer is put in force here.
     ///
     /// Guards against an old row: a head older than the revision known here
     /// proves nothing and must not count as shown freshness.
-    pub(crate) async fn newest(&self) -> anyhow::Result<Option<Rc<RevisionDoc>>> {
+    pub async fn newest(&self) -> anyhow::Result<Option<Rc<RevisionDoc>>> {
         let asked = self.clock.now();
         let head = self.chain.head().await?;
         let number = head.as_ref().map(|head| head.number).unwrap_or_default();
@@ -126,6 +147,7 @@
     /// Answers a question of a peer; `None` when it is not about the fleet.
     pub fn answer(&self, peer: &Hello, question: Question) -> Option<Answer> {
         Some(match question {
+            Question::Ping if self.leaving.get() => Answer::Leaving,
             Question::Ping => Answer::Pong,
             Question::Vouch => Answer::Vouch(self.vouch()),
             Question::Revision => {
@@ -154,11 +176,6 @@
         self.current.get().is_some_and(|doc| doc.roster.contains(&self.me))
     }
 
-    /// The revision that a submit made, if the chain has it.
-    pub async fn submitted(&self, submit: &SubmitId) -> anyhow::Result<Option<Revision>> {
-        self.chain.submitted(submit).await
-    }
-
     /// The last `n` revisions, newest first.
     pub async fn history(&self, n: usize) -> anyhow::Result<Vec<chain::Entry>> {
         let mut number = self.chain.head().await?.map(|head| head.number).unwrap_or_default();
--- a/lab/src/load/report.rs
+++ b/lab/src/load/report.rs
@@ -1,6 +1,6 @@
 //! What a load has shown.
 
-use std::{collections::BTreeMap, fmt};
+use std::{collections::BTreeMap, fmt, rc::Rc};
 
 use bergamottrack_contract::{ClientAccount, Config};
 use serde::Serialize;
@@ -31,6 +31,11 @@
     pub stale_reads: u64,
     /// The longest time without an acknowledged write, by group, in milliseconds.
     pub write_gaps: BTreeMap<Box<str>, f64>,
+    /// For each time that a primary was struck: the longest time between two
+    /// acknowledged writes of its group, in milliseconds, in order of length.
+    pub failover_gaps: Vec<f64>,
+    /// Changes of term, over all groups.
+    pub promotions: u64,
     /// The longest that a caller waited for an answer of any kind, in milliseconds.
     pub longest_wait: f64,
     /// The account that got the least of what its contract entitled it to.
@@ -41,6 +46,12 @@
     pub overshoot: f64,
     /// Each account.
     pub accounts: Vec<AccountReport>,
+    /// Statements that servers ran for each request that was not refused for rate.
+    pub amplification: f64,
+    /// The most connections at once to one server.
+    pub connections: u64,
+    /// The most statements at once that waited for a slot of one server.
+    pub waiting: u64,
     /// What the system used.
     pub usage: Usage,
     /// For plots: when each request was due, its milliseconds, and whether it was served.
@@ -106,6 +117,17 @@
     pub memory_mib: f64,
 }
 
+impl Report {
+    /// All refusals, by SQLSTATE.
+    pub fn refused(&self) -> BTreeMap<&str, u64> {
+        let mut all = BTreeMap::new();
+        for (code, count) in self.accounts.iter().flat_map(|a| &a.refused) {
+            *all.entry(&**code).or_default() += count;
+        }
+        all
+    }
+}
+
 fn latency(histogram: &hdrhistogram::Histogram<u64>) -> Latency {
     let millis = |q: f64| histogram.value_at_quantile(q) as f64 / 1000.0;
     Latency { p50: millis(0.5), p99: millis(0.99), max: histogram.max() as f64 / 1000.0 }
@@ -139,11 +161,16 @@
         replica_share: replica_share(before, after),
         stale_reads,
         write_gaps: write_gaps(run),
+        failover_gaps: failover_gaps(run),
+        promotions: after.terms.saturating_sub(before.terms),
         longest_wait: points.iter().map(|p| p.1).fold(0.0, f64::max),
         worst: worst(&accounts),
         wrongful: accounts.iter().map(|a| a.wrongful).sum(),
         overshoot: accounts.iter().map(|a| a.overshoot).fold(0.0, f64::max),
         usage: usage(run, idle, before, after, points.len()),
+        amplification: amplification(&accounts, before, after),
+        connections: after.connections,
+        waiting: after.waiting,
         accounts,
         points,
         load: run.load.clone(),
@@ -180,6 +207,13 @@
     replicas / (replicas + primaries).max(1.0)
 }
 
+fn amplification(accounts: &[AccountReport], before: &Counters, after: &Counters) -> f64 {
+    let ran = |c: &Counters| c.primary_reads + c.replica_reads + c.writes;
+    let over_rate = |a: &AccountReport| a.refused.get(tally::OVER_RATE).copied();
+    let due = accounts.iter().map(|a| a.offered - over_rate(a).unwrap_or_default()).sum::<u64>();
+    ran(after).saturating_sub(ran(before)) as f64 / due.max(1) as f64
+}
+
 fn write_gaps(run: &Run) -> BTreeMap<Box<str>, f64> {
     let gap = |times: &Vec<f64>| {
         let mut times = times.clone();
@@ -190,6 +224,35 @@
     acknowledged.iter().map(|(group, times)| (Box::from(&**group), gap(times))).collect()
 }
 
+/// For each strike the longest time between two acknowledged writes of the
+/// group, from the last one before the strike up to the group's next strike.
+fn failover_gaps(run: &Run) -> Vec<f64> {
+    let strikes = run.strikes.borrow();
+    let acknowledged = run.acknowledged.borrow();
+    let gap = |(i, (group, at)): (usize, &(Rc<str>, f64))| {
+        let later = strikes[i + 1..].iter().find(|(other, _)| other == group);
+        let until = later.map_or(run.load.seconds, |(_, next)| *next);
+        let mut times = acknowledged.get(group)?.clone();
+        times.sort_by(f64::total_cmp);
+        let before = times.iter().copied().rfind(|t| t <= at)?;
+        let within = times.iter().copied().filter(|t| t > at && *t < until);
+        // A group that took no write again was away up to the end.
+        let all: Vec<f64> = [before].into_iter().chain(within).chain([until]).collect();
+        let longest = all.windows(2).map(|pair| pair[1] - pair[0]).fold(0.0, f64::max);
+        Some(longest * 1000.0)
+    };
+    let mut gaps: Vec<f64> = strikes.iter().enumerate().filter_map(gap).collect();
+    gaps.sort_by(f64::total_cmp);
+    gaps
+}
+
+/// The value below which a part of the sorted values lies.
+pub fn quantile(sorted: &[f64], part: f64) -> f64 {
+    let last = sorted.len().saturating_sub(1);
+    let rank = (sorted.len() as f64 * part).ceil() as usize;
+    sorted.get(rank.saturating_sub(1).min(last)).copied().unwrap_or_default()
+}
+
 fn worst(accounts: &[AccountReport]) -> Worst {
     let share = |a: &AccountReport| match a.entitled {
         0 => 1.0,
@@ -243,6 +306,18 @@
         for (group, gap) in &self.write_gaps {
             writeln!(f, "longest time without an acknowledged write, {group}: {gap:.0} ms")?;
         }
+        if !self.failover_gaps.is_empty() {
+            let at = |part| quantile(&self.failover_gaps, part);
+            writeln!(
+                f,
+                "failover gap over {} strikes ({} promotions): p50 {:.0} ms, p90 {:.0} ms, max {:.0} ms",
+                self.failover_gaps.len(),
+                self.promotions,
+                at(0.5),
+                at(0.9),
+                at(1.0)
+            )?;
+        }
         writeln!(f, "longest wait of a caller: {:.0} ms", self.longest_wait)?;
         writeln!(
             f,
@@ -255,6 +330,12 @@
             "refused although within rate: {}; most beyond rate and burst: {:.1}",
             self.wrongful, self.overshoot
         )?;
+        writeln!(
+            f,
+            "at one server: at most {} connections, {} statements waiting for a slot; \
+             {:.2} statements run a request",
+            self.connections, self.waiting, self.amplification
+        )?;
         writeln!(
             f,
             "a statement: {:.0} us of the hosts, {:.0} us of the servers, {:.0} bytes",
--- a/lab/src/server/session.rs
+++ b/lab/src/server/session.rs
@@ -23,11 +23,11 @@
 use rusqlite::Connection;
 use tokio::{
     io::{ReadHalf, WriteHalf},
-    sync::SemaphorePermit,
+    sync::{Notify, SemaphorePermit},
 };
 
 use super::{
-    engine::{Change, Engine},
+    engine::{self, Change, Engine},
     extended::{Portal, Prepared},
     sql::{self, Command},
     values::{self, Value, oid},
@@ -80,8 +80,12 @@
     let (mut reader, mut writer) = stream::split(stream.into_poll_io()?, MAX_MESSAGE);
     match reader.startup(false).await? {
         PgWireFrontendMessage::Startup(_) => {}
-        // Statements here are short: a cancel finds nothing to end.
-        PgWireFrontendMessage::CancelRequest(_) => return Ok(()),
+        PgWireFrontendMessage::CancelRequest(request) => {
+            monoio::time::sleep(engine.knobs.cancel.get()).await;
+            let running = engine.running.borrow().get(&request.pid).cloned();
+            running.inspect(|running| running.notify_one());
+            return Ok(());
+        }
         _ => bail!("no start-up"),
     }
     if engine.sessions.get() >= engine.args.connections {
@@ -90,6 +94,7 @@
         bail!(text);
     }
     engine.sessions.set(engine.sessions.get() + 1);
+    engine::raise(&engine.served.connections, engine.sessions.get());
     let result = session(engine, reader, writer).await;
     engine.sessions.set(engine.sessions.get() - 1);
     result
@@ -110,6 +115,7 @@
     writer.send(&out).await?;
     let session = Session {
         engine,
+        pid,
         db: engine.connect()?,
         generation: engine.generation.get(),
         reader,
@@ -131,6 +137,7 @@
 /// A connection to the server.
 pub struct Session<'e> {
     engine: &'e Engine,
+    pid: i32,
     pub(super) db: Connection,
     generation: u64,
     pub(super) reader: PgReader<ReadHalf<TcpStreamPoll>>,
@@ -360,6 +367,7 @@
         };
         match name {
             "standin.lag_ms" => self.engine.knobs.lag.set(millis()?),
+            "standin.cancel_ms" => self.engine.knobs.cancel.set(millis()?),
             "standin.service_ms" => self.engine.knobs.service.set(millis()?),
             _ => {}
         }
@@ -372,11 +380,7 @@
             "group_status" => self.engine.status().to_string(),
             "transaction_isolation" | "transaction isolation level" => "read committed".into(),
             "server_version" => "16.0".into(),
-            "standin.counters" => {
-                let served = &self.engine.served;
-                let (primary, replica) = (served.primary_reads.get(), served.replica_reads.get());
-                format!("{primary} {replica} {}", served.writes.get())
-            }
+            "standin.counters" => self.engine.served.line(),
             _ => String::new(),
         };
         self.text_row(name, &value, formats, described);
@@ -410,21 +414,19 @@
         formats: &[i16],
         described: bool,
     ) -> Result<String, SqlError> {
-        let _slot = self.engine.slots.acquire().await.map_err(anyhow::Error::from)?;
-        let service = self.engine.knobs.service.get();
-        if !service.is_zero() {
-            monoio::time::sleep(service).await;
-        }
         let reads = self.db.prepare_cached(sql)?.readonly();
         self.engine.count(reads);
+        let cancel = Rc::new(Notify::new());
+        self.engine.running.borrow_mut().insert(self.pid, cancel.clone());
+        let write = !reads && self.writing.is_none();
+        let turn = monoio::select! {
+            turn = turn(self.engine, write) => turn,
+            _ = cancel.notified() => Err(SqlError::new("57014", "cancelled on request")),
+        };
+        self.engine.running.borrow_mut().remove(&self.pid);
+        let (_slot, writing) = turn?;
         if !reads {
-            if !self.engine.leads() {
-                return Err(SqlError::new("25006", "this server does not lead"));
-            }
-            if self.writing.is_none() {
-                let permit = self.engine.writing.acquire().await;
-                self.writing = Some(permit.map_err(anyhow::Error::from)?);
-            }
+            self.writing = self.writing.take().or(writing);
             if !self.engine.leads() {
                 self.writing = None;
                 return Err(SqlError::new("25006", "this server does not lead"));
@@ -482,6 +484,26 @@
     }
 }
 
+/// Waits until a statement may run.
+async fn turn(
+    engine: &Engine,
+    write: bool,
+) -> Result<(SemaphorePermit<'_>, Option<SemaphorePermit<'_>>), SqlError> {
+    let slot = engine.slot().await?;
+    let service = engine.knobs.service.get();
+    if !service.is_zero() {
+        monoio::time::sleep(service).await;
+    }
+    if !write {
+        return Ok((slot, None));
+    }
+    if !engine.leads() {
+        return Err(SqlError::new("25006", "this server does not lead"));
+    }
+    let writing = engine.writing.acquire().await.map_err(anyhow::Error::from)?;
+    Ok((slot, Some(writing)))
+}
+
 fn statement_reads(sql: &str) -> bool {
     sql.trim_start().get(..6).is_some_and(|w| w.eq_ignore_ascii_case("select"))
 }
--- a/lab/src/system.rs
+++ b/lab/src/system.rs
@@ -9,6 +9,7 @@
 
 use anyhow::Context;
 use bergamottrack_contract::{Config, Verifier};
+use bergamottrack_operator::api::{HostLine, StatusPage};
 use tempfile::TempDir;
 use tokio_postgres::{Client, NoTls};
 
@@ -40,12 +41,16 @@
     pub accounts: Vec<(String, f64, f64)>,
     /// Further arguments of each server.
     pub server_args: Vec<String>,
+    /// Further arguments of each entry host.
+    pub host_args: Vec<String>,
     /// Lines of the configuration's `[policy]`.
     pub policy: String,
     /// Whether every connection between two processes goes through a link that
     /// can be cut. Links are named `FROM>TO`: `h1>g1s1`, `h1>h2`, `h1>platform`,
     /// and `g1s2>g1s1` for replication.
     pub links: bool,
+    /// Whether the link process records all bytes, in `bytes` of its directory.
+    pub record: bool,
     /// The configuration to lay out instead of `accounts` and `policy`: server
     /// `i` of its group `g` becomes the stand-in `g{g}s{i}`.
     pub site: Option<Config>,
@@ -62,8 +67,10 @@
             hosts: 3,
             accounts: vec![("baobab".into(), 1000.0, 1000.0), ("hartwell".into(), 1000.0, 1000.0)],
             server_args: Vec::new(),
+            host_args: Vec::new(),
             policy: String::new(),
             links: false,
+            record: false,
             site: None,
             log: "debug".into(),
             port: 0,
@@ -139,6 +146,7 @@
         system.servers.values_mut().try_for_each(Process::start)?;
         system.hosts.iter_mut().try_for_each(Process::start)?;
         system.submit(&system.config()).await?;
+        system.await_members().await?;
         Ok(system)
     }
 
@@ -185,6 +193,9 @@
         if system.plan.links {
             let mut args = vec!["link".into(), format!("--control={control}")];
             args.append(&mut system.link_args);
+            if system.plan.record {
+                args.push(format!("--record={}", system.dir.path().join("bytes").display()));
+            }
             system.link = Some(Process::new("link", &program("lab")?, args, system.dir.path()));
         }
         Ok(system)
@@ -291,6 +302,7 @@
             format!("--operator={}", addresses.operator),
             format!("--platform={}", self.platform_address),
         ];
+        args.extend(self.plan.host_args.iter().cloned());
         for (to, address) in targets {
             let via = self.reach(&name, &to, address)?;
             if via != address {
@@ -359,6 +371,14 @@
         }
     }
 
+    /// The value of a row of the platform's table service.
+    pub async fn row(&self, key: &str) -> anyhow::Result<String> {
+        let path = format!("/table/row/{key}");
+        let (_, text) = request(self.platform_address, "GET", &path, "").await?;
+        let row: bergamottrack_platform::Row = serde_json::from_str(&text)?;
+        Ok(row.value.into())
+    }
+
     /// Sets the fault of all links whose names match, such as `h1>*`.
     pub async fn fault(&self, names: &str, fault: Fault) -> anyhow::Result<()> {
         self.command("/set", &Set { names: names.into(), fault }).await
@@ -392,6 +412,28 @@
         Ok(())
     }
 
+    /// Waits until every host knows all others and the configuration: a host
+    /// joins by compare-and-swap, so several that start at once take a while.
+    pub async fn await_members(&self) -> anyhow::Result<()> {
+        let deadline = Instant::now() + PATIENCE;
+        for addresses in &self.addresses {
+            while !self.is_joined(addresses.operator).await {
+                anyhow::ensure!(Instant::now() < deadline, "the hosts did not find each other");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether all hosts are seen, each with the newest revision, from one of them.
+    async fn is_joined(&self, operator: SocketAddr) -> bool {
+        let Ok((200, text)) = request(operator, "GET", "/status", "").await else { return false };
+        let Ok(page) = serde_json::from_str::<StatusPage>(&text) else { return false };
+        let newest =
+            |line: &HostLine| line.report.as_ref().is_some_and(|r| r.revision == page.revision);
+        page.site.is_some() && page.hosts.len() == self.hosts.len() && page.hosts.iter().all(newest)
+    }
+
     async fn await_listening(&self, address: SocketAddr) -> anyhow::Result<()> {
         let deadline = Instant::now() + PATIENCE;
         while tokio::net::TcpStream::connect(address).await.is_err() {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use bergamottrack_coordination::{AccountId, KeyId, OperatorId, Revision};
+use bergamottrack_coordination::{AccountId, GroupId, KeyId, OperatorId, RequestId, Revision};
 use clap::{Args, Parser, Subcommand, ValueEnum};
 
 /// A database proxy with session consistency.
@@ -48,6 +48,8 @@
     Groups(RemoteArgs),
     /// Show the client accounts.
     Accounts(RemoteArgs),
+    /// Tell what became of a request: done, not run, or not yet known (exit code 3).
+    Outcome(OutcomeArgs),
     /// Drain the host at `--at`: it takes nothing new, finishes what it has and ends.
     Drain(RemoteArgs),
     /// Print completions for a shell.
@@ -105,6 +107,12 @@
     /// Address that this host reaches under another one: ADDRESS=OTHER, several by commas.
     #[arg(long, env = "BERGAMOTTRACK_VIA", value_delimiter = ',')]
     pub via: Vec<String>,
+    /// Callers that may be connected at once.
+    #[arg(long, env = "BERGAMOTTRACK_CALLERS", value_name = "NUMBER", default_value = "4000")]
+    pub callers: String,
+    /// Seconds that a planned stop waits for requests and transactions to end.
+    #[arg(long, env = "BERGAMOTTRACK_STOP_SECS", value_name = "SECONDS", default_value = "30")]
+    pub stop_secs: String,
     /// What is logged, such as `info` or `warn,bergamottrack_home=debug`.
     #[arg(long, env = "BERGAMOTTRACK_LOG", default_value = "info")]
     pub log: String,
@@ -218,6 +226,9 @@
     /// How many revisions.
     #[arg(short, long, default_value_t = 20)]
     pub number: usize,
+    /// Show what each revision changed of the configuration.
+    #[arg(long)]
+    pub changes: bool,
     /// The host.
     #[command(flatten)]
     pub remote: RemoteArgs,
@@ -263,3 +274,22 @@
     #[command(flatten)]
     pub remote: RemoteArgs,
 }
+
+/// Settings of `outcome`.
+#[derive(Args, Debug)]
+pub struct OutcomeArgs {
+    /// The caller's id of the request.
+    pub id: RequestId,
+    /// The client account that sent it.
+    #[arg(long, value_name = "NAME")]
+    pub account: AccountId,
+    /// The database group that it was sent to.
+    #[arg(long, value_name = "NAME")]
+    pub group: GroupId,
+    /// How long to go on asking while it is not yet known.
+    #[arg(long, value_name = "SECONDS", default_value_t = 5)]
+    pub wait: u64,
+    /// The host.
+    #[command(flatten)]
+    pub remote: RemoteArgs,
+}
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -1,11 +1,14 @@
 //! Runs an entry host.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, io::IsTerminal, rc::Rc, time::Duration};
 
 use anyhow::Context;
 use bergamottrack_contract::{Current, Host, Routes};
 use bergamottrack_coordination::{Clock, SystemClock, token::Secret};
-use bergamottrack_entry::{Entry, caller};
+use bergamottrack_entry::{
+    Entry, caller,
+    callers::{self, Callers},
+};
 use bergamottrack_fleet::Fleet;
 use bergamottrack_home::Homes;
 use bergamottrack_metrics::Metrics;
@@ -19,7 +22,11 @@
 use tracing::info;
 use tracing_subscriber::EnvFilter;
 
-use crate::{cli::LogFormat, settings::Settings};
+use crate::{
+    cli::LogFormat,
+    cmd::stop::{self, Signals},
+    settings::Settings,
+};
 
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -34,7 +41,11 @@
 }
 
 fn start_log(filter: EnvFilter, format: LogFormat) {
-    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let log = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_ansi(std::io::stderr().is_terminal())
+        .with_target(false)
+        .with_writer(std::io::stderr);
     match format {
         LogFormat::Plain => log.init(),
         LogFormat::Json => log.json().init(),
@@ -42,6 +53,7 @@
 }
 
 async fn host(args: Settings) -> anyhow::Result<()> {
+    let signals = Signals::register()?;
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let me = Host { id: args.host.clone(), domain: args.domain.clone(), peer: args.peer };
     let current = Rc::new(Current::default());
@@ -53,7 +65,8 @@
     let homes = Homes::new(args.host.clone(), clock.clone(), routes, metrics.clone());
     let platform = Rc::new(platform);
     let chain = Chain::new(platform.clone());
-    let fleet = Fleet::new(me, current.clone(), mesh.clone(), chain, clock.clone());
+    let fleet =
+        Fleet::new(me, current.clone(), mesh.clone(), chain, clock.clone(), metrics.clone());
     let operator = Rc::new(Operator {
         fleet: fleet.clone(),
         homes: homes.clone(),
@@ -71,19 +84,31 @@
         homes: homes.clone(),
         secret,
         metrics,
+        callers: Callers::new(args.callers),
         cancels: Default::default(),
         last_pid: Cell::default(),
     });
     let peers = listen(args.peer, "peers")?;
-    let callers = listen(args.listen, "callers")?;
+    let callers = callers::listen(args.listen)
+        .with_context(|| format!("listening for callers at {}", args.listen))?;
+    info!("serve: listening for callers at {}.", args.listen);
     monoio::spawn(homes.keep(current, mesh));
     monoio::spawn(accept_peers(peers, operator.clone()));
-    monoio::spawn(fleet.run());
+    monoio::spawn(fleet.clone().run());
     monoio::spawn(operator.clone().keep_metrics());
+    let drain = operator.drain.clone();
     let operators = bergamottrack_operator::serve(args.operator, operator.handler());
+    let mut operators = std::pin::pin!(operators);
+    monoio::select! {
+        _ = accept_callers(callers, entry.clone()) => {}
+        result = &mut operators => return result,
+        _ = signals.asked() => {}
+        _ = drain.notified() => {}
+    }
+    // Operators are answered to the end, so that they can see the host drain.
     monoio::select! {
-        result = accept_callers(callers, entry) => result,
         result = operators => result,
+        _ = stop::drain(&entry, &fleet, args.stop_within) => Ok(()),
     }
 }
 
@@ -94,14 +119,14 @@
     Ok(listener)
 }
 
-async fn accept_callers(listener: TcpListener, entry: Rc<Entry>) -> anyhow::Result<()> {
+async fn accept_callers(listener: TcpListener, entry: Rc<Entry>) {
     loop {
-        let (stream, _) = listener.accept().await.context("accepting a caller")?;
+        let stream = accept::stream(&listener, "callers").await;
         monoio::spawn(caller::serve(entry.clone(), stream));
     }
 }
 
-async fn accept_peers(listener: TcpListener, operator: Rc<Operator>) -> anyhow::Result<()> {
+async fn accept_peers(listener: TcpListener, operator: Rc<Operator>) {
     let (fleet, homes) = (operator.fleet.clone(), operator.homes.clone());
     let (mesh, current) = (fleet.mesh.clone(), fleet.current.clone());
     let (opening, asked) = (homes.clone(), homes);
@@ -118,7 +143,7 @@
         }),
     });
     loop {
-        let (stream, _) = listener.accept().await.context("accepting a peer")?;
+        let stream = accept::stream(&listener, "peers").await;
         monoio::spawn(accept::serve(stream, mesh.hello(), service.clone()));
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! Reads the settings of an entry host; every fault of them at once.
 
-use std::{fmt, net::SocketAddr, path::Path, str::FromStr};
+use std::{fmt, net::SocketAddr, path::Path, str::FromStr, time::Duration};
 
 use bergamottrack_contract::Route;
 use bergamottrack_coordination::{FailureDomain, HostId};
@@ -31,6 +31,10 @@
     pub operator_key: Option<Box<str>>,
     /// Addresses that this host reaches under other ones.
     pub via: Vec<Route>,
+    /// Callers that may be connected at once.
+    pub callers: usize,
+    /// How long a planned stop waits for requests and transactions to end.
+    pub stop_within: Duration,
     /// What is logged.
     pub log: EnvFilter,
     /// How log lines are written.
@@ -84,6 +88,18 @@
         read
     }
 
+    /// Checks that each address stands for one thing only.
+    fn distinct(&mut self, addresses: [(&'static str, Option<SocketAddr>); 3]) {
+        for (i, (flag, address)) in addresses.iter().enumerate() {
+            let other =
+                addresses[..i].iter().find(|(_, other)| address.is_some() && other == address);
+            if let (Some((first, _)), Some(address)) = (other, address) {
+                let given = format!("{:?}", address.to_string());
+                self.note(flag, given, format!("an address other than that of --{first}"));
+            }
+        }
+    }
+
     /// A secret, from the setting itself or from a file, but not from both.
     fn secret(
         &mut self,
@@ -137,6 +153,7 @@
         let peer = faults.need("peer", args.peer.as_deref(), ADDRESS);
         let operator = faults.need("operator", args.operator.as_deref(), ADDRESS);
         let platform = faults.need("platform", args.platform.as_deref(), ADDRESS);
+        faults.distinct([("listen", listen), ("peer", peer), ("operator", operator)]);
         let (text, file) = (args.secret.as_deref(), args.secret_file.as_deref());
         let secret = faults.secret(["secret", "secret-file"], text, file);
         if text.is_none() && file.is_none() {
@@ -147,6 +164,8 @@
         let route = "a pair of addresses such as 10.0.0.1:5432=192.0.2.1:5432";
         let via =
             args.via.iter().filter_map(|text| faults.need("via", Some(text), route)).collect();
+        let callers = faults.need("callers", Some(&args.callers), "a number of connections");
+        let stop = faults.need("stop-secs", Some(&args.stop_secs), "a number of seconds");
         let log = EnvFilter::try_new(&args.log).ok();
         if log.is_none() {
             faults.note("log", format!("{:?}", args.log), "a level such as info or debug");
@@ -162,6 +181,8 @@
                 secret: secret?,
                 operator_key,
                 via,
+                callers: callers?,
+                stop_within: Duration::from_secs(stop?),
                 log: log?,
                 log_format: args.log_format,
             })
