--- a/components/operator/src/pages/outcome.rs
+++ b/components/operator/src/pages/outcome.rs
@@ -26,9 +26,13 @@
     let doc = operator.fleet.current.get();
     let config = doc.as_ref().and_then(|doc| doc.config.as_ref());
     let config = config.ok_or_else(|| unknown("this host has no configuration yet"))?;
+    // Mistyped, nothing would be found, and a caller would hear "not run" of what ran.
     if config.group(&of.group).is_none() {
         return Err(super::faulty(format!("there is no group {}", of.group)));
     }
+    if config.account(&of.account).is_none() {
+        return Err(super::faulty(format!("there is no client account {}", of.account)));
+    }
     let outcome = operator.homes.outcome(config, &operator.fleet.mesh, of.clone()).await;
     let page = OutcomePage { group: of.group, account: of.account, request: of.request, outcome };
     Ok(Reply::json(StatusCode::OK, &page))
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -409,7 +409,7 @@
 }
 
 /// "Did my booking go through?" A caller is on the phone, its answer was lost. The
-/// operator asks any host, and a mistyped group must not pass for "not run".
+/// operator asks any host, and a mistyped group or account must not pass for "not run".
 #[tokio::test]
 async fn the_outcome_of_a_booking_is_told_by_any_host() {
     let desk = Desk::new().await;
@@ -419,14 +419,17 @@
     client.simple_query("SET bergamottrack.request = 'b-17'").await.unwrap();
     client.simple_query("INSERT INTO booking VALUES ('chapel')").await.unwrap();
     for host in 0..3 {
-        let ask = |id, group| {
-            desk.run(host, "ana", &["outcome", id, "--account=baobab", group, "--wait=30"])
+        let ask_of = |id, account, group| {
+            desk.run(host, "ana", &["outcome", id, account, group, "--wait=30"])
         };
+        let ask = |id, group| ask_of(id, "--account=baobab", group);
         let done = ask("b-17", "--group=g1");
         assert!(done.code == 0 && done.out.contains(": done;"), "{done:?}");
         let not_run = ask("b-18", "--group=g1");
         assert!(not_run.code == 0 && not_run.out.contains(": not run;"), "{not_run:?}");
         let mistyped = ask("b-17", "--group=g7");
         assert_eq!(mistyped.code, 2, "{mistyped:?}");
+        let mistyped = ask_of("b-17", "--account=boabab", "--group=g1");
+        assert_eq!(mistyped.code, 2, "{mistyped:?}");
     }
 }
