--- a/components/contract/src/check.rs
+++ b/components/contract/src/check.rs
@@ -41,7 +41,7 @@
 /// Bounds of policies in milliseconds, and why.
 const BOUNDS: [(&str, i64, i64, &str); 2] = [
     ("fresh_ms", 2_000, 10_000, "hosts show freshness once a second, and withdrawn keys end by it"),
-    ("silence_ms", 350, 5_000, "a stall of 300 ms is no failure, and callers wait for a failover"),
+    ("silence_ms", 350, 60_000, "a stall of 300 ms is no failure, and callers wait for a failover"),
 ];
 
 #[derive(Default)]
