--- a/components/home/src/group.rs
+++ b/components/home/src/group.rs
@@ -52,6 +52,8 @@
     pub(crate) ages: RefCell<Ages>,
     policy: RefCell<Policy>,
     verdict: Cell<Verdict>,
+    /// Set while the primary hands over: new work waits for the next one.
+    pub(crate) handing: Cell<bool>,
     /// Requests with an id that run here.
     pub(crate) running: RefCell<HashSet<Key>>,
     /// Exchanges that run.
@@ -93,6 +95,7 @@
             ages: RefCell::default(),
             policy: RefCell::new(policy),
             verdict: Cell::new(Verdict::Doubted),
+            handing: Cell::new(false),
             running: RefCell::default(),
             active: Cell::new(0),
             used: Cell::new(clock.now()),
@@ -106,10 +109,16 @@
     }
 
     /// Takes over what may change while the servers stay the same.
-    pub fn take_over(&self, policy: &Policy, contract: &Group) {
+    ///
+    /// A server is leaving when the operator says so or the platform's list does.
+    pub fn take_over(&self, policy: &Policy, contract: &Group, listed: &HashSet<Box<str>>) {
         *self.policy.borrow_mut() = policy.clone();
         for (server, contract) in self.servers.iter().zip(&contract.servers) {
-            server.leaving.set(contract.leaving);
+            let leaving = contract.leaving || listed.contains(contract.id.as_str());
+            if server.leaving.replace(leaving) != leaving {
+                let part = if leaving { "leaves: no new work" } else { "is back" };
+                info!("home: group {}: {} {part}.", self.id, contract.id);
+            }
         }
     }
 
--- a/components/home/src/homes.rs
+++ b/components/home/src/homes.rs
@@ -1,6 +1,11 @@
 //! The groups whose home this host is, or was asked to be.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use bergamottrack_contract::{Config, Current, Group, RevisionDoc, Routes};
 use bergamottrack_coordination::{
@@ -10,6 +15,7 @@
 use bergamottrack_peer::{
     Answer, HomeSide, Mesh, Open, OutcomeOf, Question, ToEntry, accept::Teller,
 };
+use bergamottrack_platform::Platform;
 use tracing::{debug, info};
 
 use crate::{
@@ -21,6 +27,9 @@
 /// How often the ranking of the hosts is looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
+/// How often the platform's list of machines is read.
+const LIST_EVERY: Duration = Duration::from_secs(1);
+
 /// How long a home that does not rank first is kept after its last exchange.
 const KEEP_FOR: Duration = Duration::from_secs(2);
 
@@ -32,12 +41,21 @@
     routes: Routes,
     metrics: Rc<Metrics>,
     groups: RefCell<HashMap<GroupId, (Group, Rc<GroupHome>)>>,
+    /// Backend servers that leave, by the platform's list.
+    listed: RefCell<HashSet<Box<str>>>,
 }
 
 impl Homes {
     /// A host that is home to no group yet.
     pub fn new(me: HostId, clock: Rc<dyn Clock>, routes: Routes, metrics: Rc<Metrics>) -> Rc<Self> {
-        Rc::new(Self { me, clock, routes, metrics, groups: RefCell::default() })
+        Rc::new(Self {
+            me,
+            clock,
+            routes,
+            metrics,
+            groups: RefCell::default(),
+            listed: RefCell::default(),
+        })
     }
 
     /// The home of a group, started if it is not there yet.
@@ -60,6 +78,7 @@
             self.me.clone(),
             self.metrics.clone(),
         );
+        home.take_over(&config.policy, contract, &self.listed.borrow());
         let before = groups.insert(id.clone(), (contract.clone(), home.clone()));
         if let Some((_, before)) = before {
             home.first.set(before.first.get());
@@ -78,7 +97,7 @@
     pub async fn keep(self: Rc<Self>, current: Rc<Current>, mesh: Rc<Mesh>) {
         let mut before = None;
         loop {
-            let view = View::of(&current, &mesh);
+            let view = View::of(&current, &mesh, &self.listed.borrow());
             if before.as_ref() != Some(&view) {
                 self.rank(&current, &mesh);
                 before = Some(view);
@@ -130,6 +149,21 @@
         });
     }
 
+    /// Follows the platform's list of machines; ends with the process. While the
+    /// platform is down the last list stands.
+    pub async fn follow_list(self: Rc<Self>, platform: Rc<Platform>) {
+        loop {
+            match platform.listed().await {
+                Ok(list) => {
+                    let leaving = list.into_iter().filter(|machine| machine.leaving);
+                    self.listed.replace(leaving.map(|machine| machine.id).collect());
+                }
+                Err(error) => debug!("home: the list of machines cannot be read: {error:#}."),
+            }
+            monoio::time::sleep(LIST_EVERY).await;
+        }
+    }
+
     fn rank(&self, current: &Current, mesh: &Mesh) {
         let doc = current.get();
         let Some(config) = doc.as_ref().and_then(|doc| doc.config.as_ref()) else { return };
@@ -144,7 +178,7 @@
                     let part = if first { "first for" } else { "no longer first for" };
                     info!("home: this host ranks {part} group {}.", group.id);
                 }
-                home.take_over(&config.policy, group);
+                home.take_over(&config.policy, group, &self.listed.borrow());
             }
         }
         self.groups.borrow_mut().retain(|id, (_, home)| {
@@ -185,16 +219,18 @@
     }
 }
 
-/// What the ranking of the hosts depends on.
+/// What the homes depend on.
 #[derive(PartialEq)]
 struct View {
     revision: Revision,
     /// The hosts that answer, in order.
     up: Vec<HostId>,
+    /// Backend servers that leave, by the platform's list.
+    listed: HashSet<Box<str>>,
 }
 
 impl View {
-    fn of(current: &Current, mesh: &Mesh) -> Self {
+    fn of(current: &Current, mesh: &Mesh, listed: &HashSet<Box<str>>) -> Self {
         let links = mesh.links();
         let mut up: Vec<_> = links
             .iter()
@@ -202,7 +238,7 @@
             .map(|link| link.host.clone())
             .collect();
         up.sort();
-        Self { revision: current.number(), up }
+        Self { revision: current.number(), up, listed: listed.clone() }
     }
 }
 
--- a/components/home/src/lib.rs
+++ b/components/home/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod batch;
 pub mod border;
 pub mod group;
+pub mod handover;
 pub mod homes;
 pub mod outcome;
 pub mod pool;
--- a/components/home/src/pool.rs
+++ b/components/home/src/pool.rs
@@ -74,9 +74,14 @@
         }
     }
 
+    /// Connections that transactions have.
+    pub fn taken(&self) -> usize {
+        self.limit - self.places.available_permits()
+    }
+
     /// Connections, idle and taken.
     pub fn len(&self) -> usize {
-        self.limit - self.places.available_permits() + self.idle.borrow().len()
+        self.taken() + self.idle.borrow().len()
     }
 
     /// Whether there is no connection.
--- a/components/home/src/promotion.rs
+++ b/components/home/src/promotion.rs
@@ -21,7 +21,7 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use tracing::{debug, info, warn};
 
-use crate::{backend::Conn, border, group::GroupHome, server::Server, watch};
+use crate::{backend::Conn, border, group::GroupHome, handover::Handover, server::Server, watch};
 
 /// How often the group's leadership is looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
@@ -41,6 +41,7 @@
     let mut now = home.clock.now();
     let mut detector = Detector::new(home.silence(), now);
     let mut led_at = now;
+    let mut handover = Handover::default();
     let mut failures = 0;
     let mut resume = now;
     while !home.closed.get() {
@@ -53,6 +54,10 @@
         if verdict == Verdict::Led {
             led_at = now;
             retire_replaced(&home);
+            if home.first.get() {
+                handover.look(&home).await;
+                detector.worked(home.clock.now());
+            }
         }
         let Verdict::Promote(cause) = verdict else { continue };
         if !home.first.get() || now < resume {
--- a/components/home/src/route.rs
+++ b/components/home/src/route.rs
@@ -60,7 +60,8 @@
     }
 
     fn choose(&self, intent: &Intent) -> Option<Rc<Server>> {
-        let primary = || self.primary().map(|(server, _)| server);
+        let leads = || self.primary().map(|(server, _)| server);
+        let primary = || leads().filter(|_| !self.handing.get());
         match intent {
             Intent::Write => primary(),
             Intent::Read { .. } => {
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -92,7 +92,8 @@
     let callers = callers::listen(args.listen)
         .with_context(|| format!("listening for callers at {}", args.listen))?;
     info!("serve: listening for callers at {}.", args.listen);
-    monoio::spawn(homes.keep(current, mesh));
+    monoio::spawn(homes.clone().keep(current, mesh));
+    monoio::spawn(homes.follow_list(operator.platform.clone()));
     monoio::spawn(accept_peers(peers, operator.clone()));
     monoio::spawn(fleet.clone().run());
     monoio::spawn(operator.clone().keep_metrics());
