--- a/tests/mixing.rs
+++ b/tests/mixing.rs
@@ -138,7 +138,7 @@
             let sql = format!("SELECT '{own}'");
             ledger::until("a read is answered", async || match system::rows(&other, &sql).await {
                 Ok(rows) => {
-                    assert_eq!(rows, [own.clone()]);
+                    assert_eq!(rows, std::slice::from_ref(&own));
                     true
                 }
                 Err(_) => false,
