--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -25,7 +25,9 @@
 /// by then, leads again.
 #[tokio::test]
 async fn a_leaving_primary_hands_over_unnoticed() {
-    let system = System::start(Plan::default()).await.unwrap();
+    // Slow statements, so that there is always one under way.
+    let server_args = vec!["--service-ms=30".to_owned()];
+    let system = System::start(Plan { server_args, ..Plan::default() }).await.unwrap();
     let ledger = Ledger::start(&system).await;
     ledger.until_done(50).await;
     let before = ledger.count(Told::NotRun) + ledger.count(Told::Unknown);
