--- a/tests/mixing.rs
+++ b/tests/mixing.rs
@@ -2,11 +2,12 @@
 
 mod ledger;
 
+use futures_util::StreamExt;
 use lab::{
     link::Fault,
     system::{self, Plan, System},
 };
-use tokio_postgres::Client;
+use tokio_postgres::{Client, SimpleQueryMessage};
 
 async fn start(links: bool) -> System {
     // Delays must not look like silence.
@@ -140,7 +141,7 @@
             let sql = format!("SELECT '{own}'");
             ledger::until("a read is answered", async || match system::rows(&other, &sql).await {
                 Ok(rows) => {
-                    assert_eq!(rows, [own.clone()]);
+                    assert_eq!(rows, std::slice::from_ref(&own));
                     true
                 }
                 Err(_) => false,
@@ -150,6 +151,42 @@
     }
 }
 
+/// A link breaks in the middle of a large answer. The caller gets an error
+/// after the rows that it has, never an end as if that were all.
+#[tokio::test]
+async fn an_answer_that_is_cut_short_ends_in_an_error() {
+    const ROWS: usize = 30_000;
+    let system = start(true).await;
+    let numbers = "WITH RECURSIVE c(n) AS (SELECT 1 UNION ALL SELECT n + 1 FROM c WHERE n <";
+    let sql = format!("{numbers} {ROWS}) SELECT n, '{}' FROM c", "x".repeat(100));
+    for links in ["h*>h*", "h*>g1s*"] {
+        let mut cut = 0;
+        for host in 0..3 {
+            let client = system.connect(host, "baobab", "g1").await.unwrap();
+            system::until_runs(&client, "SELECT 1").await.unwrap();
+            let slow = Fault { bytes_per_sec: 2_000_000, ..Fault::default() };
+            system.fault(links, slow).await.unwrap();
+            let mut rows = 0;
+            let mut answer = Box::pin(client.simple_query_raw(&sql).await.unwrap());
+            let failed = loop {
+                match answer.next().await {
+                    Some(Ok(SimpleQueryMessage::Row(_))) => rows += 1,
+                    Some(Ok(_)) => {}
+                    Some(Err(_)) => break true,
+                    None => break false,
+                }
+                if rows == 100 {
+                    system.reset(links).await.unwrap();
+                }
+            };
+            assert!(failed || rows == ROWS, "{rows} rows looked like all");
+            cut += usize::from(failed);
+            system.mend("*").await.unwrap();
+        }
+        assert!(cut > 0, "no answer was cut by breaking {links}");
+    }
+}
+
 /// Many transactions on few connections, open at the same time through all
 /// hosts: each commits its own parts.
 #[tokio::test]
