--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -82,7 +82,20 @@
     /// A field of the JSON that `status` prints.
     fn status(&self, host: usize) -> serde_json::Value {
         let answered = self.run(host, "nobody", &["status", "--json"]);
-        serde_json::from_str(&answered.out).unwrap_or_default()
+        serde_json::from_str(&answered.out).unwrap_or_else(|_| panic!("{answered:?}"))
+    }
+
+    /// Waits until `status` says something.
+    fn until_status(&self, wanted: &str) {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let status = self.run(0, "ana", &["status"]).out;
+            if status.contains(wanted) {
+                return;
+            }
+            assert!(Instant::now() < deadline, "{wanted:?} in vain: {status}");
+            std::thread::sleep(PAUSE);
+        }
     }
 
     /// Checks that baobab's key lets nobody in.
@@ -261,7 +274,12 @@
 async fn any_host_shows_the_fleet_and_names_a_dead_one() {
     let mut desk = Desk::new().await;
     desk.settle();
+    desk.until_status("all is well");
     desk.system.hosts[2].kill();
+    desk.system.servers.get_mut("g1s3").unwrap().kill();
+    desk.until_status("! host h3: no answer\n! group g1: server g1s3 does not answer\n");
+    desk.system.servers.get_mut("g1s2").unwrap().kill();
+    desk.until_status("! group g1: no majority of its servers answers, so nothing is written\n");
     for host in 0..2 {
         let hosts = desk.run(host, "ana", &["hosts"]);
         assert_eq!(hosts.code, 0, "{hosts:?}");
@@ -391,7 +409,7 @@
 }
 
 /// "Did my booking go through?" A caller is on the phone, its answer was lost. The
-/// operator asks any host, and a mistyped group must not pass for "not run".
+/// operator asks any host, and a mistyped group or account must not pass for "not run".
 #[tokio::test]
 async fn the_outcome_of_a_booking_is_told_by_any_host() {
     let desk = Desk::new().await;
@@ -401,14 +419,17 @@
     client.simple_query("SET bergamottrack.request = 'b-17'").await.unwrap();
     client.simple_query("INSERT INTO booking VALUES ('chapel')").await.unwrap();
     for host in 0..3 {
-        let ask = |id, group| {
-            desk.run(host, "ana", &["outcome", id, "--account=baobab", group, "--wait=30"])
+        let ask_of = |id, account, group| {
+            desk.run(host, "ana", &["outcome", id, account, group, "--wait=30"])
         };
+        let ask = |id, group| ask_of(id, "--account=baobab", group);
         let done = ask("b-17", "--group=g1");
         assert!(done.code == 0 && done.out.contains(": done;"), "{done:?}");
         let not_run = ask("b-18", "--group=g1");
         assert!(not_run.code == 0 && not_run.out.contains(": not run;"), "{not_run:?}");
         let mistyped = ask("b-17", "--group=g7");
         assert_eq!(mistyped.code, 2, "{mistyped:?}");
+        let mistyped = ask_of("b-17", "--account=boabab", "--group=g1");
+        assert_eq!(mistyped.code, 2, "{mistyped:?}");
     }
 }
