The generator opens a connection for a request that finds none idle

Pipelined requests waited behind each other on the caller's side, so that the waits and answers of an overloaded system were the generator's own.

--- a/lab/src/load/caller.rs
+++ b/lab/src/load/caller.rs
@@ -44,7 +44,7 @@
 }
 
 impl Connection {
-    async fn open(config: &Config) -> Result<Rc<Self>, tokio_postgres::Error> {
+    async fn open(config: &Config) -> Result<Self, tokio_postgres::Error> {
         let (client, mut connection) = config.connect(NoTls).await?;
         let told = Rc::new(RefCell::new(None));
         let noted = told.clone();
@@ -61,7 +61,7 @@
             }
             Poll::Pending
         }));
-        Ok(Rc::new(Self { client, told, shown: RefCell::default() }))
+        Ok(Self { client, told, shown: RefCell::default() })
     }
 }
 
@@ -73,7 +73,9 @@
     pub group: Rc<str>,
     row: String,
     token: RefCell<Option<String>>,
-    connections: RefCell<HashMap<usize, Rc<Connection>>>,
+    /// Connections that wait for a request, by host. A request that finds none
+    /// opens one, so that none waits behind another on the caller's side.
+    idle: RefCell<HashMap<usize, Vec<Connection>>>,
     /// The last number written.
     written: Cell<u64>,
     /// The last number that was acknowledged.
@@ -90,7 +92,7 @@
             account,
             group,
             token: RefCell::default(),
-            connections: RefCell::default(),
+            idle: RefCell::default(),
             written: Cell::default(),
             acknowledged: Cell::default(),
             max_age,
@@ -101,7 +103,14 @@
     pub async fn run(&self, host: usize, address: std::net::SocketAddr, write: bool) -> Outcome {
         let work = async {
             let connection = self.connection(host, address).await?;
-            if write { self.write(&connection).await } else { self.read(&connection).await }
+            let result = match write {
+                true => self.write(&connection).await,
+                false => self.read(&connection).await,
+            };
+            if !connection.client.is_closed() {
+                self.idle.borrow_mut().entry(host).or_default().push(connection);
+            }
+            result
         };
         match tokio::time::timeout(GIVE_UP, work).await {
             Ok(Ok(stale)) => Outcome::Served { stale },
@@ -117,10 +126,11 @@
         &self,
         host: usize,
         address: std::net::SocketAddr,
-    ) -> Result<Rc<Connection>, tokio_postgres::Error> {
-        let known = self.connections.borrow().get(&host).cloned();
-        if let Some(known) = known.filter(|c| !c.client.is_closed()) {
-            return Ok(known);
+    ) -> Result<Connection, tokio_postgres::Error> {
+        while let Some(idle) = self.idle.borrow_mut().get_mut(&host).and_then(Vec::pop) {
+            if !idle.client.is_closed() {
+                return Ok(idle);
+            }
         }
         let mut config = Config::new();
         config
@@ -134,7 +144,6 @@
             let set = format!("SET bergamottrack.max_age = '{age}ms'");
             connection.client.batch_execute(&set).await?;
         }
-        self.connections.borrow_mut().insert(host, connection.clone());
         Ok(connection)
     }
 
