--- a/components/fleet/src/limits.rs
+++ b/components/fleet/src/limits.rs
@@ -43,6 +43,23 @@
     waiting: Cell<usize>,
 }
 
+/// Counts a request that waits for tokens, until it is dropped: the request may
+/// end early, when its caller leaves.
+struct Waiting<'a>(&'a Cell<usize>);
+
+impl<'a> Waiting<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// The rates of all accounts at this host.
 pub struct Limits {
     current: Rc<Current>,
@@ -74,11 +91,10 @@
         if account.bucket.borrow_mut().take(now) {
             return Ok(());
         }
-        account.waiting.set(account.waiting.get() + 1);
+        let waiting = Waiting::new(&account.waiting);
         let turn = account.borrowing.lock().await;
         let taken = self.borrow_and_take(id, &account).await;
-        drop(turn);
-        account.waiting.set(account.waiting.get() - 1);
+        drop((turn, waiting));
         if taken {
             return Ok(());
         }
@@ -179,7 +195,8 @@
         self.shares.borrow_mut().told(revision, self.clock.now());
     }
 
-    /// The time, after parts that grow by then have grown.
+    /// The time, after parts that grow by then have grown. It changes all
+    /// buckets, so none may be held when it is called.
     fn now(&self) -> Instant {
         let now = self.clock.now();
         let mut shares = self.shares.borrow_mut();
