Lines of a configuration are looked up, not counted anew for each value

Cause: lab slopes accounts 10,1000,4000: a submit took 4 ms, 709 ms and 10,969 ms; perf showed 99 % in Reader::node, which counted the lines before each value. lab slopes groups uses groups of their own servers: the check rightly refuses shared ones.

--- a/components/contract/src/source.rs
+++ b/components/contract/src/source.rs
@@ -47,7 +47,7 @@
 impl Node {
     /// Reads a text; `file` names it in faults.
     pub fn parse(file: &str, text: &str) -> Result<Self, Faults> {
-        let reader = Reader { file: file.into(), text };
+        let reader = Reader::new(file, text);
         let (table, errors) = DeTable::parse_recoverable(text);
         if !errors.is_empty() {
             let fault = |error: &toml::de::Error| Fault {
@@ -98,15 +98,21 @@
     }
 }
 
-struct Reader<'a> {
+struct Reader {
     file: Arc<str>,
-    text: &'a str,
+    /// Where each line ends, in order.
+    ends: Vec<usize>,
 }
 
-impl Reader<'_> {
+impl Reader {
+    fn new(file: &str, text: &str) -> Self {
+        let ends = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n');
+        Self { file: file.into(), ends: ends.map(|(offset, _)| offset).collect() }
+    }
+
     fn origin(&self, offset: usize) -> Origin {
-        let before = self.text.as_bytes().iter().take(offset);
-        Origin { file: self.file.clone(), line: 1 + before.filter(|byte| **byte == b'\n').count() }
+        let before = self.ends.partition_point(|end| *end < offset);
+        Origin { file: self.file.clone(), line: 1 + before }
     }
 
     fn table(&self, table: &DeTable<'_>) -> Data {
--- a/lab/src/slopes.rs
+++ b/lab/src/slopes.rs
@@ -5,7 +5,6 @@
 
 use anyhow::Context;
 use bergamottrack_contract::Config;
-use bergamottrack_coordination::GroupId;
 use clap::{Args, ValueEnum};
 
 use crate::{
@@ -38,7 +37,7 @@
     Callers,
     /// Client accounts.
     Accounts,
-    /// Database groups, all on the same three servers, each in use once.
+    /// Database groups of three servers, each in use once.
     Groups,
     /// Submits, one after the other.
     Submits,
@@ -52,9 +51,9 @@
     );
     for size in args.sizes {
         let hosts = if args.of == Of::Hosts { size } else { 2 };
-        let server_args = vec!["--connections=4000".into()];
-        let log = "warn".into();
-        let mut system = System::start(Plan { hosts, server_args, log, ..Plan::default() }).await?;
+        let groups = if args.of == Of::Groups { size } else { 1 };
+        let plan = Plan { groups, hosts, log: "warn".into(), ..Plan::default() };
+        let mut system = System::start(plan).await?;
         system.connect(0, "baobab", "g1").await?;
         let began = Instant::now();
         let held = grow(&mut system, args.of, size).await?;
@@ -97,7 +96,7 @@
             }
             system.submit(&toml::to_string(&config)?).await?;
         }
-        Of::Groups => held = grow_groups(system, config, size).await?,
+        Of::Groups => held = use_groups(system).await?,
         Of::Submits => {
             for i in 0..size {
                 config.policy.idle_ms = 10_000 + i as u64;
@@ -108,20 +107,11 @@
     Ok(held)
 }
 
-async fn grow_groups(
-    system: &System,
-    mut config: Config,
-    size: usize,
-) -> anyhow::Result<Vec<tokio_postgres::Client>> {
-    let group = config.groups.first().cloned().context("no group")?;
-    let name = |i: usize| -> anyhow::Result<GroupId> { Ok(format!("g{}", i + 1).parse()?) };
-    for i in config.groups.len()..size {
-        config.groups.push(bergamottrack_contract::Group { id: name(i)?, ..group.clone() });
-    }
-    system.submit(&toml::to_string(&config)?).await?;
+/// Uses every group once, so that each has its home.
+async fn use_groups(system: &System) -> anyhow::Result<Vec<tokio_postgres::Client>> {
     let mut held = Vec::new();
-    for i in 0..size {
-        let client = system.connect(0, "baobab", name(i)?.as_str()).await?;
+    for group in 1..=system.plan.groups {
+        let client = system.connect(0, "baobab", &format!("g{group}")).await?;
         system::until_runs(&client, "SELECT 1").await?;
         held.push(client);
     }
