--- a/lab/src/load/caller.rs
+++ b/lab/src/load/caller.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use bergamottrack_coordination::Point;
 use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage};
 
 use crate::system::key_of;
@@ -192,9 +193,22 @@
             messages?
         };
         let told = connection.told.borrow().clone();
-        if told.is_some() {
-            *self.token.borrow_mut() = told;
-        }
+        self.keep(told);
         Ok(messages)
     }
+
+    /// Keeps a token unless the session has a newer one: requests of one session
+    /// may run side by side, and the answer that comes last may tell less.
+    fn keep(&self, told: Option<String>) {
+        let mut token = self.token.borrow_mut();
+        if told.as_deref().map(point) > token.as_deref().map(point) {
+            *token = told;
+        }
+    }
+}
+
+/// The point that a token of one group tells: `group=term/position.tag`.
+fn point(token: &str) -> Option<Point> {
+    let (body, _) = token.rsplit_once('.')?;
+    body.rsplit_once('=')?.1.parse().ok()
 }
