--- a/lab/src/load/caller.rs
+++ b/lab/src/load/caller.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use bergamottrack_coordination::Point;
 use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage};
 
 use crate::system::key_of;
@@ -44,7 +45,7 @@
 }
 
 impl Connection {
-    async fn open(config: &Config) -> Result<Rc<Self>, tokio_postgres::Error> {
+    async fn open(config: &Config) -> Result<Self, tokio_postgres::Error> {
         let (client, mut connection) = config.connect(NoTls).await?;
         let told = Rc::new(RefCell::new(None));
         let noted = told.clone();
@@ -61,7 +62,7 @@
             }
             Poll::Pending
         }));
-        Ok(Rc::new(Self { client, told, shown: RefCell::default() }))
+        Ok(Self { client, told, shown: RefCell::default() })
     }
 }
 
@@ -73,7 +74,9 @@
     pub group: Rc<str>,
     row: String,
     token: RefCell<Option<String>>,
-    connections: RefCell<HashMap<usize, Rc<Connection>>>,
+    /// Connections that wait for a request, by host. A request that finds none
+    /// opens one, so that none waits behind another on the caller's side.
+    idle: RefCell<HashMap<usize, Vec<Connection>>>,
     /// The last number written.
     written: Cell<u64>,
     /// The last number that was acknowledged.
@@ -90,7 +93,7 @@
             account,
             group,
             token: RefCell::default(),
-            connections: RefCell::default(),
+            idle: RefCell::default(),
             written: Cell::default(),
             acknowledged: Cell::default(),
             max_age,
@@ -101,7 +104,14 @@
     pub async fn run(&self, host: usize, address: std::net::SocketAddr, write: bool) -> Outcome {
         let work = async {
             let connection = self.connection(host, address).await?;
-            if write { self.write(&connection).await } else { self.read(&connection).await }
+            let result = match write {
+                true => self.write(&connection).await,
+                false => self.read(&connection).await,
+            };
+            if !connection.client.is_closed() {
+                self.idle.borrow_mut().entry(host).or_default().push(connection);
+            }
+            result
         };
         match tokio::time::timeout(GIVE_UP, work).await {
             Ok(Ok(stale)) => Outcome::Served { stale },
@@ -117,10 +127,11 @@
         &self,
         host: usize,
         address: std::net::SocketAddr,
-    ) -> Result<Rc<Connection>, tokio_postgres::Error> {
-        let known = self.connections.borrow().get(&host).cloned();
-        if let Some(known) = known.filter(|c| !c.client.is_closed()) {
-            return Ok(known);
+    ) -> Result<Connection, tokio_postgres::Error> {
+        while let Some(idle) = self.idle.borrow_mut().get_mut(&host).and_then(Vec::pop) {
+            if !idle.client.is_closed() {
+                return Ok(idle);
+            }
         }
         let mut config = Config::new();
         config
@@ -134,7 +145,6 @@
             let set = format!("SET bergamottrack.max_age = '{age}ms'");
             connection.client.batch_execute(&set).await?;
         }
-        self.connections.borrow_mut().insert(host, connection.clone());
         Ok(connection)
     }
 
@@ -183,9 +193,22 @@
             messages?
         };
         let told = connection.told.borrow().clone();
-        if told.is_some() {
-            *self.token.borrow_mut() = told;
-        }
+        self.keep(told);
         Ok(messages)
     }
+
+    /// Keeps a token unless the session has a newer one: requests of one session
+    /// may run side by side, and the answer that comes last may tell less.
+    fn keep(&self, told: Option<String>) {
+        let mut token = self.token.borrow_mut();
+        if told.as_deref().map(point) > token.as_deref().map(point) {
+            *token = told;
+        }
+    }
+}
+
+/// The point that a token of one group tells: `group=term/position.tag`.
+fn point(token: &str) -> Option<Point> {
+    let (body, _) = token.rsplit_once('.')?;
+    body.rsplit_once('=')?.1.parse().ok()
 }
