--- a/components/entry/src/login.rs
+++ b/components/entry/src/login.rs
@@ -1,6 +1,6 @@
 //! The start of a caller's connection: who it is and what it wants.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, fmt};
 
 use anyhow::{Context, bail};
 use base64::{Engine, engine::general_purpose::STANDARD_NO_PAD};
@@ -38,6 +38,16 @@
     pub settings: BTreeMap<String, String>,
 }
 
+/// The caller did not prove the key that it names, or there is no such key.
+#[derive(Clone, Copy, Debug)]
+struct WrongKey;
+
+impl fmt::Display for WrongKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the key was not proved")
+    }
+}
+
 /// What a new connection turned out to be.
 pub enum Opened {
     /// A caller that wants statements run.
@@ -111,7 +121,7 @@
     let PasswordMessageFamily::Raw(body) = password(reader).await? else {
         bail!("the key exchange broke off")
     };
-    let proof = exchange.finish(&body)?;
+    let proof = exchange.finish(&body).context(WrongKey)?;
     writer.send(&frame::bytes(&Authentication::SASLFinal(Bytes::from(proof)))).await
 }
 
@@ -146,5 +156,6 @@
 /// What a caller whose start-up failed is told.
 pub fn refused(error: &anyhow::Error) -> Bytes {
     let text = format!("{error:#}");
-    answer::error(Severity::Fatal, "28000", &text, Some("not run"), None)
+    let code = if error.is::<WrongKey>() { "28P01" } else { "28000" };
+    answer::error(Severity::Fatal, code, &text, Some("not run"), None)
 }
--- a/components/entry/src/session.rs
+++ b/components/entry/src/session.rs
@@ -148,6 +148,8 @@
             let frame = match self.next().await {
                 Ok(Some(frame)) => frame,
                 Ok(None) => return Ok(()),
+                // Said goodbye to.
+                Err(error) if error.is::<Refusal>() => return Err(error),
                 Err(error) => return self.fatal(&Fault::new("08P01", format!("{error:#}"))).await,
             };
             self.seat.set_busy(true);
@@ -197,7 +199,7 @@
         }
         let refusal = caller::stopping();
         self.send(&answer::refusal(Severity::Fatal, &refusal)).await?;
-        bail!("{refusal}")
+        Err(refusal.into())
     }
 
     /// The stream, when the session is over.
--- a/components/entry/src/sql.rs
+++ b/components/entry/src/sql.rs
@@ -264,7 +264,9 @@
 
 fn text_of(token: &Token) -> String {
     match token {
-        Token::Word(text) | Token::Name(text) | Token::Text(text) => text.to_string(),
+        // Unquoted words are the same in capitals and small letters, kept small.
+        Token::Word(text) => text.to_lowercase(),
+        Token::Name(text) | Token::Text(text) => text.to_string(),
         Token::Symbol(c) => c.to_string(),
     }
 }
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -89,6 +89,25 @@
     other.simple_query("SELECT id FROM visit").await.unwrap();
 }
 
+/// A caller mistypes its key, or names one that does not exist: it cannot tell
+/// which of the two it was.
+#[tokio::test]
+async fn a_wrong_key_and_an_unknown_one_get_the_same_answer() {
+    let (system, _other) = start().await;
+    let mut answers = Vec::new();
+    for (user, key) in [("baobab.k1", "wrong"), ("baobab.k9", "wrong"), ("nobody.k1", "wrong")] {
+        let mut config = system.caller(0, "baobab", "g1");
+        config.user(user).password(key);
+        let Err(error) = config.connect(tokio_postgres::NoTls).await else {
+            panic!("{user} was let in")
+        };
+        let error = error.as_db_error().unwrap();
+        answers.push((error.code().code().to_owned(), error.message().to_owned()));
+    }
+    assert_eq!(answers[0].0, "28P01");
+    assert!(answers.iter().all(|answer| *answer == answers[0]), "{answers:?}");
+}
+
 /// Two hundred connections are opened that say nothing, half of a start-up, or
 /// all of it. Those above the limit are told so; callers that are there go on,
 /// and when the flood is over new ones come in again.
--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use lab::system::{self, Plan, System};
+use lab::{
+    raw::RawCaller,
+    system::{self, Plan, System},
+};
 use tokio::sync::Mutex;
 use tokio_postgres::Client;
 
@@ -109,6 +112,19 @@
     assert_eq!(numbers(&reader).await, wanted);
 }
 
+/// A caller without anything to do is told once that its host is being stopped,
+/// and its connection is closed.
+#[tokio::test]
+async fn an_idle_caller_is_told_once_to_connect_again() {
+    let (mut system, _first) = start().await;
+    let mut idle = RawCaller::login(&system, 0, "baobab").await.unwrap();
+    system.hosts[0].signal(libc::SIGTERM).unwrap();
+    let goodbye = idle.next().await.unwrap();
+    assert!(String::from_utf8_lossy(goodbye.body()).contains("57P01"), "{goodbye:?}");
+    assert!(idle.next().await.is_err(), "more was said after the goodbye");
+    assert_eq!(until_stopped(&mut system, 0).await, Some(0));
+}
+
 /// The hosts beside the callers' own are replaced one after another, among them
 /// the homes of their groups. The callers notice nothing. With a host that goes
 /// on as home until it ends, what runs there at that moment is cut.
