--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -2,13 +2,13 @@
 
 use std::{rc::Rc, time::Duration};
 
-use anyhow::bail;
+use anyhow::{Context, bail};
 use bergamottrack_coordination::{Reason, Refusal};
 use bergamottrack_pg::{
     answer::{self, Severity},
-    stream,
+    stream::{self, Stream},
 };
-use monoio::{io::IntoPollIo, net::TcpStream};
+use monoio::{io::IntoPollIo, net::TcpStream, time::Instant};
 use pgwire::messages::cancel::CancelRequest;
 use tracing::debug;
 
@@ -47,22 +47,16 @@
 async fn run(entry: &Rc<Entry>, stream: TcpStream) -> anyhow::Result<()> {
     let Some(seat) = entry.callers.enter() else { bail!("far too many callers") };
     stream.set_nodelay(true)?;
-    let (mut reader, mut writer) = stream::split(stream.into_poll_io()?, MAX_LOGIN);
-    let within = if seat.refused { REFUSE_WITHIN } else { LOGIN_WITHIN };
-    let login = login(entry, &seat, &mut reader, &mut writer);
-    let caller = match monoio::time::timeout(within, login).await {
-        Ok(Ok(Some(caller))) => caller,
-        Ok(Ok(None)) => return Ok(()),
-        Ok(Err(error)) => {
-            if !seat.refused {
-                entry.metrics.unproved();
-            }
-            writer.send(&refused(&error)).await?;
-            hang_up(&mut reader, &mut writer).await;
-            return Err(error);
-        }
-        Err(_) => bail!("the caller did not prove its key in {within:?}"),
-    };
+    let stream: Stream = Box::new(stream.into_poll_io()?);
+    let (mut reader, mut writer) = stream::split(stream, MAX_LOGIN);
+    let until = Instant::now() + if seat.refused { REFUSE_WITHIN } else { LOGIN_WITHIN };
+    let mut begun = begin(entry, &seat, &mut reader, &mut writer, false, until).await?;
+    if let (Begun::Encrypt, Some(tls)) = (&begun, &entry.tls) {
+        let encrypted = tls.accept(reader, writer, MAX_LOGIN);
+        (reader, writer) = monoio::time::timeout_at(until, encrypted).await??;
+        begun = begin(entry, &seat, &mut reader, &mut writer, true, until).await?;
+    }
+    let Begun::Caller(caller) = begun else { return Ok(()) };
     let _counted = entry.metrics.caller();
     reader.set_max(MAX_MESSAGE);
     let (pid, cancel) = entry.register();
@@ -77,6 +71,38 @@
     result
 }
 
+/// What a connection has begun with.
+enum Begun {
+    /// A caller that has proved its key.
+    Caller(Caller),
+    /// The wish to be encrypted, which was answered with a yes.
+    Encrypt,
+    /// A cancel, which was seen to.
+    Cancel,
+}
+
+/// Reads what a connection begins with; tells the other side of an error.
+async fn begin(
+    entry: &Entry,
+    seat: &Seat,
+    reader: &mut Reader,
+    writer: &mut Writer,
+    encrypted: bool,
+    until: Instant,
+) -> anyhow::Result<Begun> {
+    let login = login(entry, seat, reader, writer, encrypted);
+    let begun = monoio::time::timeout_at(until, login).await;
+    let begun = begun.context("the caller did not prove its key in time")?;
+    if let Err(error) = &begun {
+        if !seat.refused {
+            entry.metrics.unproved();
+        }
+        writer.send(&refused(error)).await?;
+        hang_up(reader, writer).await;
+    }
+    begun
+}
+
 /// Closes a connection after its last words.
 ///
 /// Closed with bytes unread, it would be reset, and the reset may overtake the
@@ -95,11 +121,14 @@
     seat: &Seat,
     reader: &mut Reader,
     writer: &mut Writer,
-) -> anyhow::Result<Option<Caller>> {
-    let settings = match login::open(reader, writer).await? {
+    encrypted: bool,
+) -> anyhow::Result<Begun> {
+    let offered = entry.tls.is_some() && !encrypted;
+    let settings = match login::open(reader, writer, offered).await? {
+        Opened::Encrypt => return Ok(Begun::Encrypt),
         Opened::Cancel(request) => {
             cancel(entry, &request);
-            return Ok(None);
+            return Ok(Begun::Cancel);
         }
         Opened::Startup(settings) => settings,
     };
@@ -111,7 +140,7 @@
     if entry.callers.is_draining() {
         return Err(stopping().into());
     }
-    Ok(Some(caller))
+    Ok(Begun::Caller(caller))
 }
 
 /// What a caller whose start-up failed is told.
--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -15,7 +15,7 @@
 use bergamottrack_peer::{Exchange, Mesh, Open, open_local};
 use tokio::sync::Notify;
 
-use crate::callers::Callers;
+use crate::{callers::Callers, tls::Tls};
 
 /// When a caller may come back while a host lacks its configuration.
 const COME_BACK: Duration = Duration::from_millis(500);
@@ -36,6 +36,8 @@
     pub secret: Secret,
     /// What this host measures.
     pub metrics: Rc<Metrics>,
+    /// The certificate for callers, if connections may be encrypted.
+    pub tls: Option<Rc<Tls>>,
     /// The callers that are there.
     pub callers: Rc<Callers>,
     /// Cancels of running connections, by process number.
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod sql;
 pub mod statements;
 pub mod steps;
+pub mod tls;
 pub mod tokens;
 
 pub use context::Entry;
--- a/components/entry/src/login.rs
+++ b/components/entry/src/login.rs
@@ -14,7 +14,7 @@
 };
 use bytes::{Bytes, BytesMut};
 use pgwire::messages::{
-    PgWireFrontendMessage,
+    PgWireFrontendMessage, SslNegotiationMetaMessage,
     cancel::CancelRequest,
     startup::{Authentication, PasswordMessageFamily, SASLInitialResponse},
 };
@@ -54,12 +54,16 @@
     Startup(BTreeMap<String, String>),
     /// A request to cancel what another connection runs.
     Cancel(CancelRequest),
+    /// A caller that wants to be encrypted and has been answered with a yes.
+    Encrypt,
 }
 
-/// Reads up to the start-up message; encryption is refused with a plain `N`.
+/// Reads up to the start-up message; encryption that is not offered is refused
+/// with a plain `N`, after which the caller may go on without.
 pub async fn open<R, W>(
     reader: &mut PgReader<R>,
     writer: &mut PgWriter<W>,
+    offered: bool,
 ) -> anyhow::Result<Opened>
 where
     R: AsyncRead + Unpin,
@@ -67,6 +71,12 @@
 {
     loop {
         match reader.startup(false).await? {
+            PgWireFrontendMessage::SslNegotiation(SslNegotiationMetaMessage::PostgresSsl(_))
+                if offered =>
+            {
+                writer.send(b"S").await?;
+                return Ok(Opened::Encrypt);
+            }
             PgWireFrontendMessage::SslNegotiation(_) => writer.send(b"N").await?,
             PgWireFrontendMessage::CancelRequest(cancel) => return Ok(Opened::Cancel(cancel)),
             PgWireFrontendMessage::Startup(startup) => {
--- a/components/entry/src/session.rs
+++ b/components/entry/src/session.rs
@@ -13,9 +13,9 @@
     Frame, PgReader, PgWriter,
     answer::{self, Severity},
     frame,
+    stream::Stream,
 };
 use bytes::{Bytes, BytesMut};
-use monoio::net::tcp::stream_poll::TcpStreamPoll;
 use pgwire::messages::{
     PgWireFrontendMessage,
     response::TransactionStatus,
@@ -43,10 +43,10 @@
 const CROSSING: Duration = Duration::from_millis(100);
 
 /// What a caller's messages are read from.
-pub type Reader = PgReader<ReadHalf<TcpStreamPoll>>;
+pub type Reader = PgReader<ReadHalf<Stream>>;
 
 /// What a caller's answers are written to.
-pub type Writer = PgWriter<WriteHalf<TcpStreamPoll>>;
+pub type Writer = PgWriter<WriteHalf<Stream>>;
 
 /// What the statements of a request do, taken together.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
--- a/components/pg/src/stream.rs
+++ b/components/pg/src/stream.rs
@@ -14,6 +14,14 @@
 
 const READ_CHUNK: usize = 8 * 1024;
 
+/// A connection, encrypted or not.
+pub type Stream = Box<dyn ReadWrite>;
+
+/// What can be read from and written to.
+pub trait ReadWrite: AsyncRead + AsyncWrite + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Unpin> ReadWrite for T {}
+
 /// Reads messages.
 #[derive(Debug)]
 pub struct PgReader<R> {
@@ -59,6 +67,16 @@
         }
     }
 
+    /// Whether nothing has arrived that was not taken.
+    pub fn is_empty(&self) -> bool {
+        self.buf.is_empty()
+    }
+
+    /// What is read from.
+    pub fn into_inner(self) -> R {
+        self.io
+    }
+
     /// Accepts messages up to `max` bytes from now on.
     pub fn set_max(&mut self, max: usize) {
         self.max = max;
@@ -134,6 +152,11 @@
         Self { io }
     }
 
+    /// What is written to.
+    pub fn into_inner(self) -> W {
+        self.io
+    }
+
     /// Writes whole messages.
     pub async fn send(&mut self, bytes: &[u8]) -> anyhow::Result<()> {
         self.io.write_all(bytes).await.context("writing to the stream")?;
--- a/lab/src/raw.rs
+++ b/lab/src/raw.rs
@@ -1,7 +1,10 @@
 //! A caller that sends single messages of the protocol, as no driver would.
 
 use anyhow::{Context, bail};
-use bergamottrack_pg::{Frame, PgReader, PgWriter, frame, stream};
+use bergamottrack_pg::{
+    Frame, PgReader, PgWriter, frame,
+    stream::{self, Stream},
+};
 use pgwire::messages::{
     Message, PgWireBackendMessage,
     startup::{Authentication, SASLInitialResponse, SASLResponse, Startup},
@@ -17,9 +20,9 @@
 /// A caller that sends single messages.
 pub struct RawCaller {
     /// Where answers come from.
-    pub reader: PgReader<ReadHalf<TcpStream>>,
+    pub reader: PgReader<ReadHalf<Stream>>,
     /// Where messages go.
-    pub writer: PgWriter<WriteHalf<TcpStream>>,
+    pub writer: PgWriter<WriteHalf<Stream>>,
     /// Process number and secret, for a cancel.
     pub key: Option<(i32, i32)>,
 }
@@ -30,25 +33,34 @@
     /// Connects to a host and says nothing.
     pub async fn open(system: &System, host: usize) -> anyhow::Result<Self> {
         let stream = TcpStream::connect(system.addresses[host].callers).await?;
+        Ok(Self::on(Box::new(stream)))
+    }
+
+    /// A caller on a connection that is there.
+    pub fn on(stream: Stream) -> Self {
         let (reader, writer) = stream::split(stream, MAX_MESSAGE);
-        Ok(Self { reader, writer, key: None })
+        Self { reader, writer, key: None }
     }
 
     /// Connects to a host and proves the account's key.
     pub async fn login(system: &System, host: usize, account: &str) -> anyhow::Result<Self> {
-        let mut caller = Self::open(system, host).await?;
+        Self::open(system, host).await?.start(account).await
+    }
+
+    /// Proves the account's key.
+    pub async fn start(mut self, account: &str) -> anyhow::Result<Self> {
         let mut startup = Startup::default();
         (startup.protocol_number_major, startup.protocol_number_minor) = (3, 0);
         startup.parameters.insert("user".into(), format!("{account}.k1"));
         startup.parameters.insert("database".into(), "g1".into());
-        caller.send(&startup).await?;
-        caller.prove(&system::key_of(account)).await?;
-        for frame in caller.until_ready().await? {
+        self.send(&startup).await?;
+        self.prove(&system::key_of(account)).await?;
+        for frame in self.until_ready().await? {
             if let PgWireBackendMessage::BackendKeyData(key) = frame.backend()? {
-                caller.key = key.secret_key.as_i32().map(|secret| (key.pid, secret));
+                self.key = key.secret_key.as_i32().map(|secret| (key.pid, secret));
             }
         }
-        Ok(caller)
+        Ok(self)
     }
 
     async fn prove(&mut self, key: &str) -> anyhow::Result<()> {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -107,6 +107,12 @@
     /// Address that this host reaches under another one: ADDRESS=OTHER, several by commas.
     #[arg(long, env = "BERGAMOTTRACK_VIA", value_delimiter = ',')]
     pub via: Vec<String>,
+    /// Certificate chain for callers, in PEM; read again at SIGHUP.
+    #[arg(long, env = "BERGAMOTTRACK_TLS_CERT", value_name = "FILE")]
+    pub tls_cert: Option<PathBuf>,
+    /// Key of the certificate, in PEM.
+    #[arg(long, env = "BERGAMOTTRACK_TLS_KEY", value_name = "FILE")]
+    pub tls_key: Option<PathBuf>,
     /// Callers that may be connected at once.
     #[arg(long, env = "BERGAMOTTRACK_CALLERS", value_name = "NUMBER", default_value = "4000")]
     pub callers: String,
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -84,6 +84,7 @@
         homes: homes.clone(),
         secret,
         metrics,
+        tls: args.tls.clone(),
         callers: Callers::new(args.callers),
         cancels: Default::default(),
         last_pid: Cell::default(),
@@ -96,6 +97,9 @@
     monoio::spawn(accept_peers(peers, operator.clone()));
     monoio::spawn(fleet.clone().run());
     monoio::spawn(operator.clone().keep_metrics());
+    if let Some(tls) = args.tls {
+        monoio::spawn(stop::reload(tls));
+    }
     let drain = operator.drain.clone();
     let operators = bergamottrack_operator::serve(args.operator, operator.handler());
     let mut operators = std::pin::pin!(operators);
--- a/src/cmd/stop.rs
+++ b/src/cmd/stop.rs
@@ -10,10 +10,10 @@
 };
 
 use anyhow::Context;
-use bergamottrack_entry::Entry;
+use bergamottrack_entry::{Entry, tls::Tls};
 use bergamottrack_fleet::Fleet;
 use signal_hook::{
-    consts::{SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     flag,
 };
 use tracing::{info, warn};
@@ -57,6 +57,21 @@
     }
 }
 
+/// Reads the certificate for callers again at each SIGHUP, until the process ends.
+pub async fn reload(tls: Rc<Tls>) -> anyhow::Result<()> {
+    let asked = Arc::new(AtomicBool::new(false));
+    flag::register(SIGHUP, asked.clone()).context("catching SIGHUP")?;
+    loop {
+        if asked.swap(false, Ordering::Relaxed) {
+            match tls.reload() {
+                Ok(()) => info!("serve: the certificate for callers was read again."),
+                Err(error) => warn!("serve: the old certificate stays: {error:#}."),
+            }
+        }
+        monoio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
 /// Serves what still runs here, for callers and for other hosts, to its end;
 /// at most for `within`.
 pub async fn drain(entry: &Rc<Entry>, fleet: &Rc<Fleet>, within: Duration) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,9 +1,10 @@
 //! Reads the settings of an entry host; every fault of them at once.
 
-use std::{fmt, net::SocketAddr, path::Path, str::FromStr, time::Duration};
+use std::{fmt, net::SocketAddr, path::Path, rc::Rc, str::FromStr, time::Duration};
 
 use bergamottrack_contract::Route;
 use bergamottrack_coordination::{FailureDomain, HostId};
+use bergamottrack_entry::tls::Tls;
 use tracing_subscriber::EnvFilter;
 
 use crate::cli::{LogFormat, ServeArgs};
@@ -31,6 +32,8 @@
     pub operator_key: Option<Box<str>>,
     /// Addresses that this host reaches under other ones.
     pub via: Vec<Route>,
+    /// The certificate for callers, if connections may be encrypted.
+    pub tls: Option<Rc<Tls>>,
     /// Callers that may be connected at once.
     pub callers: usize,
     /// How long a planned stop waits for requests and transactions to end.
@@ -88,6 +91,30 @@
         read
     }
 
+    /// The certificate for callers, which needs both files.
+    fn tls(&mut self, certificate: Option<&Path>, key: Option<&Path>) -> Option<Rc<Tls>> {
+        let (certificate, key) = match (certificate, key) {
+            (None, None) => return None,
+            (Some(certificate), Some(key)) => (certificate, key),
+            (Some(_), None) => {
+                self.note("tls-key", "nothing", "the key of the certificate");
+                return None;
+            }
+            (None, Some(_)) => {
+                self.note("tls-cert", "nothing", "the certificate of the key");
+                return None;
+            }
+        };
+        match Tls::read(certificate, key) {
+            Ok(tls) => Some(Rc::new(tls)),
+            Err(error) => {
+                let given = format!("{} ({error:#})", certificate.display());
+                self.note("tls-cert", given, "a certificate and its key in PEM");
+                None
+            }
+        }
+    }
+
     /// A secret, from the setting itself or from a file, but not from both.
     fn secret(
         &mut self,
@@ -151,6 +178,7 @@
         let route = "a pair of addresses such as 10.0.0.1:5432=192.0.2.1:5432";
         let via =
             args.via.iter().filter_map(|text| faults.need("via", Some(text), route)).collect();
+        let tls = faults.tls(args.tls_cert.as_deref(), args.tls_key.as_deref());
         let callers = faults.need("callers", Some(&args.callers), "a number of connections");
         let stop = faults.need("stop-secs", Some(&args.stop_secs), "a number of seconds");
         let log = EnvFilter::try_new(&args.log).ok();
@@ -168,6 +196,7 @@
                 secret: secret?,
                 operator_key,
                 via,
+                tls,
                 callers: callers?,
                 stop_within: Duration::from_secs(stop?),
                 log: log?,
