--- a/lab/src/system.rs
+++ b/lab/src/system.rs
@@ -49,6 +49,8 @@
     /// can be cut. Links are named `FROM>TO`: `h1>g1s1`, `h1>h2`, `h1>platform`,
     /// and `g1s2>g1s1` for replication.
     pub links: bool,
+    /// Whether the link process records all bytes, in `bytes` of its directory.
+    pub record: bool,
     /// The configuration to lay out instead of `accounts` and `policy`: server
     /// `i` of its group `g` becomes the stand-in `g{g}s{i}`.
     pub site: Option<Config>,
@@ -68,6 +70,7 @@
             host_args: Vec::new(),
             policy: String::new(),
             links: false,
+            record: false,
             site: None,
             log: "debug".into(),
             port: 0,
@@ -190,6 +193,9 @@
         if system.plan.links {
             let mut args = vec!["link".into(), format!("--control={control}")];
             args.append(&mut system.link_args);
+            if system.plan.record {
+                args.push(format!("--record={}", system.dir.path().join("bytes").display()));
+            }
             system.link = Some(Process::new("link", &program("lab")?, args, system.dir.path()));
         }
         Ok(system)
@@ -365,6 +371,14 @@
         }
     }
 
+    /// The value of a row of the platform's table service.
+    pub async fn row(&self, key: &str) -> anyhow::Result<String> {
+        let path = format!("/table/row/{key}");
+        let (_, text) = request(self.platform_address, "GET", &path, "").await?;
+        let row: bergamottrack_platform::Row = serde_json::from_str(&text)?;
+        Ok(row.value.into())
+    }
+
     /// Sets the fault of all links whose names match, such as `h1>*`.
     pub async fn fault(&self, names: &str, fault: Fault) -> anyhow::Result<()> {
         self.command("/set", &Set { names: names.into(), fault }).await
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -177,7 +177,7 @@
 }
 
 /// In a platform outage the operator must know that a submit changed nothing, and
-/// still see the fleet.
+/// still see the fleet; the log tells of the outage once and not each second.
 #[tokio::test]
 async fn a_platform_outage_refuses_a_submit_and_shows_the_fleet() {
     let desk = Desk::new().await;
@@ -189,6 +189,14 @@
     assert!(refused.error.contains("not accepted"), "{refused:?}");
     assert_eq!(desk.run(1, "ana", &["hosts"]).code, 0);
     assert_eq!(desk.revision(), against);
+    desk.system.platform_faults("{}").await.unwrap();
+    let deadline = Instant::now() + PATIENCE;
+    while !desk.system.hosts[0].log().contains("the platform can be used again") {
+        assert!(Instant::now() < deadline, "{}", desk.system.hosts[0].log());
+        std::thread::sleep(PAUSE);
+    }
+    let log = desk.system.hosts[0].log();
+    assert_eq!(log.matches("WARN fleet: the platform cannot be used").count(), 1, "{log}");
 }
 
 /// A withdrawn key works again: it was withdrawn by phone, the files still have it
@@ -201,6 +209,9 @@
     assert_eq!(withdrawn.code, 0, "{withdrawn:?}");
     desk.is_denied().await;
     let against = desk.revision();
+    let history = desk.run(2, "ben", &["history", "--changes", "-n1"]).out;
+    let change = "  ~ account baobab, key k1, standing: stands -> withdrawn";
+    assert!(history.contains(change), "{history}");
     let refused = desk.submit(2, "ben", against, "burst = 1000.0", "burst = 500");
     assert_eq!(refused.code, 1, "{refused:?}");
     assert!(refused.error.contains("baobab.k1"), "{refused:?}");
@@ -263,7 +274,8 @@
 }
 
 /// An operator asks how an account fares: each host measures what it served, the
-/// table adds it up, and a scraper reads it without the key.
+/// table adds it up, and a scraper reads it without the key. No key or secret shows
+/// in it, nor in the logs at their most talkative.
 #[tokio::test]
 async fn what_an_account_was_served_and_refused_is_measured() {
     let desk = Desk::new().await;
@@ -292,7 +304,12 @@
     ] {
         assert!(text.contains(part), "{part} in {text}");
     }
-    assert!(!text.contains("wrong") && !text.contains(&system::key_of("baobab")), "{text}");
+    let logs = desk.system.hosts.iter().map(Process::log);
+    for shown in logs.chain([text]) {
+        for secret in ["wrong", &system::key_of("baobab"), OPERATOR_KEY, SECRET] {
+            assert!(!shown.contains(secret), "{secret} in {shown}");
+        }
+    }
 }
 
 /// An operator takes a host out by hand: it finishes, ends well and leaves the
