Large messages of all callers share a limited memory

Cause: each caller may send a message or batch of 16 MB; 4,000 of them were 64 GB, so one tenant could end a host with all its callers. Ruled out: a smaller limit for each message, which would cut honest callers with large pictures.

--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -6,6 +6,7 @@
 use bergamottrack_coordination::{Reason, Refusal};
 use bergamottrack_pg::{
     answer::{self, Severity},
+    budget::Full,
     stream::{self, Stream},
 };
 use monoio::{io::IntoPollIo, net::TcpStream, time::Instant};
@@ -59,6 +60,7 @@
     let Begun::Caller(caller) = begun else { return Ok(()) };
     let _counted = entry.metrics.caller();
     reader.set_max(MAX_MESSAGE);
+    reader.set_charge(entry.callers.input.charge());
     let (pid, cancel) = entry.register();
     let mut session = Session::new(entry.clone(), caller, (reader, writer), cancel, seat);
     let result = session.run(pid).await;
@@ -156,6 +158,11 @@
     Refusal::not_run(Reason::Overload, Some(COME_BACK), message)
 }
 
+/// The refusal of a message for which there is no memory.
+pub fn too_much() -> Refusal {
+    Refusal::not_run(Reason::Overload, Some(COME_BACK), Full.to_string())
+}
+
 /// The refusal of a host that is being stopped; another host serves at once.
 pub fn stopping() -> Refusal {
     let message = "this host is being stopped; connect again";
--- a/components/entry/src/callers.rs
+++ b/components/entry/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::Cell, io, net::SocketAddr, rc::Rc};
 
+use bergamottrack_pg::budget::Budget;
 use monoio::net::{ListenerOpts, TcpListener};
 use tokio::sync::Notify;
 
@@ -20,8 +21,13 @@
     TcpListener::bind_with_config(address, &ListenerOpts::new().send_buf_size(SEND_BUFFER))
 }
 
+/// Bytes that a host holds of large messages that are on their way from callers.
+const MAX_INPUT: usize = 64 << 20;
+
 /// The callers of one host.
 pub struct Callers {
+    /// Memory that what they send may take.
+    pub input: Rc<Budget>,
     /// The most connections at once.
     limit: usize,
     there: Cell<usize>,
@@ -44,6 +50,7 @@
     /// No callers yet, and at most `limit` at once.
     pub fn new(limit: usize) -> Rc<Self> {
         Rc::new(Self {
+            input: Budget::new(MAX_INPUT),
             limit,
             there: Cell::default(),
             refused: Cell::default(),
--- a/components/entry/src/extended.rs
+++ b/components/entry/src/extended.rs
@@ -89,6 +89,8 @@
         self.batch.size += frame.raw.len();
         let taken = if self.batch.size > MAX_BATCH {
             Err(Fault::new("54000", format!("a batch has at most {MAX_BATCH} bytes")))
+        } else if let Err(full) = self.held.set(self.batch.size) {
+            Err(Fault::new("53300", full.to_string()))
         } else {
             self.take(frame)
         };
--- a/components/entry/src/session.rs
+++ b/components/entry/src/session.rs
@@ -12,6 +12,7 @@
 use bergamottrack_pg::{
     Frame, PgReader, PgWriter,
     answer::{self, Severity},
+    budget::{Charge, Full},
     frame,
     stream::Stream,
 };
@@ -105,6 +106,8 @@
     /// What each portal runs; those of an open transaction stay.
     pub(crate) portals: HashMap<Box<str>, Rc<Statement>>,
     pub(crate) batch: Batch,
+    /// What the batch holds.
+    pub(crate) held: Charge,
     /// Whether messages are skipped up to the next `Sync`, after an error.
     pub(crate) skipping: bool,
 }
@@ -119,6 +122,7 @@
         seat: Seat,
     ) -> Self {
         Self {
+            held: entry.callers.input.charge(),
             entry,
             caller,
             settings: Settings::default(),
@@ -150,6 +154,12 @@
                 Ok(None) => return Ok(()),
                 // Said goodbye to.
                 Err(error) if error.is::<Refusal>() => return Err(error),
+                Err(error) if error.is::<Full>() => {
+                    self.exchange = None;
+                    let refusal = answer::refusal(Severity::Fatal, &caller::too_much());
+                    self.send(&refusal).await?;
+                    return Err(error);
+                }
                 Err(error) => return self.fatal(&Fault::new("08P01", format!("{error:#}"))).await,
             };
             self.seat.set_busy(true);
--- a/components/pg/src/lib.rs
+++ b/components/pg/src/lib.rs
@@ -1,6 +1,7 @@
 //! PostgreSQL messages and streams over the codec of `pgwire`.
 
 pub mod answer;
+pub mod budget;
 pub mod frame;
 pub mod scram;
 pub mod stream;
--- a/components/pg/src/stream.rs
+++ b/components/pg/src/stream.rs
@@ -7,7 +7,10 @@
 use pgwire::messages::{DecodeContext, PgWireFrontendMessage, SslNegotiationMetaMessage};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadHalf, WriteHalf};
 
-use crate::frame::{self, Frame};
+use crate::{
+    budget::Charge,
+    frame::{self, Frame},
+};
 
 /// The most bytes that a start-up message may have.
 pub const MAX_STARTUP: usize = 10_000;
@@ -29,6 +32,8 @@
     buf: BytesMut,
     /// The most bytes that one message may have.
     max: usize,
+    /// What is held, when the memory is shared.
+    charge: Option<Charge>,
 }
 
 /// Writes messages.
@@ -49,7 +54,7 @@
 impl<R: AsyncRead + Unpin> PgReader<R> {
     /// A reader that accepts messages up to `max` bytes.
     pub fn new(io: R, max: usize) -> Self {
-        Self { io, buf: BytesMut::new(), max }
+        Self { io, buf: BytesMut::new(), max, charge: None }
     }
 
     /// The next message; `None` when the stream has ended between two messages.
@@ -82,10 +87,17 @@
         self.max = max;
     }
 
+    /// Holds what arrives at the cost of a shared budget from now on.
+    pub fn set_charge(&mut self, charge: Charge) {
+        self.charge = Some(charge);
+    }
+
     /// The next message, which must be whole soon after its first byte.
     ///
     /// Guards against a sender that holds memory with a message it never ends.
     pub async fn next_within(&mut self, limit: Duration) -> anyhow::Result<Option<Frame>> {
+        // Until now the message before was still in use.
+        self.count(self.buf.len())?;
         if self.buf.is_empty() && !self.fill().await? {
             return Ok(None);
         }
@@ -139,7 +151,12 @@
         }
     }
 
+    fn count(&mut self, bytes: usize) -> anyhow::Result<()> {
+        Ok(self.charge.as_mut().map_or(Ok(()), |charge| charge.set(bytes))?)
+    }
+
     async fn fill(&mut self) -> anyhow::Result<bool> {
+        self.count(self.buf.len() + READ_CHUNK)?;
         self.buf.reserve(READ_CHUNK);
         let n = self.io.read_buf(&mut self.buf).await.context("reading from the stream")?;
         Ok(n > 0)
--- a/lab/src/system.rs
+++ b/lab/src/system.rs
@@ -478,6 +478,13 @@
     }
 }
 
+/// The memory of a process that is in use, in bytes; 0 when it has ended.
+pub fn resident(pid: u32) -> u64 {
+    const PAGE: u64 = 4096;
+    let text = std::fs::read_to_string(format!("/proc/{pid}/statm")).unwrap_or_default();
+    text.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok()).unwrap_or(0) * PAGE
+}
+
 /// Connects once.
 pub async fn connect(config: &tokio_postgres::Config) -> anyhow::Result<Client> {
     let (client, connection) = config.connect(NoTls).await.context("connecting")?;
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -141,6 +141,38 @@
     system.connect(0, "baobab", "g1").await.unwrap();
 }
 
+/// A tenant's thirty callers each announce a message of 15 MB and send all but
+/// its end. The host would hold 450 MB for them, and end with all its callers.
+#[tokio::test]
+async fn large_messages_share_a_limited_memory() {
+    let (system, other) = start().await;
+    let pid = system.hosts[0].pid().unwrap();
+    let body = vec![b'x'; 15 << 20];
+    let mut callers = Vec::new();
+    for _ in 0..30 {
+        callers.push(RawCaller::login(&system, 0, "baobab").await.unwrap());
+    }
+    let senders = callers.into_iter().map(async |mut caller| {
+        // Fails when the host has closed the connection.
+        let head = [0x51, 0x00, 0xF0, 0x00, 0x10];
+        let sent =
+            caller.writer.send(&head).await.is_ok() && caller.writer.send(&body).await.is_ok();
+        (caller, sent)
+    });
+    let mut there = Vec::new();
+    for (caller, sent) in futures_util::future::join_all(senders).await {
+        other.simple_query("SELECT id FROM visit").await.unwrap();
+        if sent {
+            there.push(caller);
+        }
+    }
+    assert!(there.len() < 30, "all were taken");
+    let most = system::resident(pid);
+    assert!(most < 200 << 20, "the host holds {most} bytes");
+    drop(there);
+    system::until_runs(&other, &format!("SELECT '{}'", "y".repeat(10 << 20))).await.unwrap();
+}
+
 /// A caller prepares statements without end. It is refused before the host's
 /// memory is, and its other statements still work.
 #[tokio::test]
--- a/tests/large.rs
+++ b/tests/large.rs
@@ -11,13 +11,6 @@
 const ROWS: usize = 2_000;
 const ROW_LEN: usize = 10_000;
 
-/// The memory of a process that is in use, in bytes.
-fn resident(pid: u32) -> u64 {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/statm")).unwrap();
-    let pages: u64 = text.split(' ').nth(1).unwrap().parse().unwrap();
-    pages * 4096
-}
-
 /// One of the two hosts is the home, so answers go both ways: with and without a hop.
 async fn start() -> System {
     let plan = Plan { hosts: 2, policy: "request_ms = 1500".into(), ..Plan::default() };
@@ -43,7 +36,7 @@
     let system = start().await;
     let other = system.connect(1, "hartwell", "g1").await.unwrap();
     let pids: Vec<u32> = system.hosts.iter().map(|host| host.pid().unwrap()).collect();
-    let before: Vec<u64> = pids.iter().map(|pid| resident(*pid)).collect();
+    let before: Vec<u64> = pids.iter().map(|pid| system::resident(*pid)).collect();
     for host in 0..2 {
         let mut caller = RawCaller::login(&system, host, "baobab").await.unwrap();
         caller.send(&Query::new("SELECT page FROM portfolio".into())).await.unwrap();
@@ -59,8 +52,10 @@
                 _ => {}
             }
             if rows % 200 == 0 && frame.tag == b'D' {
-                let now =
-                    pids.iter().zip(&before).map(|(pid, b)| resident(*pid).saturating_sub(*b));
+                let now = pids
+                    .iter()
+                    .zip(&before)
+                    .map(|(pid, b)| system::resident(*pid).saturating_sub(*b));
                 most = most.max(now.max().unwrap());
                 let began = Instant::now();
                 other.simple_query("SELECT 1").await.unwrap();
