A cancel reaches its connection through any host

Cause: a cancel comes over a connection of its own, which the balancer may send to another host; there it was dropped.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod lenders;
 pub mod outcome;
 pub mod pace;
+pub mod process;
 pub mod refusal;
 pub mod rendezvous;
 pub mod retry;
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -3,7 +3,8 @@
 use std::{rc::Rc, time::Duration};
 
 use anyhow::{Context, bail};
-use bergamottrack_coordination::{Reason, Refusal};
+use bergamottrack_coordination::{Reason, Refusal, process};
+use bergamottrack_peer::Question;
 use bergamottrack_pg::{
     answer::{self, Severity},
     budget::Full,
@@ -26,6 +27,9 @@
 /// How long a caller above the limit may take to say what it wants.
 const REFUSE_WITHIN: Duration = Duration::from_secs(1);
 
+/// How long another host may take to see to a cancel.
+const CANCEL_WITHIN: Duration = Duration::from_secs(1);
+
 /// How long a closed connection is read on, so that the last words arrive.
 const LINGER: Duration = Duration::from_secs(1);
 
@@ -129,7 +133,7 @@
     let settings = match login::open(reader, writer, offered).await? {
         Opened::Encrypt => return Ok(Begun::Encrypt),
         Opened::Cancel(request) => {
-            cancel(entry, &request);
+            cancel(entry, &request).await;
             return Ok(Begun::Cancel);
         }
         Opened::Startup(settings) => settings,
@@ -169,10 +173,14 @@
     Refusal::not_run(Reason::Draining, Some(COME_BACK), message)
 }
 
-fn cancel(entry: &Entry, request: &CancelRequest) {
-    let cancels = entry.cancels.borrow();
-    let known = cancels.get(&request.pid);
-    if let Some(known) = known.filter(|c| Some(c.secret) == request.secret_key.as_i32()) {
-        known.ask();
+/// Sees to a cancel: here, or at the host whose connection it is for.
+async fn cancel(entry: &Entry, request: &CancelRequest) {
+    let (pid, secret) = (request.pid, request.secret_key.as_i32());
+    let Some(secret) = secret.filter(|secret| !entry.cancel(pid, *secret)) else { return };
+    for link in entry.mesh.links() {
+        if process::is_of(pid, &link.host) {
+            // A cancel is a wish: when it does not arrive, the statement runs on.
+            let _ = link.ask(Question::Cancel { pid, secret }, CANCEL_WITHIN).await;
+        }
     }
 }
--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -8,7 +8,9 @@
 };
 
 use bergamottrack_contract::{Config, Current, RevisionDoc};
-use bergamottrack_coordination::{AccountId, Clock, KeyId, Reason, Refusal, token::Secret};
+use bergamottrack_coordination::{
+    AccountId, Clock, KeyId, Reason, Refusal, process, token::Secret,
+};
 use bergamottrack_fleet::Limits;
 use bergamottrack_home::Homes;
 use bergamottrack_metrics::Metrics;
@@ -43,7 +45,7 @@
     /// Cancels of running connections, by process number.
     pub cancels: RefCell<HashMap<i32, Rc<Cancel>>>,
     /// The last process number given out.
-    pub last_pid: Cell<i32>,
+    pub last_pid: Cell<u32>,
 }
 
 /// How what a connection runs is cancelled.
@@ -112,13 +114,25 @@
 
     /// Gives a new connection its process number.
     pub fn register(&self) -> (i32, Rc<Cancel>) {
-        let pid = self.last_pid.get().wrapping_add(1);
-        self.last_pid.set(pid);
+        let mut pid;
+        loop {
+            self.last_pid.set(self.last_pid.get().wrapping_add(1));
+            pid = process::number(&self.mesh.me.id, self.last_pid.get());
+            if !self.cancels.borrow().contains_key(&pid) {
+                break;
+            }
+        }
         let cancel = Rc::new(Cancel { secret: rand::random(), ..Cancel::default() });
         self.cancels.borrow_mut().insert(pid, cancel.clone());
         (pid, cancel)
     }
 
+    /// Cancels what a connection to this host runs; whether there is one with that secret.
+    pub fn cancel(&self, pid: i32, secret: i32) -> bool {
+        let known = self.cancels.borrow().get(&pid).filter(|c| c.secret == secret).cloned();
+        known.inspect(|cancel| cancel.ask()).is_some()
+    }
+
     /// Begins an exchange with the home of the group.
     pub fn open(&self, config: &Config, open: Open) -> Exchange {
         for host in self.mesh.homes(&open.group) {
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -158,7 +158,7 @@
                 Answer::Adopted(self.current.number())
             }
             Question::Lend(lend) => self.limits.lend(&peer.host, &lend),
-            Question::Outcome(_) | Question::Report => return None,
+            Question::Cancel { .. } | Question::Outcome(_) | Question::Report => return None,
         })
     }
 
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -118,6 +118,13 @@
     Adopt(Box<RevisionDoc>),
     /// Lend tokens.
     Lend(Lend),
+    /// Cancel what a caller's connection runs.
+    Cancel {
+        /// The connection's process number.
+        pid: i32,
+        /// What only its caller was told.
+        secret: i32,
+    },
     /// What became of a request that runs at most once?
     Outcome(Box<OutcomeOf>),
 }
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -94,7 +94,7 @@
         .with_context(|| format!("listening for callers at {}", args.listen))?;
     info!("serve: listening for callers at {}.", args.listen);
     monoio::spawn(homes.keep(current, mesh));
-    monoio::spawn(accept_peers(peers, operator.clone()));
+    monoio::spawn(accept_peers(peers, operator.clone(), entry.clone()));
     monoio::spawn(fleet.clone().run());
     monoio::spawn(operator.clone().keep_metrics());
     if let Some(tls) = args.tls {
@@ -130,7 +130,7 @@
     }
 }
 
-async fn accept_peers(listener: TcpListener, operator: Rc<Operator>) {
+async fn accept_peers(listener: TcpListener, operator: Rc<Operator>, entry: Rc<Entry>) {
     let (fleet, homes) = (operator.fleet.clone(), operator.homes.clone());
     let (mesh, current) = (fleet.mesh.clone(), fleet.current.clone());
     let (opening, asked) = (homes.clone(), homes);
@@ -142,6 +142,10 @@
             opening.serve(doc.as_ref().and_then(|doc| doc.config.as_ref()), open, side);
         }),
         answer: Box::new(move |peer, question, teller| match question {
+            Question::Cancel { pid, secret } => {
+                entry.cancel(pid, secret);
+                teller.tell(Answer::Pong);
+            }
             Question::Outcome(of) => asked.clone().tell_outcome(fleet.current.get(), *of, teller),
             other => teller.tell(fleet.answer(peer, other).unwrap_or_else(&report)),
         }),
--- a/tests/cancel.rs
+++ b/tests/cancel.rs
@@ -55,6 +55,30 @@
     assert_eq!(system::rows(&client, "SELECT id FROM visit").await.unwrap(), ["2"]);
 }
 
+/// The balancer sends a caller's cancel to another host than its connection.
+#[tokio::test]
+async fn a_cancel_reaches_its_host_through_another_one() {
+    let (system, _client) = start().await;
+    let mut caller = RawCaller::login(&system, 0, "baobab").await.unwrap();
+    let (pid, secret) = caller.key.unwrap();
+    set(&system, "service_ms", 3_000).await;
+    caller.send(&Query::new("INSERT INTO visit VALUES (1)".into())).await.unwrap();
+    let cancel = async {
+        loop {
+            let mut cancel = RawCaller::open(&system, 1).await.unwrap();
+            cancel.send(&CancelRequest::new(pid, SecretKey::I32(secret))).await.unwrap();
+            cancel.is_closed().await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let answer = tokio::select! {
+        answer = caller.until_ready() => answer.unwrap(),
+        () = cancel => unreachable!(),
+    };
+    let error = answer.iter().find(|frame| frame.tag == b'E').expect("it ran to its end");
+    assert!(String::from_utf8_lossy(error.body()).contains("57014"));
+}
+
 /// A caller cancels a statement that is about to end. The cancel reaches the
 /// server late, when the connection already runs another caller's transaction,
 /// which is ended though nobody wanted that.
