What is sent behind a refused BEGIN does not run outside of its transaction

Cause: a BEGIN that was refused left the session idle, so the statements that a pipelining driver had sent behind it ran alone. The session now counts as failed when something has arrived behind the refused BEGIN, until the caller's end of the transaction.

--- a/components/entry/src/extended.rs
+++ b/components/entry/src/extended.rs
@@ -311,6 +311,7 @@
             frames: Bytes::from(batch.frames),
             steps: batch.steps,
             work: batch.work,
+            begins: batch.begins,
             ends: batch.ends,
             unfinished,
         };
--- a/components/entry/src/session.rs
+++ b/components/entry/src/session.rs
@@ -80,6 +80,8 @@
     pub steps: Steps,
     /// What its statements do.
     pub work: Work,
+    /// Whether it begins a transaction.
+    pub begins: bool,
     /// Whether it ends a transaction.
     pub ends: bool,
     /// Whether the caller has not ended its batch yet.
@@ -305,6 +307,7 @@
                 let request = Request {
                     frames: frame.raw.clone(),
                     work: commands.iter().map(Work::of).max().unwrap_or_default(),
+                    begins: commands.contains(&Command::Begin),
                     ends,
                     ..Request::default()
                 };
@@ -322,7 +325,7 @@
     /// Runs a request and ends its answer.
     pub(crate) async fn finish(&mut self, request: Request) -> anyhow::Result<()> {
         let unfinished = request.unfinished;
-        let ends = request.ends;
+        let (begins, ends) = (request.begins, request.ends);
         let began = self.entry.clock.now();
         let result = self.request(request).await?;
         self.measure(began, &result);
@@ -335,6 +338,11 @@
             }
             Err(refusal) => {
                 self.abort(ends);
+                // Statements that a caller has sent behind its BEGIN are for the
+                // transaction that was refused: run alone they would be half of it.
+                if begins && !ends && !self.reader.is_empty() {
+                    self.standing = Standing::Failed;
+                }
                 self.skipping = unfinished;
                 let mut out = BytesMut::from(&answer::refusal(Severity::Error, &refusal)[..]);
                 if !unfinished {
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -1,10 +1,14 @@
 //! Messages that no driver of the tests sends, one by one.
 
+use bergamottrack_pg::frame;
 use lab::{
     raw::RawCaller,
     system::{self, Plan, System},
 };
-use pgwire::messages::extendedquery::{Bind, Describe, Execute, Flush, Parse, Sync};
+use pgwire::messages::{
+    extendedquery::{Bind, Describe, Execute, Flush, Parse, Sync},
+    simplequery::Query,
+};
 
 async fn start() -> (System, RawCaller) {
     let system = System::start(Plan::default()).await.unwrap();
@@ -80,6 +84,39 @@
     assert_eq!(caller.tags(4).await.unwrap(), "12CZ");
 }
 
+/// A driver sends a whole transaction without waiting. Its BEGIN is refused, for
+/// the account is over its rate, and a moment later there is a token again: the
+/// statements behind it must not run outside of the transaction.
+#[tokio::test]
+async fn what_is_sent_behind_a_refused_begin_does_not_run() {
+    let accounts = vec![("baobab".into(), 1000.0, 1000.0), ("hartwell".into(), 0.001, 3.0)];
+    let system = System::start(Plan { hosts: 1, accounts, ..Plan::default() }).await.unwrap();
+    let client = system.connect(0, "baobab", "g1").await.unwrap();
+    system::until_runs(&client, "CREATE TABLE IF NOT EXISTS visit (id INTEGER)").await.unwrap();
+    let mut caller = RawCaller::login(&system, 0, "hartwell").await.unwrap();
+    let query = |sql: &str| frame::bytes(&Query::new(sql.into()));
+    // Until the burst is used up.
+    let alone = loop {
+        caller.writer.send(&query("BEGIN")).await.unwrap();
+        let answer = caller.until_ready().await.unwrap();
+        if answer.iter().any(|frame| frame.tag == b'E') {
+            break answer;
+        }
+        caller.writer.send(&query("COMMIT")).await.unwrap();
+        caller.until_ready().await.unwrap();
+    };
+    // Nothing was sent behind it, so there is nothing to guard.
+    assert_eq!(alone.last().unwrap().body(), b"I");
+    let ahead = ["BEGIN", "INSERT INTO visit VALUES (1)", "COMMIT"].map(query);
+    caller.writer.send(&ahead.concat()).await.unwrap();
+    let mut states = Vec::new();
+    for _ in 0..3 {
+        let answer = caller.until_ready().await.unwrap();
+        states.extend_from_slice(answer.last().unwrap().body());
+    }
+    assert_eq!(states, b"EEI");
+}
+
 async fn run(caller: &mut RawCaller, sql: &str) {
     caller.send(&parse("", sql)).await.unwrap();
     caller.send(&bind("")).await.unwrap();
