--- a/lab/src/server/extended.rs
+++ b/lab/src/server/extended.rs
@@ -13,7 +13,8 @@
 };
 
 use super::{
-    session::{Session, SqlError, field, fields},
+    rows::{field, fields},
+    session::{Session, SqlError},
     sql::{self, Command},
     types,
     values::{self, Value, oid},
--- a/lab/src/server/mod.rs
+++ b/lab/src/server/mod.rs
@@ -11,6 +11,7 @@
 mod engine;
 mod extended;
 mod replication;
+mod rows;
 mod session;
 mod sql;
 mod types;
--- a/lab/src/server/session.rs
+++ b/lab/src/server/session.rs
@@ -16,7 +16,7 @@
 };
 use pgwire::messages::{
     PgWireFrontendMessage,
-    data::{FieldDescription, RowDescription},
+    data::RowDescription,
     response::{EmptyQueryResponse, NotificationResponse, TransactionStatus},
     startup::{Authentication, BackendKeyData, SecretKey},
 };
@@ -29,6 +29,7 @@
 use super::{
     engine::{self, Change, Engine},
     extended::{Portal, Prepared},
+    rows::{field, fields, fields_of, put_row, statement_reads, tag},
     sql::{self, Command},
     values::{self, Value, oid},
 };
@@ -503,47 +504,3 @@
     let writing = engine.writing.acquire().await.map_err(anyhow::Error::from)?;
     Ok((slot, Some(writing)))
 }
-
-fn statement_reads(sql: &str) -> bool {
-    sql.trim_start().get(..6).is_some_and(|w| w.eq_ignore_ascii_case("select"))
-}
-
-fn tag(sql: &str, rows: u64, changed: u64) -> String {
-    let first = sql.split_ascii_whitespace().next().unwrap_or_default().to_ascii_uppercase();
-    match first.as_str() {
-        "INSERT" => format!("INSERT 0 {changed}"),
-        "UPDATE" | "DELETE" => format!("{first} {changed}"),
-        "CREATE" => "CREATE TABLE".into(),
-        "DROP" => "DROP TABLE".into(),
-        _ => format!("SELECT {rows}"),
-    }
-}
-
-fn put_row(out: &mut BytesMut, row: &[u8]) {
-    out.put_u8(b'D');
-    out.put_i32(row.len() as i32 + 4);
-    out.put_slice(row);
-}
-
-/// A column of text or numbers.
-pub fn field(name: &str, type_id: u32, format: i16) -> FieldDescription {
-    FieldDescription::new(name.into(), 0, 0, type_id, -1, -1, format)
-}
-
-/// The columns of a statement.
-pub fn fields(statement: &rusqlite::Statement<'_>, formats: &[i16]) -> Vec<FieldDescription> {
-    let format = |i: usize| match formats {
-        [] => 0,
-        [one] => *one,
-        many => many.get(i).copied().unwrap_or(0),
-    };
-    let columns = statement.columns();
-    let described = columns.enumerate();
-    described
-        .map(|(i, c)| field(c.name(), values::column_type(c.decl_type(), c.name()), format(i)))
-        .collect()
-}
-
-fn fields_of(fields: &[FieldDescription]) -> Vec<FieldDescription> {
-    fields.iter().map(|f| field(&f.name, f.type_id, f.format_code)).collect()
-}
