--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -2,13 +2,15 @@
 
 use std::{rc::Rc, time::Duration};
 
-use anyhow::bail;
-use bergamottrack_coordination::{Reason, Refusal};
+use anyhow::{Context, bail};
+use bergamottrack_coordination::{Reason, Refusal, process};
+use bergamottrack_peer::Question;
 use bergamottrack_pg::{
     answer::{self, Severity},
-    stream,
+    budget::Full,
+    stream::{self, Stream},
 };
-use monoio::{io::IntoPollIo, net::TcpStream};
+use monoio::{io::IntoPollIo, net::TcpStream, time::Instant};
 use pgwire::messages::cancel::CancelRequest;
 use tracing::debug;
 
@@ -25,6 +27,9 @@
 /// How long a caller above the limit may take to say what it wants.
 const REFUSE_WITHIN: Duration = Duration::from_secs(1);
 
+/// How long another host may take to see to a cancel.
+const CANCEL_WITHIN: Duration = Duration::from_secs(1);
+
 /// How long a closed connection is read on, so that the last words arrive.
 const LINGER: Duration = Duration::from_secs(1);
 
@@ -47,24 +52,19 @@
 async fn run(entry: &Rc<Entry>, stream: TcpStream) -> anyhow::Result<()> {
     let Some(seat) = entry.callers.enter() else { bail!("far too many callers") };
     stream.set_nodelay(true)?;
-    let (mut reader, mut writer) = stream::split(stream.into_poll_io()?, MAX_LOGIN);
-    let within = if seat.refused { REFUSE_WITHIN } else { LOGIN_WITHIN };
-    let login = login(entry, &seat, &mut reader, &mut writer);
-    let caller = match monoio::time::timeout(within, login).await {
-        Ok(Ok(Some(caller))) => caller,
-        Ok(Ok(None)) => return Ok(()),
-        Ok(Err(error)) => {
-            if !seat.refused {
-                entry.metrics.unproved();
-            }
-            writer.send(&refused(&error)).await?;
-            hang_up(&mut reader, &mut writer).await;
-            return Err(error);
-        }
-        Err(_) => bail!("the caller did not prove its key in {within:?}"),
-    };
+    let stream: Stream = Box::new(stream.into_poll_io()?);
+    let (mut reader, mut writer) = stream::split(stream, MAX_LOGIN);
+    let until = Instant::now() + if seat.refused { REFUSE_WITHIN } else { LOGIN_WITHIN };
+    let mut begun = begin(entry, &seat, &mut reader, &mut writer, false, until).await?;
+    if let (Begun::Encrypt, Some(tls)) = (&begun, &entry.tls) {
+        let encrypted = tls.accept(reader, writer, MAX_LOGIN);
+        (reader, writer) = monoio::time::timeout_at(until, encrypted).await??;
+        begun = begin(entry, &seat, &mut reader, &mut writer, true, until).await?;
+    }
+    let Begun::Caller(caller) = begun else { return Ok(()) };
     let _counted = entry.metrics.caller();
     reader.set_max(MAX_MESSAGE);
+    reader.set_charge(entry.callers.input.charge());
     let (pid, cancel) = entry.register();
     let mut session = Session::new(entry.clone(), caller, (reader, writer), cancel, seat);
     let result = session.run(pid).await;
@@ -77,6 +77,38 @@
     result
 }
 
+/// What a connection has begun with.
+enum Begun {
+    /// A caller that has proved its key.
+    Caller(Caller),
+    /// The wish to be encrypted, which was answered with a yes.
+    Encrypt,
+    /// A cancel, which was seen to.
+    Cancel,
+}
+
+/// Reads what a connection begins with; tells the other side of an error.
+async fn begin(
+    entry: &Entry,
+    seat: &Seat,
+    reader: &mut Reader,
+    writer: &mut Writer,
+    encrypted: bool,
+    until: Instant,
+) -> anyhow::Result<Begun> {
+    let login = login(entry, seat, reader, writer, encrypted);
+    let begun = monoio::time::timeout_at(until, login).await;
+    let begun = begun.context("the caller did not prove its key in time")?;
+    if let Err(error) = &begun {
+        if !seat.refused {
+            entry.metrics.unproved();
+        }
+        writer.send(&refused(error)).await?;
+        hang_up(reader, writer).await;
+    }
+    begun
+}
+
 /// Closes a connection after its last words.
 ///
 /// Closed with bytes unread, it would be reset, and the reset may overtake the
@@ -95,11 +127,14 @@
     seat: &Seat,
     reader: &mut Reader,
     writer: &mut Writer,
-) -> anyhow::Result<Option<Caller>> {
-    let settings = match login::open(reader, writer).await? {
+    encrypted: bool,
+) -> anyhow::Result<Begun> {
+    let offered = entry.tls.is_some() && !encrypted;
+    let settings = match login::open(reader, writer, offered).await? {
+        Opened::Encrypt => return Ok(Begun::Encrypt),
         Opened::Cancel(request) => {
-            cancel(entry, &request);
-            return Ok(None);
+            cancel(entry, &request).await;
+            return Ok(Begun::Cancel);
         }
         Opened::Startup(settings) => settings,
     };
@@ -111,7 +146,7 @@
     if entry.callers.is_draining() {
         return Err(stopping().into());
     }
-    Ok(Some(caller))
+    Ok(Begun::Caller(caller))
 }
 
 /// What a caller whose start-up failed is told.
@@ -127,16 +162,25 @@
     Refusal::not_run(Reason::Overload, Some(COME_BACK), message)
 }
 
+/// The refusal of a message for which there is no memory.
+pub fn too_much() -> Refusal {
+    Refusal::not_run(Reason::Overload, Some(COME_BACK), Full.to_string())
+}
+
 /// The refusal of a host that is being stopped; another host serves at once.
 pub fn stopping() -> Refusal {
     let message = "this host is being stopped; connect again";
     Refusal::not_run(Reason::Draining, Some(COME_BACK), message)
 }
 
-fn cancel(entry: &Entry, request: &CancelRequest) {
-    let cancels = entry.cancels.borrow();
-    let known = cancels.get(&request.pid);
-    if let Some(known) = known.filter(|c| Some(c.secret) == request.secret_key.as_i32()) {
-        known.ask();
+/// Sees to a cancel: here, or at the host whose connection it is for.
+async fn cancel(entry: &Entry, request: &CancelRequest) {
+    let (pid, secret) = (request.pid, request.secret_key.as_i32());
+    let Some(secret) = secret.filter(|secret| !entry.cancel(pid, *secret)) else { return };
+    for link in entry.mesh.links() {
+        if process::is_of(pid, &link.host) {
+            // A cancel is a wish: when it does not arrive, the statement runs on.
+            let _ = link.ask(Question::Cancel { pid, secret }, CANCEL_WITHIN).await;
+        }
     }
 }
--- a/components/entry/src/login.rs
+++ b/components/entry/src/login.rs
@@ -1,6 +1,6 @@
 //! The start of a caller's connection: who it is and what it wants.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, fmt};
 
 use anyhow::{Context, bail};
 use base64::{Engine, engine::general_purpose::STANDARD_NO_PAD};
@@ -14,7 +14,7 @@
 };
 use bytes::{Bytes, BytesMut};
 use pgwire::messages::{
-    PgWireFrontendMessage,
+    PgWireFrontendMessage, SslNegotiationMetaMessage,
     cancel::CancelRequest,
     startup::{Authentication, PasswordMessageFamily, SASLInitialResponse},
 };
@@ -38,18 +38,32 @@
     pub settings: BTreeMap<String, String>,
 }
 
+/// The caller did not prove the key that it names, or there is no such key.
+#[derive(Clone, Copy, Debug)]
+struct WrongKey;
+
+impl fmt::Display for WrongKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the key was not proved")
+    }
+}
+
 /// What a new connection turned out to be.
 pub enum Opened {
     /// A caller that wants statements run.
     Startup(BTreeMap<String, String>),
     /// A request to cancel what another connection runs.
     Cancel(CancelRequest),
+    /// A caller that wants to be encrypted and has been answered with a yes.
+    Encrypt,
 }
 
-/// Reads up to the start-up message; encryption is refused with a plain `N`.
+/// Reads up to the start-up message; encryption that is not offered is refused
+/// with a plain `N`, after which the caller may go on without.
 pub async fn open<R, W>(
     reader: &mut PgReader<R>,
     writer: &mut PgWriter<W>,
+    offered: bool,
 ) -> anyhow::Result<Opened>
 where
     R: AsyncRead + Unpin,
@@ -57,6 +71,12 @@
 {
     loop {
         match reader.startup(false).await? {
+            PgWireFrontendMessage::SslNegotiation(SslNegotiationMetaMessage::PostgresSsl(_))
+                if offered =>
+            {
+                writer.send(b"S").await?;
+                return Ok(Opened::Encrypt);
+            }
             PgWireFrontendMessage::SslNegotiation(_) => writer.send(b"N").await?,
             PgWireFrontendMessage::CancelRequest(cancel) => return Ok(Opened::Cancel(cancel)),
             PgWireFrontendMessage::Startup(startup) => {
@@ -111,7 +131,7 @@
     let PasswordMessageFamily::Raw(body) = password(reader).await? else {
         bail!("the key exchange broke off")
     };
-    let proof = exchange.finish(&body)?;
+    let proof = exchange.finish(&body).context(WrongKey)?;
     writer.send(&frame::bytes(&Authentication::SASLFinal(Bytes::from(proof)))).await
 }
 
@@ -146,5 +166,6 @@
 /// What a caller whose start-up failed is told.
 pub fn refused(error: &anyhow::Error) -> Bytes {
     let text = format!("{error:#}");
-    answer::error(Severity::Fatal, "28000", &text, Some("not run"), None)
+    let code = if error.is::<WrongKey>() { "28P01" } else { "28000" };
+    answer::error(Severity::Fatal, code, &text, Some("not run"), None)
 }
--- a/components/entry/src/session.rs
+++ b/components/entry/src/session.rs
@@ -12,10 +12,11 @@
 use bergamottrack_pg::{
     Frame, PgReader, PgWriter,
     answer::{self, Severity},
+    budget::{Charge, Full},
     frame,
+    stream::Stream,
 };
 use bytes::{Bytes, BytesMut};
-use monoio::net::tcp::stream_poll::TcpStreamPoll;
 use pgwire::messages::{
     PgWireFrontendMessage,
     response::TransactionStatus,
@@ -43,10 +44,10 @@
 const CROSSING: Duration = Duration::from_millis(100);
 
 /// What a caller's messages are read from.
-pub type Reader = PgReader<ReadHalf<TcpStreamPoll>>;
+pub type Reader = PgReader<ReadHalf<Stream>>;
 
 /// What a caller's answers are written to.
-pub type Writer = PgWriter<WriteHalf<TcpStreamPoll>>;
+pub type Writer = PgWriter<WriteHalf<Stream>>;
 
 /// What the statements of a request do, taken together.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
@@ -79,6 +80,8 @@
     pub steps: Steps,
     /// What its statements do.
     pub work: Work,
+    /// Whether it begins a transaction.
+    pub begins: bool,
     /// Whether it ends a transaction.
     pub ends: bool,
     /// Whether the caller has not ended its batch yet.
@@ -105,6 +108,8 @@
     /// What each portal runs; those of an open transaction stay.
     pub(crate) portals: HashMap<Box<str>, Rc<Statement>>,
     pub(crate) batch: Batch,
+    /// What the batch holds.
+    pub(crate) held: Charge,
     /// Whether messages are skipped up to the next `Sync`, after an error.
     pub(crate) skipping: bool,
 }
@@ -119,6 +124,7 @@
         seat: Seat,
     ) -> Self {
         Self {
+            held: entry.callers.input.charge(),
             entry,
             caller,
             settings: Settings::default(),
@@ -148,6 +154,14 @@
             let frame = match self.next().await {
                 Ok(Some(frame)) => frame,
                 Ok(None) => return Ok(()),
+                // Said goodbye to.
+                Err(error) if error.is::<Refusal>() => return Err(error),
+                Err(error) if error.is::<Full>() => {
+                    self.exchange = None;
+                    let refusal = answer::refusal(Severity::Fatal, &caller::too_much());
+                    self.send(&refusal).await?;
+                    return Err(error);
+                }
                 Err(error) => return self.fatal(&Fault::new("08P01", format!("{error:#}"))).await,
             };
             self.seat.set_busy(true);
@@ -197,7 +211,7 @@
         }
         let refusal = caller::stopping();
         self.send(&answer::refusal(Severity::Fatal, &refusal)).await?;
-        bail!("{refusal}")
+        Err(refusal.into())
     }
 
     /// The stream, when the session is over.
@@ -293,6 +307,7 @@
                 let request = Request {
                     frames: frame.raw.clone(),
                     work: commands.iter().map(Work::of).max().unwrap_or_default(),
+                    begins: commands.contains(&Command::Begin),
                     ends,
                     ..Request::default()
                 };
@@ -310,7 +325,7 @@
     /// Runs a request and ends its answer.
     pub(crate) async fn finish(&mut self, request: Request) -> anyhow::Result<()> {
         let unfinished = request.unfinished;
-        let ends = request.ends;
+        let (begins, ends) = (request.begins, request.ends);
         let began = self.entry.clock.now();
         let result = self.request(request).await?;
         self.measure(began, &result);
@@ -323,6 +338,11 @@
             }
             Err(refusal) => {
                 self.abort(ends);
+                // Statements that a caller has sent behind its BEGIN are for the
+                // transaction that was refused: run alone they would be half of it.
+                if begins && !ends && !self.reader.is_empty() {
+                    self.standing = Standing::Failed;
+                }
                 self.skipping = unfinished;
                 let mut out = BytesMut::from(&answer::refusal(Severity::Error, &refusal)[..]);
                 if !unfinished {
--- a/components/pg/src/stream.rs
+++ b/components/pg/src/stream.rs
@@ -7,13 +7,24 @@
 use pgwire::messages::{DecodeContext, PgWireFrontendMessage, SslNegotiationMetaMessage};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadHalf, WriteHalf};
 
-use crate::frame::{self, Frame};
+use crate::{
+    budget::Charge,
+    frame::{self, Frame},
+};
 
 /// The most bytes that a start-up message may have.
 pub const MAX_STARTUP: usize = 10_000;
 
 const READ_CHUNK: usize = 8 * 1024;
 
+/// A connection, encrypted or not.
+pub type Stream = Box<dyn ReadWrite>;
+
+/// What can be read from and written to.
+pub trait ReadWrite: AsyncRead + AsyncWrite + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Unpin> ReadWrite for T {}
+
 /// Reads messages.
 #[derive(Debug)]
 pub struct PgReader<R> {
@@ -21,6 +32,8 @@
     buf: BytesMut,
     /// The most bytes that one message may have.
     max: usize,
+    /// What is held, when the memory is shared.
+    charge: Option<Charge>,
 }
 
 /// Writes messages.
@@ -41,7 +54,7 @@
 impl<R: AsyncRead + Unpin> PgReader<R> {
     /// A reader that accepts messages up to `max` bytes.
     pub fn new(io: R, max: usize) -> Self {
-        Self { io, buf: BytesMut::new(), max }
+        Self { io, buf: BytesMut::new(), max, charge: None }
     }
 
     /// The next message; `None` when the stream has ended between two messages.
@@ -59,15 +72,32 @@
         }
     }
 
+    /// Whether nothing has arrived that was not taken.
+    pub fn is_empty(&self) -> bool {
+        self.buf.is_empty()
+    }
+
+    /// What is read from.
+    pub fn into_inner(self) -> R {
+        self.io
+    }
+
     /// Accepts messages up to `max` bytes from now on.
     pub fn set_max(&mut self, max: usize) {
         self.max = max;
     }
 
+    /// Holds what arrives at the cost of a shared budget from now on.
+    pub fn set_charge(&mut self, charge: Charge) {
+        self.charge = Some(charge);
+    }
+
     /// The next message, which must be whole soon after its first byte.
     ///
     /// Guards against a sender that holds memory with a message it never ends.
     pub async fn next_within(&mut self, limit: Duration) -> anyhow::Result<Option<Frame>> {
+        // Until now the message before was still in use.
+        self.count(self.buf.len())?;
         if self.buf.is_empty() && !self.fill().await? {
             return Ok(None);
         }
@@ -121,7 +151,12 @@
         }
     }
 
+    fn count(&mut self, bytes: usize) -> anyhow::Result<()> {
+        Ok(self.charge.as_mut().map_or(Ok(()), |charge| charge.set(bytes))?)
+    }
+
     async fn fill(&mut self) -> anyhow::Result<bool> {
+        self.count(self.buf.len() + READ_CHUNK)?;
         self.buf.reserve(READ_CHUNK);
         let n = self.io.read_buf(&mut self.buf).await.context("reading from the stream")?;
         Ok(n > 0)
@@ -134,6 +169,11 @@
         Self { io }
     }
 
+    /// What is written to.
+    pub fn into_inner(self) -> W {
+        self.io
+    }
+
     /// Writes whole messages.
     pub async fn send(&mut self, bytes: &[u8]) -> anyhow::Result<()> {
         self.io.write_all(bytes).await.context("writing to the stream")?;
--- a/lab/src/server/mod.rs
+++ b/lab/src/server/mod.rs
@@ -11,6 +11,7 @@
 mod engine;
 mod extended;
 mod replication;
+mod rows;
 mod session;
 mod sql;
 mod types;
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -84,6 +84,7 @@
         homes: homes.clone(),
         secret,
         metrics,
+        tls: args.tls.clone(),
         callers: Callers::new(args.callers),
         cancels: Default::default(),
         last_pid: Cell::default(),
@@ -94,9 +95,12 @@
     info!("serve: listening for callers at {}.", args.listen);
     monoio::spawn(homes.clone().keep(current, mesh));
     monoio::spawn(homes.follow_list(operator.platform.clone()));
-    monoio::spawn(accept_peers(peers, operator.clone()));
+    monoio::spawn(accept_peers(peers, operator.clone(), entry.clone()));
     monoio::spawn(fleet.clone().run());
     monoio::spawn(operator.clone().keep_metrics());
+    if let Some(tls) = args.tls {
+        monoio::spawn(stop::reload(tls));
+    }
     let drain = operator.drain.clone();
     let operators = bergamottrack_operator::serve(args.operator, operator.handler());
     let mut operators = std::pin::pin!(operators);
@@ -127,7 +131,7 @@
     }
 }
 
-async fn accept_peers(listener: TcpListener, operator: Rc<Operator>) {
+async fn accept_peers(listener: TcpListener, operator: Rc<Operator>, entry: Rc<Entry>) {
     let (fleet, homes) = (operator.fleet.clone(), operator.homes.clone());
     let (mesh, current) = (fleet.mesh.clone(), fleet.current.clone());
     let (opening, asked) = (homes.clone(), homes);
@@ -139,6 +143,10 @@
             opening.serve(doc.as_ref().and_then(|doc| doc.config.as_ref()), open, side);
         }),
         answer: Box::new(move |peer, question, teller| match question {
+            Question::Cancel { pid, secret } => {
+                entry.cancel(pid, secret);
+                teller.tell(Answer::Pong);
+            }
             Question::Outcome(of) => asked.clone().tell_outcome(fleet.current.get(), *of, teller),
             other => teller.tell(fleet.answer(peer, other).unwrap_or_else(&report)),
         }),
