--- a/components/coordination/src/leadership.rs
+++ b/components/coordination/src/leadership.rs
@@ -228,6 +228,11 @@
         }
     }
 
+    /// Since when the replicas have received none of what the primary holds more.
+    pub fn behind_since(&self) -> Option<Instant> {
+        self.behind.map(|(_, since)| since)
+    }
+
     /// Notes that the observer was at work until `now` and did not stand still.
     pub fn worked(&mut self, now: Instant) {
         self.looked = now;
--- a/components/home/src/backend.rs
+++ b/components/home/src/backend.rs
@@ -131,11 +131,6 @@
         self.reader.next().now_or_never().is_none()
     }
 
-    /// The next message, if it has already arrived.
-    pub fn ready(&mut self) -> anyhow::Result<Option<Frame>> {
-        self.reader.ready()
-    }
-
     /// Sends a statement without waiting for its answer.
     pub async fn ask(&mut self, sql: &str) -> anyhow::Result<()> {
         self.send(&query(sql)).await
--- a/components/home/src/promotion.rs
+++ b/components/home/src/promotion.rs
@@ -63,7 +63,11 @@
         if !home.first.get() || now < resume {
             continue;
         }
-        let detect = now.saturating_duration_since(fault_began(&home, cause, led_at));
+        let began = match cause {
+            Cause::Unconfirmed => detector.behind_since().unwrap_or(led_at),
+            _ => fault_began(&home, cause, led_at),
+        };
+        let detect = now.saturating_duration_since(began);
         match promote(&home, cause, detect).await {
             Ok(()) => failures = 0,
             Err(error) => {
