Each revision settles by itself; a host that missed one uses nothing at first

Now each revision settles by itself and a host uses its least part in those that are left. The unit test that asked for the old wait is replaced by one that pins the new rule and that an untold revision never settles; tests/stop.rs replaces four hosts at once again, in a fleet that is 5 s old.

Cause 2, found in arguing the first: a host that jumped from revision 1 to 3 took its part for unchanged while another could still act on 2 with a larger one: up to 1.17 of the contract in the example of the test. Before: a_host_that_missed_a_revision_uses_nothing_ at_first gives 30 of 60 tokens a second; after: 0 until settled.

The property tests and tests/limits.rs (4) and tests/stop.rs (5) pass.

--- a/components/coordination/src/shares.rs
+++ b/components/coordination/src/shares.rs
@@ -87,23 +87,29 @@
     }
 }
 
+/// A revision that some host may still act on.
+#[derive(Debug)]
+struct Live {
+    allotment: Allotment,
+    /// When no host can act on an older one any more, once it was told.
+    settles: Option<Instant>,
+}
+
 /// The parts of one host.
 #[derive(Debug)]
 pub struct Shares {
     me: HostId,
     /// Revisions that some host may still act on, oldest first. Until the first
     /// of them has settled there may be older ones that this host never knew.
-    live: Vec<Allotment>,
+    live: Vec<Live>,
     complete: bool,
-    /// When the newest revision settles, once it was told.
-    settles: Option<Instant>,
 }
 
 impl Shares {
     /// A host that has just started: it may use nothing, since its part may be
     /// in use by the host that it replaces.
     pub fn new(me: HostId) -> Self {
-        Self { me, live: Vec::new(), complete: false, settles: None }
+        Self { me, live: Vec::new(), complete: false }
     }
 
     /// This host has made the first revision of all: there is no older one.
@@ -112,40 +118,56 @@
     }
 
     /// A newer revision is in force here.
+    ///
+    /// A host that missed the one before it knows nothing of the parts that others
+    /// may still use by that one: it starts like a host that has just started.
+    /// Otherwise a part that is the same before and after the gap would be used
+    /// beside the larger parts of others within it.
     pub fn advance(&mut self, allotment: Allotment) {
-        self.live.push(allotment);
-        self.settles = None;
+        let last = self.newest().map(|newest| newest.revision);
+        if last.is_some_and(|last| last.next() != allotment.revision) {
+            self.live.clear();
+            self.complete = false;
+        }
+        self.live.push(Live { allotment, settles: None });
     }
 
-    /// The newest revision known here was told to majorities before `now`.
+    /// The revision, and with it all before it, was told to majorities before `now`.
+    ///
+    /// Each revision settles by itself. Were a later one to start the wait anew, a
+    /// fleet whose hosts are replaced one after another would have hosts without
+    /// any part all the while, and refuse accounts that are within their rate.
     pub fn told(&mut self, revision: Revision, now: Instant) {
-        let newest = self.live.last().is_some_and(|newest| newest.revision <= revision);
-        if newest && self.settles.is_none() && (self.live.len() > 1 || !self.complete) {
-            let fresh = self.live.iter().map(|allotment| allotment.fresh).max();
-            let wait = fresh.unwrap_or_default().mul_f64(1.0 + DRIFT) + bucket::HELD_FOR;
-            self.settles = Some(now + wait);
+        let fresh = self.live.iter().map(|live| live.allotment.fresh).max();
+        let wait = fresh.unwrap_or_default().mul_f64(1.0 + DRIFT) + bucket::HELD_FOR;
+        let settled = usize::from(self.complete);
+        for live in self.live.iter_mut().skip(settled) {
+            if live.allotment.revision <= revision && live.settles.is_none() {
+                live.settles = Some(now + wait);
+            }
         }
     }
 
     /// Forgets revisions that no host can act on any more; since when parts that
-    /// grow may be used, if that has come.
+    /// grow may be used, if that has come. The parts in use stay below those of
+    /// the oldest revision that is left, which every host acts on or has seen.
     ///
     /// Guards against a burst that is lost at a host that nobody has asked for a
     /// while: `now` may be long after the parts settled, and tokens have been due
     /// from then on.
     pub fn settle(&mut self, now: Instant) -> Option<Instant> {
-        let at = self.settles.filter(|at| now >= *at)?;
-        self.settles = None;
-        self.live.drain(..self.live.len() - 1);
+        let due = |live: &Live| live.settles.is_some_and(|at| now >= at);
+        let newest = self.live.iter().rposition(due)?;
+        self.live.drain(..newest);
         self.complete = true;
-        Some(at)
+        self.live[0].settles.take()
     }
 
     /// What this host may use of an account's rate now.
     pub fn share(&self, account: &AccountId) -> Share {
-        let newest = self.live.last().and_then(|newest| newest.part(account, &self.me));
+        let newest = self.newest().and_then(|newest| newest.part(account, &self.me));
         let Some(newest) = newest.filter(|_| self.complete) else { return Share::NONE };
-        let parts = self.live.iter().filter_map(|allotment| allotment.part(account, &self.me));
+        let parts = self.live.iter().filter_map(|live| live.allotment.part(account, &self.me));
         parts.fold(newest, Share::least)
     }
 
@@ -155,11 +177,11 @@
         let before = &self.live[..self.live.len().saturating_sub(1)];
         self.complete
             && !before.is_empty()
-            && before.iter().all(|allotment| !allotment.contracts.contains_key(account))
+            && before.iter().all(|live| !live.allotment.contracts.contains_key(account))
     }
 
     /// The newest revision.
     pub fn newest(&self) -> Option<&Allotment> {
-        self.live.last()
+        self.live.last().map(|live| &live.allotment)
     }
 }
