--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, faults, load and experiments for bergamottrack; not shipped.
 
+pub mod client;
 pub mod cost;
 pub mod demo;
 pub mod experiment;
--- a/lab/src/storm/mod.rs
+++ b/lab/src/storm/mod.rs
@@ -2,7 +2,6 @@
 //! seed; afterwards the promises are checked from outside.
 
 use std::{
-    rc::Rc,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -40,7 +39,7 @@
 }
 
 /// Entry hosts of the system under the storm.
-const HOSTS: usize = 4;
+pub const HOSTS: usize = 4;
 
 /// What a storm showed.
 #[derive(Debug)]
@@ -121,7 +120,7 @@
     let count = |fate| told.iter().filter(|t| t.fate == fate).count();
     let told = [callers::Fate::Done, callers::Fate::NotRun, callers::Fate::Unknown].map(count);
     if !broken.is_empty() {
-        let kept = Rc::new(system.keep_logs()?);
+        let kept = system.keep_logs()?;
         broken.push(format!("logs are kept in {}", kept.display()));
     }
     Ok(Outcome { told, broken })
--- a/lab/src/system.rs
+++ b/lab/src/system.rs
@@ -11,9 +11,11 @@
 use bergamottrack_contract::{Config, Verifier};
 use bergamottrack_operator::api::{HostLine, StatusPage};
 use tempfile::TempDir;
-use tokio_postgres::{Client, NoTls};
+use tokio_postgres::Client;
 
+pub use crate::client::{PATIENCE, connect, post, request, rows, until_runs};
 use crate::{
+    client::PAUSE,
     link::{Fault, Set},
     ports::Ports,
     process::Process,
@@ -25,11 +27,6 @@
 /// What the secrets that hosts share begin with.
 pub const SECRET: &str = "secret-of-the-lab";
 
-/// How long a condition is waited for; far more than any takes.
-pub const PATIENCE: Duration = Duration::from_secs(30);
-
-const PAUSE: Duration = Duration::from_millis(25);
-
 /// What a system is made of.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -485,70 +482,3 @@
         connect(&config).await
     }
 }
-
-/// The memory of a process that is in use, in bytes; 0 when it has ended.
-pub fn resident(pid: u32) -> u64 {
-    const PAGE: u64 = 4096;
-    let text = std::fs::read_to_string(format!("/proc/{pid}/statm")).unwrap_or_default();
-    text.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok()).unwrap_or(0) * PAGE
-}
-
-/// Connects once.
-pub async fn connect(config: &tokio_postgres::Config) -> anyhow::Result<Client> {
-    let (client, connection) = config.connect(NoTls).await.context("connecting")?;
-    tokio::spawn(connection);
-    Ok(client)
-}
-
-/// Runs a statement again and again until it succeeds.
-pub async fn until_runs(client: &Client, sql: &str) -> anyhow::Result<()> {
-    let deadline = Instant::now() + PATIENCE;
-    loop {
-        match client.simple_query(sql).await {
-            Ok(_) => return Ok(()),
-            Err(error) if Instant::now() > deadline => return Err(error).context(sql.to_owned()),
-            Err(_) => tokio::time::sleep(PAUSE).await,
-        }
-    }
-}
-
-/// The rows of a statement as text; columns joined by `|`, null as `NULL`.
-pub async fn rows(client: &Client, sql: &str) -> Result<Vec<String>, tokio_postgres::Error> {
-    let messages = client.simple_query(sql).await?;
-    let row = |message: &tokio_postgres::SimpleQueryMessage| match message {
-        tokio_postgres::SimpleQueryMessage::Row(row) => {
-            let columns = (0..row.len()).map(|i| row.get(i).unwrap_or("NULL"));
-            Some(columns.collect::<Vec<_>>().join("|"))
-        }
-        _ => None,
-    };
-    Ok(messages.iter().filter_map(row).collect())
-}
-
-/// Sends a POST with the operator key; the status and the body.
-pub async fn post(address: SocketAddr, path: &str, body: &str) -> anyhow::Result<(u16, String)> {
-    request(address, "POST", path, body).await
-}
-
-/// Sends an HTTP request with the operator key; the status and the body.
-pub async fn request(
-    address: SocketAddr,
-    method: &str,
-    path: &str,
-    body: &str,
-) -> anyhow::Result<(u16, String)> {
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    let mut stream = tokio::net::TcpStream::connect(address).await?;
-    let head = format!(
-        "{method} {path} HTTP/1.1\r\nHost: lab\r\nAuthorization: Bearer {OPERATOR_KEY}\r\n\
-         Content-Length: {}\r\nConnection: close\r\n\r\n",
-        body.len()
-    );
-    stream.write_all(head.as_bytes()).await?;
-    stream.write_all(body.as_bytes()).await?;
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).await?;
-    let (head, body) = answer.split_once("\r\n\r\n").context("an answer without a head")?;
-    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
-    Ok((status.context("an answer without a status")?, body.to_owned()))
-}
--- a/lab/src/usage.rs
+++ b/lab/src/usage.rs
@@ -29,3 +29,10 @@
     let line = text.lines().find_map(|line| line.trim_start().strip_prefix("lo:"));
     line.and_then(|rest| rest.split_whitespace().next()?.parse().ok()).unwrap_or_default()
 }
+
+/// The memory of a process that is in use, in bytes; 0 when it has ended.
+pub fn resident(pid: u32) -> u64 {
+    const PAGE: u64 = 4096;
+    let text = std::fs::read_to_string(format!("/proc/{pid}/statm")).unwrap_or_default();
+    text.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok()).unwrap_or(0) * PAGE
+}
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -167,7 +167,7 @@
         }
     }
     assert!(there.len() < 30, "all were taken");
-    let most = system::resident(pid);
+    let most = lab::usage::resident(pid);
     assert!(most < 200 << 20, "the host holds {most} bytes");
     drop(there);
     system::until_runs(&other, &format!("SELECT '{}'", "y".repeat(10 << 20))).await.unwrap();
--- a/tests/large.rs
+++ b/tests/large.rs
@@ -36,7 +36,7 @@
     let system = start().await;
     let other = system.connect(1, "hartwell", "g1").await.unwrap();
     let pids: Vec<u32> = system.hosts.iter().map(|host| host.pid().unwrap()).collect();
-    let before: Vec<u64> = pids.iter().map(|pid| system::resident(*pid)).collect();
+    let before: Vec<u64> = pids.iter().map(|pid| lab::usage::resident(*pid)).collect();
     for host in 0..2 {
         let mut caller = RawCaller::login(&system, host, "baobab").await.unwrap();
         caller.send(&Query::new("SELECT page FROM portfolio".into())).await.unwrap();
@@ -55,7 +55,7 @@
                 let now = pids
                     .iter()
                     .zip(&before)
-                    .map(|(pid, b)| system::resident(*pid).saturating_sub(*b));
+                    .map(|(pid, b)| lab::usage::resident(*pid).saturating_sub(*b));
                 most = most.max(now.max().unwrap());
                 let began = Instant::now();
                 other.simple_query("SELECT 1").await.unwrap();
