--- a/components/contract/src/config.rs
+++ b/components/contract/src/config.rs
@@ -65,7 +65,7 @@
     pub address: SocketAddr,
     /// The failure domain it stands in.
     pub domain: FailureDomain,
-    /// Transactions it can run at once.
+    /// Statements it can run at once.
     #[serde(default = "default_slots")]
     pub slots: u16,
     /// Connections it accepts.
--- a/components/entry/src/admit.rs
+++ b/components/entry/src/admit.rs
@@ -1,9 +1,6 @@
 //! Whether a request may run at all: key, freshness and rate.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Duration};
 
 use bergamottrack_contract::RevisionDoc;
 use bergamottrack_coordination::{AccountId, KeyId, Reason, Refusal};
@@ -21,7 +18,6 @@
         &self,
         account: &AccountId,
         key: &KeyId,
-        _deadline: Instant,
     ) -> Result<Rc<RevisionDoc>, Refusal> {
         self.check(account, key)?;
         self.limits.take(account).await?;
--- a/components/entry/src/session.rs
+++ b/components/entry/src/session.rs
@@ -372,7 +372,7 @@
         let (account, key) = (&self.caller.account, &self.caller.key);
         let admitted = match &self.exchange {
             Some(_) => self.entry.check(account, key),
-            None => self.entry.admit(account, key, deadline).await,
+            None => self.entry.admit(account, key).await,
         };
         let doc = match admitted {
             Ok(doc) => doc,
--- a/components/home/src/serve.rs
+++ b/components/home/src/serve.rs
@@ -86,11 +86,10 @@
     let mut batch = Batch::new(open.frames.clone());
     let mut first = running.as_ref();
     loop {
-        let result = match first.take() {
-            Some(running) => claimed(running, &mut turn, &mut taken.conn, side, &batch).await,
-            None => turn.run(&mut taken.conn, side, &batch).await,
+        let (standing, answer) = match first.take() {
+            Some(running) => claimed(running, &mut turn, &mut taken.conn, side, &batch).await?,
+            None => turn.run(&mut taken.conn, side, &batch).await?,
         };
-        let (standing, answer) = result?;
         if standing == Standing::Idle {
             // While a write is confirmed the server works for others.
             slot = None;
--- a/components/metrics/src/gauges.rs
+++ b/components/metrics/src/gauges.rs
@@ -67,8 +67,8 @@
     let up = family(r, "server_up", "Whether the server answers: 1 or 0");
     let position = family(r, "server_position", "Last position that its reads show");
     let heard = family(r, "server_heard_age_seconds", "Time since it was last heard of");
-    let busy = family(r, "server_slots_in_use", "Transactions that it runs for this home");
-    let slots = family(r, "server_slots", "Transactions that it may run at once");
+    let busy = family(r, "server_slots_in_use", "Statements that it runs for this home");
+    let slots = family(r, "server_slots", "Statements that it may run at once");
     let connections = family(r, "server_connections", "Connections of this home to it");
     let leaving = family(r, "server_leaving", "Whether it gets no new work: 1 or 0");
     let all = groups.iter().flat_map(|group| group.servers.iter().map(move |s| (group, s)));
--- a/components/metrics/src/report.rs
+++ b/components/metrics/src/report.rs
@@ -63,9 +63,9 @@
     pub applied: Point,
     /// How long ago it was last heard of.
     pub heard: Option<Duration>,
-    /// Transactions that it runs for this home.
+    /// Statements that it runs for this home.
     pub busy: u64,
-    /// Transactions that it may run at once.
+    /// Statements that it may run at once.
     pub slots: u64,
     /// Connections of this home to it.
     pub connections: u64,
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cost;
 pub mod demo;
 pub mod experiment;
+pub mod fault;
 pub mod link;
 pub mod load;
 pub mod platform;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,7 +3,9 @@
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand};
-use lab::{cost, demo, experiment, link, load, platform, product, server, slopes, storm, up};
+use lab::{
+    cost, demo, experiment, fault, link, load, platform, product, server, slopes, storm, up,
+};
 
 /// Stand-ins, faults, load and experiments for bergamottrack.
 #[derive(Debug, Parser)]
@@ -20,6 +22,10 @@
     Server(server::ServerArgs),
     /// Run links between processes that can be cut, delayed and reset.
     Link(link::LinkArgs),
+    /// Cut, delay, reset or mend links of a system that is held up.
+    Fault(fault::FaultArgs),
+    /// Set the faults of the platform of a system that is held up.
+    Outage(fault::OutageArgs),
     /// Run faults drawn from a seed over a system under load, then check the promises.
     Storm(storm::StormArgs),
     /// Run a stand-in for the platform.
@@ -61,6 +67,8 @@
         Command::Server(args) => stand_in(server::run(args)),
         Command::Link(args) => stand_in(link::run(args)),
         Command::Platform(args) => stand_in(platform::run(args)),
+        Command::Fault(args) => tokio::runtime::Runtime::new()?.block_on(fault::run(args)),
+        Command::Outage(args) => tokio::runtime::Runtime::new()?.block_on(fault::outage(args)),
         Command::Storm(args) => {
             product::build()?;
             tokio::runtime::Runtime::new()?.block_on(storm::run(args))
--- a/lab/src/server/session.rs
+++ b/lab/src/server/session.rs
@@ -489,16 +489,18 @@
 async fn turn(
     engine: &Engine,
     write: bool,
-) -> Result<(SemaphorePermit<'_>, Option<SemaphorePermit<'_>>), SqlError> {
-    // Before the slot: whoever writes needs one for its next statement.
-    let writing = match write {
-        true => Some(engine.writing.acquire().await.map_err(anyhow::Error::from)?),
-        false => None,
-    };
+) -> Result<(Option<SemaphorePermit<'_>>, Option<SemaphorePermit<'_>>), SqlError> {
     let slot = engine.slot().await?;
     let service = engine.knobs.service.get();
     if !service.is_zero() {
         monoio::time::sleep(service).await;
     }
-    Ok((slot, writing))
+    if !write {
+        return Ok((Some(slot), None));
+    }
+    // A statement that waits for the lock has no slot: whoever holds the lock
+    // needs one for its next statement.
+    drop(slot);
+    let writing = engine.writing.acquire().await.map_err(anyhow::Error::from)?;
+    Ok((None, Some(writing)))
 }
--- a/lab/src/system.rs
+++ b/lab/src/system.rs
@@ -113,7 +113,8 @@
     pub addresses: Vec<HostAddresses>,
     /// Where the platform listens.
     pub platform_address: SocketAddr,
-    control: SocketAddr,
+    /// Where the links take commands.
+    pub control: SocketAddr,
     link_args: Vec<String>,
     ports: Ports,
     dir: TempDir,
--- a/lab/src/up.rs
+++ b/lab/src/up.rs
@@ -19,6 +19,9 @@
     /// Entry host `i` listens for callers on this port and `i`.
     #[arg(long, default_value_t = 6430)]
     pub port: u16,
+    /// Put links that `lab fault` can cut between all processes.
+    #[arg(long)]
+    pub links: bool,
     /// What the hosts log.
     #[arg(long, default_value = "info")]
     pub log: String,
@@ -27,7 +30,7 @@
 /// Starts the system and holds it up until Ctrl-C.
 pub async fn run(args: UpArgs) -> anyhow::Result<()> {
     let mut plan = args.site.plan(args.hosts)?;
-    (plan.port, plan.log) = (args.port, args.log);
+    (plan.port, plan.log, plan.links) = (args.port, args.log, args.links);
     let system = System::start(plan).await?;
     let config = args.site.config()?;
     let account = config.accounts.first().map_or("", |a| a.id.as_str());
@@ -37,6 +40,10 @@
         let (callers, operator) = (addresses.callers, addresses.operator);
         println!("h{} callers {callers} operators {operator}", i + 1);
     }
+    println!("platform {}", system.platform_address);
+    if args.links {
+        println!("links {}", system.control);
+    }
     println!("operator key {OPERATOR_KEY}");
     for account in &config.accounts {
         println!("account {} user {0}.k1 key {}", account.id, system::key_of(account.id.as_str()));
--- a/lab/tests/up.rs
+++ b/lab/tests/up.rs
@@ -3,35 +3,73 @@
 use std::{
     io::{BufRead, BufReader},
     net::TcpListener,
-    process::{Command, Stdio},
+    process::{Child, Command, Stdio},
 };
 
-use lab::ports::Ports;
+use lab::{client, ports::Ports};
 
-/// What an operator sees: each host's addresses a line, a connection string
-/// that an ordinary driver takes, and all processes gone after Ctrl-C.
-#[test]
-fn a_site_is_held_up_and_stops_at_ctrl_c() {
-    let mut ports = Ports::take().unwrap();
-    let port = ports.address().unwrap().port() - 1;
+/// Starts `lab up` with one host; the lines that it prints.
+fn up(port: u16, more: &[&str]) -> (Child, Vec<String>) {
     let mut up = Command::new(env!("CARGO_BIN_EXE_lab"))
         .args(["up", "--site", "hartwell", "--hosts", "1", "--port", &port.to_string()])
+        .args(more)
         .env_remove("CARGO")
         .stdout(Stdio::piped())
         .spawn()
         .unwrap();
-    let lines = BufReader::new(up.stdout.take().unwrap()).lines();
-    let mut connect = None;
-    for line in lines.map(Result::unwrap) {
-        connect = connect.or(line.strip_prefix("connect ").map(str::to_owned));
-        if line.starts_with("Ctrl-C") {
+    let lines = BufReader::new(up.stdout.take().unwrap()).lines().map(Result::unwrap);
+    let mut printed = Vec::new();
+    for line in lines {
+        let last = line.starts_with("Ctrl-C");
+        printed.push(line);
+        if last {
             break;
         }
     }
-    let config: tokio_postgres::Config = connect.unwrap().parse().unwrap();
-    assert_eq!(config.get_ports(), [port + 1]);
+    (up, printed)
+}
+
+fn value<'a>(lines: &'a [String], name: &str) -> &'a str {
+    lines.iter().find_map(|line| line.strip_prefix(name)).unwrap()
+}
+
+fn interrupt(mut up: Child) {
     let kill = Command::new("kill").args(["-INT", &up.id().to_string()]).status().unwrap();
     assert!(kill.success());
     assert!(up.wait().unwrap().success());
+}
+
+/// What an operator sees: each host's addresses a line, a connection string
+/// that an ordinary driver takes, and all processes gone after Ctrl-C.
+#[test]
+fn a_site_is_held_up_and_stops_at_ctrl_c() {
+    let mut ports = Ports::take().unwrap();
+    let port = ports.address().unwrap().port() - 1;
+    let (up, lines) = up(port, &[]);
+    let config: tokio_postgres::Config = value(&lines, "connect ").parse().unwrap();
+    assert_eq!(config.get_ports(), [port + 1]);
+    interrupt(up);
     TcpListener::bind(("127.0.0.1", port + 1)).unwrap();
 }
+
+/// A person cuts the host from all servers, sees callers refused, mends the
+/// links and sees them served.
+#[tokio::test]
+async fn links_are_cut_and_mended_by_hand() {
+    let mut ports = Ports::take().unwrap();
+    let port = ports.address().unwrap().port() - 1;
+    let (up, lines) = up(port, &["--links"]);
+    let fault = |more: &[&str]| {
+        let at = value(&lines, "links ");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_lab"));
+        command.args(["fault", "--at", at, "h1>*"]).args(more);
+        assert!(command.status().unwrap().success());
+    };
+    let caller = client::connect(&value(&lines, "connect ").parse().unwrap()).await.unwrap();
+    client::until_runs(&caller, "SELECT 1").await.unwrap();
+    fault(&["--cut", "both"]);
+    while caller.simple_query("SELECT 1").await.is_ok() {}
+    fault(&[]);
+    client::until_runs(&caller, "SELECT 1").await.unwrap();
+    interrupt(up);
+}
