A read that must be current is refused at once when nothing shows that its primary leads

Cause: the look at the leadership waited for the other servers up to the request's deadline, so a refusal that was certain was held back: 60 s with a deadline of 60 s in a_replaced_primary_does_not_answer_a_read_that_must_be_current. Ruled out: the routing, which chose the only server that answered. Now it waits for twice the silence.

--- a/components/home/src/route.rs
+++ b/components/home/src/route.rs
@@ -111,10 +111,13 @@
     ///
     /// Guards against a primary that was frozen or cut off and replaced: it
     /// would answer from the past. Had a later term been promised by a majority
-    /// before `since`, one of the two servers asked since would say so.
+    /// before `since`, one of the two servers asked since would say so. A server
+    /// that lets twice the silence pass will not say it: waiting for it up to the
+    /// deadline would only hold the refusal back.
     pub async fn is_current(&self, primary: &Server, since: Instant, deadline: Instant) -> bool {
         self.servers.iter().for_each(|server| server.probe.notify_one());
-        self.until(deadline, || {
+        let until = deadline.min(self.clock.now() + 2 * self.silence());
+        self.until(until, || {
             let seen = primary.seen.get().filter(|seen| seen.asked >= since)?;
             let term = seen.status.term;
             if !seen.status.leads() || self.is_past(term) {
