A host that is gone no longer holds back the others' parts of a rate

Cause: a host that had not heard every other host let its part of each rate only shrink. Change: only a loss of the last 4 s holds parts back; a host that hears no majority falls to the least part before the others count on that.

--- a/components/coordination/src/demand.rs
+++ b/components/coordination/src/demand.rs
@@ -7,10 +7,11 @@
 //! of the rate follows the demand that hosts tell each other, and the smaller
 //! one is spread equally, for hosts where demand begins.
 //!
-//! The sum of all parts stays the rate while hosts hear each other. A host that
-//! has not been heard lately keeps the demand it told last, and a host that does
-//! not hear all others lets its own part only shrink: so parts do not grow on
-//! both sides of a cut.
+//! The sum of all parts stays the rate while hosts hear each other. When some do
+//! not, parts must not grow on both sides of a cut. So a host that has lost
+//! another lets its part only shrink at first. One that hears no majority falls
+//! back to the least part; later, when that has surely happened, the others count
+//! the lost host with the least part too, and share the rest.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -28,6 +29,13 @@
 /// How long a host counts as heard; several times the interval of reports.
 pub const HEARD_FOR: Duration = Duration::from_millis(1600);
 
+/// When a host that hears no majority of the hosts uses the least part only.
+pub const ALONE_AFTER: Duration = Duration::from_millis(2500);
+
+/// When the others count on it. Later by more than the time that a host may take
+/// to notice, with the last message it heard on its way.
+pub const LOST_AFTER: Duration = Duration::from_millis(4000);
+
 /// Requests asked for, by account, each a second.
 pub type Asked = Vec<(AccountId, f64)>;
 
@@ -52,7 +60,8 @@
 #[derive(Debug)]
 struct Told {
     asked: BTreeMap<AccountId, f64>,
-    at: Option<Instant>,
+    /// When it was heard last, or became known.
+    at: Instant,
 }
 
 /// Tokens of one account at this host.
@@ -60,7 +69,7 @@
 struct Tokens {
     saved: f64,
     at: Instant,
-    /// The last part of the rate; it does not grow while a host is not heard.
+    /// The last part of the rate; it does not grow while a lost host may use its own.
     part: f64,
 }
 
@@ -85,11 +94,11 @@
 
 impl Demand {
     /// Sets which other hosts have a part.
-    pub fn set_hosts(&mut self, hosts: impl IntoIterator<Item = HostId>) {
+    pub fn set_hosts(&mut self, hosts: impl IntoIterator<Item = HostId>, now: Instant) {
         let mut old = std::mem::take(&mut self.hosts);
         for host in hosts {
             let told = old.remove(&host);
-            let told = told.unwrap_or(Told { asked: BTreeMap::new(), at: None });
+            let told = told.unwrap_or(Told { asked: BTreeMap::new(), at: now });
             self.hosts.insert(host, told);
         }
     }
@@ -97,7 +106,7 @@
     /// Notes what another host said.
     pub fn heard(&mut self, host: &HostId, asked: Asked, now: Instant) {
         if let Some(told) = self.hosts.get_mut(host) {
-            *told = Told { asked: asked.into_iter().collect(), at: Some(now) };
+            *told = Told { asked: asked.into_iter().collect(), at: now };
         }
     }
 
@@ -107,19 +116,32 @@
         asked.filter(|(_, rate)| *rate > 0.05).collect()
     }
 
-    fn hears_all(&self, now: Instant) -> bool {
-        let heard = |at: Instant| now.saturating_duration_since(at) < HEARD_FOR;
-        self.hosts.values().all(|told| told.at.is_some_and(heard))
+    /// How long ago each other host was heard.
+    fn silences(&self, now: Instant) -> impl Iterator<Item = Duration> {
+        self.hosts.values().map(move |told| now.saturating_duration_since(told.at))
+    }
+
+    /// Whether a host was lost so lately that it may still use its old part.
+    fn is_unsettled(&self, now: Instant) -> bool {
+        self.silences(now).any(|silence| silence >= HEARD_FOR && silence < LOST_AFTER)
+    }
+
+    /// Whether no majority of the hosts, this one included, is heard.
+    fn is_alone(&self, now: Instant) -> bool {
+        let heard = self.silences(now).filter(|silence| *silence < ALONE_AFTER).count() + 1;
+        2 * heard <= self.hosts.len() + 1
     }
 
     /// This host's part of the account's rate, from 0 to 1.
     fn part(&self, account: &AccountId, now: Instant) -> f64 {
         let hosts = (self.hosts.len() + 1) as f64;
         let mine = self.mine.get(account).map_or(0.0, |meter| meter.decayed(now));
+        let counts = |told: &&Told| now.saturating_duration_since(told.at) < LOST_AFTER;
         let told = |told: &Told| told.asked.get(account).copied().unwrap_or(0.0);
-        let all = mine + self.hosts.values().map(told).sum::<f64>();
+        let all = mine + self.hosts.values().filter(counts).map(told).sum::<f64>();
         let by_demand = if all > 0.0 { mine / all } else { 1.0 / hosts };
-        BY_DEMAND * by_demand + (1.0 - BY_DEMAND) / hosts
+        let least = (1.0 - BY_DEMAND) / hosts;
+        if self.is_alone(now) { least } else { BY_DEMAND * by_demand + least }
     }
 
     /// Takes a token for a request of the account.
@@ -130,13 +152,12 @@
         let meter = Meter { rate: 0.0, at: now };
         self.mine.entry(account.clone()).or_insert(meter).add(now);
         let mut part = self.part(account, now);
-        let hears_all = self.hears_all(now);
+        let unsettled = self.is_unsettled(now);
         let start = Tokens { saved: 0.0, at: now, part: 0.0 };
         let tokens = self.tokens.entry(account.clone()).or_insert(start);
-        if !hears_all {
+        if unsettled {
             let equal = 1.0 / (self.hosts.len() + 1) as f64;
-            let before = if tokens.part > 0.0 { tokens.part } else { (1.0 - BY_DEMAND) * equal };
-            part = part.min(before);
+            part = part.min(if tokens.part > 0.0 { tokens.part } else { equal });
         }
         tokens.part = part;
         let pace = (rate.0 * part).max(f64::MIN_POSITIVE);
--- /dev/null
+++ b/components/coordination/tests/demand.rs
@@ -0,0 +1,145 @@
+//! Parts of an account's rate over hosts that come, go and lose each other.
+
+use std::time::{Duration, Instant};
+
+use bergamottrack_coordination::{AccountId, Burst, HostId, Rate, demand::Demand};
+
+const RATE: Rate = Rate(120.0);
+const BURST: Burst = Burst(120.0);
+const TICK: Duration = Duration::from_millis(10);
+
+struct Fleet {
+    hosts: Vec<(HostId, Demand)>,
+    now: Instant,
+    admitted: Vec<(Instant, usize)>,
+}
+
+fn account() -> AccountId {
+    "large".parse().unwrap()
+}
+
+fn host(n: usize) -> HostId {
+    format!("host-{n}").parse().unwrap()
+}
+
+impl Fleet {
+    fn new(size: usize) -> Self {
+        let hosts = (0..size).map(|n| {
+            let mut demand = Demand::default();
+            demand.set_hosts((0..size).filter(|other| *other != n).map(host), Instant::now());
+            (host(n), demand)
+        });
+        Self { hosts: hosts.collect(), now: Instant::now(), admitted: Vec::new() }
+    }
+
+    /// Lets time pass; each host has so many requests a second, and tells its
+    /// demand to the hosts that `hears` allows.
+    fn run(&mut self, time: Duration, asks: &[f64], hears: impl Fn(usize, usize) -> bool) {
+        let end = self.now + time;
+        let mut due: Vec<f64> = vec![0.0; self.hosts.len()];
+        let mut tell = self.now;
+        while self.now < end {
+            self.now += TICK;
+            for (n, (_, demand)) in self.hosts.iter_mut().enumerate() {
+                due[n] += asks[n] * TICK.as_secs_f64();
+                while due[n] >= 1.0 {
+                    due[n] -= 1.0;
+                    if demand.take(&account(), RATE, BURST, self.now).admitted {
+                        self.admitted.push((self.now, n));
+                    }
+                }
+            }
+            if self.now >= tell {
+                tell += Duration::from_millis(400);
+                self.tell(&hears);
+            }
+        }
+    }
+
+    fn tell(&mut self, hears: impl Fn(usize, usize) -> bool) {
+        let told: Vec<_> = self.hosts.iter().map(|(_, demand)| demand.asked(self.now)).collect();
+        for (to, (_, demand)) in self.hosts.iter_mut().enumerate() {
+            for (from, asked) in told.iter().enumerate() {
+                if from != to && hears(to, from) {
+                    demand.heard(&host(from), asked.clone(), self.now);
+                }
+            }
+        }
+    }
+
+    fn admitted_since(&self, since: Instant) -> usize {
+        self.admitted.iter().filter(|(at, _)| *at >= since).count()
+    }
+
+    /// The most admitted within any five seconds.
+    fn worst_window(&self) -> usize {
+        let window = Duration::from_secs(5);
+        let starts = self.admitted.iter().map(|(at, _)| *at);
+        starts
+            .map(|at| self.admitted.iter().filter(|(t, _)| *t >= at && *t < at + window).count())
+            .max()
+            .unwrap_or(0)
+    }
+}
+
+/// What the users' rule allows within five seconds.
+fn allowed() -> usize {
+    ((RATE.0 * 5.0 + BURST.0) * 1.1 + 20.0) as usize
+}
+
+/// A large account's callers get refusals for the rest of the day. A host was
+/// removed for good and stayed in the view; all others were restarted at once.
+/// None of them heard the removed one, so none let its part grow from the least.
+#[test]
+fn a_host_that_is_gone_does_not_hold_the_rate_back() {
+    let mut fleet = Fleet::new(6);
+    let hears = |to: usize, from: usize| to != 5 && from != 5;
+    fleet.run(Duration::from_secs(6), &[20.0, 20.0, 20.0, 20.0, 20.0, 0.0], hears);
+    let asks = [50.0, 5.0, 15.0, 15.0, 15.0, 0.0];
+    fleet.run(Duration::from_secs(3), &asks, hears);
+    let since = fleet.now;
+    fleet.run(Duration::from_secs(5), &asks, hears);
+    let admitted = fleet.admitted_since(since);
+    assert!(admitted >= 480, "of 500 requests within the rate {admitted} were admitted");
+}
+
+/// Callers of one account send several times its rate at all hosts, and one host
+/// is cut off from the others for a while. Both sides of the cut keep callers.
+/// If both sides took over each other's part, the account would get more than its rate.
+#[test]
+fn no_more_than_the_rate_runs_on_both_sides_of_a_cut() {
+    let mut fleet = Fleet::new(6);
+    let asks = [100.0; 6];
+    fleet.run(Duration::from_secs(6), &asks, |_, _| true);
+    fleet.run(Duration::from_secs(12), &asks, |to, from| to != 5 && from != 5);
+    fleet.run(Duration::from_secs(6), &asks, |_, _| true);
+    let worst = fleet.worst_window();
+    assert!(worst <= allowed(), "{worst} were admitted in a window, {} are allowed", allowed());
+}
+
+/// Callers of an account all come to one host. Its part must follow them, or they
+/// are refused while the other hosts' tokens lie idle.
+#[test]
+fn the_part_follows_the_callers() {
+    let mut fleet = Fleet::new(6);
+    fleet.run(Duration::from_secs(6), &[80.0, 0.0, 0.0, 0.0, 0.0, 0.0], |_, _| true);
+    let since = fleet.now;
+    fleet.run(Duration::from_secs(5), &[80.0, 0.0, 0.0, 0.0, 0.0, 0.0], |_, _| true);
+    let admitted = fleet.admitted_since(since);
+    assert!(admitted >= 390, "of 400 requests within the rate {admitted} were admitted");
+}
+
+/// All hosts are restarted at once while an account sends several times its rate.
+/// Buckets that started full would grant the burst a second time within seconds.
+#[test]
+fn a_restart_of_all_hosts_grants_no_second_burst() {
+    let mut fleet = Fleet::new(6);
+    let asks = [100.0; 6];
+    fleet.run(Duration::from_secs(6), &asks, |_, _| true);
+    let mut restarted = Fleet::new(6);
+    restarted.now = fleet.now + Duration::from_millis(500);
+    restarted.admitted = std::mem::take(&mut fleet.admitted);
+    restarted.run(Duration::from_secs(6), &asks, |_, _| true);
+    let worst = restarted.worst_window();
+    assert!(worst <= allowed(), "{worst} were admitted in a window, {} are allowed", allowed());
+}
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -235,7 +235,7 @@
         .collect();
     let others = roster.iter().map(|host| host.id.clone());
     let others = others.filter(|id| *id != host.settings.host);
-    host.demand.borrow_mut().set_hosts(others);
+    host.demand.borrow_mut().set_hosts(others, host.now());
     host.mesh.set_roster(&roster, &[]);
 }
 
