One duty for the promotions of all groups; releases told by the store; a leader that is back is kept

Change: the duty is taken for one call over all groups and given back after its answer; a host that cannot reach the one who waits tells its release by the store; silent hosts are taken out after 4 s; an old leader that answers again while leases end is kept.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod choice;
 pub mod clock;
 pub mod demand;
+pub mod duty;
 pub mod fair;
 pub mod freshness;
 pub mod ids;
--- a/components/coordination/src/view.rs
+++ b/components/coordination/src/view.rs
@@ -20,7 +20,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{FailureDomain, GroupId, HostId, ServerId};
+use crate::{FailureDomain, GroupId, HostId, ServerId, duty::Duty};
 
 /// How long a host may use a leader without showing again that it leads.
 ///
@@ -46,6 +46,10 @@
     /// may hold a lease for a while yet, and counts itself in again if it lives.
     #[serde(default)]
     pub left: Option<Duration>,
+    /// The newest intent after which it used the old leader no more; written only
+    /// when it cannot tell the one who waits for it.
+    #[serde(default)]
+    pub released: u64,
 }
 
 impl Member {
@@ -79,11 +83,10 @@
 
 /// How long a host may make a change of leader before another may take it over.
 /// A change takes the lease, a promotion of a second and the waits between.
-pub const TURN: Duration = Duration::from_secs(14);
+pub const TURN: Duration = Duration::from_millis(11_500);
 
-/// What is added to [`TURN`] by the one who takes over: what the former holder
-/// has sent cannot take effect any more when its call has timed out.
-pub const TURN_MARGIN: Duration = Duration::from_secs(3);
+/// What is added to [`TURN`] by the one who takes over, for clocks that differ.
+pub const TURN_MARGIN: Duration = Duration::from_millis(1500);
 
 /// A row of the view.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -103,6 +106,8 @@
     pub clock: Duration,
     /// The secret that hosts of the fleet prove to each other.
     pub secret: Option<Box<str>>,
+    /// Who calls for promotions.
+    pub duty: Option<Versioned<Duty>>,
     /// The hosts.
     pub members: BTreeMap<HostId, Versioned<Member>>,
     /// Who leads; a group without an entry is led by the server that says so.
@@ -203,6 +208,15 @@
         self.waiting.retain(|other| other != host);
     }
 
+    /// Notes what the store says of hosts that could not be told.
+    pub fn note(&mut self, view: &View, intent: u64) {
+        self.waiting.retain(|host| match view.members.get(host) {
+            Some(member) => member.value.released < intent && !member.value.is_over(view.clock),
+            // A host that left took itself out after its last use of a leader.
+            None => false,
+        });
+    }
+
     /// Whether no host holds one.
     pub fn is_over(&self, now: Instant) -> bool {
         self.waiting.is_empty() || now >= self.over
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -52,9 +52,10 @@
 /// Most transactions last less than this; a leaving server serves for seconds.
 const PATIENCE: Duration = Duration::from_millis(1200);
 
-/// How long a host must be silent before it is taken out: longer than a host
-/// that is restarted or cut off is usually away.
-const SILENT_FOR: Duration = Duration::from_secs(20);
+/// How long a host must be silent to the one who takes it out. A host that was
+/// removed for good delays a change of leader by a whole lease, unless it was
+/// taken out that long before; one that is just cut off counts itself in again.
+const SILENT_FOR: Duration = Duration::from_secs(4);
 
 /// How links between hosts are tried out. Demand is told more often anyway.
 pub const PACE: Pace =
@@ -64,6 +65,9 @@
 const GROUP: &str = "group/";
 const SECRET: &str = "secret";
 
+/// The key of the duty's row.
+pub const DUTY: &str = "duty";
+
 /// The key of a group's row.
 pub fn group_key(group: &GroupId) -> Box<str> {
     format!("{GROUP}{group}").into()
@@ -89,6 +93,9 @@
         } else if let Some(group) = row.key.strip_prefix(GROUP) {
             let value = serde_json::from_slice(&row.value).context("reading a group's row")?;
             view.groups.insert(group.parse()?, Versioned { version, value });
+        } else if &*row.key == DUTY {
+            let value = serde_json::from_slice(&row.value).context("reading the duty's row")?;
+            view.duty = Some(Versioned { version, value });
         } else if &*row.key == SECRET {
             view.secret = Some(String::from_utf8(row.value.to_vec())?.into());
         }
@@ -168,6 +175,7 @@
         domain: host.settings.domain.clone(),
         run: host.run,
         left: None,
+        released: 0,
     };
     let value = serde_json::to_vec(&member)?;
     let put = vec![(member_key(&host.settings.host), value)];
@@ -202,16 +210,23 @@
         }
         let group = host.group(&id);
         info!(group = %id, version = row.version, leadership = ?row.value, "leader: view changed");
-        if let Leadership::Moving { planned, .. } = row.value {
+        if let Leadership::Moving { planned, holder, .. } = row.value {
             let end = until.filter(|_| planned).unwrap_or(asked);
-            monoio::spawn(release(host.clone(), group, row.version, end));
+            let host = host.clone();
+            monoio::spawn(async move {
+                release(&host, &group, row.version, end).await;
+                if let Err(error) = tell_released(&host, &holder, row.version).await {
+                    let error = format_args!("{error:#}");
+                    info!(group = %group.id, %holder, %error, "fleet: release not told");
+                }
+            });
         }
     }
 }
 
 /// Lets work at the former leader end, until `end` at most: the lease under which
 /// it began is over then.
-async fn release(host: Rc<Host>, group: Rc<Group>, version: u64, end: Instant) {
+async fn release(host: &Host, group: &Group, version: u64, end: Instant) {
     let end = end.min(host.now() + PATIENCE);
     while host.now() < end && !group.is_unused() {
         monoio::time::sleep(Duration::from_millis(20)).await;
@@ -222,6 +237,31 @@
     group.released.set(group.released.get().max(version));
 }
 
+/// Tells by the store that this host uses an old leader no more, where the host
+/// that waits for it cannot be reached.
+///
+/// Guards against a gap of a whole lease when some hosts are cut off from the
+/// others but not from the store.
+async fn tell_released(host: &Host, holder: &HostId, version: u64) -> anyhow::Result<()> {
+    let reached = host.mesh.link(holder).is_some_and(|link| link.is_up());
+    if reached || *holder == host.settings.host || !host.held.borrow().is_member() {
+        return Ok(());
+    }
+    let row = host.held.borrow().view().members.get(&host.settings.host).cloned();
+    let row = row.context("this host is not of the fleet")?;
+    let member = Member { released: version, ..row.value };
+    let key = member_key(&host.settings.host);
+    let change = Change {
+        expect: vec![(key.clone(), row.version)],
+        put: vec![(key, serde_json::to_vec(&member)?)],
+        remove: Vec::new(),
+    };
+    let client = Client::new(host.settings.store);
+    let verdict = store::change(&client, &change, STORE_WITHIN).await?;
+    info!(%holder, version, ?verdict, "fleet: release told by the store");
+    Ok(())
+}
+
 fn set_members(host: &Host) {
     let held = host.held.borrow();
     let view = held.view();
@@ -349,13 +389,16 @@
 /// hosts taken out before, for ever.
 pub async fn take_out_silent(host: Rc<Host>) {
     let client = Client::new(host.settings.store);
-    let mut heard = std::collections::HashMap::<HostId, Instant>::new();
+    let mut heard = Heard::new();
     loop {
         monoio::time::sleep(Duration::from_secs(1)).await;
         let now = host.now();
         for link in host.mesh.links() {
-            if link.is_up() || !heard.contains_key(&link.host) {
-                heard.insert(link.host.clone(), now);
+            // A host that wrote its row lately lives, though it is not heard.
+            let version = host.held.borrow().view().members.get(&link.host).map(|row| row.version);
+            let known = heard.get(&link.host);
+            if link.is_up() || known.is_none_or(|(_, before)| *before != version) {
+                heard.insert(link.host.clone(), (now, version));
             }
         }
         if !host.leased() {
@@ -370,15 +413,14 @@
     }
 }
 
-fn silent_member(
-    host: &Host,
-    heard: &std::collections::HashMap<HostId, Instant>,
-    now: Instant,
-) -> Option<Change> {
+/// When each host was heard last, and the version of its row then.
+type Heard = std::collections::HashMap<HostId, (Instant, Option<u64>)>;
+
+fn silent_member(host: &Host, heard: &Heard, now: Instant) -> Option<Change> {
     let held = host.held.borrow();
     let view = held.view();
     let silent = |id: &HostId| {
-        heard.get(id).is_some_and(|at| now.saturating_duration_since(*at) > SILENT_FOR)
+        heard.get(id).is_some_and(|(at, _)| now.saturating_duration_since(*at) > SILENT_FOR)
     };
     for (id, row) in &view.members {
         let expect = vec![(member_key(id), row.version)];
--- a/components/proxy/src/lead.rs
+++ b/components/proxy/src/lead.rs
@@ -1,6 +1,7 @@
 //! Watching the leaders of all groups, and replacing one.
 
 use std::{
+    cell::RefCell,
     io,
     rc::Rc,
     time::{Duration, Instant},
@@ -8,12 +9,13 @@
 
 use anyhow::{Context, bail};
 use bergamottrack_adapter::{
-    promotion::{self, Duty, Promoted},
+    promotion::{self, Promoted},
     store::{self, Change, Verdict},
     wire,
 };
 use bergamottrack_coordination::{
     AccountId, HostId, Point, ServerId,
+    duty::{self, CALL_BY, CALL_WITHIN},
     suspicion::{self, Advice},
     view::{Leadership, Release, TURN, TURN_MARGIN, View},
 };
@@ -36,12 +38,15 @@
 /// How often leaders are looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
-/// How long the platform's promotion call may take.
-const CALL_WITHIN: Duration = Duration::from_millis(1500);
-
 /// How long a promoted server may take to lead before it is asked for again.
 const LEADS_WITHIN: Duration = Duration::from_millis(3000);
 
+/// How often an old leader is asked whether it is back, while its leases end.
+const BACK_EVERY: Duration = Duration::from_millis(300);
+
+/// How often the store is asked for releases of hosts that cannot be reached.
+const NOTED_EVERY: Duration = Duration::from_millis(500);
+
 /// How often a promoted server is asked whether it leads.
 const LEADS_EVERY: Duration = Duration::from_millis(40);
 
@@ -173,7 +178,7 @@
     account.unwrap_or_else(|| "-".parse().expect("the name is allowed"))
 }
 
-/// The store's clock now, no later than it really is.
+/// The store's clock now, or a few milliseconds later.
 fn store_now(host: &Host) -> Duration {
     let held = host.held.borrow();
     held.view().clock + held.age(host.now()).unwrap_or_default()
@@ -252,9 +257,8 @@
     client: Client,
     from: Option<ServerId>,
     planned: bool,
-    /// Version of the intent, which is the token of the duty too: versions of the
-    /// store only grow, over all groups and over a restart of all hosts.
-    token: u64,
+    /// Version of the intent.
+    intent: u64,
     /// When this host's turn ends.
     until: Instant,
 }
@@ -272,38 +276,45 @@
         let before = host.held.borrow().leadership(&group.id).map_or(0, |row| row.version);
         let now = host.now();
         let (holder, since) = (host.settings.host.clone(), store_now(host));
-        let intent = Leadership::Moving { from: from.clone(), holder, since, planned };
+        let moving = Leadership::Moving { from: from.clone(), holder, since, planned };
         let change = Change {
             expect: vec![(key.clone(), before)],
-            put: vec![(key, serde_json::to_vec(&intent)?)],
+            put: vec![(key, serde_json::to_vec(&moving)?)],
             remove: Vec::new(),
         };
         let verdict = store::change(&client, &change, STORE_WITHIN).await;
-        let token = match verdict {
-            Ok(Verdict::Applied(token)) => Some(token),
+        let intent = match verdict {
+            Ok(Verdict::Applied(version)) => Some(version),
             Ok(Verdict::Conflict) => None,
             Ok(Verdict::Refused) => bail!("the store has no capacity"),
             // The answer is lost; what the store holds tells.
             Err(error) => {
                 let view = fleet::read(&client).await.context(error)?;
                 let row = view.groups.get(&group.id);
-                row.filter(|row| row.value == intent).map(|row| row.version)
+                row.filter(|row| row.value == moving).map(|row| row.version)
             }
         };
         let until = now + TURN;
-        Ok(token.map(|token| Self { client, from, planned, token, until }))
+        Ok(intent.map(|intent| Self { client, from, planned, intent, until }))
     }
 
     async fn run(self, host: &Rc<Host>, group: &Rc<Group>) -> anyhow::Result<()> {
         let began = host.now();
-        self.wait_released(host, group).await?;
+        let back = monoio::select! {
+            released = self.wait_released(host, group) => released.map(|()| None),
+            leader = self.wait_back(host) => Ok(Some(leader)),
+        };
+        if let Some(leader) = back? {
+            info!(group = %group.id, %leader, intent = self.intent, "leader: back before it was replaced");
+            return self.finish(host, group, leader).await;
+        }
         let released = host.now();
         while host.now() < self.until {
             match self.settle(host, group).await {
                 Ok(Some(leader)) => {
                     let (free, all) = (released - began, host.now() - began);
                     info!(
-                        group = %group.id, %leader, token = self.token,
+                        group = %group.id, %leader, intent = self.intent,
                         released_ms = free.as_millis() as u64, ms = all.as_millis() as u64,
                         "leader: replaced"
                     );
@@ -320,6 +331,23 @@
         bail!("the turn is over")
     }
 
+    /// Waits until the old leader answers again and still leads.
+    ///
+    /// While others may still count on it nobody else can lead; when it is back
+    /// first, keeping it ends the gap and loses nothing that was acknowledged.
+    async fn wait_back(&self, host: &Host) -> ServerId {
+        loop {
+            monoio::time::sleep(BACK_EVERY).await;
+            let Some(from) = self.from.as_ref().filter(|_| !self.planned) else { continue };
+            let Some(pool) = host.server(from) else { continue };
+            if let Ok(status) = status(host, &pool, suspicion::PROBE_WITHIN).await
+                && status.role == Role::Primary
+            {
+                return from.clone();
+            }
+        }
+    }
+
     /// Waits until no host counts on the old leader.
     async fn wait_released(&self, host: &Rc<Host>, group: &Group) -> anyhow::Result<()> {
         let asked = host.now();
@@ -330,23 +358,31 @@
                 Err(_) => monoio::time::sleep(LOOK_EVERY).await,
             }
         };
-        anyhow::ensure!(view.version >= self.token, "the store went back");
-        let mut release = Release::new(&view, &host.settings.host, host.now());
+        anyhow::ensure!(view.version >= self.intent, "the store went back");
+        let release = Release::new(&view, &host.settings.host, host.now());
         fleet::learn(host, view.clone(), asked);
-        let others = release.waiting().to_vec();
-        let asks = others.iter().map(|id| ask_release(host, id, &view, release.over));
-        for (id, released) in others.iter().zip(future::join_all(asks).await) {
-            if released {
-                release.gave_back(id);
-            }
+        let release = Rc::new(RefCell::new(release));
+        let others = release.borrow().waiting().to_vec();
+        for id in others {
+            monoio::spawn(ask_release(host.clone(), id, view.clone(), release.clone()));
         }
-        while group.released.get() < self.token && host.now() < release.over {
+        let mut noted = host.now();
+        loop {
+            let now = host.now();
+            let own = group.released.get() >= self.intent;
+            let others = release.borrow().is_over(now);
+            if others && (own || now >= release.borrow().over) {
+                return Ok(());
+            }
+            if now >= noted + NOTED_EVERY {
+                // Hosts that this one cannot reach tell it by the store.
+                if let Ok(view) = fleet::read(&self.client).await {
+                    release.borrow_mut().note(&view, self.intent);
+                }
+                noted = host.now();
+            }
             monoio::time::sleep(Duration::from_millis(10)).await;
         }
-        if !release.is_over(host.now()) {
-            monoio::time::sleep(release.over.saturating_duration_since(host.now())).await;
-        }
-        Ok(())
     }
 
     /// Finds out who is to lead and sees to it; `None` when nobody can yet.
@@ -389,14 +425,19 @@
         pool: &Pool,
     ) -> anyhow::Result<Option<ServerId>> {
         let server = pool.listed.borrow().id.clone();
-        // Guards against a second holder: what is sent within the turn has its
-        // answer, or none for ever, before another may take over.
-        anyhow::ensure!(host.now() + CALL_WITHIN < self.until, "the turn is over");
-        let duty = Duty { holder: &host.settings.host, token: self.token };
+        let Some((token, by)) = self.take_duty(host, group).await? else { return Ok(None) };
+        // Guards against a holder that was held up: another may call by now.
+        anyhow::ensure!(host.now() < by, "the time for the call is over");
+        let duty = promotion::Duty { holder: &host.settings.host, token };
         let (address, id) = (host.settings.promoter, &group.id);
         let said = promotion::promote(address, duty, id, &server, CALL_WITHIN).await;
         let error = said.as_ref().err().map(tracing::field::display);
-        info!(group = %id, %server, token = self.token, said = ?said.as_ref().ok(), error, "promotion: asked for");
+        let answer = said.as_ref().ok();
+        info!(group = %id, %server, token, ?answer, error, "promotion: asked for");
+        if said.is_ok() {
+            // Without an answer the call may still be on its way.
+            self.free_duty(host, token).await;
+        }
         if matches!(said, Ok(Promoted::Refused | Promoted::Unavailable)) {
             return Ok(None);
         }
@@ -412,12 +453,55 @@
         Ok(None)
     }
 
+    /// Takes the duty of calling; `None` while another host has it. Gives the
+    /// token and the time by which the call must begin.
+    async fn take_duty(
+        &self,
+        host: &Host,
+        group: &Group,
+    ) -> anyhow::Result<Option<(u64, Instant)>> {
+        let began = host.now();
+        let view = fleet::read(&self.client).await?;
+        if view.duty.as_ref().is_some_and(|row| !row.value.is_free(view.clock)) {
+            return Ok(None);
+        }
+        let since = view.clock + (host.now() - began);
+        let taken = duty::Duty { holder: host.settings.host.clone(), since, free: false };
+        let change = Change {
+            expect: vec![
+                (fleet::DUTY.into(), view.duty.map_or(0, |row| row.version)),
+                (fleet::group_key(&group.id), self.intent),
+            ],
+            put: vec![(fleet::DUTY.into(), serde_json::to_vec(&taken)?)],
+            remove: Vec::new(),
+        };
+        let verdict = store::change(&self.client, &change, STORE_WITHIN).await?;
+        let Verdict::Applied(token) = verdict else { return Ok(None) };
+        info!(group = %group.id, token, "duty: taken");
+        Ok(Some((token, began + CALL_BY)))
+    }
+
+    async fn free_duty(&self, host: &Host, token: u64) {
+        let holder = host.settings.host.clone();
+        let freed = duty::Duty { holder, since: Duration::ZERO, free: true };
+        let value = serde_json::to_vec(&freed).expect("writing to memory");
+        let change = Change {
+            expect: vec![(fleet::DUTY.into(), token)],
+            put: vec![(fleet::DUTY.into(), value)],
+            remove: Vec::new(),
+        };
+        if let Err(error) = store::change(&self.client, &change, STORE_WITHIN).await {
+            // It is free by itself after a few seconds.
+            info!(token, error = %format_args!("{error:#}"), "duty: not given back");
+        }
+    }
+
     /// Writes who leads now and tells all hosts.
     async fn finish(&self, host: &Rc<Host>, group: &Group, leader: ServerId) -> anyhow::Result<()> {
         let key = fleet::group_key(&group.id);
         let steady = Leadership::Steady { leader };
         let change = Change {
-            expect: vec![(key.clone(), self.token)],
+            expect: vec![(key.clone(), self.intent)],
             put: vec![(key, serde_json::to_vec(&steady)?)],
             remove: Vec::new(),
         };
@@ -426,7 +510,7 @@
             let asked = host.now();
             if let Ok(view) = fleet::read(&self.client).await {
                 let row = view.groups.get(&group.id);
-                if row.is_none_or(|row| row.version != self.token) {
+                if row.is_none_or(|row| row.version != self.intent) {
                     fleet::learn(host, view.clone(), asked);
                     tell(host, &view);
                     return Ok(());
@@ -465,22 +549,25 @@
     }
 }
 
-/// Has a host give its leases on the old leader back; true when it holds none.
-async fn ask_release(host: &Host, id: &HostId, view: &View, over: Instant) -> bool {
-    while host.now() < over {
-        let link = host.mesh.link(id).filter(|link| link.is_up());
-        if let Some(link) = link {
-            let act = Question::Act(Box::new(view.clone()));
-            if let Ok(Answer::Acting(version)) = link.ask(act, ACT_WITHIN).await
-                && version >= view.version
-            {
-                return true;
+/// Has a host give its leases on the old leader back, as long as that is waited for.
+async fn ask_release(host: Rc<Host>, id: HostId, view: View, release: Rc<RefCell<Release>>) {
+    while !release.borrow().is_over(host.now()) {
+        let link = host.mesh.link(&id).filter(|link| link.is_up());
+        let gave_back = match link {
+            Some(link) => {
+                let act = Question::Act(Box::new(view.clone()));
+                let answer = link.ask(act, ACT_WITHIN).await;
+                matches!(answer, Ok(Answer::Acting(version)) if version >= view.version)
             }
-        } else if is_dead(host, id).await {
-            return true;
+            None => is_dead(&host, &id).await,
+        };
+        if gave_back {
+            release.borrow_mut().gave_back(&id);
+            return;
         }
         monoio::time::sleep(LOOK_EVERY).await;
     }
-    info!(host = %id, "leader: a host did not give its lease back");
-    false
+    if release.borrow().waiting().contains(&id) {
+        info!(host = %id, "leader: a host did not give its lease back");
+    }
 }
