--- a/components/coordination/src/demand.rs
+++ b/components/coordination/src/demand.rs
@@ -9,11 +9,12 @@
 //!
 //! The sum of all parts stays the rate while hosts hear each other. When some do
 //! not, parts must not grow on both sides of a cut. So a host that has lost
-//! another lets its part only shrink at first. One that hears no majority falls
-//! back to the least part; later, when that has surely happened, the others count
-//! the lost host with the least part too, and share the rest.
+//! another lets its part only shrink at first. Hosts that hear less than half of
+//! the fleet fall back to the least part each; later, when that has surely
+//! happened, the others share the rest. Two halves have half of the rate each.
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, HashMap},
     time::{Duration, Instant},
 };
@@ -29,7 +30,7 @@
 /// How long a host counts as heard; several times the interval of reports.
 pub const HEARD_FOR: Duration = Duration::from_millis(1600);
 
-/// When a host that hears no majority of the hosts uses the least part only.
+/// When a host that hears less than half of the hosts uses the least part only.
 pub const ALONE_AFTER: Duration = Duration::from_millis(2500);
 
 /// When the others count on it. Later by more than the time that a host may take
@@ -126,22 +127,30 @@
         self.silences(now).any(|silence| silence >= HEARD_FOR && silence < LOST_AFTER)
     }
 
-    /// Whether no majority of the hosts, this one included, is heard.
-    fn is_alone(&self, now: Instant) -> bool {
-        let heard = self.silences(now).filter(|silence| *silence < ALONE_AFTER).count() + 1;
-        2 * heard <= self.hosts.len() + 1
+    /// The part of every rate that the hosts heard within that time share, this
+    /// one included. Over all sides of a cut the sum is 1 at most.
+    fn pool(&self, within: Duration, now: Instant) -> f64 {
+        let hosts = (self.hosts.len() + 1) as f64;
+        let heard = (self.silences(now).filter(|silence| *silence < within).count() + 1) as f64;
+        let least = (1.0 - BY_DEMAND) / hosts;
+        match (2.0 * heard).total_cmp(&hosts) {
+            Ordering::Greater => 1.0 - (hosts - heard) * least,
+            Ordering::Equal => 0.5,
+            Ordering::Less => heard * least,
+        }
     }
 
     /// This host's part of the account's rate, from 0 to 1.
     fn part(&self, account: &AccountId, now: Instant) -> f64 {
-        let hosts = (self.hosts.len() + 1) as f64;
         let mine = self.mine.get(account).map_or(0.0, |meter| meter.decayed(now));
         let counts = |told: &&Told| now.saturating_duration_since(told.at) < LOST_AFTER;
         let told = |told: &Told| told.asked.get(account).copied().unwrap_or(0.0);
-        let all = mine + self.hosts.values().filter(counts).map(told).sum::<f64>();
-        let by_demand = if all > 0.0 { mine / all } else { 1.0 / hosts };
-        let least = (1.0 - BY_DEMAND) / hosts;
-        if self.is_alone(now) { least } else { BY_DEMAND * by_demand + least }
+        let heard = self.hosts.values().filter(counts);
+        let equal = 1.0 / (heard.clone().count() + 1) as f64;
+        let all = mine + heard.map(told).sum::<f64>();
+        let by_demand = if all > 0.0 { mine / all } else { equal };
+        let pool = self.pool(ALONE_AFTER, now).min(self.pool(LOST_AFTER, now));
+        pool * (BY_DEMAND * by_demand + (1.0 - BY_DEMAND) * equal)
     }
 
     /// Takes a token for a request of the account.
--- a/components/coordination/tests/demand.rs
+++ b/components/coordination/tests/demand.rs
@@ -117,6 +117,24 @@
     assert!(worst <= allowed(), "{worst} were admitted in a window, {} are allowed", allowed());
 }
 
+/// A cut parts the hosts into two halves while an account sends more than its
+/// rate. Each half thought itself too small to take part, so that three quarters
+/// of what the account was owed were refused until the cut healed.
+#[test]
+fn two_halves_share_the_rate() {
+    let mut fleet = Fleet::new(6);
+    let asks = [100.0; 6];
+    fleet.run(Duration::from_secs(6), &asks, |_, _| true);
+    let side = |n: usize| n < 3;
+    fleet.run(Duration::from_secs(5), &asks, |to, from| side(to) == side(from));
+    let since = fleet.now;
+    fleet.run(Duration::from_secs(5), &asks, |to, from| side(to) == side(from));
+    let admitted = fleet.admitted_since(since);
+    assert!(admitted >= 550, "of 600 requests of the rate {admitted} were admitted");
+    let worst = fleet.worst_window();
+    assert!(worst <= allowed(), "{worst} were admitted in a window, {} are allowed", allowed());
+}
+
 /// Callers of an account all come to one host. Its part must follow them, or they
 /// are refused while the other hosts' tokens lie idle.
 #[test]
--- a/components/proxy/src/lead.rs
+++ b/components/proxy/src/lead.rs
@@ -229,11 +229,14 @@
     let from_text = from.as_ref().map(tracing::field::display);
     info!(group = %group.id, from = from_text, planned, why, "leader: to be replaced");
     let (host, group) = (host.clone(), group.clone());
+    // What was decided was decided on this row: when another host has written its
+    // intent meanwhile, this one's must not be written over it.
+    let before = host.held.borrow().leadership(&group.id).map_or(0, |row| row.version);
     monoio::spawn(async move {
         // Hosts notice together; the first to write the intent makes the change.
         let pause = rand::random_range(0..40);
         monoio::time::sleep(Duration::from_millis(pause)).await;
-        let change = Move::begin(&host, &group, from, planned).await;
+        let change = Move::begin(&host, &group, before, from, planned).await;
         match change {
             Ok(Some(change)) => {
                 if let Err(error) = change.run(&host, &group).await {
@@ -268,12 +271,12 @@
     async fn begin(
         host: &Rc<Host>,
         group: &Rc<Group>,
+        before: u64,
         from: Option<ServerId>,
         planned: bool,
     ) -> anyhow::Result<Option<Self>> {
         let client = Client::new(host.settings.store);
         let key = fleet::group_key(&group.id);
-        let before = host.held.borrow().leadership(&group.id).map_or(0, |row| row.version);
         let now = host.now();
         let (holder, since) = (host.settings.host.clone(), store_now(host));
         let moving = Leadership::Moving { from: from.clone(), holder, since, planned };
