Fewer calls to the platform; servers of the own failure domain first

Most calls read a view that had not changed. Change: the view is read each 2.4 s while all hosts are heard, hosts tell each other the version of the configuration, and a far server is charged 25 ms.

--- a/components/coordination/src/choice.rs
+++ b/components/coordination/src/choice.rs
@@ -15,9 +15,10 @@
 /// The first guess of an answer's time: a read's usual work.
 const FIRST_GUESS: Duration = Duration::from_millis(35);
 
-/// What a server in another failure domain is charged: bytes between failure
-/// domains are dear, and the way there and back is 2 ms longer.
-const FAR: Duration = Duration::from_millis(6);
+/// What a server in another failure domain is charged. The way there and back is
+/// only 2 ms longer, but bytes between failure domains are dear, and callers aim
+/// at latencies of several hundred milliseconds.
+const FAR: Duration = Duration::from_millis(25);
 
 /// What a server is charged that needs a new connection: it takes a slot for 12 ms.
 const NEW_CONNECTION: Duration = Duration::from_millis(14);
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -163,7 +163,7 @@
             }
             Question::Lend(lend) => self.limits.lend(&peer.host, &lend),
             Question::Cancel { .. } | Question::Outcome(_) | Question::Report => return None,
-            Question::Demand(_) | Question::Act(_) | Question::Newest(_) => return None,
+            Question::Beat(_) | Question::Act(_) | Question::Newest(_) => return None,
         })
     }
 
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -128,8 +128,8 @@
     },
     /// What became of a request that runs at most once?
     Outcome(Box<OutcomeOf>),
-    /// What the asker's callers ask for.
-    Demand(demand::Asked),
+    /// What a host tells the others all the time.
+    Beat(Box<Beat>),
     /// Act on this view, unless a newer one is known; answered once work at
     /// leaders that it names no more has ended.
     Act(Box<View>),
@@ -193,6 +193,15 @@
     Newest(Box<Newest>),
 }
 
+/// What a host tells the others all the time.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Beat {
+    /// What its callers ask for.
+    pub asked: demand::Asked,
+    /// The version of its configuration.
+    pub version: Revision,
+}
+
 /// The newest view and configuration that a host knows.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Newest {
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -16,7 +16,7 @@
     Answer, Link, Question,
     accept::Teller,
     link::Pace,
-    message::{Hello, Newest},
+    message::{Beat, Hello, Newest},
 };
 use bergamottrack_platform::http::Client;
 use tracing::{info, warn};
@@ -27,23 +27,30 @@
     host::{Host, Phase},
 };
 
-/// How often the view is read. Several reads fit into a lease, and one call a
-/// second is what the platform's price of calls suggests.
-const VIEW_EVERY: Duration = Duration::from_millis(1000);
+/// How often the view is read while all other hosts are heard: they tell of a
+/// change at once, so reads only renew the lease, which lasts three times as long.
+/// Each call of the platform is charged for.
+const VIEW_EVERY: Duration = Duration::from_millis(2400);
+
+/// How often it is read while some host is not heard, which may be the one that
+/// changes a leader.
+const VIEW_ALONE: Duration = Duration::from_millis(800);
 
 /// Pause after a read of the view that failed.
 const AGAIN_AFTER: Duration = Duration::from_millis(250);
 
-/// How often hosts tell each other what their callers ask for: a fraction of the
-/// time in which demand is forgotten.
-const DEMAND_EVERY: Duration = Duration::from_millis(400);
+/// How often hosts tell each other what their callers ask for and what they know:
+/// a fraction of the time in which demand is forgotten, and of the time within
+/// which a configuration must be in force.
+const BEAT_EVERY: Duration = Duration::from_millis(400);
 
 /// How long another host's answer may take; the way there and back is 2 ms.
 const PEER_WITHIN: Duration = Duration::from_millis(400);
 
-/// How old the view or the configuration may be before other hosts are asked.
-/// Twice the time within which the store usually tells either.
-const ASK_AFTER: Duration = Duration::from_millis(1600);
+/// How old the view and the configuration may be before other hosts are asked:
+/// a little more than the time within which the store usually tells them.
+const ASK_VIEW_AFTER: Duration = Duration::from_millis(3200);
+const ASK_PLAN_AFTER: Duration = Duration::from_millis(2300);
 
 /// How often other hosts are asked then.
 const ASK_EVERY: Duration = Duration::from_millis(300);
@@ -153,8 +160,10 @@
                     }
                     continue;
                 }
+                let all = host.mesh.links().iter().all(|link| link.is_up());
+                let pause = if all { VIEW_EVERY } else { VIEW_ALONE };
                 // Woken early, or not: the view is read either way.
-                let _ = monoio::time::timeout(VIEW_EVERY, host.look.notified()).await;
+                let _ = monoio::time::timeout(pause, host.look.notified()).await;
             }
             Err(error) => {
                 if !std::mem::replace(&mut lost, true) {
@@ -282,9 +291,15 @@
 /// Answers another host.
 pub fn answer(host: &Rc<Host>, peer: &Hello, question: Question, teller: Teller) {
     match question {
-        Question::Demand(asked) => {
-            host.demand.borrow_mut().heard(&peer.host, asked, host.now());
+        Question::Beat(beat) => {
+            host.demand.borrow_mut().heard(&peer.host, beat.asked, host.now());
             teller.tell(Answer::Pong);
+            // The store may not have told this host, or not yet.
+            let link = host.mesh.link(&peer.host).filter(|_| beat.version > host.version());
+            if let Some(link) = link {
+                let host = host.clone();
+                monoio::spawn(async move { ask_newest(&host, &link).await });
+            }
         }
         Question::Act(view) => {
             monoio::spawn(act(host.clone(), *view, teller));
@@ -332,18 +347,20 @@
     }
 }
 
-/// Tells the other hosts what this one's callers ask for, for ever.
-pub async fn tell_demand(host: Rc<Host>) {
+/// Tells the other hosts what this one's callers ask for and which configuration
+/// it has, for ever.
+pub async fn beat(host: Rc<Host>) {
     loop {
         let asked = host.demand.borrow().asked(host.now());
+        let beat = Beat { asked, version: host.version() };
         for link in host.mesh.links().into_iter().filter(|link| link.is_up()) {
-            let asked = asked.clone();
+            let beat = Box::new(beat.clone());
             monoio::spawn(async move {
                 // A host that does not answer is noticed by its own silence.
-                let _ = link.ask(Question::Demand(asked), PEER_WITHIN).await;
+                let _ = link.ask(Question::Beat(beat), PEER_WITHIN).await;
             });
         }
-        monoio::time::sleep(DEMAND_EVERY).await;
+        monoio::time::sleep(BEAT_EVERY).await;
     }
 }
 
@@ -353,8 +370,9 @@
     let mut turn = 0;
     loop {
         monoio::time::sleep(ASK_EVERY).await;
-        let old = |age: Option<Duration>| age.is_none_or(|age| age > ASK_AFTER);
-        if !old(host.held.borrow().age(host.now())) && !old(host.plan_age()) {
+        let old = |age: Option<Duration>, limit| age.is_none_or(|age| age > limit);
+        let view = old(host.held.borrow().age(host.now()), ASK_VIEW_AFTER);
+        if !view && !old(host.plan_age(), ASK_PLAN_AFTER) {
             continue;
         }
         let links: Vec<Rc<Link>> =
@@ -363,11 +381,14 @@
             continue;
         }
         turn += 1;
-        let link = &links[turn % links.len()];
-        let answer = link.ask(Question::Newest(host.version()), PEER_WITHIN).await;
-        if let Ok(Answer::Newest(newest)) = answer {
-            take_newest(&host, *newest);
-        }
+        ask_newest(&host, &links[turn % links.len()]).await;
+    }
+}
+
+async fn ask_newest(host: &Rc<Host>, link: &Link) {
+    let answer = link.ask(Question::Newest(host.version()), PEER_WITHIN).await;
+    if let Ok(Answer::Newest(newest)) = answer {
+        take_newest(host, *newest);
     }
 }
 
--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -16,13 +16,12 @@
 /// Sixty times the usual one, as on its slowest days, is 250 ms.
 pub const STORE_WITHIN: Duration = Duration::from_millis(1000);
 
-/// How long the store is asked to wait for a new configuration. A connection
-/// that has gone silent is noticed within this and [`STORE_WITHIN`], well before
-/// a configuration must be in force.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1000);
+/// How long the store is asked to wait for a new configuration. Other hosts tell
+/// of one too, so a connection that has gone silent does not delay it by so much.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(1900);
 
 /// The same for the list of servers: a leaving server still serves for seconds.
-const SERVERS_WAIT: Duration = Duration::from_millis(3000);
+const SERVERS_WAIT: Duration = Duration::from_millis(4500);
 
 /// Pause after a call that failed; the store's rate allows far more.
 const AGAIN_AFTER: Duration = Duration::from_millis(150);
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -78,7 +78,7 @@
     info!(host = %host.settings.host, run = host.run, "host: started");
     monoio::spawn(accept_peers(peers, host.clone()));
     monoio::spawn(fleet::follow(host.clone()));
-    monoio::spawn(fleet::tell_demand(host.clone()));
+    monoio::spawn(fleet::beat(host.clone()));
     monoio::spawn(fleet::ask_hosts(host.clone()));
     monoio::spawn(fleet::take_out_silent(host.clone()));
     monoio::spawn(follow::configuration(host.clone()));
