Half of a server's connections stay unused, for a return from a loss of power

Cause: after all hosts lost power at once servers held on to their connections for 3 s, and rejected 2838 new ones; in the 2 s after the return 41% was served.

--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -115,6 +115,15 @@
         if fewer { (self.cap.get() - 1).max(1) } else { self.cap.get() }
     }
 
+    /// Connections that stay open when nobody uses them.
+    ///
+    /// Guards against a host that comes back from a loss of power and gets no
+    /// connection: servers hold on to its old ones for 3 s. With half of the
+    /// server's connections unused the new ones fit in beside them.
+    fn kept_cap(&self) -> usize {
+        (self.cap.get() / 2).max(1)
+    }
+
     fn leased(self: &Rc<Self>, backend: Backend) -> Leased {
         Leased { backend: Some(backend), pool: self.clone(), kept: false }
     }
@@ -173,8 +182,11 @@
     /// Keeps the connection for the next statement.
     pub fn give_back(mut self) {
         if let Some(backend) = self.backend.take() {
-            self.pool.idle.borrow_mut().push(backend);
-            self.kept = true;
+            // Dropped, the connection is closed and another may be opened.
+            if self.pool.open.get() <= self.pool.kept_cap() {
+                self.pool.idle.borrow_mut().push(backend);
+                self.kept = true;
+            }
         }
     }
 }
