--- a/components/coordination/src/choice.rs
+++ b/components/coordination/src/choice.rs
@@ -30,8 +30,10 @@
 /// How long a server that failed a request gets none, at first and at most.
 const EJECTED: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(2000));
 
-/// How long a server that lacked a position is passed over for that position.
-const BEHIND_FOR: Duration = Duration::from_millis(60);
+/// How long a server that lacked a position is passed over for that position or a
+/// later one, at first and at most; twice as long each time in a row. A usual lag
+/// is over after the first, and one of seconds does not cost each read a try.
+const BEHIND_FOR: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
 
 /// Failures in a row that eject a server.
 const FAILURES: u32 = 2;
@@ -46,8 +48,8 @@
     waits_since: Option<Instant>,
     failures: u32,
     ejected: Option<(Instant, Duration)>,
-    /// A position that it lacked, and when.
-    lacked: Option<(Point, Instant)>,
+    /// A position that it lacked, until when it is passed over, and for how long.
+    lacked: Option<(Point, Instant, Duration)>,
 }
 
 impl Default for Health {
@@ -96,7 +98,14 @@
 
     /// It lacked a position.
     pub fn behind(&mut self, point: Point, now: Instant) {
-        self.lacked = Some((point, now));
+        let (first, most) = BEHIND_FOR;
+        let last = self.lacked.map_or(first, |(_, _, last)| (last * 2).min(most));
+        self.lacked = Some((point, now + last, last));
+    }
+
+    /// It had the position that it was asked for.
+    pub fn caught_up(&mut self) {
+        self.lacked = None;
     }
 
     /// Requests that run there for this host.
@@ -118,7 +127,7 @@
     fn fits(&self, need: Option<Point>, now: Instant) -> bool {
         let ejected = self.ejected.is_some_and(|(until, _)| now < until);
         let lacks = match (self.lacked, need) {
-            (Some((point, at)), Some(need)) => need >= point && now < at + BEHIND_FOR,
+            (Some((point, until, _)), Some(need)) => need >= point && now < until,
             _ => false,
         };
         !ejected && !lacks
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -22,7 +22,7 @@
 use crate::{
     group::{Group, Use},
     measure::Measures,
-    pool::Pool,
+    pool::{self, Pool},
 };
 
 /// How old a configuration may be while no majority of the hosts is heard.
@@ -267,6 +267,14 @@
         }
     }
 
+    /// Closes connections that are not used, for ever.
+    pub async fn trim(self: Rc<Self>) {
+        loop {
+            monoio::time::sleep(pool::TRIM_EVERY).await;
+            self.pools.borrow().values().for_each(|pool| pool.trim());
+        }
+    }
+
     /// Where a peer listens, by the view.
     pub fn peer(&self, host: &bergamottrack_coordination::HostId) -> Option<SocketAddr> {
         self.held.borrow().view().members.get(host).map(|member| member.value.peer)
--- a/components/proxy/src/job.rs
+++ b/components/proxy/src/job.rs
@@ -4,7 +4,7 @@
 
 use bergamottrack_adapter::wire;
 use bergamottrack_coordination::{
-    AccountId, Fate, Point,
+    AccountId, Fate, Point, ServerId,
     choice::{self, Candidate},
 };
 use bergamottrack_model::{
@@ -110,6 +110,28 @@
     usage: Option<Use>,
 }
 
+/// What is logged of a place that served nothing.
+struct Chosen {
+    server: ServerId,
+    after: Option<Point>,
+    leads: bool,
+}
+
+impl Chosen {
+    fn of(place: &Place) -> Self {
+        let server = place.pool.listed.borrow().id.clone();
+        Self { server, after: place.after, leads: place.usage.is_some() }
+    }
+
+    fn log(&self, job: &Job, why: &str) {
+        let after = self.after.as_ref().map(tracing::field::display);
+        info!(
+            id = %job.id, server = %self.server, leads = self.leads, after, why,
+            "statement: not served there"
+        );
+    }
+}
+
 /// A connection on which a job runs.
 pub struct Running {
     /// The connection.
@@ -346,6 +368,9 @@
     if running.leased.backend().is_clean(&answer) {
         running.leased.give_back();
     }
+    if after.is_some() && answer.failure().is_none() {
+        pool.health.borrow_mut().caught_up();
+    }
     match answer.failure().and_then(|failure| elsewhere(failure, &pool, after, host)) {
         Some(refused) => Tried::Elsewhere(refused),
         // An answer of a leader that was replaced meanwhile proves nothing.
@@ -392,13 +417,20 @@
             if tries > 1 {
                 host.measures.retries.inc();
             }
+            let chosen = Chosen::of(&place);
             match attempt(host, job, session, request, place, i + 1 == count).await {
                 Tried::Answered(answer) => return Ok((answer, tries)),
-                Tried::Elsewhere(why) => refused = why,
+                Tried::Elsewhere(why) => {
+                    chosen.log(job, why.why);
+                    refused = why;
+                }
                 Tried::Lost(why) if job.access == Access::Write => {
                     return Err(Refused::of(Failure::Uncertain, why));
                 }
-                Tried::Lost(why) => refused = Refused::of(Failure::TimedOut, why),
+                Tried::Lost(why) => {
+                    chosen.log(job, why);
+                    refused = Refused::of(Failure::TimedOut, why);
+                }
             }
             if Instant::now() >= job.deadline {
                 return Err(refused);
@@ -423,9 +455,13 @@
             if tries > 1 {
                 host.measures.retries.inc();
             }
+            let chosen = Chosen::of(&place);
             match begin(host, job, session, place).await {
                 Ok(running) => return Ok(running),
-                Err(why) => refused = why,
+                Err(why) => {
+                    chosen.log(job, why.why);
+                    refused = why;
+                }
             }
             if Instant::now() >= job.deadline {
                 return Err(refused);
@@ -455,6 +491,9 @@
     let answer = exchange(host, job, &mut running, left.min(TRY_WITHIN)).await;
     let answer = answer.map_err(Refused::busy)?;
     if answer.state == State::Open && answer.failure().is_none() {
+        if after.is_some() {
+            pool.health.borrow_mut().caught_up();
+        }
         return Ok(running);
     }
     if running.leased.backend().is_clean(&answer) {
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -17,14 +17,21 @@
 /// How long after a server had too many connections this host opens one fewer.
 const TOO_MANY_FOR: Duration = Duration::from_secs(2);
 
+/// How long a connection above half of a host's share stays open unused: longer
+/// than a usual pause between two statements of an account.
+const UNUSED_FOR: Duration = Duration::from_millis(800);
+
+/// How often unused connections are looked for.
+pub const TRIM_EVERY: Duration = Duration::from_millis(400);
+
 /// The connections to one server.
 pub struct Pool {
     /// The server's own entry in the list.
     pub listed: RefCell<Listed>,
     /// What its answers say of it.
     pub health: RefCell<Health>,
-    /// Connections that nobody uses, the one used last at the end.
-    idle: RefCell<Vec<Backend>>,
+    /// Connections that nobody uses and since when, the one used last at the end.
+    idle: RefCell<Vec<(Backend, Instant)>>,
     /// Connections open or being opened, idle ones included; at most `cap`.
     open: Cell<usize>,
     cap: Cell<usize>,
@@ -71,7 +78,7 @@
 
     /// Whether a connection of the account waits.
     pub fn is_warm(&self, account: &AccountId) -> bool {
-        self.idle.borrow().iter().any(|backend| backend.account == *account)
+        self.idle.borrow().iter().any(|(backend, _)| backend.account == *account)
     }
 
     /// Closes all idle connections, since one of the server's went silent.
@@ -115,13 +122,22 @@
         if fewer { (self.cap.get() - 1).max(1) } else { self.cap.get() }
     }
 
-    /// Connections that stay open when nobody uses them.
+    /// Closes connections above half of the host's share that nobody has used for
+    /// a while.
     ///
     /// Guards against a host that comes back from a loss of power and gets no
     /// connection: servers hold on to its old ones for 3 s. With half of the
-    /// server's connections unused the new ones fit in beside them.
-    fn kept_cap(&self) -> usize {
-        (self.cap.get() / 2).max(1)
+    /// server's connections unused the new ones fit in beside them. Under load all
+    /// are kept: a new connection takes a slot as long as a short statement.
+    pub fn trim(&self) {
+        let kept = (self.cap.get() / 2).max(1);
+        let mut idle = self.idle.borrow_mut();
+        while self.open.get() > kept
+            && idle.first().is_some_and(|(_, since)| since.elapsed() > UNUSED_FOR)
+        {
+            idle.remove(0);
+            self.open.set(self.open.get() - 1);
+        }
     }
 
     fn leased(self: &Rc<Self>, backend: Backend) -> Leased {
@@ -130,12 +146,12 @@
 
     fn take_idle(&self, account: &AccountId, session: &Session) -> Option<Backend> {
         let mut idle = self.idle.borrow_mut();
-        let own = idle.iter().enumerate().filter(|(_, backend)| backend.account == *account);
-        let best = own.min_by_key(|(i, backend)| {
+        let own = idle.iter().enumerate().filter(|(_, (backend, _))| backend.account == *account);
+        let best = own.min_by_key(|(i, (backend, _))| {
             (backend.carried.distance(&session.values), std::cmp::Reverse(*i))
         });
         let best = best.map(|(i, _)| i)?;
-        Some(idle.remove(best))
+        Some(idle.remove(best).0)
     }
 
     /// Makes room for another account's connection.
@@ -182,11 +198,8 @@
     /// Keeps the connection for the next statement.
     pub fn give_back(mut self) {
         if let Some(backend) = self.backend.take() {
-            // Dropped, the connection is closed and another may be opened.
-            if self.pool.open.get() <= self.pool.kept_cap() {
-                self.pool.idle.borrow_mut().push(backend);
-                self.kept = true;
-            }
+            self.pool.idle.borrow_mut().push((backend, Instant::now()));
+            self.kept = true;
         }
     }
 }
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -84,6 +84,7 @@
     monoio::spawn(follow::configuration(host.clone()));
     monoio::spawn(follow::servers(host.clone()));
     monoio::spawn(lead::watch(host.clone()));
+    monoio::spawn(host.clone().trim());
     monoio::select! {
         _ = accept_callers(callers, host.clone()) => {}
         _ = watch_signals(&host, &signals, reread) => {}
--- a/components/proxy/src/talk.rs
+++ b/components/proxy/src/talk.rs
@@ -274,10 +274,8 @@
             Statement::Prepare { name, shape } => {
                 session.prepared.insert(name.clone(), shape.clone());
             }
-            Statement::Forget { name } => {
-                if session.prepared.remove(name).is_none() {
-                    return self.fail(&Refused::of(Failure::UnknownName, "no such name"), out);
-                }
+            Statement::Forget { name } if session.prepared.remove(name).is_none() => {
+                return self.fail(&Refused::of(Failure::UnknownName, "no such name"), out);
             }
             _ => {}
         }
