Hubs: the cost of a host no longer grows with the fleet

Change: up to 16 hosts speak to all others; in a larger fleet hosts speak to the hub of their failure domain and hubs to each other. One host of a failure domain reads the store for the others; statements 'nothing newer at this time of the store's clock' are passed on. Tokens come from the hub. A host may open four connections however many hosts there are.

--- a/components/coordination/src/demand.rs
+++ b/components/coordination/src/demand.rs
@@ -19,6 +19,8 @@
     time::{Duration, Instant},
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::{AccountId, Burst, HostId, Rate};
 
 /// The part of a rate that follows the demand.
@@ -82,6 +84,10 @@
     at: Instant,
 }
 
+/// The longest time after which callers are told to come back: demand may have
+/// moved by then.
+const LONGEST_RETRY: Duration = Duration::from_secs(5);
+
 /// Tokens of one account at this host.
 #[derive(Debug)]
 struct Tokens {
@@ -92,7 +98,7 @@
 }
 
 /// What was decided about a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Ruling {
     /// Whether it may run.
     pub admitted: bool,
@@ -204,7 +210,8 @@
             tokens.saved -= 1.0;
         }
         let missing = (1.0 - tokens.saved).max(0.0);
-        let retry = Duration::try_from_secs_f64(missing / pace).unwrap_or(Duration::MAX);
+        let retry = Duration::try_from_secs_f64(missing / pace).unwrap_or(LONGEST_RETRY);
+        let retry = retry.min(LONGEST_RETRY);
         Ruling { admitted, part, retry }
     }
 
--- a/components/coordination/src/view.rs
+++ b/components/coordination/src/view.rs
@@ -19,6 +19,7 @@
 };
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
 
 use crate::{FailureDomain, GroupId, HostId, ServerId, duty::Duty};
 
@@ -50,6 +51,9 @@
     /// when it cannot tell the one who waits for it.
     #[serde(default)]
     pub released: u64,
+    /// Thousandths of a processor core that it has.
+    #[serde(default)]
+    pub power: u32,
 }
 
 impl Member {
@@ -114,12 +118,30 @@
     pub groups: BTreeMap<GroupId, Versioned<Leadership>>,
 }
 
+impl View {
+    /// Tells views with other rows apart, whenever they were read.
+    pub fn stamp(&self) -> u64 {
+        let mut hash = xxh3::Xxh3::new();
+        for (id, row) in &self.members {
+            hash.update(id.as_str().as_bytes());
+            hash.update(&row.version.to_le_bytes());
+        }
+        for (id, row) in &self.groups {
+            hash.update(id.as_str().as_bytes());
+            hash.update(&row.version.to_le_bytes());
+        }
+        hash.digest()
+    }
+}
+
 /// The newest view that a host knows, and since when it may act on it.
 #[derive(Debug)]
 pub struct Held {
     me: HostId,
     run: u64,
     view: View,
+    /// The view's stamp.
+    stamp: u64,
     /// A local time no later than the view's moment.
     shown: Option<Instant>,
 }
@@ -127,7 +149,7 @@
 impl Held {
     /// Nothing is known yet.
     pub fn new(me: HostId, run: u64) -> Self {
-        Self { me, run, view: View::default(), shown: None }
+        Self { me, run, view: View::default(), stamp: 0, shown: None }
     }
 
     /// The view.
@@ -141,11 +163,27 @@
         if view.version < self.view.version {
             return false;
         }
+        self.stamp = view.stamp();
         self.view = view;
         self.shown = self.shown.max(Some(asked));
         true
     }
 
+    /// The view's stamp.
+    pub fn stamp(&self) -> u64 {
+        self.stamp
+    }
+
+    /// Notes that a view with that stamp was the newest when the store's clock
+    /// showed `clock`, which was at the local time `shown` or later. Says nothing
+    /// of a view with other rows.
+    pub fn renew(&mut self, stamp: u64, clock: Duration, shown: Instant) {
+        if stamp == self.stamp && clock > self.view.clock {
+            self.view.clock = clock;
+            self.shown = self.shown.max(Some(shown));
+        }
+    }
+
     /// How long ago the view was the newest for certain.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.shown.map(|shown| now.saturating_duration_since(shown))
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -163,7 +163,9 @@
             }
             Question::Lend(lend) => self.limits.lend(&peer.host, &lend),
             Question::Cancel { .. } | Question::Outcome(_) | Question::Report => return None,
-            Question::Beat(_) | Question::Act(_) | Question::Newest(_) => return None,
+            Question::Act(_) | Question::Beat(_) | Question::Newest(_) | Question::Take { .. } => {
+                return None;
+            }
         })
     }
 
--- a/components/model/src/server.rs
+++ b/components/model/src/server.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use bergamottrack_coordination::{FailureDomain, GroupId, Point, ServerId, Term};
+use serde::{Deserialize, Serialize};
 
 /// What a server says it is in its group.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Role {
     /// It takes writes.
     Primary,
@@ -14,7 +15,7 @@
 }
 
 /// A backend server as it listed itself.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Listed {
     /// Its name.
     pub id: ServerId,
--- a/components/model/src/settings.rs
+++ b/components/model/src/settings.rs
@@ -11,6 +11,8 @@
     pub host: HostId,
     /// Failure domain it stands in.
     pub domain: FailureDomain,
+    /// Thousandths of a processor core that this host has.
+    pub power: u32,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where readiness is asked for.
--- a/components/peer/src/mesh.rs
+++ b/components/peer/src/mesh.rs
@@ -1,6 +1,11 @@
 //! The links to all hosts of the roster.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bergamottrack_contract::{Host, Routes};
 use bergamottrack_coordination::{Clock, GroupId, HostId, rendezvous, token::Secret};
@@ -10,6 +15,10 @@
     message::Hello,
 };
 
+/// How long a link stays up to a host that is not of the roster: longer than a
+/// change of leader, for which such links are made, and the telling of its end.
+const GUEST_FOR: Duration = Duration::from_secs(15);
+
 /// The links to all other hosts of the roster.
 pub struct Mesh {
     /// This host.
@@ -21,6 +30,8 @@
     pace: Pace,
     /// Links to the hosts of the roster, and of the roster before it.
     links: RefCell<HashMap<HostId, (Host, Rc<Link>)>>,
+    /// Links to hosts that are not spoken to all the time, and since when.
+    guests: RefCell<HashMap<HostId, (Rc<Link>, Instant)>>,
     /// The hosts that left with the last revision: they are told of it, and
     /// asked for nothing else.
     left: RefCell<Vec<HostId>>,
@@ -47,6 +58,7 @@
             routes,
             pace,
             links: RefCell::default(),
+            guests: RefCell::default(),
             left: RefCell::default(),
         })
     }
@@ -71,15 +83,40 @@
             stays
         });
         for host in roster.iter().chain(left).filter(|h| h.id != self.me.id) {
-            links.entry(host.id.clone()).or_insert_with(|| {
-                let address = self.routes.to(host.peer);
-                let me = self.me.clone();
-                let hello = move || hello(&me);
-                let (secret, clock) = (self.secret.clone(), self.clock.clone());
-                let link = Link::start(host.id.clone(), address, hello, secret, clock, self.pace);
-                (host.clone(), link)
-            });
+            links.entry(host.id.clone()).or_insert_with(|| (host.clone(), self.start(host)));
+        }
+        let now = self.clock.now();
+        self.guests.borrow_mut().retain(|_, (link, since)| {
+            let stays = now.saturating_duration_since(*since) < GUEST_FOR;
+            if !stays {
+                link.close();
+            }
+            stays
+        });
+    }
+
+    fn start(&self, host: &Host) -> Rc<Link> {
+        let address = self.routes.to(host.peer);
+        let me = self.me.clone();
+        let hello = move || hello(&me);
+        let (secret, clock) = (self.secret.clone(), self.clock.clone());
+        Link::start(host.id.clone(), address, hello, secret, clock, self.pace)
+    }
+
+    /// The link to a host that may not be of the roster; a new one is closed after
+    /// a while.
+    pub fn reach(&self, host: &Host) -> Rc<Link> {
+        if let Some(link) = self.link(&host.id) {
+            return link;
         }
+        let start = || (self.start(host), self.clock.now());
+        let mut guests = self.guests.borrow_mut();
+        guests.entry(host.id.clone()).or_insert_with(start).0.clone()
+    }
+
+    /// The links to hosts that are not of the roster.
+    pub fn guests(&self) -> Vec<Rc<Link>> {
+        self.guests.borrow().values().map(|(link, _)| link.clone()).collect()
     }
 
     /// The link to a host, whether up or not.
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -5,10 +5,11 @@
 use anyhow::Context;
 use bergamottrack_contract::RevisionDoc;
 use bergamottrack_coordination::{
-    AccountId, FailureDomain, GroupId, HostId, Point, Refusal, RequestId, Revision, bucket::LoanNo,
-    demand, freshness::Vouch, outcome::Outcome, token::Secret, view::View,
+    AccountId, Burst, FailureDomain, GroupId, HostId, Point, Rate, Refusal, RequestId, Revision,
+    bucket::LoanNo, demand, freshness::Vouch, outcome::Outcome, token::Secret, view::View,
 };
 use bergamottrack_metrics::HostReport;
+use bergamottrack_model::Listed;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -133,8 +134,17 @@
     /// Act on this view, unless a newer one is known; answered once work at
     /// leaders that it names no more has ended.
     Act(Box<View>),
-    /// The newest view and, if newer than that version, the configuration.
-    Newest(Revision),
+    /// What the host knows that the asker does not.
+    Newest(Known),
+    /// A token of an account's rate.
+    Take {
+        /// The account.
+        account: AccountId,
+        /// Its rate, as the asker knows it.
+        rate: Rate,
+        /// Its burst.
+        burst: Burst,
+    },
 }
 
 /// A request of which somebody wants to know what became of it.
@@ -189,30 +199,48 @@
     },
     /// The host acts on the view with this version or a newer one.
     Acting(u64),
+    /// What the host tells all the time.
+    Beat(Box<Beat>),
     /// The newest that the host knows.
     Newest(Box<Newest>),
+    /// Whether the token was given.
+    Ruling(demand::Ruling),
 }
 
 /// What a host tells the others all the time.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Beat {
-    /// What its callers ask for.
-    pub asked: demand::Asked,
-    /// The version of its configuration.
-    pub version: Revision,
+    /// What callers ask for that this host gives tokens to; none if it gives none.
+    pub asked: Option<demand::Asked>,
+    /// What it knows.
+    pub known: Known,
+    /// Whether it hears most of the fleet.
+    pub majority: bool,
+}
+
+/// Which versions a host knows, each with the store's clock at which it was the
+/// newest for certain.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Known {
+    /// Version of the configuration.
+    pub plan: (Revision, Duration),
+    /// Stamp of the view.
+    pub view: (u64, Duration),
+    /// Stamp of the list of servers.
+    pub servers: (u64, Duration),
 }
 
-/// The newest view and configuration that a host knows.
+/// What a host knows that another one does not.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Newest {
-    /// The view, with the store's clock at which it was the newest.
-    pub view: View,
-    /// The store's clock at which the configuration was the newest.
-    pub plan_clock: Duration,
-    /// Version of the configuration.
-    pub version: Revision,
-    /// The configuration as the store holds it, if the asker lacks it.
+    /// Which versions it knows.
+    pub known: Known,
+    /// The view.
+    pub view: Option<View>,
+    /// The configuration as the store holds it.
     pub plan: Option<Bytes>,
+    /// The list of servers.
+    pub servers: Option<Vec<Listed>>,
 }
 
 /// The first message each way.
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -9,14 +9,17 @@
 use bergamottrack_adapter::store::{self, Change, Rows, Table, Verdict};
 use bergamottrack_contract as contract;
 use bergamottrack_coordination::{
-    GroupId, HostId, Revision,
+    FailureDomain, GroupId, HostId,
+    demand::Ruling,
+    hubs,
     view::{Leadership, Member, Versioned, View},
 };
+use bergamottrack_model::Account;
 use bergamottrack_peer::{
     Answer, Link, Question,
     accept::Teller,
     link::Pace,
-    message::{Beat, Hello, Newest},
+    message::{Beat, Hello, Known, Newest},
 };
 use bergamottrack_platform::http::Client;
 use tracing::{info, warn};
@@ -36,6 +39,13 @@
 /// changes a leader.
 const VIEW_ALONE: Duration = Duration::from_millis(800);
 
+/// How old the view may be before a host reads it itself that does not read the
+/// store for others.
+const OWN_VIEW: Duration = Duration::from_millis(3200);
+
+/// How often such a host looks whether it must.
+const LOOK_EVERY: Duration = Duration::from_millis(150);
+
 /// Pause after a read of the view that failed.
 const AGAIN_AFTER: Duration = Duration::from_millis(250);
 
@@ -44,13 +54,16 @@
 /// which a configuration must be in force.
 const BEAT_EVERY: Duration = Duration::from_millis(400);
 
+/// How long the hub's answer for a token may take, within one failure domain.
+const TOKEN_WITHIN: Duration = Duration::from_millis(150);
+
 /// How long another host's answer may take; the way there and back is 2 ms.
 const PEER_WITHIN: Duration = Duration::from_millis(400);
 
 /// How old the view and the configuration may be before other hosts are asked:
 /// a little more than the time within which the store usually tells them.
 const ASK_VIEW_AFTER: Duration = Duration::from_millis(3200);
-const ASK_PLAN_AFTER: Duration = Duration::from_millis(2300);
+const ASK_PLAN_AFTER: Duration = Duration::from_millis(2200);
 
 /// How often other hosts are asked then.
 const ASK_EVERY: Duration = Duration::from_millis(300);
@@ -59,6 +72,10 @@
 /// Most transactions last less than this; a leaving server serves for seconds.
 const PATIENCE: Duration = Duration::from_millis(1200);
 
+/// How long a host waits to be asked for its release of a leader before it tells
+/// it by the store.
+const ASKED_WITHIN: Duration = Duration::from_millis(400);
+
 /// How long a host must be silent to the one who takes it out. A host that was
 /// removed for good delays a change of leader by a whole lease, unless it was
 /// taken out that long before; one that is just cut off counts itself in again.
@@ -140,11 +157,24 @@
     Ok(None)
 }
 
+/// Whether this host has to read the view itself now.
+fn must_read(host: &Host) -> bool {
+    let old = host.held.borrow().age(host.now()).is_none_or(|age| age > OWN_VIEW);
+    host.is_reader() || old || !host.held.borrow().is_member()
+}
+
 /// Reads the view for ever.
 pub async fn follow(host: Rc<Host>) {
     let client = Client::new(host.settings.store);
     let mut lost = false;
+    let mut woken = false;
     loop {
+        if !must_read(&host) && !woken {
+            let wake = monoio::time::timeout(LOOK_EVERY, host.look.notified()).await;
+            woken = wake.is_ok();
+            continue;
+        }
+        woken = false;
         let asked = host.now();
         match read(&client).await {
             Ok(view) => {
@@ -185,6 +215,7 @@
         run: host.run,
         left: None,
         released: 0,
+        power: host.settings.power,
     };
     let value = serde_json::to_vec(&member)?;
     let put = vec![(member_key(&host.settings.host), value)];
@@ -224,6 +255,10 @@
             let host = host.clone();
             monoio::spawn(async move {
                 release(&host, &group, row.version, end).await;
+                monoio::time::sleep(ASKED_WITHIN).await;
+                if group.asked.get() >= row.version {
+                    return;
+                }
                 if let Err(error) = tell_released(&host, &holder, row.version).await {
                     let error = format_args!("{error:#}");
                     info!(group = %group.id, %holder, %error, "fleet: release not told");
@@ -252,8 +287,7 @@
 /// Guards against a gap of a whole lease when some hosts are cut off from the
 /// others but not from the store.
 async fn tell_released(host: &Host, holder: &HostId, version: u64) -> anyhow::Result<()> {
-    let reached = host.mesh.link(holder).is_some_and(|link| link.is_up());
-    if reached || *holder == host.settings.host || !host.held.borrow().is_member() {
+    if *holder == host.settings.host || !host.held.borrow().is_member() {
         return Ok(());
     }
     let row = host.held.borrow().view().members.get(&host.settings.host).cloned();
@@ -282,24 +316,54 @@
             peer: member.value.peer,
         })
         .collect();
-    let others = roster.iter().map(|host| host.id.clone());
-    let others = others.filter(|id| *id != host.settings.host);
+    let me = &host.settings.host;
+    let neighbours = hubs::neighbours(view, me, &host.settings.domain);
+    let others: Vec<HostId> = if neighbours.mesh {
+        neighbours.links.clone()
+    } else {
+        let domains = hubs::domains(view).into_iter();
+        let others = domains.filter(|domain| *domain != host.settings.domain);
+        others.map(|domain| bank_of(&domain)).collect()
+    };
     host.demand.borrow_mut().set_hosts(others, host.now());
-    host.mesh.set_roster(&roster, &[]);
+    let linked = |host: &contract::Host| neighbours.links.contains(&host.id);
+    let linked: Vec<_> = roster.into_iter().filter(linked).collect();
+    host.mesh.set_roster(&linked, &[]);
+    *host.neighbours.borrow_mut() = neighbours;
+}
+
+/// The name under which the hub of a failure domain gives out the tokens of all
+/// its hosts, whichever host it is.
+fn bank_of(domain: &FailureDomain) -> HostId {
+    domain.as_str().parse().expect("names of hosts and of failure domains are alike")
+}
+
+/// A token of the account's rate, from this host or from its hub.
+pub async fn take_token(host: &Host, account: &Account) -> Option<Ruling> {
+    let (id, rate, burst) = (&account.id, account.rate, account.burst);
+    if host.is_hub() {
+        return Some(host.demand.borrow_mut().take(id, rate, burst, host.now()));
+    }
+    let link = host.mesh.link(&host.hub())?;
+    let question = Question::Take { account: id.clone(), rate, burst };
+    match link.ask(question, TOKEN_WITHIN).await {
+        Ok(Answer::Ruling(ruling)) => Some(ruling),
+        _ => None,
+    }
 }
 
 /// Answers another host.
 pub fn answer(host: &Rc<Host>, peer: &Hello, question: Question, teller: Teller) {
+    let version = host.held.borrow().view().members.get(&peer.host).map(|row| row.version);
+    host.heard.borrow_mut().insert(peer.host.clone(), (host.now(), version));
     match question {
         Question::Beat(beat) => {
-            host.demand.borrow_mut().heard(&peer.host, beat.asked, host.now());
-            teller.tell(Answer::Pong);
-            // The store may not have told this host, or not yet.
-            let link = host.mesh.link(&peer.host).filter(|_| beat.version > host.version());
-            if let Some(link) = link {
-                let host = host.clone();
-                monoio::spawn(async move { ask_newest(&host, &link).await });
-            }
+            teller.tell(Answer::Beat(Box::new(own_beat(host))));
+            take_beat(host, &peer.host, &peer.domain, *beat);
+        }
+        Question::Take { account, rate, burst } => {
+            let mut demand = host.demand.borrow_mut();
+            teller.tell(Answer::Ruling(demand.take(&account, rate, burst, host.now())));
         }
         Question::Act(view) => {
             monoio::spawn(act(host.clone(), *view, teller));
@@ -314,6 +378,10 @@
 /// leader that it names no more.
 async fn act(host: Rc<Host>, view: View, teller: Teller) {
     let wanted = view.version;
+    for (id, row) in &view.groups {
+        let asked = &host.group(id).asked;
+        asked.set(asked.get().max(row.version));
+    }
     let shown = host.store_clock.borrow().local(view.clock);
     // A host that has no idea of the store's clock holds no lease either.
     if let Some(shown) = shown {
@@ -336,28 +404,80 @@
     }
 }
 
-fn newest(host: &Host, known: Revision) -> Newest {
+fn newest(host: &Host, asker: Known) -> Newest {
+    let known = host.known();
     let kept = host.kept.borrow();
-    let version = kept.as_ref().map(|kept| kept.plan.version).unwrap_or_default();
+    let raw = kept.as_ref().map(|kept| kept.raw.clone());
+    let view = || host.held.borrow().view().clone();
+    let servers = known.servers.0 != asker.servers.0 && known.servers.1 > asker.servers.1;
     Newest {
-        view: host.held.borrow().view().clone(),
-        plan_clock: host.plan_clock.get(),
-        version,
-        plan: kept.as_ref().filter(|_| version > known).map(|kept| kept.raw.clone()),
+        known,
+        view: (known.view.0 != asker.view.0 && known.view.1 > asker.view.1).then(view),
+        plan: raw.filter(|_| known.plan.0 > asker.plan.0),
+        servers: servers.then(|| host.listed()),
+    }
+}
+
+fn own_beat(host: &Host) -> Beat {
+    let asked = host.is_hub().then(|| host.demand.borrow().asked(host.now()));
+    Beat { asked, known: host.known(), majority: host.hears_majority() }
+}
+
+/// Takes what another host tells all the time, and asks it for what is new.
+fn take_beat(host: &Rc<Host>, id: &HostId, domain: &FailureDomain, beat: Beat) {
+    if let Some(asked) = beat.asked {
+        let mesh = host.neighbours.borrow().mesh;
+        let bank = if mesh { id.clone() } else { bank_of(domain) };
+        host.demand.borrow_mut().heard(&bank, asked, host.now());
     }
+    if beat.majority && *id == host.hub() {
+        host.hub_majority.set(Some(host.now()));
+    }
+    renew(host, beat.known);
+    let (own, known) = (host.known(), beat.known);
+    let news = known.plan.0 > own.plan.0
+        || (known.view.0 != own.view.0 && known.view.1 > own.view.1)
+        || (known.servers.0 != own.servers.0 && known.servers.1 > own.servers.1);
+    let Some(link) = host.mesh.link(id).filter(|_| news && !host.asks.get()) else { return };
+    host.asks.set(true);
+    let host = host.clone();
+    monoio::spawn(async move {
+        ask_newest(&host, &link).await;
+        host.asks.set(false);
+    });
 }
 
-/// Tells the other hosts what this one's callers ask for and which configuration
-/// it has, for ever.
+/// Notes that what this host knows was still the newest when another one looked.
+fn renew(host: &Host, known: Known) {
+    if known.plan.0 == host.version() {
+        host.plan_clock.set(host.plan_clock.get().max(known.plan.1));
+    }
+    if known.servers.0 == host.servers_stamp.get() {
+        host.servers_clock.set(host.servers_clock.get().max(known.servers.1));
+    }
+    let shown = host.store_clock.borrow().local(known.view.1);
+    if let Some(shown) = shown {
+        host.held.borrow_mut().renew(known.view.0, known.view.1, shown);
+    }
+}
+
+/// Tells the other hosts what this one's callers ask for and what it knows, for ever.
 pub async fn beat(host: Rc<Host>) {
     loop {
-        let asked = host.demand.borrow().asked(host.now());
-        let beat = Beat { asked, version: host.version() };
-        for link in host.mesh.links().into_iter().filter(|link| link.is_up()) {
-            let beat = Box::new(beat.clone());
+        let beat = own_beat(&host);
+        let hub = host.hub();
+        let spoken = |link: &Rc<Link>| link.is_up() && (host.is_hub() || link.host == hub);
+        for link in host.mesh.links().into_iter().filter(spoken) {
+            let (host, beat) = (host.clone(), Box::new(beat.clone()));
             monoio::spawn(async move {
                 // A host that does not answer is noticed by its own silence.
-                let _ = link.ask(Question::Beat(beat), PEER_WITHIN).await;
+                if let Ok(Answer::Beat(answer)) = link.ask(Question::Beat(beat), PEER_WITHIN).await
+                {
+                    let member = host.held.borrow().view().members.get(&link.host).cloned();
+                    if let Some(member) = member {
+                        take_beat(&host, &link.host, &member.value.domain, *answer);
+                    }
+                }
             });
         }
         monoio::time::sleep(BEAT_EVERY).await;
@@ -386,46 +506,41 @@
 }
 
 async fn ask_newest(host: &Rc<Host>, link: &Link) {
-    let answer = link.ask(Question::Newest(host.version()), PEER_WITHIN).await;
+    let answer = link.ask(Question::Newest(host.known()), PEER_WITHIN).await;
     if let Ok(Answer::Newest(newest)) = answer {
-        take_newest(host, *newest);
+        take_newest(host, &link.host, *newest);
     }
 }
 
-fn take_newest(host: &Rc<Host>, newest: Newest) {
-    let shown = host.store_clock.borrow().local(newest.view.clock);
-    if let Some(shown) = shown {
-        learn(host, newest.view, shown);
+fn take_newest(host: &Rc<Host>, from: &HostId, newest: Newest) {
+    if let Some(view) = newest.view {
+        let shown = host.store_clock.borrow().local(view.clock);
+        if let Some(shown) = shown {
+            learn(host, view, shown);
+        }
     }
     if let Some(plan) = newest.plan {
-        info!(version = newest.version.0, "configuration: told by another host");
+        info!(version = newest.known.plan.0.0, %from, "configuration: told by another host");
         follow::adopt(host, plan);
     }
-    if host.version() >= newest.version {
-        host.plan_clock.set(host.plan_clock.get().max(newest.plan_clock));
+    if let Some(servers) = newest.servers {
+        follow::adopt_servers(host, servers);
     }
+    renew(host, newest.known);
 }
 
 /// Takes out hosts that have been silent for long, and removes what is left of
 /// hosts taken out before, for ever.
 pub async fn take_out_silent(host: Rc<Host>) {
     let client = Client::new(host.settings.store);
-    let mut heard = Heard::new();
     loop {
         monoio::time::sleep(Duration::from_secs(1)).await;
         let now = host.now();
-        for link in host.mesh.links() {
-            // A host that wrote its row lately lives, though it is not heard.
-            let version = host.held.borrow().view().members.get(&link.host).map(|row| row.version);
-            let known = heard.get(&link.host);
-            if link.is_up() || known.is_none_or(|(_, before)| *before != version) {
-                heard.insert(link.host.clone(), (now, version));
-            }
-        }
+        hear_rows(&host, now);
         if !host.leased() {
             continue;
         }
-        let Some(change) = silent_member(&host, &heard, now) else { continue };
+        let Some(change) = silent_member(&host, now) else { continue };
         match store::change(&client, &change, STORE_WITHIN).await {
             Ok(verdict) => info!(?change.expect, ?verdict, "fleet: a silent host is taken out"),
             Err(error) => info!(error = %format_args!("{error:#}"), "fleet: not taken out"),
@@ -434,10 +549,27 @@
     }
 }
 
-/// When each host was heard last, and the version of its row then.
-type Heard = std::collections::HashMap<HostId, (Instant, Option<u64>)>;
+/// A host that wrote its row lately lives, though it is not heard.
+fn hear_rows(host: &Host, now: Instant) {
+    let held = host.held.borrow();
+    let mut heard = host.heard.borrow_mut();
+    heard.retain(|id, _| held.view().members.contains_key(id));
+    for (id, row) in &held.view().members {
+        let version = Some(row.version);
+        if heard.get(id).is_none_or(|(_, before)| *before != version) {
+            heard.insert(id.clone(), (now, version));
+        }
+    }
+}
 
-fn silent_member(host: &Host, heard: &Heard, now: Instant) -> Option<Change> {
+/// What takes out a member that has been silent, or removes one taken out long ago.
+/// A host only judges those that speak to it.
+fn silent_member(host: &Host, now: Instant) -> Option<Change> {
+    if !host.is_hub() {
+        return None;
+    }
+    let heard = host.heard.borrow();
+    let neighbours = host.neighbours.borrow();
     let held = host.held.borrow();
     let view = held.view();
     let silent = |id: &HostId| {
@@ -448,7 +580,8 @@
         if row.value.is_over(view.clock) {
             return Some(Change { expect, remove: vec![member_key(id)], ..Change::default() });
         }
-        if row.value.left.is_none() && *id != host.settings.host && silent(id) {
+        let judged = neighbours.mesh || row.value.domain == host.settings.domain;
+        if judged && row.value.left.is_none() && *id != host.settings.host && silent(id) {
             let member = Member { left: Some(view.clock), ..row.value.clone() };
             let value = serde_json::to_vec(&member).ok()?;
             let put = vec![(member_key(id), value)];
--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -7,6 +7,7 @@
     store::{self, Feed, Row, Rows, Table},
 };
 use bergamottrack_coordination::ServerId;
+use bergamottrack_model::Listed;
 use bergamottrack_platform::http::Client;
 use tracing::{debug, info, warn};
 
@@ -18,7 +19,7 @@
 
 /// How long the store is asked to wait for a new configuration. Other hosts tell
 /// of one too, so a connection that has gone silent does not delay it by so much.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1900);
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(1300);
 
 /// The same for the list of servers: a leaving server still serves for seconds.
 const SERVERS_WAIT: Duration = Duration::from_millis(4500);
@@ -31,12 +32,33 @@
 /// is noticed by its refusals, and one that left still serves for longer.
 const KEEP_GONE: Duration = Duration::from_millis(2200);
 
+/// How old the configuration may be before a host reads it itself that does not
+/// read the store for others: a little more than it usually takes to be told.
+const OWN_CONFIGURATION: Duration = Duration::from_millis(2400);
+
+/// The same for the list of servers.
+const OWN_SERVERS: Duration = Duration::from_millis(5600);
+
+/// How often a host that does not read the store looks whether it must.
+const LOOK_EVERY: Duration = Duration::from_millis(150);
+
 /// Follows a table for ever: hands on its rows, and says when it was read.
-async fn follow(host: &Rc<Host>, table: Table, wait: Duration, take: impl Fn(&Rows, bool)) -> ! {
+/// `needed` says whether this host has to read it now.
+async fn follow(
+    host: &Rc<Host>,
+    table: Table,
+    wait: Duration,
+    needed: impl Fn() -> bool,
+    take: impl Fn(&Rows, bool),
+) -> ! {
     let client = Client::new(host.settings.store);
     let mut after = None;
     let mut lost = false;
     loop {
+        if after.is_some() && !needed() {
+            monoio::time::sleep(LOOK_EVERY).await;
+            continue;
+        }
         let asked = host.now();
         let read = match after {
             None => store::read(&client, table, STORE_WITHIN).await.map(|rows| (rows, true)),
@@ -82,7 +104,8 @@
         }
         host.plan_clock.set(host.plan_clock.get().max(rows.clock));
     };
-    follow(&host, Table::Configuration, CONFIGURATION_WAIT, take).await
+    let needed = || host.is_reader() || host.plan_age().is_none_or(|age| age > OWN_CONFIGURATION);
+    follow(&host, Table::Configuration, CONFIGURATION_WAIT, needed, take).await
 }
 
 /// Reads a configuration and puts it in force, if it is newer.
@@ -119,12 +142,28 @@
                 monoio::spawn(drop_later(host.clone(), gone.clone(), id, rows.version));
             }
         }
+        host.servers_clock.set(host.servers_clock.get().max(rows.clock));
+        host.stamp_servers();
         host.refresh();
     };
-    follow(&host, Table::Servers, SERVERS_WAIT, take).await
+    let needed = || {
+        let age = host.age_of(host.servers_clock.get());
+        host.is_reader() || age.is_none_or(|age| age > OWN_SERVERS)
+    };
+    follow(&host, Table::Servers, SERVERS_WAIT, needed, take).await
+}
+
+/// Takes the list of servers as another host has it.
+pub fn adopt_servers(host: &Host, listed: Vec<Listed>) {
+    let stays = |id: &ServerId| listed.iter().any(|listed| listed.id == *id);
+    let known: Vec<_> = host.pools.borrow().keys().cloned().collect();
+    known.iter().filter(|id| !stays(id)).for_each(|id| host.unlist(id));
+    listed.into_iter().for_each(|listed| host.list(listed));
+    host.stamp_servers();
+    host.refresh();
 }
 
-fn entry(row: &Row) -> Option<bergamottrack_model::Listed> {
+fn entry(row: &Row) -> Option<Listed> {
     if row.removed {
         return None;
     }
@@ -151,6 +190,7 @@
     if still {
         gone.borrow_mut().remove(&id);
         host.unlist(&id);
+        host.stamp_servers();
         host.refresh();
     }
 }
--- a/components/proxy/src/group.rs
+++ b/components/proxy/src/group.rs
@@ -29,6 +29,8 @@
     /// The version of the newest intent to change the leader after which no work
     /// of this host counts on the old one any more.
     pub released: Cell<u64>,
+    /// The version of the newest intent whose maker has asked this host itself.
+    pub asked: Cell<u64>,
     /// The leader that new work may use.
     leader: RefCell<Option<ServerId>>,
     /// Grows when work begun before must no longer count on its leader.
@@ -67,6 +69,7 @@
             probed: Cell::default(),
             moved: Cell::default(),
             released: Cell::default(),
+            asked: Cell::default(),
             leader: RefCell::default(),
             epoch: Cell::default(),
             using: Cell::default(),
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -3,18 +3,21 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
+use bergamottrack_contract as contract;
 use bergamottrack_coordination::{
-    Clock, GroupId, Revision, ServerId, StoreClock,
+    Clock, GroupId, HostId, Revision, ServerId, StoreClock,
     demand::Demand,
+    hubs::Neighbours,
     view::{Held, Leadership},
 };
 use bergamottrack_model::{Account, Listed, Plan, Role, Route, Settings};
-use bergamottrack_peer::Mesh;
+use bergamottrack_peer::{Link, Mesh, message::Known};
 use bytes::Bytes;
 use tokio::sync::{Notify, watch};
 use tracing::info;
@@ -32,6 +35,9 @@
 /// has anything newer, the store is away for all, and nobody can change anything.
 const PLAN_AGE: Duration = Duration::from_millis(2600);
 
+/// How long a hub's word that it hears most of the fleet counts.
+const HUB_WORD: Duration = Duration::from_millis(2000);
+
 /// How far a stop has come.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -66,6 +72,18 @@
     pub plan_clock: Cell<Duration>,
     /// The store's clock.
     pub store_clock: RefCell<StoreClock>,
+    /// The store's clock when the list of servers was the newest for certain.
+    pub servers_clock: Cell<Duration>,
+    /// Stamp of the list of servers.
+    pub servers_stamp: Cell<u64>,
+    /// Which hosts this one speaks to.
+    pub neighbours: RefCell<Neighbours>,
+    /// Whether this host's hub hears most of the fleet, and when it said so.
+    pub hub_majority: Cell<Option<Instant>>,
+    /// Whether another host is being asked for what it knows.
+    pub asks: Cell<bool>,
+    /// When each host was heard last, and the version of its row then.
+    pub heard: RefCell<HashMap<HostId, (Instant, Option<u64>)>>,
     /// Backend servers by name.
     pub pools: RefCell<HashMap<ServerId, Rc<Pool>>>,
     /// Groups by name.
@@ -127,8 +145,7 @@
 
     /// How long ago the configuration was the newest for certain.
     pub fn plan_age(&self) -> Option<Duration> {
-        let seen = self.store_clock.borrow().local(self.plan_clock.get())?;
-        Some(self.now().saturating_duration_since(seen))
+        self.age_of(self.plan_clock.get())
     }
 
     /// Whether callers may be served by what is known of the configuration.
@@ -140,13 +157,68 @@
         }
     }
 
-    /// Whether most hosts, this one included, are heard.
+    /// Whether most hosts, this one included, are heard; by word of the hub where
+    /// this host speaks to no others.
     pub fn hears_majority(&self) -> bool {
+        if !self.is_hub() {
+            let said = self.hub_majority.get();
+            return said.is_some_and(|at| self.now().saturating_duration_since(at) < HUB_WORD);
+        }
         let links = self.mesh.links();
         let up = links.iter().filter(|link| link.is_up()).count() + 1;
         2 * up > links.len() + 1
     }
 
+    /// The hub of this host's failure domain.
+    pub fn hub(&self) -> HostId {
+        let is_up = |id: &HostId| self.mesh.link(id).is_some_and(|link| link.is_up());
+        self.neighbours.borrow().hub(&self.settings.host, is_up)
+    }
+
+    /// Whether this host reads the store for the others of its failure domain.
+    pub fn is_reader(&self) -> bool {
+        self.hub() == self.settings.host
+    }
+
+    /// Whether this host speaks to hosts of other failure domains.
+    pub fn is_hub(&self) -> bool {
+        self.neighbours.borrow().mesh || self.is_reader()
+    }
+
+    /// Which versions this host knows.
+    pub fn known(&self) -> Known {
+        let held = self.held.borrow();
+        Known {
+            plan: (self.version(), self.plan_clock.get()),
+            view: (held.stamp(), held.view().clock),
+            servers: (self.servers_stamp.get(), self.servers_clock.get()),
+        }
+    }
+
+    /// How long ago what was the newest when the store's clock showed `clock` was so.
+    pub fn age_of(&self, clock: Duration) -> Option<Duration> {
+        let seen = self.store_clock.borrow().local(clock)?;
+        Some(self.now().saturating_duration_since(seen))
+    }
+
+    /// The list of servers.
+    pub fn listed(&self) -> Vec<Listed> {
+        let pools = self.pools.borrow();
+        let mut listed: Vec<_> = pools.values().map(|pool| pool.listed.borrow().clone()).collect();
+        listed.sort_by(|a, b| a.id.cmp(&b.id));
+        listed
+    }
+
+    /// Notes that the list of servers has changed.
+    pub fn stamp_servers(&self) {
+        let mut hash = DefaultHasher::new();
+        for listed in self.listed() {
+            (listed.id, listed.group, listed.address, listed.born).hash(&mut hash);
+            (listed.leaving, listed.role == Role::Primary, listed.slots).hash(&mut hash);
+        }
+        self.servers_stamp.set(hash.finish());
+    }
+
     /// The database's route and the caller's account; `None` for a public one.
     pub fn find(&self, database: &str, key: &str) -> (Option<Rc<Route>>, Option<Rc<Account>>) {
         match self.plan() {
@@ -198,7 +270,7 @@
         for pool in self.pools.borrow().values() {
             let group = pool.listed.borrow().group.clone();
             let cap = plan.as_ref().and_then(|plan| plan.groups.get(&group).copied());
-            pool.set_cap(cap.unwrap_or(1) / hosts);
+            pool.set_cap(cap.unwrap_or(1), hosts);
             self.group(&group);
         }
         let groups: Vec<_> = self.groups.borrow().values().cloned().collect();
@@ -276,7 +348,15 @@
     }
 
     /// Where a peer listens, by the view.
-    pub fn peer(&self, host: &bergamottrack_coordination::HostId) -> Option<SocketAddr> {
+    pub fn peer(&self, host: &HostId) -> Option<SocketAddr> {
         self.held.borrow().view().members.get(host).map(|member| member.value.peer)
     }
+
+    /// A link to any host of the fleet.
+    pub fn reach(&self, id: &HostId) -> Option<Rc<Link>> {
+        let held = self.held.borrow();
+        let member = &held.view().members.get(id)?.value;
+        let (domain, peer) = (member.domain.clone(), member.peer);
+        Some(self.mesh.reach(&contract::Host { id: id.clone(), domain, peer }))
+    }
 }
--- a/components/proxy/src/lead.rs
+++ b/components/proxy/src/lead.rs
@@ -56,6 +56,9 @@
 /// How long another host may take to let its work at the leader end.
 const ACT_WITHIN: Duration = Duration::from_millis(1800);
 
+/// How often a host is tried that a link is being made to.
+const DIAL_EVERY: Duration = Duration::from_millis(20);
+
 /// How long the dial to a host that may be dead may take.
 const DIAL_WITHIN: Duration = Duration::from_millis(300);
 
@@ -543,7 +546,8 @@
 
 /// Tells a view to all hosts that can be reached.
 fn tell(host: &Rc<Host>, view: &View) {
-    for link in host.mesh.links().into_iter().filter(|link| link.is_up()) {
+    let links = host.mesh.links().into_iter().chain(host.mesh.guests());
+    for link in links.filter(|link| link.is_up()) {
         let view = Box::new(view.clone());
         monoio::spawn(async move {
             // A host that is not reached reads the view itself within a second.
@@ -555,8 +559,9 @@
 /// Has a host give its leases on the old leader back, as long as that is waited for.
 async fn ask_release(host: Rc<Host>, id: HostId, view: View, release: Rc<RefCell<Release>>) {
     while !release.borrow().is_over(host.now()) {
-        let link = host.mesh.link(&id).filter(|link| link.is_up());
-        let gave_back = match link {
+        let link = host.reach(&id);
+        let was_up = link.as_ref().is_some_and(|link| link.is_up());
+        let gave_back = match link.filter(|_| was_up) {
             Some(link) => {
                 let act = Question::Act(Box::new(view.clone()));
                 let answer = link.ask(act, ACT_WITHIN).await;
@@ -568,7 +573,7 @@
             release.borrow_mut().gave_back(&id);
             return;
         }
-        monoio::time::sleep(LOOK_EVERY).await;
+        monoio::time::sleep(if was_up { LOOK_EVERY } else { DIAL_EVERY }).await;
     }
     if release.borrow().waiting().contains(&id) {
         info!(host = %id, "leader: a host did not give its lease back");
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -21,6 +21,10 @@
 /// than a usual pause between two statements of an account.
 const UNUSED_FOR: Duration = Duration::from_millis(800);
 
+/// Connections that a host may open however many hosts there are: enough for the
+/// transactions and statements that come together at one host.
+const LEAST_CAP: usize = 4;
+
 /// How often unused connections are looked for.
 pub const TRIM_EVERY: Duration = Duration::from_millis(400);
 
@@ -35,6 +39,8 @@
     /// Connections open or being opened, idle ones included; at most `cap`.
     open: Cell<usize>,
     cap: Cell<usize>,
+    /// This host's equal share of the server's connections.
+    share: Cell<usize>,
     /// Until when one connection fewer is opened.
     too_many: Cell<Option<Instant>>,
     freed: Notify,
@@ -66,14 +72,20 @@
             idle: RefCell::default(),
             open: Cell::default(),
             cap: Cell::new(1),
+            share: Cell::default(),
             too_many: Cell::default(),
             freed: Notify::new(),
         })
     }
 
-    /// Sets the most connections that this host may have open.
-    pub fn set_cap(&self, cap: usize) {
-        self.cap.set(cap.max(1));
+    /// Sets how many connections the server takes and how many hosts share them.
+    ///
+    /// A host may open more than its equal share when there are many hosts: they
+    /// need them at different moments, and the server says when it has too many.
+    pub fn set_cap(&self, cap: usize, hosts: usize) {
+        let share = cap / hosts;
+        self.share.set(share);
+        self.cap.set(share.max(LEAST_CAP.min(cap)).max(1));
     }
 
     /// Whether a connection of the account waits.
@@ -130,7 +142,7 @@
     /// server's connections unused the new ones fit in beside them. Under load all
     /// are kept: a new connection takes a slot as long as a short statement.
     pub fn trim(&self) {
-        let kept = (self.cap.get() / 2).max(1);
+        let kept = self.share.get() / 2;
         let mut idle = self.idle.borrow_mut();
         while self.open.get() > kept
             && idle.first().is_some_and(|(_, since)| since.elapsed() > UNUSED_FOR)
--- a/components/proxy/src/talk.rs
+++ b/components/proxy/src/talk.rs
@@ -12,6 +12,7 @@
 use tracing::info;
 
 use crate::{
+    fleet,
     host::Host,
     job::{self, Job, Refused, Running, Step},
 };
@@ -107,7 +108,7 @@
 
     async fn answer_idle(&mut self, request: &Request, out: &mut BytesMut) {
         match &request.statement {
-            Statement::Begin(access) => match self.admit_operation(request) {
+            Statement::Begin(access) => match self.admit_operation(request).await {
                 Ok((route, account)) => {
                     let job = self.job(request, &route, account, *access);
                     let timeout = route.timeout;
@@ -133,7 +134,7 @@
             self.fail(&Refused::of(Failure::UnknownName, "no such name"), out);
             return;
         };
-        let (route, account) = match self.admit_operation(request) {
+        let (route, account) = match self.admit_operation(request).await {
             Ok(admitted) => admitted,
             Err(refused) => return self.fail(&refused, out),
         };
@@ -331,7 +332,7 @@
     }
 
     /// Admits one operation and takes its token of the account's rate.
-    fn admit_operation(&self, request: &Request) -> Result<(Rc<Route>, AccountId), Refused> {
+    async fn admit_operation(&self, request: &Request) -> Result<(Rc<Route>, AccountId), Refused> {
         let (route, account) = self.admit().inspect_err(|refused| {
             info!(
                 id = %request.id, database = %self.database, version = self.host.version().0,
@@ -343,9 +344,10 @@
             let nobody = NOBODY.parse().expect("the name is allowed");
             return Ok((route, nobody));
         };
-        let now = self.host.now();
-        let mut demand = self.host.demand.borrow_mut();
-        let ruling = demand.take(&account.id, account.rate, account.burst, now);
+        let Some(ruling) = fleet::take_token(&self.host, &account).await else {
+            info!(id = %request.id, account = %account.id, "statement: its rate cannot be checked");
+            return Err(Refused::busy("the account's rate cannot be checked now"));
+        };
         if !ruling.admitted {
             info!(
                 id = %request.id, account = %account.id, rate = account.rate.0,
