Crowded servers are left by connections that nobody uses

Cause: on the first grown site transactions that rest hold most of the 90 connections of one leader; idle ones of 89 hosts took the others (4166 rejected).

--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -14,19 +14,24 @@
 
 use crate::backend::{Backend, OpenError};
 
-/// How long after a server had too many connections this host opens one fewer.
-const TOO_MANY_FOR: Duration = Duration::from_secs(2);
+/// How long after a server had too many connections this host opens one fewer, and
+/// keeps none that it does not use.
+const CROWDED_FOR: Duration = Duration::from_secs(3);
 
 /// How long a connection above half of a host's share stays open unused: longer
 /// than a usual pause between two statements of an account.
 const UNUSED_FOR: Duration = Duration::from_millis(800);
 
+/// The same where a host's equal share is a single connection: most of the
+/// server's connections are then in use by transactions that rest.
+const SCARCE_FOR: Duration = Duration::from_millis(100);
+
 /// Connections that a host may open however many hosts there are: enough for the
 /// transactions and statements that come together at one host.
 const LEAST_CAP: usize = 4;
 
 /// How often unused connections are looked for.
-pub const TRIM_EVERY: Duration = Duration::from_millis(400);
+pub const TRIM_EVERY: Duration = Duration::from_millis(100);
 
 /// The connections to one server.
 pub struct Pool {
@@ -41,8 +46,8 @@
     cap: Cell<usize>,
     /// This host's equal share of the server's connections.
     share: Cell<usize>,
-    /// Until when one connection fewer is opened.
-    too_many: Cell<Option<Instant>>,
+    /// Until when the server counts as crowded.
+    crowded: Cell<Option<Instant>>,
     freed: Notify,
 }
 
@@ -73,7 +78,7 @@
             open: Cell::default(),
             cap: Cell::new(1),
             share: Cell::default(),
-            too_many: Cell::default(),
+            crowded: Cell::default(),
             freed: Notify::new(),
         })
     }
@@ -130,8 +135,12 @@
     }
 
     fn cap(&self) -> usize {
-        let fewer = self.too_many.get().is_some_and(|until| Instant::now() < until);
-        if fewer { (self.cap.get() - 1).max(1) } else { self.cap.get() }
+        if self.is_crowded() { (self.cap.get() - 1).max(1) } else { self.cap.get() }
+    }
+
+    /// Whether the server had too many connections lately.
+    fn is_crowded(&self) -> bool {
+        self.crowded.get().is_some_and(|until| Instant::now() < until)
     }
 
     /// Closes connections above half of the host's share that nobody has used for
@@ -143,9 +152,10 @@
     /// are kept: a new connection takes a slot as long as a short statement.
     pub fn trim(&self) {
         let kept = self.share.get() / 2;
+        let unused_for = if kept == 0 { SCARCE_FOR } else { UNUSED_FOR };
         let mut idle = self.idle.borrow_mut();
         while self.open.get() > kept
-            && idle.first().is_some_and(|(_, since)| since.elapsed() > UNUSED_FOR)
+            && idle.first().is_some_and(|(_, since)| since.elapsed() > unused_for)
         {
             idle.remove(0);
             self.open.set(self.open.get() - 1);
@@ -188,7 +198,7 @@
             Err(error) => {
                 if matches!(error, OpenError::Rejected(Failure::TooMany)) {
                     info!(server = %listed.id, open = self.open.get(), "pool: too many connections");
-                    self.too_many.set(Some(Instant::now() + TOO_MANY_FOR));
+                    self.crowded.set(Some(Instant::now() + CROWDED_FOR));
                 }
                 Err(NoConnection::Open(error))
             }
@@ -210,6 +220,10 @@
     /// Keeps the connection for the next statement.
     pub fn give_back(mut self) {
         if let Some(backend) = self.backend.take() {
+            // While the server is crowded others need its place more.
+            if self.pool.is_crowded() {
+                return;
+            }
             self.pool.idle.borrow_mut().push((backend, Instant::now()));
             self.kept = true;
         }
