--- /dev/null
+++ b/components/coordination/tests/suspicion.rs
@@ -0,0 +1,57 @@
+//! When a leader is replaced, and when not.
+
+use std::time::{Duration, Instant};
+
+use bergamottrack_coordination::{
+    Point,
+    suspicion::{Advice, STILL_FOR, Suspicion},
+};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// The leader's process dies: connections are refused. Nobody waits for time-outs.
+#[test]
+fn a_dead_leader_is_replaced_at_once() {
+    let start = Instant::now();
+    let mut suspicion = Suspicion::default();
+    suspicion.refused(start);
+    assert_eq!(suspicion.advice(start), Advice::Keep, "one refusal may be a restart");
+    assert_eq!(suspicion.advice(start + 100 * MS), Advice::Replace);
+}
+
+/// The leader stalls for 300 ms and goes on. A change of leader would cost a second.
+#[test]
+fn a_stall_replaces_nobody() {
+    let start = Instant::now();
+    let mut suspicion = Suspicion::default();
+    suspicion.silent(start);
+    suspicion.received(Point::new(1, 5), start + 10 * MS);
+    assert_eq!(suspicion.advice(start + 300 * MS), Advice::AskReplicas);
+    suspicion.answered();
+    assert_eq!(suspicion.advice(start + 900 * MS), Advice::Keep);
+}
+
+/// This host is cut off from the leader, which serves all others: its replicas go
+/// on receiving. Replacing it would stop everybody for the sake of one host.
+#[test]
+fn a_leader_whose_replicas_receive_is_kept() {
+    let start = Instant::now();
+    let mut suspicion = Suspicion::default();
+    suspicion.silent(start);
+    for n in 0..50_u32 {
+        let now = start + n * 100 * MS;
+        suspicion.received(Point::new(1, u64::from(n)), now);
+        assert_eq!(suspicion.advice(now), Advice::AskReplicas);
+    }
+}
+
+/// The leader goes dark for all: its replicas receive nothing more.
+#[test]
+fn a_silent_leader_whose_replicas_stand_still_is_replaced() {
+    let start = Instant::now();
+    let mut suspicion = Suspicion::default();
+    suspicion.silent(start);
+    suspicion.received(Point::new(1, 5), start);
+    suspicion.received(Point::new(1, 5), start + 300 * MS);
+    assert_eq!(suspicion.advice(start + STILL_FOR), Advice::Replace);
+}
