--- a/components/coordination/src/suspicion.rs
+++ b/components/coordination/src/suspicion.rs
@@ -11,15 +11,15 @@
 use crate::Point;
 
 /// How long a leader with work to do may be silent before it is asked how it
-/// stands. Ten times the mean statement, above the longest one.
-pub const SILENT_AFTER: Duration = Duration::from_millis(600);
+/// stands. Ten times the mean statement, and above stalls of 300 ms.
+pub const SILENT_AFTER: Duration = Duration::from_millis(400);
 
 /// How long a leader that does not answer that question either is given.
-pub const PROBE_WITHIN: Duration = Duration::from_millis(600);
+pub const PROBE_WITHIN: Duration = Duration::from_millis(400);
 
 /// How long the replicas of a silent leader must not receive anything. Groups
 /// commit every few tens of milliseconds; stalls of 300 ms must not count.
-pub const STILL_FOR: Duration = Duration::from_millis(500);
+pub const STILL_FOR: Duration = Duration::from_millis(350);
 
 /// How long a leader must be out of reach, though its replicas receive, before
 /// this host has it replaced. Cuts of some hosts last 5 to 7 s; a replacement
--- a/components/coordination/tests/suspicion.rs
+++ b/components/coordination/tests/suspicion.rs
@@ -52,6 +52,7 @@
     let mut suspicion = Suspicion::default();
     suspicion.silent(start);
     suspicion.received(Point::new(1, 5), start);
-    suspicion.received(Point::new(1, 5), start + 300 * MS);
+    suspicion.received(Point::new(1, 5), start + 200 * MS);
+    assert_eq!(suspicion.advice(start + 200 * MS), Advice::AskReplicas);
     assert_eq!(suspicion.advice(start + STILL_FOR), Advice::Replace);
 }
--- a/components/proxy/src/group.rs
+++ b/components/proxy/src/group.rs
@@ -40,6 +40,7 @@
     /// Since when there has been no leader.
     since: Cell<Option<Instant>>,
     changed: Notify,
+    gave_up: Notify,
 }
 
 /// The right to use the leader for one statement or transaction.
@@ -75,6 +76,7 @@
             using: Cell::default(),
             since: Cell::default(),
             changed: Notify::new(),
+            gave_up: Notify::new(),
         })
     }
 
@@ -110,6 +112,7 @@
     pub fn give_up(&self) {
         self.epoch.set(self.epoch.get() + 1);
         self.using.set(0);
+        self.gave_up.notify_waiters();
     }
 
     /// Whether nothing runs at the leader.
@@ -152,6 +155,13 @@
 }
 
 impl Use {
+    /// Waits until work of this epoch counts no more.
+    pub async fn given_up(&self) {
+        while self.holds() {
+            self.group.gave_up.notified().await;
+        }
+    }
+
     /// Whether the leader is still the one that was meant, as far as the group knows.
     pub fn holds(&self) -> bool {
         self.group.epoch.get() == self.epoch
--- a/components/proxy/src/job.rs
+++ b/components/proxy/src/job.rs
@@ -280,7 +280,21 @@
     let asked = host.now();
     let pool = running.leased.pool().clone();
     pool.health.borrow_mut().begin(asked);
-    let answer = monoio::time::timeout(within, running.leased.backend().exchange()).await;
+    let given_up = async {
+        match &running.usage {
+            Some(usage) => usage.given_up().await,
+            None => std::future::pending().await,
+        }
+    };
+    let exchange = running.leased.backend().exchange();
+    // Its answer could not be passed on any more: said now, not when time is up.
+    let answer = monoio::select! {
+        answer = monoio::time::timeout(within, exchange) => answer,
+        _ = given_up => {
+            pool.health.borrow_mut().end(None, host.now());
+            return Err("the leader changed");
+        }
+    };
     let now = host.now();
     match answer {
         Ok(Ok(answer)) => {
--- a/components/proxy/src/lead.rs
+++ b/components/proxy/src/lead.rs
@@ -124,22 +124,23 @@
 /// Asks a silent leader how it stands, and if it does not answer its replicas
 /// how far they have received.
 async fn probe(host: Rc<Host>, group: Rc<Group>, leader: Rc<Pool>, since: Instant) {
-    let answer = status(&host, &leader, suspicion::PROBE_WITHIN).await;
+    let replicas = host.servers(&group.id);
+    let replicas = replicas.iter().filter(|pool| !Rc::ptr_eq(pool, &leader));
+    let asks = replicas.map(|pool| status(&host, pool, suspicion::PROBE_WITHIN));
+    let asks = async {
+        for status in future::join_all(asks).await.into_iter().flatten() {
+            group.suspicion.borrow_mut().received(status.received, host.now());
+        }
+    };
+    // At the same time: how long replicas stand still counts from the first answer.
+    let (answer, ()) = monoio::join!(status(&host, &leader, suspicion::PROBE_WITHIN), asks);
     let now = host.now();
     match answer {
-        Ok(_) => group.suspicion.borrow_mut().answered(),
+        Ok(_) | Err(StatusError::Busy) => group.suspicion.borrow_mut().answered(),
         Err(StatusError::Refused) => group.suspicion.borrow_mut().refused(now),
         Err(StatusError::Silent) => {
             group.suspicion.borrow_mut().silent(since);
-            for pool in host.servers(&group.id) {
-                if Rc::ptr_eq(&pool, &leader) {
-                    continue;
-                }
-                if let Ok(status) = status(&host, &pool, suspicion::PROBE_WITHIN).await {
-                    group.suspicion.borrow_mut().received(status.received, host.now());
-                }
-            }
-            let advice = group.suspicion.borrow().advice(host.now());
+            let advice = group.suspicion.borrow().advice(now);
             let server = leader.listed.borrow().id.clone();
             info!(group = %group.id, %server, ?advice, "leader: silent");
         }
@@ -147,7 +148,11 @@
     group.probed.set(false);
 }
 
+/// Why a server has not told how it stands.
 enum StatusError {
+    /// It answered, but has no capacity for the question.
+    Busy,
+    /// Its process does not run.
     Refused,
     Silent,
 }
@@ -161,15 +166,9 @@
             OpenError::Refused => StatusError::Refused,
             _ => StatusError::Silent,
         })?;
-        loop {
-            wire::put_status(&mut backend.out);
-            let answer = backend.exchange().await.map_err(|_| StatusError::Silent)?;
-            match wire::decode_status(&answer) {
-                Some(status) => return Ok(status),
-                // Busy: it is there, and answers when a slot is free.
-                None => monoio::time::sleep(LEADS_EVERY).await,
-            }
-        }
+        wire::put_status(&mut backend.out);
+        let answer = backend.exchange().await.map_err(|_| StatusError::Silent)?;
+        wire::decode_status(&answer).ok_or(StatusError::Busy)
     };
     monoio::time::timeout(within, ask).await.unwrap_or(Err(StatusError::Silent))
 }
@@ -393,7 +392,9 @@
 
     /// Finds out who is to lead and sees to it; `None` when nobody can yet.
     async fn settle(&self, host: &Rc<Host>, group: &Rc<Group>) -> anyhow::Result<Option<ServerId>> {
-        let pools = host.servers(&group.id);
+        let mut pools = host.servers(&group.id);
+        // A leader that is not there for the one who replaces it would only cost time.
+        pools.retain(|pool| self.planned || Some(&pool.listed.borrow().id) != self.from.as_ref());
         let asks = pools.iter().map(|pool| status(host, pool, suspicion::PROBE_WITHIN));
         let statuses = future::join_all(asks).await;
         let known: Vec<(ServerId, bool, Status)> = pools
