A leader that closes each connection is noticed

No connection is refused and no statement waits, so nothing was held against the leader until its entry lapsed; with an entry that stays, no write went through for 30 s. Change: a connection to the leader that does not come up counts as its silence, and has it asked how it stands. The test fails without the change.

--- a/components/proxy/src/job.rs
+++ b/components/proxy/src/job.rs
@@ -257,6 +257,10 @@
                 }
                 OpenError::Silent(_) => {
                     health.fail(now);
+                    // Not only silence: it may accept connections and close them.
+                    if place.usage.is_some() {
+                        job.group.suspicion.borrow_mut().silent(now);
+                    }
                     Err(Refused::busy("the server does not answer"))
                 }
                 OpenError::Rejected(Failure::Misdirected) => {
--- a/lab/src/soak/world.rs
+++ b/lab/src/soak/world.rs
@@ -57,6 +57,8 @@
     addresses: Vec<SocketAddr>,
     version: Cell<u64>,
     withdrawn: Cell<bool>,
+    /// Whether entries of servers that ended stay in the list.
+    pub keeps_entries: Cell<bool>,
     dir: tempfile::TempDir,
     _ports: Ports,
 }
@@ -100,6 +102,7 @@
             addresses,
             version: Cell::new(1),
             withdrawn: Cell::default(),
+            keeps_entries: Cell::default(),
             dir,
             _ports: ports,
         };
@@ -204,7 +207,9 @@
                 let up = world.groups.borrow().servers[place].up;
                 match *down {
                     None if !up => *down = Some(Instant::now()),
-                    Some(since) if !up && since.elapsed() > ENTRY_FOR => {
+                    Some(since)
+                        if !up && since.elapsed() > ENTRY_FOR && !world.keeps_entries.get() =>
+                    {
                         let id = format!("i-{place}");
                         world.store.borrow_mut().remove("servers", &id);
                         *down = Some(Instant::now() + Duration::from_secs(3600));
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -345,3 +345,27 @@
         assert_eq!(world.borrow().groups.borrow().promotions, 1);
     });
 }
+
+/// A group's leader accepts connections and closes each at once, as a process does
+/// that is about to end, and its entry stays in the list. No connection was ever
+/// refused and no statement ever silent, so nobody noticed, and no write went
+/// through until the entry lapsed.
+#[test]
+fn a_leader_that_closes_each_connection_is_replaced() {
+    on_runtime(async {
+        let world = system(3).await;
+        world.borrow().keeps_entries.set(true);
+        let address = world.borrow().callers[1];
+        let mut line = Line::start(address, "db0", "key-b").await.unwrap();
+        assert_eq!(line.short("WRITE k4 before").await, "DONE I");
+        pause(100).await;
+        // Behind its link, which still accepts.
+        world.borrow().stop_leader(0);
+        let began = Instant::now();
+        while line.short("WRITE k4 after").await != "DONE I" {
+            assert!(began.elapsed() < PATIENCE, "no other server leads");
+            pause(20).await;
+        }
+        assert_eq!(world.borrow().groups.borrow().promotions, 1);
+    });
+}
