A gate before each server: short queues there, the urgent first, refusals at once

Change: each host keeps as many statements under way as the server answers without queueing long; the others wait at the host by priority, for half of the latency that their route aims at, and are refused at once when that cannot do.

--- a/components/coordination/src/choice.rs
+++ b/components/coordination/src/choice.rs
@@ -147,6 +147,8 @@
     pub leads: bool,
     /// Statements that it runs at once.
     pub slots: usize,
+    /// How long a statement would wait at this host before it is sent.
+    pub wait: Duration,
 }
 
 /// What sending a read there is expected to cost.
@@ -158,7 +160,7 @@
     let mean = health.mean.max(health.silent_for(now).as_secs_f64());
     let share = 1.0 + health.running as f64 / candidate.slots.max(1) as f64;
     let lead = if candidate.leads { LEADER } else { 1.0 };
-    let mut cost = Duration::from_secs_f64(mean * share * lead);
+    let mut cost = Duration::from_secs_f64(mean * share * lead) + candidate.wait;
     if !candidate.near {
         cost += FAR;
     }
--- /dev/null
+++ b/components/coordination/src/gate.rs
@@ -0,0 +1,168 @@
+//! How many statements a host has under way at a server, and who waits.
+//!
+//! The load it answers: a group whose reads all come to its leader, because its
+//! replicas are seconds behind, so that more is asked of it than its slots can
+//! run. A server queues what comes, first come first served. With all connections
+//! of all hosts in that queue each answer takes ten times its work, and all are
+//! late. Here the queue stands at the hosts: each keeps as many statements under
+//! way as the server answers without queueing long, lets the more urgent go first,
+//! and refuses at once what would wait for too long.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+/// The first guess of an answer's time: a read's usual work.
+const FIRST_GUESS: f64 = 0.035;
+
+/// How much a new answer moves the mean, as one part of so many.
+const MEAN_OVER: f64 = 12.0;
+
+/// How much a mean above the base moves the base: it follows servers that have
+/// become slower for good, not queues.
+const BASE_OVER: f64 = 4000.0;
+
+/// Answers may take so many times the base before less is kept under way. Work is
+/// unequal, so a mean of a dozen answers wanders by half; a queue as long as the
+/// slots doubles it.
+const LONG: f64 = 2.2;
+
+/// The factor while answers take long, once for each round of answers.
+const SHRINK: f64 = 0.8;
+
+/// Statements under way at first. More grow within a second, if they are needed.
+const FIRST_LIMIT: f64 = 6.0;
+
+/// Statements under way at the least. Several hosts with one each fill the slots.
+const LEAST: f64 = 1.0;
+
+/// What waits: the urgent first, then in the order of coming.
+pub type Place = (u32, u64);
+
+/// A host's gate to one server.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    limit: f64,
+    most: f64,
+    running: usize,
+    mean: f64,
+    base: f64,
+    waiting: BTreeMap<Place, Instant>,
+    next: u64,
+    /// Answers until the limit may shrink again: those under way when it shrank
+    /// still show the longer queue.
+    settle: f64,
+}
+
+/// How a statement is received.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Entry {
+    /// It may be sent now; it counts as under way.
+    Go,
+    /// It waits in this place.
+    Wait(Place),
+    /// It would wait too long; come back after this time.
+    Refused(Duration),
+}
+
+impl Gate {
+    /// A gate that keeps `most` statements under way at most.
+    pub fn new(most: usize) -> Self {
+        Self {
+            limit: FIRST_LIMIT.min(most.max(1) as f64),
+            most: most.max(1) as f64,
+            running: 0,
+            mean: FIRST_GUESS,
+            base: FIRST_GUESS,
+            waiting: BTreeMap::new(),
+            next: 0,
+            settle: 0.0,
+        }
+    }
+
+    /// Sets the most that may be under way.
+    pub fn set_most(&mut self, most: usize) {
+        let most = most.max(1) as f64;
+        self.limit = self.limit.min(most);
+        self.most = most;
+    }
+
+    /// Statements under way.
+    pub fn running(&self) -> usize {
+        self.running
+    }
+
+    /// How many may be under way now.
+    pub fn limit(&self) -> usize {
+        self.limit.max(LEAST) as usize
+    }
+
+    /// How long the next one of that priority would wait.
+    pub fn wait(&self, priority: u32) -> Duration {
+        if self.running < self.limit() && self.waiting.is_empty() {
+            return Duration::ZERO;
+        }
+        let ahead = self.waiting.range(..=(priority, u64::MAX)).count() + 1;
+        Duration::from_secs_f64(ahead as f64 * self.mean / self.limit.max(LEAST))
+    }
+
+    /// Receives a statement that may wait for `patience`; 0 is the most urgent priority.
+    pub fn enter(&mut self, priority: u32, patience: Duration, now: Instant) -> Entry {
+        let wait = self.wait(priority);
+        if wait.is_zero() {
+            self.running += 1;
+            return Entry::Go;
+        }
+        if wait > patience {
+            return Entry::Refused(wait);
+        }
+        let place = (priority, self.next);
+        self.next += 1;
+        self.waiting.insert(place, now + patience);
+        Entry::Wait(place)
+    }
+
+    /// A statement of an open transaction goes on: it holds a connection, and
+    /// perhaps locks, until its transaction ends.
+    pub fn go_on(&mut self) {
+        self.running += 1;
+    }
+
+    /// Gives up a place.
+    pub fn leave(&mut self, place: Place) {
+        self.waiting.remove(&place);
+    }
+
+    /// A statement is under way no more; `took` if it was answered.
+    pub fn end(&mut self, took: Option<Duration>) {
+        self.running = self.running.saturating_sub(1);
+        let Some(took) = took else { return };
+        self.mean += (took.as_secs_f64() - self.mean) / MEAN_OVER;
+        if self.mean < self.base {
+            self.base = self.mean;
+        } else {
+            self.base += (self.mean - self.base) / BASE_OVER;
+        }
+        self.settle -= 1.0;
+        if self.mean > LONG * self.base {
+            if self.settle <= 0.0 {
+                self.limit = (self.limit * SHRINK).max(LEAST);
+                self.settle = self.limit + MEAN_OVER / 2.0;
+            }
+        } else {
+            self.limit = (self.limit + 1.0 / self.limit).min(self.most);
+        }
+    }
+
+    /// The next that may be sent, if there is room; it counts as under way.
+    pub fn next(&mut self, now: Instant) -> Option<Place> {
+        self.waiting.retain(|_, until| *until > now);
+        if self.running >= self.limit() {
+            return None;
+        }
+        let (place, _) = self.waiting.pop_first()?;
+        self.running += 1;
+        Some(place)
+    }
+}
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod duty;
 pub mod fair;
 pub mod freshness;
+pub mod gate;
 pub mod hubs;
 pub mod ids;
 pub mod leadership;
--- a/components/coordination/tests/choice.rs
+++ b/components/coordination/tests/choice.rs
@@ -10,7 +10,7 @@
 const MS: Duration = Duration::from_millis(1);
 
 fn candidate(health: &Health) -> Candidate<'_> {
-    Candidate { health, near: true, warm: true, leads: false, slots: 5 }
+    Candidate { health, near: true, warm: true, leads: false, slots: 5, wait: Duration::ZERO }
 }
 
 fn answered(times: &[u32], now: Instant) -> Health {
--- /dev/null
+++ b/components/coordination/tests/gate.rs
@@ -0,0 +1,110 @@
+//! Several hosts before one server that is asked for more than it can run.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+use bergamottrack_coordination::gate::{Entry, Gate, Place};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const SLOTS: usize = 5;
+const WORK: f64 = 0.033;
+const TICK: Duration = Duration::from_millis(1);
+
+/// A statement: its host, when it came, when it was sent, and how urgent it is.
+#[derive(Clone, Copy)]
+struct Statement {
+    host: usize,
+    came: Instant,
+    sent: Instant,
+    urgent: bool,
+}
+
+#[derive(Default)]
+struct Seen {
+    served: usize,
+    in_time: usize,
+    refused: usize,
+    urgent_late: usize,
+}
+
+/// Runs hosts with `asks` statements a second each for ten seconds.
+fn run(asks: &[f64], most: usize) -> Seen {
+    let mut random = StdRng::seed_from_u64(7);
+    let mut gates: Vec<Gate> = asks.iter().map(|_| Gate::new(most)).collect();
+    let mut waiting: Vec<Vec<(Place, Statement)>> = vec![Vec::new(); asks.len()];
+    let mut queue: VecDeque<Statement> = VecDeque::new();
+    let mut slots: Vec<(Instant, Statement)> = Vec::new();
+    let mut seen = Seen::default();
+    let start = Instant::now();
+    let mut now = start;
+    while now < start + Duration::from_secs(10) {
+        now += TICK;
+        let warm = now > start + Duration::from_secs(2);
+        for (host, asks) in asks.iter().enumerate() {
+            if random.random_bool(asks * TICK.as_secs_f64()) {
+                let urgent = random.random_bool(0.15);
+                let statement = Statement { host, came: now, sent: now, urgent };
+                let (priority, patience) = if urgent { (1, 100) } else { (2, 200) };
+                match gates[host].enter(priority, Duration::from_millis(patience), now) {
+                    Entry::Go => queue.push_back(statement),
+                    Entry::Wait(place) => waiting[host].push((place, statement)),
+                    Entry::Refused(_) => seen.refused += usize::from(warm),
+                }
+            }
+        }
+        let done: Vec<_> = slots.iter().filter(|(end, _)| *end <= now).map(|(_, s)| *s).collect();
+        slots.retain(|(end, _)| *end > now);
+        for statement in done {
+            gates[statement.host].end(Some(now - statement.sent));
+            if warm {
+                let late = now - statement.came > Duration::from_millis(400);
+                seen.served += 1;
+                seen.in_time += usize::from(!late);
+                seen.urgent_late += usize::from(late && statement.urgent);
+            }
+        }
+        for (host, gate) in gates.iter_mut().enumerate() {
+            while let Some(place) = gate.next(now) {
+                let at = waiting[host].iter().position(|(other, _)| *other == place).unwrap();
+                let (_, statement) = waiting[host].remove(at);
+                queue.push_back(Statement { sent: now, ..statement });
+            }
+        }
+        while slots.len() < SLOTS
+            && let Some(statement) = queue.pop_front()
+        {
+            let work = WORK * (0.3 + 1.4 * random.random::<f64>());
+            slots.push((now + Duration::from_secs_f64(work), statement));
+        }
+    }
+    seen
+}
+
+/// Replicas are seconds behind and all reads come to the leader, a third more than
+/// it can run. All hosts' connections stood in its queue, and each answer was late.
+/// Now what it runs is in time, and its slots stay full.
+#[test]
+fn an_overloaded_server_still_answers_in_time() {
+    let seen = run(&[33.0; 6], 48);
+    assert!(seen.in_time * 100 >= seen.served * 97, "{} of {}", seen.in_time, seen.served);
+    let capacity = (8.0 * SLOTS as f64 / WORK) as usize;
+    assert!(seen.served * 100 >= capacity * 85, "{} of {capacity}", seen.served);
+    assert_eq!(seen.urgent_late, 0);
+}
+
+/// One host has a third of all callers. It must get its part of the server too.
+#[test]
+fn a_busy_host_is_not_held_to_an_equal_part() {
+    let seen = run(&[60.0, 15.0, 15.0, 15.0, 15.0, 15.0], 48);
+    assert!(seen.refused * 100 <= seen.served * 5, "{} refused", seen.refused);
+}
+
+/// A server with room: nobody waits and nobody is refused.
+#[test]
+fn a_calm_server_refuses_nobody() {
+    let seen = run(&[12.0; 6], 8);
+    assert_eq!(seen.refused, 0);
+    assert!(seen.in_time * 1000 >= seen.served * 999);
+}
--- a/components/model/src/plan.rs
+++ b/components/model/src/plan.rs
@@ -30,6 +30,8 @@
     pub timeout: Duration,
     /// The latency that a whole operation aims at.
     pub aim: Duration,
+    /// Who goes first where not all can be served; 0 is the most urgent.
+    pub priority: u32,
     /// Whether it is served without a key.
     pub public: bool,
 }
--- a/components/proxy/src/job.rs
+++ b/components/proxy/src/job.rs
@@ -18,7 +18,7 @@
     backend::OpenError,
     group::{Group, Need, Use},
     host::Host,
-    pool::{Leased, NoConnection, Pool},
+    pool::{Leased, NoConnection, Permit, Pool},
 };
 
 /// How long a statement waits for a leader while there is none. A change of
@@ -67,6 +67,10 @@
     pub floor: Option<Point>,
     /// When it must be done.
     pub deadline: Instant,
+    /// Who goes first where not all can be served; 0 is the most urgent.
+    pub priority: u32,
+    /// How long it may wait for its turn at a server.
+    pub patience: Duration,
 }
 
 /// Why a statement has no answer of a server.
@@ -140,6 +144,8 @@
     pub usage: Option<Use>,
     /// The position asked for.
     pub after: Option<Point>,
+    /// The right to have a statement under way.
+    permit: Option<Permit>,
 }
 
 /// How a statement ended at a server.
@@ -183,6 +189,7 @@
                 warm: pool.is_warm(&job.account),
                 leads: leads.as_ref() == Some(&listed.id),
                 slots: listed.slots,
+                wait: pool.wait(job.priority),
             }
         })
         .collect();
@@ -231,6 +238,12 @@
     session: &Session,
     place: Place,
 ) -> Result<Running, Refused> {
+    let permit = place.pool.enter(job.priority, job.patience, host.now()).await;
+    let permit = permit.map_err(|wait| Refused {
+        failure: Failure::Busy,
+        retry: Some(wait),
+        why: "too many statements wait for the server",
+    })?;
     let until = job.deadline.min(Instant::now() + CONNECTION_WITHIN);
     let now = host.now();
     match place.pool.lease(&job.account, session, until).await {
@@ -239,7 +252,8 @@
                 leased.give_back();
                 return Err(Refused::busy("the leader changed"));
             }
-            Ok(Running { leased, usage: place.usage, after: place.after })
+            let (usage, after) = (place.usage, place.after);
+            Ok(Running { leased, usage, after, permit: Some(permit) })
         }
         Err(NoConnection::Full) => Err(Refused::busy("all connections to the server are in use")),
         Err(NoConnection::Open(error)) => {
@@ -283,6 +297,7 @@
 ) -> Result<ServerAnswer, &'static str> {
     let asked = host.now();
     let pool = running.leased.pool().clone();
+    let permit = running.permit.take().unwrap_or_else(|| pool.go_on());
     pool.health.borrow_mut().begin(asked);
     let given_up = async {
         match &running.usage {
@@ -302,7 +317,9 @@
     let now = host.now();
     match answer {
         Ok(Ok(answer)) => {
-            pool.health.borrow_mut().end(Some(now.saturating_duration_since(asked)), now);
+            let took = now.saturating_duration_since(asked);
+            pool.health.borrow_mut().end(Some(took), now);
+            permit.took.set(Some(took));
             if let Some(usage) = &running.usage
                 && host.holds(usage)
             {
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -2,14 +2,19 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant as StdInstant},
 };
 
-use bergamottrack_coordination::{AccountId, choice::Health};
+use bergamottrack_coordination::{
+    AccountId,
+    choice::Health,
+    gate::{Entry, Gate, Place},
+};
 use bergamottrack_model::{Failure, Listed, Session};
 use monoio::time::Instant;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, oneshot};
 use tracing::info;
 
 use crate::backend::{Backend, OpenError};
@@ -39,6 +44,10 @@
     pub listed: RefCell<Listed>,
     /// What its answers say of it.
     pub health: RefCell<Health>,
+    /// How many statements are under way, and who waits.
+    gate: RefCell<Gate>,
+    /// Whom to tell that they may go on, by their places at the gate.
+    waiting: RefCell<HashMap<Place, oneshot::Sender<()>>>,
     /// Connections that nobody uses and since when, the one used last at the end.
     idle: RefCell<Vec<(Backend, Instant)>>,
     /// Connections open or being opened, idle ones included; at most `cap`.
@@ -68,12 +77,28 @@
     kept: bool,
 }
 
+/// The right to have one statement under way; given back when dropped.
+pub struct Permit {
+    pool: Rc<Pool>,
+    /// How long the server took to answer; none if it did not.
+    pub took: Cell<Option<Duration>>,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.pool.gate.borrow_mut().end(self.took.get());
+        self.pool.wake(StdInstant::now());
+    }
+}
+
 impl Pool {
     /// A pool without connections.
     pub fn new(listed: Listed) -> Rc<Self> {
         Rc::new(Self {
             listed: RefCell::new(listed),
             health: RefCell::default(),
+            gate: RefCell::new(Gate::new(1)),
+            waiting: RefCell::default(),
             idle: RefCell::default(),
             open: Cell::default(),
             cap: Cell::new(1),
@@ -91,6 +116,55 @@
         let share = cap / hosts;
         self.share.set(share);
         self.cap.set(share.max(LEAST_CAP.min(cap)).max(1));
+        self.gate.borrow_mut().set_most(self.cap.get());
+    }
+
+    /// How long a statement of that priority would wait at the gate.
+    pub fn wait(&self, priority: u32) -> Duration {
+        self.gate.borrow().wait(priority)
+    }
+
+    /// Waits until a statement may be sent; when to come back if that takes too long.
+    pub async fn enter(
+        self: &Rc<Self>,
+        priority: u32,
+        patience: Duration,
+        now: StdInstant,
+    ) -> Result<Permit, Duration> {
+        let entry = self.gate.borrow_mut().enter(priority, patience, now);
+        let place = match entry {
+            Entry::Go => return Ok(Permit { pool: self.clone(), took: Cell::default() }),
+            Entry::Refused(wait) => return Err(wait),
+            Entry::Wait(place) => place,
+        };
+        let (go, going) = oneshot::channel();
+        self.waiting.borrow_mut().insert(place, go);
+        if let Ok(Ok(())) = monoio::time::timeout(patience, going).await {
+            return Ok(Permit { pool: self.clone(), took: Cell::default() });
+        }
+        self.gate.borrow_mut().leave(place);
+        // Told just now, but too late to be heard: its turn goes to the next one.
+        if self.waiting.borrow_mut().remove(&place).is_none() {
+            self.gate.borrow_mut().end(None);
+            self.wake(now + patience);
+        }
+        Err(self.wait(priority))
+    }
+
+    /// A statement of an open transaction goes on without waiting.
+    pub fn go_on(self: &Rc<Self>) -> Permit {
+        self.gate.borrow_mut().go_on();
+        Permit { pool: self.clone(), took: Cell::default() }
+    }
+
+    fn wake(&self, now: StdInstant) {
+        let next = || self.gate.borrow_mut().next(now);
+        while let Some(place) = next() {
+            let go = self.waiting.borrow_mut().remove(&place);
+            if go.is_none_or(|go| go.send(()).is_err()) {
+                self.gate.borrow_mut().end(None);
+            }
+        }
     }
 
     /// Whether a connection of the account waits.
--- a/components/proxy/src/talk.rs
+++ b/components/proxy/src/talk.rs
@@ -369,6 +369,8 @@
             access,
             floor: self.floors.get(&route.group).copied(),
             deadline: Instant::now() + route.timeout,
+            priority: route.priority,
+            patience: route.aim / 2,
         }
     }
 
