--- a/components/coordination/src/freshness.rs
+++ b/components/coordination/src/freshness.rs
@@ -134,3 +134,24 @@
         self.age(now).is_some_and(|age| age < limit)
     }
 }
+
+/// How old a configuration may be while no majority of the hosts is heard and
+/// nothing strict is asked for.
+///
+/// A host that neither the store nor the other hosts reach cannot know of a key
+/// that was taken away. It goes on for a while, since most cuts last 5 to 9 s and
+/// all its callers would be refused; then it stops. While it hears most hosts, and
+/// none of them has anything newer, the store is away for all, and nobody can
+/// change anything.
+const PLAN_AGE: Duration = Duration::from_secs(10);
+
+/// The part of a strict bound after which such a host stops; the rest is for what
+/// is on its way then.
+const STRICT_PART: f64 = 0.6;
+
+/// Whether a host may serve by a configuration that was the newest `age` ago; by
+/// `strict` a withdrawn key must have stopped working everywhere.
+pub fn may_serve(age: Option<Duration>, strict: Option<Duration>, majority: bool) -> bool {
+    let limit = strict.map_or(PLAN_AGE, |bound| bound.mul_f64(STRICT_PART));
+    age.is_some_and(|age| age < limit || majority)
+}
--- a/components/coordination/tests/freshness.rs
+++ b/components/coordination/tests/freshness.rs
@@ -111,3 +111,16 @@
     freshness.show(Revision(8), clock.now());
     assert!(freshness.is_fresh(clock.now(), LIMIT));
 }
+
+/// Half of the hosts are cut off from the store and from the other half for 7 s.
+/// Every caller there was refused after 2.6 s, though nobody had asked for hosts
+/// that stop so soon. Where a strict bound is set, they do.
+#[test]
+fn a_host_that_is_cut_off_goes_on_for_a_while() {
+    let seven = Some(Duration::from_secs(7));
+    assert!(freshness::may_serve(seven, None, false));
+    assert!(!freshness::may_serve(Some(Duration::from_secs(11)), None, false));
+    assert!(!freshness::may_serve(seven, Some(Duration::from_secs(5)), false));
+    assert!(freshness::may_serve(seven, Some(Duration::from_secs(5)), true));
+    assert!(!freshness::may_serve(None, None, true), "a host that knows nothing serves nobody");
+}
--- a/components/model/src/settings.rs
+++ b/components/model/src/settings.rs
@@ -29,6 +29,9 @@
     pub grace: Duration,
     /// How soon a configuration must be in force.
     pub apply: Duration,
+    /// Within which time a withdrawn key must stop working also on hosts that are
+    /// cut off; none where such hosts may go on with what they know.
+    pub strict: Option<Duration>,
     /// How far an account's rate may be exceeded, so that hosts can share it out.
     pub tolerance: Tolerance,
     /// How long a leaving server still serves after it said so.
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -13,6 +13,7 @@
 use bergamottrack_coordination::{
     Clock, GroupId, HostId, Revision, ServerId, StoreClock,
     demand::Demand,
+    freshness,
     hubs::Neighbours,
     view::{Held, Leadership},
 };
@@ -28,13 +29,6 @@
     pool::{self, Pool},
 };
 
-/// How old a configuration may be while no majority of the hosts is heard.
-///
-/// A host that neither the store nor the other hosts reach cannot know of a key
-/// that was taken away, so it stops. While it hears most hosts, and none of them
-/// has anything newer, the store is away for all, and nobody can change anything.
-const PLAN_AGE: Duration = Duration::from_millis(2600);
-
 /// How long a hub's word that it hears most of the fleet counts.
 const HUB_WORD: Duration = Duration::from_millis(2000);
 
@@ -150,11 +144,7 @@
 
     /// Whether callers may be served by what is known of the configuration.
     pub fn may_serve(&self) -> bool {
-        match self.plan_age() {
-            Some(age) if age < PLAN_AGE => true,
-            Some(_) => self.hears_majority(),
-            None => false,
-        }
+        freshness::may_serve(self.plan_age(), self.settings.strict, self.hears_majority())
     }
 
     /// Whether most hosts, this one included, are heard; by word of the hub where
