--- /dev/null
+++ b/components/proxy/src/change.rs
@@ -0,0 +1,372 @@
+//! A change of leader that this host makes, from the intent to the new leader.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, bail};
+use bergamottrack_adapter::{
+    promotion::{self, Promoted},
+    store::{self, Change, Verdict},
+};
+use bergamottrack_coordination::{
+    HostId, Point, ServerId,
+    duty::{self, CALL_BY, CALL_WITHIN},
+    suspicion::{self},
+    view::{Leadership, Release, TURN, View},
+};
+use bergamottrack_model::{Role, Status};
+use bergamottrack_peer::{Answer, Question};
+use bergamottrack_platform::http::Client;
+use futures_util::future;
+use tracing::{info, warn};
+
+use crate::{fleet, follow::STORE_WITHIN, group::Group, host::Host, lead, pool::Pool};
+
+/// How long a promoted server may take to lead before it is asked for again.
+const LEADS_WITHIN: Duration = Duration::from_millis(3000);
+
+/// How often an old leader is asked whether it is back, while its leases end.
+const BACK_EVERY: Duration = Duration::from_millis(300);
+
+/// How often the store is asked for releases of hosts that cannot be reached.
+const NOTED_EVERY: Duration = Duration::from_millis(500);
+
+/// How often a promoted server is asked whether it leads.
+const LEADS_EVERY: Duration = Duration::from_millis(40);
+
+/// How long the successor of a leaving leader may take to receive all of its log.
+const CAUGHT_UP_WITHIN: Duration = Duration::from_millis(1500);
+
+/// How long another host may take to let its work at the leader end.
+const ACT_WITHIN: Duration = Duration::from_millis(1800);
+
+/// How often a host is tried that a link is being made to.
+const DIAL_EVERY: Duration = Duration::from_millis(20);
+
+/// A change of leader that this host makes.
+pub struct Move {
+    client: Client,
+    from: Option<ServerId>,
+    planned: bool,
+    /// Version of the intent.
+    intent: u64,
+    /// When this host's turn ends.
+    until: Instant,
+}
+
+impl Move {
+    /// Writes the intent; `None` when another host was first.
+    pub async fn begin(
+        host: &Rc<Host>,
+        group: &Rc<Group>,
+        before: u64,
+        from: Option<ServerId>,
+        planned: bool,
+    ) -> anyhow::Result<Option<Self>> {
+        let client = Client::new(host.settings.store);
+        let key = fleet::group_key(&group.id);
+        let now = host.now();
+        let (holder, since) = (host.settings.host.clone(), lead::store_now(host));
+        let moving = Leadership::Moving { from: from.clone(), holder, since, planned };
+        let change = Change {
+            expect: vec![(key.clone(), before)],
+            put: vec![(key, serde_json::to_vec(&moving)?)],
+            remove: Vec::new(),
+        };
+        let verdict = store::change(&client, &change, STORE_WITHIN).await;
+        let intent = match verdict {
+            Ok(Verdict::Applied(version)) => Some(version),
+            Ok(Verdict::Conflict) => None,
+            Ok(Verdict::Refused) => bail!("the store has no capacity"),
+            // The answer is lost; what the store holds tells.
+            Err(error) => {
+                let view = fleet::read(&client).await.context(error)?;
+                let row = view.groups.get(&group.id);
+                row.filter(|row| row.value == moving).map(|row| row.version)
+            }
+        };
+        let until = now + TURN;
+        Ok(intent.map(|intent| Self { client, from, planned, intent, until }))
+    }
+
+    /// Brings the change to its end.
+    pub async fn run(self, host: &Rc<Host>, group: &Rc<Group>) -> anyhow::Result<()> {
+        let began = host.now();
+        let back = monoio::select! {
+            released = self.wait_released(host, group) => released.map(|()| None),
+            leader = self.wait_back(host) => Ok(Some(leader)),
+        };
+        if let Some(leader) = back? {
+            info!(group = %group.id, %leader, intent = self.intent, "leader: back before it was replaced");
+            return self.finish(host, group, leader).await;
+        }
+        let released = host.now();
+        while host.now() < self.until {
+            match self.settle(host, group).await {
+                Ok(Some(leader)) => {
+                    let (free, all) = (released - began, host.now() - began);
+                    info!(
+                        group = %group.id, %leader, intent = self.intent,
+                        released_ms = free.as_millis() as u64, ms = all.as_millis() as u64,
+                        "leader: replaced"
+                    );
+                    return self.finish(host, group, leader).await;
+                }
+                Ok(None) => {}
+                Err(error) => {
+                    let error = format_args!("{error:#}");
+                    info!(group = %group.id, %error, "leader: no successor yet");
+                }
+            }
+            monoio::time::sleep(lead::LOOK_EVERY).await;
+        }
+        bail!("the turn is over")
+    }
+
+    /// Waits until the old leader answers again and still leads.
+    ///
+    /// While others may still count on it nobody else can lead; when it is back
+    /// first, keeping it ends the gap and loses nothing that was acknowledged.
+    async fn wait_back(&self, host: &Host) -> ServerId {
+        loop {
+            monoio::time::sleep(BACK_EVERY).await;
+            let Some(from) = self.from.as_ref().filter(|_| !self.planned) else { continue };
+            let Some(pool) = host.server(from) else { continue };
+            if let Ok(status) = lead::status(host, &pool, suspicion::PROBE_WITHIN).await
+                && status.role == Role::Primary
+            {
+                return from.clone();
+            }
+        }
+    }
+
+    /// Waits until no host counts on the old leader.
+    async fn wait_released(&self, host: &Rc<Host>, group: &Group) -> anyhow::Result<()> {
+        let asked = host.now();
+        let view = loop {
+            match fleet::read(&self.client).await {
+                Ok(view) => break view,
+                Err(error) if host.now() > self.until => return Err(error),
+                Err(_) => monoio::time::sleep(lead::LOOK_EVERY).await,
+            }
+        };
+        anyhow::ensure!(view.version >= self.intent, "the store went back");
+        let release = Release::new(&view, &host.settings.host, host.now());
+        fleet::learn(host, view.clone(), asked);
+        let release = Rc::new(RefCell::new(release));
+        let others = release.borrow().waiting().to_vec();
+        for id in others {
+            monoio::spawn(ask_release(host.clone(), id, view.clone(), release.clone()));
+        }
+        let mut noted = host.now();
+        loop {
+            let now = host.now();
+            let own = group.released.get() >= self.intent;
+            let others = release.borrow().is_over(now);
+            if others && (own || now >= release.borrow().over) {
+                return Ok(());
+            }
+            if now >= noted + NOTED_EVERY {
+                // Hosts that this one cannot reach tell it by the store.
+                if let Ok(view) = fleet::read(&self.client).await {
+                    release.borrow_mut().note(&view, self.intent);
+                }
+                noted = host.now();
+            }
+            monoio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Finds out who is to lead and sees to it; `None` when nobody can yet.
+    async fn settle(&self, host: &Rc<Host>, group: &Rc<Group>) -> anyhow::Result<Option<ServerId>> {
+        let mut pools = host.servers(&group.id);
+        // A leader that is not there for the one who replaces it would only cost time.
+        pools.retain(|pool| self.planned || Some(&pool.listed.borrow().id) != self.from.as_ref());
+        let asks = pools.iter().map(|pool| lead::status(host, pool, suspicion::PROBE_WITHIN));
+        let statuses = future::join_all(asks).await;
+        let known: Vec<(ServerId, bool, Status)> = pools
+            .iter()
+            .zip(statuses)
+            .filter_map(|(pool, status)| {
+                let listed = pool.listed.borrow();
+                Some((listed.id.clone(), listed.leaving, status.ok()?))
+            })
+            .collect();
+        let leads = known.iter().filter(|(_, _, status)| status.role == Role::Primary);
+        let newest = leads.max_by_key(|(_, _, status)| status.term);
+        if let Some((id, _, _)) = newest
+            && (Some(id) != self.from.as_ref() || !self.planned)
+        {
+            return Ok(Some(id.clone()));
+        }
+        let last = newest.map(|(_, _, status)| status.received);
+        let replicas =
+            known.iter().filter(|(_, leaving, status)| status.role == Role::Replica && !leaving);
+        let Some((successor, _, _)) = replicas.max_by_key(|(_, _, status)| status.received) else {
+            return Ok(None);
+        };
+        let Some(pool) = host.server(successor) else { return Ok(None) };
+        if let Some(last) = last {
+            wait_caught_up(host, &pool, last).await;
+        }
+        self.promote(host, group, &pool).await
+    }
+
+    async fn promote(
+        &self,
+        host: &Host,
+        group: &Group,
+        pool: &Pool,
+    ) -> anyhow::Result<Option<ServerId>> {
+        let server = pool.listed.borrow().id.clone();
+        let Some((token, by)) = self.take_duty(host, group).await? else { return Ok(None) };
+        // Guards against a holder that was held up: another may call by now.
+        anyhow::ensure!(host.now() < by, "the time for the call is over");
+        let duty = promotion::Duty { holder: &host.settings.host, token };
+        let (address, id) = (host.settings.promoter, &group.id);
+        let said = promotion::promote(address, duty, id, &server, CALL_WITHIN).await;
+        let error = said.as_ref().err().map(tracing::field::display);
+        let answer = said.as_ref().ok();
+        info!(group = %id, %server, token, ?answer, error, "promotion: asked for");
+        if said.is_ok() {
+            // Without an answer the call may still be on its way.
+            self.free_duty(host, token).await;
+        }
+        if matches!(said, Ok(Promoted::Refused | Promoted::Unavailable)) {
+            return Ok(None);
+        }
+        let until = host.now() + LEADS_WITHIN;
+        while host.now() < until {
+            if let Ok(status) = lead::status(host, pool, suspicion::PROBE_WITHIN).await
+                && status.role == Role::Primary
+            {
+                return Ok(Some(server));
+            }
+            monoio::time::sleep(LEADS_EVERY).await;
+        }
+        Ok(None)
+    }
+
+    /// Takes the duty of calling; `None` while another host has it. Gives the
+    /// token and the time by which the call must begin.
+    async fn take_duty(
+        &self,
+        host: &Host,
+        group: &Group,
+    ) -> anyhow::Result<Option<(u64, Instant)>> {
+        let began = host.now();
+        let view = fleet::read(&self.client).await?;
+        if view.duty.as_ref().is_some_and(|row| !row.value.is_free(view.clock)) {
+            return Ok(None);
+        }
+        let since = view.clock + (host.now() - began);
+        let taken = duty::Duty { holder: host.settings.host.clone(), since, free: false };
+        let change = Change {
+            expect: vec![
+                (fleet::DUTY.into(), view.duty.map_or(0, |row| row.version)),
+                (fleet::group_key(&group.id), self.intent),
+            ],
+            put: vec![(fleet::DUTY.into(), serde_json::to_vec(&taken)?)],
+            remove: Vec::new(),
+        };
+        let verdict = store::change(&self.client, &change, STORE_WITHIN).await?;
+        let Verdict::Applied(token) = verdict else { return Ok(None) };
+        info!(group = %group.id, token, "duty: taken");
+        Ok(Some((token, began + CALL_BY)))
+    }
+
+    async fn free_duty(&self, host: &Host, token: u64) {
+        let holder = host.settings.host.clone();
+        let freed = duty::Duty { holder, since: Duration::ZERO, free: true };
+        let value = serde_json::to_vec(&freed).expect("writing to memory");
+        let change = Change {
+            expect: vec![(fleet::DUTY.into(), token)],
+            put: vec![(fleet::DUTY.into(), value)],
+            remove: Vec::new(),
+        };
+        if let Err(error) = store::change(&self.client, &change, STORE_WITHIN).await {
+            // It is free by itself after a few seconds.
+            info!(token, error = %format_args!("{error:#}"), "duty: not given back");
+        }
+    }
+
+    /// Writes who leads now and tells all hosts.
+    async fn finish(&self, host: &Rc<Host>, group: &Group, leader: ServerId) -> anyhow::Result<()> {
+        let key = fleet::group_key(&group.id);
+        let steady = Leadership::Steady { leader };
+        let change = Change {
+            expect: vec![(key.clone(), self.intent)],
+            put: vec![(key, serde_json::to_vec(&steady)?)],
+            remove: Vec::new(),
+        };
+        loop {
+            let verdict = store::change(&self.client, &change, STORE_WITHIN).await;
+            let asked = host.now();
+            if let Ok(view) = fleet::read(&self.client).await {
+                let row = view.groups.get(&group.id);
+                if row.is_none_or(|row| row.version != self.intent) {
+                    fleet::learn(host, view.clone(), asked);
+                    tell(host, &view);
+                    return Ok(());
+                }
+            }
+            if host.now() > self.until {
+                bail!("the new leader could not be written down: {verdict:?}");
+            }
+            monoio::time::sleep(lead::LOOK_EVERY).await;
+        }
+    }
+}
+
+/// Waits until a replica has received the leaving leader's whole log, so that
+/// nothing that was acknowledged is lost.
+async fn wait_caught_up(host: &Host, pool: &Pool, last: Point) {
+    let until = host.now() + CAUGHT_UP_WITHIN;
+    while host.now() < until {
+        match lead::status(host, pool, suspicion::PROBE_WITHIN).await {
+            Ok(status) if status.received >= last => return,
+            _ => monoio::time::sleep(LEADS_EVERY).await,
+        }
+    }
+    let server = pool.listed.borrow().id.clone();
+    warn!(%server, %last, "leader: the successor has not received all");
+}
+
+/// Tells a view to all hosts that can be reached.
+fn tell(host: &Rc<Host>, view: &View) {
+    let links = host.mesh.links().into_iter().chain(host.mesh.guests());
+    for link in links.filter(|link| link.is_up()) {
+        let view = Box::new(view.clone());
+        monoio::spawn(async move {
+            // A host that is not reached reads the view itself within a second.
+            let _ = link.ask(Question::Act(view), ACT_WITHIN).await;
+        });
+    }
+}
+
+/// Has a host give its leases on the old leader back, as long as that is waited for.
+async fn ask_release(host: Rc<Host>, id: HostId, view: View, release: Rc<RefCell<Release>>) {
+    while !release.borrow().is_over(host.now()) {
+        let link = host.reach(&id);
+        let was_up = link.as_ref().is_some_and(|link| link.is_up());
+        let gave_back = match link.filter(|_| was_up) {
+            Some(link) => {
+                let act = Question::Act(Box::new(view.clone()));
+                let answer = link.ask(act, ACT_WITHIN).await;
+                matches!(answer, Ok(Answer::Acting(version)) if version >= view.version)
+            }
+            None => lead::is_dead(&host, &id).await,
+        };
+        if gave_back {
+            release.borrow_mut().gave_back(&id);
+            return;
+        }
+        monoio::time::sleep(if was_up { lead::LOOK_EVERY } else { DIAL_EVERY }).await;
+    }
+    if release.borrow().waiting().contains(&id) {
+        info!(host = %id, "leader: a host did not give its lease back");
+    }
+}
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod change;
 pub mod clock;
 pub mod fleet;
 pub mod follow;
@@ -10,8 +11,11 @@
 pub mod job;
 pub mod lead;
 pub mod measure;
+pub mod news;
+pub mod place;
 pub mod pool;
 pub mod serve;
+pub mod silent;
 pub mod talk;
 
 pub use clock::BootClock;
--- /dev/null
+++ b/components/proxy/src/news.rs
@@ -0,0 +1,213 @@
+//! What hosts tell and ask each other.
+
+use std::{rc::Rc, time::Duration};
+
+use bergamottrack_coordination::{
+    FailureDomain, HostId,
+    view::{Leadership, View},
+};
+use bergamottrack_peer::{
+    Answer, Link, Question,
+    accept::Teller,
+    message::{Beat, Hello, Known, Newest},
+};
+use tracing::info;
+
+use crate::{
+    fleet, follow,
+    host::{Host, Phase},
+};
+
+/// How often hosts tell each other what their callers ask for and what they know:
+/// a fraction of the time in which demand is forgotten, and of the time within
+/// which a configuration must be in force.
+const BEAT_EVERY: Duration = Duration::from_millis(400);
+
+/// How long another host's answer may take; the way there and back is 2 ms.
+const PEER_WITHIN: Duration = Duration::from_millis(400);
+
+/// How old the view and the configuration may be before other hosts are asked:
+/// a little more than the time within which the store usually tells them.
+const ASK_VIEW_AFTER: Duration = Duration::from_millis(3200);
+
+const ASK_PLAN_AFTER: Duration = Duration::from_millis(2200);
+
+/// How often other hosts are asked then.
+const ASK_EVERY: Duration = Duration::from_millis(300);
+
+/// Answers another host.
+pub fn answer(host: &Rc<Host>, peer: &Hello, question: Question, teller: Teller) {
+    let version = host.held.borrow().view().members.get(&peer.host).map(|row| row.version);
+    host.heard.borrow_mut().insert(peer.host.clone(), (host.now(), version));
+    match question {
+        Question::Beat(beat) => {
+            teller.tell(Answer::Beat(Box::new(own_beat(host))));
+            take_beat(host, &peer.host, &peer.domain, *beat);
+        }
+        Question::Take { account, rate, burst } => {
+            let mut demand = host.demand.borrow_mut();
+            teller.tell(Answer::Ruling(demand.take(&account, rate, burst, host.now())));
+        }
+        Question::Act(view) => {
+            monoio::spawn(act(host.clone(), *view, teller));
+        }
+        Question::Newest(known) => teller.tell(Answer::Newest(Box::new(newest(host, known)))),
+        _ if *host.phase.borrow() != Phase::Serving => teller.tell(Answer::Leaving),
+        _ => teller.tell(Answer::Pong),
+    }
+}
+
+/// Acts on a view of another host and says so once nothing here counts on a
+/// leader that it names no more.
+async fn act(host: Rc<Host>, view: View, teller: Teller) {
+    let wanted = view.version;
+    for (id, row) in &view.groups {
+        let asked = &host.group(id).asked;
+        asked.set(asked.get().max(row.version));
+    }
+    let shown = host.store_clock.borrow().local(view.clock);
+    // A host that has no idea of the store's clock holds no lease either.
+    if let Some(shown) = shown {
+        fleet::learn(&host, view, shown);
+    }
+    let released = |host: &Host| {
+        let held = host.held.borrow();
+        let mut groups = held.view().groups.iter();
+        groups.all(|(id, row)| match row.value {
+            Leadership::Moving { .. } => host.group(id).released.get() >= row.version,
+            Leadership::Steady { .. } => true,
+        })
+    };
+    while !released(&host) {
+        monoio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let version = host.held.borrow().view().version;
+    if version >= wanted {
+        teller.tell(Answer::Acting(version));
+    }
+}
+
+fn newest(host: &Host, asker: Known) -> Newest {
+    let known = host.known();
+    let kept = host.kept.borrow();
+    let raw = kept.as_ref().map(|kept| kept.raw.clone());
+    let view = || host.held.borrow().view().clone();
+    let servers = known.servers.0 != asker.servers.0 && known.servers.1 > asker.servers.1;
+    Newest {
+        known,
+        view: (known.view.0 != asker.view.0 && known.view.1 > asker.view.1).then(view),
+        plan: raw.filter(|_| known.plan.0 > asker.plan.0),
+        servers: servers.then(|| host.listed()),
+    }
+}
+
+fn own_beat(host: &Host) -> Beat {
+    let asked = host.is_hub().then(|| host.demand.borrow().asked(host.now()));
+    Beat { asked, known: host.known(), majority: host.hears_majority() }
+}
+
+/// Takes what another host tells all the time, and asks it for what is new.
+fn take_beat(host: &Rc<Host>, id: &HostId, domain: &FailureDomain, beat: Beat) {
+    if let Some(asked) = beat.asked {
+        let mesh = host.neighbours.borrow().mesh;
+        let bank = if mesh { id.clone() } else { fleet::bank_of(domain) };
+        host.demand.borrow_mut().heard(&bank, asked, host.now());
+    }
+    if beat.majority && *id == host.hub() {
+        host.hub_majority.set(Some(host.now()));
+    }
+    renew(host, beat.known);
+    let (own, known) = (host.known(), beat.known);
+    let news = known.plan.0 > own.plan.0
+        || (known.view.0 != own.view.0 && known.view.1 > own.view.1)
+        || (known.servers.0 != own.servers.0 && known.servers.1 > own.servers.1);
+    let Some(link) = host.mesh.link(id).filter(|_| news && !host.asks.get()) else { return };
+    host.asks.set(true);
+    let host = host.clone();
+    monoio::spawn(async move {
+        ask_newest(&host, &link).await;
+        host.asks.set(false);
+    });
+}
+
+/// Notes that what this host knows was still the newest when another one looked.
+fn renew(host: &Host, known: Known) {
+    if known.plan.0 == host.version() {
+        host.plan_clock.set(host.plan_clock.get().max(known.plan.1));
+    }
+    if known.servers.0 == host.servers_stamp.get() {
+        host.servers_clock.set(host.servers_clock.get().max(known.servers.1));
+    }
+    let shown = host.store_clock.borrow().local(known.view.1);
+    if let Some(shown) = shown {
+        host.held.borrow_mut().renew(known.view.0, known.view.1, shown);
+    }
+}
+
+/// Tells the other hosts what this one's callers ask for and what it knows, for ever.
+pub async fn beat(host: Rc<Host>) {
+    loop {
+        let beat = own_beat(&host);
+        let hub = host.hub();
+        let spoken = |link: &Rc<Link>| link.is_up() && (host.is_hub() || link.host == hub);
+        for link in host.mesh.links().into_iter().filter(spoken) {
+            let (host, beat) = (host.clone(), Box::new(beat.clone()));
+            monoio::spawn(async move {
+                // A host that does not answer is noticed by its own silence.
+                if let Ok(Answer::Beat(answer)) = link.ask(Question::Beat(beat), PEER_WITHIN).await
+                {
+                    let member = host.held.borrow().view().members.get(&link.host).cloned();
+                    if let Some(member) = member {
+                        take_beat(&host, &link.host, &member.value.domain, *answer);
+                    }
+                }
+            });
+        }
+        monoio::time::sleep(BEAT_EVERY).await;
+    }
+}
+
+/// Asks other hosts for the newest view and configuration while the store does
+/// not tell them to this one, for ever.
+pub async fn ask_hosts(host: Rc<Host>) {
+    let mut turn = 0;
+    loop {
+        monoio::time::sleep(ASK_EVERY).await;
+        let old = |age: Option<Duration>, limit| age.is_none_or(|age| age > limit);
+        let view = old(host.held.borrow().age(host.now()), ASK_VIEW_AFTER);
+        if !view && !old(host.plan_age(), ASK_PLAN_AFTER) {
+            continue;
+        }
+        let links: Vec<Rc<Link>> =
+            host.mesh.links().into_iter().filter(|link| link.is_up()).collect();
+        if links.is_empty() {
+            continue;
+        }
+        turn += 1;
+        ask_newest(&host, &links[turn % links.len()]).await;
+    }
+}
+
+async fn ask_newest(host: &Rc<Host>, link: &Link) {
+    let answer = link.ask(Question::Newest(host.known()), PEER_WITHIN).await;
+    if let Ok(Answer::Newest(newest)) = answer {
+        take_newest(host, &link.host, *newest);
+    }
+}
+
+fn take_newest(host: &Rc<Host>, from: &HostId, newest: Newest) {
+    if let Some(view) = newest.view {
+        let shown = host.store_clock.borrow().local(view.clock);
+        if let Some(shown) = shown {
+            fleet::learn(host, view, shown);
+        }
+    }
+    if let Some(plan) = newest.plan {
+        info!(version = newest.known.plan.0.0, %from, "configuration: told by another host");
+        follow::adopt(host, plan);
+    }
+    if let Some(servers) = newest.servers {
+        follow::adopt_servers(host, servers);
+    }
+    renew(host, newest.known);
+}
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -31,6 +31,7 @@
     host::{Host, Phase},
     lead,
     measure::Measures,
+    news, silent,
 };
 
 /// How often signals are looked at.
@@ -78,9 +79,9 @@
     info!(host = %host.settings.host, run = host.run, "host: started");
     monoio::spawn(accept_peers(peers, host.clone()));
     monoio::spawn(fleet::follow(host.clone()));
-    monoio::spawn(fleet::beat(host.clone()));
-    monoio::spawn(fleet::ask_hosts(host.clone()));
-    monoio::spawn(fleet::take_out_silent(host.clone()));
+    monoio::spawn(news::beat(host.clone()));
+    monoio::spawn(news::ask_hosts(host.clone()));
+    monoio::spawn(silent::take_out_silent(host.clone()));
     monoio::spawn(follow::configuration(host.clone()));
     monoio::spawn(follow::servers(host.clone()));
     monoio::spawn(lead::watch(host.clone()));
@@ -146,7 +147,7 @@
         secret,
         serve: Box::new(|_, _| {}),
         answer: Box::new(move |peer, question, teller| {
-            fleet::answer(&host, peer, question, teller);
+            news::answer(&host, peer, question, teller);
         }),
     });
     loop {
--- a/components/proxy/src/talk.rs
+++ b/components/proxy/src/talk.rs
@@ -14,7 +14,8 @@
 use crate::{
     fleet,
     host::Host,
-    job::{self, Job, Refused, Running, Step},
+    job::{self, Job, Refused, Step},
+    place::Running,
 };
 
 /// The most values and named statements that one session may hold. Callers use a
