New hosts of a large fleet are told by their hub; the first view is not read twice

Change: the view read for the secret is kept; hosts that do not read the store for others wait up to 1.2 s for their hub before they read configuration and list.

--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -12,7 +12,7 @@
     FailureDomain, GroupId, HostId,
     demand::Ruling,
     hubs,
-    view::{Leadership, Member, Versioned, View},
+    view::{LEASE, Leadership, Member, Versioned, View},
 };
 use bergamottrack_model::Account;
 use bergamottrack_peer::{Answer, Question, link::Pace};
@@ -38,6 +38,9 @@
 /// store for others.
 const OWN_VIEW: Duration = Duration::from_millis(3200);
 
+/// Pause before joining again, when another run of the host has joined meanwhile.
+const JOIN_PAUSE: Duration = Duration::from_millis(50);
+
 /// How often such a host looks whether it must.
 const LOOK_EVERY: Duration = Duration::from_millis(150);
 
@@ -104,11 +107,11 @@
     Ok(view)
 }
 
-/// The secret of the fleet; the first host draws it.
-pub async fn secret(client: &Client) -> Box<str> {
+/// The first view, with the secret of the fleet; the first host draws it.
+pub async fn first(client: &Client) -> (View, Box<str>) {
     loop {
         match draw_secret(client).await {
-            Ok(Some(secret)) => return secret,
+            Ok(Some(first)) => return first,
             Ok(None) => {}
             Err(error) => {
                 info!(error = %format_args!("{error:#}"), "fleet: the secret cannot be read yet");
@@ -118,10 +121,10 @@
     }
 }
 
-async fn draw_secret(client: &Client) -> anyhow::Result<Option<Box<str>>> {
+async fn draw_secret(client: &Client) -> anyhow::Result<Option<(View, Box<str>)>> {
     let view = read(client).await?;
-    if view.secret.is_some() {
-        return Ok(view.secret);
+    if let Some(secret) = view.secret.clone() {
+        return Ok(Some((view, secret)));
     }
     let drawn = format!("{:032x}", rand::random::<u128>());
     let change = Change {
@@ -152,6 +155,14 @@
             continue;
         }
         woken = false;
+        if host.held.borrow().age(host.now()).is_some()
+            && !host.held.borrow().is_member()
+            && *host.phase.borrow() == Phase::Serving
+            && let Err(error) = join(&host, &client).await
+        {
+            info!(error = %format_args!("{error:#}"), "fleet: joining failed");
+            monoio::time::sleep(AGAIN_AFTER).await;
+        }
         let asked = host.now();
         match read(&client).await {
             Ok(view) => {
@@ -160,15 +171,13 @@
                 }
                 host.store_clock.borrow_mut().note(asked, view.clock);
                 learn(&host, view, asked);
-                if !host.held.borrow().is_member() && *host.phase.borrow() == Phase::Serving {
-                    if let Err(error) = join(&host, &client).await {
-                        info!(error = %format_args!("{error:#}"), "fleet: joining failed");
-                        monoio::time::sleep(AGAIN_AFTER).await;
-                    }
-                    continue;
-                }
                 let all = host.mesh.links().iter().all(|link| link.is_up());
                 let pause = if all { VIEW_EVERY } else { VIEW_ALONE };
+                let serving = *host.phase.borrow() == Phase::Serving;
+                if serving && !host.held.borrow().is_member() {
+                    monoio::time::sleep(JOIN_PAUSE).await;
+                    continue;
+                }
                 // Woken early, or not: the view is read either way.
                 let _ = monoio::time::timeout(pause, host.look.notified()).await;
             }
@@ -210,6 +219,12 @@
     Ok(())
 }
 
+/// Takes the first view, which counts as old: when it was read is not known.
+pub fn know(host: &Rc<Host>, view: View) {
+    let now = host.now();
+    learn(host, view, now.checked_sub(LEASE).unwrap_or(now));
+}
+
 /// Takes a view that was the newest at the local time `asked` or later.
 pub fn learn(host: &Rc<Host>, view: View, asked: Instant) {
     let until = host.held.borrow().until();
--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -39,8 +39,12 @@
 /// The same for the list of servers.
 const OWN_SERVERS: Duration = Duration::from_millis(5600);
 
+/// How long a new host of a large fleet waits for its hub to tell it: the making of
+/// the link and two rounds of what hosts tell each other.
+const TOLD_WITHIN: Duration = Duration::from_millis(1200);
+
 /// How often a host that does not read the store looks whether it must.
-const LOOK_EVERY: Duration = Duration::from_millis(150);
+const LOOK_EVERY: Duration = Duration::from_millis(100);
 
 /// Follows a table for ever: hands on its rows, and says when it was read.
 /// `needed` says whether this host has to read it now.
@@ -54,8 +58,11 @@
     let client = Client::new(host.settings.store);
     let mut after = None;
     let mut lost = false;
+    // In a large fleet the hub tells a new host what it needs; the store has calls
+    // for a few hosts a second, not for all of them at once.
+    let told_by = host.now() + if host.is_hub() { Duration::ZERO } else { TOLD_WITHIN };
     loop {
-        if after.is_some() && !needed() {
+        if !needed() || (after.is_none() && host.now() < told_by) {
             monoio::time::sleep(LOOK_EVERY).await;
             continue;
         }
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -69,14 +69,16 @@
     monoio::spawn(http::serve(settings.readiness, readiness(state.clone())));
     monoio::spawn(http::serve(settings.metrics, metrics(state.clone())));
     let client = Client::new(settings.store);
-    let secret = fleet::secret(&client);
-    let secret = monoio::select! {
-        secret = secret => secret,
+    let first = fleet::first(&client);
+    let (view, secret) = monoio::select! {
+        first = first => first,
         _ = raised(&signals.stop) => return Ok(()),
     };
     let host = new_host(settings, &secret);
     *state.borrow_mut() = Some(host.clone());
     info!(host = %host.settings.host, run = host.run, "host: started");
+    // It names the other hosts; what it says of leaders is read again before it counts.
+    fleet::know(&host, view);
     monoio::spawn(accept_peers(peers, host.clone()));
     monoio::spawn(fleet::follow(host.clone()));
     monoio::spawn(news::beat(host.clone()));
