--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -60,7 +60,7 @@
     let mut lost = false;
     // In a large fleet the hub tells a new host what it needs; the store has calls
     // for a few hosts a second, not for all of them at once.
-    let told_by = host.now() + if host.is_hub() { Duration::ZERO } else { TOLD_WITHIN };
+    let told_by = host.now() + if host.may_be_hub() { Duration::ZERO } else { TOLD_WITHIN };
     loop {
         if !needed() || (after.is_none() && host.now() < told_by) {
             monoio::time::sleep(LOOK_EVERY).await;
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -170,6 +170,12 @@
         self.hub() == self.settings.host
     }
 
+    /// Whether this host may become the hub of its failure domain.
+    pub fn may_be_hub(&self) -> bool {
+        let neighbours = self.neighbours.borrow();
+        neighbours.mesh || neighbours.candidates.contains(&self.settings.host)
+    }
+
     /// Whether this host speaks to hosts of other failure domains.
     pub fn is_hub(&self) -> bool {
         self.neighbours.borrow().mesh || self.is_reader()
