--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -31,6 +31,7 @@
     host::{Host, Phase},
     lead,
     measure::Measures,
+    news, silent,
 };
 
 /// How often signals are looked at.
@@ -68,19 +69,21 @@
     monoio::spawn(http::serve(settings.readiness, readiness(state.clone())));
     monoio::spawn(http::serve(settings.metrics, metrics(state.clone())));
     let client = Client::new(settings.store);
-    let secret = fleet::secret(&client);
-    let secret = monoio::select! {
-        secret = secret => secret,
+    let first = fleet::first(&client);
+    let (view, secret) = monoio::select! {
+        first = first => first,
         _ = raised(&signals.stop) => return Ok(()),
     };
     let host = new_host(settings, &secret);
     *state.borrow_mut() = Some(host.clone());
     info!(host = %host.settings.host, run = host.run, "host: started");
+    // It names the other hosts; what it says of leaders is read again before it counts.
+    fleet::know(&host, view);
     monoio::spawn(accept_peers(peers, host.clone()));
     monoio::spawn(fleet::follow(host.clone()));
-    monoio::spawn(fleet::beat(host.clone()));
-    monoio::spawn(fleet::ask_hosts(host.clone()));
-    monoio::spawn(fleet::take_out_silent(host.clone()));
+    monoio::spawn(news::beat(host.clone()));
+    monoio::spawn(news::ask_hosts(host.clone()));
+    monoio::spawn(silent::take_out_silent(host.clone()));
     monoio::spawn(follow::configuration(host.clone()));
     monoio::spawn(follow::servers(host.clone()));
     monoio::spawn(lead::watch(host.clone()));
@@ -146,7 +149,7 @@
         secret,
         serve: Box::new(|_, _| {}),
         answer: Box::new(move |peer, question, teller| {
-            fleet::answer(&host, peer, question, teller);
+            news::answer(&host, peer, question, teller);
         }),
     });
     loop {
