A group that no host knew a leader of gets one

A group counted as without a leader only from the moment at which a host lost one; a host that started while the leader was gone for good and out of the list did nothing about it, for ever. Change: a group is without a leader from when the host first hears of it. The test fails without the change.

--- a/components/proxy/src/group.rs
+++ b/components/proxy/src/group.rs
@@ -61,8 +61,8 @@
 }
 
 impl Group {
-    /// A group of which nothing is known.
-    pub fn new(id: GroupId) -> Rc<Self> {
+    /// A group of which nothing is known but that it has been there since `now`.
+    pub fn new(id: GroupId, now: Instant) -> Rc<Self> {
         Rc::new(Self {
             id,
             ages: RefCell::default(),
@@ -74,7 +74,7 @@
             leader: RefCell::default(),
             epoch: Cell::default(),
             using: Cell::default(),
-            since: Cell::default(),
+            since: Cell::new(Some(now)),
             changed: Notify::new(),
             gave_up: Notify::new(),
         })
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -226,7 +226,8 @@
     /// The group of that name.
     pub fn group(&self, id: &GroupId) -> Rc<Group> {
         let mut groups = self.groups.borrow_mut();
-        groups.entry(id.clone()).or_insert_with(|| Group::new(id.clone())).clone()
+        let new = || Group::new(id.clone(), self.now());
+        groups.entry(id.clone()).or_insert_with(new).clone()
     }
 
     /// The servers of a group.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -369,3 +369,29 @@
         assert_eq!(world.borrow().groups.borrow().promotions, 1);
     });
 }
+
+/// A group's leader is lost for good while the only host is down. The host starts
+/// with a list in which no server says that it leads, and has never known a leader
+/// itself: without a time since which there is none, nothing was ever done about it.
+#[test]
+fn a_group_that_no_host_knew_a_leader_of_gets_one() {
+    on_runtime(async {
+        let world = system(1).await;
+        world.borrow_mut().hosts[0].kill();
+        world.borrow().stop_leader(0);
+        // Until its entry is gone.
+        pause(2500).await;
+        world.borrow_mut().hosts[0].start().unwrap();
+        let address = world.borrow().callers[0];
+        let began = Instant::now();
+        loop {
+            if let Ok(mut line) = Line::start(address, "db0", "key-b").await
+                && line.ask("WRITE k3 after").await.is_ok_and(|told| told[0].starts_with("DONE"))
+            {
+                break;
+            }
+            assert!(began.elapsed() < PATIENCE, "no server leads");
+            pause(50).await;
+        }
+    });
+}
