--- a/lab/src/soak/world.rs
+++ b/lab/src/soak/world.rs
@@ -50,6 +50,8 @@
     pub callers: Vec<SocketAddr>,
     /// Where readiness is asked for.
     pub readiness: Vec<SocketAddr>,
+    /// Where metrics are served.
+    pub metrics: Vec<SocketAddr>,
     /// Statements answered with success.
     pub served: Rc<Cell<u64>>,
     /// Statements answered otherwise.
@@ -97,6 +99,7 @@
             links,
             callers: Vec::new(),
             readiness: Vec::new(),
+            metrics: Vec::new(),
             served: Rc::default(),
             refused: Rc::default(),
             addresses,
@@ -139,6 +142,7 @@
         self.hosts.push(host);
         self.callers.push(callers);
         self.readiness.push(readiness);
+        self.metrics.push(metrics);
         Ok(())
     }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -258,12 +258,17 @@
     });
 }
 
-async fn readiness(address: SocketAddr) -> String {
+async fn get(address: SocketAddr, path: &str) -> String {
     let mut io = TcpStream::connect(address).await.unwrap().into_poll_io().unwrap();
-    let request = "GET /-/readiness HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
     io.write_all(request.as_bytes()).await.unwrap();
     let mut text = String::new();
     io.read_to_string(&mut text).await.unwrap();
+    text
+}
+
+async fn readiness(address: SocketAddr) -> String {
+    let text = get(address, "/-/readiness").await;
     text.split(' ').nth(1).unwrap_or_default().to_owned()
 }
 
@@ -395,3 +400,36 @@
         }
     });
 }
+
+/// A caller complains and names its request. Its line must be found by that id, with
+/// what decided it, and counters and latencies must be served.
+#[test]
+fn a_statement_is_found_by_its_id() {
+    on_runtime(async {
+        let world = system(1).await;
+        let (address, metrics) = (world.borrow().callers[0], world.borrow().metrics[0]);
+        let mut line = Line::start(address, "db0", "key-b").await.unwrap();
+        line.send("QUERY c0ffee READ k1\r\n").await.unwrap();
+        line.answer().await.unwrap();
+        let began = Instant::now();
+        let told = loop {
+            let log = world.borrow().hosts[0].log();
+            let lines: Vec<serde_json::Value> =
+                log.lines().filter_map(|line| serde_json::from_str(line).ok()).collect();
+            if let Some(told) = lines.into_iter().find(|line| line["id"] == "c0ffee") {
+                break told;
+            }
+            assert!(began.elapsed() < PATIENCE, "the statement is not in the log");
+            pause(50).await;
+        };
+        assert_eq!(told["account"], "baobab");
+        assert_eq!(told["group"], "g0");
+        assert_eq!(told["outcome"], "done");
+        assert!(told["version"].is_u64() && told["ms"].is_u64(), "{told}");
+        let text = get(metrics, "/metrics").await;
+        assert!(
+            text.contains("bergamottrack_statement_seconds_count{account=\"baobab\"}"),
+            "{text}"
+        );
+    });
+}
