A start costs two calls a host; configuration is looked for by its bound

Change: a host joins first and reads once, 0.8 s later where the whole system starts for the first time; only candidates read the store before they hear of their hub; a change of the list of servers is followed by a pause. Times around the configuration follow the bound of the settings; they were made for 3 s. Settings that nobody used (drain) are gone.

--- a/components/coordination/src/freshness.rs
+++ b/components/coordination/src/freshness.rs
@@ -155,3 +155,36 @@
     let limit = strict.map_or(PLAN_AGE, |bound| bound.mul_f64(STRICT_PART));
     age.is_some_and(|age| age < limit || majority)
 }
+
+/// How long the store is asked to wait for a new configuration, as a part of the
+/// time within which one must be in force. A connection that went silent is given
+/// up a second later, and the other hosts are asked meanwhile.
+const WAIT_PART: f64 = 0.43;
+
+/// How old a configuration may be before other hosts are asked for a newer one: a
+/// little more than the store usually takes to say that there is none.
+const ASK_PART: f64 = 0.73;
+
+/// How old it may be before a host reads it from the store that leaves this to
+/// its hub: the rest of the bound is for the call.
+const READ_PART: f64 = 0.8;
+
+/// How often a host looks for a new configuration.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Pace {
+    /// How long the store is asked to wait for one.
+    pub wait: Duration,
+    /// How old the known one may be before other hosts are asked.
+    pub ask: Duration,
+    /// How old it may be before a host reads it that leaves this to its hub.
+    pub read: Duration,
+}
+
+impl Pace {
+    /// The pace that has a configuration in force within `bound`: as seldom as
+    /// that allows, since each call of the store is charged for.
+    pub fn within(bound: Duration) -> Self {
+        let part = |part| bound.mul_f64(part);
+        Self { wait: part(WAIT_PART), ask: part(ASK_PART), read: part(READ_PART) }
+    }
+}
--- a/components/coordination/tests/freshness.rs
+++ b/components/coordination/tests/freshness.rs
@@ -124,3 +124,15 @@
     assert!(freshness::may_serve(seven, Some(Duration::from_secs(5)), true));
     assert!(!freshness::may_serve(None, None, true), "a host that knows nothing serves nobody");
 }
+
+/// An operator's change must be in force within the bound of the deployment. With
+/// times made for a bound of 3 s, a host whose hub had died heard of a change after
+/// 2.4 s and a call, too late where the bound is 2 s.
+#[test]
+fn a_change_is_looked_for_within_its_bound() {
+    for bound in [1000, 2000, 3000, 5000].map(Duration::from_millis) {
+        let pace = freshness::Pace::within(bound);
+        assert!(pace.wait < pace.ask && pace.ask < pace.read, "{pace:?}");
+        assert!(bound - pace.read >= bound / 6, "time is left for the call: {pace:?}");
+    }
+}
--- a/components/model/src/settings.rs
+++ b/components/model/src/settings.rs
@@ -25,6 +25,8 @@
     pub store: SocketAddr,
     /// The platform's promotion service.
     pub promoter: SocketAddr,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// From the order to stop until the process is killed.
     pub grace: Duration,
     /// How soon a configuration must be in force.
@@ -34,6 +36,4 @@
     pub strict: Option<Duration>,
     /// How far an account's rate may be exceeded, so that hosts can share it out.
     pub tolerance: Tolerance,
-    /// How long a leaving server still serves after it said so.
-    pub drain: Duration,
 }
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -9,12 +9,12 @@
 use bergamottrack_adapter::store::{self, Change, Rows, Table, Verdict};
 use bergamottrack_contract as contract;
 use bergamottrack_coordination::{
-    FailureDomain, GroupId, HostId,
+    Clock, FailureDomain, GroupId, HostId,
     demand::Ruling,
     hubs,
-    view::{LEASE, Leadership, Member, Versioned, View},
+    view::{Leadership, Member, Versioned, View},
 };
-use bergamottrack_model::Account;
+use bergamottrack_model::{Account, Settings};
 use bergamottrack_peer::{Answer, Question, link::Pace};
 use bergamottrack_platform::http::Client;
 use tracing::{info, warn};
@@ -44,6 +44,11 @@
 /// How often such a host looks whether it must.
 const LOOK_EVERY: Duration = Duration::from_millis(150);
 
+/// How long a host waits for the others when the whole system starts for the first
+/// time. All start within 0.3 s, and the store takes 200 hosts a second: with all
+/// of them in the first view only hubs read the store from then on.
+const ALL_JOIN_WITHIN: Duration = Duration::from_millis(800);
+
 /// Pause after a read of the view that failed.
 const AGAIN_AFTER: Duration = Duration::from_millis(250);
 
@@ -107,34 +112,63 @@
     Ok(view)
 }
 
-/// The first view, with the secret of the fleet; the first host draws it.
-pub async fn first(client: &Client) -> (View, Box<str>) {
+/// What a host knows of its fleet when its tasks begin.
+pub struct Entered {
+    /// The view, with this run of the host counted in.
+    pub view: View,
+    /// When it was asked for.
+    pub asked: Instant,
+    /// What hosts of the fleet prove to each other.
+    pub secret: Box<str>,
+}
+
+/// Joins the fleet and reads the view.
+///
+/// Joining comes first, so that one read tells of the host itself, of the others
+/// and of the secret: a start costs two calls of the platform, which are charged
+/// for and, in a large fleet that starts at once, wait for each other.
+pub async fn enter(settings: &Settings, run: u64, clock: &dyn Clock, client: &Client) -> Entered {
+    until_done("joining", || join(settings, run, client)).await;
+    if settings.first_start {
+        // One after the other: the first of them draws the secret for all.
+        let spread = ALL_JOIN_WITHIN.mul_f64(rand::random_range(0.0..0.5));
+        monoio::time::sleep(ALL_JOIN_WITHIN + spread).await;
+    }
+    loop {
+        let asked = clock.now();
+        let view = until_done("reading the first view", || read(client)).await;
+        if let Some(secret) = view.secret.clone() {
+            return Entered { view, asked, secret };
+        }
+        until_done("drawing the secret", || draw_secret(client)).await;
+    }
+}
+
+/// Tries until it is done; the store may be away when a host starts.
+async fn until_done<T, F>(step: &'static str, work: impl Fn() -> F) -> T
+where
+    F: Future<Output = anyhow::Result<T>>,
+{
     loop {
-        match draw_secret(client).await {
-            Ok(Some(first)) => return first,
-            Ok(None) => {}
+        match work().await {
+            Ok(done) => return done,
             Err(error) => {
-                info!(error = %format_args!("{error:#}"), "fleet: the secret cannot be read yet");
+                info!(step, error = %format_args!("{error:#}"), "fleet: not entered yet");
                 monoio::time::sleep(AGAIN_AFTER).await;
             }
         }
     }
 }
 
-async fn draw_secret(client: &Client) -> anyhow::Result<Option<(View, Box<str>)>> {
-    let view = read(client).await?;
-    if let Some(secret) = view.secret.clone() {
-        return Ok(Some((view, secret)));
-    }
+/// Writes a secret, unless another host was first: it is read again in any case.
+async fn draw_secret(client: &Client) -> anyhow::Result<Verdict> {
     let drawn = format!("{:032x}", rand::random::<u128>());
     let change = Change {
         expect: vec![(SECRET.into(), 0)],
         put: vec![(SECRET.into(), drawn.into_bytes())],
         remove: Vec::new(),
     };
-    // Read again in any case: another host may have been first.
-    store::change(client, &change, STORE_WITHIN).await?;
-    Ok(None)
+    store::change(client, &change, STORE_WITHIN).await
 }
 
 /// Whether this host has to read the view itself now.
@@ -158,7 +192,7 @@
         if host.held.borrow().age(host.now()).is_some()
             && !host.held.borrow().is_member()
             && *host.phase.borrow() == Phase::Serving
-            && let Err(error) = join(&host, &client).await
+            && let Err(error) = join(&host.settings, host.run, &client).await
         {
             info!(error = %format_args!("{error:#}"), "fleet: joining failed");
             monoio::time::sleep(AGAIN_AFTER).await;
@@ -194,37 +228,32 @@
     }
 }
 
-async fn join(host: &Host, client: &Client) -> anyhow::Result<()> {
+/// Writes this run of the host into the view.
+async fn join(settings: &Settings, run: u64, client: &Client) -> anyhow::Result<()> {
     let member = Member {
-        peer: host.settings.peers,
-        domain: host.settings.domain.clone(),
-        run: host.run,
+        peer: settings.peers,
+        domain: settings.domain.clone(),
+        run,
         left: None,
         released: 0,
-        power: host.settings.power,
+        power: settings.power,
     };
     let value = serde_json::to_vec(&member)?;
-    let put = vec![(member_key(&host.settings.host), value)];
+    let put = vec![(member_key(&settings.host), value)];
     let verdict = store::change(client, &Change { put, ..Change::default() }, STORE_WITHIN).await?;
     anyhow::ensure!(matches!(verdict, Verdict::Applied(_)), "the store said {verdict:?}");
-    info!(run = host.run, "fleet: joined");
+    info!(run, "fleet: joined");
     Ok(())
 }
 
 /// Takes this host out of the view, once it uses no leader any more.
-pub async fn leave(host: &Host) -> anyhow::Result<()> {
-    let client = Client::new(host.settings.store);
-    let remove = vec![member_key(&host.settings.host)];
+pub async fn leave(settings: &Settings) -> anyhow::Result<()> {
+    let client = Client::new(settings.store);
+    let remove = vec![member_key(&settings.host)];
     store::change(&client, &Change { remove, ..Change::default() }, STORE_WITHIN).await?;
     Ok(())
 }
 
-/// Takes the first view, which counts as old: when it was read is not known.
-pub fn know(host: &Rc<Host>, view: View) {
-    let now = host.now();
-    learn(host, view, now.checked_sub(LEASE).unwrap_or(now));
-}
-
 /// Takes a view that was the newest at the local time `asked` or later.
 pub fn learn(host: &Rc<Host>, view: View, asked: Instant) {
     let until = host.held.borrow().until();
--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -6,7 +6,7 @@
     configuration, registry,
     store::{self, Feed, Row, Rows, Table},
 };
-use bergamottrack_coordination::ServerId;
+use bergamottrack_coordination::{ServerId, freshness};
 use bergamottrack_model::Listed;
 use bergamottrack_platform::http::Client;
 use tracing::{debug, info, warn};
@@ -17,13 +17,14 @@
 /// Sixty times the usual one, as on its slowest days, is 250 ms.
 pub const STORE_WITHIN: Duration = Duration::from_millis(1000);
 
-/// How long the store is asked to wait for a new configuration. Other hosts tell
-/// of one too, so a connection that has gone silent does not delay it by so much.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1300);
-
-/// The same for the list of servers: a leaving server still serves for seconds.
+/// How long the store is asked to wait for a change of the list of servers: one
+/// that leaves still serves for seconds.
 const SERVERS_WAIT: Duration = Duration::from_millis(4500);
 
+/// Pause after a change of the list of servers. Servers report within one heartbeat
+/// of each other when all start; without it each report would cost a call.
+const GATHER_SERVERS: Duration = Duration::from_millis(300);
+
 /// Pause after a call that failed; the store's rate allows far more.
 const AGAIN_AFTER: Duration = Duration::from_millis(150);
 
@@ -32,11 +33,8 @@
 /// is noticed by its refusals, and one that left still serves for longer.
 const KEEP_GONE: Duration = Duration::from_millis(2200);
 
-/// How old the configuration may be before a host reads it itself that does not
-/// read the store for others: a little more than it usually takes to be told.
-const OWN_CONFIGURATION: Duration = Duration::from_millis(2400);
-
-/// The same for the list of servers.
+/// How old the list of servers may be before a host reads it itself that leaves
+/// this to its hub: a little more than it usually takes to be told.
 const OWN_SERVERS: Duration = Duration::from_millis(5600);
 
 /// How long a new host of a large fleet waits for its hub to tell it: the making of
@@ -91,6 +89,9 @@
                 host.store_clock.borrow_mut().note(asked, rows.clock);
                 after = Some(rows.version);
                 take(&rows, whole);
+                if table == Table::Servers && !rows.rows.is_empty() {
+                    monoio::time::sleep(GATHER_SERVERS).await;
+                }
             }
             Err(error) => {
                 if !std::mem::replace(&mut lost, true) {
@@ -111,8 +112,9 @@
         }
         host.plan_clock.set(host.plan_clock.get().max(rows.clock));
     };
-    let needed = || host.is_reader() || host.plan_age().is_none_or(|age| age > OWN_CONFIGURATION);
-    follow(&host, Table::Configuration, CONFIGURATION_WAIT, needed, take).await
+    let pace = freshness::Pace::within(host.settings.apply);
+    let needed = || host.is_reader() || host.plan_age().is_none_or(|age| age > pace.read);
+    follow(&host, Table::Configuration, pace.wait, needed, take).await
 }
 
 /// Reads a configuration and puts it in force, if it is newer.
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -165,8 +165,15 @@
         self.neighbours.borrow().hub(&self.settings.host, is_up)
     }
 
-    /// Whether this host reads the store for the others of its failure domain.
+    /// Whether this host reads the store for the others of its failure domain. One
+    /// that is no candidate stands alone while it reaches none of them; it reads the
+    /// store only when what it knows has grown old.
     pub fn is_reader(&self) -> bool {
+        self.may_be_hub() && self.stands_first()
+    }
+
+    /// Whether no host goes before this one as hub of its failure domain.
+    fn stands_first(&self) -> bool {
         self.hub() == self.settings.host
     }
 
@@ -178,7 +185,7 @@
 
     /// Whether this host speaks to hosts of other failure domains.
     pub fn is_hub(&self) -> bool {
-        self.neighbours.borrow().mesh || self.is_reader()
+        self.neighbours.borrow().mesh || self.stands_first()
     }
 
     /// Which versions this host knows.
--- a/components/proxy/src/news.rs
+++ b/components/proxy/src/news.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bergamottrack_coordination::{
-    FailureDomain, HostId,
+    FailureDomain, HostId, freshness,
     view::{Leadership, View},
 };
 use bergamottrack_peer::{
@@ -26,12 +26,10 @@
 /// How long another host's answer may take; the way there and back is 2 ms.
 const PEER_WITHIN: Duration = Duration::from_millis(400);
 
-/// How old the view and the configuration may be before other hosts are asked:
-/// a little more than the time within which the store usually tells them.
+/// How old the view may be before other hosts are asked: a little more than the
+/// time within which the store usually tells it.
 const ASK_VIEW_AFTER: Duration = Duration::from_millis(3200);
 
-const ASK_PLAN_AFTER: Duration = Duration::from_millis(2200);
-
 /// How often other hosts are asked then.
 const ASK_EVERY: Duration = Duration::from_millis(300);
 
@@ -170,12 +168,13 @@
 /// Asks other hosts for the newest view and configuration while the store does
 /// not tell them to this one, for ever.
 pub async fn ask_hosts(host: Rc<Host>) {
+    let pace = freshness::Pace::within(host.settings.apply);
     let mut turn = 0;
     loop {
         monoio::time::sleep(ASK_EVERY).await;
         let old = |age: Option<Duration>, limit| age.is_none_or(|age| age > limit);
         let view = old(host.held.borrow().age(host.now()), ASK_VIEW_AFTER);
-        if !view && !old(host.plan_age(), ASK_PLAN_AFTER) {
+        if !view && !old(host.plan_age(), pace.ask) {
             continue;
         }
         let links: Vec<Rc<Link>> =
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -69,16 +69,17 @@
     monoio::spawn(http::serve(settings.readiness, readiness(state.clone())));
     monoio::spawn(http::serve(settings.metrics, metrics(state.clone())));
     let client = Client::new(settings.store);
-    let first = fleet::first(&client);
-    let (view, secret) = monoio::select! {
-        first = first => first,
-        _ = raised(&signals.stop) => return Ok(()),
+    let (run, clock) = (rand::random(), Rc::new(BootClock::new()));
+    let entered = monoio::select! {
+        entered = fleet::enter(&settings, run, &*clock, &client) => entered,
+        // Counted in perhaps, and without any use of a leader.
+        _ = raised(&signals.stop) => return fleet::leave(&settings).await,
     };
-    let host = new_host(settings, &secret);
+    let host = new_host(settings, run, clock, &entered.secret);
     *state.borrow_mut() = Some(host.clone());
     info!(host = %host.settings.host, run = host.run, "host: started");
-    // It names the other hosts; what it says of leaders is read again before it counts.
-    fleet::know(&host, view);
+    host.store_clock.borrow_mut().note(entered.asked, entered.view.clock);
+    fleet::learn(&host, entered.view, entered.asked);
     monoio::spawn(accept_peers(peers, host.clone()));
     monoio::spawn(fleet::follow(host.clone()));
     monoio::spawn(news::beat(host.clone()));
@@ -95,8 +96,7 @@
     Ok(())
 }
 
-fn new_host(settings: Settings, secret: &str) -> Rc<Host> {
-    let clock: Rc<dyn Clock> = Rc::new(BootClock::new());
+fn new_host(settings: Settings, run: u64, clock: Rc<dyn Clock>, secret: &str) -> Rc<Host> {
     let me = contract::Host {
         id: settings.host.clone(),
         domain: settings.domain.clone(),
@@ -105,7 +105,6 @@
     let secret = Secret::new(secret.as_bytes());
     let routes = contract::Routes::new(&[]);
     let mesh = Mesh::with_pace(me, secret, clock.clone(), routes, fleet::PACE);
-    let run = rand::random();
     let demand = Demand::new(settings.tolerance);
     Rc::new(Host {
         held: RefCell::new(Held::new(settings.host.clone(), run)),
@@ -225,7 +224,7 @@
     }
     let cut = host.sessions.get();
     // From here on no leader is used, so nobody has to wait for this host.
-    match monoio::time::timeout(END_BEFORE / 2, fleet::leave(host)).await {
+    match monoio::time::timeout(END_BEFORE / 2, fleet::leave(&host.settings)).await {
         Ok(Ok(())) => info!(cut, "host: stopped"),
         Ok(Err(error)) => {
             info!(cut, error = %format_args!("{error:#}"), "host: stopped, still in the view");
