--- a/lab/src/soak/group.rs
+++ b/lab/src/soak/group.rs
@@ -45,6 +45,10 @@
     pub lag: Duration,
     /// Part of its answers that are lost.
     pub lose: f64,
+    /// Whether it says that it leaves.
+    pub leaving: bool,
+    /// Statements of callers that it has run.
+    pub ran: usize,
 }
 
 /// What a read must show: the number and the term of the newest commit.
@@ -253,6 +257,7 @@
             let wanted = &asked.values;
             self.broken.push(format!("{id} ran with values {values:?} instead of {wanted:?}"));
         }
+        self.servers[i].ran += 1;
         let server = &self.servers[i];
         let must = asked.must;
         if server.applied < must.number || (must.number > 0 && server.term < must.term) {
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -1,8 +1,8 @@
 //! Faults drawn from a seed over real hosts under load, while every promise is
 //! checked from what callers and servers see.
 //!
-//! Clocks cannot be moved without privileges, and hosts speak to each other
-//! directly, so neither is disturbed other than by pausing a host.
+//! Clocks cannot be moved without privileges; they are disturbed only by pausing
+//! a host.
 
 use std::{
     cell::{Cell, RefCell},
@@ -41,6 +41,10 @@
     /// Callers of each account.
     #[arg(long, default_value_t = 8)]
     pub callers: usize,
+    /// Disturb links between hosts too, and have servers leave. Drawn apart, so that
+    /// the other faults of a seed stay as they are.
+    #[arg(long)]
+    pub links: bool,
     /// Only print the schedules.
     #[arg(long)]
     pub dry: bool,
@@ -73,8 +77,7 @@
     let mut failed = Vec::new();
     for seed in args.seed..args.seed + args.seeds {
         if args.dry {
-            let length = Duration::from_secs(args.secs);
-            let steps = schedule::draw(seed, length, args.hosts, world::GROUPS * 3);
+            let steps = steps(seed, &args);
             steps.iter().for_each(|step| println!("{step}"));
             continue;
         }
@@ -98,9 +101,17 @@
 
 /// Runs one soak.
 pub async fn soak(seed: u64, args: &SoakArgs) -> anyhow::Result<Outcome> {
-    let length = Duration::from_secs(args.secs);
-    let steps = schedule::draw(seed, length, args.hosts, world::GROUPS * 3);
-    play(seed, &steps, args).await
+    play(seed, &steps(seed, args), args).await
+}
+
+fn steps(seed: u64, args: &SoakArgs) -> Vec<Step> {
+    let (length, servers) = (Duration::from_secs(args.secs), world::GROUPS * 3);
+    let mut steps = schedule::draw(seed, length, args.hosts, servers);
+    if args.links {
+        steps.extend(schedule::draw_links(seed, length, args.hosts, servers));
+        steps.sort_by_key(|step| step.at);
+    }
+    steps
 }
 
 /// Runs the load without any fault.
--- a/lab/src/soak/schedule.rs
+++ b/lab/src/soak/schedule.rs
@@ -52,6 +52,16 @@
     Configure,
     /// A key is withdrawn from callers that are connected, and given back.
     Withdraw,
+    /// A host is reached by no other one, though it reaches them.
+    CutHost(usize),
+    /// Other hosts' words to a host arrive, and no answer comes back.
+    SilenceHost(usize),
+    /// All that passes to a host from others is late.
+    DelayHost(usize),
+    /// All connections of other hosts to a host are ended.
+    ResetHost(usize),
+    /// A server says that it leaves, and stays after all.
+    Leave(usize),
 }
 
 /// A fault at its time.
@@ -112,10 +122,32 @@
     steps
 }
 
+/// Draws the steps of a seed that disturb links between hosts and have servers leave.
+pub fn draw_links(seed: u64, length: Duration, hosts: usize, servers: usize) -> Vec<Step> {
+    let mut random = StdRng::seed_from_u64(!seed);
+    let mut at = Duration::from_millis(random.random_range(PAUSE_MS));
+    let mut steps = Vec::new();
+    while at < length {
+        let lasts = Duration::from_millis(random.random_range(300..6000));
+        let (host, server) = (random.random_range(0..hosts), random.random_range(0..servers));
+        let act = match random.random_range(0..6) {
+            0 | 1 => Act::CutHost(host),
+            2 => Act::SilenceHost(host),
+            3 => Act::DelayHost(host),
+            4 => Act::ResetHost(host),
+            _ => Act::Leave(server),
+        };
+        steps.push(Step { at, lasts, act });
+        at += Duration::from_millis(random.random_range(PAUSE_MS)) * 2;
+    }
+    steps
+}
+
 impl Step {
     /// Makes the fault; it is undone by [`Step::undo`].
     pub fn make(&self, world: &mut World) -> anyhow::Result<()> {
         let link = |server: usize| format!("s{server}");
+        let peer = |host: usize| format!("peer{host}");
         match self.act {
             Act::KillHost(host) => world.hosts[host].kill(),
             Act::KillAll => world.hosts.iter_mut().for_each(|host| host.kill()),
@@ -125,25 +157,20 @@
             Act::Reload(host) => drop(world.hosts[host].signal(libc::SIGHUP)),
             Act::KillServer(server) => world.standins[server].stop(),
             Act::KillLeader(group) => world.stop_leader(group),
-            Act::CutServer(server) => {
-                let fault = Fault { cut_up: true, cut_down: true, ..Fault::default() };
-                world.links.set(&link(server), &fault);
-            }
-            Act::SilenceServer(server) => {
-                world.links.set(&link(server), &Fault { cut_down: true, ..Fault::default() });
-            }
-            Act::DelayServer(server) => {
-                world.links.set(&link(server), &Fault { delay_ms: 60, ..Fault::default() });
-            }
+            Act::CutServer(server) => world.links.set(&link(server), &cut()),
+            Act::SilenceServer(server) => world.links.set(&link(server), &silence()),
+            Act::DelayServer(server) => world.links.set(&link(server), &delay()),
+            Act::CutHost(host) => world.links.set(&peer(host), &cut()),
+            Act::SilenceHost(host) => world.links.set(&peer(host), &silence()),
+            Act::DelayHost(host) => world.links.set(&peer(host), &delay()),
+            Act::ResetHost(host) => world.links.reset(&peer(host)),
+            Act::Leave(server) => world.leave(server),
             Act::ResetServer(server) => world.links.reset(&link(server)),
             Act::Lag(server) => {
                 world.groups.borrow_mut().servers[server].lag = Duration::from_millis(2500);
             }
             Act::LoseAnswers(server) => world.groups.borrow_mut().servers[server].lose = 0.1,
-            Act::CutStore(host) => {
-                let fault = Fault { cut_up: true, cut_down: true, ..Fault::default() };
-                world.links.set(&format!("store{host}"), &fault);
-            }
+            Act::CutStore(host) => world.links.set(&format!("store{host}"), &cut()),
             Act::StoreDown => world.store.borrow_mut().faults.down = true,
             Act::StoreSlow => world.store.borrow_mut().faults.slow = Duration::from_millis(250),
             Act::StoreLoses => world.store.borrow_mut().faults.lose = 2,
@@ -165,6 +192,11 @@
             Act::CutServer(server) | Act::SilenceServer(server) | Act::DelayServer(server) => {
                 world.links.set(&format!("s{server}"), &Fault::default());
             }
+            Act::CutHost(host) | Act::SilenceHost(host) | Act::DelayHost(host) => {
+                world.links.set(&format!("peer{host}"), &Fault::default());
+            }
+            Act::Leave(server) => world.stay(server),
+            Act::ResetHost(_) => {}
             Act::Lag(server) => world.groups.borrow_mut().servers[server].lag = Duration::ZERO,
             Act::LoseAnswers(server) => world.groups.borrow_mut().servers[server].lose = 0.0,
             Act::CutStore(host) => world.links.set(&format!("store{host}"), &Fault::default()),
@@ -176,3 +208,15 @@
         Ok(())
     }
 }
+
+fn cut() -> Fault {
+    Fault { cut_up: true, cut_down: true, ..Fault::default() }
+}
+
+fn silence() -> Fault {
+    Fault { cut_down: true, ..Fault::default() }
+}
+
+fn delay() -> Fault {
+    Fault { delay_ms: 60, ..Fault::default() }
+}
--- a/lab/src/soak/store.rs
+++ b/lab/src/soak/store.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::RefCell,
     collections::BTreeMap,
+    net::SocketAddr,
     pin::Pin,
     rc::Rc,
     time::{Duration, Instant},
@@ -47,6 +48,11 @@
     token: u64,
     /// Calls with a token lower than one before.
     pub stale_tokens: usize,
+    /// Changes that hosts have asked for.
+    pub changes: usize,
+    /// Where hosts reach each other instead of where they listen: a host's row is
+    /// kept with the address of a link to it.
+    pub moved: BTreeMap<SocketAddr, SocketAddr>,
 }
 
 impl Default for Store {
@@ -58,6 +64,8 @@
             faults: Faults::default(),
             token: 0,
             stale_tokens: 0,
+            changes: 0,
+            moved: BTreeMap::new(),
         }
     }
 }
@@ -94,6 +102,7 @@
     }
 
     fn change(&mut self, body: &Value) -> Reply {
+        self.changes += 1;
         let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
         let name = |entry: &Value| -> (Box<str>, Box<str>) {
             let text = |field: &str| entry[field].as_str().unwrap_or_default().into();
@@ -108,7 +117,7 @@
         }
         self.version += 1;
         for entry in list("setKeys") {
-            let value = entry["value"].as_str().unwrap_or_default().into();
+            let value = self.move_peer(entry["value"].as_str().unwrap_or_default());
             let row = Row { value, version: self.version, removed: false };
             self.rows.insert(name(&entry), row);
         }
@@ -120,6 +129,18 @@
         Reply::json(StatusCode::OK, &json!({"versionNumber": self.version, "nowMs": now}))
     }
 
+    /// A row with the address of the link in place of the host's own.
+    fn move_peer(&self, value: &str) -> Box<str> {
+        let decoded = STANDARD.decode(value).unwrap_or_default();
+        let Ok(mut row) = serde_json::from_slice::<Value>(&decoded) else { return value.into() };
+        let peer = row["peer"].as_str().and_then(|text| text.parse().ok());
+        let Some(link) = peer.and_then(|peer: SocketAddr| self.moved.get(&peer)) else {
+            return value.into();
+        };
+        row["peer"] = json!(link);
+        STANDARD.encode(row.to_string()).into()
+    }
+
     fn changed(&self, table: &str, after: u64) -> bool {
         self.rows.iter().any(|((of, _), row)| &**of == table && row.version > after)
     }
--- a/lab/src/soak/world.rs
+++ b/lab/src/soak/world.rs
@@ -56,7 +56,8 @@
     pub served: Rc<Cell<u64>>,
     /// Statements answered otherwise.
     pub refused: Rc<Cell<u64>>,
-    addresses: Vec<SocketAddr>,
+    /// Where each server says that it listens.
+    addresses: RefCell<Vec<SocketAddr>>,
     version: Cell<u64>,
     withdrawn: Cell<bool>,
     /// Whether entries of servers that ended stay in the list.
@@ -102,7 +103,7 @@
             metrics: Vec::new(),
             served: Rc::default(),
             refused: Rc::default(),
-            addresses,
+            addresses: RefCell::new(addresses),
             version: Cell::new(1),
             withdrawn: Cell::default(),
             keeps_entries: Cell::default(),
@@ -123,6 +124,9 @@
         let (peers, metrics, store) = (ports.address()?, ports.address()?, ports.address()?);
         let name = format!("store{number}").into();
         self.links.add(Add { name, listen: store, to: platform })?;
+        let between = ports.address()?;
+        self.links.add(Add { name: format!("peer{number}").into(), listen: between, to: peers })?;
+        self.store.borrow_mut().moved.insert(peers, between);
         let settings = format!(
             "nodeName=host-{number}\nzone=d{}\nipAddress=127.0.0.1\n\
             listenAddresses.front={callers}\nlistenAddresses.ready={readiness}\n\
@@ -194,12 +198,37 @@
         let groups = self.groups.borrow();
         let server = &groups.servers[place];
         let role = if server.leads { "primary" } else { "replica" };
+        let state = if server.leaving { "draining" } else { "ready" };
         let entry = json!({"service": format!("g{}", server.group), "zone": format!("d{}", place % 2),
-            "address": self.addresses[place], "version": "v1", "slots": SLOTS, "state": "ready",
+            "address": self.addresses.borrow()[place], "version": "v1", "slots": SLOTS, "state": state,
             "coldRemainingMs": 0, "databaseRole": role, "sequence": 1, "born": 1});
         self.store.borrow_mut().put("servers", &server.id, &entry);
     }
 
+    /// Has a server say that it leaves; it goes on serving.
+    pub fn leave(&self, place: usize) {
+        self.groups.borrow_mut().servers[place].leaving = true;
+        self.list(place);
+    }
+
+    /// Has a server say that it stays.
+    pub fn stay(&self, place: usize) {
+        self.groups.borrow_mut().servers[place].leaving = false;
+        self.list(place);
+    }
+
+    /// Has a server say that it listens where another one does.
+    pub fn list_at(&self, place: usize, other: usize) {
+        let address = self.addresses.borrow()[other];
+        self.addresses.borrow_mut()[place] = address;
+        self.list(place);
+    }
+
+    /// Statements of callers that a server has run.
+    pub fn ran(&self, place: usize) -> usize {
+        self.groups.borrow().servers[place].ran
+    }
+
     /// Keeps logs travelling, entries listed and stopped hosts started, for ever.
     pub async fn keep(world: Rc<RefCell<Self>>) {
         let mut down: Vec<Option<Instant>> = vec![None; GROUPS * 3];
@@ -305,5 +334,6 @@
 
 fn server(id: Box<str>, group: usize, leads: bool) -> Server {
     let (log, lag) = (Vec::new(), Duration::ZERO);
-    Server { id, group, up: true, leads, term: 1, log, applied: 0, lag, lose: 0.0 }
+    let (up, leaving) = (true, false);
+    Server { id, group, up, leads, term: 1, log, applied: 0, lag, lose: 0.0, leaving, ran: 0 }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -1,124 +1,18 @@
 //! A real host on stand-ins of the users' platform: store, servers, operator.
 
+mod hosts;
+
 use std::{
-    cell::{Cell, RefCell},
-    future::Future,
+    cell::Cell,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use lab::soak::{self, SoakArgs, world::World};
-use monoio::{
-    io::IntoPollIo,
-    net::{TcpStream, tcp::stream_poll::TcpStreamPoll},
-};
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-
-/// The longest that any condition is waited for.
-const PATIENCE: Duration = Duration::from_secs(30);
-
-fn on_runtime<T>(test: impl Future<Output = T>) -> T {
-    monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .unwrap()
-        .block_on(test)
-}
-
-fn args(hosts: usize, callers: usize, secs: u64) -> SoakArgs {
-    SoakArgs { seed: 1, seeds: 1, secs, hosts, callers, dry: false }
-}
-
-async fn pause(ms: u64) {
-    monoio::time::sleep(Duration::from_millis(ms)).await;
-}
-
-/// A system that serves, with `hosts` hosts and without load.
-async fn system(hosts: usize) -> Rc<RefCell<World>> {
-    let world = Rc::new(RefCell::new(World::start(hosts).unwrap()));
-    monoio::spawn(World::keep(world.clone()));
-    let began = Instant::now();
-    for host in 0..hosts {
-        let address = world.borrow().callers[host];
-        loop {
-            if let Ok(mut line) = Line::start(address, "db0", "key-b").await
-                && line.ask("READ k1").await.is_ok_and(|told| told[0].starts_with("DONE"))
-            {
-                break;
-            }
-            assert!(began.elapsed() < PATIENCE, "host {host} does not serve");
-            pause(50).await;
-        }
-    }
-    world
-}
-
-/// A caller's connection, line by line.
-struct Line {
-    io: BufReader<TcpStreamPoll>,
-    number: u64,
-}
-
-impl Line {
-    async fn connect(address: SocketAddr) -> std::io::Result<Self> {
-        let io = BufReader::new(TcpStream::connect(address).await?.into_poll_io()?);
-        Ok(Self { io, number: rand::random::<u32>().into() })
-    }
-
-    async fn start(address: SocketAddr, database: &str, key: &str) -> std::io::Result<Self> {
-        let mut line = Self::connect(address).await?;
-        line.send(&format!("START {database} {key}\r\n")).await?;
-        match line.next().await? {
-            told if told.starts_with("READY I") => Ok(line),
-            told => Err(std::io::Error::other(told)),
-        }
-    }
-
-    async fn send(&mut self, text: &str) -> std::io::Result<()> {
-        self.io.write_all(text.as_bytes()).await
-    }
-
-    async fn next(&mut self) -> std::io::Result<String> {
-        let mut line = String::new();
-        let read = monoio::time::timeout(PATIENCE, self.io.read_line(&mut line)).await?;
-        if read? == 0 {
-            return Err(std::io::ErrorKind::UnexpectedEof.into());
-        }
-        Ok(line.trim_end().to_owned())
-    }
-
-    /// The lines of one answer, the state last.
-    async fn answer(&mut self) -> std::io::Result<Vec<String>> {
-        let mut lines = Vec::new();
-        loop {
-            let line = self.next().await?;
-            let last = line.starts_with("READY");
-            lines.push(line);
-            if last {
-                return Ok(lines);
-            }
-        }
-    }
-
-    async fn ask(&mut self, text: &str) -> std::io::Result<Vec<String>> {
-        self.number += 1;
-        let id = self.number;
-        self.send(&format!("QUERY {id:x} {text}\r\n")).await?;
-        self.answer().await
-    }
-
-    /// How the answer ended and how the session stands, as `DONE I`.
-    async fn short(&mut self, text: &str) -> String {
-        let told = self.ask(text).await.unwrap();
-        let outcome = &told[told.len() - 2];
-        let word = match outcome.split_once(' ') {
-            Some(("ERROR", rest)) => rest.split(' ').next().unwrap(),
-            _ => "DONE",
-        };
-        format!("{word} {}", told.last().unwrap().split(' ').nth(1).unwrap())
-    }
-}
+use hosts::{Line, PATIENCE, args, on_runtime, pause, system};
+use lab::soak;
+use monoio::{io::IntoPollIo, net::TcpStream};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// The whole path without any fault: every answer is the server's own to that very
 /// statement, reads show what they must, values and names are the session's own.
@@ -441,3 +335,23 @@
         );
     });
 }
+
+/// Each call of the platform's store is charged for, and a fleet that starts at once
+/// makes all of them together. A host that starts again writes its row and nothing
+/// else; before, it read twice and, at the first start, each host drew a secret.
+#[test]
+fn a_host_that_starts_again_changes_one_row() {
+    on_runtime(async {
+        let world = system(2).await;
+        let before = world.borrow().store.borrow().changes;
+        world.borrow_mut().hosts[1].kill();
+        world.borrow_mut().hosts[1].start().unwrap();
+        let address = world.borrow().callers[1];
+        let began = Instant::now();
+        while Line::start(address, "db0", "key-b").await.is_err() {
+            assert!(began.elapsed() < PATIENCE, "the host does not serve");
+            pause(50).await;
+        }
+        assert_eq!(world.borrow().store.borrow().changes, before + 1);
+    });
+}
