Hosts tell each other changed rows in place of whole views

Cause: each change of the view was told as the whole view: 45 KB for 300 hosts, to each host, by hubs and by the host that changes a leader. Change: hubs tell the rows that are newer than the asker's version, and who is gone; a stamp over all rows shows whether they fit. A change of leader is told as its one row.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -54,6 +54,7 @@
 
 pub mod ages;
 pub mod bucket;
+pub mod changes;
 pub mod choice;
 pub mod clock;
 pub mod demand;
--- a/components/coordination/src/view.rs
+++ b/components/coordination/src/view.rs
@@ -21,7 +21,11 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use crate::{FailureDomain, GroupId, HostId, ServerId, duty::Duty};
+use crate::{
+    FailureDomain, GroupId, HostId, ServerId,
+    changes::{Changes, Gone},
+    duty::Duty,
+};
 
 /// How long a host may use a leader without showing again that it leads.
 ///
@@ -142,6 +146,7 @@
     view: View,
     /// The view's stamp.
     stamp: u64,
+    gone: Gone,
     /// A local time no later than the view's moment.
     shown: Option<Instant>,
 }
@@ -149,7 +154,7 @@
 impl Held {
     /// Nothing is known yet.
     pub fn new(me: HostId, run: u64) -> Self {
-        Self { me, run, view: View::default(), stamp: 0, shown: None }
+        Self { me, run, view: View::default(), stamp: 0, gone: Gone::default(), shown: None }
     }
 
     /// The view.
@@ -159,16 +164,43 @@
 
     /// Takes a view that was the newest at the local time `asked` or later;
     /// false when a newer one is known.
-    pub fn learn(&mut self, view: View, asked: Instant) -> bool {
+    ///
+    /// Rows taken by [`Held::take`] that are newer than the view stay: a host that
+    /// has given its lease on a leader back must not fall back to an older row.
+    pub fn learn(&mut self, mut view: View, asked: Instant) -> bool {
         if view.version < self.view.version {
             return false;
         }
+        for (id, row) in &self.view.groups {
+            if row.version > view.version {
+                view.groups.insert(id.clone(), row.clone());
+            }
+        }
+        self.gone.note(&self.view, &view);
         self.stamp = view.stamp();
         self.view = view;
         self.shown = self.shown.max(Some(asked));
         true
     }
 
+    /// Takes one group's row, if it is newer than the known one.
+    ///
+    /// The lease stays as it was: it began no later than the row was written, so
+    /// who changes that leader next waits for it.
+    pub fn take(&mut self, group: &GroupId, row: Versioned<Leadership>) -> bool {
+        if self.leadership(group).is_some_and(|known| known.version >= row.version) {
+            return false;
+        }
+        self.view.groups.insert(group.clone(), row);
+        self.stamp = self.view.stamp();
+        true
+    }
+
+    /// What a host does not know that has the view of version `since`.
+    pub fn changes(&self, since: u64) -> Changes {
+        self.gone.changes(&self.view, since)
+    }
+
     /// The view's stamp.
     pub fn stamp(&self) -> u64 {
         self.stamp
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -163,7 +163,10 @@
             }
             Question::Lend(lend) => self.limits.lend(&peer.host, &lend),
             Question::Cancel { .. } | Question::Outcome(_) | Question::Report => return None,
-            Question::Act(_) | Question::Beat(_) | Question::Newest(_) | Question::Take { .. } => {
+            Question::Act { .. }
+            | Question::Beat(_)
+            | Question::Newest(_)
+            | Question::Take { .. } => {
                 return None;
             }
         })
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -6,7 +6,13 @@
 use bergamottrack_contract::RevisionDoc;
 use bergamottrack_coordination::{
     AccountId, Burst, FailureDomain, GroupId, HostId, Point, Rate, Refusal, RequestId, Revision,
-    bucket::LoanNo, demand, freshness::Vouch, outcome::Outcome, token::Secret, view::View,
+    bucket::LoanNo,
+    changes::Changes,
+    demand,
+    freshness::Vouch,
+    outcome::Outcome,
+    token::Secret,
+    view::{Leadership, Versioned},
 };
 use bergamottrack_metrics::HostReport;
 use bergamottrack_model::Listed;
@@ -131,9 +137,14 @@
     Outcome(Box<OutcomeOf>),
     /// What a host tells the others all the time.
     Beat(Box<Beat>),
-    /// Act on this view, unless a newer one is known; answered once work at
-    /// leaders that it names no more has ended.
-    Act(Box<View>),
+    /// Act on this row, unless a newer one is known; answered once work at a
+    /// leader that it names no more has ended.
+    Act {
+        /// The group.
+        group: GroupId,
+        /// Who leads it.
+        row: Versioned<Leadership>,
+    },
     /// What the host knows that the asker does not.
     Newest(Known),
     /// A token of an account's rate.
@@ -197,7 +208,7 @@
         /// How many it could still lend.
         spare: f64,
     },
-    /// The host acts on the view with this version or a newer one.
+    /// The host acts on the group's row of this version or a newer one.
     Acting(u64),
     /// What the host tells all the time.
     Beat(Box<Beat>),
@@ -226,6 +237,8 @@
     pub plan: (Revision, Duration),
     /// Stamp of the view.
     pub view: (u64, Duration),
+    /// Version of the view; 0 to be told all of it.
+    pub view_version: u64,
     /// Stamp of the list of servers.
     pub servers: (u64, Duration),
 }
@@ -235,8 +248,8 @@
 pub struct Newest {
     /// Which versions it knows.
     pub known: Known,
-    /// The view.
-    pub view: Option<View>,
+    /// What the view has that the asker's has not.
+    pub view: Option<Changes>,
     /// The configuration as the store holds it.
     pub plan: Option<Bytes>,
     /// The list of servers.
--- a/components/proxy/src/change.rs
+++ b/components/proxy/src/change.rs
@@ -12,10 +12,10 @@
     store::{self, Change, Verdict},
 };
 use bergamottrack_coordination::{
-    HostId, Point, ServerId,
+    GroupId, HostId, Point, ServerId,
     duty::{self, CALL_BY, CALL_WITHIN},
     suspicion::{self},
-    view::{Leadership, Release, TURN, View},
+    view::{Leadership, Release, TURN, Versioned},
 };
 use bergamottrack_model::{Role, Status};
 use bergamottrack_peer::{Answer, Question};
@@ -159,7 +159,9 @@
         let release = Rc::new(RefCell::new(release));
         let others = release.borrow().waiting().to_vec();
         for id in others {
-            monoio::spawn(ask_release(host.clone(), id, view.clone(), release.clone()));
+            let row = view.groups.get(&group.id).cloned();
+            let row = row.context("the intent is not in the view")?;
+            monoio::spawn(ask_release(host.clone(), id, group.id.clone(), row, release.clone()));
         }
         let mut noted = host.now();
         loop {
@@ -308,8 +310,9 @@
             if let Ok(view) = fleet::read(&self.client).await {
                 let row = view.groups.get(&group.id);
                 if row.is_none_or(|row| row.version != self.intent) {
-                    fleet::learn(host, view.clone(), asked);
-                    tell(host, &view);
+                    let row = row.cloned();
+                    fleet::learn(host, view, asked);
+                    row.into_iter().for_each(|row| tell(host, &group.id, &row));
                     return Ok(());
                 }
             }
@@ -335,28 +338,34 @@
     warn!(%server, %last, "leader: the successor has not received all");
 }
 
-/// Tells a view to all hosts that can be reached.
-fn tell(host: &Rc<Host>, view: &View) {
+/// Tells who leads a group to all hosts that can be reached.
+fn tell(host: &Rc<Host>, id: &GroupId, row: &Versioned<Leadership>) {
     let links = host.mesh.links().into_iter().chain(host.mesh.guests());
     for link in links.filter(|link| link.is_up()) {
-        let view = Box::new(view.clone());
+        let act = Question::Act { group: id.clone(), row: row.clone() };
         monoio::spawn(async move {
-            // A host that is not reached reads the view itself within a second.
-            let _ = link.ask(Question::Act(view), ACT_WITHIN).await;
+            // A host that is not reached hears of it from its hub or the store.
+            let _ = link.ask(act, ACT_WITHIN).await;
         });
     }
 }
 
 /// Has a host give its leases on the old leader back, as long as that is waited for.
-async fn ask_release(host: Rc<Host>, id: HostId, view: View, release: Rc<RefCell<Release>>) {
+async fn ask_release(
+    host: Rc<Host>,
+    id: HostId,
+    group: GroupId,
+    row: Versioned<Leadership>,
+    release: Rc<RefCell<Release>>,
+) {
     while !release.borrow().is_over(host.now()) {
         let link = host.reach(&id);
         let was_up = link.as_ref().is_some_and(|link| link.is_up());
         let gave_back = match link.filter(|_| was_up) {
             Some(link) => {
-                let act = Question::Act(Box::new(view.clone()));
+                let act = Question::Act { group: group.clone(), row: row.clone() };
                 let answer = link.ask(act, ACT_WITHIN).await;
-                matches!(answer, Ok(Answer::Acting(version)) if version >= view.version)
+                matches!(answer, Ok(Answer::Acting(version)) if version >= row.version)
             }
             None => lead::is_dead(&host, &id).await,
         };
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -261,34 +261,52 @@
     if !host.held.borrow_mut().learn(view, asked) {
         return;
     }
-    let now_groups = host.held.borrow().view().groups.clone();
+    let after = host.held.borrow().view().groups.clone();
     set_members(host);
     host.refresh();
-    for (id, row) in now_groups {
-        let news = before.get(&id).is_none_or(|old| old.version != row.version);
-        if !news {
-            continue;
-        }
-        let group = host.group(&id);
-        info!(group = %id, version = row.version, leadership = ?row.value, "leader: view changed");
-        if let Leadership::Moving { planned, holder, .. } = row.value {
-            let end = until.filter(|_| planned).unwrap_or(asked);
-            let host = host.clone();
-            monoio::spawn(async move {
-                release(&host, &group, row.version, end).await;
-                monoio::time::sleep(ASKED_WITHIN).await;
-                if group.asked.get() >= row.version {
-                    return;
-                }
-                if let Err(error) = tell_released(&host, &holder, row.version).await {
-                    let error = format_args!("{error:#}");
-                    info!(group = %group.id, %holder, %error, "fleet: release not told");
-                }
-            });
+    for (id, row) in after {
+        if before.get(&id).is_none_or(|old| old.version != row.version) {
+            act(host, &id, row, until, asked);
         }
     }
 }
 
+/// Takes one group's row, told by the host that changes its leader.
+pub fn take(host: &Rc<Host>, id: &GroupId, row: Versioned<Leadership>) {
+    let until = host.held.borrow().until();
+    if host.held.borrow_mut().take(id, row.clone()) {
+        host.refresh();
+        act(host, id, row, until, host.now());
+    }
+}
+
+/// Acts on a group's new row, learned at the local time `learned`: lets work at a
+/// leader that it names no more end. `until` is when the lease on that one is over.
+fn act(
+    host: &Rc<Host>,
+    id: &GroupId,
+    row: Versioned<Leadership>,
+    until: Option<Instant>,
+    learned: Instant,
+) {
+    let group = host.group(id);
+    info!(group = %id, version = row.version, leadership = ?row.value, "leader: view changed");
+    let Leadership::Moving { planned, holder, .. } = row.value else { return };
+    let end = until.filter(|_| planned).unwrap_or(learned);
+    let host = host.clone();
+    monoio::spawn(async move {
+        release(&host, &group, row.version, end).await;
+        monoio::time::sleep(ASKED_WITHIN).await;
+        if group.asked.get() >= row.version {
+            return;
+        }
+        if let Err(error) = tell_released(&host, &holder, row.version).await {
+            let error = format_args!("{error:#}");
+            info!(group = %group.id, %holder, %error, "fleet: release not told");
+        }
+    });
+}
+
 /// Lets work at the former leader end, until `end` at most: the lease under which
 /// it began is over then.
 async fn release(host: &Host, group: &Group, version: u64, end: Instant) {
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -194,6 +194,7 @@
         Known {
             plan: (self.version(), self.plan_clock.get()),
             view: (held.stamp(), held.view().clock),
+            view_version: held.view().version,
             servers: (self.servers_stamp.get(), self.servers_clock.get()),
         }
     }
--- a/components/proxy/src/news.rs
+++ b/components/proxy/src/news.rs
@@ -3,8 +3,8 @@
 use std::{rc::Rc, time::Duration};
 
 use bergamottrack_coordination::{
-    FailureDomain, HostId, freshness,
-    view::{Leadership, View},
+    FailureDomain, GroupId, HostId, freshness,
+    view::{Leadership, Versioned},
 };
 use bergamottrack_peer::{
     Answer, Link, Question,
@@ -46,8 +46,8 @@
             let mut demand = host.demand.borrow_mut();
             teller.tell(Answer::Ruling(demand.take(&account, rate, burst, host.now())));
         }
-        Question::Act(view) => {
-            monoio::spawn(act(host.clone(), *view, teller));
+        Question::Act { group, row } => {
+            monoio::spawn(act(host.clone(), group, row, teller));
         }
         Question::Newest(known) => teller.tell(Answer::Newest(Box::new(newest(host, known)))),
         _ if *host.phase.borrow() != Phase::Serving => teller.tell(Answer::Leaving),
@@ -55,41 +55,27 @@
     }
 }
 
-/// Acts on a view of another host and says so once nothing here counts on a
-/// leader that it names no more.
-async fn act(host: Rc<Host>, view: View, teller: Teller) {
-    let wanted = view.version;
-    for (id, row) in &view.groups {
-        let asked = &host.group(id).asked;
-        asked.set(asked.get().max(row.version));
-    }
-    let shown = host.store_clock.borrow().local(view.clock);
-    // A host that has no idea of the store's clock holds no lease either.
-    if let Some(shown) = shown {
-        fleet::learn(&host, view, shown);
-    }
-    let released = |host: &Host| {
-        let held = host.held.borrow();
-        let mut groups = held.view().groups.iter();
-        groups.all(|(id, row)| match row.value {
-            Leadership::Moving { .. } => host.group(id).released.get() >= row.version,
-            Leadership::Steady { .. } => true,
-        })
-    };
-    while !released(&host) {
+/// Acts on a group's row and says so once nothing here counts on a leader that it
+/// names no more.
+async fn act(host: Rc<Host>, id: GroupId, row: Versioned<Leadership>, teller: Teller) {
+    let group = host.group(&id);
+    group.asked.set(group.asked.get().max(row.version));
+    fleet::take(&host, &id, row.clone());
+    loop {
+        let newest = host.held.borrow().leadership(&id).cloned().unwrap_or(row.clone());
+        let moves = matches!(newest.value, Leadership::Moving { .. });
+        if !moves || group.released.get() >= newest.version {
+            return teller.tell(Answer::Acting(newest.version));
+        }
         monoio::time::sleep(Duration::from_millis(10)).await;
     }
-    let version = host.held.borrow().view().version;
-    if version >= wanted {
-        teller.tell(Answer::Acting(version));
-    }
 }
 
 fn newest(host: &Host, asker: Known) -> Newest {
     let known = host.known();
     let kept = host.kept.borrow();
     let raw = kept.as_ref().map(|kept| kept.raw.clone());
-    let view = || host.held.borrow().view().clone();
+    let view = || host.held.borrow().changes(asker.view_version);
     let servers = known.servers.0 != asker.servers.0 && known.servers.1 > asker.servers.1;
     Newest {
         known,
@@ -188,14 +174,24 @@
 }
 
 async fn ask_newest(host: &Rc<Host>, link: &Link) {
-    let answer = link.ask(Question::Newest(host.known()), PEER_WITHIN).await;
-    if let Ok(Answer::Newest(newest)) = answer {
-        take_newest(host, &link.host, *newest);
+    let mut known = host.known();
+    loop {
+        let answer = link.ask(Question::Newest(known), PEER_WITHIN).await;
+        let Ok(Answer::Newest(newest)) = answer else { return };
+        let fits = take_newest(host, &link.host, *newest);
+        if fits || known.view_version == 0 {
+            return;
+        }
+        info!(from = %link.host, "fleet: changes of the view do not fit, asking for all of it");
+        known = Known { view_version: 0, ..host.known() };
     }
 }
 
-fn take_newest(host: &Rc<Host>, from: &HostId, newest: Newest) {
-    if let Some(view) = newest.view {
+/// Takes what another host knows; false when its changes of the view do not fit.
+fn take_newest(host: &Rc<Host>, from: &HostId, newest: Newest) -> bool {
+    let changed = newest.view.map(|changes| changes.onto(host.held.borrow().view()));
+    let fits = !matches!(changed, Some(None));
+    if let Some(view) = changed.flatten() {
         let shown = host.store_clock.borrow().local(view.clock);
         if let Some(shown) = shown {
             fleet::learn(host, view, shown);
@@ -209,4 +205,5 @@
         follow::adopt_servers(host, servers);
     }
     renew(host, newest.known);
+    fits
 }
