--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -45,6 +45,9 @@
     /// the other faults of a seed stay as they are.
     #[arg(long)]
     pub links: bool,
+    /// Make no faults: the load alone, to measure what a host uses for it.
+    #[arg(long)]
+    pub calm: bool,
     /// Only print the schedules.
     #[arg(long)]
     pub dry: bool,
@@ -105,6 +108,9 @@
 }
 
 fn steps(seed: u64, args: &SoakArgs) -> Vec<Step> {
+    if args.calm {
+        return Vec::new();
+    }
     let (length, servers) = (Duration::from_secs(args.secs), world::GROUPS * 3);
     let mut steps = schedule::draw(seed, length, args.hosts, servers);
     if args.links {
@@ -114,11 +120,6 @@
     steps
 }
 
-/// Runs the load without any fault.
-pub async fn calm(args: &SoakArgs) -> anyhow::Result<Outcome> {
-    play(0, &[], args).await
-}
-
 async fn play(seed: u64, steps: &[Step], args: &SoakArgs) -> anyhow::Result<Outcome> {
     let world = Rc::new(RefCell::new(World::start(args.hosts)?));
     monoio::spawn(World::keep(world.clone()));
--- a/tests/hosts/mod.rs
+++ b/tests/hosts/mod.rs
@@ -29,7 +29,7 @@
 }
 
 pub fn args(hosts: usize, callers: usize, secs: u64) -> SoakArgs {
-    SoakArgs { seed: 1, seeds: 1, secs, hosts, callers, dry: false, links: false }
+    SoakArgs { seed: 1, seeds: 1, secs, hosts, callers, dry: false, links: false, calm: false }
 }
 
 pub async fn pause(ms: u64) {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -10,7 +10,7 @@
 };
 
 use hosts::{Line, PATIENCE, args, on_runtime, pause, system};
-use lab::soak;
+use lab::soak::{self, SoakArgs};
 use monoio::{io::IntoPollIo, net::TcpStream};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
@@ -18,7 +18,7 @@
 /// statement, reads show what they must, values and names are the session's own.
 #[test]
 fn a_calm_system_keeps_every_promise() {
-    let outcome = on_runtime(soak::calm(&args(2, 6, 3))).unwrap();
+    let outcome = on_runtime(soak::soak(1, &SoakArgs { calm: true, ..args(2, 6, 3) })).unwrap();
     assert!(outcome.broken.is_empty(), "{:#?}", outcome.broken);
     assert!(outcome.served > 300, "{outcome:?}");
     assert_eq!(outcome.promotions, 0);
