--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -30,6 +30,8 @@
     Storm(storm::StormArgs),
     /// Run faults drawn from seeds over real hosts on the users' platform's stand-ins.
     Soak(soak::SoakArgs),
+    /// Measure how long a group is without an acknowledged write when its leader fails.
+    Gaps(soak::gaps::GapsArgs),
     /// Run a stand-in for the platform.
     Platform(platform::PlatformArgs),
     /// Show the promises in under a minute: a booking kept over a failover.
@@ -68,6 +70,7 @@
     match cli.command {
         Command::Server(args) => stand_in(server::run(args)),
         Command::Soak(args) => stand_in(soak::run(args)),
+        Command::Gaps(args) => stand_in(soak::gaps::run(args)),
         Command::Link(args) => stand_in(link::run(args)),
         Command::Platform(args) => stand_in(platform::run(args)),
         Command::Fault(args) => tokio::runtime::Runtime::new()?.block_on(fault::run(args)),
--- /dev/null
+++ b/lab/src/soak/gaps.rs
@@ -0,0 +1,141 @@
+//! How long a group is without an acknowledged write when its leader fails.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use clap::{Args, ValueEnum};
+
+use super::{until_served, world::World};
+use crate::link::Fault;
+
+/// Settings of the measurement.
+#[derive(Args, Clone, Debug)]
+pub struct GapsArgs {
+    /// What happens to the leader.
+    #[arg(long, value_enum)]
+    cause: Cause,
+    /// How often.
+    #[arg(long, default_value_t = 20)]
+    times: usize,
+    /// Hosts.
+    #[arg(long, default_value_t = 4)]
+    hosts: usize,
+    /// Callers of each account.
+    #[arg(long, default_value_t = 20)]
+    callers: usize,
+}
+
+/// What happens to a leader.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Cause {
+    /// Its process ends and comes back.
+    Killed,
+    /// Nothing passes between it and any host or server.
+    Silent,
+    /// Nothing passes between it and its replicas.
+    Cut,
+    /// It says that it leaves.
+    Leaves,
+    /// Nothing passes between it and the hosts for 0.3 s.
+    Stalled,
+}
+
+/// How long a leader is out of order.
+const LASTS: Duration = Duration::from_secs(4);
+
+/// The same for one that only stalls.
+const STALL: Duration = Duration::from_millis(300);
+
+/// How long all is well before the next one.
+const CALM: Duration = Duration::from_millis(1500);
+
+/// How long a new leader may take.
+const REPLACED_WITHIN: Duration = Duration::from_secs(20);
+
+/// Measures, and prints what was seen.
+pub async fn run(args: GapsArgs) -> anyhow::Result<()> {
+    let world = Rc::new(RefCell::new(World::start(args.hosts)?));
+    monoio::spawn(World::keep(world.clone()));
+    let stop = Rc::new(Cell::new(false));
+    for caller in world.borrow().make_callers(args.callers) {
+        monoio::spawn(caller.run(stop.clone()));
+    }
+    until_served(&world).await?;
+    let mut gaps = Vec::new();
+    for time in 0..args.times {
+        monoio::time::sleep(CALM).await;
+        gaps.push(strike(&world, time % super::world::GROUPS, args.cause).await?);
+        until_served(&world).await?;
+    }
+    stop.set(true);
+    gaps.sort();
+    let at = |part: f64| gaps[((gaps.len() - 1) as f64 * part) as usize].as_millis();
+    let world = world.borrow();
+    let groups = world.groups.borrow();
+    println!(
+        "{:?}: p50 {} ms, p90 {} ms, longest {} ms without an acknowledged write; {} promotions, \
+        {} acknowledged commits rolled back, {} promises broken",
+        args.cause,
+        at(0.5),
+        at(0.9),
+        at(1.0),
+        groups.promotions,
+        groups.rolled_back,
+        groups.broken.len()
+    );
+    anyhow::ensure!(groups.broken.is_empty(), "{:#?}", groups.broken);
+    Ok(())
+}
+
+/// Has a group's leader fail, and mends it; the longest gap meanwhile.
+async fn strike(
+    world: &Rc<RefCell<World>>,
+    group: usize,
+    cause: Cause,
+) -> anyhow::Result<Duration> {
+    let leader = world.borrow().groups.borrow().leader(group);
+    let place = leader.ok_or_else(|| anyhow::anyhow!("group {group} has no leader"))?;
+    let began = Instant::now();
+    break_leader(&world.borrow(), place, cause);
+    monoio::time::sleep(if matches!(cause, Cause::Stalled) { STALL } else { LASTS }).await;
+    mend_leader(&world.borrow(), place, cause);
+    loop {
+        monoio::time::sleep(Duration::from_millis(50)).await;
+        let world = world.borrow();
+        let groups = world.groups.borrow();
+        let gap = groups.longest_gap(group, began.elapsed());
+        // The gap is over when the last acknowledged write is younger than it.
+        if groups.longest_gap(group, gap) < gap && began.elapsed() > gap {
+            return Ok(gap);
+        }
+        anyhow::ensure!(began.elapsed() < REPLACED_WITHIN, "group {group} takes no write");
+    }
+}
+
+fn break_leader(world: &World, place: usize, cause: Cause) {
+    let dark = Fault { cut_up: true, cut_down: true, ..Fault::default() };
+    match cause {
+        Cause::Killed => world.standins[place].stop(),
+        Cause::Silent => {
+            world.links.set(&format!("s{place}"), &dark);
+            world.groups.borrow_mut().servers[place].cut = true;
+        }
+        Cause::Cut => world.groups.borrow_mut().servers[place].cut = true,
+        Cause::Leaves => world.leave(place),
+        Cause::Stalled => world.links.set(&format!("s{place}"), &dark),
+    }
+}
+
+fn mend_leader(world: &World, place: usize, cause: Cause) {
+    match cause {
+        Cause::Killed => world.groups.borrow_mut().servers[place].up = true,
+        Cause::Leaves => world.stay(place),
+        Cause::Silent | Cause::Cut | Cause::Stalled => {
+            world.links.set(&format!("s{place}"), &Fault::default());
+            world.groups.borrow_mut().servers[place].cut = false;
+        }
+    }
+}
--- a/lab/src/soak/group.rs
+++ b/lab/src/soak/group.rs
@@ -45,6 +45,8 @@
     pub lag: Duration,
     /// Part of its answers that are lost.
     pub lose: f64,
+    /// Whether nothing passes between it and the other servers of its group.
+    pub cut: bool,
     /// Whether it says that it leaves.
     pub leaving: bool,
     /// Statements of callers that it has run.
@@ -115,11 +117,22 @@
 
 impl Groups {
     /// The newest leader of a group.
-    fn leader(&self, group: usize) -> Option<usize> {
+    pub fn leader(&self, group: usize) -> Option<usize> {
         let leads = |i: &usize| self.servers[*i].group == group && self.servers[*i].leads;
         (0..self.servers.len()).filter(leads).max_by_key(|i| self.servers[*i].term)
     }
 
+    /// The longest time within the last `window` without an acknowledged write of a
+    /// group, its end included.
+    pub fn longest_gap(&self, group: usize, window: Duration) -> Duration {
+        let now = Instant::now();
+        let acks = self.acks.get(&group).into_iter().flatten().map(|ack| ack.at);
+        let mut times: Vec<Instant> = acks.filter(|at| now - *at < window).collect();
+        times.push(now);
+        times.sort();
+        times.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or(window)
+    }
+
     fn find(&self, id: &str) -> Option<usize> {
         self.servers.iter().position(|server| &*server.id == id)
     }
@@ -179,6 +192,9 @@
         if leader == i || !self.servers[leader].up || !self.servers[i].up {
             return false;
         }
+        if self.servers[leader].cut || self.servers[i].cut {
+            return false;
+        }
         let (from, term) = (self.servers[leader].log.clone(), self.servers[leader].term);
         let server = &mut self.servers[i];
         let mut changed = false;
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -14,6 +14,7 @@
 use clap::Args;
 
 pub mod caller;
+pub mod gaps;
 pub mod group;
 pub mod schedule;
 pub mod server;
--- a/lab/src/soak/world.rs
+++ b/lab/src/soak/world.rs
@@ -334,6 +334,6 @@
 
 fn server(id: Box<str>, group: usize, leads: bool) -> Server {
     let (log, lag) = (Vec::new(), Duration::ZERO);
-    let (up, leaving) = (true, false);
-    Server { id, group, up, leads, term: 1, log, applied: 0, lag, lose: 0.0, leaving, ran: 0 }
+    let (up, cut, leaving) = (true, false, false);
+    Server { id, group, up, leads, term: 1, log, applied: 0, lag, lose: 0.0, cut, leaving, ran: 0 }
 }
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -89,6 +89,29 @@
     });
 }
 
+/// A leader is cut off from its replicas and answers its callers as before. Bookings
+/// that callers were told of were taken back when another server led in its place.
+#[test]
+fn a_leader_without_its_replicas_has_nothing_acknowledged_taken_back() {
+    on_runtime(async {
+        let world = system(2).await;
+        let stop = load(&world);
+        served(&world, 200).await;
+        world.borrow().groups.borrow_mut().servers[LEADER].cut = true;
+        let began = Instant::now();
+        while world.borrow().groups.borrow().promotions == 0 {
+            assert!(began.elapsed() < PATIENCE, "nobody else leads");
+            pause(20).await;
+        }
+        served(&world, 200).await;
+        world.borrow().groups.borrow_mut().servers[LEADER].cut = false;
+        served(&world, 200).await;
+        stop.set(true);
+        assert_eq!(world.borrow().groups.borrow().promotions, 1);
+        assert_kept(&world);
+    });
+}
+
 /// A replica's address is taken by a server of another group while the list still
 /// names it for the old one. A read that ran there would show another database.
 #[test]
