A successor that receives nothing is not waited for

Cause: a leader cut off from its replicas left its group 2.7 s without an acknowledged write; 1.5 s of that were the wait for a successor that could not catch up.

--- a/components/proxy/src/change.rs
+++ b/components/proxy/src/change.rs
@@ -325,14 +325,23 @@
 }
 
 /// Waits until a replica has received the leaving leader's whole log, so that
-/// nothing that was acknowledged is lost.
+/// nothing that was acknowledged is lost. One that receives nothing any more is not
+/// waited for: it is cut off, and what it lacks was confirmed to nobody.
 async fn wait_caught_up(host: &Host, pool: &Pool, last: Point) {
     let until = host.now() + CAUGHT_UP_WITHIN;
+    let mut newest: Option<(Point, Instant)> = None;
     while host.now() < until {
         match lead::status(host, pool, suspicion::PROBE_WITHIN).await {
             Ok(status) if status.received >= last => return,
-            _ => monoio::time::sleep(LEADS_EVERY).await,
+            Ok(status) if newest.is_none_or(|(point, _)| status.received > point) => {
+                newest = Some((status.received, host.now()));
+            }
+            _ => {}
+        }
+        if newest.is_some_and(|(_, since)| host.now() - since > suspicion::STILL_FOR) {
+            break;
         }
+        monoio::time::sleep(LEADS_EVERY).await;
     }
     let server = pool.listed.borrow().id.clone();
     warn!(%server, %last, "leader: the successor has not received all");
