--- a/lab/src/soak/group.rs
+++ b/lab/src/soak/group.rs
@@ -123,12 +123,12 @@
     }
 
     /// The longest time within the last `window` without an acknowledged write of a
-    /// group, its end included.
+    /// group, its start and its end included.
     pub fn longest_gap(&self, group: usize, window: Duration) -> Duration {
         let now = Instant::now();
         let acks = self.acks.get(&group).into_iter().flatten().map(|ack| ack.at);
         let mut times: Vec<Instant> = acks.filter(|at| now - *at < window).collect();
-        times.push(now);
+        times.extend([now - window, now]);
         times.sort();
         times.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or(window)
     }
