--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -337,8 +337,8 @@
 }
 
 /// Each call of the platform's store is charged for, and a fleet that starts at once
-/// makes all of them together. A host that starts again writes its row and nothing
-/// else; before, it read twice and, at the first start, each host drew a secret.
+/// makes all of them together. A host that starts again must write its row and
+/// nothing else: no second row, and no new secret that the others would not know.
 #[test]
 fn a_host_that_starts_again_changes_one_row() {
     on_runtime(async {
