A leader whose term was closed by a promotion is never taken up again

Change: the store keeps the term of the last known leader, and up to which term a promotion was asked for; the latter is written in the transaction that takes the duty. A leader of a closed term is not adopted. coordination::succession decides, without network; its tests fail on the choice as it was (leader_among, whose test moved there with its cases).

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -75,6 +75,7 @@
 pub mod retry;
 pub mod shares;
 pub mod store_clock;
+pub mod succession;
 pub mod suspicion;
 pub mod token;
 pub mod units;
--- a/components/coordination/src/suspicion.rs
+++ b/components/coordination/src/suspicion.rs
@@ -8,7 +8,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::{Point, Term};
+use crate::Point;
 
 /// How long a leader with work to do may be silent before it is asked how it
 /// stands. Ten times the mean statement, and above stalls of 300 ms.
@@ -90,13 +90,3 @@
         }
     }
 }
-
-/// The one that leads a group, of servers that each told whether they lead and in
-/// which term; none while the newest term has no leader among them.
-///
-/// Guards against taking up an old leader that came back and has not yet heard of
-/// the new one: what was acknowledged since lies in the newer term.
-pub fn leader_among(told: impl Iterator<Item = (bool, Term)> + Clone) -> Option<usize> {
-    let newest = told.clone().map(|(_, term)| term).max()?;
-    told.into_iter().position(|(leads, term)| leads && term == newest)
-}
--- a/components/coordination/src/view.rs
+++ b/components/coordination/src/view.rs
@@ -22,9 +22,10 @@
 use xxhash_rust::xxh3;
 
 use crate::{
-    FailureDomain, GroupId, HostId, ServerId,
+    FailureDomain, GroupId, HostId, ServerId, Term,
     changes::{Changes, Gone},
     duty::Duty,
+    succession::Terms,
 };
 
 /// How long a host may use a leader without showing again that it leads.
@@ -74,6 +75,9 @@
     Steady {
         /// The server.
         leader: ServerId,
+        /// The term in which it leads; 0 while nobody has asked it.
+        #[serde(default)]
+        term: Term,
     },
     /// Nobody may be used: a change is on its way.
     Moving {
@@ -86,6 +90,9 @@
         since: Duration,
         /// Whether the leader leaves as planned and still serves.
         planned: bool,
+        /// The term in which `from` led; 0 while it is not known.
+        #[serde(default)]
+        term: Term,
     },
 }
 
@@ -120,9 +127,29 @@
     pub members: BTreeMap<HostId, Versioned<Member>>,
     /// Who leads; a group without an entry is led by the server that says so.
     pub groups: BTreeMap<GroupId, Versioned<Leadership>>,
+    /// Up to which term a group's terms may be over, since a promotion was asked for.
+    /// Only whoever changes a leader reads it, so it is not part of the stamp.
+    #[serde(default)]
+    pub closed: BTreeMap<GroupId, Term>,
+}
+
+impl Leadership {
+    /// The term of the leader that is named last; 0 while it is not known.
+    pub fn term(&self) -> Term {
+        match self {
+            Self::Steady { term, .. } | Self::Moving { term, .. } => *term,
+        }
+    }
 }
 
 impl View {
+    /// What is known of a group's terms.
+    pub fn terms(&self, group: &GroupId) -> Terms {
+        let known = self.groups.get(group).map(|row| row.value.term());
+        let closed = self.closed.get(group).copied();
+        Terms { known: known.unwrap_or_default(), closed: closed.unwrap_or_default() }
+    }
+
     /// Tells views with other rows apart, whenever they were read.
     pub fn stamp(&self) -> u64 {
         let mut hash = xxh3::Xxh3::new();
--- a/components/coordination/tests/changes.rs
+++ b/components/coordination/tests/changes.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bergamottrack_coordination::{
-    GroupId, HostId,
+    GroupId, HostId, Term,
     view::{Held, Leadership, Member, Versioned, View},
 };
 
@@ -18,12 +18,18 @@
 }
 
 fn steady(leader: &str, version: u64) -> Versioned<Leadership> {
-    Versioned { version, value: Leadership::Steady { leader: leader.parse().unwrap() } }
+    Versioned {
+        version,
+        value: Leadership::Steady { leader: leader.parse().unwrap(), term: Term(1) },
+    }
 }
 
 fn moving(version: u64) -> Versioned<Leadership> {
     let (holder, since) = (host(1), Duration::from_secs(version));
-    Versioned { version, value: Leadership::Moving { from: None, holder, since, planned: false } }
+    Versioned {
+        version,
+        value: Leadership::Moving { from: None, holder, since, planned: false, term: Term(1) },
+    }
 }
 
 fn member(number: u64) -> Versioned<Member> {
--- a/components/coordination/tests/suspicion.rs
+++ b/components/coordination/tests/suspicion.rs
@@ -56,15 +56,3 @@
     assert_eq!(suspicion.advice(start + 200 * MS), Advice::AskReplicas);
     assert_eq!(suspicion.advice(start + STILL_FOR), Advice::Replace);
 }
-
-/// A leader died and another was promoted; the old one comes back and still thinks
-/// that it leads, just when the new one dies. Taken up again, it acknowledged
-/// writes that were lost and showed a log without the newer ones.
-#[test]
-fn an_old_leader_is_not_taken_up_again() {
-    let told = [(true, Term(2)), (false, Term(3))];
-    assert_eq!(suspicion::leader_among(told.into_iter()), None);
-    let told = [(true, Term(2)), (true, Term(3)), (false, Term(3))];
-    assert_eq!(suspicion::leader_among(told.into_iter()), Some(1));
-    assert_eq!(suspicion::leader_among([(true, Term(1)), (false, Term(1))].into_iter()), Some(0));
-}
--- a/components/proxy/src/change.rs
+++ b/components/proxy/src/change.rs
@@ -12,10 +12,11 @@
     store::{self, Change, Verdict},
 };
 use bergamottrack_coordination::{
-    GroupId, HostId, Point, ServerId,
+    GroupId, HostId, Point, ServerId, Term,
     duty::{self, CALL_BY, CALL_WITHIN},
-    suspicion::{self},
-    view::{Leadership, Release, TURN, Versioned},
+    succession::{self, Next, Standing, Terms},
+    suspicion,
+    view::{Leadership, Release, TURN, Versioned, View},
 };
 use bergamottrack_model::{Role, Status};
 use bergamottrack_peer::{Answer, Question};
@@ -53,6 +54,9 @@
     planned: bool,
     /// Version of the intent.
     intent: u64,
+    /// What the store says of the group's terms; only the holder of the intent
+    /// changes it.
+    terms: Terms,
     /// When this host's turn ends.
     until: Instant,
 }
@@ -62,7 +66,7 @@
     pub async fn begin(
         host: &Rc<Host>,
         group: &Rc<Group>,
-        before: u64,
+        before: Option<Versioned<Leadership>>,
         from: Option<ServerId>,
         planned: bool,
     ) -> anyhow::Result<Option<Self>> {
@@ -70,9 +74,10 @@
         let key = fleet::group_key(&group.id);
         let now = host.now();
         let (holder, since) = (host.settings.host.clone(), lead::store_now(host));
-        let moving = Leadership::Moving { from: from.clone(), holder, since, planned };
+        let term = before.as_ref().map(|row| row.value.term()).unwrap_or_default();
+        let moving = Leadership::Moving { from: from.clone(), holder, since, planned, term };
         let change = Change {
-            expect: vec![(key.clone(), before)],
+            expect: vec![(key.clone(), before.map_or(0, |row| row.version))],
             put: vec![(key, serde_json::to_vec(&moving)?)],
             remove: Vec::new(),
         };
@@ -89,31 +94,34 @@
             }
         };
         let until = now + TURN;
-        Ok(intent.map(|intent| Self { client, from, planned, intent, until }))
+        let terms = Terms { known: term, ..Terms::default() };
+        Ok(intent.map(|intent| Self { client, from, planned, intent, terms, until }))
     }
 
     /// Brings the change to its end.
-    pub async fn run(self, host: &Rc<Host>, group: &Rc<Group>) -> anyhow::Result<()> {
-        let began = host.now();
+    pub async fn run(mut self, host: &Rc<Host>, group: &Rc<Group>) -> anyhow::Result<()> {
+        let (began, asked) = (host.now(), host.now());
+        let view = self.read_view(host).await?;
+        self.terms = view.terms(&group.id);
         let back = monoio::select! {
-            released = self.wait_released(host, group) => released.map(|()| None),
-            leader = self.wait_back(host) => Ok(Some(leader)),
+            released = self.wait_released(host, group, view, asked) => released.map(|()| None),
+            back = self.wait_back(host) => Ok(Some(back)),
         };
-        if let Some(leader) = back? {
-            info!(group = %group.id, %leader, intent = self.intent, "leader: back before it was replaced");
-            return self.finish(host, group, leader).await;
+        if let Some((leader, term)) = back? {
+            info!(group = %group.id, %leader, %term, intent = self.intent, "leader: back before it was replaced");
+            return self.finish(host, group, leader, term).await;
         }
         let released = host.now();
         while host.now() < self.until {
             match self.settle(host, group).await {
-                Ok(Some(leader)) => {
+                Ok(Some((leader, term))) => {
                     let (free, all) = (released - began, host.now() - began);
                     info!(
-                        group = %group.id, %leader, intent = self.intent,
+                        group = %group.id, %leader, %term, intent = self.intent,
                         released_ms = free.as_millis() as u64, ms = all.as_millis() as u64,
                         "leader: replaced"
                     );
-                    return self.finish(host, group, leader).await;
+                    return self.finish(host, group, leader, term).await;
                 }
                 Ok(None) => {}
                 Err(error) => {
@@ -126,34 +134,47 @@
         bail!("the turn is over")
     }
 
-    /// Waits until the old leader answers again and still leads.
+    /// Reads the view with the intent in it.
+    async fn read_view(&self, host: &Host) -> anyhow::Result<View> {
+        let view = loop {
+            match fleet::read(&self.client).await {
+                Ok(view) => break view,
+                Err(error) if host.now() > self.until => return Err(error),
+                Err(_) => monoio::time::sleep(lead::LOOK_EVERY).await,
+            }
+        };
+        anyhow::ensure!(view.version >= self.intent, "the store went back");
+        Ok(view)
+    }
+
+    /// Waits until the old leader answers again and still leads, in a term that no
+    /// promotion has closed.
     ///
     /// While others may still count on it nobody else can lead; when it is back
     /// first, keeping it ends the gap and loses nothing that was acknowledged.
-    async fn wait_back(&self, host: &Host) -> ServerId {
+    async fn wait_back(&self, host: &Host) -> (ServerId, Term) {
         loop {
             monoio::time::sleep(BACK_EVERY).await;
             let Some(from) = self.from.as_ref().filter(|_| !self.planned) else { continue };
             let Some(pool) = host.server(from) else { continue };
             if let Ok(status) = lead::status(host, &pool, suspicion::PROBE_WITHIN).await
                 && status.role == Role::Primary
+                && self.terms.allow(status.term)
             {
-                return from.clone();
+                return (from.clone(), status.term);
             }
         }
     }
 
-    /// Waits until no host counts on the old leader.
-    async fn wait_released(&self, host: &Rc<Host>, group: &Group) -> anyhow::Result<()> {
-        let asked = host.now();
-        let view = loop {
-            match fleet::read(&self.client).await {
-                Ok(view) => break view,
-                Err(error) if host.now() > self.until => return Err(error),
-                Err(_) => monoio::time::sleep(lead::LOOK_EVERY).await,
-            }
-        };
-        anyhow::ensure!(view.version >= self.intent, "the store went back");
+    /// Waits until no host counts on the old leader, by a view that was asked for at
+    /// `asked` and has the intent in it.
+    async fn wait_released(
+        &self,
+        host: &Rc<Host>,
+        group: &Group,
+        view: View,
+        asked: Instant,
+    ) -> anyhow::Result<()> {
         let release = Release::new(&view, &host.settings.host, host.now());
         fleet::learn(host, view.clone(), asked);
         let release = Rc::new(RefCell::new(release));
@@ -183,38 +204,35 @@
     }
 
     /// Finds out who is to lead and sees to it; `None` when nobody can yet.
-    async fn settle(&self, host: &Rc<Host>, group: &Rc<Group>) -> anyhow::Result<Option<ServerId>> {
+    async fn settle(
+        &self,
+        host: &Rc<Host>,
+        group: &Rc<Group>,
+    ) -> anyhow::Result<Option<(ServerId, Term)>> {
         let mut pools = host.servers(&group.id);
         // A leader that is not there for the one who replaces it would only cost time.
         pools.retain(|pool| self.planned || Some(&pool.listed.borrow().id) != self.from.as_ref());
         let asks = pools.iter().map(|pool| lead::status(host, pool, suspicion::PROBE_WITHIN));
         let statuses = future::join_all(asks).await;
-        let known: Vec<(ServerId, bool, Status)> = pools
+        let told: Vec<Standing> = pools
             .iter()
             .zip(statuses)
-            .filter_map(|(pool, status)| {
-                let listed = pool.listed.borrow();
-                Some((listed.id.clone(), listed.leaving, status.ok()?))
-            })
+            .filter_map(|(pool, status)| Some(standing(pool, status.ok()?)))
             .collect();
-        let told = known.iter().map(|(_, _, status)| (status.role == Role::Primary, status.term));
-        let newest = suspicion::leader_among(told).map(|place| &known[place]);
-        if let Some((id, _, _)) = newest
-            && (Some(id) != self.from.as_ref() || !self.planned)
-        {
-            return Ok(Some(id.clone()));
-        }
-        let last = newest.map(|(_, _, status)| status.received);
-        let replicas =
-            known.iter().filter(|(_, leaving, status)| status.role == Role::Replica && !leaving);
-        let Some((successor, _, _)) = replicas.max_by_key(|(_, _, status)| status.received) else {
-            return Ok(None);
-        };
-        let Some(pool) = host.server(successor) else { return Ok(None) };
-        if let Some(last) = last {
-            wait_caught_up(host, &pool, last).await;
+        let leaves = self.from.as_ref().filter(|_| self.planned);
+        let next = succession::next(&told, self.terms, leaves);
+        info!(group = %group.id, intent = self.intent, terms = ?self.terms, ?told, ?next, "leader: successor");
+        match next {
+            Next::Adopt(leader, term) => Ok(Some((leader, term))),
+            Next::Nobody => Ok(None),
+            Next::Promote { successor, after, last } => {
+                let Some(pool) = host.server(&successor) else { return Ok(None) };
+                if let Some(last) = last {
+                    wait_caught_up(host, &pool, last).await;
+                }
+                self.promote(host, group, &pool, after).await
+            }
         }
-        self.promote(host, group, &pool).await
     }
 
     async fn promote(
@@ -222,9 +240,10 @@
         host: &Host,
         group: &Group,
         pool: &Pool,
-    ) -> anyhow::Result<Option<ServerId>> {
+        after: Term,
+    ) -> anyhow::Result<Option<(ServerId, Term)>> {
         let server = pool.listed.borrow().id.clone();
-        let Some((token, by)) = self.take_duty(host, group).await? else { return Ok(None) };
+        let Some((token, by)) = self.take_duty(host, group, after).await? else { return Ok(None) };
         // Guards against a holder that was held up: another may call by now.
         anyhow::ensure!(host.now() < by, "the time for the call is over");
         let duty = promotion::Duty { holder: &host.settings.host, token };
@@ -233,31 +252,38 @@
         let error = said.as_ref().err().map(tracing::field::display);
         let answer = said.as_ref().ok();
         info!(group = %id, %server, token, ?answer, error, "promotion: asked for");
+        let nothing = matches!(said, Ok(Promoted::Refused | Promoted::Unavailable));
         if said.is_ok() {
             // Without an answer the call may still be on its way.
-            self.free_duty(host, token).await;
+            self.free_duty(host, group, token, nothing).await;
         }
-        if matches!(said, Ok(Promoted::Refused | Promoted::Unavailable)) {
+        if nothing {
             return Ok(None);
         }
         let until = host.now() + LEADS_WITHIN;
         while host.now() < until {
             if let Ok(status) = lead::status(host, pool, suspicion::PROBE_WITHIN).await
                 && status.role == Role::Primary
+                && status.term > after
             {
-                return Ok(Some(server));
+                return Ok(Some((server, status.term)));
             }
             monoio::time::sleep(LEADS_EVERY).await;
         }
         Ok(None)
     }
 
-    /// Takes the duty of calling; `None` while another host has it. Gives the
-    /// token and the time by which the call must begin.
+    /// Takes the duty of calling and closes the terms up to `after`; `None` while
+    /// another host has it. Gives the token and the time by which the call must begin.
+    ///
+    /// Closing them before the call guards against a host that takes the change over
+    /// from one that called and died: it would find the old leader, which has not heard
+    /// of the promotion, and take it up again.
     async fn take_duty(
         &self,
         host: &Host,
         group: &Group,
+        after: Term,
     ) -> anyhow::Result<Option<(u64, Instant)>> {
         let began = host.now();
         let view = fleet::read(&self.client).await?;
@@ -271,24 +297,29 @@
                 (fleet::DUTY.into(), view.duty.map_or(0, |row| row.version)),
                 (fleet::group_key(&group.id), self.intent),
             ],
-            put: vec![(fleet::DUTY.into(), serde_json::to_vec(&taken)?)],
+            put: vec![
+                (fleet::DUTY.into(), serde_json::to_vec(&taken)?),
+                (fleet::closed_key(&group.id), serde_json::to_vec(&after)?),
+            ],
             remove: Vec::new(),
         };
         let verdict = store::change(&self.client, &change, STORE_WITHIN).await?;
         let Verdict::Applied(token) = verdict else { return Ok(None) };
-        info!(group = %group.id, token, "duty: taken");
+        info!(group = %group.id, token, closed = %after, "duty: taken");
         Ok(Some((token, began + CALL_BY)))
     }
 
-    async fn free_duty(&self, host: &Host, token: u64) {
+    /// Gives the duty back; where nothing was done the terms are as open as before.
+    async fn free_duty(&self, host: &Host, group: &Group, token: u64, nothing: bool) {
         let holder = host.settings.host.clone();
         let freed = duty::Duty { holder, since: Duration::ZERO, free: true };
-        let value = serde_json::to_vec(&freed).expect("writing to memory");
-        let change = Change {
-            expect: vec![(fleet::DUTY.into(), token)],
-            put: vec![(fleet::DUTY.into(), value)],
-            remove: Vec::new(),
-        };
+        let mut put =
+            vec![(fleet::DUTY.into(), serde_json::to_vec(&freed).expect("writing to memory"))];
+        if nothing {
+            let closed = serde_json::to_vec(&self.terms.closed).expect("writing to memory");
+            put.push((fleet::closed_key(&group.id), closed));
+        }
+        let change = Change { expect: vec![(fleet::DUTY.into(), token)], put, remove: Vec::new() };
         if let Err(error) = store::change(&self.client, &change, STORE_WITHIN).await {
             // It is free by itself after a few seconds.
             info!(token, error = %format_args!("{error:#}"), "duty: not given back");
@@ -296,9 +327,15 @@
     }
 
     /// Writes who leads now and tells all hosts.
-    async fn finish(&self, host: &Rc<Host>, group: &Group, leader: ServerId) -> anyhow::Result<()> {
+    async fn finish(
+        &self,
+        host: &Rc<Host>,
+        group: &Group,
+        leader: ServerId,
+        term: Term,
+    ) -> anyhow::Result<()> {
         let key = fleet::group_key(&group.id);
-        let steady = Leadership::Steady { leader };
+        let steady = Leadership::Steady { leader, term };
         let change = Change {
             expect: vec![(key.clone(), self.intent)],
             put: vec![(key, serde_json::to_vec(&steady)?)],
@@ -324,6 +361,17 @@
     }
 }
 
+fn standing(pool: &Pool, status: Status) -> Standing {
+    let listed = pool.listed.borrow();
+    Standing {
+        id: listed.id.clone(),
+        leads: status.role == Role::Primary,
+        leaving: listed.leaving,
+        term: status.term,
+        received: status.received,
+    }
+}
+
 /// Waits until a replica has received the leaving leader's whole log, so that
 /// nothing that was acknowledged is lost. One that receives nothing any more is not
 /// waited for: it is cut off, and what it lacks was confirmed to nobody.
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -71,6 +71,8 @@
 
 const GROUP: &str = "group/";
 
+const CLOSED: &str = "closed/";
+
 const SECRET: &str = "secret";
 
 /// The key of the duty's row.
@@ -81,6 +83,11 @@
     format!("{GROUP}{group}").into()
 }
 
+/// The key of the row of a group's terms that are over.
+pub fn closed_key(group: &GroupId) -> Box<str> {
+    format!("{CLOSED}{group}").into()
+}
+
 /// The key of a host's row.
 pub fn member_key(host: &HostId) -> Box<str> {
     format!("{MEMBER}{host}").into()
@@ -102,6 +109,9 @@
         } else if let Some(group) = row.key.strip_prefix(GROUP) {
             let value = serde_json::from_slice(&row.value).context("reading a group's row")?;
             view.groups.insert(group.parse()?, Versioned { version, value });
+        } else if let Some(group) = row.key.strip_prefix(CLOSED) {
+            let term = serde_json::from_slice(&row.value).context("reading closed terms")?;
+            view.closed.insert(group.parse()?, term);
         } else if &*row.key == DUTY {
             let value = serde_json::from_slice(&row.value).context("reading the duty's row")?;
             view.duty = Some(Versioned { version, value });
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -301,7 +301,7 @@
         let held = self.held.borrow();
         held.age(self.now())?;
         match held.leadership(group).map(|versioned| &versioned.value) {
-            Some(Leadership::Steady { leader }) => Some(leader.clone()),
+            Some(Leadership::Steady { leader, .. }) => Some(leader.clone()),
             Some(Leadership::Moving { .. }) => None,
             None => {
                 let servers = self.servers(group);
--- a/components/proxy/src/lead.rs
+++ b/components/proxy/src/lead.rs
@@ -59,7 +59,7 @@
     }
     let now = host.now();
     let leadership = host.held.borrow().leadership(&group.id).map(|row| row.value.clone());
-    if let Some(Leadership::Moving { holder, since, planned, from }) = leadership {
+    if let Some(Leadership::Moving { holder, since, planned, from, .. }) = leadership {
         if !group.probed.replace(true) {
             let move_on = take_over(host.clone(), group.clone(), holder, since, planned, from);
             monoio::spawn(move_on);
@@ -207,7 +207,7 @@
     let (host, group) = (host.clone(), group.clone());
     // What was decided was decided on this row: when another host has written its
     // intent meanwhile, this one's must not be written over it.
-    let before = host.held.borrow().leadership(&group.id).map_or(0, |row| row.version);
+    let before = host.held.borrow().leadership(&group.id).cloned();
     monoio::spawn(async move {
         // Hosts notice together; the first to write the intent makes the change.
         let pause = rand::random_range(0..40);
