An account's bucket is one, copied on all hosts from the figures they tell

After a death of all hosts nobody had told anything, so each took the whole rate until the others spoke; and while demand rose everywhere at once each counted itself newer.

Change: hosts tell what they admitted, and each host keeps a copy of the account's one bucket from told figures alone, its own included. Until the next figures a host admits its weight of what is left. A host that starts takes the level of those that have one; when all died it is empty. A quiet host's weight is set apart after 1 s.

--- a/components/coordination/src/demand.rs
+++ b/components/coordination/src/demand.rs
@@ -1,17 +1,26 @@
-//! A host's part of an account's rate, by where the account's callers are.
+//! One account's rate over all hosts, by what hosts tell each other.
 //!
 //! The load it answers: a balancer that spreads callers unevenly over the hosts,
-//! accounts of which a few are large, and an account that sends several times
-//! its rate. Equal parts would refuse callers at the host where most of them
-//! are, while other hosts have tokens that nobody asks for. So the larger part
-//! of the rate follows the demand that hosts tell each other, and the smaller
-//! one is spread equally, for hosts where demand begins.
+//! accounts of which a few are large, an account that sends several times its rate,
+//! and all of that while hosts die and come back. Fixed parts would refuse callers at
+//! the host where most of them are, while other hosts have tokens that nobody asks for.
 //!
-//! The sum of all parts stays the rate while hosts hear each other. When some do
-//! not, parts must not grow on both sides of a cut. So a host that has lost
-//! another lets its part only shrink at first. Hosts that hear less than half of
-//! the fleet fall back to the least part each; later, when that has surely
-//! happened, the others share the rest. Two halves have half of the rate each.
+//! Each host keeps a copy of the one bucket that the account has. It fills by the
+//! whole rate and is emptied by what all hosts *told* that they admitted, the host's
+//! own figure included. All copies are drawn from the same figures, so they agree
+//! within the interval of telling. Until the next figures each host may admit its
+//! *weight* of what is left: three quarters of the weight follow the demand that was
+//! told, with what nobody asks for spread equally, and one quarter is equal. What all
+//! admit meanwhile is no more than was left.
+//!
+//! A host that starts has an empty bucket and equal weights until it has heard the
+//! others; it takes their level over. When all hosts died the level is lost with
+//! them, and nothing is admitted but what has come since.
+//!
+//! Hosts that do not hear each other must not both use what is left. A host that has
+//! been quiet for a moment has its weight set apart. Hosts that hear less than half of
+//! the fleet fall back to the least part each; later, when that has surely happened,
+//! the others share the rest. Two halves have half of the rate each.
 
 use std::{
     cmp::Ordering,
@@ -23,14 +32,15 @@
 
 use crate::{AccountId, Burst, HostId, Rate};
 
-/// The part of a rate that follows the demand.
+/// The part of a weight that follows the demand.
 const BY_DEMAND: f64 = 0.75;
 
 /// How long demand counts: the time in which most of an old figure is forgotten.
-const MEMORY: Duration = Duration::from_millis(1500);
+const MEMORY: Duration = Duration::from_millis(2000);
 
-/// How long a host counts as heard; several times the interval of reports.
-pub const HEARD_FOR: Duration = Duration::from_millis(1600);
+/// When a host's weight is set apart: it has missed two of the figures that hosts tell
+/// every 400 ms.
+pub const QUIET_AFTER: Duration = Duration::from_millis(1000);
 
 /// When a host that hears less than half of the hosts uses the least part only.
 pub const ALONE_AFTER: Duration = Duration::from_millis(2500);
@@ -39,13 +49,25 @@
 /// to notice, with the last message it heard on its way.
 pub const LOST_AFTER: Duration = Duration::from_millis(4000);
 
+/// Demand that is not told, in requests a second: forgotten but for a trace.
+const LEAST_TOLD: f64 = 0.05;
+
 /// The part of the tolerance that hosts use on purpose. The rest is for what they
-/// cannot know: demand that moved since it was told, and clocks that differ.
+/// cannot know: what a host admitted that died before it told, and clocks that differ.
 const TOLERANCE_USED: f64 = 0.5;
 
+/// The part of the slack that hosts may admit beyond their weight of what is left, each
+/// an equal part of it. Callers come in clusters: with nine hosts and a small account a
+/// weight is less than the three or four requests that come together.
+const LENT: f64 = 0.25;
+
+/// The longest time after which callers are told to come back: demand may have
+/// moved by then.
+const LONGEST_RETRY: Duration = Duration::from_secs(5);
+
 /// How far a rate may be exceeded over the whole fleet.
 ///
-/// It is there to be used: with parts that sum to just the rate, a host refuses
+/// It is there to be used: with no more than just the rate, a host refuses
 /// requests that one bucket for all would have admitted, whenever callers come to
 /// the hosts in another rhythm than tokens do.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -56,8 +78,26 @@
     pub slack: f64,
 }
 
-/// Requests asked for, by account, each a second.
-pub type Asked = Vec<(AccountId, f64)>;
+/// What a host tells of one account. It is told to all hosts several times a second,
+/// so its names on the wire are short.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Figures {
+    /// The account.
+    #[serde(rename = "a")]
+    pub account: AccountId,
+    /// Requests asked for, a second.
+    #[serde(rename = "r")]
+    pub rate: f32,
+    /// Requests admitted since the teller started.
+    #[serde(rename = "n")]
+    pub admitted: u64,
+    /// What the teller thinks is left in the account's bucket; none while it is new.
+    #[serde(rename = "l")]
+    pub level: Option<f32>,
+}
+
+/// What a host tells of all accounts that are asked for there.
+pub type Asked = Vec<Figures>;
 
 #[derive(Clone, Debug)]
 struct Meter {
@@ -77,24 +117,53 @@
     }
 }
 
+/// What another host told last.
 #[derive(Debug)]
 struct Told {
     asked: BTreeMap<AccountId, f64>,
+    /// Who speaks for the host; one that follows it has counts of its own.
+    teller: Option<HostId>,
+    admitted: BTreeMap<AccountId, u64>,
     /// When it was heard last, or became known.
     at: Instant,
 }
 
-/// The longest time after which callers are told to come back: demand may have
-/// moved by then.
-const LONGEST_RETRY: Duration = Duration::from_secs(5);
+/// How a host stands to this one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Hearing {
+    Heard,
+    /// It may go on using its weight of what was left.
+    Quiet,
+    /// It is dead, or it has noticed by now that it stands alone.
+    Lost,
+}
+
+impl Told {
+    fn hearing(&self, now: Instant) -> Hearing {
+        match now.saturating_duration_since(self.at) {
+            silence if silence < QUIET_AFTER => Hearing::Heard,
+            silence if silence < LOST_AFTER => Hearing::Quiet,
+            _ => Hearing::Lost,
+        }
+    }
+}
 
-/// Tokens of one account at this host.
+/// One account at this host.
 #[derive(Debug)]
-struct Tokens {
-    saved: f64,
+struct Ledger {
+    rate: Rate,
+    burst: Burst,
+    asked: Meter,
+    /// What the others were told of `asked`.
+    told: f64,
+    /// Requests admitted since the start, and how many of them the others were told of.
+    admitted: u64,
+    admitted_told: u64,
+    /// What is left for this side of the fleet, by all that was told.
+    level: f64,
     at: Instant,
-    /// The last part of the rate; it does not grow while a lost host may use its own.
-    part: f64,
+    /// The part of the rate that this side had at `at`.
+    side: f64,
 }
 
 /// What was decided about a request.
@@ -108,13 +177,21 @@
     pub retry: Duration,
 }
 
-/// The parts of all rates at one host.
+/// This host's part of an account's rate.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    /// What all hosts have that this one hears, itself included.
+    side: f64,
+    /// What this host has of that.
+    weight: f64,
+}
+
+/// The rates of all accounts at one host.
 #[derive(Debug, Default)]
 pub struct Demand {
     tolerance: Tolerance,
-    mine: HashMap<AccountId, Meter>,
     hosts: BTreeMap<HostId, Told>,
-    tokens: HashMap<AccountId, Tokens>,
+    ledgers: HashMap<AccountId, Ledger>,
 }
 
 impl Demand {
@@ -123,44 +200,100 @@
         Self { tolerance, ..Self::default() }
     }
 
-    /// Sets which other hosts have a part.
+    /// Sets which other hosts admit requests.
     pub fn set_hosts(&mut self, hosts: impl IntoIterator<Item = HostId>, now: Instant) {
         let mut old = std::mem::take(&mut self.hosts);
         for host in hosts {
             let told = old.remove(&host);
-            let told = told.unwrap_or(Told { asked: BTreeMap::new(), at: now });
+            let (asked, admitted) = Default::default();
+            let told = told.unwrap_or(Told { asked, teller: None, admitted, at: now });
             self.hosts.insert(host, told);
         }
     }
 
-    /// Notes what another host said.
-    pub fn heard(&mut self, host: &HostId, asked: Asked, now: Instant) {
-        if let Some(told) = self.hosts.get_mut(host) {
-            *told = Told { asked: asked.into_iter().collect(), at: now };
+    /// Notes an account's contract. What it has saved up begins with nothing: hosts that
+    /// start anew one after the other would otherwise grant the burst again each time.
+    pub fn know(&mut self, account: &AccountId, rate: Rate, burst: Burst, now: Instant) {
+        let start = Ledger {
+            rate,
+            burst,
+            asked: Meter { rate: 0.0, at: now },
+            told: 0.0,
+            admitted: 0,
+            admitted_told: 0,
+            level: 0.0,
+            at: now,
+            side: 1.0,
+        };
+        let ledger = self.ledgers.entry(account.clone()).or_insert(start);
+        (ledger.rate, ledger.burst) = (rate, burst);
+    }
+
+    /// Notes what another host said; `teller` is who speaks for it.
+    pub fn heard(&mut self, host: &HostId, teller: &HostId, asked: Asked, now: Instant) {
+        let new = self.is_new(now);
+        let Some(told) = self.hosts.get_mut(host) else { return };
+        let lost = told.hearing(now) == Hearing::Lost;
+        let first = told.teller.as_ref() != Some(teller);
+        told.teller = Some(teller.clone());
+        told.at = now;
+        told.asked = asked.iter().map(|said| (said.account.clone(), said.rate.into())).collect();
+        let before = std::mem::take(&mut told.admitted);
+        told.admitted = asked.iter().map(|said| (said.account.clone(), said.admitted)).collect();
+        for said in asked {
+            let part = self.part(&said.account, now);
+            let Some(ledger) = self.ledgers.get_mut(&said.account) else { continue };
+            ledger.fill(&self.tolerance, part.side, now);
+            if let Some(level) = said.level.filter(|_| new) {
+                let level = f64::from(level).min(ledger.most(&self.tolerance));
+                ledger.level = ledger.level.max(level);
+            } else if !first && !lost {
+                let before = before.get(&said.account).copied().unwrap_or_default();
+                // A lower count is that of a teller that has started again.
+                let more = said.admitted.checked_sub(before).unwrap_or(said.admitted);
+                ledger.spend(more as f64);
+            }
         }
     }
 
-    /// What this host's callers ask for.
-    pub fn asked(&self, now: Instant) -> Asked {
-        let asked = self.mine.iter().map(|(account, meter)| (account.clone(), meter.decayed(now)));
-        asked.filter(|(_, rate)| *rate > 0.05).collect()
+    /// Notes what this host's callers ask for, to be told to all others now.
+    pub fn tell(&mut self, now: Instant) {
+        let accounts: Vec<_> = self.ledgers.keys().cloned().collect();
+        for account in accounts {
+            let part = self.part(&account, now);
+            let Some(ledger) = self.ledgers.get_mut(&account) else { continue };
+            ledger.fill(&self.tolerance, part.side, now);
+            ledger.spend((ledger.admitted - ledger.admitted_told) as f64);
+            ledger.admitted_told = ledger.admitted;
+            ledger.told = ledger.asked.decayed(now);
+        }
     }
 
-    /// How long ago each other host was heard.
-    fn silences(&self, now: Instant) -> impl Iterator<Item = Duration> {
-        self.hosts.values().map(move |told| now.saturating_duration_since(told.at))
+    /// What this host's callers asked for when that was told last.
+    pub fn asked(&self, now: Instant) -> Asked {
+        let new = self.is_new(now);
+        let asked = self.ledgers.iter().filter(|(_, ledger)| ledger.told > LEAST_TOLD);
+        let figures = asked.map(|(account, ledger)| Figures {
+            account: account.clone(),
+            rate: ledger.told as f32,
+            admitted: ledger.admitted_told,
+            level: (!new).then_some(ledger.level as f32),
+        });
+        figures.collect()
     }
 
-    /// Whether a host was lost so lately that it may still use its old part.
-    fn is_unsettled(&self, now: Instant) -> bool {
-        self.silences(now).any(|silence| silence >= HEARD_FOR && silence < LOST_AFTER)
+    /// Whether another host that may be there has not been heard since this one knows it.
+    fn is_new(&self, now: Instant) -> bool {
+        let unheard = |told: &Told| told.teller.is_none() && told.hearing(now) != Hearing::Lost;
+        self.hosts.values().any(unheard)
     }
 
     /// The part of every rate that the hosts heard within that time share, this
     /// one included. Over all sides of a cut the sum is 1 at most.
     fn pool(&self, within: Duration, now: Instant) -> f64 {
         let hosts = (self.hosts.len() + 1) as f64;
-        let heard = (self.silences(now).filter(|silence| *silence < within).count() + 1) as f64;
+        let silences = self.hosts.values().map(|told| now.saturating_duration_since(told.at));
+        let heard = (silences.filter(|silence| *silence < within).count() + 1) as f64;
         let least = (1.0 - BY_DEMAND) / hosts;
         match (2.0 * heard).total_cmp(&hosts) {
             Ordering::Greater => 1.0 - (hosts - heard) * least,
@@ -169,55 +302,78 @@
         }
     }
 
-    /// This host's part of the account's rate, from 0 to 1.
-    fn part(&self, account: &AccountId, now: Instant) -> f64 {
-        let mine = self.mine.get(account).map_or(0.0, |meter| meter.decayed(now));
-        let counts = |told: &&Told| now.saturating_duration_since(told.at) < LOST_AFTER;
-        let told = |told: &Told| told.asked.get(account).copied().unwrap_or(0.0);
-        let heard = self.hosts.values().filter(counts);
-        let equal = 1.0 / (heard.clone().count() + 1) as f64;
-        let all = mine + heard.map(told).sum::<f64>();
-        let by_demand = if all > 0.0 { mine / all } else { equal };
+    /// This host's part of the account's rate.
+    fn part(&self, account: &AccountId, now: Instant) -> Part {
+        let ledger = self.ledgers.get(account);
+        let (mine, owed) = ledger.map_or((0.0, 0.0), |ledger| (ledger.told, ledger.rate.0));
+        let there = self.hosts.values().filter(|told| told.hearing(now) != Hearing::Lost);
+        let rate = |told: &Told| told.asked.get(account).copied().unwrap_or_default();
+        let count = (there.clone().count() + 1) as f64;
+        let all = mine + there.clone().map(rate).sum::<f64>();
+        let whole = all.max(owed).max(f64::MIN_POSITIVE);
+        let known = !self.is_new(now);
+        // What nobody asks for is spread equally.
+        let weight = |rate: f64| match known {
+            true => {
+                let by_demand = (rate + (whole - all) / count) / whole;
+                BY_DEMAND * by_demand + (1.0 - BY_DEMAND) / count
+            }
+            false => 1.0 / count,
+        };
+        let quiet = there.filter(|told| told.hearing(now) == Hearing::Quiet);
+        let apart: f64 = quiet.map(|told| weight(rate(told))).sum();
         let pool = self.pool(ALONE_AFTER, now).min(self.pool(LOST_AFTER, now));
-        pool * (BY_DEMAND * by_demand + (1.0 - BY_DEMAND) * equal)
+        let heard = (1.0 - apart).max(f64::MIN_POSITIVE);
+        Part { side: pool.min(heard), weight: (weight(mine) / heard).min(1.0) }
     }
 
     /// Takes a token for a request of the account.
-    ///
-    /// A bucket starts empty: hosts that start anew one after the other would
-    /// otherwise grant the burst again each time.
     pub fn take(&mut self, account: &AccountId, rate: Rate, burst: Burst, now: Instant) -> Ruling {
-        let meter = Meter { rate: 0.0, at: now };
-        self.mine.entry(account.clone()).or_insert(meter).add(now);
-        let mut part = self.part(account, now);
-        let unsettled = self.is_unsettled(now);
-        let start = Tokens { saved: 0.0, at: now, part: 0.0 };
-        let tokens = self.tokens.entry(account.clone()).or_insert(start);
-        if unsettled {
-            let equal = 1.0 / (self.hosts.len() + 1) as f64;
-            part = part.min(if tokens.part > 0.0 { tokens.part } else { equal });
-        }
-        tokens.part = part;
-        let over = 1.0 + TOLERANCE_USED * self.tolerance.overage;
-        let extra = TOLERANCE_USED * self.tolerance.slack / (self.hosts.len() + 1) as f64;
-        let pace = (rate.0 * part * over).max(f64::MIN_POSITIVE);
-        let passed = now.saturating_duration_since(tokens.at).as_secs_f64();
-        let most = (burst.0 * part + extra).max(1.0);
-        tokens.saved = (tokens.saved + passed * pace).min(most);
-        tokens.at = now;
-        let admitted = tokens.saved >= 1.0;
-        if admitted {
-            tokens.saved -= 1.0;
+        self.know(account, rate, burst, now);
+        let part = self.part(account, now);
+        let tolerance = self.tolerance;
+        let ledger = self.ledgers.get_mut(account).expect("the account is known by now");
+        ledger.asked.add(now);
+        ledger.fill(&tolerance, part.side, now);
+        let untold = (ledger.admitted - ledger.admitted_told) as f64;
+        let lent = LENT * tolerance.slack / (self.hosts.len() + 1) as f64;
+        let left = part.weight * ledger.level + lent - untold;
+        let admitted = left >= 1.0;
+        ledger.admitted += u64::from(admitted);
+        let pace = part.weight * ledger.pace(&tolerance);
+        let retry = Duration::try_from_secs_f64((1.0 - left).max(0.0) / pace);
+        let retry = retry.unwrap_or(LONGEST_RETRY).min(LONGEST_RETRY);
+        Ruling { admitted, part: part.side * part.weight, retry }
+    }
+}
+
+impl Ledger {
+    /// Tokens a second that this side has.
+    fn pace(&self, tolerance: &Tolerance) -> f64 {
+        let over = 1.0 + TOLERANCE_USED * tolerance.overage;
+        (self.rate.0 * self.side * over).max(f64::MIN_POSITIVE)
+    }
+
+    /// The most that this side may save up.
+    fn most(&self, tolerance: &Tolerance) -> f64 {
+        (self.burst.0 + TOLERANCE_USED * tolerance.slack) * self.side
+    }
+
+    /// Saves what has come, and leaves to hosts that are not heard any more what is theirs.
+    fn fill(&mut self, tolerance: &Tolerance, side: f64, now: Instant) {
+        if side < self.side {
+            self.level *= side / self.side;
         }
-        let missing = (1.0 - tokens.saved).max(0.0);
-        let retry = Duration::try_from_secs_f64(missing / pace).unwrap_or(LONGEST_RETRY);
-        let retry = retry.min(LONGEST_RETRY);
-        Ruling { admitted, part, retry }
+        self.side = side;
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.level = (self.level + passed * self.pace(tolerance)).min(self.most(tolerance));
+        self.at = now;
     }
 
-    /// Begins to save up tokens for accounts that have not asked yet.
-    pub fn know(&mut self, account: &AccountId, now: Instant) {
-        let start = Tokens { saved: 0.0, at: now, part: 0.0 };
-        self.tokens.entry(account.clone()).or_insert(start);
+    /// Takes out what was admitted. What was admitted beyond what was known to be left,
+    /// by a host that came back, is not held against the account for longer than it
+    /// takes to fill the bucket once.
+    fn spend(&mut self, tokens: f64) {
+        self.level = (self.level - tokens).max(-self.burst.0.max(1.0));
     }
 }
--- a/components/coordination/tests/demand.rs
+++ b/components/coordination/tests/demand.rs
@@ -60,11 +60,16 @@
     }
 
     fn tell(&mut self, hears: impl Fn(usize, usize) -> bool) {
-        let told: Vec<_> = self.hosts.iter().map(|(_, demand)| demand.asked(self.now)).collect();
+        let now = self.now;
+        let tell = |(_, demand): &mut (HostId, Demand)| {
+            demand.tell(now);
+            demand.asked(now)
+        };
+        let told: Vec<_> = self.hosts.iter_mut().map(tell).collect();
         for (to, (_, demand)) in self.hosts.iter_mut().enumerate() {
             for (from, asked) in told.iter().enumerate() {
                 if from != to && hears(to, from) {
-                    demand.heard(&host(from), asked.clone(), self.now);
+                    demand.heard(&host(from), &host(from), asked.clone(), self.now);
                 }
             }
         }
@@ -184,3 +189,80 @@
     let worst = restarted.worst_window();
     assert!(worst <= allowed(), "{worst} were admitted in a window, {} are allowed", allowed());
 }
+
+/// How often hosts tell each other what is asked of them.
+const TELL_EVERY: Duration = Duration::from_millis(400);
+
+/// Lets time pass in a fleet whose hosts tell their demand each at its own moment, as
+/// hosts do that were not started together.
+fn run_apart(fleet: &mut Fleet, time: Duration, asks: f64) {
+    let end = fleet.now + time;
+    let size = fleet.hosts.len() as u32;
+    let mut due = vec![0.0; fleet.hosts.len()];
+    let mut next: Vec<Instant> = (0..size).map(|n| fleet.now + TELL_EVERY * n / size).collect();
+    while fleet.now < end {
+        fleet.now += TICK;
+        let now = fleet.now;
+        for n in 0..fleet.hosts.len() {
+            due[n] += asks * TICK.as_secs_f64();
+            while due[n] >= 1.0 {
+                due[n] -= 1.0;
+                if fleet.hosts[n].1.take(&account(), RATE, BURST, now).admitted {
+                    fleet.admitted.push((now, n));
+                }
+            }
+            if now < next[n] {
+                continue;
+            }
+            next[n] += TELL_EVERY;
+            fleet.hosts[n].1.tell(now);
+            let told = fleet.hosts[n].1.asked(now);
+            for (to, (_, demand)) in fleet.hosts.iter_mut().enumerate() {
+                if to != n {
+                    demand.heard(&host(n), &host(n), told.clone(), now);
+                }
+            }
+        }
+    }
+}
+
+/// An account's callers are refused for the rest of a day since the platform counts
+/// more operations than its limit allows. The account sent eight times its rate, all
+/// hosts died together, and each came back knowing no demand but its own: each took
+/// the account's whole rate for itself until the others told theirs.
+#[test]
+fn hosts_that_all_died_do_not_each_take_the_whole_rate() {
+    for apart_ms in [100, 500, 1000, 2000] {
+        let mut fleet = Fleet::new(9);
+        let (usual, hot) = (RATE.0 / 1.6 / 9.0, RATE.0 * 5.0 / 9.0);
+        run_apart(&mut fleet, Duration::from_secs(6), usual);
+        run_apart(&mut fleet, Duration::from_secs(3), hot);
+        let mut restarted = Fleet::new(9);
+        restarted.now = fleet.now + Duration::from_millis(apart_ms);
+        restarted.hosts.iter_mut().enumerate().for_each(|(n, (_, demand))| {
+            let others = (0..9).filter(|other| *other != n).map(host);
+            *demand = Demand::new(Tolerance { overage: 0.1, slack: 20.0 });
+            demand.set_hosts(others, restarted.now);
+        });
+        restarted.admitted = std::mem::take(&mut fleet.admitted);
+        let back = restarted.now;
+        run_apart(&mut restarted, Duration::from_secs(6), hot);
+        let worst = restarted.worst_window();
+        assert!(worst <= allowed(), "{worst} were admitted in a window, {} are allowed", allowed());
+        let admitted = restarted.admitted_since(back) as f64;
+        assert!(admitted >= RATE.0 * 6.0 * 0.95, "only {admitted} of the rate were admitted");
+    }
+}
+
+/// A demand that rises everywhere at once, while hosts tell it at different moments:
+/// each divided its own newest figure by older ones of the others, so that all parts
+/// together were more than the rate.
+#[test]
+fn a_demand_that_rises_everywhere_keeps_to_the_rate() {
+    let mut fleet = Fleet::new(9);
+    run_apart(&mut fleet, Duration::from_secs(6), RATE.0 / 1.6 / 9.0);
+    run_apart(&mut fleet, Duration::from_secs(6), RATE.0 * 8.0 / 9.0);
+    let worst = fleet.worst_window();
+    let used = ((RATE.0 * 5.0 + BURST.0) * 1.05 + 10.0) as usize + 9;
+    assert!(worst <= used, "{worst} were admitted in a window, {used} are meant to be");
+}
--- a/components/coordination/tests/suspicion.rs
+++ b/components/coordination/tests/suspicion.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bergamottrack_coordination::{
-    Point, Term,
+    Point,
     suspicion::{self, Advice, STILL_FOR, Suspicion},
 };
 
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -127,7 +127,7 @@
         let now = self.now();
         let mut demand = self.demand.borrow_mut();
         for account in plan.accounts() {
-            demand.know(&account.id, now);
+            demand.know(&account.id, account.rate, account.burst, now);
         }
         drop(demand);
         *self.kept.borrow_mut() = Some(Kept { plan: Rc::new(plan), raw });
--- a/components/proxy/src/news.rs
+++ b/components/proxy/src/news.rs
@@ -39,7 +39,8 @@
     host.heard.borrow_mut().insert(peer.host.clone(), (host.now(), version));
     match question {
         Question::Beat(beat) => {
-            teller.tell(Answer::Beat(Box::new(own_beat(host))));
+            // What callers ask for here is told with this host's own beats.
+            teller.tell(Answer::Beat(Box::new(Beat { asked: None, ..own_beat(host) })));
             take_beat(host, &peer.host, &peer.domain, *beat);
         }
         Question::Take { account, rate, burst } => {
@@ -95,7 +96,7 @@
     if let Some(asked) = beat.asked {
         let mesh = host.neighbours.borrow().mesh;
         let bank = if mesh { id.clone() } else { fleet::bank_of(domain) };
-        host.demand.borrow_mut().heard(&bank, asked, host.now());
+        host.demand.borrow_mut().heard(&bank, id, asked, host.now());
     }
     if beat.majority && *id == host.hub() {
         host.hub_majority.set(Some(host.now()));
@@ -131,6 +132,7 @@
 /// Tells the other hosts what this one's callers ask for and what it knows, for ever.
 pub async fn beat(host: Rc<Host>) {
     loop {
+        host.demand.borrow_mut().tell(host.now());
         let beat = own_beat(&host);
         let hub = host.hub();
         let spoken = |link: &Rc<Link>| link.is_up() && (host.is_hub() || link.host == hub);
