One host holds a server's connections and runs the others' statements on them

Cause: nine hosts and eight accounts make 72 pairs before servers that take 23 connections, so two statements of three opened one, 12 ms of a slot each, where a read works for 6 to 30 ms.

Change: coordination::holders ranks the hosts of a server's failure domain, the strongest half; the first that is up holds its connections and has its one queue. Other hosts send it statement, values and prepared shape over the link that is there (Question::Relay); transactions stay on their connection and end when their host's link does. Leases, confirming and choice stay with the caller's host. A holder that owes an answer for 550 ms is passed over; where none is reached a host connects itself as before (--without shared-connections: always).

--- a/components/coordination/src/gate.rs
+++ b/components/coordination/src/gate.rs
@@ -44,6 +44,7 @@
 #[derive(Clone, Debug)]
 pub struct Gate {
     limit: f64,
+    least: f64,
     most: f64,
     running: usize,
     mean: f64,
@@ -71,6 +72,7 @@
     pub fn new(most: usize) -> Self {
         Self {
             limit: FIRST_LIMIT.min(most.max(1) as f64),
+            least: LEAST,
             most: most.max(1) as f64,
             running: 0,
             mean: FIRST_GUESS,
@@ -81,11 +83,14 @@
         }
     }
 
-    /// Sets the most that may be under way.
-    pub fn set_most(&mut self, most: usize) {
-        let most = most.max(1) as f64;
-        self.limit = self.limit.min(most);
-        self.most = most;
+    /// Sets the least and the most that may be under way.
+    ///
+    /// A host that alone sends to a server keeps its slots filled at the least, however
+    /// long answers take: fewer would leave slots idle while callers are refused.
+    pub fn set_bounds(&mut self, least: usize, most: usize) {
+        self.most = most.max(1) as f64;
+        self.least = (least as f64).clamp(LEAST, self.most);
+        self.limit = self.limit.clamp(self.least, self.most);
     }
 
     /// Statements under way.
@@ -95,7 +100,7 @@
 
     /// How many may be under way now.
     pub fn limit(&self) -> usize {
-        self.limit.max(LEAST) as usize
+        self.limit.max(self.least) as usize
     }
 
     /// How long the next one of that priority would wait.
@@ -104,7 +109,7 @@
             return Duration::ZERO;
         }
         let ahead = self.waiting.range(..=(priority, u64::MAX)).count() + 1;
-        Duration::from_secs_f64(ahead as f64 * self.mean / self.limit.max(LEAST))
+        Duration::from_secs_f64(ahead as f64 * self.mean / self.limit.max(self.least))
     }
 
     /// Receives a statement that may wait for `patience`; 0 is the most urgent priority.
@@ -147,7 +152,7 @@
         self.settle -= 1.0;
         if self.mean > LONG * self.base {
             if self.settle <= 0.0 {
-                self.limit = (self.limit * SHRINK).max(LEAST);
+                self.limit = (self.limit * SHRINK).max(self.least);
                 self.settle = self.limit + MEAN_OVER / 2.0;
             }
         } else {
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod fair;
 pub mod freshness;
 pub mod gate;
+pub mod holders;
 pub mod hubs;
 pub mod ids;
 pub mod leadership;
--- a/components/coordination/tests/suspicion.rs
+++ b/components/coordination/tests/suspicion.rs
@@ -4,7 +4,7 @@
 
 use bergamottrack_coordination::{
     Point,
-    suspicion::{self, Advice, STILL_FOR, Suspicion},
+    suspicion::{Advice, STILL_FOR, Suspicion},
 };
 
 const MS: Duration = Duration::from_millis(1);
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -166,6 +166,8 @@
             Question::Act { .. }
             | Question::Beat(_)
             | Question::Newest(_)
+            | Question::Relay(_)
+            | Question::Hang(_)
             | Question::Take { .. } => {
                 return None;
             }
--- a/components/model/src/settings.rs
+++ b/components/model/src/settings.rs
@@ -36,4 +36,21 @@
     pub strict: Option<Duration>,
     /// How far an account's rate may be exceeded, so that hosts can share it out.
     pub tolerance: Tolerance,
+    /// Mechanisms that are switched off.
+    pub without: Vec<Mechanism>,
+}
+
+impl Settings {
+    /// Whether a mechanism is switched on.
+    pub fn has(&self, mechanism: Mechanism) -> bool {
+        !self.without.contains(&mechanism)
+    }
+}
+
+/// A mechanism that can be switched off, to measure what it is worth. All promises hold
+/// without any of them, but for what the mechanism itself promises.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mechanism {
+    /// Statements run on connections that one host holds for all.
+    SharedConnections,
 }
--- a/components/model/src/statement.rs
+++ b/components/model/src/statement.rs
@@ -2,9 +2,10 @@
 
 use bergamottrack_coordination::{Fate, Point};
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 /// What a statement or transaction may do to the data.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum Access {
     /// It only reads.
     Read,
@@ -54,7 +55,7 @@
 }
 
 /// What a prepared statement does.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Shape {
     /// Whether it writes.
     pub access: Access,
@@ -74,7 +75,7 @@
 }
 
 /// How a session stands between statements.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub enum State {
     /// Outside of any transaction.
     #[default]
@@ -86,7 +87,7 @@
 }
 
 /// Why a statement has no answer of its own.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum Failure {
     /// The transaction is over and nothing of it is kept.
     Aborted,
@@ -129,7 +130,7 @@
 }
 
 /// How a backend server's answer ended.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Outcome {
     /// It ran.
     Done,
@@ -138,15 +139,19 @@
 }
 
 /// A whole answer of a backend server.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct ServerAnswer {
     /// Rows and outcome as the server sent them, to be passed on unchanged.
+    #[serde(rename = "r")]
     pub relay: Bytes,
     /// How it ended.
+    #[serde(rename = "o")]
     pub outcome: Outcome,
     /// How the connection stands.
+    #[serde(rename = "s")]
     pub state: State,
     /// How far the server's log reached when it answered.
+    #[serde(rename = "p")]
     pub point: Option<Point>,
 }
 
--- a/components/peer/src/accept.rs
+++ b/components/peer/src/accept.rs
@@ -40,6 +40,24 @@
     pub fn tell(self, answer: Answer) {
         let _ = self.out.send(Message::Tell(self.no, answer));
     }
+
+    /// Tells whether the link that the question came by is still there.
+    pub fn watch(&self) -> Watch {
+        Watch { out: self.out.clone() }
+    }
+}
+
+/// Tells whether a peer's link is still there.
+#[derive(Clone, Debug)]
+pub struct Watch {
+    out: UnboundedSender<Message>,
+}
+
+impl Watch {
+    /// Whether it is.
+    pub fn is_open(&self) -> bool {
+        !self.out.is_closed()
+    }
 }
 
 /// What a host does for its peers.
--- a/components/peer/src/lib.rs
+++ b/components/peer/src/lib.rs
@@ -1,12 +1,14 @@
 //! Messages and links between the hosts.
 
 pub mod accept;
+pub mod errand;
 pub mod exchange;
 pub mod link;
 pub mod mesh;
 pub mod message;
 mod socket;
 
+pub use errand::{Errand, NotSent, Relayed, WorkNo};
 pub use exchange::{Exchange, HomeSide, open_local};
 pub use link::Link;
 pub use mesh::Mesh;
--- a/components/peer/src/link.rs
+++ b/components/peer/src/link.rs
@@ -65,6 +65,8 @@
     waiters: RefCell<HashMap<RequestNo, Waiter>>,
     next_no: Cell<RequestNo>,
     heard: Cell<Option<Instant>>,
+    /// Since when the peer owes an answer without saying anything.
+    owes: Cell<Option<Instant>>,
     closed: Cell<bool>,
     /// Whether the peer is being stopped.
     leaving: Cell<bool>,
@@ -90,6 +92,7 @@
             waiters: RefCell::default(),
             next_no: Cell::default(),
             heard: Cell::default(),
+            owes: Cell::default(),
             closed: Cell::default(),
             leaving: Cell::default(),
             pace,
@@ -110,6 +113,14 @@
             && self.heard.get().is_some_and(|t| self.clock.now() < t + self.pace.silence)
     }
 
+    /// Whether the peer has said something within that time, if it owes an answer.
+    ///
+    /// Guards against a host that froze: its link counts as up for seconds, and all that
+    /// is asked of it meanwhile waits in vain.
+    pub fn is_prompt(&self, within: Duration) -> bool {
+        self.is_up() && self.owes.get().is_none_or(|since| self.clock.now() < since + within)
+    }
+
     /// Whether the peer is being stopped: it ends what it has and gets nothing new.
     pub fn is_leaving(&self) -> bool {
         self.leaving.get()
@@ -130,6 +141,7 @@
         let out = out.with_context(|| format!("the link to {} is down", self.host))?;
         let (tx, rx) = oneshot::channel();
         let no = self.wait(Waiter::Question(tx));
+        self.owes.set(self.owes.get().or_else(|| Some(self.clock.now())));
         let sent = out.send(Message::Ask(no, question));
         let answer = monoio::time::timeout(within, rx).await;
         self.waiters.borrow_mut().remove(&no);
@@ -176,6 +188,7 @@
         loop {
             let message = socket::next(reading).await?;
             self.heard.set(Some(self.clock.now()));
+            self.owes.set((self.waiters.borrow().len() > 1).then(|| self.clock.now()));
             match message {
                 Message::ToEntry(no, item) => self.hand_over(no, item),
                 Message::Tell(no, answer) => {
@@ -249,6 +262,7 @@
         }
         let was_up = link.out.borrow_mut().take().is_some();
         link.waiters.borrow_mut().clear();
+        link.owes.set(None);
         if was_up {
             info!("link: {} is lost.", link.host);
         }
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -19,6 +19,8 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::errand::{Errand, Relayed, WorkNo};
+
 /// Number of an exchange or question on its link; never used twice on one link.
 pub type RequestNo = u64;
 
@@ -147,6 +149,10 @@
     },
     /// What the host knows that the asker does not.
     Newest(Known),
+    /// Run this at a server whose connections the host holds.
+    Relay(Box<Errand>),
+    /// Close the connection of this transaction, which rolls it back.
+    Hang(WorkNo),
     /// A token of an account's rate.
     Take {
         /// The account.
@@ -216,6 +222,8 @@
     Newest(Box<Newest>),
     /// Whether the token was given.
     Ruling(demand::Ruling),
+    /// What became of a statement.
+    Relayed(Relayed),
 }
 
 /// What a host tells the others all the time.
--- a/components/proxy/src/backend.rs
+++ b/components/proxy/src/backend.rs
@@ -1,13 +1,12 @@
 //! One connection to a backend server.
 
-use std::{io, time::Duration};
+use std::{collections::BTreeMap, io, time::Duration};
 
 use anyhow::Context;
 use bergamottrack_adapter::wire::{self, Answers};
 use bergamottrack_coordination::{AccountId, ServerId};
 use bergamottrack_model::{
-    Failure, Listed, ServerAnswer, State,
-    session::{Carried, Step},
+    Failure, Listed, ServerAnswer, State, session::Carried, statement::Shape,
 };
 use bytes::BytesMut;
 use futures_util::FutureExt;
@@ -103,12 +102,20 @@
         }
     }
 
-    /// Puts the steps before the next statement.
-    pub fn put_steps(&mut self, steps: &[Step]) {
-        for step in steps {
+    /// Puts a line, after the steps that bring the connection to a session's values and
+    /// to the named statement.
+    pub fn put(
+        &mut self,
+        values: &BTreeMap<Box<str>, Box<str>>,
+        shape: Option<&Shape>,
+        write: impl FnOnce(&mut BytesMut),
+    ) {
+        let steps = self.carried.adopt(values, shape);
+        for step in &steps {
             wire::put_step(step, &mut self.out);
         }
         self.ahead += steps.len();
+        write(&mut self.out);
     }
 
     /// Sends what is to be written and reads the answer to its last statement.
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -13,11 +13,11 @@
 use bergamottrack_coordination::{
     Clock, GroupId, HostId, Revision, ServerId, StoreClock,
     demand::Demand,
-    freshness,
+    freshness, holders,
     hubs::Neighbours,
     view::{Held, Leadership},
 };
-use bergamottrack_model::{Account, Listed, Plan, Role, Route, Settings};
+use bergamottrack_model::{Account, Listed, Plan, Role, Route, Settings, settings::Mechanism};
 use bergamottrack_peer::{Link, Mesh, message::Known};
 use bytes::Bytes;
 use tokio::sync::{Notify, watch};
@@ -27,11 +27,17 @@
     group::{Group, Use},
     measure::Measures,
     pool::{self, Pool},
+    relay::Works,
 };
 
 /// How long a hub's word that it hears most of the fleet counts.
 const HUB_WORD: Duration = Duration::from_millis(2000);
 
+/// How long a holder of connections may owe an answer and say nothing before others
+/// are asked: hosts that speak all the time do so every 400 ms, and a slow statement
+/// takes 200 ms.
+const HOLDER_WITHIN: Duration = Duration::from_millis(550);
+
 /// How far a stop has come.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -88,6 +94,8 @@
     pub held: RefCell<Held>,
     /// Links to the other hosts.
     pub mesh: Rc<Mesh>,
+    /// Transactions of other hosts on connections of this one.
+    pub works: Works,
     /// Parts of the accounts' rates.
     pub demand: RefCell<Demand>,
     /// How far a stop has come.
@@ -278,7 +286,12 @@
         for pool in self.pools.borrow().values() {
             let group = pool.listed.borrow().group.clone();
             let cap = plan.as_ref().and_then(|plan| plan.groups.get(&group).copied());
-            pool.set_cap(cap.unwrap_or(1), hosts);
+            let domain = pool.listed.borrow().domain.clone();
+            let id = pool.listed.borrow().id.clone();
+            let holders = holders::order(self.held.borrow().view(), id.as_str(), &domain);
+            let sharers = if holders.first() == Some(&self.settings.host) { 1 } else { hosts };
+            *pool.holders.borrow_mut() = holders;
+            pool.set_cap(cap.unwrap_or(1), sharers);
             self.group(&group);
         }
         let groups: Vec<_> = self.groups.borrow().values().cloned().collect();
@@ -354,7 +367,28 @@
         loop {
             monoio::time::sleep(pool::TRIM_EVERY).await;
             self.pools.borrow().values().for_each(|pool| pool.trim());
+            let limit = self.plan().and_then(|plan| plan.idle_limit);
+            self.works.sweep(limit, self.now());
+        }
+    }
+
+    /// The link to the host that holds a server's connections; none where this host
+    /// does so itself, or no other one can be reached.
+    pub fn holder(&self, pool: &Pool) -> Option<Rc<Link>> {
+        if !self.settings.has(Mechanism::SharedConnections) {
+            return None;
+        }
+        for holder in pool.holders.borrow().iter() {
+            if *holder == self.settings.host {
+                return None;
+            }
+            let link = self.reach(holder);
+            let fit = |link: &Rc<Link>| link.is_prompt(HOLDER_WITHIN) && !link.is_leaving();
+            if let Some(link) = link.filter(fit) {
+                return Some(link);
+            }
         }
+        None
     }
 
     /// Where a peer listens, by the view.
--- a/components/proxy/src/job.rs
+++ b/components/proxy/src/job.rs
@@ -13,7 +13,7 @@
     confirm,
     group::{Group, Use},
     host::Host,
-    place::{self, Chosen, Place, Running},
+    place::{self, Chosen, NoAnswer, Place, Running},
     pool::Pool,
 };
 
@@ -154,18 +154,18 @@
         Err(refused) => return Tried::Elsewhere(refused),
     };
     let after = running.after;
-    let pool = running.leased.pool().clone();
+    let pool = running.conn.pool().clone();
     place::put(&mut running, session, request, after);
     let left = job.deadline.saturating_duration_since(Instant::now());
     let within = if last || job.access == Access::Write { left } else { left.min(TRY_WITHIN) };
     let answer = match place::exchange(host, job, &mut running, within).await {
         Ok(answer) => answer,
-        Err(why) => return Tried::Lost(why),
+        Err(NoAnswer::NotSent(refused)) => return Tried::Elsewhere(refused),
+        Err(NoAnswer::Lost(why)) => return Tried::Lost(why),
     };
     let led = running.usage.as_ref().is_none_or(|usage| host.holds(usage));
-    if running.leased.backend().is_clean(&answer) {
-        running.leased.give_back();
-    }
+    let Running { conn, usage, .. } = running;
+    conn.give_back(&answer);
     if after.is_some() && answer.failure().is_none() {
         pool.health.borrow_mut().caught_up();
     }
@@ -174,7 +174,7 @@
         // An answer of a leader that was replaced meanwhile proves nothing.
         None if !led => Tried::Lost("the leader changed"),
         None if job.access == Access::Write => {
-            match confirmed(host, job, &answer, running.usage.as_ref()).await {
+            match confirmed(host, job, &answer, usage.as_ref()).await {
                 Ok(()) => Tried::Answered(answer),
                 Err(why) => Tried::Lost(why),
             }
@@ -301,24 +301,24 @@
     place: Place,
 ) -> Result<Running, Refused> {
     let mut running = place::connect(host, job, session, place).await?;
-    let pool = running.leased.pool().clone();
+    let pool = running.conn.pool().clone();
     let after = running.after;
-    let backend = running.leased.backend();
-    let steps = backend.carried.adopt(&session.values, None);
-    backend.put_steps(&steps);
-    wire::put_begin(job.access, after, &mut backend.out);
+    running.conn.open_work();
+    running.conn.put(session, None, |out| wire::put_begin(job.access, after, out));
     let left = job.deadline.saturating_duration_since(Instant::now());
     let answer = place::exchange(host, job, &mut running, left.min(TRY_WITHIN)).await;
-    let answer = answer.map_err(Refused::busy)?;
+    let answer = answer.map_err(|error| match error {
+        NoAnswer::NotSent(refused) => refused,
+        // Nothing but the opening was sent.
+        NoAnswer::Lost(why) => Refused::busy(why),
+    })?;
     if answer.state == State::Open && answer.failure().is_none() {
         if after.is_some() {
             pool.health.borrow_mut().caught_up();
         }
         return Ok(running);
     }
-    if running.leased.backend().is_clean(&answer) {
-        running.leased.give_back();
-    }
+    running.conn.give_back(&answer);
     let refused = answer.failure().and_then(|failure| elsewhere(failure, &pool, after, host));
     Err(refused.unwrap_or(Refused::busy("the server opened no transaction")))
 }
@@ -329,6 +329,8 @@
     Answered(ServerAnswer),
     /// Without a whole answer; the connection must be closed.
     Lost(&'static str),
+    /// It was not sent, and the transaction is over.
+    NotSent(Refused),
 }
 
 /// Runs a statement on a transaction's connection.
@@ -355,22 +357,19 @@
             Step::Answered(answer)
         }
         Ok(_) => Step::Lost("the leader changed"),
-        Err(why) => Step::Lost(why),
+        Err(NoAnswer::NotSent(refused)) => Step::NotSent(refused),
+        Err(NoAnswer::Lost(why)) => Step::Lost(why),
     }
 }
 
 /// Rolls a transaction back and keeps its connection, in a task of its own.
 pub fn roll_back(running: Running) {
-    let Running { mut leased, usage, .. } = running;
+    let Running { mut conn, usage, .. } = running;
     monoio::spawn(async move {
-        let backend = leased.backend();
-        wire::put_rollback(&mut backend.out);
+        conn.put_bare(wire::put_rollback);
         // Without an answer the connection is closed, which rolls back too.
-        let answer = monoio::time::timeout(ROLL_BACK_WITHIN, backend.exchange()).await;
-        if let Ok(Ok(answer)) = answer
-            && leased.backend().is_clean(&answer)
-        {
-            leased.give_back();
+        if let Ok(answer) = conn.exchange(ROLL_BACK_WITHIN).await {
+            conn.give_back(&answer);
         }
         drop(usage);
     });
--- a/components/proxy/src/news.rs
+++ b/components/proxy/src/news.rs
@@ -16,6 +16,7 @@
 use crate::{
     fleet, follow,
     host::{Host, Phase},
+    relay,
 };
 
 /// How often hosts tell each other what their callers ask for and what they know:
@@ -47,6 +48,13 @@
             let mut demand = host.demand.borrow_mut();
             teller.tell(Answer::Ruling(demand.take(&account, rate, burst, host.now())));
         }
+        Question::Relay(errand) => {
+            monoio::spawn(relay::serve(host.clone(), peer.host.clone(), *errand, teller));
+        }
+        Question::Hang(work) => {
+            host.works.hang(&peer.host, work);
+            teller.tell(Answer::Pong);
+        }
         Question::Act { group, row } => {
             monoio::spawn(act(host.clone(), group, row, teller));
         }
--- a/components/proxy/src/place.rs
+++ b/components/proxy/src/place.rs
@@ -1,6 +1,9 @@
 //! Servers at which a job may run, and the connection on which it does.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant as StdInstant},
+};
 
 use bergamottrack_adapter::wire;
 use bergamottrack_coordination::{
@@ -8,15 +11,16 @@
     choice::{self, Candidate},
 };
 use bergamottrack_model::{Access, Failure, Request, ServerAnswer, Session, Statement, session};
+use bergamottrack_peer::NotSent;
 use monoio::time::Instant;
-use tracing::{debug, info};
+use tracing::info;
 
 use crate::{
-    backend::OpenError,
+    conn::{Broken, Conn, Turn},
     group::{Need, Use},
     host::Host,
     job::{Job, Refused},
-    pool::{Leased, NoConnection, Permit, Pool},
+    pool::Pool,
 };
 
 /// How long a statement waits for a connection while all are in use.
@@ -59,13 +63,11 @@
 /// A connection on which a job runs.
 pub struct Running {
     /// The connection.
-    pub leased: Leased,
+    pub conn: Conn,
     /// The right to use the leader, where it is one.
     pub usage: Option<Use>,
     /// The position asked for.
     pub after: Option<Point>,
-    /// The right to have a statement under way.
-    pub permit: Option<Permit>,
     /// Whether its transaction has written.
     pub wrote: bool,
 }
@@ -99,7 +101,7 @@
             Candidate {
                 health,
                 near: listed.domain == host.settings.domain,
-                warm: pool.is_warm(&job.account),
+                warm: host.holder(pool).is_some() || pool.is_warm(&job.account),
                 leads: leads.as_ref() == Some(&listed.id),
                 slots: listed.slots,
                 wait: pool.wait(job.priority),
@@ -132,54 +134,80 @@
     session: &Session,
     place: Place,
 ) -> Result<Running, Refused> {
-    let permit = place.pool.enter(job.priority, job.patience, host.now()).await;
-    let permit = permit.map_err(|wait| Refused {
-        failure: Failure::Busy,
-        retry: Some(wait),
-        why: "too many statements wait for the server",
-    })?;
+    let Place { pool, after, usage } = place;
     let until = job.deadline.min(Instant::now() + CONNECTION_WITHIN);
+    let turn = Turn { priority: job.priority, patience: job.patience, until };
     let now = host.now();
-    match place.pool.lease(&job.account, session, until).await {
-        Ok(leased) => {
-            if place.usage.as_ref().is_some_and(|usage| !host.holds(usage)) {
-                leased.give_back();
-                return Err(Refused::busy("the leader changed"));
+    let conn = match host.holder(&pool) {
+        Some(link) => Conn::far(pool, link, job.account.clone(), turn),
+        None => Conn::own(&pool, &job.account, session, turn, now)
+            .await
+            .map_err(|why| refused(host, job, &pool, usage.is_some(), why, now))?,
+    };
+    if usage.as_ref().is_some_and(|usage| !host.holds(usage)) {
+        return Err(Refused::busy("the leader changed"));
+    }
+    Ok(Running { conn, usage, after, wrote: false })
+}
+
+/// Notes what speaks against a server that did not get a statement sent at `since`, and
+/// says so to the caller.
+fn refused(
+    host: &Host,
+    job: &Job,
+    pool: &Pool,
+    leads: bool,
+    why: NotSent,
+    since: StdInstant,
+) -> Refused {
+    let mut health = pool.health.borrow_mut();
+    match why {
+        NotSent::Crowded(wait_ms) => {
+            return Refused {
+                failure: Failure::Busy,
+                retry: Some(Duration::from_millis(wait_ms.into())),
+                why: "too many statements wait for the server",
+            };
+        }
+        NotSent::Dead => {
+            health.fail(since);
+            health.fail(since);
+            if leads {
+                job.group.suspicion.borrow_mut().refused(host.now());
             }
-            let (usage, after) = (place.usage, place.after);
-            Ok(Running { leased, usage, after, permit: Some(permit), wrote: false })
         }
-        Err(NoConnection::Full) => Err(Refused::busy("all connections to the server are in use")),
-        Err(NoConnection::Open(error)) => {
-            let server = place.pool.listed.borrow().id.clone();
-            debug!(%server, ?error, "connection: not opened");
-            let mut health = place.pool.health.borrow_mut();
-            match error {
-                OpenError::Refused => {
-                    health.fail(now);
-                    health.fail(now);
-                    if place.usage.is_some() {
-                        job.group.suspicion.borrow_mut().refused(host.now());
-                    }
-                    Err(Refused::busy("the server does not run"))
-                }
-                OpenError::Silent(_) => {
-                    health.fail(now);
-                    // Not only silence: it may accept connections and close them.
-                    if place.usage.is_some() {
-                        job.group.suspicion.borrow_mut().silent(now);
-                    }
-                    Err(Refused::busy("the server does not answer"))
-                }
-                OpenError::Rejected(Failure::Misdirected) => {
-                    health.fail(now);
-                    health.fail(now);
-                    Err(Refused::busy("another server has the address"))
-                }
-                OpenError::Rejected(_) => Err(Refused::busy("the server takes no connection")),
+        NotSent::Silent => {
+            health.fail(since);
+            // Not only silence: it may accept connections and close them.
+            if leads {
+                job.group.suspicion.borrow_mut().silent(since);
             }
         }
+        NotSent::Misdirected => {
+            health.fail(since);
+            health.fail(since);
+        }
+        _ => {}
     }
+    Refused::busy(match why {
+        NotSent::Full => "all connections to the server are in use",
+        NotSent::Dead => "the server does not run",
+        NotSent::Silent => "the server does not answer",
+        NotSent::Misdirected => "another server has the address",
+        NotSent::Rejected | NotSent::Crowded(_) => "the server takes no connection",
+        NotSent::Unlisted => "the holder of its connections does not know the server",
+        NotSent::Closed => "the transaction's connection was closed",
+        NotSent::Leaving => "the holder of the server's connections is being stopped",
+        NotSent::Unreachable => "the holder of the server's connections is out of reach",
+    })
+}
+
+/// Why an exchange brought no answer.
+pub enum NoAnswer {
+    /// Nothing was sent.
+    NotSent(Refused),
+    /// No whole answer came to what was sent.
+    Lost(&'static str),
 }
 
 /// Sends what the connection has to write and reads the answer.
@@ -188,10 +216,9 @@
     job: &Job,
     running: &mut Running,
     within: Duration,
-) -> Result<ServerAnswer, &'static str> {
+) -> Result<ServerAnswer, NoAnswer> {
     let asked = host.now();
-    let pool = running.leased.pool().clone();
-    let permit = running.permit.take().unwrap_or_else(|| pool.go_on());
+    let pool = running.conn.pool().clone();
     pool.health.borrow_mut().begin(asked);
     let given_up = async {
         match &running.usage {
@@ -199,69 +226,75 @@
             None => std::future::pending().await,
         }
     };
-    let exchange = running.leased.backend().exchange();
     // Its answer could not be passed on any more: said now, not when time is up.
     let answer = monoio::select! {
-        answer = monoio::time::timeout(within, exchange) => answer,
+        answer = running.conn.exchange(within) => answer,
         _ = given_up => {
             pool.health.borrow_mut().end(None, host.now());
-            return Err("the leader changed");
+            return Err(NoAnswer::Lost("the leader changed"));
         }
     };
     let now = host.now();
     match answer {
-        Ok(Ok(answer)) => {
+        Ok(answer) => {
             let took = now.saturating_duration_since(asked);
             pool.health.borrow_mut().end(Some(took), now);
-            permit.took.set(Some(took));
-            if let Some(point) = answer.point
-                && job.group.leader().is_some_and(|id| id != pool.listed.borrow().id)
-            {
-                // What a replica shows it has received.
-                job.group.receipts.state.borrow_mut().note(point);
-            }
-            if let Some(usage) = &running.usage
-                && host.holds(usage)
-            {
-                job.group.suspicion.borrow_mut().answered();
-                if let Some(point) = answer.point {
-                    job.group.ages.borrow_mut().note_point(asked, point);
-                }
-            }
+            note(host, job, running, &pool, &answer, asked);
             Ok(answer)
         }
-        Ok(Err(error)) => {
-            info!(id = %job.id, error = %format_args!("{error:#}"), "statement: connection lost");
-            let mut health = pool.health.borrow_mut();
-            health.end(None, now);
-            health.fail(now);
-            Err("the connection was lost")
+        Err(Broken::NotSent(why)) => {
+            pool.health.borrow_mut().end(None, now);
+            let leads = running.usage.is_some();
+            Err(NoAnswer::NotSent(refused(host, job, &pool, leads, why, asked)))
         }
-        Err(_) => {
+        Err(broken) => {
             let mut health = pool.health.borrow_mut();
             health.end(None, now);
             health.fail(now);
-            drop(health);
-            pool.drop_idle();
-            Err("the server did not answer in time")
+            Err(NoAnswer::Lost(match broken {
+                Broken::Late => "the server did not answer in time",
+                _ => "the connection was lost",
+            }))
+        }
+    }
+}
+
+/// Notes what an answer shows of the server's log and of who leads.
+fn note(
+    host: &Host,
+    job: &Job,
+    running: &Running,
+    pool: &Pool,
+    answer: &ServerAnswer,
+    asked: StdInstant,
+) {
+    if let Some(point) = answer.point
+        && job.group.leader().is_some_and(|id| id != pool.listed.borrow().id)
+    {
+        // What a replica shows it has received.
+        job.group.receipts.state.borrow_mut().note(point);
+    }
+    if let Some(usage) = &running.usage
+        && host.holds(usage)
+    {
+        job.group.suspicion.borrow_mut().answered();
+        if let Some(point) = answer.point {
+            job.group.ages.borrow_mut().note_point(asked, point);
         }
     }
 }
 
 /// Puts a statement on the connection, after what brings it to the session.
 pub fn put(running: &mut Running, session: &Session, request: &Request, after: Option<Point>) {
-    let backend = running.leased.backend();
     let (shape, args) = match &request.statement {
         Statement::Execute { name, args } => (session.prepared.get(name), &**args),
         _ => (None, ""),
     };
-    let steps = backend.carried.adopt(&session.values, shape);
-    backend.put_steps(&steps);
-    match shape {
+    running.conn.put(session, shape, |out| match shape {
         Some(shape) => {
             let name = session::shared_name(shape);
-            wire::put_execute(&request.id, after, &name, args, &mut backend.out);
+            wire::put_execute(&request.id, after, &name, args, out);
         }
-        None => wire::put_query(&request.id, after, &request.text, &mut backend.out),
-    }
+        None => wire::put_query(&request.id, after, &request.text, out),
+    });
 }
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -2,17 +2,17 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     rc::Rc,
     time::{Duration, Instant as StdInstant},
 };
 
 use bergamottrack_coordination::{
-    AccountId,
+    AccountId, HostId,
     choice::Health,
     gate::{Entry, Gate, Place},
 };
-use bergamottrack_model::{Failure, Listed, Session};
+use bergamottrack_model::{Failure, Listed};
 use monoio::time::Instant;
 use tokio::sync::{Notify, oneshot};
 use tracing::info;
@@ -35,9 +35,16 @@
 /// transactions and statements that come together at one host.
 const LEAST_CAP: usize = 4;
 
+/// Statements that a holder keeps under way beyond a server's slots: the next one is
+/// there when a slot falls free, in place of one way there and back later.
+const SPARE: usize = 1;
+
 /// How often unused connections are looked for.
 pub const TRIM_EVERY: Duration = Duration::from_millis(100);
 
+/// Values of a session, by name.
+type Values = BTreeMap<Box<str>, Box<str>>;
+
 /// The connections to one server.
 pub struct Pool {
     /// The server's own entry in the list.
@@ -55,6 +62,8 @@
     cap: Cell<usize>,
     /// This host's equal share of the server's connections.
     share: Cell<usize>,
+    /// Hosts that hold the server's connections, best first.
+    pub holders: RefCell<Vec<HostId>>,
     /// Until when the server counts as crowded.
     crowded: Cell<Option<Instant>>,
     freed: Notify,
@@ -103,12 +112,14 @@
             open: Cell::default(),
             cap: Cell::new(1),
             share: Cell::default(),
+            holders: RefCell::default(),
             crowded: Cell::default(),
             freed: Notify::new(),
         })
     }
 
-    /// Sets how many connections the server takes and how many hosts share them.
+    /// Sets how many connections the server takes and how many hosts share them; one that
+    /// holds them for all shares them with nobody.
     ///
     /// A host may open more than its equal share when there are many hosts: they
     /// need them at different moments, and the server says when it has too many.
@@ -116,7 +127,9 @@
         let share = cap / hosts;
         self.share.set(share);
         self.cap.set(share.max(LEAST_CAP.min(cap)).max(1));
-        self.gate.borrow_mut().set_most(self.cap.get());
+        let slots = self.listed.borrow().slots;
+        let least = if hosts == 1 { slots + SPARE } else { 1 };
+        self.gate.borrow_mut().set_bounds(least, self.cap.get());
     }
 
     /// How long a statement of that priority would wait at the gate.
@@ -187,11 +200,11 @@
     pub async fn lease(
         self: &Rc<Self>,
         account: &AccountId,
-        session: &Session,
+        values: &Values,
         deadline: Instant,
     ) -> Result<Leased, NoConnection> {
         loop {
-            while let Some(mut backend) = self.take_idle(account, session) {
+            while let Some(mut backend) = self.take_idle(account, values) {
                 if backend.is_quiet() {
                     return Ok(self.leased(backend));
                 }
@@ -221,7 +234,7 @@
             }
             self.open.set(self.open.get() - 1);
         }
-        self.lease(account, &Session::default(), deadline).await
+        self.lease(account, &Values::new(), deadline).await
     }
 
     fn cap(&self) -> usize {
@@ -256,11 +269,11 @@
         Leased { backend: Some(backend), pool: self.clone(), kept: false }
     }
 
-    fn take_idle(&self, account: &AccountId, session: &Session) -> Option<Backend> {
+    fn take_idle(&self, account: &AccountId, values: &Values) -> Option<Backend> {
         let mut idle = self.idle.borrow_mut();
         let own = idle.iter().enumerate().filter(|(_, (backend, _))| backend.account == *account);
         let best = own.min_by_key(|(i, (backend, _))| {
-            (backend.carried.distance(&session.values), std::cmp::Reverse(*i))
+            (backend.carried.distance(values), std::cmp::Reverse(*i))
         });
         let best = best.map(|(i, _)| i)?;
         Some(idle.remove(best).0)
--- /dev/null
+++ b/components/proxy/src/relay.rs
@@ -0,0 +1,168 @@
+//! Running other hosts' statements on the connections that this host holds.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bergamottrack_coordination::HostId;
+use bergamottrack_model::{ServerAnswer, State};
+use bergamottrack_peer::{
+    Answer, Errand, NotSent, Relayed, WorkNo,
+    accept::{Teller, Watch},
+};
+use tracing::info;
+
+use crate::{
+    conn,
+    host::{Host, Phase},
+    lead,
+    pool::{Leased, Permit, Pool},
+};
+
+/// How long a transaction of another host may rest here, where the configuration says
+/// nothing: its own host ends it sooner. This is for hosts that vanish.
+const RESTS_FOR: Duration = Duration::from_secs(10);
+
+/// How much longer than its own host would let it rest.
+const RESTS_LONGER: Duration = Duration::from_secs(2);
+
+/// A transaction of another host, between two of its statements.
+struct Resting {
+    leased: Leased,
+    since: Instant,
+    /// The link that its statements come by.
+    watch: Watch,
+}
+
+/// Transactions of other hosts on connections of this one.
+#[derive(Default)]
+pub struct Works {
+    resting: RefCell<HashMap<(HostId, WorkNo), Resting>>,
+}
+
+impl Works {
+    /// Transactions that rest here.
+    pub fn count(&self) -> usize {
+        self.resting.borrow().len()
+    }
+
+    /// Closes the connections of transactions whose host has gone or forgotten them.
+    ///
+    /// Guards against a host that dies within a transaction: its locks would be held
+    /// for as long as this host lives.
+    pub fn sweep(&self, limit: Option<Duration>, now: Instant) {
+        let limit = limit.map_or(RESTS_FOR, |limit| limit + RESTS_LONGER);
+        self.resting.borrow_mut().retain(|(host, work), resting| {
+            let stays = resting.watch.is_open() && now.duration_since(resting.since) < limit;
+            if !stays {
+                info!(%host, work, "relay: a transaction is closed, its host is gone");
+            }
+            stays
+        });
+    }
+
+    /// Closes the connection of a transaction.
+    pub fn hang(&self, host: &HostId, work: WorkNo) {
+        self.resting.borrow_mut().remove(&(host.clone(), work));
+    }
+}
+
+/// Runs a statement for another host.
+pub async fn serve(host: Rc<Host>, from: HostId, errand: Errand, teller: Teller) {
+    let watch = teller.watch();
+    let relayed = match begin(&host, &from, &errand).await {
+        Ok((leased, permit)) => run(&host, from, errand, leased, permit, watch).await,
+        Err(why) => Relayed::NotSent(why),
+    };
+    teller.tell(Answer::Relayed(relayed));
+}
+
+async fn begin(
+    host: &Host,
+    from: &HostId,
+    errand: &Errand,
+) -> Result<(Leased, Option<Permit>), NotSent> {
+    let pool = host.server(&errand.server).ok_or(NotSent::Unlisted)?;
+    if let Some(work) = errand.work.filter(|_| !errand.opens) {
+        let resting = host.works.resting.borrow_mut().remove(&(from.clone(), work));
+        let resting = resting.ok_or(NotSent::Closed)?;
+        return Ok((resting.leased, Some(pool.go_on())));
+    }
+    if *host.phase.borrow() == Phase::Closing {
+        return Err(NotSent::Leaving);
+    }
+    let until = monoio::time::Instant::now() + errand.within();
+    let Some(account) = &errand.account else {
+        let leased = pool.lease_any(&lead::any_account(host), until).await;
+        return Ok((leased.map_err(conn::not_sent)?, None));
+    };
+    let permit = pool.enter(errand.priority, errand.patience(), host.now()).await;
+    let permit = permit.map_err(|wait| NotSent::Crowded(wait.as_millis() as u32))?;
+    let leased = pool.lease(account, &errand.values, until).await;
+    Ok((leased.map_err(conn::not_sent)?, Some(permit)))
+}
+
+async fn run(
+    host: &Host,
+    from: HostId,
+    errand: Errand,
+    mut leased: Leased,
+    permit: Option<Permit>,
+    watch: Watch,
+) -> Relayed {
+    let backend = leased.backend();
+    if errand.account.is_some() {
+        let shape = errand.shape.as_ref();
+        backend.put(&errand.values, shape, |out| out.extend_from_slice(&errand.line));
+    } else {
+        backend.out.extend_from_slice(&errand.line);
+    }
+    let asked = Instant::now();
+    let answer = monoio::time::timeout(errand.within(), backend.exchange()).await;
+    match answer {
+        Ok(Ok(answer)) => {
+            if let Some(permit) = permit {
+                permit.took.set(Some(asked.elapsed()));
+            }
+            keep(host, from, &errand, leased, &answer, watch);
+            Relayed::Answered(answer)
+        }
+        Ok(Err(error)) => {
+            let error = format_args!("{error:#}");
+            info!(server = %errand.server, %from, %error, "relay: connection lost");
+            Relayed::Lost
+        }
+        Err(_) => {
+            silent(leased.pool(), &errand);
+            Relayed::Late
+        }
+    }
+}
+
+/// Keeps the connection after an answer: for the transaction, or for other statements.
+fn keep(
+    host: &Host,
+    from: HostId,
+    errand: &Errand,
+    mut leased: Leased,
+    answer: &ServerAnswer,
+    watch: Watch,
+) {
+    let open = errand.work.filter(|_| answer.state != State::Idle);
+    match open {
+        Some(work) => {
+            let resting = Resting { leased, since: host.now(), watch };
+            host.works.resting.borrow_mut().insert((from, work), resting);
+        }
+        None if leased.backend().is_clean(answer) => leased.give_back(),
+        None => {}
+    }
+}
+
+fn silent(pool: &Pool, errand: &Errand) {
+    info!(server = %errand.server, ms = errand.within_ms, "relay: the server did not answer in time");
+    pool.drop_idle();
+}
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -124,6 +124,7 @@
         pools: RefCell::default(),
         groups: RefCell::default(),
         mesh,
+        works: Default::default(),
         demand: RefCell::new(demand),
         phase: watch::Sender::new(Phase::Serving),
         look: Notify::new(),
@@ -220,7 +221,7 @@
     host.phase.send_replace(Phase::Leaving);
     monoio::time::sleep(STILL_BROUGHT.min(end / 2)).await;
     host.phase.send_replace(Phase::Closing);
-    while host.sessions.get() > 0 && began.elapsed() < end {
+    while host.sessions.get() + host.works.count() > 0 && began.elapsed() < end {
         monoio::time::sleep(LOOK_EVERY).await;
     }
     let cut = host.sessions.get();
--- a/components/proxy/src/talk.rs
+++ b/components/proxy/src/talk.rs
@@ -235,6 +235,7 @@
             // Sent, and nobody knows whether it was kept.
             Step::Lost(why) if commits => Err(Refused::of(Failure::Uncertain, why)),
             Step::Lost(why) => Err(Refused { failure: Failure::Aborted, ..Refused::busy(why) }),
+            Step::NotSent(refused) => Err(Refused { failure: Failure::Aborted, ..refused }),
         }
     }
 
@@ -406,10 +407,10 @@
 }
 
 /// Keeps or closes the connection of a transaction that the answer has ended.
-fn finish(mut running: Running, answer: &ServerAnswer) {
-    if running.leased.backend().is_clean(answer) {
-        running.leased.give_back();
-    } else if answer.state != State::Idle {
+fn finish(running: Running, answer: &ServerAnswer) {
+    if answer.state == State::Idle {
+        running.conn.give_back(answer);
+    } else {
         job::roll_back(running);
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, path::PathBuf};
 
 use bergamottrack_coordination::{AccountId, GroupId, KeyId, OperatorId, RequestId, Revision};
+use bergamottrack_model::settings::Mechanism;
 use clap::{Args, Parser, Subcommand, ValueEnum};
 
 /// A database proxy with session consistency.
@@ -82,6 +83,24 @@
     /// What is logged: a level, or levels by part.
     #[arg(long, env = "BERGAMOTTRACK_LOG", value_name = "LEVEL", default_value = "info")]
     pub log: String,
+    /// Mechanisms to switch off, to measure what they are worth.
+    #[arg(long, env = "BERGAMOTTRACK_WITHOUT", value_name = "MECHANISM", value_delimiter = ',')]
+    pub without: Vec<MechanismArg>,
+}
+
+/// A mechanism that can be switched off.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+pub enum MechanismArg {
+    /// Statements run on connections that one host holds for all.
+    SharedConnections,
+}
+
+impl From<MechanismArg> for Mechanism {
+    fn from(arg: MechanismArg) -> Self {
+        match arg {
+            MechanismArg::SharedConnections => Self::SharedConnections,
+        }
+    }
 }
 
 /// Settings of an entry host, not read yet: all faults are told at once.
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -4,6 +4,7 @@
 
 use anyhow::Context;
 use bergamottrack_adapter::settings;
+use bergamottrack_model::{Settings, settings::Mechanism};
 use bergamottrack_proxy::serve::{self, Signals};
 use signal_hook::{
     consts::{SIGHUP, SIGINT, SIGTERM},
@@ -20,7 +21,8 @@
     let path: PathBuf = path.with_context(|| {
         format!("no settings file: give --settings or set {}", settings::PATH_VARIABLE)
     })?;
-    let read = settings::read_file(&path)?;
+    let without: Vec<Mechanism> = args.without.iter().map(|arg| Mechanism::from(*arg)).collect();
+    let read = Settings { without, ..settings::read_file(&path)? };
     let filter = EnvFilter::try_new(&args.log).context("reading --log")?;
     let log = Log::start(filter)?;
     let signals = catch_signals()?;
