--- a/components/coordination/src/demand.rs
+++ b/components/coordination/src/demand.rs
@@ -173,6 +173,10 @@
     pub admitted: bool,
     /// This host's part of the rate, from 0 to 1.
     pub part: f64,
+    /// What all hosts have that this one hears, from 0 to 1.
+    pub side: f64,
+    /// What was left for all of them.
+    pub level: f64,
     /// When a token will be there.
     pub retry: Duration,
 }
@@ -200,6 +204,26 @@
         Self { tolerance, ..Self::default() }
     }
 
+    /// Notes an account that came into being while this host ran: its bucket is full,
+    /// but for what the others have told that they admitted since.
+    ///
+    /// Guards against the refusals of a new account's first second, whose callers come at
+    /// the pace of an old one.
+    pub fn create(&mut self, account: &AccountId, rate: Rate, burst: Burst, now: Instant) {
+        if self.ledgers.contains_key(account) {
+            return self.know(account, rate, burst, now);
+        }
+        self.know(account, rate, burst, now);
+        let told = self.hosts.values().filter_map(|told| told.admitted.get(account));
+        let admitted: u64 = told.sum();
+        let side = self.part(account, now).side;
+        if let Some(ledger) = self.ledgers.get_mut(account) {
+            ledger.side = side;
+            ledger.level = ledger.most(&self.tolerance);
+            ledger.spend(admitted as f64);
+        }
+    }
+
     /// Sets which other hosts admit requests.
     pub fn set_hosts(&mut self, hosts: impl IntoIterator<Item = HostId>, now: Instant) {
         let mut old = std::mem::take(&mut self.hosts);
@@ -238,8 +262,14 @@
         told.teller = Some(teller.clone());
         told.at = now;
         told.asked = asked.iter().map(|said| (said.account.clone(), said.rate.into())).collect();
-        let before = std::mem::take(&mut told.admitted);
-        told.admitted = asked.iter().map(|said| (said.account.clone(), said.admitted)).collect();
+        // Accounts that are not asked for any more are not told of; their counts stay.
+        let counts = asked.iter().map(|said| (said.account.clone(), said.admitted));
+        let mut before = told.admitted.clone();
+        if first {
+            before.clear();
+            told.admitted.clear();
+        }
+        told.admitted.extend(counts);
         for said in asked {
             let part = self.part(&said.account, now);
             let Some(ledger) = self.ledgers.get_mut(&said.account) else { continue };
@@ -248,10 +278,11 @@
                 let level = f64::from(level).min(ledger.most(&self.tolerance));
                 ledger.level = ledger.level.max(level);
             } else if !first && !lost {
-                let before = before.get(&said.account).copied().unwrap_or_default();
-                // A lower count is that of a teller that has started again.
-                let more = said.admitted.checked_sub(before).unwrap_or(said.admitted);
-                ledger.spend(more as f64);
+                // Without an earlier count, or with a higher one of a teller that has started
+                // again, all that it admitted of late is what was asked for there of late.
+                let lately = (f64::from(said.rate) * MEMORY.as_secs_f64()).ceil() as u64;
+                let since = before.get(&said.account).and_then(|n| said.admitted.checked_sub(*n));
+                ledger.spend(since.unwrap_or(said.admitted.min(lately)) as f64);
             }
         }
     }
@@ -343,7 +374,8 @@
         let pace = part.weight * ledger.pace(&tolerance);
         let retry = Duration::try_from_secs_f64((1.0 - left).max(0.0) / pace);
         let retry = retry.unwrap_or(LONGEST_RETRY).min(LONGEST_RETRY);
-        Ruling { admitted, part: part.side * part.weight, retry }
+        let Part { side, weight } = part;
+        Ruling { admitted, part: side * weight, side, level: ledger.level, retry }
     }
 }
 
--- a/components/coordination/tests/demand.rs
+++ b/components/coordination/tests/demand.rs
@@ -266,3 +266,56 @@
     let used = ((RATE.0 * 5.0 + BURST.0) * 1.05 + 10.0) as usize + 9;
     assert!(worst <= used, "{worst} were admitted in a window, {used} are meant to be");
 }
+
+/// All accounts are refused for a second, in the calm after a cut. A host had no callers
+/// while it was cut off, so it told nothing of accounts that it had served before; the
+/// others took its count of the whole day for what it had admitted since.
+#[test]
+fn an_account_that_a_host_tells_of_again_is_not_charged_twice() {
+    let mut fleet = Fleet::new(3);
+    let usual = RATE.0 / 1.6 / 3.0;
+    run_apart(&mut fleet, Duration::from_secs(20), usual);
+    fleet.run(Duration::from_secs(14), &[usual, usual, 0.0], |_, _| true);
+    for n in 0..2 {
+        let (others, now) = ((0..3).filter(|other| *other != n).map(host), fleet.now);
+        let without: Vec<_> = others.clone().filter(|other| *other != host(2)).collect();
+        fleet.hosts[n].1.set_hosts(without, now);
+        fleet.hosts[n].1.set_hosts(others, now);
+    }
+    fleet.run(Duration::from_secs(1), &[usual, usual, 0.0], |_, _| true);
+    let since = fleet.now;
+    run_apart(&mut fleet, Duration::from_secs(4), usual);
+    let admitted = fleet.admitted_since(since);
+    let asked = (usual * 3.0 * 4.0) as usize;
+    assert!(admitted + 3 >= asked, "of {asked} requests within the rate {admitted} were admitted");
+}
+
+/// An operator gives callers a new account while they call. Its bucket began empty on
+/// every host, so that half of its first second was refused though the account was
+/// within its rate. A host that learns of it late does not grant the burst again.
+#[test]
+fn a_new_account_begins_with_its_burst() {
+    let mut fleet = Fleet::new(9);
+    run_apart(&mut fleet, Duration::from_secs(2), 0.0);
+    let now = fleet.now;
+    fleet.hosts.iter_mut().for_each(|(_, demand)| demand.create(&account(), RATE, BURST, now));
+    run_apart(&mut fleet, Duration::from_secs(2), RATE.0 / 1.6 / 9.0);
+    let asked = (RATE.0 / 1.6 * 2.0) as usize;
+    let admitted = fleet.admitted.len();
+    assert!(admitted + 9 >= asked, "of {asked} requests within the rate {admitted} were admitted");
+}
+
+#[test]
+fn a_host_that_hears_late_of_a_new_account_counts_what_others_admitted() {
+    let mut fleet = Fleet::new(9);
+    run_apart(&mut fleet, Duration::from_secs(2), 0.0);
+    let now = fleet.now;
+    let early = fleet.hosts.iter_mut().take(8);
+    early.for_each(|(_, demand)| demand.create(&account(), RATE, BURST, now));
+    run_apart(&mut fleet, Duration::from_secs(2), RATE.0 * 8.0 / 9.0);
+    let now = fleet.now;
+    fleet.hosts[8].1.create(&account(), RATE, BURST, now);
+    run_apart(&mut fleet, Duration::from_secs(5), RATE.0 * 8.0 / 9.0);
+    let worst = fleet.worst_window();
+    assert!(worst <= allowed(), "{worst} were admitted in a window, {} are allowed", allowed());
+}
--- a/components/proxy/src/conn.rs
+++ b/components/proxy/src/conn.rs
@@ -74,7 +74,7 @@
 /// A connection to a backend server.
 pub enum Conn {
     /// Of this host's own.
-    Own(Own),
+    Own(Box<Own>),
     /// Held by another host.
     Far(Box<Far>),
 }
@@ -91,7 +91,7 @@
         let permit = pool.enter(turn.priority, turn.patience, now).await;
         let permit = permit.map_err(|wait| NotSent::Crowded(wait.as_millis() as u32))?;
         let leased = pool.lease(account, &session.values, turn.until).await.map_err(not_sent)?;
-        Ok(Self::Own(Own { leased, permit: Some(permit) }))
+        Ok(Self::Own(Box::new(Own { leased, permit: Some(permit) })))
     }
 
     /// One that the host at the other end of the link holds; nothing is sent yet.
@@ -171,10 +171,11 @@
     /// answer; false when it is.
     pub fn give_back(self, answer: &ServerAnswer) -> bool {
         match self {
-            Self::Own(mut own) => {
-                let clean = own.leased.backend().is_clean(answer);
+            Self::Own(own) => {
+                let Own { mut leased, .. } = *own;
+                let clean = leased.backend().is_clean(answer);
                 if clean {
-                    own.leased.give_back();
+                    leased.give_back();
                 }
                 clean
             }
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -135,7 +135,13 @@
         let now = self.now();
         let mut demand = self.demand.borrow_mut();
         for account in plan.accounts() {
-            demand.know(&account.id, account.rate, account.burst, now);
+            let (id, rate, burst) = (&account.id, account.rate, account.burst);
+            // What the first configuration names may have been used before this host started.
+            if known.is_some() {
+                demand.create(id, rate, burst, now);
+            } else {
+                demand.know(id, rate, burst, now);
+            }
         }
         drop(demand);
         *self.kept.borrow_mut() = Some(Kept { plan: Rc::new(plan), raw });
--- a/components/proxy/src/talk.rs
+++ b/components/proxy/src/talk.rs
@@ -353,7 +353,7 @@
         if !ruling.admitted {
             info!(
                 id = %request.id, account = %account.id, rate = account.rate.0,
-                part = ruling.part, retry_ms = ruling.retry.as_millis() as u64,
+                part = ruling.part, side = ruling.side, level = ruling.level, retry_ms = ruling.retry.as_millis() as u64,
                 "statement: over the account's rate"
             );
             let retry = Some(ruling.retry);
