Figures of the demand that a link held up are not counted again

Beats are numbered and carry the teller's run. The test fails without the guard (113 of 150 admitted).

--- a/components/coordination/src/demand.rs
+++ b/components/coordination/src/demand.rs
@@ -97,7 +97,15 @@
 }
 
 /// What a host tells of all accounts that are asked for there.
-pub type Asked = Vec<Figures>;
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Asked {
+    /// Drawn at the teller's start.
+    pub run: u64,
+    /// Grows each time that it tells.
+    pub no: u64,
+    /// One for each account.
+    pub figures: Vec<Figures>,
+}
 
 #[derive(Clone, Debug)]
 struct Meter {
@@ -121,8 +129,10 @@
 #[derive(Debug)]
 struct Told {
     asked: BTreeMap<AccountId, f64>,
-    /// Who speaks for the host; one that follows it has counts of its own.
-    teller: Option<HostId>,
+    /// The run that speaks for the host and the number of what it told last.
+    heard: Option<(u64, u64)>,
+    /// The run that spoke before that one.
+    former: Option<u64>,
     admitted: BTreeMap<AccountId, u64>,
     /// When it was heard last, or became known.
     at: Instant,
@@ -139,6 +149,27 @@
 }
 
 impl Told {
+    /// Notes that figures came; false when they are older than those that are known.
+    ///
+    /// Guards against what was held up on a link while it was cut, and comes seconds
+    /// later behind newer figures: counts would go back and forth, and all that was
+    /// admitted in those seconds would be taken out of the buckets once more.
+    fn follow(&mut self, run: u64, no: u64) -> bool {
+        let old = match self.heard {
+            Some((known, last)) if known == run => no <= last,
+            _ => self.former == Some(run),
+        };
+        if old {
+            return false;
+        }
+        if let Some((known, _)) = self.heard.filter(|(known, _)| *known != run) {
+            self.former = Some(known);
+            self.admitted.clear();
+        }
+        self.heard = Some((run, no));
+        true
+    }
+
     fn hearing(&self, now: Instant) -> Hearing {
         match now.saturating_duration_since(self.at) {
             silence if silence < QUIET_AFTER => Hearing::Heard,
@@ -194,14 +225,16 @@
 #[derive(Debug, Default)]
 pub struct Demand {
     tolerance: Tolerance,
+    run: u64,
+    no: u64,
     hosts: BTreeMap<HostId, Told>,
     ledgers: HashMap<AccountId, Ledger>,
 }
 
 impl Demand {
-    /// No demand yet.
-    pub fn new(tolerance: Tolerance) -> Self {
-        Self { tolerance, ..Self::default() }
+    /// No demand yet; `run` tells this start of the host from others.
+    pub fn new(tolerance: Tolerance, run: u64) -> Self {
+        Self { tolerance, run, ..Self::default() }
     }
 
     /// Notes an account that came into being while this host ran: its bucket is full,
@@ -230,7 +263,8 @@
         for host in hosts {
             let told = old.remove(&host);
             let (asked, admitted) = Default::default();
-            let told = told.unwrap_or(Told { asked, teller: None, admitted, at: now });
+            let new = Told { asked, heard: None, former: None, admitted, at: now };
+            let told = told.unwrap_or(new);
             self.hosts.insert(host, told);
         }
     }
@@ -253,24 +287,22 @@
         (ledger.rate, ledger.burst) = (rate, burst);
     }
 
-    /// Notes what another host said; `teller` is who speaks for it.
-    pub fn heard(&mut self, host: &HostId, teller: &HostId, asked: Asked, now: Instant) {
+    /// Notes what another host said, or who speaks for it.
+    pub fn heard(&mut self, host: &HostId, asked: Asked, now: Instant) {
         let new = self.is_new(now);
         let Some(told) = self.hosts.get_mut(host) else { return };
         let lost = told.hearing(now) == Hearing::Lost;
-        let first = told.teller.as_ref() != Some(teller);
-        told.teller = Some(teller.clone());
+        let first = told.heard.is_none();
+        if !told.follow(asked.run, asked.no) {
+            return;
+        }
         told.at = now;
-        told.asked = asked.iter().map(|said| (said.account.clone(), said.rate.into())).collect();
+        let figures = asked.figures;
+        told.asked = figures.iter().map(|said| (said.account.clone(), said.rate.into())).collect();
         // Accounts that are not asked for any more are not told of; their counts stay.
-        let counts = asked.iter().map(|said| (said.account.clone(), said.admitted));
-        let mut before = told.admitted.clone();
-        if first {
-            before.clear();
-            told.admitted.clear();
-        }
-        told.admitted.extend(counts);
-        for said in asked {
+        let before = told.admitted.clone();
+        told.admitted.extend(figures.iter().map(|said| (said.account.clone(), said.admitted)));
+        for said in figures {
             let part = self.part(&said.account, now);
             let Some(ledger) = self.ledgers.get_mut(&said.account) else { continue };
             ledger.fill(&self.tolerance, part.side, now);
@@ -278,8 +310,8 @@
                 let level = f64::from(level).min(ledger.most(&self.tolerance));
                 ledger.level = ledger.level.max(level);
             } else if !first && !lost {
-                // Without an earlier count, or with a higher one of a teller that has started
-                // again, all that it admitted of late is what was asked for there of late.
+                // Without an earlier count, all that it admitted of late is at most what was
+                // asked for there of late.
                 let lately = (f64::from(said.rate) * MEMORY.as_secs_f64()).ceil() as u64;
                 let since = before.get(&said.account).and_then(|n| said.admitted.checked_sub(*n));
                 ledger.spend(since.unwrap_or(said.admitted.min(lately)) as f64);
@@ -289,6 +321,7 @@
 
     /// Notes what this host's callers ask for, to be told to all others now.
     pub fn tell(&mut self, now: Instant) {
+        self.no += 1;
         let accounts: Vec<_> = self.ledgers.keys().cloned().collect();
         for account in accounts {
             let part = self.part(&account, now);
@@ -310,12 +343,12 @@
             admitted: ledger.admitted_told,
             level: (!new).then_some(ledger.level as f32),
         });
-        figures.collect()
+        Asked { run: self.run, no: self.no, figures: figures.collect() }
     }
 
     /// Whether another host that may be there has not been heard since this one knows it.
     fn is_new(&self, now: Instant) -> bool {
-        let unheard = |told: &Told| told.teller.is_none() && told.hearing(now) != Hearing::Lost;
+        let unheard = |told: &Told| told.heard.is_none() && told.hearing(now) != Hearing::Lost;
         self.hosts.values().any(unheard)
     }
 
--- a/components/coordination/tests/demand.rs
+++ b/components/coordination/tests/demand.rs
@@ -1,6 +1,9 @@
 //! Parts of an account's rate over hosts that come, go and lose each other.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::{Duration, Instant},
+};
 
 use bergamottrack_coordination::{
     AccountId, Burst, HostId, Rate,
@@ -10,6 +13,13 @@
 const RATE: Rate = Rate(120.0);
 const BURST: Burst = Burst(120.0);
 const TICK: Duration = Duration::from_millis(10);
+const TOLERANCE: Tolerance = Tolerance { overage: 0.1, slack: 20.0 };
+
+/// Tells each start of a host from all others.
+fn next_run() -> u64 {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
 
 struct Fleet {
     hosts: Vec<(HostId, Demand)>,
@@ -28,7 +38,7 @@
 impl Fleet {
     fn new(size: usize) -> Self {
         let hosts = (0..size).map(|n| {
-            let mut demand = Demand::new(Tolerance { overage: 0.1, slack: 20.0 });
+            let mut demand = Demand::new(TOLERANCE, next_run());
             demand.set_hosts((0..size).filter(|other| *other != n).map(host), Instant::now());
             (host(n), demand)
         });
@@ -69,7 +79,7 @@
         for (to, (_, demand)) in self.hosts.iter_mut().enumerate() {
             for (from, asked) in told.iter().enumerate() {
                 if from != to && hears(to, from) {
-                    demand.heard(&host(from), &host(from), asked.clone(), self.now);
+                    demand.heard(&host(from), asked.clone(), self.now);
                 }
             }
         }
@@ -219,7 +229,7 @@
             let told = fleet.hosts[n].1.asked(now);
             for (to, (_, demand)) in fleet.hosts.iter_mut().enumerate() {
                 if to != n {
-                    demand.heard(&host(n), &host(n), told.clone(), now);
+                    demand.heard(&host(n), told.clone(), now);
                 }
             }
         }
@@ -241,7 +251,7 @@
         restarted.now = fleet.now + Duration::from_millis(apart_ms);
         restarted.hosts.iter_mut().enumerate().for_each(|(n, (_, demand))| {
             let others = (0..9).filter(|other| *other != n).map(host);
-            *demand = Demand::new(Tolerance { overage: 0.1, slack: 20.0 });
+            *demand = Demand::new(TOLERANCE, next_run());
             demand.set_hosts(others, restarted.now);
         });
         restarted.admitted = std::mem::take(&mut fleet.admitted);
@@ -267,6 +277,28 @@
     assert!(worst <= used, "{worst} were admitted in a window, {used} are meant to be");
 }
 
+/// All accounts are refused for two seconds, five seconds after a cut has healed. What
+/// hosts had told while it lasted was held up on their links and came then, behind newer
+/// figures; counts that went back and forth again were taken for new requests.
+#[test]
+fn figures_that_come_late_are_not_counted_again() {
+    let mut fleet = Fleet::new(3);
+    let usual = RATE.0 / 1.6 / 3.0;
+    run_apart(&mut fleet, Duration::from_secs(4), usual);
+    let late: Vec<_> = (1..3).map(|n| (n, fleet.hosts[n].1.asked(fleet.now))).collect();
+    run_apart(&mut fleet, Duration::from_secs(12), usual);
+    let now = fleet.now;
+    for (n, told) in late {
+        let newest = fleet.hosts[n].1.asked(now);
+        fleet.hosts[0].1.heard(&host(n), told, now);
+        fleet.hosts[0].1.heard(&host(n), newest, now);
+    }
+    run_apart(&mut fleet, Duration::from_secs(2), usual);
+    let admitted = fleet.admitted_since(now);
+    let asked = (usual * 3.0 * 2.0) as usize;
+    assert!(admitted + 3 >= asked, "of {asked} requests within the rate {admitted} were admitted");
+}
+
 /// All accounts are refused for a second, in the calm after a cut. A host had no callers
 /// while it was cut off, so it told nothing of accounts that it had served before; the
 /// others took its count of the whole day for what it had admitted since.
--- a/components/proxy/src/news.rs
+++ b/components/proxy/src/news.rs
@@ -104,7 +104,7 @@
     if let Some(asked) = beat.asked {
         let mesh = host.neighbours.borrow().mesh;
         let bank = if mesh { id.clone() } else { fleet::bank_of(domain) };
-        host.demand.borrow_mut().heard(&bank, id, asked, host.now());
+        host.demand.borrow_mut().heard(&bank, asked, host.now());
     }
     if beat.majority && *id == host.hub() {
         host.hub_majority.set(Some(host.now()));
