A bucket begins with a part of the tolerance that hosts leave unused

What hosts leave unused of the tolerance over a window is theirs to begin with: admitted before and after the loss stay within the limit together, however short it was.

--- a/components/coordination/src/demand.rs
+++ b/components/coordination/src/demand.rs
@@ -13,9 +13,11 @@
 //! told, with what nobody asks for spread equally, and one quarter is equal. What all
 //! admit meanwhile is no more than was left.
 //!
-//! A host that starts has an empty bucket and equal weights until it has heard the
-//! others; it takes their level over. When all hosts died the level is lost with
-//! them, and nothing is admitted but what has come since.
+//! A host that starts has equal weights until it has heard the others; it takes their
+//! level over. When all hosts died the level is lost with them. A bucket then begins with
+//! a part of the tolerance that hosts do not use otherwise: what was admitted before they
+//! died and what is admitted after it stays within the limit over any window, however
+//! short they were away, and accounts within their rate are served again at once.
 //!
 //! Hosts that do not hear each other must not both use what is left. A host that has
 //! been quiet for a moment has its weight set apart. Hosts that hear less than half of
@@ -49,6 +51,10 @@
 /// to notice, with the last message it heard on its way.
 pub const LOST_AFTER: Duration = Duration::from_millis(4000);
 
+/// The part of the rest that a bucket begins with at the start of a host. Sums of 0.6 and
+/// of what hosts admit before they have told it stay below 1.
+const START: f64 = 0.6;
+
 /// Demand that is not told, in requests a second: forgotten but for a trace.
 const LEAST_TOLD: f64 = 0.05;
 
@@ -76,6 +82,16 @@
     pub overage: f64,
     /// In requests, within one window.
     pub slack: f64,
+    /// The window over which it is counted.
+    pub window: Duration,
+}
+
+impl Tolerance {
+    /// What a bucket begins with whose level is not known.
+    fn start(&self, rate: Rate, burst: Burst) -> f64 {
+        let over = self.overage * (rate.0 * self.window.as_secs_f64() + burst.0);
+        START * (1.0 - TOLERANCE_USED) * (over + self.slack)
+    }
 }
 
 /// What a host tells of one account. It is told to all hosts several times a second,
@@ -269,8 +285,8 @@
         }
     }
 
-    /// Notes an account's contract. What it has saved up begins with nothing: hosts that
-    /// start anew one after the other would otherwise grant the burst again each time.
+    /// Notes an account's contract. It begins without its burst: hosts that start anew
+    /// would otherwise grant it again each time.
     pub fn know(&mut self, account: &AccountId, rate: Rate, burst: Burst, now: Instant) {
         let start = Ledger {
             rate,
@@ -279,7 +295,7 @@
             told: 0.0,
             admitted: 0,
             admitted_told: 0,
-            level: 0.0,
+            level: self.tolerance.start(rate, burst),
             at: now,
             side: 1.0,
         };
@@ -308,7 +324,7 @@
             ledger.fill(&self.tolerance, part.side, now);
             if let Some(level) = said.level.filter(|_| new) {
                 let level = f64::from(level).min(ledger.most(&self.tolerance));
-                ledger.level = ledger.level.max(level);
+                ledger.level = level;
             } else if !first && !lost {
                 // Without an earlier count, all that it admitted of late is at most what was
                 // asked for there of late.
--- a/components/coordination/tests/demand.rs
+++ b/components/coordination/tests/demand.rs
@@ -13,7 +13,8 @@
 const RATE: Rate = Rate(120.0);
 const BURST: Burst = Burst(120.0);
 const TICK: Duration = Duration::from_millis(10);
-const TOLERANCE: Tolerance = Tolerance { overage: 0.1, slack: 20.0 };
+const TOLERANCE: Tolerance =
+    Tolerance { overage: 0.1, slack: 20.0, window: Duration::from_secs(5) };
 
 /// Tells each start of a host from all others.
 fn next_run() -> u64 {
--- a/lab/src/soak/world.rs
+++ b/lab/src/soak/world.rs
@@ -132,7 +132,7 @@
             listenAddresses.front={callers}\nlistenAddresses.ready={readiness}\n\
             internalPortRange={},{}\nlimits.cpuShare=0.25\nbounds.graceS=4\n\
             bounds.configurationApplyMs=3000\nbounds.drainMs=7000\nbounds.quotaOverage=0.1\n\
-            bounds.strictRevocation=false\nbounds.revocationMs=5000\nbounds.quotaSlack=20\nplatform.address={store}\ncloud.address={platform}\n",
+            bounds.strictRevocation=false\nbounds.revocationMs=5000\nbounds.quotaSlack=20\nbounds.quotaWindowS=5\nplatform.address={store}\ncloud.address={platform}\n",
             number % 2,
             peers.port(),
             metrics.port(),
