--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -23,6 +23,10 @@
 /// keeps none that it does not use.
 const CROWDED_FOR: Duration = Duration::from_secs(3);
 
+/// The same for a host that holds the connections for all: those that crowd the server
+/// are of hosts that died, and servers drop these one by one within 3 s.
+const HELD_FOR: Duration = Duration::from_millis(250);
+
 /// How long a connection above half of a host's share stays open unused: longer
 /// than a usual pause between two statements of an account.
 const UNUSED_FOR: Duration = Duration::from_millis(800);
@@ -64,8 +68,10 @@
     share: Cell<usize>,
     /// Hosts that hold the server's connections, best first.
     pub holders: RefCell<Vec<HostId>>,
-    /// Until when the server counts as crowded.
-    crowded: Cell<Option<Instant>>,
+    /// Whether this host holds the server's connections for all.
+    sole: Cell<bool>,
+    /// Until when the server counts as crowded, and how many connections it took.
+    crowded: Cell<Option<(Instant, usize)>>,
     freed: Notify,
 }
 
@@ -113,6 +119,7 @@
             cap: Cell::new(1),
             share: Cell::default(),
             holders: RefCell::default(),
+            sole: Cell::default(),
             crowded: Cell::default(),
             freed: Notify::new(),
         })
@@ -127,6 +134,7 @@
         let share = cap / hosts;
         self.share.set(share);
         self.cap.set(share.max(LEAST_CAP.min(cap)).max(1));
+        self.sole.set(hosts == 1);
         let slots = self.listed.borrow().slots;
         let least = if hosts == 1 { slots + SPARE } else { 1 };
         self.gate.borrow_mut().set_bounds(least, self.cap.get());
@@ -214,7 +222,12 @@
                 self.close_oldest();
             }
             if self.open.get() < self.cap() {
-                return self.open_one(account).await;
+                match self.open_one(account).await {
+                    // The next one that is given back, or makes room, will do.
+                    Err(NoConnection::Open(OpenError::Rejected(Failure::TooMany)))
+                        if self.sole.get() && self.open.get() > 0 => {}
+                    opened => return opened,
+                }
             }
             let freed = monoio::time::timeout_at(deadline, self.freed.notified()).await;
             freed.map_err(|_| NoConnection::Full)?;
@@ -238,12 +251,17 @@
     }
 
     fn cap(&self) -> usize {
-        if self.is_crowded() { (self.cap.get() - 1).max(1) } else { self.cap.get() }
+        let taken = self.crowded().map(|taken| if self.sole.get() { taken } else { usize::MAX });
+        match taken {
+            Some(taken) => taken.min(self.cap.get() - 1).max(1),
+            None => self.cap.get(),
+        }
     }
 
-    /// Whether the server had too many connections lately.
-    fn is_crowded(&self) -> bool {
-        self.crowded.get().is_some_and(|until| Instant::now() < until)
+    /// How many connections the server took when it had too many lately.
+    fn crowded(&self) -> Option<usize> {
+        let lately = self.crowded.get().filter(|(until, _)| Instant::now() < *until);
+        lately.map(|(_, taken)| taken)
     }
 
     /// Closes connections above half of the host's share that nobody has used for
@@ -301,7 +319,9 @@
             Err(error) => {
                 if matches!(error, OpenError::Rejected(Failure::TooMany)) {
                     info!(server = %listed.id, open = self.open.get(), "pool: too many connections");
-                    self.crowded.set(Some(Instant::now() + CROWDED_FOR));
+                    let lasts = if self.sole.get() { HELD_FOR } else { CROWDED_FOR };
+                    let taken = self.open.get() - 1;
+                    self.crowded.set(Some((Instant::now() + lasts, taken)));
                 }
                 Err(NoConnection::Open(error))
             }
@@ -323,8 +343,9 @@
     /// Keeps the connection for the next statement.
     pub fn give_back(mut self) {
         if let Some(backend) = self.backend.take() {
-            // While the server is crowded others need its place more.
-            if self.pool.is_crowded() {
+            // While the server is crowded other hosts need its place more, if they have
+            // connections of their own.
+            if self.pool.crowded().is_some() && !self.pool.sole.get() {
                 return;
             }
             self.pool.idle.borrow_mut().push((backend, Instant::now()));
