What has the least time left goes first at a server's queue

Hypothesis: lookups, which may wait for 250 ms and work for 30, stand before reads that may wait for 125 and work for 18; in an overload the second are refused. Change: within a priority the one with the least time left goes first, and only what goes before is waited for. Its test fails on the order of coming.

--- a/components/coordination/src/gate.rs
+++ b/components/coordination/src/gate.rs
@@ -5,11 +5,13 @@
 //! run. A server queues what comes, first come first served. With all connections
 //! of all hosts in that queue each answer takes ten times its work, and all are
 //! late. Here the queue stands at the hosts: each keeps as many statements under
-//! way as the server answers without queueing long, lets the more urgent go first,
-//! and refuses at once what would wait for too long.
+//! way as the server answers without queueing long, lets the more urgent go first and
+//! then what has the least time left, and refuses at once what would wait for too long.
+//! In the order of coming, long reads whose callers can wait would take the slots of
+//! short ones whose callers cannot, which are refused meanwhile.
 
 use std::{
-    collections::BTreeMap,
+    collections::BTreeSet,
     time::{Duration, Instant},
 };
 
@@ -37,8 +39,9 @@
 /// Statements under way at the least. Several hosts with one each fill the slots.
 const LEAST: f64 = 1.0;
 
-/// What waits: the urgent first, then in the order of coming.
-pub type Place = (u32, u64);
+/// What waits: the urgent first, then what has the least time left, then in the order
+/// of coming.
+pub type Place = (u32, Instant, u64);
 
 /// A host's gate to one server.
 #[derive(Clone, Debug)]
@@ -49,7 +52,7 @@
     running: usize,
     mean: f64,
     base: f64,
-    waiting: BTreeMap<Place, Instant>,
+    waiting: BTreeSet<Place>,
     next: u64,
     /// Answers until the limit may shrink again: those under way when it shrank
     /// still show the longer queue.
@@ -77,7 +80,7 @@
             running: 0,
             mean: FIRST_GUESS,
             base: FIRST_GUESS,
-            waiting: BTreeMap::new(),
+            waiting: BTreeSet::new(),
             next: 0,
             settle: 0.0,
         }
@@ -103,18 +106,19 @@
         self.limit.max(self.least) as usize
     }
 
-    /// How long the next one of that priority would wait.
-    pub fn wait(&self, priority: u32) -> Duration {
+    /// How long the next one of that priority would wait that may wait until then.
+    pub fn wait(&self, priority: u32, until: Instant) -> Duration {
         if self.running < self.limit() && self.waiting.is_empty() {
             return Duration::ZERO;
         }
-        let ahead = self.waiting.range(..=(priority, u64::MAX)).count() + 1;
+        let ahead = self.waiting.range(..=(priority, until, u64::MAX)).count() + 1;
         Duration::from_secs_f64(ahead as f64 * self.mean / self.limit.max(self.least))
     }
 
     /// Receives a statement that may wait for `patience`; 0 is the most urgent priority.
     pub fn enter(&mut self, priority: u32, patience: Duration, now: Instant) -> Entry {
-        let wait = self.wait(priority);
+        let until = now + patience;
+        let wait = self.wait(priority, until);
         if wait.is_zero() {
             self.running += 1;
             return Entry::Go;
@@ -122,9 +126,9 @@
         if wait > patience {
             return Entry::Refused(wait);
         }
-        let place = (priority, self.next);
+        let place = (priority, until, self.next);
         self.next += 1;
-        self.waiting.insert(place, now + patience);
+        self.waiting.insert(place);
         Entry::Wait(place)
     }
 
@@ -162,11 +166,11 @@
 
     /// The next that may be sent, if there is room; it counts as under way.
     pub fn next(&mut self, now: Instant) -> Option<Place> {
-        self.waiting.retain(|_, until| *until > now);
+        self.waiting.retain(|(_, until, _)| *until > now);
         if self.running >= self.limit() {
             return None;
         }
-        let (place, _) = self.waiting.pop_first()?;
+        let place = self.waiting.pop_first()?;
         self.running += 1;
         Some(place)
     }
--- a/components/coordination/tests/gate.rs
+++ b/components/coordination/tests/gate.rs
@@ -108,3 +108,43 @@
     assert_eq!(seen.refused, 0);
     assert!(seen.in_time * 1000 >= seen.served * 999);
 }
+
+/// A leader runs all reads of its group. Long reads whose callers wait for half a second
+/// stood before short ones whose callers wait for a quarter; those were refused for the
+/// length of the queue, though they could have gone first without making anyone late.
+#[test]
+fn what_has_the_least_time_left_goes_first() {
+    let mut gate = Gate::new(4);
+    let (now, ms) = (Instant::now(), Duration::from_millis(1));
+    for _ in 0..4 {
+        assert_eq!(gate.enter(2, 100 * ms, now), Entry::Go);
+    }
+    let mut patient = Vec::new();
+    for _ in 0..12 {
+        let Entry::Wait(place) = gate.enter(2, 250 * ms, now) else { panic!("not to wait") };
+        patient.push(place);
+    }
+    let Entry::Wait(hurried) = gate.enter(2, 100 * ms, now + ms) else { panic!("refused") };
+    let Entry::Wait(urgent) = gate.enter(1, 400 * ms, now + ms) else { panic!("refused") };
+    let mut order = Vec::new();
+    for _ in 0..4 {
+        gate.end(Some(35 * ms));
+        order.push(gate.next(now + 2 * ms).unwrap());
+    }
+    assert_eq!(order, [urgent, hurried, patient[0], patient[1]]);
+}
+
+/// A host that alone holds a server's connections saw long answers, shrank to one
+/// statement under way and refused callers while two of three slots stood idle.
+#[test]
+fn the_only_sender_keeps_the_slots_filled() {
+    let mut gate = Gate::new(23);
+    gate.set_bounds(4, 23);
+    for n in 0..400_u32 {
+        while gate.running() < gate.limit() {
+            gate.go_on();
+        }
+        gate.end(Some(Duration::from_millis(20 + u64::from(n))));
+    }
+    assert_eq!(gate.limit(), 4);
+}
--- a/components/proxy/src/confirm.rs
+++ b/components/proxy/src/confirm.rs
@@ -104,7 +104,7 @@
     let named = servers.map(|pool| (pool.listed.borrow().id.clone(), pool.clone()));
     let mut replicas: Vec<_> = named.filter(|(id, _)| Some(id) != leader.as_ref()).collect();
     replicas.sort_by_key(|(_, pool)| {
-        (pool.wait(0), pool.listed.borrow().domain != host.settings.domain)
+        (pool.wait(0, ASK_WITHIN, host.now()), pool.listed.borrow().domain != host.settings.domain)
     });
     replicas
 }
--- a/components/proxy/src/place.rs
+++ b/components/proxy/src/place.rs
@@ -104,7 +104,7 @@
                 warm: host.holder(pool).is_some() || pool.is_warm(&job.account),
                 leads: leads.as_ref() == Some(&listed.id),
                 slots: listed.slots,
-                wait: pool.wait(job.priority),
+                wait: pool.wait(job.priority, job.patience, now),
             }
         })
         .collect();
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -140,9 +140,9 @@
         self.gate.borrow_mut().set_bounds(least, self.cap.get());
     }
 
-    /// How long a statement of that priority would wait at the gate.
-    pub fn wait(&self, priority: u32) -> Duration {
-        self.gate.borrow().wait(priority)
+    /// How long a statement of that priority and patience would wait at the gate.
+    pub fn wait(&self, priority: u32, patience: Duration, now: StdInstant) -> Duration {
+        self.gate.borrow().wait(priority, now + patience)
     }
 
     /// Waits until a statement may be sent; when to come back if that takes too long.
@@ -169,7 +169,7 @@
             self.gate.borrow_mut().end(None);
             self.wake(now + patience);
         }
-        Err(self.wait(priority))
+        Err(self.wait(priority, patience, now + patience))
     }
 
     /// A statement of an open transaction goes on without waiting.
