A replica that said where it stands is left alone; a full server refuses at once

Change: a refusal shows the replica's position, and by the leader's positions over time when it will be there; until then (1 s at most) it is not asked. A server that says that too many wait is final, with the time to come back.

--- a/components/coordination/src/choice.rs
+++ b/components/coordination/src/choice.rs
@@ -35,6 +35,10 @@
 /// is over after the first, and one of seconds does not cost each read a try.
 const BEHIND_FOR: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
 
+/// How long a server is passed over that said where it stands: it may be promoted, or
+/// start again with all that it received.
+const LACKS_FOR: Duration = Duration::from_millis(1000);
+
 /// Failures in a row that eject a server.
 const FAILURES: u32 = 2;
 
@@ -96,13 +100,23 @@
         }
     }
 
-    /// It lacked a position.
-    pub fn behind(&mut self, point: Point, now: Instant) {
+    /// It lacked a position. `missing` is how far it is expected to be from showing it, if
+    /// that is known.
+    ///
+    /// A replica that is seconds behind shows in each refusal where it stands; asked again
+    /// every half second by each host for each read, it refuses a hundred a second.
+    pub fn behind(&mut self, point: Point, missing: Option<Duration>, now: Instant) {
         let (first, most) = BEHIND_FOR;
-        let last = self.lacked.map_or(first, |(_, _, last)| (last * 2).min(most));
+        let doubled = self.lacked.map_or(first, |(_, _, last)| (last * 2).min(most));
+        let last = missing.map_or(doubled, |missing| missing.clamp(first, LACKS_FOR));
         self.lacked = Some((point, now + last, last));
     }
 
+    /// Whether it is known to lack a position still.
+    pub fn lacks(&self, need: Point, now: Instant) -> bool {
+        self.lacked.is_some_and(|(point, until, _)| need >= point && now < until)
+    }
+
     /// It had the position that it was asked for.
     pub fn caught_up(&mut self) {
         self.lacked = None;
@@ -126,11 +140,7 @@
     /// Whether it may be asked for a log that reaches `need`.
     fn fits(&self, need: Option<Point>, now: Instant) -> bool {
         let ejected = self.ejected.is_some_and(|(until, _)| now < until);
-        let lacks = match (self.lacked, need) {
-            (Some((point, until, _)), Some(need)) => need >= point && now < until,
-            _ => false,
-        };
-        !ejected && !lacks
+        !ejected && !need.is_some_and(|need| self.lacks(need, now))
     }
 }
 
--- a/components/proxy/src/job.rs
+++ b/components/proxy/src/job.rs
@@ -75,17 +75,19 @@
     pub retry: Option<Duration>,
     /// What decided it.
     pub why: &'static str,
+    /// The server has more to do than it can; to ask again sooner than told is no use.
+    pub crowded: bool,
 }
 
 impl Refused {
     /// Nothing has run, and the caller may come back.
     pub fn busy(why: &'static str) -> Self {
-        Self { failure: Failure::Busy, retry: Some(RETRY_AFTER), why }
+        Self { failure: Failure::Busy, retry: Some(RETRY_AFTER), why, crowded: false }
     }
 
     /// Of that kind; coming back at once is no use or no harm.
     pub fn of(failure: Failure, why: &'static str) -> Self {
-        Self { failure, retry: None, why }
+        Self { failure, retry: None, why, crowded: false }
     }
 
     /// The text for the caller.
@@ -169,7 +171,7 @@
     if after.is_some() && answer.failure().is_none() {
         pool.health.borrow_mut().caught_up();
     }
-    match answer.failure().and_then(|failure| elsewhere(failure, &pool, after, host)) {
+    match elsewhere(host, job, &pool, after, &answer) {
         Some(refused) => Tried::Elsewhere(refused),
         // An answer of a leader that was replaced meanwhile proves nothing.
         None if !led => Tried::Lost("the leader changed"),
@@ -201,11 +203,21 @@
 
 /// The refusal, if a server's failure is its word that nothing was kept and that
 /// another server may be asked.
-fn elsewhere(failure: Failure, pool: &Pool, after: Option<Point>, host: &Host) -> Option<Refused> {
-    Some(Refused::busy(match failure {
+fn elsewhere(
+    host: &Host,
+    job: &Job,
+    pool: &Pool,
+    after: Option<Point>,
+    answer: &ServerAnswer,
+) -> Option<Refused> {
+    Some(Refused::busy(match answer.failure()? {
         Failure::Behind => {
             if let Some(after) = after {
-                pool.health.borrow_mut().behind(after, host.now());
+                let (ages, now) = (job.group.ages.borrow(), host.now());
+                let lag = answer.point.and_then(|shown| ages.age(shown, now));
+                let missing =
+                    lag.zip(ages.age(after, now)).map(|(lag, due)| lag.saturating_sub(due));
+                pool.health.borrow_mut().behind(after, missing, now);
             }
             "the replica is behind"
         }
@@ -256,7 +268,7 @@
                 return Err(refused);
             }
         }
-        if tries >= MOST_TRIES || Instant::now() >= until {
+        if refused.crowded || tries >= MOST_TRIES || Instant::now() >= until {
             return Err(refused);
         }
         job.group.wait_changed(until.min(Instant::now() + AGAIN_AFTER)).await;
@@ -287,7 +299,7 @@
                 return Err(refused);
             }
         }
-        if tries >= MOST_TRIES || Instant::now() >= until {
+        if refused.crowded || tries >= MOST_TRIES || Instant::now() >= until {
             return Err(refused);
         }
         job.group.wait_changed(until.min(Instant::now() + AGAIN_AFTER)).await;
@@ -319,7 +331,7 @@
         return Ok(running);
     }
     running.conn.give_back(&answer);
-    let refused = answer.failure().and_then(|failure| elsewhere(failure, &pool, after, host));
+    let refused = elsewhere(host, job, &pool, after, &answer);
     Err(refused.unwrap_or(Refused::busy("the server opened no transaction")))
 }
 
--- a/components/proxy/src/place.rs
+++ b/components/proxy/src/place.rs
@@ -108,7 +108,12 @@
             }
         })
         .collect();
-    let order = choice::order(&candidates, Some(after), now);
+    let mut order = choice::order(&candidates, Some(after), now);
+    // Those that are known to lack the position are no use while another may have it.
+    let lacks = |i: &usize| !candidates[*i].leads && candidates[*i].health.lacks(after, now);
+    if !order.iter().all(lacks) {
+        order.retain(|i| !lacks(i));
+    }
     drop(candidates);
     drop(health);
     let mut leader = leader;
@@ -167,6 +172,7 @@
                 failure: Failure::Busy,
                 retry: Some(Duration::from_millis(wait_ms.into())),
                 why: "too many statements wait for the server",
+                crowded: true,
             };
         }
         NotSent::Dead => {
