A transaction that is given up while a statement of it runs is closed with its answer

Found on reading: the word to close it came before the connection was put aside, and the holder then kept it for ten seconds.

--- a/components/proxy/src/news.rs
+++ b/components/proxy/src/news.rs
@@ -52,7 +52,7 @@
             monoio::spawn(relay::serve(host.clone(), peer.host.clone(), *errand, teller));
         }
         Question::Hang(work) => {
-            host.works.hang(&peer.host, work);
+            host.works.hang(&peer.host, work, host.now());
             teller.tell(Answer::Pong);
         }
         Question::Act { group, row } => {
--- a/components/proxy/src/relay.rs
+++ b/components/proxy/src/relay.rs
@@ -41,6 +41,8 @@
 #[derive(Default)]
 pub struct Works {
     resting: RefCell<HashMap<(HostId, WorkNo), Resting>>,
+    /// Transactions given up while a statement of them was under way, and when.
+    given_up: RefCell<HashMap<(HostId, WorkNo), Instant>>,
 }
 
 impl Works {
@@ -62,11 +64,24 @@
             }
             stays
         });
+        let mut given_up = self.given_up.borrow_mut();
+        given_up.retain(|_, since| now.duration_since(*since) < limit);
     }
 
-    /// Closes the connection of a transaction.
-    pub fn hang(&self, host: &HostId, work: WorkNo) {
-        self.resting.borrow_mut().remove(&(host.clone(), work));
+    /// Closes the connection of a transaction; once its answer is there, if a statement
+    /// of it is under way.
+    pub fn hang(&self, host: &HostId, work: WorkNo, now: Instant) {
+        let key = (host.clone(), work);
+        if self.resting.borrow_mut().remove(&key).is_none() {
+            self.given_up.borrow_mut().insert(key, now);
+        }
+    }
+
+    /// Keeps a transaction's connection, unless it was given up meanwhile.
+    fn keep(&self, key: (HostId, WorkNo), resting: Resting) {
+        if self.given_up.borrow_mut().remove(&key).is_none() {
+            self.resting.borrow_mut().insert(key, resting);
+        }
     }
 }
 
@@ -155,7 +170,7 @@
     match open {
         Some(work) => {
             let resting = Resting { leased, since: host.now(), watch };
-            host.works.resting.borrow_mut().insert((from, work), resting);
+            host.works.keep((from, work), resting);
         }
         None if leased.backend().is_clean(answer) => leased.give_back(),
         None => {}
