--- a/components/coordination/src/demand.rs
+++ b/components/coordination/src/demand.rs
@@ -32,14 +32,15 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{AccountId, Burst, HostId, Rate};
+pub use crate::ledger::Tolerance;
+use crate::{
+    AccountId, Burst, HostId, Rate,
+    ledger::{Ledger, MEMORY},
+};
 
 /// The part of a weight that follows the demand.
 const BY_DEMAND: f64 = 0.75;
 
-/// How long demand counts: the time in which most of an old figure is forgotten.
-const MEMORY: Duration = Duration::from_millis(2000);
-
 /// When a host's weight is set apart: it has missed two of the figures that hosts tell
 /// every 400 ms.
 pub const QUIET_AFTER: Duration = Duration::from_millis(1000);
@@ -51,17 +52,9 @@
 /// to notice, with the last message it heard on its way.
 pub const LOST_AFTER: Duration = Duration::from_millis(4000);
 
-/// The part of the rest that a bucket begins with at the start of a host. Sums of 0.6 and
-/// of what hosts admit before they have told it stay below 1.
-const START: f64 = 0.6;
-
 /// Demand that is not told, in requests a second: forgotten but for a trace.
 const LEAST_TOLD: f64 = 0.05;
 
-/// The part of the tolerance that hosts use on purpose. The rest is for what they
-/// cannot know: what a host admitted that died before it told, and clocks that differ.
-const TOLERANCE_USED: f64 = 0.5;
-
 /// The part of the slack that hosts may admit beyond their weight of what is left, each
 /// an equal part of it. Callers come in clusters: with nine hosts and a small account a
 /// weight is less than the three or four requests that come together.
@@ -71,29 +64,6 @@
 /// moved by then.
 const LONGEST_RETRY: Duration = Duration::from_secs(5);
 
-/// How far a rate may be exceeded over the whole fleet.
-///
-/// It is there to be used: with no more than just the rate, a host refuses
-/// requests that one bucket for all would have admitted, whenever callers come to
-/// the hosts in another rhythm than tokens do.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Tolerance {
-    /// As a part of the rate and the burst.
-    pub overage: f64,
-    /// In requests, within one window.
-    pub slack: f64,
-    /// The window over which it is counted.
-    pub window: Duration,
-}
-
-impl Tolerance {
-    /// What a bucket begins with whose level is not known.
-    fn start(&self, rate: Rate, burst: Burst) -> f64 {
-        let over = self.overage * (rate.0 * self.window.as_secs_f64() + burst.0);
-        START * (1.0 - TOLERANCE_USED) * (over + self.slack)
-    }
-}
-
 /// What a host tells of one account. It is told to all hosts several times a second,
 /// so its names on the wire are short.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -123,24 +93,6 @@
     pub figures: Vec<Figures>,
 }
 
-#[derive(Clone, Debug)]
-struct Meter {
-    rate: f64,
-    at: Instant,
-}
-
-impl Meter {
-    fn decayed(&self, now: Instant) -> f64 {
-        let passed = now.saturating_duration_since(self.at);
-        self.rate * (-passed.as_secs_f64() / MEMORY.as_secs_f64()).exp()
-    }
-
-    fn add(&mut self, now: Instant) {
-        self.rate = self.decayed(now) + 1.0 / MEMORY.as_secs_f64();
-        self.at = now;
-    }
-}
-
 /// What another host told last.
 #[derive(Debug)]
 struct Told {
@@ -195,24 +147,6 @@
     }
 }
 
-/// One account at this host.
-#[derive(Debug)]
-struct Ledger {
-    rate: Rate,
-    burst: Burst,
-    asked: Meter,
-    /// What the others were told of `asked`.
-    told: f64,
-    /// Requests admitted since the start, and how many of them the others were told of.
-    admitted: u64,
-    admitted_told: u64,
-    /// What is left for this side of the fleet, by all that was told.
-    level: f64,
-    at: Instant,
-    /// The part of the rate that this side had at `at`.
-    side: f64,
-}
-
 /// What was decided about a request.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Ruling {
@@ -288,17 +222,7 @@
     /// Notes an account's contract. It begins without its burst: hosts that start anew
     /// would otherwise grant it again each time.
     pub fn know(&mut self, account: &AccountId, rate: Rate, burst: Burst, now: Instant) {
-        let start = Ledger {
-            rate,
-            burst,
-            asked: Meter { rate: 0.0, at: now },
-            told: 0.0,
-            admitted: 0,
-            admitted_told: 0,
-            level: self.tolerance.start(rate, burst),
-            at: now,
-            side: 1.0,
-        };
+        let start = Ledger::new(rate, burst, &self.tolerance, now);
         let ledger = self.ledgers.entry(account.clone()).or_insert(start);
         (ledger.rate, ledger.burst) = (rate, burst);
     }
@@ -427,34 +351,3 @@
         Ruling { admitted, part: side * weight, side, level: ledger.level, retry }
     }
 }
-
-impl Ledger {
-    /// Tokens a second that this side has.
-    fn pace(&self, tolerance: &Tolerance) -> f64 {
-        let over = 1.0 + TOLERANCE_USED * tolerance.overage;
-        (self.rate.0 * self.side * over).max(f64::MIN_POSITIVE)
-    }
-
-    /// The most that this side may save up.
-    fn most(&self, tolerance: &Tolerance) -> f64 {
-        (self.burst.0 + TOLERANCE_USED * tolerance.slack) * self.side
-    }
-
-    /// Saves what has come, and leaves to hosts that are not heard any more what is theirs.
-    fn fill(&mut self, tolerance: &Tolerance, side: f64, now: Instant) {
-        if side < self.side {
-            self.level *= side / self.side;
-        }
-        self.side = side;
-        let passed = now.saturating_duration_since(self.at).as_secs_f64();
-        self.level = (self.level + passed * self.pace(tolerance)).min(self.most(tolerance));
-        self.at = now;
-    }
-
-    /// Takes out what was admitted. What was admitted beyond what was known to be left,
-    /// by a host that came back, is not held against the account for longer than it
-    /// takes to fill the bucket once.
-    fn spend(&mut self, tokens: f64) {
-        self.level = (self.level - tokens).max(-self.burst.0.max(1.0));
-    }
-}
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod hubs;
 pub mod ids;
 pub mod leadership;
+mod ledger;
 pub mod lenders;
 pub mod outcome;
 pub mod pace;
