--- a/components/coordination/tests/demand.rs
+++ b/components/coordination/tests/demand.rs
@@ -331,7 +331,12 @@
     let mut fleet = Fleet::new(9);
     run_apart(&mut fleet, Duration::from_secs(2), 0.0);
     let now = fleet.now;
-    fleet.hosts.iter_mut().for_each(|(_, demand)| demand.create(&account(), RATE, BURST, now));
+    for (_, demand) in &mut fleet.hosts {
+        demand.create(&account(), RATE, BURST, now);
+        let together = (0..8).filter(|_| demand.take(&account(), RATE, BURST, now).admitted);
+        assert_eq!(together.count(), 8, "of eight callers that come together");
+    }
+    fleet.admitted.clear();
     run_apart(&mut fleet, Duration::from_secs(2), RATE.0 / 1.6 / 9.0);
     let asked = (RATE.0 / 1.6 * 2.0) as usize;
     let admitted = fleet.admitted.len();
