Sight: what hosts were not told, and what a told configuration cost

A host that asked another one for news and got no answer in time went on without a word, so that the record of the incident could not tell a transfer that is too slow from an answer that is not sent. Lines: 'fleet: not told what is new' with the time it took; bytes and ms of a configuration that was told; ms of a lost call of the store. Counters of bytes told and taken and of unanswered questions. No change of logic.

--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -85,7 +85,8 @@
             Ok((rows, whole)) => {
                 debug!(%table, whole, rows = rows.rows.len(), version = rows.version, "store: told");
                 if std::mem::take(&mut lost) {
-                    info!(%table, "store: regained");
+                    let ms = (host.now() - asked).as_millis() as u64;
+                    info!(%table, ms, "store: regained");
                 }
                 host.store_clock.borrow_mut().note(asked, rows.clock);
                 after = Some(rows.version);
@@ -96,7 +97,8 @@
             }
             Err(error) => {
                 if !std::mem::replace(&mut lost, true) {
-                    warn!(%table, error = %format_args!("{error:#}"), "store: lost");
+                    let ms = (host.now() - asked).as_millis() as u64;
+                    warn!(%table, ms, error = %format_args!("{error:#}"), "store: lost");
                 }
                 monoio::time::sleep(AGAIN_AFTER).await;
             }
--- a/components/proxy/src/measure.rs
+++ b/components/proxy/src/measure.rs
@@ -35,6 +35,12 @@
     outcomes: Family<OutcomeLabel, Counter>,
     /// Statements sent to servers a second time.
     pub retries: Counter,
+    /// Bytes of configurations told to other hosts.
+    pub told: Counter,
+    /// Bytes of configurations that other hosts told and that were taken.
+    pub heard: Counter,
+    /// Questions for what is new that other hosts did not answer in time.
+    pub unanswered: Counter,
 }
 
 impl Default for Measures {
@@ -50,7 +56,23 @@
         );
         registry.register("statements", "Statements by outcome", outcomes.clone());
         registry.register("retries", "Statements sent to a server again", retries.clone());
-        Self { registry, latency, outcomes, retries }
+        let (told, heard, unanswered) = <(Counter, Counter, Counter)>::default();
+        registry.register(
+            "configuration_told_bytes",
+            "Bytes of configurations told to other hosts",
+            told.clone(),
+        );
+        registry.register(
+            "configuration_heard_bytes",
+            "Bytes of configurations that other hosts told in time",
+            heard.clone(),
+        );
+        registry.register(
+            "news_unanswered",
+            "Questions for what is new that other hosts did not answer in time",
+            unanswered.clone(),
+        );
+        Self { registry, latency, outcomes, retries, told, heard, unanswered }
     }
 }
 
--- a/components/proxy/src/news.rs
+++ b/components/proxy/src/news.rs
@@ -86,10 +86,12 @@
     let raw = kept.as_ref().map(|kept| kept.raw.clone());
     let view = || host.held.borrow().changes(asker.view_version);
     let servers = known.servers.0 != asker.servers.0 && known.servers.1 > asker.servers.1;
+    let plan = raw.filter(|_| known.plan.0 > asker.plan.0);
+    host.measures.told.inc_by(plan.as_ref().map_or(0, |raw| raw.len() as u64));
     Newest {
         known,
         view: (known.view.0 != asker.view.0 && known.view.1 > asker.view.1).then(view),
-        plan: raw.filter(|_| known.plan.0 > asker.plan.0),
+        plan,
         servers: servers.then(|| host.listed()),
     }
 }
@@ -186,9 +188,25 @@
 async fn ask_newest(host: &Rc<Host>, link: &Link) {
     let mut known = host.known();
     loop {
+        let asked = host.now();
         let answer = link.ask(Question::Newest(known), PEER_WITHIN).await;
-        let Ok(Answer::Newest(newest)) = answer else { return };
-        let fits = take_newest(host, &link.host, *newest);
+        let ms = (host.now() - asked).as_millis() as u64;
+        let newest = match answer {
+            Ok(Answer::Newest(newest)) => newest,
+            Ok(_) => return,
+            Err(error) => {
+                host.measures.unanswered.inc();
+                let (version, error) = (known.plan.0.0, format_args!("{error:#}"));
+                info!(from = %link.host, version, ms, %error, "fleet: not told what is new");
+                return;
+            }
+        };
+        if let Some(raw) = &newest.plan {
+            let (version, bytes) = (newest.known.plan.0.0, raw.len());
+            host.measures.heard.inc_by(bytes as u64);
+            info!(version, from = %link.host, bytes, ms, "configuration: told by another host");
+        }
+        let fits = take_newest(host, *newest);
         if fits || known.view_version == 0 {
             return;
         }
@@ -198,7 +216,7 @@
 }
 
 /// Takes what another host knows; false when its changes of the view do not fit.
-fn take_newest(host: &Rc<Host>, from: &HostId, newest: Newest) -> bool {
+fn take_newest(host: &Rc<Host>, newest: Newest) -> bool {
     let changed = newest.view.map(|changes| changes.onto(host.held.borrow().view()));
     let fits = !matches!(changed, Some(None));
     if let Some(view) = changed.flatten() {
@@ -208,7 +226,6 @@
         }
     }
     if let Some(plan) = newest.plan {
-        info!(version = newest.known.plan.0.0, %from, "configuration: told by another host");
         follow::adopt(host, plan);
     }
     if let Some(servers) = newest.servers {
