--- a/lab/src/soak/world.rs
+++ b/lab/src/soak/world.rs
@@ -31,6 +31,10 @@
 const ACCOUNTS: [(&str, &str, u64); 3] =
     [("baobab", "key-b", 400), ("hartwell", "key-h", 400), ("greedy", "key-g", 30)];
 
+/// Processor shares of a host of the usual size, and of a large one.
+const SMALL: f64 = 0.25;
+const LARGE: f64 = 0.5;
+
 /// How long an entry stays after its server has ended: three heartbeats.
 const ENTRY_FOR: Duration = Duration::from_millis(1500);
 
@@ -59,6 +63,8 @@
     /// Where each server says that it listens.
     addresses: RefCell<Vec<SocketAddr>>,
     version: Cell<u64>,
+    /// Databases beside those that callers use.
+    further: Cell<usize>,
     withdrawn: Cell<bool>,
     /// Whether entries of servers that ended stay in the list.
     pub keeps_entries: Cell<bool>,
@@ -67,8 +73,14 @@
 }
 
 impl World {
-    /// Starts the system.
+    /// Starts the system with hosts of one size.
     pub fn start(hosts: usize) -> anyhow::Result<Self> {
+        Self::start_sized(hosts, 0)
+    }
+
+    /// Starts the system; the first `large` hosts have more power than the others, so
+    /// that these leave reading the store to them.
+    pub fn start_sized(hosts: usize, large: usize) -> anyhow::Result<Self> {
         let mut ports = Ports::take()?;
         let dir = tempfile::tempdir()?;
         let (links, groups) = (Links::default(), Rc::new(RefCell::new(Groups::default())));
@@ -105,6 +117,7 @@
             refused: Rc::default(),
             addresses: RefCell::new(addresses),
             version: Cell::new(1),
+            further: Cell::default(),
             withdrawn: Cell::default(),
             keeps_entries: Cell::default(),
             dir,
@@ -113,12 +126,13 @@
         world.configure();
         (0..GROUPS * 3).for_each(|place| world.list(place));
         for number in 0..hosts {
-            world.add_host(number, platform)?;
+            let power = if number < large { LARGE } else { SMALL };
+            world.add_host(number, power, platform)?;
         }
         Ok(world)
     }
 
-    fn add_host(&mut self, number: usize, platform: SocketAddr) -> anyhow::Result<()> {
+    fn add_host(&mut self, number: usize, power: f64, platform: SocketAddr) -> anyhow::Result<()> {
         let ports = &mut self._ports;
         let (callers, readiness) = (ports.address()?, ports.address()?);
         let (peers, metrics, store) = (ports.address()?, ports.address()?, ports.address()?);
@@ -130,7 +144,7 @@
         let settings = format!(
             "nodeName=host-{number}\nzone=d{}\nipAddress=127.0.0.1\n\
             listenAddresses.front={callers}\nlistenAddresses.ready={readiness}\n\
-            internalPortRange={},{}\nlimits.cpuShare=0.25\nbounds.graceS=4\n\
+            internalPortRange={},{}\nlimits.cpuShare={power}\nbounds.graceS=4\n\
             bounds.configurationApplyMs=3000\nbounds.drainMs=7000\nbounds.quotaOverage=0.1\n\
             bounds.strictRevocation=false\nbounds.revocationMs=5000\nbounds.quotaSlack=20\nbounds.quotaWindowS=5\nplatform.address={store}\ncloud.address={platform}\n",
             number % 2,
@@ -154,11 +168,12 @@
     pub fn configure(&self) {
         self.version.set(self.version.get() + 1);
         let kinds = ["primary", "bounded_staleness", "read_own_writes"];
-        let routes: Vec<_> = (0..GROUPS * kinds.len())
+        let routes: Vec<_> = (0..GROUPS * kinds.len() + self.further.get())
             .map(|n| {
+                let group = format!("g{}", n / kinds.len() % GROUPS);
                 json!({"name": format!("r{n}"), "host": format!("db{n}"), "prefix": "/",
                     "kind": kinds[n % 3], "timeoutMs": 2000, "targetLatencyMs": 300,
-                    "maxStalenessMs": 1500, "service": format!("g{}", n / 3), "public": false})
+                    "maxStalenessMs": 1500, "service": group, "public": false})
             })
             .collect();
         let services: Vec<_> = (0..GROUPS)
@@ -177,6 +192,13 @@
         self.store.borrow_mut().put("op", "config", &document);
     }
 
+    /// Adds databases; the name of the last one.
+    pub fn add_databases(&self, count: usize) -> String {
+        self.further.set(self.further.get() + count);
+        self.configure();
+        format!("db{}", GROUPS * 3 + self.further.get() - 1)
+    }
+
     /// Withdraws a key from callers that are connected.
     pub fn withdraw(&self) {
         self.withdrawn.set(true);
--- /dev/null
+++ b/tests/configuration.rs
@@ -0,0 +1,59 @@
+//! Configurations that are large for the links that they travel over.
+
+mod hosts;
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use hosts::{Line, on_runtime, pause, serving};
+use lab::{link::Fault, soak::world::World};
+
+/// The bound of the settings: how soon an acknowledged configuration is in force.
+const APPLY: Duration = Duration::from_millis(3000);
+
+/// Bytes a second of a link of 2 Mbit/s, and what it leaves for the store.
+const SLOW: u64 = 250_000;
+const LEFT: u64 = 100_000;
+
+/// Databases whose description has 320 KB: 1.3 s of such a link.
+const MANY: usize = 2000;
+
+/// How long hosts take to leave reading the store to others: a call that one began before
+/// its links were up may still bring it a change.
+const SETTLED: u64 = 2500;
+
+fn at_most(bytes_per_sec: u64) -> Fault {
+    Fault { bytes_per_sec, ..Fault::default() }
+}
+
+/// Whether a caller finds the database at that host.
+async fn knows(address: SocketAddr, database: &str) -> bool {
+    Line::start(address, database, "key-b").await.is_ok()
+}
+
+/// An operator adds many databases at once. Callers of small hosts were told for the rest of
+/// the day that there are none, and reads ran by what had been taken back. The new version
+/// took longer to come from another host than that one was waited for; the answer was
+/// dropped and all of it asked for again, until nothing else got through the link.
+#[test]
+fn a_large_configuration_comes_in_time_over_slow_links() {
+    on_runtime(async {
+        let world = serving(World::start_sized(4, 2).unwrap()).await;
+        pause(SETTLED).await;
+        world.borrow().links.set("peer*", &at_most(SLOW));
+        for store in ["store2", "store3"] {
+            world.borrow().links.set(store, &at_most(LEFT));
+        }
+        let added = world.borrow().add_databases(MANY);
+        let began = Instant::now();
+        let callers = world.borrow().callers.clone();
+        for address in callers {
+            while !knows(address, &added).await {
+                assert!(began.elapsed() < APPLY, "{added} is not known at {address}");
+                pause(50).await;
+            }
+        }
+    });
+}
--- a/tests/hosts/mod.rs
+++ b/tests/hosts/mod.rs
@@ -39,7 +39,13 @@
 
 /// A system that serves, with `hosts` hosts and without load.
 pub async fn system(hosts: usize) -> Rc<RefCell<World>> {
-    let world = Rc::new(RefCell::new(World::start(hosts).unwrap()));
+    serving(World::start(hosts).unwrap()).await
+}
+
+/// The system, once all its hosts serve.
+pub async fn serving(world: World) -> Rc<RefCell<World>> {
+    let hosts = world.hosts.len();
+    let world = Rc::new(RefCell::new(world));
     monoio::spawn(World::keep(world.clone()));
     let began = Instant::now();
     for host in 0..hosts {
