A host that knows of a newer configuration serves nobody after the bound

Callers saw: reads were run and keys worked by a configuration that had been replaced 5.6 s before, where 5 s are promised.

Cause: a host that hears most hosts served by the configuration it had at any age, on the grounds that nobody has a newer one, though it was told all the while that others had. Why this holds: the newer one was accepted after its own was last the newest for certain, so from the bound on after that moment nothing is run by the old one, however slow its transfer is.

The readiness line and 'not admitted' tell the newest version known.

--- a/components/coordination/src/freshness.rs
+++ b/components/coordination/src/freshness.rs
@@ -149,11 +149,41 @@
 /// is on its way then.
 const STRICT_PART: f64 = 0.6;
 
-/// Whether a host may serve by a configuration that was the newest `age` ago; by
-/// `strict` a withdrawn key must have stopped working everywhere.
-pub fn may_serve(age: Option<Duration>, strict: Option<Duration>, majority: bool) -> bool {
-    let limit = strict.map_or(PLAN_AGE, |bound| bound.mul_f64(STRICT_PART));
-    age.is_some_and(|age| age < limit || majority)
+/// What the settings promise of configurations.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// How soon a new one is in force.
+    pub apply: Duration,
+    /// How soon a withdrawn key has stopped working also on hosts that are cut off; none
+    /// where such hosts may go on with what they know.
+    pub strict: Option<Duration>,
+}
+
+/// What a host knows of its configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct Standing {
+    /// How long ago it was the newest for certain; none before the first.
+    pub age: Option<Duration>,
+    /// Whether another host has a newer one.
+    pub outdated: bool,
+    /// Whether most hosts are heard.
+    pub majority: bool,
+}
+
+impl Standing {
+    /// Whether the host may serve by its configuration.
+    ///
+    /// Guards against a host that knows of a newer one and cannot get hold of it: it would
+    /// go on with a withdrawn key for as long as that lasts. The newer one was accepted
+    /// after its own was last the newest, so that it has been in force for `age` at most.
+    pub fn may_serve(self, bounds: Bounds) -> bool {
+        let Some(age) = self.age else { return false };
+        if self.outdated {
+            return age < bounds.strict.map_or(bounds.apply, |strict| strict.min(bounds.apply));
+        }
+        let limit = bounds.strict.map_or(PLAN_AGE, |strict| strict.mul_f64(STRICT_PART));
+        age < limit || self.majority
+    }
 }
 
 /// How long the store is asked to wait for a new configuration, as a part of the
--- a/components/coordination/tests/freshness.rs
+++ b/components/coordination/tests/freshness.rs
@@ -4,7 +4,7 @@
 
 use bergamottrack_coordination::{
     Clock, Freshness, HostId, ManualClock, Revision,
-    freshness::{self, Vouch},
+    freshness::{self, Bounds, Standing, Vouch},
 };
 
 const LIMIT: Duration = Duration::from_secs(3);
@@ -117,12 +117,35 @@
 /// that stop so soon. Where a strict bound is set, they do.
 #[test]
 fn a_host_that_is_cut_off_goes_on_for_a_while() {
-    let seven = Some(Duration::from_secs(7));
-    assert!(freshness::may_serve(seven, None, false));
-    assert!(!freshness::may_serve(Some(Duration::from_secs(11)), None, false));
-    assert!(!freshness::may_serve(seven, Some(Duration::from_secs(5)), false));
-    assert!(freshness::may_serve(seven, Some(Duration::from_secs(5)), true));
-    assert!(!freshness::may_serve(None, None, true), "a host that knows nothing serves nobody");
+    let (loose, strict) = (bounds(None), bounds(Some(5)));
+    assert!(aged(7).may_serve(loose));
+    assert!(!aged(11).may_serve(loose));
+    assert!(!aged(7).may_serve(strict));
+    assert!(Standing { majority: true, ..aged(7) }.may_serve(strict));
+    let nothing = Standing { age: None, majority: true, ..aged(0) };
+    assert!(!nothing.may_serve(loose), "a host that knows nothing serves nobody");
+}
+
+/// A newer configuration is too large for the links of a host. It is told that there is one
+/// and hears all others, and went on with withdrawn keys after the bound.
+#[test]
+fn a_host_that_knows_of_a_newer_configuration_stops_at_the_bound() {
+    for majority in [true, false] {
+        let outdated = |age| Standing { outdated: true, majority, ..aged(age) };
+        assert!(outdated(2).may_serve(bounds(None)));
+        assert!(!outdated(3).may_serve(bounds(None)));
+        assert!(outdated(1).may_serve(bounds(Some(2))));
+        assert!(!outdated(2).may_serve(bounds(Some(2))));
+    }
+}
+
+fn bounds(strict: Option<u64>) -> Bounds {
+    Bounds { apply: Duration::from_secs(3), strict: strict.map(Duration::from_secs) }
+}
+
+/// A host whose configuration was the newest so many seconds ago.
+fn aged(secs: u64) -> Standing {
+    Standing { age: Some(Duration::from_secs(secs)), outdated: false, majority: false }
 }
 
 /// An operator's change must be in force within the bound of the deployment. With
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -13,7 +13,8 @@
 use bergamottrack_coordination::{
     Clock, GroupId, HostId, Revision, ServerId, StoreClock,
     demand::Demand,
-    freshness, holders,
+    freshness::{Bounds, Standing},
+    holders,
     hubs::Neighbours,
     pieces::{Fetch, Shelf},
     view::{Held, Leadership},
@@ -68,6 +69,8 @@
     pub fetches: Cell<bool>,
     /// The newest configuration that another host could read and this one could not.
     pub unreadable: Cell<Revision>,
+    /// The newest configuration that any host has told of.
+    pub newest: Cell<Revision>,
     /// The store's clock when the configuration was the newest for certain.
     pub plan_clock: Cell<Duration>,
     /// The store's clock.
@@ -161,7 +164,13 @@
 
     /// Whether callers may be served by what is known of the configuration.
     pub fn may_serve(&self) -> bool {
-        freshness::may_serve(self.plan_age(), self.settings.strict, self.hears_majority())
+        let standing = Standing {
+            age: self.plan_age(),
+            outdated: self.newest.get() > self.version(),
+            majority: self.hears_majority(),
+        };
+        let (apply, strict) = (self.settings.apply, self.settings.strict);
+        standing.may_serve(Bounds { apply, strict })
     }
 
     /// Whether most hosts, this one included, are heard; by word of the hub where
--- a/components/proxy/src/news.rs
+++ b/components/proxy/src/news.rs
@@ -125,6 +125,7 @@
 
 /// Notes that what this host knows was still the newest when another one looked.
 fn renew(host: &Host, known: Known) {
+    host.newest.set(host.newest.get().max(known.plan.0));
     if known.plan.0 == host.version() {
         host.plan_clock.set(host.plan_clock.get().max(known.plan.1));
     }
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -116,6 +116,7 @@
         fetch: RefCell::default(),
         fetches: Cell::default(),
         unreadable: Cell::default(),
+        newest: Cell::default(),
         plan_clock: Cell::default(),
         store_clock: RefCell::default(),
         servers_clock: Cell::default(),
@@ -173,7 +174,7 @@
     Rc::new(move |request| {
         let ready = state.borrow().as_ref().is_some_and(|host| is_ready(host));
         if was.replace(ready) != ready {
-            info!(ready, "host: readiness changed");
+            note_readiness(state.borrow().as_deref(), ready);
         }
         let status = match &*request.path {
             probes::READINESS_PATH if ready => StatusCode::OK,
@@ -184,6 +185,17 @@
     })
 }
 
+fn note_readiness(host: Option<&Host>, ready: bool) {
+    info!(
+        ready,
+        leased = host.map(Host::leased),
+        version = host.map(|host| host.version().0),
+        newest = host.map(|host| host.newest.get().0),
+        plan_age_ms = host.and_then(Host::plan_age).map(|age| age.as_millis() as u64),
+        "host: readiness changed"
+    );
+}
+
 fn metrics(state: Rc<RefCell<Option<Rc<Host>>>>) -> Rc<Handler> {
     Rc::new(move |_| {
         let text = state.borrow().as_ref().map(|host| host.measures.encode());
--- a/components/proxy/src/talk.rs
+++ b/components/proxy/src/talk.rs
@@ -338,6 +338,7 @@
         let (route, account) = self.admit().inspect_err(|refused| {
             info!(
                 id = %request.id, database = %self.database, version = self.host.version().0,
+                newest = self.host.newest.get().0,
                 plan_age_ms = self.host.plan_age().map(|age| age.as_millis() as u64),
                 failure = ?refused.failure, why = refused.why, "statement: not admitted"
             );
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -17,6 +17,9 @@
 const SLOW: u64 = 250_000;
 const LEFT: u64 = 100_000;
 
+/// Bytes a second of a link over which the configurations here need five times the bound.
+const HOPELESS: u64 = 20_000;
+
 /// Databases whose description has 320 KB: 1.3 s of such a link.
 const MANY: usize = 2000;
 
@@ -59,3 +62,33 @@
         }
     });
 }
+
+/// A key is withdrawn together with a change that is too large for the links of a small host.
+/// Its callers went on with the withdrawn key for seconds after the bound: the host was told
+/// that there is a newer version and, hearing most hosts, took its own for good enough. Seen
+/// in the version that statements were served by, 5.6 s after the next was acknowledged.
+#[test]
+fn a_host_that_cannot_fetch_what_is_newer_serves_nobody() {
+    on_runtime(async {
+        let world = serving(World::start_sized(4, 2).unwrap()).await;
+        pause(SETTLED).await;
+        let small = world.borrow().callers[2];
+        let mut line = Line::start(small, "db0", "key-h").await.unwrap();
+        world.borrow().links.set("peer*", &at_most(HOPELESS));
+        for store in ["store2", "store3"] {
+            world.borrow().links.set(store, &at_most(HOPELESS));
+        }
+        world.borrow().add_databases(MANY);
+        world.borrow().withdraw();
+        let began = Instant::now();
+        assert_eq!(line.short("READ k1").await, "DONE I", "it serves as long as it may");
+        let until = APPLY + Duration::from_secs(5);
+        while began.elapsed() < until {
+            let asked = began.elapsed();
+            let told = line.short("READ k1").await;
+            let may = asked <= APPLY || told != "DONE I";
+            assert!(may, "{told} for a withdrawn key, {asked:?} after its withdrawal");
+            pause(50).await;
+        }
+    });
+}
