An answer of the store may take as long as it goes on coming

Callers saw: a host that starts with a slow link refuses them for ever, and a host that its hub does not tell in time gets no new configuration from the store either.

Why this holds: the answer must begin in time and each part must follow within 1 s, so that a silent connection is still noticed and a slow one is not.

--- a/components/platform/src/http.rs
+++ b/components/platform/src/http.rs
@@ -7,15 +7,21 @@
 };
 
 use anyhow::Context;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, StatusCode, client::conn::http1, header};
+use hyper::{Method, Request, StatusCode, body::Incoming, client::conn::http1, header};
 use monoio::{io::IntoPollIo, net::TcpStream, time::Instant};
 use monoio_compat::hyper::MonoioIo;
 
 /// The most bytes of an answer that are read.
 const MAX_BODY: usize = 16 << 20;
 
+/// How long the next part of an answer may take on a connection that is kept.
+///
+/// Guards against a connection that goes silent within an answer. The whole answer has no
+/// limit: one that is large for its link would be given up and begun anew for ever.
+const PART_WITHIN: Duration = Duration::from_secs(1);
+
 /// An answer.
 pub struct Response {
     /// Its status.
@@ -122,7 +128,8 @@
         Self { address, kept: RefCell::default(), calls: Cell::default() }
     }
 
-    /// Sends a request and reads the whole answer, all of it `within` that time.
+    /// Sends a request and reads the whole answer, which begins `within` that time and
+    /// takes as long as it goes on coming.
     ///
     /// After an error the request may have been acted on. The connection is then
     /// given up: one that went silent would swallow every later call too.
@@ -136,28 +143,57 @@
     ) -> anyhow::Result<Response> {
         self.calls.set(self.calls.get() + 1);
         let what = format!("{method} {path} at {}", self.address);
-        let kept = self.kept.borrow_mut().take();
-        let exchange = async {
-            let mut sender = match kept.filter(|sender| sender.is_ready()) {
-                Some(sender) => sender,
-                None => connect(self.address).await?,
-            };
-            let host = self.address.to_string();
-            let mut request =
-                Request::builder().method(method).uri(path).header(header::HOST, host);
-            for (name, value) in headers {
-                request = request.header(*name, *value);
-            }
-            let request = request.body(Full::new(body)).context("building the request")?;
-            let response = sender.send_request(request).await.context("sending")?;
-            let response = collect(response).await?;
+        let answered = monoio::time::timeout(within, self.send(method, path, headers, body));
+        let whole = async {
+            let (sender, response) = answered.await.unwrap_or_else(|_| Err(late()))?;
+            let response = collect_parts(response).await?;
             *self.kept.borrow_mut() = Some(sender);
             anyhow::Ok(response)
         };
-        monoio::time::timeout(within, exchange)
-            .await
-            .unwrap_or_else(|_| Err(std::io::Error::from(std::io::ErrorKind::TimedOut).into()))
-            .context(what)
+        whole.await.context(what)
+    }
+
+    /// Sends a request; the connection and the answer, of which the body is still to come.
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&'static str, &str)],
+        body: Bytes,
+    ) -> anyhow::Result<(Sender, hyper::Response<Incoming>)> {
+        let kept = self.kept.borrow_mut().take();
+        let mut sender = match kept.filter(|sender| sender.is_ready()) {
+            Some(sender) => sender,
+            None => connect(self.address).await?,
+        };
+        let host = self.address.to_string();
+        let mut request = Request::builder().method(method).uri(path).header(header::HOST, host);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(body)).context("building the request")?;
+        let response = sender.send_request(request).await.context("sending")?;
+        Ok((sender, response))
+    }
+}
+
+fn late() -> anyhow::Error {
+    std::io::Error::from(std::io::ErrorKind::TimedOut).into()
+}
+
+/// Reads an answer whose parts may each take [`PART_WITHIN`].
+async fn collect_parts(response: hyper::Response<Incoming>) -> anyhow::Result<Response> {
+    let status = response.status();
+    let mut parts = Limited::new(response.into_body(), MAX_BODY);
+    let mut body = BytesMut::new();
+    loop {
+        let part = monoio::time::timeout(PART_WITHIN, parts.frame()).await;
+        let part = part.map_err(|_| late()).context("reading the answer")?;
+        let Some(part) = part else { return Ok(Response { status, body: body.freeze() }) };
+        let part = part.map_err(|error| anyhow::anyhow!("reading the answer: {error}"))?;
+        if let Ok(data) = part.into_data() {
+            body.extend_from_slice(&data);
+        }
     }
 }
 
@@ -181,7 +217,7 @@
     Ok(sender)
 }
 
-async fn collect(response: hyper::Response<hyper::body::Incoming>) -> anyhow::Result<Response> {
+async fn collect(response: hyper::Response<Incoming>) -> anyhow::Result<Response> {
     let status = response.status();
     let body = Limited::new(response.into_body(), MAX_BODY).collect().await;
     let body = body.map_err(|error| anyhow::anyhow!("reading the answer: {error}"))?.to_bytes();
--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -13,7 +13,7 @@
 
 use crate::host::Host;
 
-/// How long an answer of the store may take beside what it was asked to wait.
+/// How long an answer of the store may take to begin, beside what it was asked to wait.
 /// Sixty times the usual one, as on its slowest days, is 250 ms.
 pub const STORE_WITHIN: Duration = Duration::from_millis(1000);
 
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -13,6 +13,9 @@
 /// The bound of the settings: how soon an acknowledged configuration is in force.
 const APPLY: Duration = Duration::from_millis(3000);
 
+/// How soon hosts serve again that were all down.
+const RECOVERY: Duration = Duration::from_secs(12);
+
 /// Bytes a second of a link of 2 Mbit/s, and what it leaves for the store.
 const SLOW: u64 = 250_000;
 const LEFT: u64 = 100_000;
@@ -92,3 +95,26 @@
         }
     });
 }
+
+/// A host starts while the configuration is large for its link, and no other host is there to
+/// tell it. It was never ready: each read of the store was given up after a second, begun anew,
+/// and took longer than that.
+#[test]
+fn a_host_reads_a_large_configuration_over_a_slow_link() {
+    on_runtime(async {
+        let world = serving(World::start(1).unwrap()).await;
+        let added = world.borrow().add_databases(MANY);
+        let address = world.borrow().callers[0];
+        while !knows(address, &added).await {
+            pause(50).await;
+        }
+        world.borrow().links.set("store0", &at_most(SLOW));
+        world.borrow_mut().hosts[0].kill();
+        world.borrow_mut().hosts[0].start().unwrap();
+        let began = Instant::now();
+        while !knows(address, &added).await {
+            assert!(began.elapsed() < RECOVERY, "the host does not serve");
+            pause(50).await;
+        }
+    });
+}
