Configurations travel compressed between hosts

Cause: one host tells all others of its failure domain, 20 to 75 times 0.5 MB, and the links of small hosts carry it beside their callers' statements. A host of 10 Mbit/s that tells 20 others would need 8 s for it where 5 s are allowed.

Unpacking stops at 64 MB.

--- a/components/proxy/src/fetch.rs
+++ b/components/proxy/src/fetch.rs
@@ -7,9 +7,10 @@
     pieces::{self, Fetch, Piece, Progress},
 };
 use bergamottrack_peer::{Answer, Link, Question};
-use tracing::info;
+use bytes::Bytes;
+use tracing::{info, warn};
 
-use crate::{follow, host::Host};
+use crate::{follow, host::Host, packed};
 
 /// Begins to fetch a configuration over that link, or goes on with one that was begun;
 /// nothing while one is being fetched.
@@ -51,14 +52,14 @@
         };
         match take(host, &mut fetch, piece, asked) {
             Progress::More => {}
-            Progress::Whole(raw) => {
+            Progress::Whole(packed) => {
                 let ms = (host.now() - began).as_millis() as u64;
                 info!(
-                    version = fetch.revision.0, from = %link.host, bytes = raw.len(),
+                    version = fetch.revision.0, from = %link.host, bytes = packed.len(),
                     pieces = fetch.pieces, missed = fetch.missed, ms,
                     "configuration: told by another host"
                 );
-                follow::adopt(host, raw);
+                adopt(host, packed);
                 if host.version() < fetch.revision {
                     host.unreadable.set(fetch.revision);
                 }
@@ -72,6 +73,15 @@
     }
 }
 
+fn adopt(host: &Host, packed: Bytes) {
+    match packed::unpack(&packed) {
+        Ok(raw) => follow::adopt(host, &raw, |_| packed),
+        Err(error) => {
+            warn!(error = %format_args!("{error:#}"), "configuration: cannot be decompressed");
+        }
+    }
+}
+
 fn take(host: &Host, fetch: &mut Fetch, piece: Piece, asked: Instant) -> Progress {
     host.measures.heard.inc_by(piece.bytes.len() as u64);
     fetch.take(piece, host.now() - asked)
--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -9,9 +9,10 @@
 use bergamottrack_coordination::{ServerId, freshness};
 use bergamottrack_model::Listed;
 use bergamottrack_platform::http::Client;
+use bytes::Bytes;
 use tracing::{debug, info, warn};
 
-use crate::host::Host;
+use crate::{host::Host, packed};
 
 /// How long an answer of the store may take to begin, beside what it was asked to wait.
 /// Sixty times the usual one, as on its slowest days, is 250 ms.
@@ -111,7 +112,7 @@
     let take = |rows: &Rows, _| {
         let rows_of = rows.rows.iter();
         for row in rows_of.filter(|row| &*row.key == configuration::KEY && !row.removed) {
-            adopt(&host, row.value.clone());
+            adopt(&host, &row.value, packed::pack);
         }
         host.plan_clock.set(host.plan_clock.get().max(rows.clock));
     };
@@ -120,10 +121,12 @@
     follow(&host, Table::Configuration, pace.wait, needed, take).await
 }
 
-/// Reads a configuration and puts it in force, if it is newer.
-pub fn adopt(host: &Host, raw: bytes::Bytes) {
-    match configuration::decode(&raw) {
-        Ok(plan) => host.set_plan(plan, raw),
+/// Reads a configuration and puts it in force, if it is newer. `pack` makes of it what
+/// other hosts are told.
+pub fn adopt(host: &Host, raw: &[u8], pack: impl FnOnce(&[u8]) -> Bytes) {
+    match configuration::decode(raw) {
+        Ok(plan) if host.plan().is_some_and(|known| plan.version <= known.version) => {}
+        Ok(plan) => host.set_plan(plan, pack(raw)),
         Err(error) => warn!(error = %format_args!("{error:#}"), "configuration: not readable"),
     }
 }
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -61,7 +61,7 @@
     pub run: u64,
     /// The configuration in force.
     pub plan: RefCell<Option<Rc<Plan>>>,
-    /// Configurations as the store holds them, for other hosts; the one in force is the newest.
+    /// Configurations as they are told to other hosts; the one in force is the newest.
     pub shelf: RefCell<Shelf>,
     /// A configuration of which a part has been fetched.
     pub fetch: RefCell<Option<Fetch>>,
@@ -122,17 +122,16 @@
         self.plan.borrow().clone()
     }
 
-    /// Puts a configuration in force, unless a newer one is. `raw` is as the store holds it.
-    pub fn set_plan(&self, plan: Plan, raw: Bytes) {
+    /// Puts a configuration in force that is newer than the one before. `packed` is what
+    /// other hosts are told.
+    pub fn set_plan(&self, plan: Plan, packed: Bytes) {
         let known = self.plan().map(|plan| plan.version);
-        if known.is_some_and(|known| plan.version <= known) {
-            return;
-        }
         info!(
             version = plan.version.0,
             before = known.map(|version| version.0),
             routes = plan.routes.len(),
             keys = plan.keys.len(),
+            packed = packed.len(),
             "configuration: in force"
         );
         let now = self.now();
@@ -147,7 +146,7 @@
             }
         }
         drop(demand);
-        self.shelf.borrow_mut().add(plan.version, raw);
+        self.shelf.borrow_mut().add(plan.version, packed);
         *self.plan.borrow_mut() = Some(Rc::new(plan));
         self.refresh();
     }
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod lead;
 pub mod measure;
 pub mod news;
+pub mod packed;
 pub mod place;
 pub mod pool;
 pub mod relay;
--- /dev/null
+++ b/components/proxy/tests/packed.rs
@@ -0,0 +1,45 @@
+//! Configurations as they travel between hosts.
+
+use bergamottrack_proxy::packed::{pack, unpack};
+use serde_json::json;
+
+/// As many databases as one host tells its whole failure domain of, with names drawn.
+fn configuration(databases: u32) -> Vec<u8> {
+    let kinds = ["primary", "bounded_staleness", "read_own_writes"];
+    let route = |n: u32| {
+        let (name, host) = (n.wrapping_mul(2_654_435_761), n.wrapping_mul(0x9E37_79B1) ^ 0x5bd1);
+        json!({"name": format!("r-{name:x}"), "host": format!("{host:x}"), "prefix": "/",
+            "kind": kinds[n as usize % 3], "timeoutMs": 1000, "targetLatencyMs": 400, "priority": 2,
+            "service": format!("g{}", n % 8), "maxStalenessMs": 2500, "public": false})
+    };
+    let routes: Vec<_> = (0..databases).map(route).collect();
+    json!({"version": 7, "routes": routes}).to_string().into_bytes()
+}
+
+#[test]
+fn what_is_packed_is_a_sixth_at_most_and_comes_out_whole() {
+    let raw = configuration(4000);
+    let packed = pack(&raw);
+    assert!(packed.len() < raw.len() / 6, "{} of {}", packed.len(), raw.len());
+    assert_eq!(unpack(&packed).unwrap(), raw);
+    assert_eq!(unpack(&pack(b"")).unwrap(), b"");
+}
+
+#[test]
+fn damaged_bytes_are_refused() {
+    let packed = pack(&configuration(100));
+    assert!(unpack(&packed[..packed.len() / 2]).is_err());
+    let mut damaged = packed.to_vec();
+    let middle = damaged.len() / 2;
+    damaged[middle] ^= 0xff;
+    assert!(unpack(&damaged).is_err());
+    assert!(unpack(b"{\"version\":7}").is_err());
+}
+
+/// A few hundred KB that would take all of a small host's memory.
+#[test]
+fn what_would_fill_the_memory_is_refused() {
+    let packed = pack(&vec![b' '; (64 << 20) + 1]);
+    assert!(packed.len() < 1 << 20);
+    assert!(unpack(&packed).is_err());
+}
--- a/lab/src/soak/world.rs
+++ b/lab/src/soak/world.rs
@@ -171,7 +171,7 @@
         let routes: Vec<_> = (0..GROUPS * kinds.len() + self.further.get())
             .map(|n| {
                 let group = format!("g{}", n / kinds.len() % GROUPS);
-                json!({"name": format!("r{n}"), "host": format!("db{n}"), "prefix": "/",
+                json!({"name": format!("r{n}"), "host": database(n), "prefix": "/",
                     "kind": kinds[n % 3], "timeoutMs": 2000, "targetLatencyMs": 300,
                     "maxStalenessMs": 1500, "service": group, "public": false})
             })
@@ -196,7 +196,7 @@
     pub fn add_databases(&self, count: usize) -> String {
         self.further.set(self.further.get() + count);
         self.configure();
-        format!("db{}", GROUPS * 3 + self.further.get() - 1)
+        database(GROUPS * 3 + self.further.get() - 1)
     }
 
     /// Withdraws a key from callers that are connected.
@@ -354,6 +354,15 @@
     }
 }
 
+/// The name of a database. Those beside the callers' own have names that tell nothing of
+/// each other, as real ones, so that a configuration cannot be made much smaller.
+fn database(number: usize) -> String {
+    if number < GROUPS * 3 {
+        return format!("db{number}");
+    }
+    format!("db{:016x}", (number as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(29))
+}
+
 fn server(id: Box<str>, group: usize, leads: bool) -> Server {
     let (log, lag) = (Vec::new(), Duration::ZERO);
     let (up, cut, leaving) = (true, false, false);
