A test that a late copy of a large revision is taken in the first core

Looked for the cause of the incident elsewhere: hosts of the first core tell each other whole revisions too, and give up after half a second. The fault could not be brought about there: the copy is pushed, and the host that it comes to takes it however late (a configuration of 14.6 KB of text over 4 KB a second, with no other way to it). Copies are wasted, none is waited for in vain. The test keeps it so; it passes before as after.

--- a/tests/revisions.rs
+++ b/tests/revisions.rs
@@ -3,7 +3,10 @@
 
 use std::time::{Duration, Instant};
 
-use lab::system::{self, PATIENCE, Plan, System};
+use lab::{
+    link::Fault,
+    system::{self, PATIENCE, Plan, System},
+};
 
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -211,3 +214,24 @@
     assert_eq!(status, 200, "{text}");
     in_force_everywhere(&system, "third").await;
 }
+
+/// A large configuration is submitted while a host does not reach the platform and its links
+/// to the others are slow. They give up telling it after half a second, in less time than one
+/// copy takes, and begin again; it must take the copy that comes late, or it never has any.
+#[tokio::test]
+async fn a_large_revision_reaches_a_host_over_slow_links() {
+    const SLOW: u64 = 4_000;
+    const ACCOUNTS: usize = 60;
+    let mut system = System::start(Plan { links: true, ..Plan::default() }).await.unwrap();
+    let slow = Fault { bytes_per_sec: SLOW, ..Fault::default() };
+    system.fault("h*>h3", slow.clone()).await.unwrap();
+    system.fault("h3>h*", slow).await.unwrap();
+    system.cut("h3>platform").await.unwrap();
+    let more = (0..ACCOUNTS).map(|n| (format!("account-{n:05}"), 1000.0, 1000.0));
+    system.plan.accounts.extend(more);
+    let config = system.config();
+    let query = format!("submit=large&base={}", newest(&system).await);
+    let (status, text) = submit(&system, 0, &query, &config).await;
+    assert_eq!(status, 200, "{text}");
+    in_force_everywhere(&system, "account-00059").await;
+}
