Single calls too read an answer as long as it goes on coming

The first core reads revisions from the object store, and the operator's commands read pages, by calls with one time for the whole answer: the class of fault that the incident showed for calls that keep their connection.

--- a/components/platform/src/http.rs
+++ b/components/platform/src/http.rs
@@ -16,7 +16,7 @@
 /// The most bytes of an answer that are read.
 const MAX_BODY: usize = 16 << 20;
 
-/// How long the next part of an answer may take on a connection that is kept.
+/// How long the next part of an answer may take.
 ///
 /// Guards against a connection that goes silent within an answer. The whole answer has no
 /// limit: one that is large for its link would be given up and begun anew for ever.
@@ -63,7 +63,8 @@
     },
 }
 
-/// Sends a request and reads the whole answer, all of it `within` that time.
+/// Sends a request and reads the whole answer, which begins `within` that time and takes
+/// as long as it goes on coming.
 pub async fn call(
     address: SocketAddr,
     call: Call<'_>,
@@ -76,22 +77,23 @@
         .unwrap_or_else(|_| Err(late()))
         .map_err(|error| HttpError::Unreachable { address, error })?;
     let what = format!("{} {}", call.method, call.path);
-    monoio::time::timeout_at(deadline, exchange(address, stream, call))
-        .await
-        .unwrap_or_else(|_| Err(late().into()))
-        .context(what)
-        .map_err(|error| HttpError::NoAnswer { address, error })
+    let whole = async {
+        let answered = monoio::time::timeout_at(deadline, exchange(address, stream, call));
+        collect(answered.await.unwrap_or_else(|_| Err(late().into()))?).await
+    };
+    whole.await.context(what).map_err(|error| HttpError::NoAnswer { address, error })
 }
 
+/// Sends a request on a connection of its own; the answer's body is still to come.
 async fn exchange(
     address: SocketAddr,
     stream: TcpStream,
     call: Call<'_>,
-) -> anyhow::Result<Response> {
+) -> anyhow::Result<hyper::Response<Incoming>> {
     stream.set_nodelay(true)?;
     let io = MonoioIo::new(stream.into_poll_io()?);
     let (mut sender, conn) = http1::handshake(io).await.context("shaking hands")?;
-    let conn = monoio::spawn(conn);
+    monoio::spawn(conn);
     let mut request = Request::builder()
         .method(call.method)
         .uri(call.path)
@@ -101,10 +103,7 @@
         request = request.header(*name, *value);
     }
     let request = request.body(Full::new(call.body)).context("building the request")?;
-    let response = sender.send_request(request).await.context("sending")?;
-    let response = collect(response).await;
-    drop(conn);
-    response
+    sender.send_request(request).await.context("sending")
 }
 
 type Sender = http1::SendRequest<Full<Bytes>>;
@@ -146,7 +145,7 @@
         let answered = monoio::time::timeout(within, self.send(method, path, headers, body));
         let whole = async {
             let (sender, response) = answered.await.unwrap_or_else(|_| Err(late()))?;
-            let response = collect_parts(response).await?;
+            let response = collect(response).await?;
             *self.kept.borrow_mut() = Some(sender);
             anyhow::Ok(response)
         };
@@ -182,7 +181,7 @@
 }
 
 /// Reads an answer whose parts may each take [`PART_WITHIN`].
-async fn collect_parts(response: hyper::Response<Incoming>) -> anyhow::Result<Response> {
+async fn collect(response: hyper::Response<Incoming>) -> anyhow::Result<Response> {
     let status = response.status();
     let mut parts = Limited::new(response.into_body(), MAX_BODY);
     let mut body = BytesMut::new();
@@ -216,10 +215,3 @@
     });
     Ok(sender)
 }
-
-async fn collect(response: hyper::Response<Incoming>) -> anyhow::Result<Response> {
-    let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_BODY).collect().await;
-    let body = body.map_err(|error| anyhow::anyhow!("reading the answer: {error}"))?.to_bytes();
-    Ok(Response { status, body })
-}
