A link on which a message goes on coming is up

Callers would see: a row of up to 1 MB for one of them takes a link away from all, and asked for again it does so again.

Now anything that comes counts.

--- a/components/peer/src/accept.rs
+++ b/components/peer/src/accept.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     exchange::HomeSide,
+    heard::Heard,
     message::{Answer, End, Hello, Message, Open, Proof, Question, RequestNo, ToHome},
     socket,
 };
@@ -79,7 +80,8 @@
 
 async fn run(stream: TcpStream, hello: Hello, service: &Service) -> anyhow::Result<()> {
     stream.set_nodelay(true)?;
-    let io = stream.into_poll_io()?;
+    // Whether the peer is silent is judged by the host that connected.
+    let io = Heard::new(stream.into_poll_io()?, || {});
     let handshake = tokio_tungstenite::accept_async_with_config(io, Some(socket::config()));
     let ws = monoio::time::timeout(socket::HELLO_TIMEOUT, handshake)
         .await
--- a/components/peer/src/lib.rs
+++ b/components/peer/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod accept;
 pub mod errand;
 pub mod exchange;
+mod heard;
 pub mod link;
 pub mod mesh;
 pub mod message;
--- a/components/peer/src/link.rs
+++ b/components/peer/src/link.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     exchange::Exchange,
+    heard::Heard,
     message::{Answer, End, Hello, Message, Open, Proof, Question, RequestNo, ToEntry},
     socket,
 };
@@ -64,7 +65,8 @@
     /// Who waits for an answer, by number; emptied when the link goes down.
     waiters: RefCell<HashMap<RequestNo, Waiter>>,
     next_no: Cell<RequestNo>,
-    heard: Cell<Option<Instant>>,
+    /// When something of the peer's came last, be it a part of a message.
+    heard: Rc<Cell<Option<Instant>>>,
     /// Since when the peer owes an answer without saying anything.
     owes: Cell<Option<Instant>>,
     closed: Cell<bool>,
@@ -91,7 +93,7 @@
             out: RefCell::default(),
             waiters: RefCell::default(),
             next_no: Cell::default(),
-            heard: Cell::default(),
+            heard: Rc::default(),
             owes: Cell::default(),
             closed: Cell::default(),
             leaving: Cell::default(),
@@ -109,8 +111,11 @@
 
     /// Whether the peer answered lately.
     pub fn is_up(&self) -> bool {
-        self.out.borrow().is_some()
-            && self.heard.get().is_some_and(|t| self.clock.now() < t + self.pace.silence)
+        self.out.borrow().is_some() && self.is_heard()
+    }
+
+    fn is_heard(&self) -> bool {
+        self.heard.get().is_some_and(|t| self.clock.now() < t + self.pace.silence)
     }
 
     /// Whether the peer has said something within that time, if it owes an answer.
@@ -165,7 +170,8 @@
             monoio::time::timeout(CONNECT_TIMEOUT, connect).await.context("connecting")??;
         stream.set_nodelay(true)?;
         let url = format!("ws://{address}/");
-        let io = stream.into_poll_io()?;
+        let (heard, clock) = (self.heard.clone(), self.clock.clone());
+        let io = Heard::new(stream.into_poll_io()?, move || heard.set(Some(clock.now())));
         let handshake =
             tokio_tungstenite::client_async_with_config(url, io, Some(socket::config()));
         let (ws, _) = monoio::time::timeout(socket::HELLO_TIMEOUT, handshake).await??;
@@ -187,7 +193,6 @@
     async fn dispatch(&self, reading: &mut socket::Reading) -> anyhow::Result<()> {
         loop {
             let message = socket::next(reading).await?;
-            self.heard.set(Some(self.clock.now()));
             self.owes.set((self.waiters.borrow().len() > 1).then(|| self.clock.now()));
             match message {
                 Message::ToEntry(no, item) => self.hand_over(no, item),
@@ -214,10 +219,18 @@
         }
     }
 
+    /// Tries the link out until it is closed or the peer is silent.
+    ///
+    /// An answer that is late while something comes is no silence: it waits behind a message
+    /// that is large for the link. Given up for that, the link would lose all that is asked
+    /// over it, and the large message, asked for again, would have the same end.
     async fn ping(&self) -> anyhow::Result<()> {
         while !self.closed.get() {
-            let answer = self.ask(Question::Ping, self.pace.silence).await?;
-            self.leaving.set(matches!(answer, Answer::Leaving));
+            match self.ask(Question::Ping, self.pace.silence).await {
+                Ok(answer) => self.leaving.set(matches!(answer, Answer::Leaving)),
+                Err(_) if self.is_heard() => continue,
+                Err(error) => return Err(error),
+            }
             monoio::time::sleep(self.pace.every).await;
         }
         bail!("the host left the roster")
--- a/components/peer/src/socket.rs
+++ b/components/peer/src/socket.rs
@@ -7,11 +7,10 @@
     SinkExt, StreamExt,
     stream::{SplitSink, SplitStream},
 };
-use monoio::net::tcp::stream_poll::TcpStreamPoll;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio_tungstenite::{WebSocketStream, tungstenite};
 
-use crate::message::Message;
+use crate::{heard::Heard, message::Message};
 
 /// How long a peer may take to say who it is.
 pub const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
@@ -19,7 +18,7 @@
 /// The most messages written before they are flushed together.
 const BATCH: usize = 64;
 
-pub type Socket = WebSocketStream<TcpStreamPoll>;
+pub type Socket = WebSocketStream<Heard>;
 pub type Reading = SplitStream<Socket>;
 pub type Writing = SplitSink<Socket, tungstenite::Message>;
 
