A host is asked once for what is new while its link is up

Callers would see: statements that go to a server which has left, or to a leader that was replaced. Now one question to a host is open while its link is up, for 4 s at most, and another host is asked after 0.4 s, so that a peer that freezes costs no more than before.

--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -85,8 +85,8 @@
     pub neighbours: RefCell<Neighbours>,
     /// Whether this host's hub hears most of the fleet, and when it said so.
     pub hub_majority: Cell<Option<Instant>>,
-    /// Whether another host is being asked for what it knows.
-    pub asks: Cell<bool>,
+    /// Hosts that are being asked for what they know, and since when.
+    pub asked: RefCell<HashMap<HostId, Instant>>,
     /// When each host was heard last, and the version of its row then.
     pub heard: RefCell<HashMap<HostId, (Instant, Option<u64>)>>,
     /// Backend servers by name.
--- a/components/proxy/src/news.rs
+++ b/components/proxy/src/news.rs
@@ -24,9 +24,16 @@
 /// which a configuration must be in force.
 const BEAT_EVERY: Duration = Duration::from_millis(400);
 
-/// How long another host's answer may take; the way there and back is 2 ms.
+/// How long another host's answer to a beat may take; the way there and back is 2 ms.
 const PEER_WITHIN: Duration = Duration::from_millis(400);
 
+/// How long what is new is waited for while the link is up: a list of some thousand servers
+/// needs a second of a link of 10 Mbit/s.
+const NEWS_WITHIN: Duration = Duration::from_secs(4);
+
+/// After how long without an answer another host is asked too.
+const ASK_ANOTHER: Duration = Duration::from_millis(400);
+
 /// How old the view may be before other hosts are asked: a little more than the
 /// time within which the store usually tells it.
 const ASK_VIEW_AFTER: Duration = Duration::from_millis(3200);
@@ -113,13 +120,27 @@
     fetch::begin(host, &link, known.plan.0);
     let news = (known.view.0 != own.view.0 && known.view.1 > own.view.1)
         || (known.servers.0 != own.servers.0 && known.servers.1 > own.servers.1);
-    if !news || host.asks.replace(true) {
+    if news {
+        begin_asking(host, link);
+    }
+}
+
+/// Asks a host for what is new, unless it is being asked or another one just was.
+///
+/// Guards against copies of one answer on a link that needs longer for it than it is waited
+/// for: each would come too late, and nothing else would get through.
+fn begin_asking(host: &Rc<Host>, link: Rc<Link>) {
+    let now = host.now();
+    let mut asked = host.asked.borrow_mut();
+    let lately = asked.values().any(|since| now.saturating_duration_since(*since) < ASK_ANOTHER);
+    if lately || asked.contains_key(&link.host) {
         return;
     }
+    asked.insert(link.host.clone(), now);
     let host = host.clone();
     monoio::spawn(async move {
         ask_newest(&host, &link).await;
-        host.asks.set(false);
+        host.asked.borrow_mut().remove(&link.host);
     });
 }
 
@@ -180,7 +201,7 @@
             continue;
         }
         turn += 1;
-        ask_newest(&host, &links[turn % links.len()]).await;
+        begin_asking(&host, links[turn % links.len()].clone());
     }
 }
 
@@ -188,7 +209,7 @@
     let mut known = host.known();
     loop {
         let asked = host.now();
-        let answer = link.ask(Question::Newest(known), PEER_WITHIN).await;
+        let answer = link.ask(Question::Newest(known), NEWS_WITHIN).await;
         let ms = (host.now() - asked).as_millis() as u64;
         let newest = match answer {
             Ok(Answer::Newest(newest)) => newest,
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -124,7 +124,7 @@
         servers_stamp: Cell::default(),
         neighbours: RefCell::default(),
         hub_majority: Cell::default(),
-        asks: Cell::default(),
+        asked: RefCell::default(),
         heard: RefCell::default(),
         pools: RefCell::default(),
         groups: RefCell::default(),
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -13,6 +13,15 @@
 /// The bound of the settings: how soon an acknowledged configuration is in force.
 const APPLY: Duration = Duration::from_millis(3000);
 
+/// The bound of the settings: how soon a leaving server gets no new work.
+const DRAIN: Duration = Duration::from_millis(7000);
+
+/// A server that does not lead.
+const REPLICA: usize = 1;
+
+/// Bytes a second of a link over which the list of servers here takes 0.6 s.
+const CRAWLING: u64 = 2_500;
+
 /// How soon hosts serve again that were all down.
 const RECOVERY: Duration = Duration::from_secs(12);
 
@@ -96,6 +105,27 @@
     });
 }
 
+/// A server leaves, and the list of servers is too large for the link of a small host to come
+/// in the time that an answer is waited for. The host went on sending work to the server after
+/// it had ended: the list was asked for again each 0.4 s, while copies were under way.
+#[test]
+fn a_list_of_servers_comes_over_a_slow_link() {
+    on_runtime(async {
+        let world = serving(World::start_sized(4, 2).unwrap()).await;
+        pause(SETTLED).await;
+        world.borrow().links.set("peer*", &at_most(CRAWLING));
+        for store in ["store2", "store3"] {
+            world.borrow().links.set(store, &Fault { cut_up: true, ..Fault::default() });
+        }
+        world.borrow().leave(REPLICA);
+        let began = Instant::now();
+        while !world.borrow().hosts[2].log().contains(r#""role":"Replica","leaving":true"#) {
+            assert!(began.elapsed() < DRAIN, "the host does not know that the server leaves");
+            pause(50).await;
+        }
+    });
+}
+
 /// A host starts while the configuration is large for its link, and no other host is there to
 /// tell it. It was never ready: each read of the store was given up after a second, begun anew,
 /// and took longer than that.
