--- a/lab/src/soak/caller.rs
+++ b/lab/src/soak/caller.rs
@@ -122,6 +122,19 @@
     }
 }
 
+/// Whether a host knows a database and an account's key.
+pub async fn knows(host: SocketAddr, database: &str) -> bool {
+    let ask = async {
+        let mut io = BufReader::new(TcpStream::connect(host).await?.into_poll_io()?);
+        io.write_all(format!("START {database} key-b\r\n").as_bytes()).await?;
+        let mut line = String::new();
+        io.read_line(&mut line).await?;
+        anyhow::Ok(line)
+    };
+    let told = monoio::time::timeout(PATIENCE, ask).await;
+    matches!(told, Ok(Ok(line)) if line.starts_with("READY"))
+}
+
 impl Session<'_> {
     async fn operate(&mut self, number: u64) -> anyhow::Result<()> {
         match rand::random_range(0..10) {
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -21,7 +21,7 @@
 pub mod store;
 pub mod world;
 
-use schedule::Step;
+use schedule::{Act, Step};
 use world::World;
 
 /// Settings of a soak.
@@ -46,6 +46,10 @@
     /// the other faults of a seed stay as they are.
     #[arg(long)]
     pub links: bool,
+    /// Have the configuration grow by hundreds of databases at a time while links of hosts
+    /// are slow and reset, in place of the other drawn faults: it must be in force in time.
+    #[arg(long)]
+    pub grow: bool,
     /// Have all hosts die together, twice, while leaders die too and replicas show late
     /// what they receive, in place of drawn faults.
     #[arg(long)]
@@ -65,6 +69,9 @@
 /// of the settings, and a second for what was already on its way.
 const WITHDRAWN_WITHIN: Duration = Duration::from_millis(4500);
 
+/// How soon all hosts must know a configuration: the bound of the settings.
+const KNOWN_WITHIN: Duration = Duration::from_millis(3000);
+
 /// What a soak showed.
 #[derive(Debug, Default)]
 pub struct Outcome {
@@ -117,9 +124,10 @@
         return Vec::new();
     }
     let (length, servers) = (Duration::from_secs(args.secs), world::GROUPS * 3);
-    let mut steps = match args.herd {
-        true => schedule::herd(length, servers),
-        false => schedule::draw(seed, length, args.hosts, servers),
+    let mut steps = match (args.herd, args.grow) {
+        (true, _) => schedule::herd(length, servers),
+        (_, true) => schedule::draw_growth(seed, length, args.hosts),
+        _ => schedule::draw(seed, length, args.hosts, servers),
     };
     if args.links {
         steps.extend(schedule::draw_links(seed, length, args.hosts, servers));
@@ -129,7 +137,8 @@
 }
 
 async fn play(seed: u64, steps: &[Step], args: &SoakArgs) -> anyhow::Result<Outcome> {
-    let world = Rc::new(RefCell::new(World::start(args.hosts)?));
+    let large = if args.grow { world::LARGE_HOSTS } else { 0 };
+    let world = Rc::new(RefCell::new(World::start_sized(args.hosts, large)?));
     monoio::spawn(World::keep(world.clone()));
     let stop = Rc::new(Cell::new(false));
     for caller in world.borrow().make_callers(args.callers) {
@@ -172,9 +181,13 @@
     while next.peek().is_some() || !undo.is_empty() {
         monoio::time::sleep(Duration::from_millis(20)).await;
         let now = began.elapsed();
+        let all = world.clone();
         let mut world = world.borrow_mut();
         while let Some(step) = next.next_if(|step| step.at <= now) {
             step.make(&mut world)?;
+            if let (Act::Grow(_), Some(database)) = (step.act, world.newest_database()) {
+                monoio::spawn(check_known(all.clone(), database));
+            }
             undo.push((step.at + step.lasts, *step));
         }
         let due: Vec<Step> =
@@ -202,6 +215,18 @@
     }
 }
 
+/// Checks that all hosts know a database within the bound after it was added.
+async fn check_known(world: Rc<RefCell<World>>, database: String) {
+    monoio::time::sleep(KNOWN_WITHIN).await;
+    let (hosts, groups) = (world.borrow().callers.clone(), world.borrow().groups.clone());
+    for host in hosts {
+        if !caller::knows(host, &database).await {
+            let story = format!("{database} is not known at {host} after {KNOWN_WITHIN:?}");
+            groups.borrow_mut().broken.push(story);
+        }
+    }
+}
+
 /// Waits until statements are answered with success again.
 async fn until_served(world: &Rc<RefCell<World>>) -> anyhow::Result<()> {
     let served = world.borrow().served.clone();
--- a/lab/src/soak/schedule.rs
+++ b/lab/src/soak/schedule.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-use super::world::World;
+use super::world::{self, World};
 use crate::link::Fault;
 
 /// The least and the most time between two steps, in milliseconds. Faults last
@@ -62,6 +62,10 @@
     ResetHost(usize),
     /// A server says that it leaves, and stays after all.
     Leave(usize),
+    /// The configuration grows by so many databases.
+    Grow(usize),
+    /// All that hosts tell each other passes slowly, and what the store tells small ones.
+    SlowLinks,
 }
 
 /// A fault at its time.
@@ -166,6 +170,24 @@
     steps
 }
 
+/// Draws the steps of a seed that let the configuration grow, over links that are slow all
+/// the while and are reset now and then.
+pub fn draw_growth(seed: u64, length: Duration, hosts: usize) -> Vec<Step> {
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(32));
+    let mut steps = vec![Step { at: Duration::ZERO, lasts: length, act: Act::SlowLinks }];
+    let mut at = Duration::from_millis(random.random_range(PAUSE_MS));
+    while at < length {
+        let lasts = Duration::from_millis(random.random_range(500..5000));
+        let act = match random.random_range(0..2) {
+            0 => Act::Grow(random.random_range(100..1500)),
+            _ => Act::ResetHost(random.random_range(0..hosts)),
+        };
+        steps.push(Step { at, lasts, act });
+        at += Duration::from_millis(random.random_range(PAUSE_MS));
+    }
+    steps
+}
+
 impl Step {
     /// Makes the fault; it is undone by [`Step::undo`].
     pub fn make(&self, world: &mut World) -> anyhow::Result<()> {
@@ -188,6 +210,8 @@
             Act::DelayHost(host) => world.links.set(&peer(host), &delay()),
             Act::ResetHost(host) => world.links.reset(&peer(host)),
             Act::Leave(server) => world.leave(server),
+            Act::Grow(count) => drop(world.add_databases(count)),
+            Act::SlowLinks => set_slow(world, &slow()),
             Act::ResetServer(server) => world.links.reset(&link(server)),
             Act::Lag(server) => {
                 world.groups.borrow_mut().servers[server].lag = Duration::from_millis(2500);
@@ -219,6 +243,7 @@
                 world.links.set(&format!("peer{host}"), &Fault::default());
             }
             Act::Leave(server) => world.stay(server),
+            Act::SlowLinks => set_slow(world, &Fault::default()),
             Act::ResetHost(_) => {}
             Act::Lag(server) => world.groups.borrow_mut().servers[server].lag = Duration::ZERO,
             Act::LoseAnswers(server) => world.groups.borrow_mut().servers[server].lose = 0.0,
@@ -226,12 +251,28 @@
             Act::StoreDown => world.store.borrow_mut().faults.down = false,
             Act::StoreSlow => world.store.borrow_mut().faults.slow = Duration::ZERO,
             Act::Withdraw => world.give_back(),
-            Act::Reload(_) | Act::ResetServer(_) | Act::StoreLoses | Act::Configure => {}
+            Act::Reload(_)
+            | Act::ResetServer(_)
+            | Act::StoreLoses
+            | Act::Configure
+            | Act::Grow(_) => {}
         }
         Ok(())
     }
 }
 
+fn set_slow(world: &World, fault: &Fault) {
+    world.links.set("peer*", fault);
+    for host in world::LARGE_HOSTS..world.hosts.len() {
+        world.links.set(&format!("store{host}"), fault);
+    }
+}
+
+/// A link of 1.6 Mbit/s: up to 1.2 s for what the configuration grows by in one step.
+fn slow() -> Fault {
+    Fault { bytes_per_sec: 200_000, ..Fault::default() }
+}
+
 fn cut() -> Fault {
     Fault { cut_up: true, cut_down: true, ..Fault::default() }
 }
--- a/lab/src/soak/world.rs
+++ b/lab/src/soak/world.rs
@@ -31,6 +31,9 @@
 const ACCOUNTS: [(&str, &str, u64); 3] =
     [("baobab", "key-b", 400), ("hartwell", "key-h", 400), ("greedy", "key-g", 30)];
 
+/// Hosts of a system with hosts of two sizes that are large: one in each failure domain.
+pub const LARGE_HOSTS: usize = 2;
+
 /// Processor shares of a host of the usual size, and of a large one.
 const SMALL: f64 = 0.25;
 const LARGE: f64 = 0.5;
@@ -196,7 +199,13 @@
     pub fn add_databases(&self, count: usize) -> String {
         self.further.set(self.further.get() + count);
         self.configure();
-        database(GROUPS * 3 + self.further.get() - 1)
+        self.newest_database().expect("databases were added")
+    }
+
+    /// The last database that was added; none before the first.
+    pub fn newest_database(&self) -> Option<String> {
+        let further = self.further.get();
+        (further > 0).then(|| database(GROUPS * 3 + further - 1))
     }
 
     /// Withdraws a key from callers that are connected.
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -2,14 +2,18 @@
 
 mod hosts;
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
+use std::time::{Duration, Instant};
+
+use hosts::{Line, args, on_runtime, pause, serving};
+use lab::{
+    link::Fault,
+    soak::{
+        self, SoakArgs,
+        caller::knows,
+        world::{LARGE_HOSTS, World},
+    },
 };
 
-use hosts::{Line, on_runtime, pause, serving};
-use lab::{link::Fault, soak::world::World};
-
 /// The bound of the settings: how soon an acknowledged configuration is in force.
 const APPLY: Duration = Duration::from_millis(3000);
 
@@ -43,11 +47,6 @@
     Fault { bytes_per_sec, ..Fault::default() }
 }
 
-/// Whether a caller finds the database at that host.
-async fn knows(address: SocketAddr, database: &str) -> bool {
-    Line::start(address, database, "key-b").await.is_ok()
-}
-
 /// An operator adds many databases at once. Callers of small hosts were told for the rest of
 /// the day that there are none, and most of all other statements failed too. The new version
 /// came in one answer that took longer than it was waited for; it was dropped and asked for
@@ -57,7 +56,7 @@
 #[test]
 fn a_large_configuration_comes_in_time_over_slow_links() {
     on_runtime(async {
-        let world = serving(World::start_sized(4, 2).unwrap()).await;
+        let world = serving(World::start_sized(4, LARGE_HOSTS).unwrap()).await;
         pause(SETTLED).await;
         world.borrow().links.set("peer*", &at_most(SLOW));
         for store in ["store2", "store3"] {
@@ -82,7 +81,7 @@
 #[test]
 fn a_host_that_cannot_fetch_what_is_newer_serves_nobody() {
     on_runtime(async {
-        let world = serving(World::start_sized(4, 2).unwrap()).await;
+        let world = serving(World::start_sized(4, LARGE_HOSTS).unwrap()).await;
         pause(SETTLED).await;
         let small = world.borrow().callers[2];
         let mut line = Line::start(small, "db0", "key-h").await.unwrap();
@@ -111,7 +110,7 @@
 #[test]
 fn a_list_of_servers_comes_over_a_slow_link() {
     on_runtime(async {
-        let world = serving(World::start_sized(4, 2).unwrap()).await;
+        let world = serving(World::start_sized(4, LARGE_HOSTS).unwrap()).await;
         pause(SETTLED).await;
         world.borrow().links.set("peer*", &at_most(CRAWLING));
         for store in ["store2", "store3"] {
@@ -148,3 +147,15 @@
         }
     });
 }
+
+/// The configuration grows again and again over slow links, so that a host has the last
+/// version but one most of the time. Its callers were refused for seconds: it counted from when
+/// its own version had been the newest as it knew, which is before the first of them.
+#[test]
+fn versions_that_come_faster_than_they_travel_are_in_force_in_time() {
+    for seed in [9407, 9410] {
+        let args = SoakArgs { grow: true, ..args(4, 8, 12) };
+        let outcome = on_runtime(soak::soak(seed, &args)).unwrap();
+        assert!(outcome.broken.is_empty(), "seed {seed}: {:#?}", outcome.broken);
+    }
+}
--- a/tests/hosts/mod.rs
+++ b/tests/hosts/mod.rs
@@ -29,8 +29,8 @@
 }
 
 pub fn args(hosts: usize, callers: usize, secs: u64) -> SoakArgs {
-    let (dry, links, calm, herd) = Default::default();
-    SoakArgs { seed: 1, seeds: 1, secs, hosts, callers, dry, links, calm, herd }
+    let (dry, links, grow, calm, herd) = Default::default();
+    SoakArgs { seed: 1, seeds: 1, secs, hosts, callers, dry, links, grow, calm, herd }
 }
 
 pub async fn pause(ms: u64) {
