A fetched configuration carries the time at which it was the newest

Callers saw: while configurations grew faster than slow links carry them, hosts refused all statements after 3 s although they had the last revision but one.

Cause: a host counted the age of its configuration from when it had itself last known it to be the newest. A revision that was already followed by another one when its last piece was received never got a time of its own, so its age was that of the first revision before the series. Once the host knew of the newer one it refused everything at the bound. Ruled out: the transfer itself (each fetch ended, the log has a line for it).

Change: each piece carries the store time at which its sender knew the document to be the newest, and a document added inherits the time of the one before. A configuration that cannot be read no longer renews that time.

--- a/components/coordination/src/pieces.rs
+++ b/components/coordination/src/pieces.rs
@@ -57,6 +57,8 @@
     pub digest: u64,
     /// Size of the whole document.
     pub whole: Size,
+    /// Store time at which the sender knew the document to be the newest.
+    pub confirmed: Duration,
     /// The piece.
     pub bytes: Bytes,
 }
@@ -66,6 +68,8 @@
     revision: Revision,
     digest: u64,
     bytes: Bytes,
+    /// Store time at which the document was known to be the newest; never decreases.
+    confirmed: Duration,
 }
 
 /// The documents that a host gives out.
@@ -79,21 +83,35 @@
     /// Adds the document of a revision that is newer than all before.
     pub fn add(&mut self, revision: Revision, bytes: Bytes) {
         let digest = xxh3::xxh3_64(&bytes);
-        self.documents.push_back(Document { revision, digest, bytes });
+        let confirmed = self.confirmed();
+        self.documents.push_back(Document { revision, digest, bytes, confirmed });
         if self.documents.len() > KEPT {
             self.documents.pop_front();
         }
     }
 
+    /// Notes that the newest document here was still the newest at store time `clock`.
+    pub fn confirm(&mut self, clock: Duration) {
+        if let Some(newest) = self.documents.back_mut() {
+            newest.confirmed = newest.confirmed.max(clock);
+        }
+    }
+
+    /// Store time up to which nothing newer than the newest document here was accepted. It
+    /// holds for a newer document as well, so an added one starts from it.
+    pub fn confirmed(&self) -> Duration {
+        self.documents.back().map(|newest| newest.confirmed).unwrap_or_default()
+    }
+
     /// A piece; `None` of a document that is not there, or from beyond its end.
     pub fn piece(&self, wanted: Wanted) -> Option<Piece> {
-        let Document { digest, bytes, .. } =
+        let Document { digest, bytes, confirmed, .. } =
             self.documents.iter().find(|document| document.revision == wanted.revision)?;
         let from = usize::try_from(wanted.from.0).ok().filter(|from| *from < bytes.len())?;
         let most = usize::try_from(wanted.most.min(MOST).0).ok()?;
         let to = bytes.len().min(from + most);
         let whole = Size(bytes.len() as u64);
-        Some(Piece { digest: *digest, whole, bytes: bytes.slice(from..to) })
+        Some(Piece { digest: *digest, whole, confirmed: *confirmed, bytes: bytes.slice(from..to) })
     }
 }
 
@@ -117,6 +135,8 @@
     pub pieces: u32,
     /// Pieces that did not come.
     pub missed: u32,
+    /// Store time at which a sender knew the document to be the newest.
+    pub confirmed: Duration,
     /// Digest of the whole document; none before the first piece.
     digest: Option<u64>,
     /// The beginning of the document, as far as it has come.
@@ -128,7 +148,16 @@
 impl Fetch {
     /// A fetch of which nothing has come.
     pub fn new(revision: Revision) -> Self {
-        Self { revision, pieces: 0, missed: 0, digest: None, bytes: Vec::new(), most: LEAST }
+        let confirmed = Duration::ZERO;
+        Self {
+            revision,
+            pieces: 0,
+            missed: 0,
+            confirmed,
+            digest: None,
+            bytes: Vec::new(),
+            most: LEAST,
+        }
     }
 
     /// The piece to ask for next.
@@ -140,6 +169,7 @@
     /// Takes the piece that was asked for, which took so long.
     pub fn take(&mut self, piece: Piece, took: Duration) -> Progress {
         self.pieces += 1;
+        self.confirmed = self.confirmed.max(piece.confirmed);
         if took < QUICK {
             self.most = Size(self.most.0 * 2).min(MOST);
         } else if took > SLOW {
--- a/components/coordination/tests/pieces.rs
+++ b/components/coordination/tests/pieces.rs
@@ -180,6 +180,25 @@
     assert_eq!(shelf.piece(Fetch::new(ONE).wanted()), None, "old ones stay for ever");
 }
 
+/// Guards against a host refusing its callers although it has the last revision but one.
+#[test]
+fn a_piece_carries_the_time_at_which_its_document_was_the_newest() {
+    let at = Duration::from_secs;
+    let mut shelf = shelf(10);
+    shelf.confirm(at(7));
+    shelf.confirm(at(5));
+    assert_eq!(shelf.confirmed(), at(7), "the time decreases");
+    shelf.add(Revision(2), document(10));
+    assert_eq!(shelf.confirmed(), at(7), "an added document starts from the former's time");
+    shelf.confirm(at(9));
+    let mut fetch = Fetch::new(ONE);
+    fetch.take(shelf.piece(fetch.wanted()).unwrap(), at(0));
+    assert_eq!(fetch.confirmed, at(7));
+    let mut fetch = Fetch::new(Revision(2));
+    fetch.take(shelf.piece(fetch.wanted()).unwrap(), at(0));
+    assert_eq!(fetch.confirmed, at(9));
+}
+
 #[test]
 fn no_piece_is_larger_than_the_largest() {
     let shelf = shelf(1_000_000);
--- a/components/peer/tests/slow.rs
+++ b/components/peer/tests/slow.rs
@@ -37,8 +37,8 @@
 
 fn answer(question: Question) -> Answer {
     let Question::Piece(_) = question else { return Answer::Pong };
-    let (digest, whole) = (0, Size(LARGE as u64));
-    Answer::Piece(Some(Piece { digest, whole, bytes: vec![7; LARGE].into() }))
+    let (digest, whole, confirmed) = (0, Size(LARGE as u64), Duration::ZERO);
+    Answer::Piece(Some(Piece { digest, whole, confirmed, bytes: vec![7; LARGE].into() }))
 }
 
 /// A host that tells a large answer.
--- a/components/proxy/src/fetch.rs
+++ b/components/proxy/src/fetch.rs
@@ -59,10 +59,12 @@
                     pieces = fetch.pieces, missed = fetch.missed, ms,
                     "configuration: told by another host"
                 );
-                adopt(host, packed);
-                if host.version() < fetch.revision {
+                if !adopt(host, packed) {
                     host.unreadable.set(fetch.revision);
                 }
+                if host.version() == fetch.revision {
+                    host.shelf.borrow_mut().confirm(fetch.confirmed);
+                }
                 return None;
             }
             Progress::Anew => {
@@ -73,11 +75,13 @@
     }
 }
 
-fn adopt(host: &Host, packed: Bytes) {
+/// Puts a configuration in force that has been fetched; false when it cannot be read.
+fn adopt(host: &Host, packed: Bytes) -> bool {
     match packed::unpack(&packed) {
         Ok(raw) => follow::adopt(host, &raw, |_| packed),
         Err(error) => {
             warn!(error = %format_args!("{error:#}"), "configuration: cannot be decompressed");
+            false
         }
     }
 }
--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -110,24 +110,29 @@
 /// Follows the configuration.
 pub async fn configuration(host: Rc<Host>) {
     let take = |rows: &Rows, _| {
-        let rows_of = rows.rows.iter();
-        for row in rows_of.filter(|row| &*row.key == configuration::KEY && !row.removed) {
-            adopt(&host, &row.value, packed::pack);
+        let plans = rows.rows.iter().filter(|row| &*row.key == configuration::KEY && !row.removed);
+        if plans.fold(true, |all, row| adopt(&host, &row.value, packed::pack) && all) {
+            host.shelf.borrow_mut().confirm(rows.clock);
         }
-        host.plan_clock.set(host.plan_clock.get().max(rows.clock));
     };
     let pace = freshness::Pace::within(host.settings.apply);
     let needed = || host.is_reader() || host.plan_age().is_none_or(|age| age > pace.read);
     follow(&host, Table::Configuration, pace.wait, needed, take).await
 }
 
-/// Reads a configuration and puts it in force, if it is newer. `pack` makes of it what
-/// other hosts are told.
-pub fn adopt(host: &Host, raw: &[u8], pack: impl FnOnce(&[u8]) -> Bytes) {
+/// Reads a configuration and puts it in force, if it is newer; false when it cannot be
+/// read. `pack` makes of it what other hosts are told.
+pub fn adopt(host: &Host, raw: &[u8], pack: impl FnOnce(&[u8]) -> Bytes) -> bool {
     match configuration::decode(raw) {
-        Ok(plan) if host.plan().is_some_and(|known| plan.version <= known.version) => {}
-        Ok(plan) => host.set_plan(plan, pack(raw)),
-        Err(error) => warn!(error = %format_args!("{error:#}"), "configuration: not readable"),
+        Ok(plan) if host.plan().is_some_and(|known| plan.version <= known.version) => true,
+        Ok(plan) => {
+            host.set_plan(plan, pack(raw));
+            true
+        }
+        Err(error) => {
+            warn!(error = %format_args!("{error:#}"), "configuration: not readable");
+            false
+        }
     }
 }
 
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -71,8 +71,6 @@
     pub unreadable: Cell<Revision>,
     /// The newest configuration that any host has told of.
     pub newest: Cell<Revision>,
-    /// The store's clock when the configuration was the newest for certain.
-    pub plan_clock: Cell<Duration>,
     /// The store's clock.
     pub store_clock: RefCell<StoreClock>,
     /// The store's clock when the list of servers was the newest for certain.
@@ -158,7 +156,7 @@
 
     /// How long ago the configuration was the newest for certain.
     pub fn plan_age(&self) -> Option<Duration> {
-        self.age_of(self.plan_clock.get())
+        self.age_of(self.shelf.borrow().confirmed())
     }
 
     /// Whether callers may be served by what is known of the configuration.
@@ -217,7 +215,7 @@
     pub fn known(&self) -> Known {
         let held = self.held.borrow();
         Known {
-            plan: (self.version(), self.plan_clock.get()),
+            plan: (self.version(), self.shelf.borrow().confirmed()),
             view: (held.stamp(), held.view().clock),
             view_version: held.view().version,
             servers: (self.servers_stamp.get(), self.servers_clock.get()),
--- a/components/proxy/src/news.rs
+++ b/components/proxy/src/news.rs
@@ -148,7 +148,7 @@
 fn renew(host: &Host, known: Known) {
     host.newest.set(host.newest.get().max(known.plan.0));
     if known.plan.0 == host.version() {
-        host.plan_clock.set(host.plan_clock.get().max(known.plan.1));
+        host.shelf.borrow_mut().confirm(known.plan.1);
     }
     if known.servers.0 == host.servers_stamp.get() {
         host.servers_clock.set(host.servers_clock.get().max(known.servers.1));
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -117,7 +117,6 @@
         fetches: Cell::default(),
         unreadable: Cell::default(),
         newest: Cell::default(),
-        plan_clock: Cell::default(),
         store_clock: RefCell::default(),
         servers_clock: Cell::default(),
         missing: RefCell::default(),
