--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -111,7 +111,11 @@
 pub async fn configuration(host: Rc<Host>) {
     let take = |rows: &Rows, _| {
         let plans = rows.rows.iter().filter(|row| &*row.key == configuration::KEY && !row.removed);
-        if plans.fold(true, |all, row| adopt(&host, &row.value, packed::pack) && all) {
+        let mut readable = true;
+        for row in plans {
+            readable &= adopt(&host, &row.value, packed::pack);
+        }
+        if readable {
             host.shelf.borrow_mut().confirm(rows.clock);
         }
     };
