A holder keeps most of the connections that its server takes

Cause: the holder of a server's connections closed what was unused for 0.8 s beyond half of them. With 190 accounts before servers that take 193 connections most accounts send a statement to a server every few seconds, so their connection was closed before its next use. A standby holder had the cap of any other host, four connections, and refused while the holder was cut off.

Change: bounds in coordination::connections by role. A holder leaves a headroom to others, from which a standby may open connections while those of a holder without power still count.

--- /dev/null
+++ b/components/coordination/src/connections.rs
@@ -0,0 +1,68 @@
+//! How many connections to a backend server a host opens and keeps.
+//!
+//! The load it answers: 190 accounts before servers that take 193 connections and have five
+//! slots. A connection belongs to an account and its opening takes a slot as long as a short
+//! statement. Most accounts send a statement to a server every few seconds, so their
+//! connections are reused only if they stay open that long. The holder therefore keeps most
+//! of what the server takes, and leaves room for the standby that replaces it: a server goes
+//! on counting the connections of a host without power for seconds.
+
+use std::time::Duration;
+
+/// The part of a server's connections that its holder leaves to others, as one part of so
+/// many.
+const HEADROOM: usize = 5;
+
+/// Connections that a host may open however many hosts there are: enough for the
+/// transactions and statements that are received together at one host.
+const LEAST_CAP: usize = 4;
+
+/// How long a connection beyond those that are kept stays open unused: longer than a usual
+/// pause between two statements of an account.
+const UNUSED_FOR: Duration = Duration::from_millis(800);
+
+/// The same for a host without a share of its own: most of the server's connections are
+/// then in use by idle transactions.
+const SCARCE_FOR: Duration = Duration::from_millis(100);
+
+/// What a host is to a server's connections.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Role {
+    /// It opens them for all hosts.
+    Holder,
+    /// It does so while the holder cannot be reached.
+    Standby,
+    /// It opens some where neither can be reached.
+    #[default]
+    Other,
+}
+
+/// Bounds of a host's connections to a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Bounds {
+    /// Connections that may be open; one at least.
+    pub cap: usize,
+    /// Connections that stay open though unused; never more than `cap`.
+    pub kept: usize,
+    /// How long one beyond `kept` stays open unused.
+    pub unused_for: Duration,
+}
+
+/// Bounds for a server that takes `most` connections and runs `slots` statements at once.
+pub fn bounds(most: usize, slots: usize, hosts: usize, role: Role) -> Bounds {
+    let share = most / hosts.max(1);
+    let least = LEAST_CAP.min(most).max(1);
+    let headroom = (most / HEADROOM).max(2 * (slots + 1)).min(most / 2);
+    match role {
+        Role::Holder => Bounds { cap: most.max(1), kept: most - headroom, unused_for: UNUSED_FOR },
+        Role::Standby => {
+            let cap = headroom.max(least);
+            Bounds { cap, kept: (share / 2).min(cap), unused_for: UNUSED_FOR }
+        }
+        Role::Other => {
+            let kept = share / 2;
+            let unused_for = if kept == 0 { SCARCE_FOR } else { UNUSED_FOR };
+            Bounds { cap: share.max(least), kept, unused_for }
+        }
+    }
+}
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod choice;
 pub mod clock;
 pub mod confirm;
+pub mod connections;
 pub mod demand;
 pub mod duty;
 pub mod fair;
--- /dev/null
+++ b/components/coordination/tests/connections.rs
@@ -0,0 +1,104 @@
+//! Connections to a server with many accounts.
+
+use std::time::Duration;
+
+use bergamottrack_coordination::connections::{self, Bounds, Role};
+use rand::{Rng, SeedableRng, distr::weighted::WeightedIndex, prelude::Distribution, rngs::StdRng};
+
+const TRIM_EVERY: Duration = Duration::from_millis(100);
+
+/// How long a statement has its connection.
+const WORK: Duration = Duration::from_millis(33);
+
+/// A deployment: connections and slots of a server, accounts, and statements a second.
+struct Load {
+    most: usize,
+    slots: usize,
+    accounts: usize,
+    rate: f64,
+}
+
+/// Connections opened for each statement, once all accounts have sent some.
+fn openings(load: &Load, bounds: Bounds, seed: u64) -> f64 {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let weights: Vec<f64> = (1..=load.accounts).map(|rank| 1.0 / rank as f64).collect();
+    let account = WeightedIndex::new(weights).unwrap();
+    // Idle connections: account, and since when. The one used last is at the end.
+    let mut idle: Vec<(usize, Duration)> = Vec::new();
+    let mut busy: Vec<(Duration, usize)> = Vec::new();
+    let (mut opened, mut sent) = (0, 0);
+    let (mut now, mut trimmed) = (Duration::ZERO, Duration::ZERO);
+    let (from, until) = (Duration::from_secs(30), Duration::from_secs(90));
+    while now < until {
+        now += Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / load.rate);
+        busy.retain(|(end, account)| {
+            if *end <= now {
+                idle.push((*account, *end));
+            }
+            *end > now
+        });
+        while trimmed < now {
+            trimmed += TRIM_EVERY;
+            let unused =
+                |(_, since): &(usize, Duration)| trimmed.saturating_sub(*since) > bounds.unused_for;
+            while idle.len() + busy.len() > bounds.kept && idle.first().is_some_and(unused) {
+                idle.remove(0);
+            }
+        }
+        let account = account.sample(&mut rng);
+        let hit = idle.iter().rposition(|(of, _)| *of == account);
+        if now >= from {
+            sent += 1;
+            opened += usize::from(hit.is_none());
+        }
+        match hit {
+            Some(at) => {
+                idle.remove(at);
+            }
+            None if idle.len() + busy.len() >= bounds.cap && !idle.is_empty() => {
+                idle.remove(0);
+            }
+            None => {}
+        }
+        busy.push((now + WORK, account));
+    }
+    f64::from(opened as u32) / f64::from(sent)
+}
+
+/// Guards against an opening for every second statement of accounts that send one in a while.
+#[test]
+fn connections_of_many_accounts_are_reused() {
+    let large = Load { most: 193, slots: 5, accounts: 190, rate: 40.0 };
+    let small = Load { most: 34, slots: 5, accounts: 8, rate: 40.0 };
+    for load in [large, small] {
+        let bounds = connections::bounds(load.most, load.slots, 295, Role::Holder);
+        for seed in 0..3 {
+            let part = openings(&load, bounds, seed);
+            assert!(part <= 0.10, "{part:.3} openings a statement, {} accounts", load.accounts);
+        }
+    }
+}
+
+/// Guards against a standby without connections while those of a dead holder still count.
+#[test]
+fn a_standby_finds_room_beside_a_holder() {
+    for (most, slots) in [(193, 5), (285, 6), (90, 6), (60, 3), (50, 5), (34, 5), (23, 3)] {
+        for hosts in [2, 9, 89, 295, 1800] {
+            let holder = connections::bounds(most, slots, hosts, Role::Holder);
+            let standby = connections::bounds(most, slots, hosts, Role::Standby);
+            assert!(holder.kept + standby.cap <= most, "{most} connections, {hosts} hosts");
+            assert!(standby.cap > slots, "{most} connections: a standby cannot fill {slots} slots");
+        }
+    }
+}
+
+/// Guards against bounds that leave a host without any connection.
+#[test]
+fn every_host_may_open_a_connection() {
+    for most in [1, 2, 3, 5, 193] {
+        for role in [Role::Holder, Role::Standby, Role::Other] {
+            let bounds = connections::bounds(most, 1, 1800, role);
+            assert!(bounds.cap >= 1 && bounds.kept <= bounds.cap, "{most} connections: {bounds:?}");
+        }
+    }
+}
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -11,7 +11,7 @@
 
 use bergamottrack_contract as contract;
 use bergamottrack_coordination::{
-    Clock, GroupId, HostId, Revision, ServerId, StoreClock,
+    Clock, GroupId, HostId, Revision, ServerId, StoreClock, connections,
     demand::Demand,
     freshness::{Bounds, Standing},
     holders,
@@ -304,9 +304,13 @@
             let domain = pool.listed.borrow().domain.clone();
             let id = pool.listed.borrow().id.clone();
             let holders = holders::order(self.held.borrow().view(), id.as_str(), &domain);
-            let sharers = if holders.first() == Some(&self.settings.host) { 1 } else { hosts };
+            let role = match holders.iter().position(|host| *host == self.settings.host) {
+                Some(0) => connections::Role::Holder,
+                Some(_) => connections::Role::Standby,
+                None => connections::Role::Other,
+            };
             *pool.holders.borrow_mut() = holders;
-            pool.set_cap(cap.unwrap_or(1), sharers);
+            pool.set_bounds(cap.unwrap_or(1), hosts, role);
             self.group(&group);
         }
         let groups: Vec<_> = self.groups.borrow().values().cloned().collect();
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -10,6 +10,7 @@
 use bergamottrack_coordination::{
     AccountId, HostId,
     choice::Health,
+    connections::{self, Bounds, Role},
     gate::{Entry, Gate, Place},
 };
 use bergamottrack_model::{Failure, Listed};
@@ -27,18 +28,6 @@
 /// are of hosts that died, and servers drop these one by one within 3 s.
 const HELD_FOR: Duration = Duration::from_millis(250);
 
-/// How long a connection above half of a host's share stays open unused: longer
-/// than a usual pause between two statements of an account.
-const UNUSED_FOR: Duration = Duration::from_millis(800);
-
-/// The same where a host's equal share is a single connection: most of the
-/// server's connections are then in use by transactions that rest.
-const SCARCE_FOR: Duration = Duration::from_millis(100);
-
-/// Connections that a host may open however many hosts there are: enough for the
-/// transactions and statements that come together at one host.
-const LEAST_CAP: usize = 4;
-
 /// Statements that a holder keeps under way beyond a server's slots: the next one is
 /// there when a slot falls free, in place of one way there and back later.
 const SPARE: usize = 1;
@@ -61,15 +50,13 @@
     waiting: RefCell<HashMap<Place, oneshot::Sender<()>>>,
     /// Connections that nobody uses and since when, the one used last at the end.
     idle: RefCell<Vec<(Backend, Instant)>>,
-    /// Connections open or being opened, idle ones included; at most `cap`.
+    /// Connections open or being opened, idle ones included; at most the cap of `bounds`.
     open: Cell<usize>,
-    cap: Cell<usize>,
-    /// This host's equal share of the server's connections.
-    share: Cell<usize>,
+    bounds: Cell<Bounds>,
+    /// What this host is to the server's connections.
+    role: Cell<Role>,
     /// Hosts that hold the server's connections, best first.
     pub holders: RefCell<Vec<HostId>>,
-    /// Whether this host holds the server's connections for all.
-    sole: Cell<bool>,
     /// Until when the server counts as crowded, and how many connections it took.
     crowded: Cell<Option<(Instant, usize)>>,
     freed: Notify,
@@ -116,28 +103,28 @@
             waiting: RefCell::default(),
             idle: RefCell::default(),
             open: Cell::default(),
-            cap: Cell::new(1),
-            share: Cell::default(),
+            bounds: Cell::new(connections::bounds(1, 1, 1, Role::Other)),
+            role: Cell::default(),
             holders: RefCell::default(),
-            sole: Cell::default(),
             crowded: Cell::default(),
             freed: Notify::new(),
         })
     }
 
-    /// Sets how many connections the server takes and how many hosts share them; one that
-    /// holds them for all shares them with nobody.
-    ///
-    /// A host may open more than its equal share when there are many hosts: they
-    /// need them at different moments, and the server says when it has too many.
-    pub fn set_cap(&self, cap: usize, hosts: usize) {
-        let share = cap / hosts;
-        self.share.set(share);
-        self.cap.set(share.max(LEAST_CAP.min(cap)).max(1));
-        self.sole.set(hosts == 1);
+    /// Sets how many connections the server takes, how many hosts share them and what this
+    /// host is to them.
+    pub fn set_bounds(&self, most: usize, hosts: usize, role: Role) {
         let slots = self.listed.borrow().slots;
-        let least = if hosts == 1 { slots + SPARE } else { 1 };
-        self.gate.borrow_mut().set_bounds(least, self.cap.get());
+        let bounds = connections::bounds(most, slots, hosts, role);
+        self.bounds.set(bounds);
+        self.role.set(role);
+        let least = if role == Role::Holder { slots + SPARE } else { 1 };
+        self.gate.borrow_mut().set_bounds(least, bounds.cap);
+    }
+
+    /// Whether this host holds the server's connections for all.
+    fn is_holder(&self) -> bool {
+        self.role.get() == Role::Holder
     }
 
     /// How long a statement of that priority and patience would wait at the gate.
@@ -225,7 +212,7 @@
                 match self.open_one(account).await {
                     // The next one that is given back, or makes room, will do.
                     Err(NoConnection::Open(OpenError::Rejected(Failure::TooMany)))
-                        if self.sole.get() && self.open.get() > 0 => {}
+                        if self.is_holder() && self.open.get() > 0 => {}
                     opened => return opened,
                 }
             }
@@ -251,10 +238,10 @@
     }
 
     fn cap(&self) -> usize {
-        let taken = self.crowded().map(|taken| if self.sole.get() { taken } else { usize::MAX });
+        let taken = self.crowded().map(|taken| if self.is_holder() { taken } else { usize::MAX });
         match taken {
-            Some(taken) => taken.min(self.cap.get() - 1).max(1),
-            None => self.cap.get(),
+            Some(taken) => taken.min(self.bounds.get().cap - 1).max(1),
+            None => self.bounds.get().cap,
         }
     }
 
@@ -264,16 +251,9 @@
         lately.map(|(_, taken)| taken)
     }
 
-    /// Closes connections above half of the host's share that nobody has used for
-    /// a while.
-    ///
-    /// Guards against a host that comes back from a loss of power and gets no
-    /// connection: servers hold on to its old ones for 3 s. With half of the
-    /// server's connections unused the new ones fit in beside them. Under load all
-    /// are kept: a new connection takes a slot as long as a short statement.
+    /// Closes connections beyond those that are kept and that were not used for a while.
     pub fn trim(&self) {
-        let kept = self.share.get() / 2;
-        let unused_for = if kept == 0 { SCARCE_FOR } else { UNUSED_FOR };
+        let Bounds { kept, unused_for, .. } = self.bounds.get();
         let mut idle = self.idle.borrow_mut();
         while self.open.get() > kept
             && idle.first().is_some_and(|(_, since)| since.elapsed() > unused_for)
@@ -319,7 +299,7 @@
             Err(error) => {
                 if matches!(error, OpenError::Rejected(Failure::TooMany)) {
                     info!(server = %listed.id, open = self.open.get(), "pool: too many connections");
-                    let lasts = if self.sole.get() { HELD_FOR } else { CROWDED_FOR };
+                    let lasts = if self.is_holder() { HELD_FOR } else { CROWDED_FOR };
                     let taken = self.open.get() - 1;
                     self.crowded.set(Some((Instant::now() + lasts, taken)));
                 }
@@ -345,7 +325,7 @@
         if let Some(backend) = self.backend.take() {
             // While the server is crowded other hosts need its place more, if they have
             // connections of their own.
-            if self.pool.crowded().is_some() && !self.pool.sole.get() {
+            if self.pool.crowded().is_some() && !self.pool.is_holder() {
                 return;
             }
             self.pool.idle.borrow_mut().push((backend, Instant::now()));
