A holder opens connections ahead while its server is not busy

Cause: callers of the first seconds after a start open all connections, 12 ms of a slot and a wait each.

Change: while a slot is free a holder opens one connection after another, for the accounts of the highest rate first, up to what it keeps; it rests for a second after one fails. connections::next_to_open decides, tested without network.

--- a/components/coordination/src/connections.rs
+++ b/components/coordination/src/connections.rs
@@ -9,6 +9,8 @@
 
 use std::time::Duration;
 
+use crate::AccountId;
+
 /// The part of a server's connections that its holder leaves to others, as one part of so
 /// many.
 const HEADROOM: usize = 5;
@@ -66,3 +68,33 @@
         }
     }
 }
+
+/// What a host has under way at a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Usage {
+    /// Connections open or being opened.
+    pub open: usize,
+    /// Statements sent and not answered.
+    pub running: usize,
+    /// Statements that wait to be sent.
+    pub waiting: usize,
+}
+
+/// The account for which a connection is opened ahead of its first statement, if a slot is
+/// free for it: the first of `accounts` that has none.
+///
+/// Guards against slow first seconds after a start, in which every statement would open a
+/// connection and wait for it.
+pub fn next_to_open(
+    accounts: &[AccountId],
+    has_connection: impl Fn(&AccountId) -> bool,
+    usage: Usage,
+    slots: usize,
+    bounds: Bounds,
+) -> Option<&AccountId> {
+    let idle = usage.waiting == 0 && usage.running + 1 < slots.max(2);
+    if !idle || usage.open >= bounds.kept {
+        return None;
+    }
+    accounts.iter().find(|account| !has_connection(account))
+}
--- a/components/coordination/src/gate.rs
+++ b/components/coordination/src/gate.rs
@@ -101,6 +101,11 @@
         self.running
     }
 
+    /// Statements that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// How many may be under way now.
     pub fn limit(&self) -> usize {
         self.limit.max(self.least) as usize
--- a/components/coordination/tests/connections.rs
+++ b/components/coordination/tests/connections.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use bergamottrack_coordination::connections::{self, Bounds, Role};
+use bergamottrack_coordination::{
+    AccountId,
+    connections::{self, Bounds, Role, Usage},
+};
 use rand::{Rng, SeedableRng, distr::weighted::WeightedIndex, prelude::Distribution, rngs::StdRng};
 
 const TRIM_EVERY: Duration = Duration::from_millis(100);
@@ -79,6 +82,29 @@
     }
 }
 
+/// Guards against first seconds in which every statement opens a connection.
+#[test]
+fn connections_are_opened_ahead_while_a_server_is_idle() {
+    let accounts: Vec<AccountId> = (0..190).map(|n| format!("a{n}").parse().unwrap()).collect();
+    let bounds = connections::bounds(193, 5, 295, Role::Holder);
+    let mut open: Vec<AccountId> = Vec::new();
+    let next = |open: &[AccountId], usage| {
+        let has = |account: &AccountId| open.contains(account);
+        connections::next_to_open(&accounts, has, usage, 5, bounds).cloned()
+    };
+    let usage = |open: &[AccountId]| Usage { open: open.len(), running: 0, waiting: 0 };
+    while let Some(account) = next(&open, usage(&open)) {
+        open.push(account);
+    }
+    assert_eq!(open, accounts[..bounds.kept], "those of the highest rate come first");
+    let open = &open[1..];
+    assert_eq!(next(open, usage(open)), Some(accounts[0].clone()), "one that was closed");
+    let busy = Usage { running: 4, ..usage(open) };
+    assert_eq!(next(open, busy), None, "the last free slot is for statements");
+    let waiting = Usage { waiting: 1, ..usage(open) };
+    assert_eq!(next(open, waiting), None);
+}
+
 /// Guards against a standby without connections while those of a dead holder still count.
 #[test]
 fn a_standby_finds_room_beside_a_holder() {
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -11,7 +11,7 @@
 
 use bergamottrack_contract as contract;
 use bergamottrack_coordination::{
-    Clock, GroupId, HostId, Revision, ServerId, StoreClock, connections,
+    AccountId, Clock, GroupId, HostId, Revision, ServerId, StoreClock, connections,
     demand::Demand,
     freshness::{Bounds, Standing},
     holders,
@@ -61,6 +61,8 @@
     pub run: u64,
     /// The configuration in force.
     pub plan: RefCell<Option<Rc<Plan>>>,
+    /// Its accounts, those of the highest rate first.
+    pub by_rate: RefCell<Rc<[AccountId]>>,
     /// Configurations as they are told to other hosts; the one in force is the newest.
     pub shelf: RefCell<Shelf>,
     /// A configuration of which a part has been fetched.
@@ -111,6 +113,12 @@
     pub sessions: Cell<usize>,
 }
 
+fn by_rate(plan: &Plan) -> Rc<[AccountId]> {
+    let mut accounts: Vec<_> = plan.accounts().collect();
+    accounts.sort_by(|a, b| b.rate.0.total_cmp(&a.rate.0).then_with(|| a.id.cmp(&b.id)));
+    accounts.into_iter().map(|account| account.id.clone()).collect()
+}
+
 impl Host {
     /// Now, by the host's clock.
     pub fn now(&self) -> Instant {
@@ -146,6 +154,7 @@
             }
         }
         drop(demand);
+        *self.by_rate.borrow_mut() = by_rate(&plan);
         self.shelf.borrow_mut().add(plan.version, packed);
         *self.plan.borrow_mut() = Some(Rc::new(plan));
         self.refresh();
@@ -381,11 +390,15 @@
         }
     }
 
-    /// Closes connections that are not used, for ever.
+    /// Closes connections that are not used and opens some ahead, for ever.
     pub async fn trim(self: Rc<Self>) {
         loop {
             monoio::time::sleep(pool::TRIM_EVERY).await;
-            self.pools.borrow().values().for_each(|pool| pool.trim());
+            let accounts = self.by_rate.borrow().clone();
+            for pool in self.pools.borrow().values() {
+                pool.trim();
+                pool.open_ahead(&accounts);
+            }
             let limit = self.plan().and_then(|plan| plan.idle_limit);
             self.works.sweep(limit, self.now());
         }
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -10,7 +10,7 @@
 use bergamottrack_coordination::{
     AccountId, HostId,
     choice::Health,
-    connections::{self, Bounds, Role},
+    connections::{self, Bounds, Role, Usage},
     gate::{Entry, Gate, Place},
 };
 use bergamottrack_model::{Failure, Listed};
@@ -32,6 +32,12 @@
 /// there when a slot falls free, in place of one way there and back later.
 const SPARE: usize = 1;
 
+/// How long connections are opened ahead before it is decided anew for which accounts.
+const OPENING_AHEAD_FOR: Duration = Duration::from_secs(1);
+
+/// How long after a connection failed none are opened ahead.
+const AHEAD_AGAIN_AFTER: Duration = Duration::from_secs(1);
+
 /// How often unused connections are looked for.
 pub const TRIM_EVERY: Duration = Duration::from_millis(100);
 
@@ -60,6 +66,8 @@
     /// Until when the server counts as crowded, and how many connections it took.
     crowded: Cell<Option<(Instant, usize)>>,
     freed: Notify,
+    /// Until when connections are opened ahead, or are not after one failed.
+    opens_ahead: Cell<Option<Instant>>,
 }
 
 /// Why no connection was given.
@@ -108,6 +116,7 @@
             holders: RefCell::default(),
             crowded: Cell::default(),
             freed: Notify::new(),
+            opens_ahead: Cell::default(),
         })
     }
 
@@ -251,6 +260,46 @@
         lately.map(|(_, taken)| taken)
     }
 
+    /// Opens connections for accounts that have none while the server is not busy, one after
+    /// the other; `accounts` begins with those of the highest rate.
+    ///
+    /// Does nothing while it still runs, or for a while after a connection failed.
+    pub fn open_ahead(self: &Rc<Self>, accounts: &Rc<[AccountId]>) {
+        let rests = self.opens_ahead.get().is_some_and(|until| Instant::now() < until);
+        if rests || !self.is_holder() || self.next_to_open(accounts).is_none() {
+            return;
+        }
+        self.opens_ahead.set(Some(Instant::now() + OPENING_AHEAD_FOR));
+        let (pool, accounts) = (self.clone(), accounts.clone());
+        monoio::spawn(async move {
+            let until = Instant::now() + OPENING_AHEAD_FOR;
+            while let Some(account) =
+                pool.next_to_open(&accounts).filter(|_| Instant::now() < until)
+            {
+                let opened = pool.open_one(account).await;
+                let Ok(leased) = opened else {
+                    pool.opens_ahead.set(Some(Instant::now() + AHEAD_AGAIN_AFTER));
+                    return;
+                };
+                leased.give_back();
+            }
+            pool.opens_ahead.set(None);
+        });
+    }
+
+    fn next_to_open<'a>(&self, accounts: &'a [AccountId]) -> Option<&'a AccountId> {
+        let listed = self.listed.borrow();
+        if listed.leaving || self.crowded().is_some() {
+            return None;
+        }
+        let gate = self.gate.borrow();
+        let (running, waiting) = (gate.running(), gate.waiting());
+        let usage = Usage { open: self.open.get(), running, waiting };
+        let has_connection = |account: &AccountId| self.is_warm(account);
+        let bounds = self.bounds.get();
+        connections::next_to_open(accounts, has_connection, usage, listed.slots, bounds)
+    }
+
     /// Closes connections beyond those that are kept and that were not used for a while.
     pub fn trim(&self) {
         let Bounds { kept, unused_for, .. } = self.bounds.get();
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -112,6 +112,7 @@
         clock,
         run,
         plan: RefCell::default(),
+        by_rate: RefCell::new(Rc::new([])),
         shelf: RefCell::default(),
         fetch: RefCell::default(),
         fetches: Cell::default(),
