The first statement to a server waits for the link to its holder

Cause: in a fleet of 295 hosts and 60 servers a pair of host and server sees three statements in half a minute. The link to a holder was opened by the first of them, which did not wait for it and opened a connection of its host's own.

Change: a new link is waited for until its first attempt has ended, 50 ms at most. A link that was lost is not waited for.

--- a/components/peer/src/link.rs
+++ b/components/peer/src/link.rs
@@ -15,6 +15,7 @@
 use futures_util::StreamExt;
 use monoio::{io::IntoPollIo, net::TcpStream};
 use tokio::sync::{
+    Notify,
     mpsc::{self, UnboundedSender},
     oneshot,
 };
@@ -75,6 +76,10 @@
     leaving: Cell<bool>,
     /// Whether nothing listened at the peer's address when it was last connected to.
     refused: Cell<bool>,
+    /// Whether the first attempt to connect has ended.
+    tried: Cell<bool>,
+    /// Wakes those who wait for the first attempt.
+    first: Notify,
     pace: Pace,
 }
 
@@ -101,6 +106,8 @@
             closed: Cell::default(),
             leaving: Cell::default(),
             refused: Cell::default(),
+            tried: Cell::default(),
+            first: Notify::new(),
             pace,
         });
         let dialler = Dialler { address, hello: Box::new(hello), secret };
@@ -140,6 +147,19 @@
         self.refused.get()
     }
 
+    /// Waits until a new link has been tried for the first time.
+    pub async fn settled(&self, within: Duration) {
+        if !self.tried.get() {
+            // A peer that does not answer by then is passed over.
+            let _ = monoio::time::timeout(within, self.first.notified()).await;
+        }
+    }
+
+    fn note_tried(&self) {
+        self.tried.set(true);
+        self.first.notify_waiters();
+    }
+
     /// Begins an exchange with the peer as home; `None` when the link is down.
     pub fn open(&self, open: Open) -> Option<Exchange> {
         let out = self.out.borrow().clone()?;
@@ -191,6 +211,7 @@
         *self.out.borrow_mut() = Some(tx);
         self.leaving.set(false);
         self.refused.set(false);
+        self.note_tried();
         self.heard.set(Some(self.clock.now()));
         info!("link: {} is up.", self.host);
         monoio::select! {
@@ -287,6 +308,7 @@
     while !link.closed.get() {
         if let Err(error) = link.run(&dialler).await {
             link.refused.set(is_refusal(&error));
+            link.note_tried();
             debug!("link: {} is down: {error:#}.", link.host);
         }
         let was_up = link.out.borrow_mut().take().is_some();
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -40,6 +40,10 @@
 /// takes 200 ms.
 const HOLDER_WITHIN: Duration = Duration::from_millis(550);
 
+/// How long the first attempt of a link to a holder is waited for: several ways there and
+/// back, and what a busy host needs.
+const LINK_WITHIN: Duration = Duration::from_millis(50);
+
 /// How far a stop has come.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -423,6 +427,25 @@
         None
     }
 
+    /// The same, once links to the holders that were not needed before have been tried.
+    ///
+    /// Guards against a connection of this host's own for the first statement to each server:
+    /// in a large fleet most pairs of host and server see few statements.
+    pub async fn settled_holder(&self, pool: &Pool) -> Option<Rc<Link>> {
+        if self.settings.has(Mechanism::SharedConnections) {
+            let holders = pool.holders.borrow().clone();
+            for holder in holders.iter().take_while(|holder| **holder != self.settings.host) {
+                if let Some(link) = self.reach(holder) {
+                    link.settled(LINK_WITHIN).await;
+                    if link.is_up() {
+                        break;
+                    }
+                }
+            }
+        }
+        self.holder(pool)
+    }
+
     /// Where a peer listens, by the view.
     pub fn peer(&self, host: &HostId) -> Option<SocketAddr> {
         self.held.borrow().view().members.get(host).map(|member| member.value.peer)
--- a/components/proxy/src/place.rs
+++ b/components/proxy/src/place.rs
@@ -143,7 +143,7 @@
     let until = job.deadline.min(Instant::now() + CONNECTION_WITHIN);
     let turn = Turn { priority: job.priority, patience: job.patience, until };
     let now = host.now();
-    let conn = match host.holder(&pool) {
+    let conn = match host.settled_holder(&pool).await {
         Some(link) => Conn::far(pool, link, job.account.clone(), turn),
         None => Conn::own(&pool, &job.account, session, turn, now)
             .await
