Replicas are asked for a commit's receipt by way of their holder

Change: the question goes to the holder, which asks on any connection it has; where it is out of reach for 200 ms the host asks by itself. A holder leaves a tenth of the connections to others in place of a fifth.

--- a/components/coordination/src/connections.rs
+++ b/components/coordination/src/connections.rs
@@ -13,7 +13,7 @@
 
 /// The part of a server's connections that its holder leaves to others, as one part of so
 /// many.
-const HEADROOM: usize = 5;
+const HEADROOM: usize = 10;
 
 /// Connections that a host may open however many hosts there are: enough for the
 /// transactions and statements that are received together at one host.
--- a/components/proxy/src/confirm.rs
+++ b/components/proxy/src/confirm.rs
@@ -12,13 +12,16 @@
     Point, ServerId,
     confirm::{CONFIRM_WITHIN, Confirm, Heard, Verdict},
 };
-use bergamottrack_model::Role;
+use bergamottrack_model::{Role, ServerAnswer};
+use bergamottrack_peer::NotSent;
+use bytes::BytesMut;
 use monoio::time::Instant;
 use tokio::sync::Notify;
 use tracing::info;
 
 use crate::{
     backend::OpenError,
+    conn::{self, Broken},
     group::Group,
     host::Host,
     lead,
@@ -30,6 +33,10 @@
 /// that has none to spare for longer than the question does.
 const ASK_WITHIN: Duration = CONFIRM_WITHIN;
 
+/// How long the answer by way of another host is waited for: half of the time that a commit
+/// has, so that this host can still ask by itself.
+const HOLDER_WITHIN: Duration = Duration::from_millis(200);
+
 /// Pause before a replica is asked again that lacks a commit: the way of a commit
 /// between two failure domains.
 const AGAIN_AFTER: Duration = Duration::from_millis(3);
@@ -139,19 +146,10 @@
 async fn received(host: &Host, pool: &Rc<Pool>) -> Heard {
     let until = Instant::now() + ASK_WITHIN;
     let asked = async {
-        let leased = pool.lease_any(&lead::any_account(host), until).await;
-        let mut leased = leased.map_err(|error| match error {
-            NoConnection::Full => Heard::Busy,
-            NoConnection::Open(OpenError::Refused) => Heard::Dead,
-            NoConnection::Open(OpenError::Rejected(_)) => Heard::Busy,
-            NoConnection::Open(OpenError::Silent(_)) => Heard::Silent,
-        })?;
-        let backend = leased.backend();
-        wire::put_status(&mut backend.out);
-        let answer = backend.exchange().await.map_err(|_| Heard::Silent)?;
-        if leased.backend().is_clean(&answer) {
-            leased.give_back();
-        }
+        let answer = match status_far(host, pool, until).await {
+            Some(told) => told?,
+            None => status_own(host, pool, until).await?,
+        };
         let status = wire::decode_status(&answer).ok_or(Heard::Busy)?;
         // One that says it leads is the new leader, or an old one: no replica.
         Ok(if status.role == Role::Replica {
@@ -163,3 +161,43 @@
     let told = monoio::time::timeout_at(until, asked).await;
     told.unwrap_or(Err(Heard::Silent)).unwrap_or_else(|heard| heard)
 }
+
+/// Asks on a connection that another host holds; `None` where that host is out of reach.
+///
+/// Guards against a connection of this host's own for every commit: opening it takes a slot
+/// of the replica for longer than the question.
+async fn status_far(
+    host: &Host,
+    pool: &Rc<Pool>,
+    until: Instant,
+) -> Option<Result<ServerAnswer, Heard>> {
+    let link = host.settled_holder(pool).await?;
+    let mut line = BytesMut::new();
+    wire::put_status(&mut line);
+    let within = until.saturating_duration_since(Instant::now()).min(HOLDER_WITHIN);
+    match conn::ask_far(&link, pool, line.freeze(), within).await {
+        Ok(answer) => Some(Ok(answer)),
+        Err(Broken::NotSent(NotSent::Dead)) => Some(Err(Heard::Dead)),
+        Err(Broken::NotSent(NotSent::Full | NotSent::Rejected)) => Some(Err(Heard::Busy)),
+        Err(Broken::NotSent(NotSent::Silent)) => Some(Err(Heard::Silent)),
+        Err(_) => None,
+    }
+}
+
+/// Asks on a connection of this host's own.
+async fn status_own(host: &Host, pool: &Rc<Pool>, until: Instant) -> Result<ServerAnswer, Heard> {
+    let leased = pool.lease_any(&lead::any_account(host), until).await;
+    let mut leased = leased.map_err(|error| match error {
+        NoConnection::Full => Heard::Busy,
+        NoConnection::Open(OpenError::Refused) => Heard::Dead,
+        NoConnection::Open(OpenError::Rejected(_)) => Heard::Busy,
+        NoConnection::Open(OpenError::Silent(_)) => Heard::Silent,
+    })?;
+    let backend = leased.backend();
+    wire::put_status(&mut backend.out);
+    let answer = backend.exchange().await.map_err(|_| Heard::Silent)?;
+    if leased.backend().is_clean(&answer) {
+        leased.give_back();
+    }
+    Ok(answer)
+}
