A host that starts again reads the view without writing its row

Cause: each process wrote its row before it read anything, and the store applies changes to one table part one after another: 295 rows need 1.5 s.

Change: the row of an earlier process of the host counts, if it names the same place (address, failure domain, power). Whoever changes a leader asks at that address, and a process listens there before it reads the view, so a refused connection still proves that no process of the host acts on an older view. A host that starts also reports to its hub every 50 ms until it has a configuration and servers, in place of 400 ms. A first form compared the address itself; hosts that are reached by another address than they listen at never counted themselves in (tests of platform and backends failed), so the row carries a digest of the place.

--- a/components/coordination/src/view.rs
+++ b/components/coordination/src/view.rs
@@ -46,8 +46,9 @@
     pub peer: SocketAddr,
     /// The failure domain it stands in.
     pub domain: FailureDomain,
-    /// Drawn at each start, so that two runs of one host are told apart.
-    pub run: u64,
+    /// Tells apart where the host stands: the same for all its processes that listen at one
+    /// address, in one failure domain.
+    pub place: u64,
     /// The store's clock when others took it out, since they did not hear it. It
     /// may hold a lease for a while yet, and counts itself in again if it lives.
     #[serde(default)]
@@ -165,11 +166,17 @@
     }
 }
 
+/// The place of a host: where it listens for others, and what else its row says of it.
+pub fn place(peer: SocketAddr, domain: &FailureDomain, power: u32) -> u64 {
+    xxh3::xxh3_64(format!("{peer} {domain} {power}").as_bytes())
+}
+
 /// The newest view that a host knows, and since when it may act on it.
 #[derive(Debug)]
 pub struct Held {
     me: HostId,
-    run: u64,
+    /// Where this host stands, as in its row.
+    place: u64,
     view: View,
     /// The view's stamp.
     stamp: u64,
@@ -180,8 +187,8 @@
 
 impl Held {
     /// Nothing is known yet.
-    pub fn new(me: HostId, run: u64) -> Self {
-        Self { me, run, view: View::default(), stamp: 0, gone: Gone::default(), shown: None }
+    pub fn new(me: HostId, place: u64) -> Self {
+        Self { me, place, view: View::default(), stamp: 0, gone: Gone::default(), shown: None }
     }
 
     /// The view.
@@ -253,12 +260,15 @@
         self.shown.map(|shown| shown + LEASE)
     }
 
-    /// Whether this run of the host is counted in.
+    /// Whether this host is counted in.
+    ///
+    /// A row that an earlier process of the host wrote counts as well: whoever changes a leader
+    /// asks at the same address, and a process listens there before it reads the view. So a
+    /// connection that is refused after the intent was written proves that no process of the
+    /// host has read an older view.
     pub fn is_member(&self) -> bool {
-        self.view
-            .members
-            .get(&self.me)
-            .is_some_and(|member| member.value.run == self.run && member.value.left.is_none())
+        let own = self.view.members.get(&self.me);
+        own.is_some_and(|own| own.value.place == self.place && own.value.left.is_none())
     }
 
     /// Whether this host may use leaders now.
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -10,7 +10,7 @@
 use bergamottrack_contract as contract;
 use bergamottrack_coordination::{
     Clock, FailureDomain, GroupId, HostId, hubs,
-    view::{Leadership, Member, Versioned, View},
+    view::{self, Leadership, Member, Versioned, View},
 };
 use bergamottrack_model::Settings;
 use bergamottrack_peer::link::Pace;
@@ -127,14 +127,15 @@
     pub secret: Box<str>,
 }
 
-/// Joins the fleet and reads the view.
+/// Reads the view, and joins the fleet if this host is not counted in.
 ///
-/// Joining comes first, so that one read tells of the host itself, of the others
-/// and of the secret: a start costs two calls of the platform, which are charged
-/// for and, in a large fleet that starts at once, wait for each other.
-pub async fn enter(settings: &Settings, run: u64, clock: &dyn Clock, client: &Client) -> Entered {
-    until_done("joining", || join(settings, run, client)).await;
+/// The row of an earlier process of the host counts, so hosts that die together and start
+/// again only read. A row for each takes seconds where hundreds start: the store applies
+/// changes to one table part one after another. When the whole system starts for the first
+/// time there are no rows, and joining comes first.
+pub async fn enter(settings: &Settings, clock: &dyn Clock, client: &Client) -> Entered {
     if settings.first_start {
+        until_done("joining", || join(settings, client)).await;
         // One after the other: the first of them draws the secret for all.
         let spread = ALL_JOIN_WITHIN.mul_f64(rand::random_range(0.0..0.5));
         monoio::time::sleep(ALL_JOIN_WITHIN + spread).await;
@@ -142,13 +143,30 @@
     loop {
         let asked = clock.now();
         let view = until_done("reading the first view", || read(client)).await;
+        if !is_counted(&view, settings) {
+            until_done("joining", || join(settings, client)).await;
+            continue;
+        }
         if let Some(secret) = view.secret.clone() {
+            let ms = (clock.now() - asked).as_millis() as u64;
+            info!(version = view.version, hosts = view.members.len(), ms, "start: view read");
             return Entered { view, asked, secret };
         }
         until_done("drawing the secret", || draw_secret(client)).await;
     }
 }
 
+/// The place of this host.
+pub fn place(settings: &Settings) -> u64 {
+    view::place(settings.peers, &settings.domain, settings.power)
+}
+
+/// Whether the view has a row of this host as it is now.
+fn is_counted(view: &View, settings: &Settings) -> bool {
+    let row = view.members.get(&settings.host);
+    row.is_some_and(|row| row.value.place == place(settings) && row.value.left.is_none())
+}
+
 /// Tries until it is done; the store may be away when a host starts.
 async fn until_done<T, F>(step: &'static str, work: impl Fn() -> F) -> T
 where
@@ -197,7 +215,7 @@
         if host.held.borrow().age(host.now()).is_some()
             && !host.held.borrow().is_member()
             && *host.phase.borrow() == Phase::Serving
-            && let Err(error) = join(&host.settings, host.run, &client).await
+            && let Err(error) = join(&host.settings, &client).await
         {
             info!(error = %format_args!("{error:#}"), "fleet: joining failed");
             monoio::time::sleep(AGAIN_AFTER).await;
@@ -233,12 +251,12 @@
     }
 }
 
-/// Writes this run of the host into the view.
-async fn join(settings: &Settings, run: u64, client: &Client) -> anyhow::Result<()> {
+/// Writes this host into the view.
+async fn join(settings: &Settings, client: &Client) -> anyhow::Result<()> {
     let member = Member {
         peer: settings.peers,
         domain: settings.domain.clone(),
-        run,
+        place: place(settings),
         left: None,
         released: 0,
         power: settings.power,
@@ -247,7 +265,7 @@
     let put = vec![(member_key(&settings.host), value)];
     let verdict = store::change(client, &Change { put, ..Change::default() }, STORE_WITHIN).await?;
     anyhow::ensure!(matches!(verdict, Verdict::Applied(_)), "the store said {verdict:?}");
-    info!(run, "fleet: joined");
+    info!(place = member.place, "fleet: joined");
     Ok(())
 }
 
--- a/components/proxy/src/news.rs
+++ b/components/proxy/src/news.rs
@@ -24,6 +24,9 @@
 /// which a configuration must be in force.
 const BEAT_EVERY: Duration = Duration::from_millis(400);
 
+/// The same while a host that starts has no configuration or no servers yet.
+const BEAT_AT_START: Duration = Duration::from_millis(50);
+
 /// How long another host's answer to a beat may take; the way there and back is 2 ms.
 const PEER_WITHIN: Duration = Duration::from_millis(400);
 
@@ -182,7 +185,8 @@
                 }
             });
         }
-        monoio::time::sleep(BEAT_EVERY).await;
+        let starting = host.plan().is_none() || host.pools.borrow().is_empty();
+        monoio::time::sleep(if starting { BEAT_AT_START } else { BEAT_EVERY }).await;
     }
 }
 
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -71,7 +71,7 @@
     let client = Client::new(settings.store);
     let (run, clock) = (rand::random(), Rc::new(BootClock::new()));
     let entered = monoio::select! {
-        entered = fleet::enter(&settings, run, &*clock, &client) => entered,
+        entered = fleet::enter(&settings, &*clock, &client) => entered,
         // Counted in perhaps, and without any use of a leader.
         _ = raised(&signals.stop) => return fleet::leave(&settings).await,
     };
@@ -107,7 +107,7 @@
     let mesh = Mesh::with_pace(me, secret, clock.clone(), routes, fleet::PACE);
     let demand = Demand::new(settings.tolerance, run, clock.now());
     Rc::new(Host {
-        held: RefCell::new(Held::new(settings.host.clone(), run)),
+        held: RefCell::new(Held::new(settings.host.clone(), fleet::place(&settings))),
         settings,
         clock,
         run,
