A new host reads the store by itself after half a second

Cause: a host that holds a server's connections had no list of servers for 1.2 s after all hosts had died, and callers of that server were refused for as long (82 of 126 lines name one server). It waited for its hub, with the time that heartbeats of 400 ms need; a host that starts sends one each 50 ms now.

Change: it waits for 0.5 s. Not measured alone.

--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -39,9 +39,9 @@
 /// this to its hub: a little more than it usually takes to be told.
 const OWN_SERVERS: Duration = Duration::from_millis(5600);
 
-/// How long a new host of a large fleet waits for its hub to tell it: the making of
-/// the link and two rounds of what hosts tell each other.
-const TOLD_WITHIN: Duration = Duration::from_millis(1200);
+/// How long a new host of a large fleet waits for its hub to send it what it needs: several
+/// attempts to connect and two heartbeats of a host that starts.
+const TOLD_WITHIN: Duration = Duration::from_millis(500);
 
 /// How often a host that does not read the store looks whether it must.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
