--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod leadership;
 mod ledger;
 pub mod lenders;
+pub mod offsets;
 pub mod outcome;
 pub mod pace;
 pub mod pieces;
--- a/components/proxy/src/news.rs
+++ b/components/proxy/src/news.rs
@@ -117,7 +117,8 @@
 fn answered_beat(host: &Host) -> Beat {
     let clock = host.now().saturating_duration_since(host.began);
     let clock = Some(Stamp { run: host.run, clock });
-    Beat { asked: None, seen: positions::newest(host), clock, ..own_beat(host) }
+    let seen = if host.is_hub() { positions::newest(host) } else { Vec::new() };
+    Beat { asked: None, seen, clock, ..own_beat(host) }
 }
 
 /// The heartbeat for the host at the other end of the link, with positions that this host saw.
