--- a/components/coordination/tests/hub_changes.rs
+++ b/components/coordination/tests/hub_changes.rs
@@ -91,6 +91,15 @@
     if candidate.rank == 0 { 1.0 } else { 0.0 }
 }
 
+/// The second candidate admits for the first failure domain.
+fn second_in_one(candidate: Candidate) -> f64 {
+    match (candidate.domain, candidate.rank) {
+        (0, 1) => 1.0,
+        (0, _) => 0.0,
+        _ => first(candidate),
+    }
+}
+
 fn at_once(_: Candidate, _: Candidate) -> Option<Duration> {
     Some(Duration::ZERO)
 }
@@ -322,12 +331,7 @@
     let mut fleet = Fleet::new();
     fleet.run(Duration::from_secs(6), &CALM);
     fleet.run(Duration::from_millis(1500), &Phase { asks: &hot, ..CALM });
-    let second = |id: Candidate| match (id.domain, id.rank) {
-        (0, 1) => 1.0,
-        (0, _) => 0.0,
-        _ => first(id),
-    };
-    fleet.run(Duration::from_millis(1500), &Phase { asks: &hot, admits: &second, ..CALM });
+    fleet.run(Duration::from_millis(1500), &Phase { asks: &hot, admits: &second_in_one, ..CALM });
     fleet.restart(0, 0);
     fleet.run(Duration::from_secs(3), &Phase { asks: &hot, ..CALM });
     fleet.assert_within_limit();
@@ -347,12 +351,7 @@
         Some(if slow { Duration::from_secs(3) } else { Duration::ZERO })
     };
     fleet.run(Duration::from_secs(3), &Phase { delay: &delay, ..CALM });
-    let second = |id: Candidate| match (id.domain, id.rank) {
-        (0, 1) => 1.0,
-        (0, _) => 0.0,
-        _ => first(id),
-    };
-    fleet.run(Duration::from_secs(2), &Phase { admits: &second, ..CALM });
+    fleet.run(Duration::from_secs(2), &Phase { admits: &second_in_one, ..CALM });
     fleet.run(Duration::from_secs(2), &CALM);
     let since = fleet.now;
     fleet.run(Duration::from_secs(6), &CALM);
