Replies and heartbeats have the field's names

Teller is Replier, Beat is Heartbeat, the module news is gossip, Demand::tell and asked are publish and report.

--- a/components/coordination/src/demand.rs
+++ b/components/coordination/src/demand.rs
@@ -191,8 +191,8 @@
         self.own.1.idle(host);
     }
 
-    /// Notes what this host's callers ask for, to be told to all others now.
-    pub fn tell(&mut self, now: Instant) {
+    /// Notes what this host admitted and is asked for, as it is reported to all others now.
+    pub fn publish(&mut self, now: Instant) {
         self.no += 1;
         let accounts: Vec<_> = self.ledgers.keys().cloned().collect();
         for account in accounts {
@@ -205,8 +205,8 @@
         }
     }
 
-    /// What this host's callers asked for when that was told last.
-    pub fn asked(&self, now: Instant) -> Asked {
+    /// The report of what was noted last.
+    pub fn report(&self, now: Instant) -> Asked {
         let new = self.is_new(now);
         let asked = self.ledgers.iter().filter(|(_, ledger)| ledger.told > LEAST_TOLD);
         let figures = asked.map(|(account, ledger)| Figures {
--- a/components/coordination/tests/demand.rs
+++ b/components/coordination/tests/demand.rs
@@ -74,8 +74,8 @@
     fn tell(&mut self, hears: impl Fn(usize, usize) -> bool) {
         let now = self.now;
         let tell = |(_, demand): &mut (HostId, Demand)| {
-            demand.tell(now);
-            demand.asked(now)
+            demand.publish(now);
+            demand.report(now)
         };
         let told: Vec<_> = self.hosts.iter_mut().map(tell).collect();
         for (to, (_, demand)) in self.hosts.iter_mut().enumerate() {
@@ -227,8 +227,8 @@
                 continue;
             }
             next[n] += TELL_EVERY;
-            fleet.hosts[n].1.tell(now);
-            let told = fleet.hosts[n].1.asked(now);
+            fleet.hosts[n].1.publish(now);
+            let told = fleet.hosts[n].1.report(now);
             for (to, (_, demand)) in fleet.hosts.iter_mut().enumerate() {
                 if to != n {
                     demand.heard(&host(n), &host(n), &told, now);
@@ -287,11 +287,11 @@
     let mut fleet = Fleet::new(3);
     let usual = RATE.0 / 1.6 / 3.0;
     run_apart(&mut fleet, Duration::from_secs(4), usual);
-    let late: Vec<_> = (1..3).map(|n| (n, fleet.hosts[n].1.asked(fleet.now))).collect();
+    let late: Vec<_> = (1..3).map(|n| (n, fleet.hosts[n].1.report(fleet.now))).collect();
     run_apart(&mut fleet, Duration::from_secs(12), usual);
     let now = fleet.now;
     for (n, told) in late {
-        let newest = fleet.hosts[n].1.asked(now);
+        let newest = fleet.hosts[n].1.report(now);
         fleet.hosts[0].1.heard(&host(n), &host(n), &told, now);
         fleet.hosts[0].1.heard(&host(n), &host(n), &newest, now);
     }
--- a/components/coordination/tests/hub_changes.rs
+++ b/components/coordination/tests/hub_changes.rs
@@ -195,7 +195,7 @@
             return;
         }
         node.next_report += REPORT_EVERY;
-        node.demand.tell(now);
+        node.demand.publish(now);
         let from = node.id;
         if node.admits.is_none_or(|at| now > at + REPORTED_FOR) {
             let beside = |node: &&mut Node| node.id.domain == from.domain;
@@ -204,7 +204,7 @@
             nodes.for_each(|node| node.demand.idle(&host(from)));
             return;
         }
-        let asked = node.demand.asked(now);
+        let asked = node.demand.report(now);
         for to in (0..self.nodes.len()).filter(|to| *to != n) {
             let Some(delay) = (phase.delay)(self.nodes[to].id, from) else { continue };
             let (asked, at) = (asked.clone(), now + delay);
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -164,7 +164,7 @@
             Question::Lend(lend) => self.limits.lend(&peer.host, &lend),
             Question::Cancel { .. } | Question::Outcome(_) | Question::Report => return None,
             Question::Act { .. }
-            | Question::Beat(_)
+            | Question::Heartbeat(_)
             | Question::Newest(_)
             | Question::Piece(_)
             | Question::Relay(_)
--- a/components/home/src/homes.rs
+++ b/components/home/src/homes.rs
@@ -13,7 +13,7 @@
 };
 use bergamottrack_metrics::Metrics;
 use bergamottrack_peer::{
-    Answer, HomeSide, Mesh, Open, OutcomeOf, Question, ToEntry, accept::Teller,
+    Answer, HomeSide, Mesh, Open, OutcomeOf, Question, ToEntry, accept::Replier,
 };
 use bergamottrack_platform::Platform;
 use tracing::{debug, info};
@@ -139,13 +139,13 @@
     }
 
     /// Answers a peer's question in a task of its own.
-    pub fn tell_outcome(self: Rc<Self>, doc: Option<Rc<RevisionDoc>>, of: OutcomeOf, to: Teller) {
+    pub fn tell_outcome(self: Rc<Self>, doc: Option<Rc<RevisionDoc>>, of: OutcomeOf, to: Replier) {
         monoio::spawn(async move {
             let outcome = match doc.as_ref().and_then(|doc| doc.config.as_ref()) {
                 Some(config) => self.outcome_here(config, &of).await,
                 None => Outcome::Unknown { again: COME_BACK_LATER },
             };
-            to.tell(Answer::Outcome(outcome));
+            to.reply(Answer::Outcome(outcome));
         });
     }
 
--- a/components/peer/src/accept.rs
+++ b/components/peer/src/accept.rs
@@ -27,28 +27,28 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Answers a question of a peer, at once or later.
-pub type Responder = dyn Fn(&Hello, Question, Teller);
+pub type Responder = dyn Fn(&Hello, Question, Replier);
 
-/// Takes the answer to one question.
+/// Answers one question of a peer.
 #[derive(Debug)]
-pub struct Teller {
+pub struct Replier {
     no: RequestNo,
     out: UnboundedSender<Message>,
 }
 
-impl Teller {
-    /// Tells the answer to the peer, which may be gone by now.
-    pub fn tell(self, answer: Answer) {
+impl Replier {
+    /// Sends the answer to the peer, which may be gone by now.
+    pub fn reply(self, answer: Answer) {
         let _ = self.out.send(Message::Tell(self.no, answer));
     }
 
-    /// Tells whether the link that the question came by is still there.
+    /// Watches the link that the question was received by.
     pub fn watch(&self) -> Watch {
         Watch { out: self.out.clone() }
     }
 }
 
-/// Tells whether a peer's link is still there.
+/// Watches a peer's link.
 #[derive(Clone, Debug)]
 pub struct Watch {
     out: UnboundedSender<Message>,
@@ -146,7 +146,7 @@
                 }
             }
             Message::Ask(no, question) => {
-                (service.answer)(peer, question, Teller { no, out: out.clone() });
+                (service.answer)(peer, question, Replier { no, out: out.clone() });
             }
             other => bail!("the peer said what only an accepting host says: {other:?}"),
         }
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -140,7 +140,7 @@
     /// What became of a request that runs at most once?
     Outcome(Box<OutcomeOf>),
     /// What a host tells the others all the time.
-    Beat(Box<Beat>),
+    Heartbeat(Box<Heartbeat>),
     /// Act on this row, unless a newer one is known; answered once work at a
     /// leader that it names no more has ended.
     Act {
@@ -221,7 +221,7 @@
     /// The host acts on the group's row of this version or a newer one.
     Acting(u64),
     /// What the host tells all the time.
-    Beat(Box<Beat>),
+    Heartbeat(Box<Heartbeat>),
     /// The newest that the host knows.
     Newest(Box<Newest>),
     /// The piece; none of a configuration that the host does not hold.
@@ -234,7 +234,7 @@
 
 /// What a host tells the others all the time.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Beat {
+pub struct Heartbeat {
     /// What callers ask for that this host gives tokens to; none if it gives none.
     pub asked: Option<demand::Asked>,
     /// What it knows.
--- a/components/peer/tests/slow.rs
+++ b/components/peer/tests/slow.rs
@@ -49,7 +49,7 @@
     let service = Rc::new(Service {
         secret: mesh.secret.clone(),
         serve: Box::new(|_, _| {}),
-        answer: Box::new(|_, question, teller| teller.tell(answer(question))),
+        answer: Box::new(|_, question, replier| replier.reply(answer(question))),
     });
     monoio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
--- a/components/peer/tests/stranger.rs
+++ b/components/peer/tests/stranger.rs
@@ -34,7 +34,7 @@
     let service = Rc::new(Service {
         secret: mesh.secret.clone(),
         serve: Box::new(|_, _| {}),
-        answer: Box::new(|_, _, reply| reply.tell(Answer::Pong)),
+        answer: Box::new(|_, _, replier| replier.reply(Answer::Pong)),
     });
     monoio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
--- a/components/proxy/src/news.rs
+++ b/components/proxy/src/gossip.rs
@@ -1,4 +1,4 @@
-//! What hosts tell and ask each other.
+//! Heartbeats between hosts, and what they ask each other for because of them.
 
 use std::{
     rc::Rc,
@@ -11,8 +11,8 @@
 };
 use bergamottrack_peer::{
     Answer, Link, Question,
-    accept::Teller,
-    message::{Beat, Hello, Known, Newest, Seen, Stamp},
+    accept::Replier,
+    message::{Heartbeat, Hello, Known, Newest, Seen, Stamp},
 };
 use tracing::info;
 
@@ -25,10 +25,10 @@
 /// How often hosts tell each other what their callers ask for and what they know:
 /// a fraction of the time in which demand is forgotten, and of the time within
 /// which a configuration must be in force.
-const BEAT_EVERY: Duration = Duration::from_millis(400);
+const HEARTBEAT_EVERY: Duration = Duration::from_millis(400);
 
 /// The same while a host that starts has no configuration or no servers yet.
-const BEAT_AT_START: Duration = Duration::from_millis(50);
+const HEARTBEAT_AT_START: Duration = Duration::from_millis(50);
 
 /// How long another host's answer to a beat may take; the way there and back is 2 ms.
 const PEER_WITHIN: Duration = Duration::from_millis(400);
@@ -48,42 +48,42 @@
 const ASK_EVERY: Duration = Duration::from_millis(300);
 
 /// Answers another host.
-pub fn answer(host: &Rc<Host>, peer: &Hello, question: Question, teller: Teller) {
+pub fn answer(host: &Rc<Host>, peer: &Hello, question: Question, replier: Replier) {
     let version = host.held.borrow().view().members.get(&peer.host).map(|row| row.version);
     host.heard.borrow_mut().insert(peer.host.clone(), (host.now(), version));
     match question {
-        Question::Beat(beat) => {
+        Question::Heartbeat(beat) => {
             // What callers ask for here is told with this host's own beats.
             positions::take_question(host, &beat);
-            teller.tell(Answer::Beat(Box::new(answered_beat(host))));
+            replier.reply(Answer::Heartbeat(Box::new(answered_heartbeat(host))));
             if beat.asked.is_none() && peer.domain == host.settings.domain {
                 host.demand.borrow_mut().idle(&peer.host);
             }
-            take_beat(host, &peer.host, &peer.domain, *beat);
+            take_heartbeat(host, &peer.host, &peer.domain, *beat);
         }
         Question::Take { account, rate, burst } => {
-            teller.tell(Answer::Ruling(tokens::admit(host, &account, rate, burst)));
+            replier.reply(Answer::Ruling(tokens::admit(host, &account, rate, burst)));
         }
         Question::Relay(errand) => {
-            monoio::spawn(relay::serve(host.clone(), peer.host.clone(), *errand, teller));
+            monoio::spawn(relay::serve(host.clone(), peer.host.clone(), *errand, replier));
         }
         Question::Hang(work) => {
             host.works.hang(&peer.host, work, host.now());
-            teller.tell(Answer::Pong);
+            replier.reply(Answer::Pong);
         }
         Question::Act { group, row } => {
-            monoio::spawn(act(host.clone(), group, row, teller));
+            monoio::spawn(act(host.clone(), group, row, replier));
         }
-        Question::Piece(wanted) => teller.tell(Answer::Piece(fetch::piece(host, wanted))),
-        Question::Newest(known) => teller.tell(Answer::Newest(Box::new(newest(host, known)))),
-        _ if *host.phase.borrow() != Phase::Serving => teller.tell(Answer::Leaving),
-        _ => teller.tell(Answer::Pong),
+        Question::Piece(wanted) => replier.reply(Answer::Piece(fetch::piece(host, wanted))),
+        Question::Newest(known) => replier.reply(Answer::Newest(Box::new(newest(host, known)))),
+        _ if *host.phase.borrow() != Phase::Serving => replier.reply(Answer::Leaving),
+        _ => replier.reply(Answer::Pong),
     }
 }
 
 /// Acts on a group's row and says so once nothing here counts on a leader that it
 /// names no more.
-async fn act(host: Rc<Host>, id: GroupId, row: Versioned<Leadership>, teller: Teller) {
+async fn act(host: Rc<Host>, id: GroupId, row: Versioned<Leadership>, replier: Replier) {
     let group = host.group(&id);
     group.asked.set(group.asked.get().max(row.version));
     fleet::take(&host, &id, row.clone());
@@ -91,7 +91,7 @@
         let newest = host.held.borrow().leadership(&id).cloned().unwrap_or(row.clone());
         let moves = matches!(newest.value, Leadership::Moving { .. });
         if !moves || group.released.get() >= newest.version {
-            return teller.tell(Answer::Acting(newest.version));
+            return replier.reply(Answer::Acting(newest.version));
         }
         monoio::time::sleep(Duration::from_millis(10)).await;
     }
@@ -108,29 +108,29 @@
     }
 }
 
-fn own_beat(host: &Host) -> Beat {
-    let asked = tokens::reports(host).then(|| host.demand.borrow().asked(host.now()));
+fn own_heartbeat(host: &Host) -> Heartbeat {
+    let asked = tokens::reports(host).then(|| host.demand.borrow().report(host.now()));
     let (known, majority) = (host.known(), host.hears_majority());
-    Beat { asked, known, majority, seen: Vec::new(), clock: None, echo: None }
+    Heartbeat { asked, known, majority, seen: Vec::new(), clock: None, echo: None }
 }
 
-fn answered_beat(host: &Host) -> Beat {
+fn answered_heartbeat(host: &Host) -> Heartbeat {
     let clock = host.now().saturating_duration_since(host.began);
     let clock = Some(Stamp { run: host.run, clock });
     let seen = if host.is_hub() { positions::newest(host) } else { Vec::new() };
-    Beat { asked: None, seen, clock, ..own_beat(host) }
+    Heartbeat { asked: None, seen, clock, ..own_heartbeat(host) }
 }
 
 /// The heartbeat for the host at the other end of the link, with positions that this host saw.
-fn beat_for(host: &Host, link: &Link, beat: &Beat, own: &[(Instant, Seen)]) -> Beat {
+fn heartbeat_for(host: &Host, link: &Link, beat: &Heartbeat, own: &[(Instant, Seen)]) -> Heartbeat {
     let Some((clock, received)) = host.clocks.borrow().get(&link.host).copied() else {
         return beat.clone();
     };
-    Beat { seen: positions::since(own, received), echo: Some(clock), ..beat.clone() }
+    Heartbeat { seen: positions::since(own, received), echo: Some(clock), ..beat.clone() }
 }
 
 /// Takes what another host tells all the time, and asks it for what is new.
-fn take_beat(host: &Rc<Host>, id: &HostId, domain: &FailureDomain, beat: Beat) {
+fn take_heartbeat(host: &Rc<Host>, id: &HostId, domain: &FailureDomain, beat: Heartbeat) {
     if let Some(asked) = beat.asked {
         let mesh = host.neighbours.borrow().mesh;
         let party = if mesh { id.clone() } else { fleet::party_of(domain) };
@@ -185,37 +185,38 @@
 }
 
 /// Tells the other hosts what this one's callers ask for and what it knows, for ever.
-pub async fn beat(host: Rc<Host>) {
+pub async fn send_heartbeats(host: Rc<Host>) {
     loop {
         tokens::free_shares(&host);
-        host.demand.borrow_mut().tell(host.now());
-        let beat = own_beat(&host);
+        host.demand.borrow_mut().publish(host.now());
+        let beat = own_heartbeat(&host);
         let own = positions::own(&host);
         let (hub, reports) = (host.hub(), tokens::reports(&host));
         let spoken = |link: &Rc<Link>| link.is_up() && (reports || link.host == hub);
         for link in host.mesh.links().into_iter().filter(spoken) {
-            let beat = Box::new(beat_for(&host, &link, &beat, &own));
+            let beat = Box::new(heartbeat_for(&host, &link, &beat, &own));
             let host = host.clone();
             monoio::spawn(async move {
                 let sent = host.now();
                 // A host that does not answer is noticed by its own silence.
-                if let Ok(Answer::Beat(answer)) = link.ask(Question::Beat(beat), PEER_WITHIN).await
+                if let Ok(Answer::Heartbeat(answer)) =
+                    link.ask(Question::Heartbeat(beat), PEER_WITHIN).await
                 {
                     take_clock(&host, &link, &answer, sent);
                     let member = host.held.borrow().view().members.get(&link.host).cloned();
                     if let Some(member) = member {
-                        take_beat(&host, &link.host, &member.value.domain, *answer);
+                        take_heartbeat(&host, &link.host, &member.value.domain, *answer);
                     }
                 }
             });
         }
         let starting = host.plan().is_none() || host.pools.borrow().is_empty();
-        monoio::time::sleep(if starting { BEAT_AT_START } else { BEAT_EVERY }).await;
+        monoio::time::sleep(if starting { HEARTBEAT_AT_START } else { HEARTBEAT_EVERY }).await;
     }
 }
 
 /// Takes what the answer to a heartbeat that was sent at `sent` says of leaders' positions.
-fn take_clock(host: &Host, link: &Link, answer: &Beat, sent: Instant) {
+fn take_clock(host: &Host, link: &Link, answer: &Heartbeat, sent: Instant) {
     if let Some(clock) = answer.clock {
         host.clocks.borrow_mut().insert(link.host.clone(), (clock, host.now()));
     }
--- a/components/proxy/src/positions.rs
+++ b/components/proxy/src/positions.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bergamottrack_coordination::offsets;
-use bergamottrack_peer::message::{Beat, Seen};
+use bergamottrack_peer::message::{Heartbeat, Seen};
 
 use crate::host::Host;
 
@@ -53,7 +53,7 @@
 }
 
 /// Takes the positions of a question, whose times count from this host's own clock.
-pub fn take_question(host: &Host, beat: &Beat) {
+pub fn take_question(host: &Host, beat: &Heartbeat) {
     // The clock of an earlier process of this host began at another moment.
     if let Some(echo) = beat.echo.filter(|echo| echo.run == host.run) {
         take(host, host.began + echo.clock, &beat.seen);
@@ -61,7 +61,7 @@
 }
 
 /// Takes the positions of an answer to a question that was sent at `asked`.
-pub fn take_answer(host: &Host, beat: &Beat, asked: Instant) {
+pub fn take_answer(host: &Host, beat: &Heartbeat, asked: Instant) {
     take(host, asked, &beat.seen);
 }
 
--- a/components/proxy/src/relay.rs
+++ b/components/proxy/src/relay.rs
@@ -11,7 +11,7 @@
 use bergamottrack_model::{ServerAnswer, State};
 use bergamottrack_peer::{
     Answer, Errand, NotSent, Relayed, WorkNo,
-    accept::{Teller, Watch},
+    accept::{Replier, Watch},
 };
 use tracing::info;
 
@@ -86,13 +86,13 @@
 }
 
 /// Runs a statement for another host.
-pub async fn serve(host: Rc<Host>, from: HostId, errand: Errand, teller: Teller) {
-    let watch = teller.watch();
+pub async fn serve(host: Rc<Host>, from: HostId, errand: Errand, replier: Replier) {
+    let watch = replier.watch();
     let relayed = match begin(&host, &from, &errand).await {
         Ok((leased, permit)) => run(&host, from, errand, leased, permit, watch).await,
         Err(why) => Relayed::NotSent(why),
     };
-    teller.tell(Answer::Relayed(relayed));
+    replier.reply(Answer::Relayed(relayed));
 }
 
 async fn begin(
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -27,11 +27,11 @@
 use tracing::{info, warn};
 
 use crate::{
-    BootClock, caller, fleet, follow,
+    BootClock, caller, fleet, follow, gossip,
     host::{Host, Phase},
     lead,
     measure::Measures,
-    news, silent,
+    silent,
 };
 
 /// How often signals are looked at.
@@ -82,8 +82,8 @@
     fleet::learn(&host, entered.view, entered.asked);
     monoio::spawn(accept_peers(peers, host.clone()));
     monoio::spawn(fleet::follow(host.clone()));
-    monoio::spawn(news::beat(host.clone()));
-    monoio::spawn(news::ask_hosts(host.clone()));
+    monoio::spawn(gossip::send_heartbeats(host.clone()));
+    monoio::spawn(gossip::ask_hosts(host.clone()));
     monoio::spawn(silent::take_out_silent(host.clone()));
     monoio::spawn(follow::configuration(host.clone()));
     monoio::spawn(follow::servers(host.clone()));
@@ -158,8 +158,8 @@
     let service = Rc::new(Service {
         secret,
         serve: Box::new(|_, _| {}),
-        answer: Box::new(move |peer, question, teller| {
-            news::answer(&host, peer, question, teller);
+        answer: Box::new(move |peer, question, replier| {
+            gossip::answer(&host, peer, question, replier);
         }),
     });
     loop {
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -142,13 +142,13 @@
             let doc = current.get();
             opening.serve(doc.as_ref().and_then(|doc| doc.config.as_ref()), open, side);
         }),
-        answer: Box::new(move |peer, question, teller| match question {
+        answer: Box::new(move |peer, question, replier| match question {
             Question::Cancel { pid, secret } => {
                 entry.cancel(pid, secret);
-                teller.tell(Answer::Pong);
+                replier.reply(Answer::Pong);
             }
-            Question::Outcome(of) => asked.clone().tell_outcome(fleet.current.get(), *of, teller),
-            other => teller.tell(fleet.answer(peer, other).unwrap_or_else(&report)),
+            Question::Outcome(of) => asked.clone().tell_outcome(fleet.current.get(), *of, replier),
+            other => replier.reply(fleet.answer(peer, other).unwrap_or_else(&report)),
         }),
     });
     loop {
