--- a/components/coordination/src/reports.rs
+++ b/components/coordination/src/reports.rs
@@ -21,6 +21,10 @@
 /// When the others count on a silent party having fallen back to the least part.
 pub const LOST_AFTER: Duration = Duration::from_millis(4000);
 
+/// When a host's counts are dropped. A host that reports again later is charged for what was
+/// asked for there of late.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
+
 /// One account in a report. Reports are sent several times a second, so the names on the
 /// wire are short.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -155,6 +159,8 @@
     /// Takes a report; for each of its figures, what was admitted since the host's report
     /// before. `None` when the report is out of date.
     pub fn receive(&mut self, from: &HostId, asked: &Asked, now: Instant) -> Option<Vec<u64>> {
+        let silence = |source: &Source| now.saturating_duration_since(source.at);
+        self.sources.retain(|host, source| host == from || silence(source) < FORGOTTEN_AFTER);
         let known = self.sources.contains_key(from);
         let source = self.sources.entry(from.clone()).or_insert_with(|| Source::new(asked, now));
         if known && source.is_outdated(asked) {
--- a/components/coordination/tests/hub_changes.rs
+++ b/components/coordination/tests/hub_changes.rs
@@ -9,6 +9,7 @@
 use bergamottrack_coordination::{
     AccountId, Burst, HostId, Rate,
     demand::{Asked, Demand, Tolerance},
+    reports::{Figures, Party},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -413,3 +414,18 @@
         }
     }
 }
+
+/// Guards against memory that grows with every host that ever admitted requests.
+#[test]
+fn hosts_that_report_no_more_are_forgotten() {
+    let mut party = Party::new(Instant::now());
+    let (account, mut now) = (account(), Instant::now());
+    for n in 0..50 {
+        now += Duration::from_secs(10);
+        let figures = Figures { account: account.clone(), rate: 5.0, admitted: 10, level: None };
+        let asked = Asked { run: n, no: 1, figures: vec![figures] };
+        let from: HostId = format!("host-{n}").parse().unwrap();
+        assert_eq!(party.receive(&from, &asked, now), Some(vec![10]));
+    }
+    assert!(party.admitted(&account) <= 70, "all hosts are known for ever");
+}
--- a/components/proxy/src/gossip.rs
+++ b/components/proxy/src/gossip.rs
@@ -30,7 +30,7 @@
 /// The same while a host that starts has no configuration or no servers yet.
 const HEARTBEAT_AT_START: Duration = Duration::from_millis(50);
 
-/// How long another host's answer to a beat may take; the way there and back is 2 ms.
+/// How long another host's answer to a heartbeat may take; the way there and back is 2 ms.
 const PEER_WITHIN: Duration = Duration::from_millis(400);
 
 /// How long what is new is waited for while the link is up: a list of some thousand servers
@@ -53,7 +53,6 @@
     host.heard.borrow_mut().insert(peer.host.clone(), (host.now(), version));
     match question {
         Question::Heartbeat(beat) => {
-            // What callers ask for here is told with this host's own beats.
             positions::take_question(host, &beat);
             replier.reply(Answer::Heartbeat(Box::new(answered_heartbeat(host))));
             if beat.asked.is_none() && peer.domain == host.settings.domain {
@@ -114,6 +113,7 @@
     Heartbeat { asked, known, majority, seen: Vec::new(), clock: None, echo: None }
 }
 
+/// The answer to a heartbeat: requests that were admitted here are reported in this host's own.
 fn answered_heartbeat(host: &Host) -> Heartbeat {
     let clock = host.now().saturating_duration_since(host.began);
     let clock = Some(Stamp { run: host.run, clock });
@@ -129,7 +129,7 @@
     Heartbeat { seen: positions::since(own, received), echo: Some(clock), ..beat.clone() }
 }
 
-/// Takes what another host tells all the time, and asks it for what is new.
+/// Takes what another host's heartbeat says, and asks it for what is new.
 fn take_heartbeat(host: &Rc<Host>, id: &HostId, domain: &FailureDomain, beat: Heartbeat) {
     if let Some(asked) = beat.asked {
         let mesh = host.neighbours.borrow().mesh;
