--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -324,7 +324,9 @@
             let domain = pool.listed.borrow().domain.clone();
             let id = pool.listed.borrow().id.clone();
             let holders = holders::order(self.held.borrow().view(), id.as_str(), &domain);
-            let role = match holders.iter().position(|host| *host == self.settings.host) {
+            let shared = self.settings.has(Mechanism::SharedConnections);
+            let rank = holders.iter().position(|host| *host == self.settings.host);
+            let role = match rank.filter(|_| shared) {
                 Some(0) => connections::Role::Holder,
                 Some(_) => connections::Role::Standby,
                 None => connections::Role::Other,
@@ -406,9 +408,12 @@
         loop {
             monoio::time::sleep(pool::TRIM_EVERY).await;
             let accounts = self.by_rate.borrow().clone();
+            let serving = *self.phase.borrow() == Phase::Serving;
             for pool in self.pools.borrow().values() {
                 pool.trim();
-                pool.open_ahead(&accounts);
+                if serving {
+                    pool.open_ahead(&accounts);
+                }
             }
             let limit = self.plan().and_then(|plan| plan.idle_limit);
             self.works.sweep(limit, self.now());
