--- a/components/coordination/tests/hub_changes.rs
+++ b/components/coordination/tests/hub_changes.rs
@@ -240,6 +240,14 @@
         }
     }
 
+    /// Every failure domain is served again soon after the last fault.
+    fn assert_recovers(&mut self) {
+        self.run(RECOVERED_WITHIN, &CALM);
+        let since = self.now;
+        self.run(Duration::from_secs(4), &CALM);
+        self.assert_served(since);
+    }
+
     fn assert_within_limit(&self) {
         let times: Vec<_> = self.admitted.iter().map(|(at, _)| *at).collect();
         let in_window = |from: Instant| {
@@ -261,10 +269,7 @@
         let admits = |id: Candidate| if id.rank == rank { 1.0 } else { 0.0 };
         fleet.run(Duration::from_secs(3), &Phase { admits: &admits, ..CALM });
     }
-    fleet.run(RECOVERED_WITHIN, &CALM);
-    let since = fleet.now;
-    fleet.run(Duration::from_secs(4), &CALM);
-    fleet.assert_served(since);
+    fleet.assert_recovers();
     fleet.assert_within_limit();
 }
 
@@ -320,10 +325,7 @@
     };
     fleet.run(Duration::from_secs(8), &Phase { asks: &hot, admits: &admits, delay: &delay });
     fleet.assert_within_limit();
-    fleet.run(RECOVERED_WITHIN, &CALM);
-    let since = fleet.now;
-    fleet.run(Duration::from_secs(4), &CALM);
-    fleet.assert_served(since);
+    fleet.assert_recovers();
 }
 
 /// Guards against refusals and a second burst after a hub has crashed and returned.
@@ -336,10 +338,7 @@
     fleet.restart(0, 0);
     fleet.run(Duration::from_secs(3), &Phase { asks: &hot, ..CALM });
     fleet.assert_within_limit();
-    fleet.run(RECOVERED_WITHIN, &CALM);
-    let since = fleet.now;
-    fleet.run(Duration::from_secs(4), &CALM);
-    fleet.assert_served(since);
+    fleet.assert_recovers();
 }
 
 /// Guards against reports that a cut delays for seconds being charged twice or ignored.
