Coordination: evacuated failure domains, homes and cold servers as plain parts

Cause: three rules about places had no code at all; a host read neither evacuated failure domains, nor the homes of databases and accounts, nor that a server is cold.

--- a/components/coordination/src/choice.rs
+++ b/components/coordination/src/choice.rs
@@ -155,6 +155,8 @@
     pub warm: bool,
     /// Whether it leads the group.
     pub leads: bool,
+    /// Whether it may get only a few requests a second, having just started.
+    pub cold: bool,
     /// Statements that it runs at once.
     pub slots: usize,
     /// How long a statement would wait at this host before it is sent.
@@ -181,15 +183,15 @@
 }
 
 /// The places of the candidates in the order in which to try them: those that
-/// fit first, by cost. Those that do not fit come last, since a server is
-/// better asked in vain than a request refused.
+/// fit first, warm ones before cold ones, by cost. Those that do not fit come last,
+/// since a server is better asked in vain than a request refused.
 pub fn order(candidates: &[Candidate<'_>], need: Option<Point>, now: Instant) -> Vec<usize> {
     let mut order: Vec<usize> = (0..candidates.len()).collect();
     order.sort_by_key(|i| {
         let candidate = &candidates[*i];
         // The leader lacks nothing.
         let fits = candidate.health.fits(need.filter(|_| !candidate.leads), now);
-        (!fits, cost(candidate, now))
+        (!fits, candidate.cold, cost(candidate, now))
     });
     order
 }
--- a/components/coordination/src/ids.rs
+++ b/components/coordination/src/ids.rs
@@ -106,6 +106,10 @@
     /// An operator, as the history names who made a change.
     OperatorId
 }
+id! {
+    /// A region: failure domains that are near each other.
+    Region
+}
 id! {
     /// A caller's own name for a request that runs at most once.
     RequestId
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -57,14 +57,17 @@
 pub mod changes;
 pub mod choice;
 pub mod clock;
+pub mod cold;
 pub mod confirm;
 pub mod connections;
 pub mod demand;
 pub mod duty;
+pub mod evacuation;
 pub mod fair;
 pub mod freshness;
 pub mod gate;
 pub mod holders;
+pub mod homes;
 pub mod hubs;
 pub mod ids;
 pub mod leadership;
@@ -91,8 +94,8 @@
 pub use clock::{Clock, ManualClock, SystemClock};
 pub use freshness::Freshness;
 pub use ids::{
-    AccountId, FailureDomain, GroupId, HostId, IdError, KeyId, OperatorId, RequestId, ServerId,
-    SubmitId,
+    AccountId, FailureDomain, GroupId, HostId, IdError, KeyId, OperatorId, Region, RequestId,
+    ServerId, SubmitId,
 };
 pub use lenders::Lenders;
 pub use refusal::{Fate, Reason, Refusal};
--- a/components/coordination/src/succession.rs
+++ b/components/coordination/src/succession.rs
@@ -22,6 +22,12 @@
     pub leads: bool,
     /// Whether it is about to leave.
     pub leaving: bool,
+    /// Whether its failure domain is evacuated.
+    pub evacuated: bool,
+    /// Databases of the group that it may serve by their homes.
+    pub served: usize,
+    /// Whether it may get only a few requests a second, having just started.
+    pub cold: bool,
     /// The newest term that it has heard of.
     pub term: Term,
     /// The last log record that it received.
@@ -62,21 +68,42 @@
     Nobody,
 }
 
+/// What goes first among servers that may lead next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Order {
+    /// The databases that it may serve, then its warmth, then its log; for a change in which
+    /// the successor can still receive all of its leader's log.
+    Placement,
+    /// Its log: what it lacks may have been acknowledged.
+    Log,
+}
+
 /// Who leads next. `leaves` is a leader that is to be replaced though it is there.
-pub fn next(told: &[Standing], terms: Terms, leaves: Option<&ServerId>) -> Next {
+pub fn next(told: &[Standing], terms: Terms, leaves: Option<&ServerId>, order: Order) -> Next {
     let newest = told.iter().map(|server| server.term).max().unwrap_or_default();
     let leader = told.iter().find(|server| server.leads && server.term == newest);
+    let leader = leader.filter(|leader| terms.allow(leader.term));
+    let adopt = |leader: &Standing| Next::Adopt(leader.id.clone(), leader.term);
     if let Some(leader) = leader
         && Some(&leader.id) != leaves
-        && terms.allow(leader.term)
+        && !leader.evacuated
     {
-        return Next::Adopt(leader.id.clone(), leader.term);
+        return adopt(leader);
     }
-    let replicas = told.iter().filter(|server| !server.leads && !server.leaving);
-    let Some(successor) = replicas.max_by_key(|server| server.received) else {
-        return Next::Nobody;
+    let fit = |server: &&Standing| !server.leads && !server.leaving && !server.evacuated;
+    let replicas = told.iter().filter(fit);
+    let successor = replicas.max_by_key(|server| {
+        let placement = (server.served, !server.cold);
+        match order {
+            Order::Placement => (Some(placement), server.received, placement),
+            Order::Log => (None, server.received, placement),
+        }
+    });
+    let Some(successor) = successor else {
+        // Better than nobody: it goes on with what it may still run.
+        return leader.filter(|leader| !leader.leaving).map_or(Next::Nobody, adopt);
     };
     // A leader of a closed term has records that nobody is to wait for.
-    let last = leader.filter(|leader| terms.allow(leader.term)).map(|leader| leader.received);
+    let last = leader.map(|leader| leader.received);
     Next::Promote { successor: successor.id.clone(), after: newest.max(terms.known), last }
 }
--- a/components/coordination/tests/choice.rs
+++ b/components/coordination/tests/choice.rs
@@ -10,7 +10,15 @@
 const MS: Duration = Duration::from_millis(1);
 
 fn candidate(health: &Health) -> Candidate<'_> {
-    Candidate { health, near: true, warm: true, leads: false, slots: 5, wait: Duration::ZERO }
+    Candidate {
+        health,
+        near: true,
+        warm: true,
+        leads: false,
+        cold: false,
+        slots: 5,
+        wait: Duration::ZERO,
+    }
 }
 
 fn answered(times: &[u32], now: Instant) -> Health {
@@ -109,3 +117,17 @@
     health.fail(now);
     assert_eq!(choice::order(&[candidate(&health)], None, now), [0]);
 }
+
+/// Guards against reads at a server that has just started while others can run them.
+#[test]
+fn a_cold_server_gets_what_no_warm_one_takes() {
+    let now = Instant::now();
+    let (quick, slow) = (answered(&[10; 12], now), answered(&[80; 12], now));
+    let cold = Candidate { cold: true, ..candidate(&quick) };
+    let leader = Candidate { leads: true, ..candidate(&slow) };
+    assert_eq!(choice::order(&[cold.clone(), leader, candidate(&slow)], None, now), [2, 1, 0]);
+    let mut failed = Health::default();
+    failed.fail(now);
+    failed.fail(now);
+    assert_eq!(choice::order(&[candidate(&failed), cold], None, now), [1, 0]);
+}
