--- a/components/model/src/plan.rs
+++ b/components/model/src/plan.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use bergamottrack_coordination::{AccountId, Burst, GroupId, Rate, Revision};
+use bergamottrack_coordination::{AccountId, Burst, GroupId, Rate, Revision, cold, homes};
 
 /// Which commits a read must show.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -34,6 +34,8 @@
     pub priority: u32,
     /// Whether it is served without a key.
     pub public: bool,
+    /// Where its statements may run.
+    pub homes: homes::Homes,
 }
 
 /// A client account.
@@ -45,6 +47,17 @@
     pub rate: Rate,
     /// Operations above the rate that may come at once.
     pub burst: Burst,
+    /// Where its statements may run.
+    pub homes: homes::Homes,
+}
+
+/// What the servers of a group take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// The most connections to each.
+    pub connections: usize,
+    /// Requests to one that has just started; none where that makes no difference.
+    pub cold: Option<cold::Limit>,
 }
 
 /// One version of the whole configuration.
@@ -56,8 +69,8 @@
     pub routes: HashMap<Box<str>, Rc<Route>>,
     /// Accounts by key.
     pub keys: HashMap<Box<str>, Rc<Account>>,
-    /// Groups, and the most connections that a server of each takes.
-    pub groups: HashMap<GroupId, usize>,
+    /// What the servers of each group take.
+    pub groups: HashMap<GroupId, Limits>,
     /// How long a transaction may rest between statements.
     pub idle_limit: Option<Duration>,
 }
--- a/components/model/src/server.rs
+++ b/components/model/src/server.rs
@@ -1,6 +1,6 @@
 //! What is known of backend servers.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use bergamottrack_coordination::{FailureDomain, GroupId, Point, ServerId, Term};
 use serde::{Deserialize, Serialize};
@@ -33,6 +33,8 @@
     pub role: Role,
     /// When it started, in milliseconds since 1970; tells two runs of one id apart.
     pub born: u64,
+    /// Until when it is cold after its start, by the store's clock; zero if it is not.
+    pub cold: Duration,
 }
 
 /// What a server answers when it is asked how it stands.
--- a/components/model/src/settings.rs
+++ b/components/model/src/settings.rs
@@ -1,8 +1,8 @@
 //! What a host is told at its start.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use bergamottrack_coordination::{FailureDomain, HostId, demand::Tolerance};
+use bergamottrack_coordination::{FailureDomain, HostId, Region, cold, demand::Tolerance};
 
 /// What a host is told at its start.
 #[derive(Clone, Debug)]
@@ -11,6 +11,8 @@
     pub host: HostId,
     /// Failure domain it stands in.
     pub domain: FailureDomain,
+    /// The region of each failure domain, as far as it is known.
+    pub regions: HashMap<FailureDomain, Region>,
     /// Thousandths of a processor core that this host has.
     pub power: u32,
     /// Where callers connect.
@@ -31,6 +33,10 @@
     pub grace: Duration,
     /// How soon a configuration must be in force.
     pub apply: Duration,
+    /// How soon nothing is sent any more to the servers of an evacuated failure domain.
+    pub evacuate: Duration,
+    /// How far the limit for cold servers may be exceeded.
+    pub cold: cold::Tolerance,
     /// Within which time a withdrawn key must stop working also on hosts that are
     /// cut off; none where such hosts may go on with what they know.
     pub strict: Option<Duration>,
