--- a/components/peer/src/errand.rs
+++ b/components/peer/src/errand.rs
@@ -83,6 +83,8 @@
     Leaving,
     /// The holder cannot be reached.
     Unreachable,
+    /// The server's failure domain is evacuated.
+    Evacuated,
 }
 
 /// What became of a statement.
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -10,6 +10,7 @@
     bucket::LoanNo,
     changes::Changes,
     demand,
+    evacuation::Evacuations,
     freshness::Vouch,
     outcome::Outcome,
     pieces,
@@ -241,6 +242,9 @@
     pub known: Known,
     /// Whether it hears most of the fleet.
     pub majority: bool,
+    /// Evacuated failure domains, once it knows them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<Evacuations>,
     /// Positions of leaders; in a question those that the sender saw itself since its last
     /// one, in an answer the newest that it knows.
     pub seen: Vec<Seen>,
@@ -300,6 +304,9 @@
     pub view: Option<Changes>,
     /// The list of servers.
     pub servers: Option<Vec<Listed>>,
+    /// Evacuated failure domains, once it knows them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<Evacuations>,
 }
 
 /// The first message each way.
--- a/components/proxy/src/change.rs
+++ b/components/proxy/src/change.rs
@@ -14,7 +14,8 @@
 use bergamottrack_coordination::{
     GroupId, HostId, Point, ServerId, Term,
     duty::{self, CALL_BY, CALL_WITHIN},
-    succession::{self, Next, Standing, Terms},
+    evacuation::Placement,
+    succession::{self, Next, Order, Standing, Terms},
     suspicion,
     view::{Leadership, Release, TURN, Versioned, View},
 };
@@ -24,7 +25,7 @@
 use futures_util::future;
 use tracing::{info, warn};
 
-use crate::{fleet, follow::STORE_WITHIN, group::Group, host::Host, lead, pool::Pool};
+use crate::{fleet, follow::STORE_WITHIN, group::Group, host::Host, lead, placement, pool::Pool};
 
 /// How long a promoted server may take to lead before it is asked for again.
 const LEADS_WITHIN: Duration = Duration::from_millis(3000);
@@ -157,6 +158,9 @@
             monoio::time::sleep(BACK_EVERY).await;
             let Some(from) = self.from.as_ref().filter(|_| !self.planned) else { continue };
             let Some(pool) = host.server(from) else { continue };
+            if placement::of(host, &pool) != Placement::Allowed {
+                continue;
+            }
             if let Ok(status) = lead::status(host, &pool, suspicion::PROBE_WITHIN).await
                 && status.role == Role::Primary
                 && self.terms.allow(status.term)
@@ -210,31 +214,50 @@
         group: &Rc<Group>,
     ) -> anyhow::Result<Option<(ServerId, Term)>> {
         let mut pools = host.servers(&group.id);
+        pools.retain(|pool| !placement::is_forbidden(host, pool));
         // A leader that is not there for the one who replaces it would only cost time.
         pools.retain(|pool| self.planned || Some(&pool.listed.borrow().id) != self.from.as_ref());
-        let asks = pools.iter().map(|pool| lead::status(host, pool, suspicion::PROBE_WITHIN));
-        let statuses = future::join_all(asks).await;
-        let told: Vec<Standing> = pools
-            .iter()
-            .zip(statuses)
-            .filter_map(|(pool, status)| Some(standing(pool, status.ok()?)))
-            .collect();
-        let leaves = self.from.as_ref().filter(|_| self.planned);
-        let next = succession::next(&told, self.terms, leaves);
-        info!(group = %group.id, intent = self.intent, terms = ?self.terms, ?told, ?next, "leader: successor");
+        let order = if self.planned { Order::Placement } else { Order::Log };
+        let next = self.successor(host, group, &pools, order).await;
         match next {
             Next::Adopt(leader, term) => Ok(Some((leader, term))),
             Next::Nobody => Ok(None),
             Next::Promote { successor, after, last } => {
                 let Some(pool) = host.server(&successor) else { return Ok(None) };
-                if let Some(last) = last {
-                    wait_caught_up(host, &pool, last).await;
+                if let Some(last) = last
+                    && !wait_caught_up(host, &pool, last).await
+                    && let Next::Promote { successor, after, .. } =
+                        self.successor(host, group, &pools, Order::Log).await
+                    && let Some(pool) = host.server(&successor)
+                {
+                    return self.promote(host, group, &pool, after).await;
                 }
                 self.promote(host, group, &pool, after).await
             }
         }
     }
 
+    /// Asks the servers how they stand and works out which one leads next.
+    async fn successor(
+        &self,
+        host: &Host,
+        group: &Group,
+        pools: &[Rc<Pool>],
+        order: Order,
+    ) -> Next {
+        let asks = pools.iter().map(|pool| lead::status(host, pool, suspicion::PROBE_WITHIN));
+        let statuses = future::join_all(asks).await;
+        let told: Vec<Standing> = pools
+            .iter()
+            .zip(statuses)
+            .filter_map(|(pool, status)| Some(standing(host, pool, status.ok()?)))
+            .collect();
+        let leaves = self.from.as_ref().filter(|_| self.planned);
+        let next = succession::next(&told, self.terms, leaves, order);
+        info!(group = %group.id, intent = self.intent, terms = ?self.terms, ?told, ?next, "leader: successor");
+        next
+    }
+
     async fn promote(
         &self,
         host: &Host,
@@ -361,26 +384,29 @@
     }
 }
 
-fn standing(pool: &Pool, status: Status) -> Standing {
+fn standing(host: &Host, pool: &Pool, status: Status) -> Standing {
     let listed = pool.listed.borrow();
     Standing {
         id: listed.id.clone(),
         leads: status.role == Role::Primary,
         leaving: listed.leaving,
+        evacuated: placement::of(host, pool) != Placement::Allowed,
+        served: placement::served(host, pool),
+        cold: pool.is_cold(host.now()),
         term: status.term,
         received: status.received,
     }
 }
 
 /// Waits until a replica has received the leaving leader's whole log, so that
-/// nothing that was acknowledged is lost. One that receives nothing any more is not
+/// nothing that was acknowledged is lost; false if it has not. One that receives nothing any more is not
 /// waited for: it is cut off, and what it lacks was confirmed to nobody.
-async fn wait_caught_up(host: &Host, pool: &Pool, last: Point) {
+async fn wait_caught_up(host: &Host, pool: &Pool, last: Point) -> bool {
     let until = host.now() + CAUGHT_UP_WITHIN;
     let mut newest: Option<(Point, Instant)> = None;
     while host.now() < until {
         match lead::status(host, pool, suspicion::PROBE_WITHIN).await {
-            Ok(status) if status.received >= last => return,
+            Ok(status) if status.received >= last => return true,
             Ok(status) if newest.is_none_or(|(point, _)| status.received > point) => {
                 newest = Some((status.received, host.now()));
             }
@@ -393,6 +419,7 @@
     }
     let server = pool.listed.borrow().id.clone();
     warn!(%server, %last, "leader: the successor has not received all");
+    false
 }
 
 /// Tells who leads a group to all hosts that can be reached.
--- a/components/proxy/src/confirm.rs
+++ b/components/proxy/src/confirm.rs
@@ -11,6 +11,7 @@
 use bergamottrack_coordination::{
     Point, ServerId,
     confirm::{CONFIRM_WITHIN, Confirm, Heard, Verdict},
+    evacuation::Placement,
 };
 use bergamottrack_model::{Role, ServerAnswer};
 use bergamottrack_peer::NotSent;
@@ -24,7 +25,7 @@
     conn::{self, Broken},
     group::Group,
     host::Host,
-    lead,
+    lead, placement,
     pool::{NoConnection, Pool},
 };
 
@@ -108,10 +109,12 @@
 fn replicas(host: &Host, group: &Group) -> Vec<(ServerId, Rc<Pool>)> {
     let leader = group.leader();
     let servers = host.servers(&group.id).into_iter();
+    let servers = servers.filter(|pool| placement::of(host, pool) == Placement::Allowed);
     let named = servers.map(|pool| (pool.listed.borrow().id.clone(), pool.clone()));
     let mut replicas: Vec<_> = named.filter(|(id, _)| Some(id) != leader.as_ref()).collect();
     replicas.sort_by_key(|(_, pool)| {
-        (pool.wait(0, ASK_WITHIN, host.now()), pool.listed.borrow().domain != host.settings.domain)
+        let far = pool.listed.borrow().domain != host.settings.domain;
+        (pool.is_cold(host.now()), pool.wait(0, ASK_WITHIN, host.now()), far)
     });
     replicas
 }
--- a/components/proxy/src/conn.rs
+++ b/components/proxy/src/conn.rs
@@ -89,7 +89,7 @@
         now: StdInstant,
     ) -> Result<Self, NotSent> {
         let permit = pool.enter(turn.priority, turn.patience, now).await;
-        let permit = permit.map_err(|wait| NotSent::Crowded(wait.as_millis() as u32))?;
+        let permit = permit.map_err(crowded)?;
         let leased = pool.lease(account, &session.values, turn.until).await.map_err(not_sent)?;
         Ok(Self::Own(Box::new(Own { leased, permit: Some(permit) })))
     }
@@ -188,14 +188,23 @@
 impl Own {
     async fn exchange(&mut self, within: Duration) -> Result<ServerAnswer, Broken> {
         let pool = self.leased.pool().clone();
-        let permit = self.permit.take().unwrap_or_else(|| pool.go_on());
         let asked = Instant::now();
+        let permit = match self.permit.take() {
+            Some(permit) => permit,
+            None => {
+                let permit = pool.go_on(asked + within).await;
+                permit.map_err(|wait| Broken::NotSent(crowded(wait)))?
+            }
+        };
         match monoio::time::timeout(within, self.leased.backend().exchange()).await {
             Ok(Ok(answer)) => {
                 permit.took.set(Some(asked.elapsed()));
                 Ok(answer)
             }
-            Ok(Err(_)) => Err(Broken::Lost),
+            Ok(Err(_)) => {
+                pool.note_lost();
+                Err(Broken::Lost)
+            }
             Err(_) => {
                 pool.drop_idle();
                 Err(Broken::Late)
@@ -274,6 +283,11 @@
     run(link, errand).await
 }
 
+/// What is told of a server that has no room for so long.
+pub fn crowded(wait: Duration) -> NotSent {
+    NotSent::Crowded(wait.as_millis() as u32)
+}
+
 /// Why no connection came, for a host that asked for one.
 pub fn not_sent(error: NoConnection) -> NotSent {
     match error {
--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use tracing::{debug, info, warn};
 
-use crate::{host::Host, packed};
+use crate::{host::Host, packed, placement};
 
 /// How long an answer of the store may take to begin, beside what it was asked to wait.
 /// Sixty times the usual one, as on its slowest days, is 250 ms.
@@ -109,7 +109,9 @@
 
 /// Follows the configuration.
 pub async fn configuration(host: Rc<Host>) {
-    let take = |rows: &Rows, _| {
+    let take = |rows: &Rows, whole| {
+        let evacuated = configuration::evacuations(&rows.rows);
+        placement::read(&host, &evacuated, whole, rows.version, rows.clock);
         let plans = rows.rows.iter().filter(|row| &*row.key == configuration::KEY && !row.removed);
         let mut readable = true;
         for row in plans {
@@ -119,7 +121,7 @@
             host.shelf.borrow_mut().confirm(rows.clock);
         }
     };
-    let pace = freshness::Pace::within(host.settings.apply);
+    let pace = freshness::Pace::within(host.settings.apply.min(host.settings.evacuate));
     let needed = || host.is_reader() || host.plan_age().is_none_or(|age| age > pace.read);
     follow(&host, Table::Configuration, pace.wait, needed, take).await
 }
@@ -144,7 +146,8 @@
 pub async fn servers(host: Rc<Host>) {
     let take = |rows: &Rows, whole: bool| {
         let known: Vec<_> = host.pools.borrow().keys().cloned().collect();
-        let (listed, missing) = left(&rows.rows, if whole { known } else { Vec::new() });
+        let expected = if whole { known } else { Vec::new() };
+        let (listed, missing) = left(&rows.rows, expected, rows.clock);
         listed.into_iter().for_each(|listed| host.list(listed));
         missing.into_iter().for_each(|id| miss(&host, id));
         host.servers_clock.set(host.servers_clock.get().max(rows.clock));
@@ -173,17 +176,21 @@
 }
 
 /// What rows of the list leave: entries that are there, and servers that have none.
-/// Of `expected` servers those without a row have none.
+/// Of `expected` servers those without a row have none. The store's clock showed `clock`.
 ///
 /// Rows come in the order of their changes, and a server may have several: one that
 /// lapsed in an outage of the store and came back is there.
-pub fn left(rows: &[Row], expected: Vec<ServerId>) -> (Vec<Listed>, Vec<ServerId>) {
+pub fn left(
+    rows: &[Row],
+    expected: Vec<ServerId>,
+    clock: Duration,
+) -> (Vec<Listed>, Vec<ServerId>) {
     let mut entries: BTreeMap<ServerId, Option<Listed>> =
         expected.into_iter().map(|id| (id, None)).collect();
     for row in rows {
         // No server has a name that cannot be one.
         if let Ok(id) = row.key.parse() {
-            entries.insert(id, entry(row));
+            entries.insert(id, entry(row, clock));
         }
     }
     let (there, missing): (Vec<_>, Vec<_>) =
@@ -192,11 +199,11 @@
     (there, missing.into_iter().map(|(id, _)| id).collect())
 }
 
-fn entry(row: &Row) -> Option<Listed> {
+fn entry(row: &Row, clock: Duration) -> Option<Listed> {
     if row.removed {
         return None;
     }
-    match registry::decode(&row.key, &row.value) {
+    match registry::decode(&row.key, &row.value, clock) {
         Ok(listed) => Some(listed),
         Err(error) => {
             info!(
--- a/components/proxy/src/gossip.rs
+++ b/components/proxy/src/gossip.rs
@@ -6,7 +6,9 @@
 };
 
 use bergamottrack_coordination::{
-    FailureDomain, GroupId, HostId, freshness,
+    FailureDomain, GroupId, HostId,
+    evacuation::Evacuations,
+    freshness,
     view::{Leadership, Versioned},
 };
 use bergamottrack_peer::{
@@ -19,7 +21,7 @@
 use crate::{
     fetch, fleet, follow,
     host::{Host, Phase},
-    positions, relay, tokens,
+    placement, positions, relay, tokens,
 };
 
 /// How often hosts tell each other what their callers ask for and what they know:
@@ -104,13 +106,20 @@
         known,
         view: (known.view.0 != asker.view.0 && known.view.1 > asker.view.1).then(view),
         servers: servers.then(|| host.listed()),
+        evacuations: evacuations(host),
     }
 }
 
+fn evacuations(host: &Host) -> Option<Evacuations> {
+    let known = host.evacuations.borrow();
+    known.is_known().then(|| known.clone())
+}
+
 fn own_heartbeat(host: &Host) -> Heartbeat {
     let asked = tokens::reports(host).then(|| host.demand.borrow().report(host.now()));
     let (known, majority) = (host.known(), host.hears_majority());
-    Heartbeat { asked, known, majority, seen: Vec::new(), clock: None, echo: None }
+    let evacuations = evacuations(host);
+    Heartbeat { asked, known, majority, evacuations, seen: Vec::new(), clock: None, echo: None }
 }
 
 /// The answer to a heartbeat: requests that were admitted here are reported in this host's own.
@@ -139,6 +148,9 @@
     if beat.majority && *id == host.hub() {
         host.hub_majority.set(Some(host.now()));
     }
+    if let Some(evacuations) = &beat.evacuations {
+        placement::adopt(host, id, evacuations);
+    }
     renew(host, beat.known);
     let (own, known) = (host.known(), beat.known);
     let Some(link) = host.mesh.link(id) else { return };
@@ -226,7 +238,7 @@
 /// Asks other hosts for the newest view and configuration while the store does
 /// not tell them to this one, for ever.
 pub async fn ask_hosts(host: Rc<Host>) {
-    let pace = freshness::Pace::within(host.settings.apply);
+    let pace = freshness::Pace::within(host.settings.apply.min(host.settings.evacuate));
     let mut turn = 0;
     loop {
         monoio::time::sleep(ASK_EVERY).await;
@@ -262,6 +274,9 @@
             }
         };
         fetch::begin(host, link, newest.known.plan.0);
+        if let Some(evacuations) = &newest.evacuations {
+            placement::adopt(host, &link.host, evacuations);
+        }
         let fits = take_newest(host, *newest);
         if fits || known.view_version == 0 {
             return;
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -13,6 +13,7 @@
 use bergamottrack_coordination::{
     AccountId, Clock, GroupId, HostId, Revision, ServerId, StoreClock, connections,
     demand::Demand,
+    evacuation::{Evacuations, Placement},
     freshness::{Bounds, Standing},
     holders,
     hubs::Neighbours,
@@ -31,6 +32,7 @@
 use crate::{
     group::{Group, Use},
     measure::Measures,
+    placement,
     pool::{self, Pool},
     relay::Works,
 };
@@ -47,6 +49,13 @@
 /// back, and what a busy host needs.
 const LINK_WITHIN: Duration = Duration::from_millis(50);
 
+/// Reports of when a server stops being cold that differ by less are taken for the same.
+const SAME_COLD: Duration = Duration::from_millis(1000);
+
+/// How much longer a server counts as cold than it reported: the difference between two
+/// reports that are taken for the same, and what the store's clock is uncertain.
+const COLD_MARGIN: Duration = Duration::from_millis(1100);
+
 /// How far a stop has come.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -88,6 +97,8 @@
     pub store_clock: RefCell<StoreClock>,
     /// The store's clock when the list of servers was the newest for certain.
     pub servers_clock: Cell<Duration>,
+    /// Evacuated failure domains.
+    pub evacuations: RefCell<Evacuations>,
     /// Servers whose entry has disappeared, and a number for each time it did.
     pub missing: RefCell<HashMap<ServerId, u64>>,
     /// Stamp of the list of servers.
@@ -189,7 +200,7 @@
             majority: self.hears_majority(),
         };
         let (apply, strict) = (self.settings.apply, self.settings.strict);
-        standing.may_serve(Bounds { apply, strict })
+        self.evacuations.borrow().is_known() && standing.may_serve(Bounds { apply, strict })
     }
 
     /// Whether most hosts, this one included, are heard; by word of the hub where
@@ -265,6 +276,7 @@
         for listed in self.listed() {
             (listed.id, listed.group, listed.address, listed.born).hash(&mut hash);
             (listed.leaving, listed.role == Role::Primary, listed.slots).hash(&mut hash);
+            listed.cold.hash(&mut hash);
         }
         self.servers_stamp.set(hash.finish());
     }
@@ -320,7 +332,7 @@
         let plan = self.plan();
         for pool in self.pools.borrow().values() {
             let group = pool.listed.borrow().group.clone();
-            let cap = plan.as_ref().and_then(|plan| plan.groups.get(&group).copied());
+            let limits = plan.as_ref().and_then(|plan| plan.groups.get(&group).copied());
             let domain = pool.listed.borrow().domain.clone();
             let id = pool.listed.borrow().id.clone();
             let holders = holders::order(self.held.borrow().view(), id.as_str(), &domain);
@@ -332,7 +344,9 @@
                 None => connections::Role::Other,
             };
             *pool.holders.borrow_mut() = holders;
-            pool.set_bounds(cap.unwrap_or(1), hosts, role);
+            pool.set_bounds(limits.map_or(1, |limits| limits.connections), hosts, role);
+            let cold = limits.and_then(|limits| limits.cold);
+            pool.set_cold(cold, self.settings.cold);
             self.group(&group);
         }
         let groups: Vec<_> = self.groups.borrow().values().cloned().collect();
@@ -368,11 +382,17 @@
     }
 
     /// Takes a server's own entry.
-    pub fn list(&self, listed: Listed) {
+    pub fn list(&self, mut listed: Listed) {
         self.missing.borrow_mut().remove(&listed.id);
         let mut pools = self.pools.borrow_mut();
+        let now = self.now();
         match pools.get(&listed.id) {
             Some(pool) => {
+                let known = pool.listed.borrow().cold;
+                // Each report counts from another moment; all hosts are told of a change.
+                if !known.is_zero() && listed.cold.abs_diff(known) < SAME_COLD {
+                    listed.cold = known;
+                }
                 let before = pool.listed.replace(listed.clone());
                 if before != listed {
                     info!(
@@ -383,17 +403,27 @@
                 if before.born != listed.born || before.address != listed.address {
                     pool.drop_idle();
                 }
+                let restarted = before.born != listed.born;
+                pool.warmth.borrow_mut().report(self.cold_until(&listed), restarted);
             }
             None => {
                 info!(
                     server = %listed.id, group = %listed.group, address = %listed.address,
                     role = ?listed.role, leaving = listed.leaving, "servers: new"
                 );
-                pools.insert(listed.id.clone(), Pool::new(listed));
+                let pool = Pool::new(listed.clone(), now);
+                pool.warmth.borrow_mut().report(self.cold_until(&listed), true);
+                pools.insert(listed.id.clone(), pool);
             }
         }
     }
 
+    /// Until when a server is cold by its entry.
+    fn cold_until(&self, listed: &Listed) -> Option<Instant> {
+        let cold = Some(listed.cold).filter(|cold| !cold.is_zero())?;
+        Some(self.store_clock.borrow().local(cold)? + COLD_MARGIN)
+    }
+
     /// Takes a server off the list.
     pub fn unlist(&self, id: &ServerId) {
         self.missing.borrow_mut().remove(id);
@@ -411,12 +441,13 @@
             let serving = *self.phase.borrow() == Phase::Serving;
             for pool in self.pools.borrow().values() {
                 pool.trim();
-                if serving {
+                let allowed = placement::of(&self, pool) == Placement::Allowed;
+                if serving && allowed && !pool.is_cold(self.now()) {
                     pool.open_ahead(&accounts);
                 }
             }
             let limit = self.plan().and_then(|plan| plan.idle_limit);
-            self.works.sweep(limit, self.now());
+            self.works.sweep(limit, self.now(), |pool| placement::is_forbidden(&self, pool));
         }
     }
 
--- a/components/proxy/src/job.rs
+++ b/components/proxy/src/job.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bergamottrack_adapter::wire;
-use bergamottrack_coordination::{AccountId, Fate, Point};
+use bergamottrack_coordination::{AccountId, Fate, Point, homes::Homes};
 use bergamottrack_model::{
     Access, Currency, Failure, Request, ServerAnswer, Session, State, Statement, statement::Shape,
 };
@@ -14,6 +14,7 @@
     group::{Group, Use},
     host::Host,
     place::{self, Chosen, NoAnswer, Place, Running},
+    placement,
     pool::Pool,
 };
 
@@ -56,6 +57,8 @@
     pub currency: Currency,
     /// What it may do.
     pub access: Access,
+    /// Where it may run.
+    pub homes: Homes,
     /// How far the session has written in the group.
     pub floor: Option<Point>,
     /// When it must be done.
@@ -120,6 +123,9 @@
         if !places.is_empty() {
             return Ok(places);
         }
+        if let Some(why) = placement::barred(host, job) {
+            return Err(Refused::busy(why));
+        }
         if !host.leased() {
             return Err(Refused::busy("this host cannot show who leads"));
         }
@@ -356,6 +362,9 @@
     if running.usage.as_ref().is_some_and(|usage| !host.holds(usage)) {
         return Step::Lost("the leader changed");
     }
+    if placement::is_forbidden(host, running.conn.pool()) {
+        return Step::NotSent(Refused::busy("the server's failure domain is evacuated"));
+    }
     running.wrote |= access(session, &request.statement) == Some(Access::Write);
     place::put(running, session, request, None);
     let left = job.deadline.saturating_duration_since(Instant::now());
@@ -374,9 +383,13 @@
     }
 }
 
-/// Rolls a transaction back and keeps its connection, in a task of its own.
-pub fn roll_back(running: Running) {
+/// Rolls a transaction back and keeps its connection, in a task of its own. At a server to
+/// which nothing may be sent the connection is closed, which rolls back too.
+pub fn roll_back(host: &Host, running: Running) {
     let Running { mut conn, usage, .. } = running;
+    if placement::is_forbidden(host, conn.pool()) {
+        return;
+    }
     monoio::spawn(async move {
         conn.put_bare(wire::put_rollback);
         // Without an answer the connection is closed, which rolls back too.
--- a/components/proxy/src/lead.rs
+++ b/components/proxy/src/lead.rs
@@ -9,6 +9,7 @@
 use bergamottrack_adapter::wire;
 use bergamottrack_coordination::{
     AccountId, HostId, ServerId,
+    evacuation::Placement,
     suspicion::{self, Advice},
     view::{Leadership, TURN, TURN_MARGIN},
 };
@@ -22,6 +23,7 @@
     change::Move,
     group::Group,
     host::{Host, Phase},
+    placement,
     pool::Pool,
 };
 
@@ -75,9 +77,24 @@
     let Some(pool) = host.server(&leader) else {
         return start(host, group, Some(leader), false, "the leader is gone from the list");
     };
-    let successor = |pool: &Rc<Pool>| !pool.listed.borrow().leaving;
-    if !successor(&pool) && host.servers(&group.id).iter().any(successor) {
-        return start(host, group, Some(leader), true, "the leader is leaving");
+    let successors = placement::successors(host, &group.id);
+    let others = || successors.iter().filter(|other| !Rc::ptr_eq(other, &pool));
+    if others().next().is_some() {
+        if pool.listed.borrow().leaving {
+            return start(host, group, Some(leader), true, "the leader is leaving");
+        }
+        if placement::of(host, &pool) != Placement::Allowed {
+            let why = "the leader's failure domain is evacuated";
+            return start(host, group, Some(leader), true, why);
+        }
+        let most = others().map(|other| placement::served(host, other)).max();
+        if most > Some(placement::served(host, &pool)) {
+            let why = "another server may serve more databases by their homes";
+            return start(host, group, Some(leader), true, why);
+        }
+    }
+    if placement::is_forbidden(host, &pool) {
+        return;
     }
     let silent = pool.health.borrow().silent_for(now);
     let asks = silent > suspicion::SILENT_AFTER
@@ -99,6 +116,7 @@
 async fn probe(host: Rc<Host>, group: Rc<Group>, leader: Rc<Pool>, since: Instant) {
     let replicas = host.servers(&group.id);
     let replicas = replicas.iter().filter(|pool| !Rc::ptr_eq(pool, &leader));
+    let replicas = replicas.filter(|pool| !placement::is_forbidden(&host, pool));
     let asks = replicas.map(|pool| status(&host, pool, suspicion::PROBE_WITHIN));
     let asks = async {
         for status in future::join_all(asks).await.into_iter().flatten() {
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod measure;
 pub mod packed;
 pub mod place;
+pub mod placement;
 pub mod pool;
 pub mod positions;
 pub mod relay;
--- a/components/proxy/src/measure.rs
+++ b/components/proxy/src/measure.rs
@@ -8,6 +8,7 @@
     metrics::{
         counter::Counter,
         family::Family,
+        gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
     registry::Registry,
@@ -39,6 +40,8 @@
     pub told: Counter,
     /// Bytes of configurations that other hosts told and that were taken.
     pub heard: Counter,
+    /// Failure domains that are evacuated.
+    pub evacuated: Gauge,
     /// Questions for what is new that other hosts did not answer in time.
     pub unanswered: Counter,
 }
@@ -72,7 +75,13 @@
             "Questions for what is new that other hosts did not answer in time",
             unanswered.clone(),
         );
-        Self { registry, latency, outcomes, retries, told, heard, unanswered }
+        let evacuated = Gauge::default();
+        registry.register(
+            "evacuated_domains",
+            "Failure domains whose servers are sent nothing",
+            evacuated.clone(),
+        );
+        Self { registry, latency, outcomes, retries, told, heard, evacuated, unanswered }
     }
 }
 
--- a/components/proxy/src/place.rs
+++ b/components/proxy/src/place.rs
@@ -9,6 +9,7 @@
 use bergamottrack_coordination::{
     Point, ServerId,
     choice::{self, Candidate},
+    evacuation::Placement,
 };
 use bergamottrack_model::{Access, Failure, Request, ServerAnswer, Session, Statement, session};
 use bergamottrack_peer::NotSent;
@@ -20,6 +21,7 @@
     group::{Need, Use},
     host::Host,
     job::{Job, Refused},
+    placement,
     pool::Pool,
 };
 
@@ -79,7 +81,7 @@
         Access::Write => Need::Leader,
         Access::Read => job.group.need(job.currency, job.floor, now),
     };
-    let leader = host.begin(&job.group);
+    let leader = host.begin(&job.group).filter(|usage| leads_for(host, job, usage));
     let after = match need {
         Need::Log(point) => Some(point),
         Need::Leader => None,
@@ -91,7 +93,11 @@
         return place.into_iter().collect();
     };
     let leads = leader.as_ref().map(|usage| usage.server.clone());
-    let servers = host.servers(&job.group.id);
+    let mut servers = host.servers(&job.group.id);
+    servers.retain(|pool| {
+        let fits = placement::of(host, pool) == Placement::Allowed;
+        fits && placement::is_home(host, pool, &job.homes)
+    });
     let health: Vec<_> = servers.iter().map(|pool| pool.health.borrow()).collect();
     let candidates: Vec<_> = servers
         .iter()
@@ -103,6 +109,7 @@
                 near: listed.domain == host.settings.domain,
                 warm: host.holder(pool).is_some() || pool.is_warm(&job.account),
                 leads: leads.as_ref() == Some(&listed.id),
+                cold: pool.is_cold(now),
                 slots: listed.slots,
                 wait: pool.wait(job.priority, job.patience, now),
             }
@@ -129,9 +136,20 @@
         let after = if usage.is_some() { None } else { Some(after) };
         places.push(Place { pool, after, usage });
     }
+    // A leader whose failure domain is being evacuated, after all others.
+    let last = leader.and_then(|usage| Some((host.server(&usage.server)?, usage)));
+    places.extend(last.map(|(pool, usage)| Place { pool, after: None, usage: Some(usage) }));
     places
 }
 
+/// Whether the leader may run a job where it stands.
+fn leads_for(host: &Host, job: &Job, usage: &Use) -> bool {
+    let pool = host.server(&usage.server);
+    pool.is_some_and(|pool| {
+        !placement::is_forbidden(host, &pool) && placement::is_home(host, &pool, &job.homes)
+    })
+}
+
 /// Takes a connection at the place.
 pub async fn connect(
     host: &Host,
@@ -143,7 +161,7 @@
     let until = job.deadline.min(Instant::now() + CONNECTION_WITHIN);
     let turn = Turn { priority: job.priority, patience: job.patience, until };
     let now = host.now();
-    let conn = match host.settled_holder(&pool).await {
+    let conn = match placement::carrier(host, &pool, &job.homes).await {
         Some(link) => Conn::far(pool, link, job.account.clone(), turn),
         None => Conn::own(&pool, &job.account, session, turn, now)
             .await
@@ -205,6 +223,7 @@
         NotSent::Closed => "the transaction's connection was closed",
         NotSent::Leaving => "the holder of the server's connections is being stopped",
         NotSent::Unreachable => "the holder of the server's connections is out of reach",
+        NotSent::Evacuated => "the server's failure domain is evacuated",
     })
 }
 
--- /dev/null
+++ b/components/proxy/src/placement.rs
@@ -0,0 +1,137 @@
+//! Where statements may run: evacuated failure domains, homes of databases and accounts.
+
+use std::{collections::BTreeSet, rc::Rc};
+
+use bergamottrack_coordination::{
+    FailureDomain, GroupId, HostId, Region,
+    evacuation::{Evacuations, Placement, Row},
+    homes::{self, Homes},
+};
+use bergamottrack_model::Access;
+use bergamottrack_peer::Link;
+use std::time::Duration;
+use tracing::info;
+
+use crate::{host::Host, job::Job, pool::Pool};
+
+/// What may run at a server now.
+pub fn of(host: &Host, pool: &Pool) -> Placement {
+    let domain = pool.listed.borrow().domain.clone();
+    let (store, bound) = (host.store_clock.borrow(), host.settings.evacuate);
+    host.evacuations.borrow().placement(&domain, &store, bound, host.now())
+}
+
+/// Whether nothing at all may be sent to a server.
+pub fn is_forbidden(host: &Host, pool: &Pool) -> bool {
+    of(host, pool) == Placement::Forbidden
+}
+
+fn region<'a>(host: &'a Host, domain: &FailureDomain) -> Option<&'a Region> {
+    host.settings.regions.get(domain)
+}
+
+/// Whether a server stands in one of the homes.
+pub fn is_home(host: &Host, pool: &Pool, homes: &Homes) -> bool {
+    homes.allow(region(host, &pool.listed.borrow().domain))
+}
+
+/// Whether another host may be sent statements with these homes.
+pub fn may_carry(host: &Host, carrier: &HostId, homes: &Homes) -> bool {
+    if homes.is_anywhere() {
+        return true;
+    }
+    let held = host.held.borrow();
+    let member = held.view().members.get(carrier);
+    member.is_some_and(|member| homes.allow(region(host, &member.value.domain)))
+}
+
+/// The link to the host that holds a server's connections, if statements with these homes
+/// may go through it.
+pub async fn carrier(host: &Host, pool: &Pool, homes: &Homes) -> Option<Rc<Link>> {
+    let link = host.settled_holder(pool).await?;
+    may_carry(host, &link.host, homes).then_some(link)
+}
+
+/// How many of the group's databases a server may serve by their homes.
+pub fn served(host: &Host, pool: &Pool) -> usize {
+    let Some(plan) = host.plan() else { return 0 };
+    let listed = pool.listed.borrow();
+    let routes = plan.routes.values().filter(|route| route.group == listed.group);
+    homes::served(routes.map(|route| &route.homes), region(host, &listed.domain))
+}
+
+/// Servers of a group that could lead it next.
+pub fn successors(host: &Host, group: &GroupId) -> Vec<Rc<Pool>> {
+    let fit =
+        |pool: &Rc<Pool>| !pool.listed.borrow().leaving && of(host, pool) == Placement::Allowed;
+    host.servers(group).into_iter().filter(fit).collect()
+}
+
+/// Why no server may run a job for as long as placements stay as they are; `None` where one
+/// may, or where the leader is about to be replaced by one that may.
+pub fn barred(host: &Host, job: &Job) -> Option<&'static str> {
+    let servers = host.servers(&job.group.id);
+    if servers.is_empty() {
+        return None;
+    }
+    if !servers.iter().any(|pool| !is_forbidden(host, pool)) {
+        return Some("all servers of the group are in evacuated failure domains");
+    }
+    let homes = |pool: &Rc<Pool>| is_home(host, pool, &job.homes);
+    if !servers.iter().any(homes) {
+        return Some("no server of the group stands in a home of the database and account");
+    }
+    if !servers.iter().any(|pool| homes(pool) && !is_forbidden(host, pool)) {
+        return Some("all servers in homes are in evacuated failure domains");
+    }
+    let leader = job.group.leader().and_then(|leader| host.server(&leader))?;
+    if job.access == Access::Read || successors(host, &job.group.id).iter().any(homes) {
+        return None;
+    }
+    if is_forbidden(host, &leader) {
+        return Some("the leader's failure domain is evacuated and no other server may lead");
+    }
+    (!homes(&leader)).then_some("the leader stands in no home, and no other server may lead")
+}
+
+/// Takes rows of the store about evacuated failure domains.
+pub fn read(host: &Host, rows: &[Row], whole: bool, version: u64, clock: Duration) {
+    let before = host.evacuations.borrow().clone();
+    host.evacuations.borrow_mut().read(rows, whole, version, clock);
+    note(host, &before, None);
+}
+
+/// Takes what another host knows of them.
+pub fn adopt(host: &Host, from: &HostId, told: &Evacuations) {
+    let before = host.evacuations.borrow().clone();
+    host.evacuations.borrow_mut().adopt(told);
+    note(host, &before, Some(from));
+}
+
+fn note(host: &Host, before: &Evacuations, from: Option<&HostId>) {
+    let after = host.evacuations.borrow();
+    let names = |of: &Evacuations| -> BTreeSet<(FailureDomain, u64)> {
+        of.domains().map(|(domain, evacuation)| (domain.clone(), evacuation.version)).collect()
+    };
+    let (old, new) = (names(before), names(&after));
+    if old == new {
+        return;
+    }
+    let (from, clock) = (from.map(tracing::field::display), after.clock());
+    let age_ms = host.age_of(clock).map(|age| age.as_millis() as u64);
+    let is_known = |domain: &FailureDomain| {
+        host.pools.borrow().values().any(|pool| pool.listed.borrow().domain == *domain)
+    };
+    for (domain, version) in new.difference(&old) {
+        let servers = is_known(domain);
+        info!(%domain, version, age_ms, from, servers, "evacuation: in force");
+    }
+    for (domain, version) in old.difference(&new) {
+        info!(%domain, version, age_ms, from, "evacuation: taken back");
+    }
+    host.measures.evacuated.set(new.len() as i64);
+    let pools = host.pools.borrow();
+    let evacuated =
+        |pool: &&Rc<Pool>| new.iter().any(|(domain, _)| *domain == pool.listed.borrow().domain);
+    pools.values().filter(evacuated).for_each(|pool| pool.drop_idle());
+}
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -10,6 +10,7 @@
 use bergamottrack_coordination::{
     AccountId, HostId,
     choice::Health,
+    cold::{self, Warmth},
     connections::{self, Bounds, Role, Usage},
     gate::{Entry, Gate, Place},
 };
@@ -50,6 +51,10 @@
     pub listed: RefCell<Listed>,
     /// What its answers say of it.
     pub health: RefCell<Health>,
+    /// Whether it has just started, and what it was sent since.
+    pub warmth: RefCell<Warmth>,
+    /// The limit while it is cold, and how far all hosts may exceed it.
+    cold: Cell<(Option<cold::Limit>, cold::Tolerance)>,
     /// How many statements are under way, and who waits.
     gate: RefCell<Gate>,
     /// Whom to tell that they may go on, by their places at the gate.
@@ -102,11 +107,13 @@
 }
 
 impl Pool {
-    /// A pool without connections.
-    pub fn new(listed: Listed) -> Rc<Self> {
+    /// A pool without connections, of a server that is known since `now`.
+    pub fn new(listed: Listed, now: StdInstant) -> Rc<Self> {
         Rc::new(Self {
             listed: RefCell::new(listed),
             health: RefCell::default(),
+            warmth: RefCell::new(Warmth::new(now)),
+            cold: Cell::default(),
             gate: RefCell::new(Gate::new(1)),
             waiting: RefCell::default(),
             idle: RefCell::default(),
@@ -131,6 +138,33 @@
         self.gate.borrow_mut().set_bounds(least, bounds.cap);
     }
 
+    /// Sets the limit while the server is cold.
+    pub fn set_cold(&self, limit: Option<cold::Limit>, tolerance: cold::Tolerance) {
+        self.cold.set((limit, tolerance));
+    }
+
+    /// Whether the server is cold, or may be.
+    pub fn is_cold(&self, now: StdInstant) -> bool {
+        self.warmth.borrow().is_cold(now)
+    }
+
+    /// Takes a request of this host's part of what a cold server may get; when there is none,
+    /// the time after which there may be.
+    fn take_cold(&self, now: StdInstant) -> Result<(), Duration> {
+        let mut warmth = self.warmth.borrow_mut();
+        let (Some(limit), tolerance) = self.cold.get() else { return Ok(()) };
+        if !warmth.is_cold(now) {
+            return Ok(());
+        }
+        warmth.take(cold::part(limit, tolerance, self.role.get()), now)
+    }
+
+    /// Notes that a connection in use broke.
+    pub fn note_lost(&self) {
+        let (limit, _) = self.cold.get();
+        self.warmth.borrow_mut().lost(limit, StdInstant::now());
+    }
+
     /// Whether this host holds the server's connections for all.
     fn is_holder(&self) -> bool {
         self.role.get() == Role::Holder
@@ -148,6 +182,7 @@
         patience: Duration,
         now: StdInstant,
     ) -> Result<Permit, Duration> {
+        self.take_cold(now)?;
         let entry = self.gate.borrow_mut().enter(priority, patience, now);
         let place = match entry {
             Entry::Go => return Ok(Permit { pool: self.clone(), took: Cell::default() }),
@@ -168,10 +203,17 @@
         Err(self.wait(priority, patience, now + patience))
     }
 
-    /// A statement of an open transaction goes on without waiting.
-    pub fn go_on(self: &Rc<Self>) -> Permit {
+    /// A statement of an open transaction goes on without waiting, unless the server is cold;
+    /// the time after which it may where that is beyond `until`.
+    pub async fn go_on(self: &Rc<Self>, until: Instant) -> Result<Permit, Duration> {
+        while let Err(wait) = self.take_cold(StdInstant::now()) {
+            if Instant::now() + wait >= until {
+                return Err(wait);
+            }
+            monoio::time::sleep(wait).await;
+        }
         self.gate.borrow_mut().go_on();
-        Permit { pool: self.clone(), took: Cell::default() }
+        Ok(Permit { pool: self.clone(), took: Cell::default() })
     }
 
     fn wake(&self, now: StdInstant) {
@@ -346,6 +388,10 @@
                 Ok(leased)
             }
             Err(error) => {
+                if matches!(error, OpenError::Refused) {
+                    let (limit, _) = self.cold.get();
+                    self.warmth.borrow_mut().refused(limit, StdInstant::now());
+                }
                 if matches!(error, OpenError::Rejected(Failure::TooMany)) {
                     info!(server = %listed.id, open = self.open.get(), "pool: too many connections");
                     let lasts = if self.is_holder() { HELD_FOR } else { CROWDED_FOR };
--- a/components/proxy/src/relay.rs
+++ b/components/proxy/src/relay.rs
@@ -18,7 +18,7 @@
 use crate::{
     conn,
     host::{Host, Phase},
-    lead,
+    lead, placement,
     pool::{Leased, Permit, Pool},
 };
 
@@ -51,18 +51,28 @@
         self.resting.borrow().len()
     }
 
-    /// Closes the connections of transactions whose host has gone or forgotten them.
+    /// Closes the connections of transactions whose host has gone or forgotten them, and of
+    /// those at servers to which nothing may be sent any more.
     ///
     /// Guards against a host that dies within a transaction: its locks would be held
     /// for as long as this host lives.
-    pub fn sweep(&self, limit: Option<Duration>, now: Instant) {
+    pub fn sweep(
+        &self,
+        limit: Option<Duration>,
+        now: Instant,
+        is_forbidden: impl Fn(&Pool) -> bool,
+    ) {
         let limit = limit.map_or(RESTS_FOR, |limit| limit + RESTS_LONGER);
         self.resting.borrow_mut().retain(|(host, work), resting| {
-            let stays = resting.watch.is_open() && now.duration_since(resting.since) < limit;
-            if !stays {
-                info!(%host, work, "relay: a transaction is closed, its host is gone");
-            }
-            stays
+            let why = if !resting.watch.is_open() || now.duration_since(resting.since) >= limit {
+                "its host is gone"
+            } else if is_forbidden(resting.leased.pool()) {
+                "its server's failure domain is evacuated"
+            } else {
+                return true;
+            };
+            info!(%host, work, why, "relay: a transaction is closed");
+            false
         });
         let mut given_up = self.given_up.borrow_mut();
         given_up.retain(|_, since| now.duration_since(*since) < limit);
@@ -101,10 +111,15 @@
     errand: &Errand,
 ) -> Result<(Leased, Option<Permit>), NotSent> {
     let pool = host.server(&errand.server).ok_or(NotSent::Unlisted)?;
+    if placement::is_forbidden(host, &pool) {
+        return Err(NotSent::Evacuated);
+    }
     if let Some(work) = errand.work.filter(|_| !errand.opens) {
         let resting = host.works.resting.borrow_mut().remove(&(from.clone(), work));
         let resting = resting.ok_or(NotSent::Closed)?;
-        return Ok((resting.leased, Some(pool.go_on())));
+        let until = monoio::time::Instant::now() + errand.within();
+        let permit = pool.go_on(until).await.map_err(conn::crowded)?;
+        return Ok((resting.leased, Some(permit)));
     }
     if *host.phase.borrow() == Phase::Closing {
         return Err(NotSent::Leaving);
@@ -115,9 +130,14 @@
         return Ok((leased.map_err(conn::not_sent)?, None));
     };
     let permit = pool.enter(errand.priority, errand.patience(), host.now()).await;
-    let permit = permit.map_err(|wait| NotSent::Crowded(wait.as_millis() as u32))?;
+    let permit = permit.map_err(conn::crowded)?;
     let leased = pool.lease(account, &errand.values, until).await;
-    Ok((leased.map_err(conn::not_sent)?, Some(permit)))
+    let leased = leased.map_err(conn::not_sent)?;
+    // It may have waited for its turn and its connection.
+    if placement::is_forbidden(host, &pool) {
+        return Err(NotSent::Evacuated);
+    }
+    Ok((leased, Some(permit)))
 }
 
 async fn run(
@@ -148,6 +168,7 @@
         Ok(Err(error)) => {
             let error = format_args!("{error:#}");
             info!(server = %errand.server, %from, %error, "relay: connection lost");
+            leased.pool().note_lost();
             Relayed::Lost
         }
         Err(_) => {
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -123,6 +123,7 @@
         newest: Cell::default(),
         store_clock: RefCell::default(),
         servers_clock: Cell::default(),
+        evacuations: RefCell::default(),
         missing: RefCell::default(),
         servers_stamp: Cell::default(),
         neighbours: RefCell::default(),
--- a/components/proxy/src/talk.rs
+++ b/components/proxy/src/talk.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use bergamottrack_adapter::wire;
-use bergamottrack_coordination::{AccountId, GroupId, Point};
+use bergamottrack_coordination::{AccountId, GroupId, Point, homes::Homes};
 use bergamottrack_model::{
     Access, Account, Failure, Request, Route, ServerAnswer, Session, State, Statement,
 };
@@ -85,7 +85,7 @@
         if let Some(transaction) = self.transaction.take() {
             info!(id = %transaction.job.id, "transaction: ended, its caller rested too long");
             if let Some(running) = transaction.running {
-                job::roll_back(running);
+                job::roll_back(&self.host, running);
             }
             self.state = State::Failed;
             self.ended = true;
@@ -110,9 +110,9 @@
     async fn answer_idle(&mut self, request: &Request, out: &mut BytesMut) {
         match &request.statement {
             Statement::Begin(access) => match self.admit_operation(request).await {
-                Ok((route, account)) => {
-                    let job = self.job(request, &route, account, *access);
-                    let timeout = route.timeout;
+                Ok(admitted) => {
+                    let timeout = admitted.0.timeout;
+                    let job = self.job(request, admitted, *access);
                     self.transaction = Some(Transaction { job, timeout, running: None });
                     self.state = State::Open;
                     self.done(out);
@@ -135,12 +135,12 @@
             self.fail(&Refused::of(Failure::UnknownName, "no such name"), out);
             return;
         };
-        let (route, account) = match self.admit_operation(request).await {
+        let admitted = match self.admit_operation(request).await {
             Ok(admitted) => admitted,
             Err(refused) => return self.fail(&refused, out),
         };
         let began = Instant::now();
-        let job = self.job(request, &route, account, access);
+        let job = self.job(request, admitted, access);
         let answer = job::single(&self.host, &job, &self.session, request).await;
         self.log(&job, request, began, &answer);
         match answer {
@@ -197,7 +197,7 @@
                 }
                 out.extend_from_slice(&answer.relay);
                 if let Some(running) = transaction.running {
-                    finish(running, &answer);
+                    finish(&self.host, running, &answer);
                 }
                 self.state = if commits { State::Idle } else { State::Failed };
                 wire::put_ready(self.state, out);
@@ -287,7 +287,7 @@
 
     fn end_transaction(&mut self) {
         if let Some(running) = self.transaction.take().and_then(|open| open.running) {
-            job::roll_back(running);
+            job::roll_back(&self.host, running);
         }
         self.state = State::Idle;
         self.ended = false;
@@ -302,7 +302,7 @@
     fn fail(&mut self, refused: &Refused, out: &mut BytesMut) {
         if self.state == State::Open {
             if let Some(running) = self.transaction.take().and_then(|open| open.running) {
-                job::roll_back(running);
+                job::roll_back(&self.host, running);
             }
             self.state = State::Failed;
         }
@@ -334,7 +334,10 @@
     }
 
     /// Admits one operation and takes its token of the account's rate.
-    async fn admit_operation(&self, request: &Request) -> Result<(Rc<Route>, AccountId), Refused> {
+    async fn admit_operation(
+        &self,
+        request: &Request,
+    ) -> Result<(Rc<Route>, AccountId, Homes), Refused> {
         let (route, account) = self.admit().inspect_err(|refused| {
             info!(
                 id = %request.id, database = %self.database, version = self.host.version().0,
@@ -345,7 +348,8 @@
         })?;
         let Some(account) = account else {
             let nobody = NOBODY.parse().expect("the name is allowed");
-            return Ok((route, nobody));
+            let homes = route.homes.clone();
+            return Ok((route, nobody, homes));
         };
         let Some(ruling) = tokens::take(&self.host, &request.id, &account).await else {
             info!(id = %request.id, account = %account.id, "statement: its rate cannot be checked");
@@ -360,16 +364,23 @@
             let retry = Some(ruling.retry);
             return Err(Refused { retry, ..Refused::busy("the account is over its rate") });
         }
-        Ok((route, account.id.clone()))
+        let homes = route.homes.and(&account.homes);
+        Ok((route, account.id.clone(), homes))
     }
 
-    fn job(&self, request: &Request, route: &Route, account: AccountId, access: Access) -> Job {
+    fn job(
+        &self,
+        request: &Request,
+        (route, account, homes): (Rc<Route>, AccountId, Homes),
+        access: Access,
+    ) -> Job {
         Job {
             id: request.id.clone(),
             account,
             group: self.host.group(&route.group),
             currency: route.currency,
             access,
+            homes,
             floor: self.floors.get(&route.group).copied(),
             deadline: Instant::now() + route.timeout,
             priority: route.priority,
@@ -408,11 +419,11 @@
 }
 
 /// Keeps or closes the connection of a transaction that the answer has ended.
-fn finish(running: Running, answer: &ServerAnswer) {
+fn finish(host: &Host, running: Running, answer: &ServerAnswer) {
     if answer.state == State::Idle {
         running.conn.give_back(answer);
     } else {
-        job::roll_back(running);
+        job::roll_back(host, running);
     }
 }
 
--- a/lab/src/soak/world.rs
+++ b/lab/src/soak/world.rs
@@ -225,6 +225,21 @@
         self.withdrawn.get()
     }
 
+    /// Evacuates a failure domain.
+    pub fn evacuate(&self, domain: usize) {
+        self.store.borrow_mut().put("op", &format!("evacuate/d{domain}"), &json!({}));
+    }
+
+    /// Takes that back.
+    pub fn take_back(&self, domain: usize) {
+        self.store.borrow_mut().remove("op", &format!("evacuate/d{domain}"));
+    }
+
+    /// Statements that servers of a failure domain have run.
+    pub fn ran_in(&self, domain: usize) -> usize {
+        (0..GROUPS * 3).filter(|place| place % 2 == domain).map(|place| self.ran(place)).sum()
+    }
+
     fn list(&self, place: usize) {
         let groups = self.groups.borrow();
         let server = &groups.servers[place];
