Congestion: a queue that is full is known at the hosts that would ask it; silent leaders are asked by few

A host takes a leader for silent that has owed it an answer for 0.4 s; in overload the queue at the connections' holder is that long, so that every host asked every leader and its replicas, each time on a new connection, whose opening takes a slot. And each refused statement asked up to four holders.

Change: a host asks the holder first how long the server has owed it answers, and leaves it to the holder while that one is well; hosts act on a leader by rank. A refusal by a holder is remembered, doubled when it repeats, and statements that would be refused too are refused at once. A holder leaves three connections to such questions.

--- a/components/coordination/src/choice.rs
+++ b/components/coordination/src/choice.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::Point;
+use crate::{Point, silence::Silence};
 
 /// How much a new answer moves the mean, as one part of so many.
 const MEAN_OVER: f64 = 8.0;
@@ -46,10 +46,7 @@
 #[derive(Clone, Debug)]
 pub struct Health {
     mean: f64,
-    running: usize,
-    /// When the server last answered while something ran there, or when the
-    /// first of what runs began.
-    waits_since: Option<Instant>,
+    silence: Silence,
     failures: u32,
     ejected: Option<(Instant, Duration)>,
     /// A position that it lacked, until when it is passed over, and for how long.
@@ -60,8 +57,7 @@
     fn default() -> Self {
         Self {
             mean: FIRST_GUESS.as_secs_f64(),
-            running: 0,
-            waits_since: None,
+            silence: Silence::default(),
             failures: 0,
             ejected: None,
             lacked: None,
@@ -72,22 +68,17 @@
 impl Health {
     /// A request is sent.
     pub fn begin(&mut self, now: Instant) {
-        self.running += 1;
-        self.waits_since.get_or_insert(now);
+        self.silence.begin(now);
     }
 
     /// A request has ended: with an answer after `took`, or without one.
     pub fn end(&mut self, answered: Option<Duration>, now: Instant) {
-        self.running = self.running.saturating_sub(1);
+        self.silence.end(answered.is_some(), now);
         if let Some(took) = answered {
             self.mean += (took.as_secs_f64() - self.mean) / MEAN_OVER;
-            self.waits_since = Some(now);
             self.failures = 0;
             self.ejected = None;
         }
-        if self.running == 0 {
-            self.waits_since = None;
-        }
     }
 
     /// Something failed that a sound server would not have failed.
@@ -124,12 +115,12 @@
 
     /// Requests that run there for this host.
     pub fn running(&self) -> usize {
-        self.running
+        self.silence.running()
     }
 
     /// How long it has owed an answer without giving any.
     pub fn silent_for(&self, now: Instant) -> Duration {
-        self.waits_since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+        self.silence.lasts(now)
     }
 
     /// The mean time of its answers.
@@ -170,7 +161,7 @@
 pub fn cost(candidate: &Candidate<'_>, now: Instant) -> Duration {
     let health = candidate.health;
     let mean = health.mean.max(health.silent_for(now).as_secs_f64());
-    let share = 1.0 + health.running as f64 / candidate.slots.max(1) as f64;
+    let share = 1.0 + health.running() as f64 / candidate.slots.max(1) as f64;
     let lead = if candidate.leads { LEADER } else { 1.0 };
     let mut cost = Duration::from_secs_f64(mean * share * lead) + candidate.wait;
     if !candidate.near {
--- /dev/null
+++ b/components/coordination/src/congestion.rs
@@ -0,0 +1,68 @@
+//! Whether statements for a server that another host queues for are refused without asking it.
+//!
+//! The load it answers: ten to a hundred times what the servers can run. The queue for a
+//! server stands at the host that holds its connections; every host that asks it for every
+//! statement only to be refused spends the holder's processor on refusals, and its callers
+//! wait for them. A refusal says how long the queue is, so a host knows until when the next
+//! statement would be refused too. Many hosts compete for the room that falls free: each
+//! that is refused again in a row waits twice as long, and one that is served starts anew.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+/// The least and the most time for which statements are refused after one refusal. The most
+/// keeps a queue of usual length from running empty while all hosts wait.
+const REFUSED_FOR: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(1280));
+
+/// How often the time is doubled at most.
+const MOST_DOUBLINGS: u32 = 8;
+
+/// A queue that refused a statement.
+#[derive(Clone, Copy, Debug)]
+struct Full {
+    until: Instant,
+    /// How long the refused statement could have waited.
+    patience: Duration,
+    /// Refusals less statements served.
+    streak: u32,
+}
+
+/// What a host knows of the queue for one server, by the priority of statements.
+#[derive(Clone, Debug, Default)]
+pub struct Congestion {
+    full: BTreeMap<u32, Full>,
+}
+
+impl Congestion {
+    /// A statement that could wait for `patience` was refused: it would have waited for `wait`.
+    pub fn refused(&mut self, priority: u32, patience: Duration, wait: Duration, now: Instant) {
+        let known = self.full.get(&priority);
+        let streak = known.map_or(0, |known| known.streak);
+        let (least, most) = REFUSED_FOR;
+        let excess = wait.saturating_sub(patience).max(least);
+        let lasts = excess.saturating_mul(1 << streak.min(MOST_DOUBLINGS)).min(most);
+        // One that could wait longer says more.
+        let known = known.filter(|known| now < known.until && known.patience > patience);
+        let patience = known.map_or(patience, |known| known.patience);
+        let full = Full { until: now + lasts, patience, streak: streak + 1 };
+        self.full.insert(priority, full);
+    }
+
+    /// A statement of that priority was served at `now`.
+    pub fn served(&mut self, priority: u32, now: Instant) {
+        // What is less urgent may be refused still.
+        for full in self.full.range_mut(..=priority).map(|(_, full)| full) {
+            full.until = full.until.min(now);
+            full.streak = full.streak.saturating_sub(1);
+        }
+    }
+
+    /// How long a statement would be refused; none if it may be sent.
+    pub fn lasts(&self, priority: u32, patience: Duration, now: Instant) -> Option<Duration> {
+        let covers = |full: &&Full| now < full.until && patience <= full.patience;
+        let full = self.full.range(..=priority).map(|(_, full)| full).filter(covers);
+        full.map(|full| full.until - now).max()
+    }
+}
--- a/components/coordination/src/connections.rs
+++ b/components/coordination/src/connections.rs
@@ -15,6 +15,9 @@
 /// many.
 const HEADROOM: usize = 10;
 
+/// Connections that a holder leaves for questions to the server, which open their own.
+const QUESTIONS: usize = 3;
+
 /// Connections that a host may open however many hosts there are: enough for the
 /// transactions and statements that are received together at one host.
 const LEAST_CAP: usize = 4;
@@ -56,7 +59,10 @@
     let least = LEAST_CAP.min(most).max(1);
     let headroom = (most / HEADROOM).max(2 * (slots + 1)).min(most / 2);
     match role {
-        Role::Holder => Bounds { cap: most.max(1), kept: most - headroom, unused_for: UNUSED_FOR },
+        Role::Holder => {
+            let cap = most.saturating_sub(QUESTIONS.min(headroom)).max(1);
+            Bounds { cap, kept: (most - headroom).min(cap), unused_for: UNUSED_FOR }
+        }
         Role::Standby => {
             let cap = headroom.max(least);
             Bounds { cap, kept: (share / 2).min(cap), unused_for: UNUSED_FOR }
--- a/components/coordination/src/suspicion.rs
+++ b/components/coordination/src/suspicion.rs
@@ -14,6 +14,26 @@
 /// stands. Ten times the mean statement, and above stalls of 300 ms.
 pub const SILENT_AFTER: Duration = Duration::from_millis(400);
 
+/// How long a leader is left to the host that holds its connections, which asks it first
+/// and has it replaced.
+pub const LEFT_TO_HOLDER: Duration = Duration::from_millis(1200);
+
+/// Hosts that ask a silent leader at the same time.
+const PROBERS: usize = 5;
+
+/// How much later the next hosts ask, and the last ones at most.
+const PROBE_LATER: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(600));
+
+/// How much later than the first hosts one asks a silent leader, or has it replaced, that
+/// comes `rank`-th among all.
+///
+/// Guards against hundreds of hosts that each open connections to all servers of a group at
+/// once, or write to the same row of the store.
+pub fn turn(rank: usize) -> Duration {
+    let (step, most) = PROBE_LATER;
+    step.saturating_mul((rank / PROBERS) as u32).min(most)
+}
+
 /// How long a leader that does not answer that question either is given.
 pub const PROBE_WITHIN: Duration = Duration::from_millis(400);
 
--- a/components/coordination/tests/suspicion.rs
+++ b/components/coordination/tests/suspicion.rs
@@ -4,7 +4,7 @@
 
 use bergamottrack_coordination::{
     Point,
-    suspicion::{Advice, STILL_FOR, Suspicion},
+    suspicion::{self, Advice, STILL_FOR, Suspicion},
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -56,3 +56,14 @@
     assert_eq!(suspicion.advice(start + 200 * MS), Advice::AskReplicas);
     assert_eq!(suspicion.advice(start + STILL_FOR), Advice::Replace);
 }
+
+/// Guards against a herd of questions to the servers of a silent leader, and against hosts
+/// that never act where the first ones are gone.
+#[test]
+fn hosts_act_on_a_leader_one_after_the_other() {
+    let turns: Vec<_> = (0..300).map(suspicion::turn).collect();
+    assert!(turns.is_sorted());
+    assert_eq!(turns[0], Duration::ZERO);
+    assert!(turns.iter().filter(|turn| turn.is_zero()).count() <= 8);
+    assert!(turns[299] < Duration::from_secs(1));
+}
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -169,6 +169,7 @@
             | Question::Piece(_)
             | Question::Relay(_)
             | Question::Hang(_)
+            | Question::Silence(_)
             | Question::Take { .. } => {
                 return None;
             }
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -154,6 +154,8 @@
     Newest(Known),
     /// A piece of a configuration.
     Piece(pieces::Wanted),
+    /// How long has this server owed the host answers without giving any?
+    Silence(ServerId),
     /// Run this at a server whose connections the host holds.
     Relay(Box<Errand>),
     /// Close the connection of this transaction, which rolls it back.
@@ -231,6 +233,9 @@
     Ruling(demand::Ruling),
     /// What became of a statement.
     Relayed(Relayed),
+    /// How long a server has owed the host answers without giving any; none of one that the
+    /// host does not know.
+    Silence(Option<Duration>),
 }
 
 /// What a host tells the others all the time.
--- a/components/proxy/src/conn.rs
+++ b/components/proxy/src/conn.rs
@@ -196,7 +196,10 @@
                 permit.map_err(|wait| Broken::NotSent(crowded(wait)))?
             }
         };
-        match monoio::time::timeout(within, self.leased.backend().exchange()).await {
+        pool.exchanges.borrow_mut().begin(StdInstant::now());
+        let answer = monoio::time::timeout(within, self.leased.backend().exchange()).await;
+        pool.exchanges.borrow_mut().end(matches!(answer, Ok(Ok(_))), StdInstant::now());
+        match answer {
             Ok(Ok(answer)) => {
                 permit.took.set(Some(asked.elapsed()));
                 Ok(answer)
--- a/components/proxy/src/gossip.rs
+++ b/components/proxy/src/gossip.rs
@@ -65,6 +65,11 @@
         Question::Take { account, rate, burst } => {
             replier.reply(Answer::Ruling(tokens::admit(host, &account, rate, burst)));
         }
+        Question::Silence(server) => {
+            let pool = host.server(&server);
+            let lasts = pool.map(|pool| pool.exchanges.borrow().lasts(host.now()));
+            replier.reply(Answer::Silence(lasts));
+        }
         Question::Relay(errand) => {
             monoio::spawn(relay::serve(host.clone(), peer.host.clone(), *errand, replier));
         }
--- a/components/proxy/src/job.rs
+++ b/components/proxy/src/job.rs
@@ -88,6 +88,12 @@
         Self { failure: Failure::Busy, retry: Some(RETRY_AFTER), why, crowded: false }
     }
 
+    /// Nothing has run; there is room after that time.
+    pub fn crowded(wait: Duration) -> Self {
+        let why = "too many statements wait for the server";
+        Self { retry: Some(wait), crowded: true, ..Self::busy(why) }
+    }
+
     /// Of that kind; coming back at once is no use or no harm.
     pub fn of(failure: Failure, why: &'static str) -> Self {
         Self { failure, retry: None, why, crowded: false }
@@ -119,7 +125,14 @@
         if job.access == Access::Write && job.group.receipts.state.borrow().is_stuck() {
             return Err(Refused::busy("the leader's replicas receive nothing"));
         }
-        let places = place::places(host, job);
+        let mut places = place::places(host, job);
+        if let Some(wait) = place::congested(host, job, &places) {
+            return Err(Refused::crowded(wait));
+        }
+        places.retain(|place| {
+            let congestion = place.pool.congestion.borrow();
+            congestion.lasts(job.priority, job.patience, host.now()).is_none()
+        });
         if !places.is_empty() {
             return Ok(places);
         }
--- a/components/proxy/src/lead.rs
+++ b/components/proxy/src/lead.rs
@@ -10,10 +10,12 @@
 use bergamottrack_coordination::{
     AccountId, HostId, ServerId,
     evacuation::Placement,
+    rendezvous,
     suspicion::{self, Advice},
     view::{Leadership, TURN, TURN_MARGIN},
 };
 use bergamottrack_model::Status;
+use bergamottrack_peer::{Answer, Question};
 use futures_util::future;
 use monoio::net::TcpStream;
 use tracing::{info, warn};
@@ -33,6 +35,9 @@
 /// How long the dial to a host that may be dead may take.
 const DIAL_WITHIN: Duration = Duration::from_millis(300);
 
+/// How long the word of the host that holds a server's connections is waited for.
+const HOLDER_WITHIN: Duration = Duration::from_millis(100);
+
 /// How long a group without any known leader is left alone: at the start the
 /// list of servers fills up within one heartbeat.
 const LEADERLESS_FOR: Duration = Duration::from_millis(3500);
@@ -96,7 +101,7 @@
     if placement::is_forbidden(host, &pool) {
         return;
     }
-    let silent = pool.health.borrow().silent_for(now);
+    let silent = pool.health.borrow().silent_for(now).max(pool.exchanges.borrow().lasts(now));
     let asks = silent > suspicion::SILENT_AFTER
         || group.suspicion.borrow().advice(now) == Advice::AskReplicas;
     if asks && !group.probed.replace(true) {
@@ -114,6 +119,24 @@
 /// Asks a silent leader how it stands, and if it does not answer its replicas
 /// how far they have received.
 async fn probe(host: Rc<Host>, group: Rc<Group>, leader: Rc<Pool>, since: Instant) {
+    let server = leader.listed.borrow().id.clone();
+    match told_by_holder(&host, &leader).await {
+        Some(lasts) if lasts < suspicion::SILENT_AFTER => {
+            group.suspicion.borrow_mut().answered();
+            group.probed.set(false);
+            return;
+        }
+        Some(lasts) if lasts < suspicion::LEFT_TO_HOLDER => {
+            info!(group = %group.id, %server, silent_ms = lasts.as_millis() as u64, "leader: left to its holder");
+            group.probed.set(false);
+            return;
+        }
+        _ => monoio::time::sleep(turn(&host, &group)).await,
+    }
+    if group.leader().as_ref() != Some(&server) {
+        group.probed.set(false);
+        return;
+    }
     let replicas = host.servers(&group.id);
     let replicas = replicas.iter().filter(|pool| !Rc::ptr_eq(pool, &leader));
     let replicas = replicas.filter(|pool| !placement::is_forbidden(&host, pool));
@@ -132,13 +155,35 @@
         Err(StatusError::Silent) => {
             group.suspicion.borrow_mut().silent(since);
             let advice = group.suspicion.borrow().advice(now);
-            let server = leader.listed.borrow().id.clone();
             info!(group = %group.id, %server, ?advice, "leader: silent");
         }
     }
     group.probed.set(false);
 }
 
+/// How long a server has owed answers to the host that holds its connections; `None` where
+/// this host holds them itself, or that host says nothing.
+///
+/// Guards against hosts that take a long queue for a silent server: each of their questions
+/// takes a connection and a slot of a server that has none to spare.
+async fn told_by_holder(host: &Host, pool: &Pool) -> Option<Duration> {
+    let link = host.holder(pool)?;
+    let question = Question::Silence(pool.listed.borrow().id.clone());
+    match link.ask(question, HOLDER_WITHIN).await {
+        Ok(Answer::Silence(lasts)) => lasts,
+        _ => None,
+    }
+}
+
+/// How much later than the first hosts this one acts on a group's leader.
+fn turn(host: &Host, group: &Group) -> Duration {
+    let held = host.held.borrow();
+    let hosts: Vec<_> = held.view().members.keys().cloned().collect();
+    let order = rendezvous::order(group.id.as_str(), &hosts);
+    let rank = order.iter().position(|id| **id == host.settings.host);
+    suspicion::turn(rank.unwrap_or(hosts.len()))
+}
+
 /// Why a server has not told how it stands.
 pub enum StatusError {
     /// It answered, but has no capacity for the question.
@@ -228,8 +273,15 @@
     let before = host.held.borrow().leadership(&group.id).cloned();
     monoio::spawn(async move {
         // Hosts notice together; the first to write the intent makes the change.
-        let pause = rand::random_range(0..40);
-        monoio::time::sleep(Duration::from_millis(pause)).await;
+        let pause = turn(&host, &group) + Duration::from_millis(rand::random_range(0..40));
+        monoio::time::sleep(pause).await;
+        if host.held.borrow().leadership(&group.id).map(|row| row.version)
+            != before.as_ref().map(|row| row.version)
+        {
+            info!(group = %group.id, "leader: another host replaces it");
+            group.moved.set(false);
+            return;
+        }
         let change = Move::begin(&host, &group, before, from, planned).await;
         match change {
             Ok(Some(change)) => {
--- a/components/proxy/src/place.rs
+++ b/components/proxy/src/place.rs
@@ -11,7 +11,7 @@
     choice::{self, Candidate},
     evacuation::Placement,
 };
-use bergamottrack_model::{Access, Failure, Request, ServerAnswer, Session, Statement, session};
+use bergamottrack_model::{Access, Request, ServerAnswer, Session, Statement, session};
 use bergamottrack_peer::NotSent;
 use monoio::time::Instant;
 use tracing::info;
@@ -142,6 +142,15 @@
     places
 }
 
+/// How long all places would refuse a job; none if one may have room.
+pub fn congested(host: &Host, job: &Job, places: &[Place]) -> Option<Duration> {
+    let now = host.now();
+    let lasts =
+        |place: &Place| place.pool.congestion.borrow().lasts(job.priority, job.patience, now);
+    let waits: Option<Vec<_>> = places.iter().map(lasts).collect();
+    waits?.into_iter().min()
+}
+
 /// Whether the leader may run a job where it stands.
 fn leads_for(host: &Host, job: &Job, usage: &Use) -> bool {
     let pool = host.server(&usage.server);
@@ -186,12 +195,10 @@
     let mut health = pool.health.borrow_mut();
     match why {
         NotSent::Crowded(wait_ms) => {
-            return Refused {
-                failure: Failure::Busy,
-                retry: Some(Duration::from_millis(wait_ms.into())),
-                why: "too many statements wait for the server",
-                crowded: true,
-            };
+            let wait = Duration::from_millis(wait_ms.into());
+            let mut congestion = pool.congestion.borrow_mut();
+            congestion.refused(job.priority, job.patience, wait, host.now());
+            return Refused::crowded(wait);
         }
         NotSent::Dead => {
             health.fail(since);
@@ -262,6 +269,7 @@
     let now = host.now();
     match answer {
         Ok(answer) => {
+            pool.congestion.borrow_mut().served(job.priority, now);
             let took = now.saturating_duration_since(asked);
             pool.health.borrow_mut().end(Some(took), now);
             note(host, job, running, &pool, &answer, asked);
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -11,8 +11,10 @@
     AccountId, HostId,
     choice::Health,
     cold::{self, Warmth},
+    congestion::Congestion,
     connections::{self, Bounds, Role, Usage},
     gate::{Entry, Gate, Place},
+    silence::Silence,
 };
 use bergamottrack_model::{Failure, Listed};
 use monoio::time::Instant;
@@ -51,6 +53,10 @@
     pub listed: RefCell<Listed>,
     /// What its answers say of it.
     pub health: RefCell<Health>,
+    /// What the server owes on connections of this host, other hosts' statements included.
+    pub exchanges: RefCell<Silence>,
+    /// Whether the host that holds its connections has room for statements.
+    pub congestion: RefCell<Congestion>,
     /// Whether it has just started, and what it was sent since.
     pub warmth: RefCell<Warmth>,
     /// The limit while it is cold, and how far all hosts may exceed it.
@@ -112,6 +118,8 @@
         Rc::new(Self {
             listed: RefCell::new(listed),
             health: RefCell::default(),
+            exchanges: RefCell::default(),
+            congestion: RefCell::default(),
             warmth: RefCell::new(Warmth::new(now)),
             cold: Cell::default(),
             gate: RefCell::new(Gate::new(1)),
--- a/components/proxy/src/relay.rs
+++ b/components/proxy/src/relay.rs
@@ -156,7 +156,10 @@
         backend.out.extend_from_slice(&errand.line);
     }
     let asked = Instant::now();
-    let answer = monoio::time::timeout(errand.within(), backend.exchange()).await;
+    let pool = leased.pool().clone();
+    pool.exchanges.borrow_mut().begin(host.now());
+    let answer = monoio::time::timeout(errand.within(), leased.backend().exchange()).await;
+    pool.exchanges.borrow_mut().end(matches!(answer, Ok(Ok(_))), host.now());
     match answer {
         Ok(Ok(answer)) => {
             if let Some(permit) = permit {
