Idle connections are found by account; few are opened ahead where there are many accounts; silence needs two answers

The holder of a server's connections opens one ahead for each account, and looked through all idle ones for each account, each time: the cube of the accounts.

Change: idle connections are kept by account and by last use; at most 256 of a server are opened ahead. A silent leader is left to the host that holds its connections only with what was known of its silence forgotten, and replicas are shown to stand still by two answers, not by one.

The test of a silent leader now asks for a second answer of its replicas before it is replaced: one answer says nothing of what came after it; the probe asks twice, so it takes as long.

--- a/components/coordination/src/connections.rs
+++ b/components/coordination/src/connections.rs
@@ -22,6 +22,10 @@
 /// transactions and statements that are received together at one host.
 const LEAST_CAP: usize = 4;
 
+/// Connections of a server that are opened ahead of the first statement of their accounts.
+/// Where there are more accounts, most of them send little to each server.
+const AHEAD: usize = 256;
+
 /// How long a connection beyond those that are kept stays open unused: longer than a usual
 /// pause between two statements of an account.
 const UNUSED_FOR: Duration = Duration::from_millis(800);
@@ -99,7 +103,7 @@
     bounds: Bounds,
 ) -> Option<&AccountId> {
     let idle = usage.waiting == 0 && usage.running + 1 < slots.max(2);
-    if !idle || usage.open >= bounds.kept {
+    if !idle || usage.open >= bounds.kept.min(AHEAD) {
         return None;
     }
     accounts.iter().find(|account| !has_connection(account))
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod holders;
 pub mod homes;
 pub mod hubs;
+pub mod idle;
 pub mod ids;
 pub mod leadership;
 mod ledger;
--- a/components/coordination/src/suspicion.rs
+++ b/components/coordination/src/suspicion.rs
@@ -56,8 +56,8 @@
     refused: Option<Instant>,
     /// Since when it has not answered though asked.
     dark: Option<Instant>,
-    /// The furthest point a replica received, and since when.
-    received: Option<(Point, Instant)>,
+    /// The furthest point a replica received, when it was told first and when last.
+    received: Option<(Point, Instant, Instant)>,
 }
 
 /// What to do about a leader.
@@ -77,6 +77,11 @@
         *self = Self::default();
     }
 
+    /// Another host asks it: what this one knows of its silence grows old meanwhile.
+    pub fn left_to_another(&mut self) {
+        (self.dark, self.received) = (None, None);
+    }
+
     /// A connection to it was refused.
     pub fn refused(&mut self, now: Instant) {
         self.refused.get_or_insert(now);
@@ -89,9 +94,10 @@
 
     /// A replica told how far it has received.
     pub fn received(&mut self, point: Point, now: Instant) {
-        if self.received.is_none_or(|(last, _)| point > last) {
-            self.received = Some((point, now));
-        }
+        self.received = match self.received {
+            Some((last, since, _)) if point <= last => Some((last, since, now)),
+            _ => Some((point, now, now)),
+        };
     }
 
     /// What to do now.
@@ -105,7 +111,10 @@
             return Advice::Replace;
         }
         match self.received {
-            Some((_, since)) if for_long(since, STILL_FOR) => Advice::Replace,
+            // One answer alone does not show that nothing came after it.
+            Some((_, since, last)) if last.saturating_duration_since(since) >= STILL_FOR => {
+                Advice::Replace
+            }
             _ => Advice::AskReplicas,
         }
     }
--- a/components/coordination/tests/suspicion.rs
+++ b/components/coordination/tests/suspicion.rs
@@ -54,9 +54,23 @@
     suspicion.received(Point::new(1, 5), start);
     suspicion.received(Point::new(1, 5), start + 200 * MS);
     assert_eq!(suspicion.advice(start + 200 * MS), Advice::AskReplicas);
+    assert_eq!(suspicion.advice(start + STILL_FOR), Advice::AskReplicas, "nobody was asked since");
+    suspicion.received(Point::new(1, 5), start + STILL_FOR);
     assert_eq!(suspicion.advice(start + STILL_FOR), Advice::Replace);
 }
 
+/// Guards against a replacement by a single answer of the replicas, whatever came after it.
+#[test]
+fn one_answer_of_the_replicas_does_not_show_that_they_stand_still() {
+    let start = Instant::now();
+    let mut suspicion = Suspicion::default();
+    suspicion.silent(start);
+    suspicion.received(Point::new(1, 5), start);
+    assert_eq!(suspicion.advice(start + 3 * STILL_FOR), Advice::AskReplicas);
+    suspicion.received(Point::new(1, 6), start + 3 * STILL_FOR);
+    assert_eq!(suspicion.advice(start + 3 * STILL_FOR), Advice::AskReplicas);
+}
+
 /// Guards against a herd of questions to the servers of a silent leader, and against hosts
 /// that never act where the first ones are gone.
 #[test]
@@ -67,3 +81,17 @@
     assert!(turns.iter().filter(|turn| turn.is_zero()).count() <= 8);
     assert!(turns[299] < Duration::from_secs(1));
 }
+
+/// Guards against a replacement by what replicas told long ago, while another host asks.
+#[test]
+fn a_leader_left_to_another_host_is_not_judged_by_old_answers() {
+    let start = Instant::now();
+    let mut suspicion = Suspicion::default();
+    suspicion.silent(start);
+    suspicion.received(Point::new(1, 5), start);
+    suspicion.left_to_another();
+    assert_eq!(suspicion.advice(start + 2 * STILL_FOR), Advice::Keep);
+    suspicion.refused(start);
+    suspicion.left_to_another();
+    assert_eq!(suspicion.advice(start + 100 * MS), Advice::Replace, "refusals are no silence");
+}
--- a/components/proxy/src/lead.rs
+++ b/components/proxy/src/lead.rs
@@ -128,6 +128,7 @@
         }
         Some(lasts) if lasts < suspicion::LEFT_TO_HOLDER => {
             info!(group = %group.id, %server, silent_ms = lasts.as_millis() as u64, "leader: left to its holder");
+            group.suspicion.borrow_mut().left_to_another();
             group.probed.set(false);
             return;
         }
@@ -140,12 +141,20 @@
     let replicas = host.servers(&group.id);
     let replicas = replicas.iter().filter(|pool| !Rc::ptr_eq(pool, &leader));
     let replicas = replicas.filter(|pool| !placement::is_forbidden(&host, pool));
-    let asks = replicas.map(|pool| status(&host, pool, suspicion::PROBE_WITHIN));
-    let asks = async {
+    let replicas: Vec<_> = replicas.collect();
+    let ask = async || {
+        let asks = replicas.iter().map(|pool| status(&host, pool, suspicion::PROBE_WITHIN));
         for status in future::join_all(asks).await.into_iter().flatten() {
             group.suspicion.borrow_mut().received(status.received, host.now());
         }
     };
+    // Asked twice, so that the second answer shows whether they stand still.
+    let asks = async {
+        let again = monoio::time::Instant::now() + suspicion::STILL_FOR;
+        ask().await;
+        monoio::time::sleep_until(again).await;
+        ask().await;
+    };
     // At the same time: how long replicas stand still counts from the first answer.
     let (answer, ()) = monoio::join!(status(&host, &leader, suspicion::PROBE_WITHIN), asks);
     let now = host.now();
@@ -275,9 +284,8 @@
         // Hosts notice together; the first to write the intent makes the change.
         let pause = turn(&host, &group) + Duration::from_millis(rand::random_range(0..40));
         monoio::time::sleep(pause).await;
-        if host.held.borrow().leadership(&group.id).map(|row| row.version)
-            != before.as_ref().map(|row| row.version)
-        {
+        let version = host.held.borrow().leadership(&group.id).map(|row| row.version);
+        if version != before.as_ref().map(|row| row.version) {
             info!(group = %group.id, "leader: another host replaces it");
             group.moved.set(false);
             return;
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -14,6 +14,7 @@
     congestion::Congestion,
     connections::{self, Bounds, Role, Usage},
     gate::{Entry, Gate, Place},
+    idle::Idle,
     silence::Silence,
 };
 use bergamottrack_model::{Failure, Listed};
@@ -65,8 +66,8 @@
     gate: RefCell<Gate>,
     /// Whom to tell that they may go on, by their places at the gate.
     waiting: RefCell<HashMap<Place, oneshot::Sender<()>>>,
-    /// Connections that nobody uses and since when, the one used last at the end.
-    idle: RefCell<Vec<(Backend, Instant)>>,
+    /// Connections that nobody uses and since when.
+    idle: RefCell<Idle<(Backend, Instant)>>,
     /// Connections open or being opened, idle ones included; at most the cap of `bounds`.
     open: Cell<usize>,
     bounds: Cell<Bounds>,
@@ -236,7 +237,7 @@
 
     /// Whether a connection of the account waits.
     pub fn is_warm(&self, account: &AccountId) -> bool {
-        self.idle.borrow().iter().any(|(backend, _)| backend.account == *account)
+        self.idle.borrow().has(account)
     }
 
     /// Closes all idle connections, since one of the server's went silent.
@@ -286,7 +287,7 @@
         account: &AccountId,
         deadline: Instant,
     ) -> Result<Leased, NoConnection> {
-        let last = self.idle.borrow_mut().pop();
+        let last = self.idle.borrow_mut().pop_newest();
         if let Some((mut backend, _)) = last {
             if backend.is_quiet() {
                 return Ok(self.leased(backend));
@@ -355,9 +356,9 @@
         let Bounds { kept, unused_for, .. } = self.bounds.get();
         let mut idle = self.idle.borrow_mut();
         while self.open.get() > kept
-            && idle.first().is_some_and(|(_, since)| since.elapsed() > unused_for)
+            && idle.oldest().is_some_and(|(_, since)| since.elapsed() > unused_for)
         {
-            idle.remove(0);
+            idle.pop_oldest();
             self.open.set(self.open.get() - 1);
         }
     }
@@ -368,19 +369,13 @@
 
     fn take_idle(&self, account: &AccountId, values: &Values) -> Option<Backend> {
         let mut idle = self.idle.borrow_mut();
-        let own = idle.iter().enumerate().filter(|(_, (backend, _))| backend.account == *account);
-        let best = own.min_by_key(|(i, (backend, _))| {
-            (backend.carried.distance(values), std::cmp::Reverse(*i))
-        });
-        let best = best.map(|(i, _)| i)?;
-        Some(idle.remove(best).0)
+        let taken = idle.take(account, |(backend, _)| backend.carried.distance(values));
+        taken.map(|(backend, _)| backend)
     }
 
     /// Makes room for another account's connection.
     fn close_oldest(&self) {
-        let mut idle = self.idle.borrow_mut();
-        if !idle.is_empty() {
-            idle.remove(0);
+        if self.idle.borrow_mut().pop_oldest().is_some() {
             self.open.set(self.open.get() - 1);
         }
     }
@@ -431,7 +426,8 @@
             if self.pool.crowded().is_some() && !self.pool.is_holder() {
                 return;
             }
-            self.pool.idle.borrow_mut().push((backend, Instant::now()));
+            let account = backend.account.clone();
+            self.pool.idle.borrow_mut().push(account, (backend, Instant::now()));
             self.kept = true;
         }
     }
