Servers are kept by group, holders by members; few connections are opened ahead; reports are packed

Two fifths of the processor time went to comparing names: every host looks at every group ten times a second, each time through all servers, and at each change of the view it sorted all members for each server. Connections were opened ahead for 67 accounts of each server: 300 groups of three servers make the 60,271 openings that were counted before traffic began.

Change: servers are kept by group; holders are worked out only when members change, the strongest hosts once for each failure domain; databases are counted by homes only where there are any. A holder opens as many connections ahead as a server has slots, and one. The figures of an account take 24 bytes of a heartbeat at most, 31 before.

--- a/components/coordination/src/connections.rs
+++ b/components/coordination/src/connections.rs
@@ -22,10 +22,6 @@
 /// transactions and statements that are received together at one host.
 const LEAST_CAP: usize = 4;
 
-/// Connections of a server that are opened ahead of the first statement of their accounts.
-/// Where there are more accounts, most of them send little to each server.
-const AHEAD: usize = 256;
-
 /// How long a connection beyond those that are kept stays open unused: longer than a usual
 /// pause between two statements of an account.
 const UNUSED_FOR: Duration = Duration::from_millis(800);
@@ -53,6 +49,9 @@
     pub cap: usize,
     /// Connections that stay open though unused; never more than `cap`.
     pub kept: usize,
+    /// Connections that are opened ahead of the first statement of their accounts; at most
+    /// `kept`.
+    pub ahead: usize,
     /// How long one beyond `kept` stays open unused.
     pub unused_for: Duration,
 }
@@ -65,16 +64,19 @@
     match role {
         Role::Holder => {
             let cap = most.saturating_sub(QUESTIONS.min(headroom)).max(1);
-            Bounds { cap, kept: (most - headroom).min(cap), unused_for: UNUSED_FOR }
+            let kept = (most - headroom).min(cap);
+            // Not one for each account: a fleet may have more groups than its callers use.
+            let ahead = (slots + 1).min(kept);
+            Bounds { cap, kept, ahead, unused_for: UNUSED_FOR }
         }
         Role::Standby => {
             let cap = headroom.max(least);
-            Bounds { cap, kept: (share / 2).min(cap), unused_for: UNUSED_FOR }
+            Bounds { cap, kept: (share / 2).min(cap), ahead: 0, unused_for: UNUSED_FOR }
         }
         Role::Other => {
             let kept = share / 2;
             let unused_for = if kept == 0 { SCARCE_FOR } else { UNUSED_FOR };
-            Bounds { cap: share.max(least), kept, unused_for }
+            Bounds { cap: share.max(least), kept, ahead: 0, unused_for }
         }
     }
 }
@@ -103,7 +105,7 @@
     bounds: Bounds,
 ) -> Option<&AccountId> {
     let idle = usage.waiting == 0 && usage.running + 1 < slots.max(2);
-    if !idle || usage.open >= bounds.kept.min(AHEAD) {
+    if !idle || usage.open >= bounds.ahead {
         return None;
     }
     accounts.iter().find(|account| !has_connection(account))
--- a/components/coordination/src/holders.rs
+++ b/components/coordination/src/holders.rs
@@ -13,7 +13,12 @@
 //! it replaces the way to the server. Every host works the order out from the same view,
 //! without a message; two hosts that disagree for a moment only open connections twice.
 
-use crate::{FailureDomain, HostId, rendezvous, view::View};
+use xxhash_rust::xxh3;
+
+use crate::{
+    FailureDomain, HostId, rendezvous,
+    view::{Member, View},
+};
 
 /// Hosts of a failure domain that may hold its servers' connections, as one part of so
 /// many: the strongest half, since a holder carries the statements of other hosts.
@@ -23,8 +28,8 @@
 /// them can, a host connects to the server itself.
 const MOST: usize = 2;
 
-/// The hosts that hold the connections to a server of `domain`, best first.
-pub fn order(view: &View, server: &str, domain: &FailureDomain) -> Vec<HostId> {
+/// The hosts among which the holders of servers in `domain` are, strongest last.
+pub fn strongest(view: &View, domain: &FailureDomain) -> Vec<HostId> {
     let there = || view.members.iter().filter(|(_, member)| member.value.left.is_none());
     let near = there().filter(|(_, member)| member.value.domain == *domain);
     let mut hosts: Vec<_> = near.map(|(id, member)| (member.value.power, id)).collect();
@@ -35,6 +40,23 @@
     let enough = hosts.len().div_ceil(STRONGEST).max(MOST.min(hosts.len()));
     let least = hosts.iter().rev().nth(enough.saturating_sub(1)).map(|(power, _)| *power);
     let strong = hosts.into_iter().filter(|(power, _)| Some(*power) >= least);
-    let strong: Vec<HostId> = strong.map(|(_, id)| id.clone()).collect();
-    rendezvous::order(server, &strong).into_iter().take(MOST).cloned().collect()
+    strong.map(|(_, id)| id.clone()).collect()
+}
+
+/// The hosts of these that hold the connections to a server, best first.
+pub fn order(strongest: &[HostId], server: &str) -> Vec<HostId> {
+    rendezvous::order(server, strongest).into_iter().take(MOST).cloned().collect()
+}
+
+/// Tells views apart from which other holders may follow.
+pub fn stamp(view: &View) -> u64 {
+    let mut hash = xxh3::Xxh3::new();
+    for (id, member) in &view.members {
+        let Member { domain, power, left, .. } = &member.value;
+        hash.update(id.as_str().as_bytes());
+        hash.update(domain.as_str().as_bytes());
+        hash.update(&power.to_le_bytes());
+        hash.update(&[u8::from(left.is_some())]);
+    }
+    hash.digest()
 }
--- a/components/coordination/src/reports.rs
+++ b/components/coordination/src/reports.rs
@@ -25,24 +25,45 @@
 /// asked for there of late.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
 
-/// One account in a report. Reports are sent several times a second, so the names on the
-/// wire are short.
+/// One account in a report. Reports are sent several times a second and have hundreds of
+/// these, so they are sent as [`Packed`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(from = "Packed", into = "Packed")]
 pub struct Figures {
     /// The account.
-    #[serde(rename = "a")]
     pub account: AccountId,
     /// Requests asked for, a second.
-    #[serde(rename = "r")]
     pub rate: f32,
     /// Requests admitted since the process started.
-    #[serde(rename = "n")]
     pub admitted: u64,
     /// What the process believes is left in the account's bucket; none while it is new.
-    #[serde(rename = "l")]
     pub level: Option<f32>,
 }
 
+/// [`Figures`] without the names of their fields, and with numbers that fit in two bytes
+/// where their size allows it.
+type Packed = (AccountId, f32, u64, Option<f32>);
+
+/// The bits of a number that one of two bytes does not have.
+const LOW_BITS: u32 = 0x1FFF;
+
+/// The number with eleven significant bits, rounded towards zero.
+fn short(number: f32) -> f32 {
+    f32::from_bits(number.to_bits() & !LOW_BITS)
+}
+
+impl From<Packed> for Figures {
+    fn from((account, rate, admitted, level): Packed) -> Self {
+        Self { account, rate, admitted, level }
+    }
+}
+
+impl From<Figures> for Packed {
+    fn from(Figures { account, rate, admitted, level }: Figures) -> Self {
+        (account, short(rate), admitted, level.map(short))
+    }
+}
+
 /// A report of one process: all accounts that are asked for there.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Asked {
--- a/components/model/src/plan.rs
+++ b/components/model/src/plan.rs
@@ -76,6 +76,12 @@
 }
 
 impl Plan {
+    /// Whether any database or account is bound to homes.
+    pub fn has_homes(&self) -> bool {
+        let routes = self.routes.values().any(|route| !route.homes.is_anywhere());
+        routes || self.keys.values().any(|account| !account.homes.is_anywhere())
+    }
+
     /// Every account once.
     pub fn accounts(&self) -> impl Iterator<Item = &Rc<Account>> {
         let mut seen = HashSet::new();
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -11,7 +11,7 @@
 
 use bergamottrack_contract as contract;
 use bergamottrack_coordination::{
-    AccountId, Clock, GroupId, HostId, Revision, ServerId, StoreClock, connections,
+    AccountId, Clock, FailureDomain, GroupId, HostId, Revision, ServerId, StoreClock, connections,
     demand::Demand,
     evacuation::{Evacuations, Placement},
     freshness::{Bounds, Standing},
@@ -113,6 +113,13 @@
     pub heard: RefCell<HashMap<HostId, (Instant, Option<u64>)>>,
     /// Backend servers by name.
     pub pools: RefCell<HashMap<ServerId, Rc<Pool>>>,
+    /// The same by group, each group's in the order of their names; none until they are
+    /// asked for after a change of `pools`.
+    pub by_group: RefCell<Option<HashMap<GroupId, Vec<Rc<Pool>>>>>,
+    /// Stamp of the members by which the servers' holders were worked out.
+    pub holders_stamp: Cell<u64>,
+    /// Whether any database or account of the configuration has homes.
+    pub has_homes: Cell<bool>,
     /// Groups by name.
     pub groups: RefCell<HashMap<GroupId, Rc<Group>>>,
     /// The fleet and who leads.
@@ -135,6 +142,17 @@
     pub sessions: Cell<usize>,
 }
 
+fn grouped(pools: &HashMap<ServerId, Rc<Pool>>) -> HashMap<GroupId, Vec<Rc<Pool>>> {
+    let mut grouped: HashMap<GroupId, Vec<Rc<Pool>>> = HashMap::new();
+    for pool in pools.values() {
+        grouped.entry(pool.listed.borrow().group.clone()).or_default().push(pool.clone());
+    }
+    for servers in grouped.values_mut() {
+        servers.sort_by(|a, b| a.listed.borrow().id.cmp(&b.listed.borrow().id));
+    }
+    grouped
+}
+
 fn by_rate(plan: &Plan) -> Rc<[AccountId]> {
     let mut accounts: Vec<_> = plan.accounts().collect();
     accounts.sort_by(|a, b| b.rate.0.total_cmp(&a.rate.0).then_with(|| a.id.cmp(&b.id)));
@@ -177,6 +195,7 @@
         }
         drop(demand);
         *self.by_rate.borrow_mut() = by_rate(&plan);
+        self.has_homes.set(plan.has_homes());
         self.shelf.borrow_mut().add(plan.version, packed);
         *self.plan.borrow_mut() = Some(Rc::new(plan));
         self.refresh();
@@ -298,11 +317,9 @@
 
     /// The servers of a group.
     pub fn servers(&self, group: &GroupId) -> Vec<Rc<Pool>> {
-        let pools = self.pools.borrow();
-        let of_group = |pool: &&Rc<Pool>| pool.listed.borrow().group == *group;
-        let mut servers: Vec<_> = pools.values().filter(of_group).cloned().collect();
-        servers.sort_by(|a, b| a.listed.borrow().id.cmp(&b.listed.borrow().id));
-        servers
+        let mut by_group = self.by_group.borrow_mut();
+        let by_group = by_group.get_or_insert_with(|| grouped(&self.pools.borrow()));
+        by_group.get(group).cloned().unwrap_or_default()
     }
 
     /// The server of that name.
@@ -330,20 +347,17 @@
         let now = self.now();
         let hosts = self.held.borrow().view().members.len().max(1);
         let plan = self.plan();
+        self.order_holders();
         for pool in self.pools.borrow().values() {
             let group = pool.listed.borrow().group.clone();
             let limits = plan.as_ref().and_then(|plan| plan.groups.get(&group).copied());
-            let domain = pool.listed.borrow().domain.clone();
-            let id = pool.listed.borrow().id.clone();
-            let holders = holders::order(self.held.borrow().view(), id.as_str(), &domain);
             let shared = self.settings.has(Mechanism::SharedConnections);
-            let rank = holders.iter().position(|host| *host == self.settings.host);
+            let rank = pool.holders.borrow().iter().position(|host| *host == self.settings.host);
             let role = match rank.filter(|_| shared) {
                 Some(0) => connections::Role::Holder,
                 Some(_) => connections::Role::Standby,
                 None => connections::Role::Other,
             };
-            *pool.holders.borrow_mut() = holders;
             pool.set_bounds(limits.map_or(1, |limits| limits.connections), hosts, role);
             let cold = limits.and_then(|limits| limits.cold);
             pool.set_cold(cold, self.settings.cold);
@@ -363,6 +377,26 @@
         }
     }
 
+    /// Works out who holds the connections to each server, where that may have changed.
+    ///
+    /// Guards against a cost of hosts times servers for each change of a group's leader.
+    fn order_holders(&self) {
+        let held = self.held.borrow();
+        let members = holders::stamp(held.view());
+        let changed = self.holders_stamp.replace(members) != members;
+        let mut strongest: HashMap<FailureDomain, Vec<HostId>> = HashMap::new();
+        for pool in self.pools.borrow().values() {
+            if !changed && !pool.holders.borrow().is_empty() {
+                continue;
+            }
+            let listed = pool.listed.borrow();
+            let strong = strongest
+                .entry(listed.domain.clone())
+                .or_insert_with(|| holders::strongest(held.view(), &listed.domain));
+            *pool.holders.borrow_mut() = holders::order(strong, listed.id.as_str());
+        }
+    }
+
     /// The leader of a group by the view; where it has no say, the one server
     /// that lists itself as primary.
     fn listed_leader(&self, group: &GroupId) -> Option<ServerId> {
@@ -386,6 +420,13 @@
         self.missing.borrow_mut().remove(&listed.id);
         let mut pools = self.pools.borrow_mut();
         let now = self.now();
+        let known = pools.get(&listed.id).map(|pool| pool.listed.borrow().clone());
+        let moved =
+            |known: &Listed| (&known.group, &known.domain) != (&listed.group, &listed.domain);
+        if known.as_ref().is_none_or(moved) {
+            *self.by_group.borrow_mut() = None;
+            self.holders_stamp.set(0);
+        }
         match pools.get(&listed.id) {
             Some(pool) => {
                 let known = pool.listed.borrow().cold;
@@ -427,6 +468,7 @@
     /// Takes a server off the list.
     pub fn unlist(&self, id: &ServerId) {
         self.missing.borrow_mut().remove(id);
+        *self.by_group.borrow_mut() = None;
         if let Some(pool) = self.pools.borrow_mut().remove(id) {
             info!(server = %id, "servers: gone");
             pool.drop_idle();
--- a/components/proxy/src/lead.rs
+++ b/components/proxy/src/lead.rs
@@ -82,21 +82,8 @@
     let Some(pool) = host.server(&leader) else {
         return start(host, group, Some(leader), false, "the leader is gone from the list");
     };
-    let successors = placement::successors(host, &group.id);
-    let others = || successors.iter().filter(|other| !Rc::ptr_eq(other, &pool));
-    if others().next().is_some() {
-        if pool.listed.borrow().leaving {
-            return start(host, group, Some(leader), true, "the leader is leaving");
-        }
-        if placement::of(host, &pool) != Placement::Allowed {
-            let why = "the leader's failure domain is evacuated";
-            return start(host, group, Some(leader), true, why);
-        }
-        let most = others().map(|other| placement::served(host, other)).max();
-        if most > Some(placement::served(host, &pool)) {
-            let why = "another server may serve more databases by their homes";
-            return start(host, group, Some(leader), true, why);
-        }
+    if let Some(why) = misplaced(host, group, &pool) {
+        return start(host, group, Some(leader), true, why);
     }
     if placement::is_forbidden(host, &pool) {
         return;
@@ -116,6 +103,26 @@
     }
 }
 
+/// Why another server is to lead though the leader is well, if one may.
+fn misplaced(host: &Host, group: &Group, leader: &Rc<Pool>) -> Option<&'static str> {
+    let leaving = leader.listed.borrow().leaving;
+    let evacuated = placement::of(host, leader) != Placement::Allowed;
+    if !leaving && !evacuated && !host.has_homes.get() {
+        return None;
+    }
+    let mut others = placement::successors(host, &group.id);
+    others.retain(|other| !Rc::ptr_eq(other, leader));
+    let most = others.iter().map(|other| placement::served(host, other)).max()?;
+    if leaving {
+        return Some("the leader is leaving");
+    }
+    if evacuated {
+        return Some("the leader's failure domain is evacuated");
+    }
+    let more = most > placement::served(host, leader);
+    more.then_some("another server may serve more databases by their homes")
+}
+
 /// Asks a silent leader how it stands, and if it does not answer its replicas
 /// how far they have received.
 async fn probe(host: Rc<Host>, group: Rc<Group>, leader: Rc<Pool>, since: Instant) {
--- a/components/proxy/src/placement.rs
+++ b/components/proxy/src/placement.rs
@@ -52,9 +52,10 @@
     may_carry(host, &link.host, homes).then_some(link)
 }
 
-/// How many of the group's databases a server may serve by their homes.
+/// How many of the group's databases a server may serve by their homes; the same for all
+/// servers where none has any.
 pub fn served(host: &Host, pool: &Pool) -> usize {
-    let Some(plan) = host.plan() else { return 0 };
+    let Some(plan) = host.plan().filter(|_| host.has_homes.get()) else { return 0 };
     let listed = pool.listed.borrow();
     let routes = plan.routes.values().filter(|route| route.group == listed.group);
     homes::served(routes.map(|route| &route.homes), region(host, &listed.domain))
