--- a/components/coordination/src/choice.rs
+++ b/components/coordination/src/choice.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::{Point, silence::Silence};
+use crate::{Point, silence};
 
 /// How much a new answer moves the mean, as one part of so many.
 const MEAN_OVER: f64 = 8.0;
@@ -46,7 +46,7 @@
 #[derive(Clone, Debug)]
 pub struct Health {
     mean: f64,
-    silence: Silence,
+    silence: silence::Watch,
     failures: u32,
     ejected: Option<(Instant, Duration)>,
     /// A position that it lacked, until when it is passed over, and for how long.
@@ -57,7 +57,7 @@
     fn default() -> Self {
         Self {
             mean: FIRST_GUESS.as_secs_f64(),
-            silence: Silence::default(),
+            silence: silence::Watch::default(),
             failures: 0,
             ejected: None,
             lacked: None,
--- a/components/coordination/src/cold.rs
+++ b/components/coordination/src/cold.rs
@@ -12,7 +12,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{Rate, connections::Role};
+use crate::{connections, units};
 
 /// The window over which requests are counted; longer than the second for which the limit is
 /// stated by what a request's way to the server may vary.
@@ -32,7 +32,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
     /// Requests a second, over all hosts.
-    pub rate: Rate,
+    pub rate: units::Rate,
     /// How long a server is cold after it started.
     pub lasts: Duration,
 }
@@ -53,12 +53,12 @@
 }
 
 /// How many requests one host may send within [`WINDOW`].
-pub fn part(limit: Limit, tolerance: Tolerance, role: Role) -> usize {
+pub fn part(limit: Limit, tolerance: Tolerance, role: connections::Role) -> usize {
     let all = limit.rate.0 * tolerance.overage + tolerance.slack;
     let part = match role {
-        Role::Holder => HOLDER_PART,
-        Role::Standby => STANDBY_PART,
-        Role::Other => 0.0,
+        connections::Role::Holder => HOLDER_PART,
+        connections::Role::Standby => STANDBY_PART,
+        connections::Role::Other => 0.0,
     };
     (all * part) as usize
 }
--- a/components/coordination/src/congestion.rs
+++ b/components/coordination/src/congestion.rs
@@ -31,11 +31,11 @@
 
 /// What a host knows of the queue for one server, by the priority of statements.
 #[derive(Clone, Debug, Default)]
-pub struct Congestion {
+pub struct Memory {
     full: BTreeMap<u32, Full>,
 }
 
-impl Congestion {
+impl Memory {
     /// A statement that could wait for `patience` was refused: it would have waited for `wait`.
     pub fn refused(&mut self, priority: u32, patience: Duration, wait: Duration, now: Instant) {
         let known = self.full.get(&priority);
--- a/components/coordination/src/evacuation.rs
+++ b/components/coordination/src/evacuation.rs
@@ -13,7 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{FailureDomain, StoreClock};
+use crate::{ids, store_clock};
 
 /// The part of the bound in which work that only an evacuated server can run goes on. The
 /// rest is for statements that are queued or sent then.
@@ -43,7 +43,7 @@
 
 /// All evacuated failure domains as of one version of the store.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Evacuations {
+pub struct Set {
     /// The newest change of the store then; 0 before the first read.
     #[serde(rename = "v")]
     version: u64,
@@ -51,14 +51,14 @@
     #[serde(rename = "c")]
     clock: Duration,
     #[serde(rename = "d", default, skip_serializing_if = "BTreeMap::is_empty")]
-    domains: BTreeMap<FailureDomain, Evacuation>,
+    domains: BTreeMap<ids::FailureDomain, Evacuation>,
 }
 
 /// A row of the store: a failure domain and the change that evacuated it, or none where the
 /// evacuation was taken back.
-pub type Row = (FailureDomain, Option<u64>);
+pub type Row = (ids::FailureDomain, Option<u64>);
 
-impl Evacuations {
+impl Set {
     /// Whether they were read at least once.
     pub fn is_known(&self) -> bool {
         self.version > 0
@@ -70,7 +70,7 @@
     }
 
     /// The evacuated failure domains.
-    pub fn domains(&self) -> impl Iterator<Item = (&FailureDomain, &Evacuation)> {
+    pub fn domains(&self) -> impl Iterator<Item = (&ids::FailureDomain, &Evacuation)> {
         self.domains.iter()
     }
 
@@ -116,8 +116,8 @@
     /// complete within `bound`.
     pub fn placement(
         &self,
-        domain: &FailureDomain,
-        store: &StoreClock,
+        domain: &ids::FailureDomain,
+        store: &store_clock::StoreClock,
         bound: Duration,
         now: Instant,
     ) -> Placement {
--- a/components/coordination/src/homes.rs
+++ b/components/coordination/src/homes.rs
@@ -5,15 +5,15 @@
 
 use std::collections::BTreeSet;
 
-use crate::Region;
+use crate::ids;
 
 /// The regions in which requests may run: any, or just these.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Homes(Option<BTreeSet<Region>>);
+pub struct Homes(Option<BTreeSet<ids::Region>>);
 
 impl Homes {
     /// Just these regions; any where there are none.
-    pub fn new(regions: impl IntoIterator<Item = Region>) -> Self {
+    pub fn new(regions: impl IntoIterator<Item = ids::Region>) -> Self {
         let regions: BTreeSet<_> = regions.into_iter().collect();
         Self(Some(regions).filter(|regions| !regions.is_empty()))
     }
@@ -24,7 +24,7 @@
     }
 
     /// Whether requests may run in that region; an unknown one is no home.
-    pub fn allow(&self, region: Option<&Region>) -> bool {
+    pub fn allow(&self, region: Option<&ids::Region>) -> bool {
         let Some(regions) = &self.0 else { return true };
         region.is_some_and(|region| regions.contains(region))
     }
@@ -40,6 +40,9 @@
 }
 
 /// How many of a group's databases a server in that region may serve.
-pub fn served<'a>(databases: impl Iterator<Item = &'a Homes>, region: Option<&Region>) -> usize {
+pub fn served<'a>(
+    databases: impl Iterator<Item = &'a Homes>,
+    region: Option<&ids::Region>,
+) -> usize {
     databases.filter(|homes| homes.allow(region)).count()
 }
--- a/components/coordination/src/idle.rs
+++ b/components/coordination/src/idle.rs
@@ -6,27 +6,27 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use crate::AccountId;
+use crate::ids;
 
 /// Connections that nobody uses.
 #[derive(Debug)]
-pub struct Idle<T> {
+pub struct Connections<T> {
     /// By the order in which they were put, the one used last at the end.
-    all: BTreeMap<u64, (AccountId, T)>,
+    all: BTreeMap<u64, (ids::AccountId, T)>,
     /// The keys in `all` of each account's connections; no account has none.
-    owned: HashMap<AccountId, BTreeSet<u64>>,
+    owned: HashMap<ids::AccountId, BTreeSet<u64>>,
     next: u64,
 }
 
-impl<T> Default for Idle<T> {
+impl<T> Default for Connections<T> {
     fn default() -> Self {
         Self { all: BTreeMap::new(), owned: HashMap::new(), next: 0 }
     }
 }
 
-impl<T> Idle<T> {
+impl<T> Connections<T> {
     /// Puts a connection that was just used.
-    pub fn push(&mut self, account: AccountId, connection: T) {
+    pub fn push(&mut self, account: ids::AccountId, connection: T) {
         self.owned.entry(account.clone()).or_default().insert(self.next);
         self.all.insert(self.next, (account, connection));
         self.next += 1;
@@ -43,12 +43,12 @@
     }
 
     /// Whether the account has one.
-    pub fn has(&self, account: &AccountId) -> bool {
+    pub fn has(&self, account: &ids::AccountId) -> bool {
         self.owned.contains_key(account)
     }
 
     /// Takes the account's connection with the least `cost`, among equals the one used last.
-    pub fn take(&mut self, account: &AccountId, cost: impl Fn(&T) -> usize) -> Option<T> {
+    pub fn take(&mut self, account: &ids::AccountId, cost: impl Fn(&T) -> usize) -> Option<T> {
         let owned = self.owned.get(account)?.iter().rev();
         let key = *owned.min_by_key(|key| self.all.get(*key).map(|(_, of)| cost(of)))?;
         self.remove(key)
--- a/components/coordination/src/silence.rs
+++ b/components/coordination/src/silence.rs
@@ -2,9 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-/// What a server owes.
+/// The answers that a server owes.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Silence {
+pub struct Watch {
     /// Requests sent and not answered.
     running: usize,
     /// When the server last answered while something ran there, or when the first of what
@@ -12,7 +12,7 @@
     since: Option<Instant>,
 }
 
-impl Silence {
+impl Watch {
     /// A request is sent.
     pub fn begin(&mut self, now: Instant) {
         self.running += 1;
--- a/components/coordination/tests/cold.rs
+++ b/components/coordination/tests/cold.rs
@@ -2,16 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use bergamottrack_coordination::{
-    Rate,
-    cold::{self, Limit, Tolerance, WINDOW, Warmth},
-    connections::Role,
-};
+use bergamottrack_coordination::{cold, connections, units};
 
-const TOLERANCE: Tolerance = Tolerance { overage: 1.5, slack: 5.0 };
+const TOLERANCE: cold::Tolerance = cold::Tolerance { overage: 1.5, slack: 5.0 };
 
-fn limit(per_sec: f64) -> Limit {
-    Limit { rate: Rate(per_sec), lasts: Duration::from_secs(6) }
+fn limit(per_sec: f64) -> cold::Limit {
+    cold::Limit { rate: units::Rate(per_sec), lasts: Duration::from_secs(6) }
 }
 
 /// Guards against a sum over all hosts beyond the limit while two hosts hold a server's
@@ -20,12 +16,12 @@
 fn all_parts_together_stay_within_the_limit() {
     for per_sec in [0.0, 1.0, 2.0, 5.0, 20.0, 200.0] {
         let part = |role| cold::part(limit(per_sec), TOLERANCE, role);
-        let all = 2 * part(Role::Holder) + 2 * part(Role::Standby);
-        let others = part(Role::Other);
+        let all = 2 * part(connections::Role::Holder) + 2 * part(connections::Role::Standby);
+        let others = part(connections::Role::Other);
         assert!(all as f64 <= per_sec * 1.5 + 5.0, "{all} of {per_sec}");
         assert_eq!(others, 0);
     }
-    assert!(cold::part(limit(2.0), TOLERANCE, Role::Holder) >= 2);
+    assert!(cold::part(limit(2.0), TOLERANCE, connections::Role::Holder) >= 2);
 }
 
 /// Guards against more requests within any window than a host's part, and against a host
@@ -33,11 +29,11 @@
 #[test]
 fn a_window_holds_no_more_than_the_part() {
     let began = Instant::now();
-    let mut warmth = Warmth::new(began);
-    assert_eq!(warmth.take(4, began), Err(WINDOW));
+    let mut warmth = cold::Warmth::new(began);
+    assert_eq!(warmth.take(4, began), Err(cold::WINDOW));
     let mut taken = Vec::new();
     for ms in (0..5000).step_by(7) {
-        let now = began + WINDOW + Duration::from_millis(ms);
+        let now = began + cold::WINDOW + Duration::from_millis(ms);
         match warmth.take(4, now) {
             Ok(()) => taken.push(now),
             Err(wait) => assert!(warmth.clone().take(4, now + wait).is_ok(), "told too early"),
@@ -45,9 +41,9 @@
     }
     assert!(taken.len() >= 16);
     for window in taken.windows(5) {
-        assert!(window[4] - window[0] >= WINDOW);
+        assert!(window[4] - window[0] >= cold::WINDOW);
     }
-    assert_eq!(warmth.take(0, began + 9 * WINDOW), Err(WINDOW));
+    assert_eq!(warmth.take(0, began + 9 * cold::WINDOW), Err(cold::WINDOW));
 }
 
 /// Guards against a herd at a server that crashed and started again before it said so.
@@ -55,7 +51,7 @@
 fn a_server_that_may_have_started_again_counts_as_cold() {
     let now = Instant::now();
     let at = |secs| now + Duration::from_secs(secs);
-    let mut warmth = Warmth::new(now);
+    let mut warmth = cold::Warmth::new(now);
     warmth.refused(None, now);
     warmth.lost(None, now);
     assert!(!warmth.is_cold(now), "where no limit is stated none is cold");
--- a/components/coordination/tests/congestion.rs
+++ b/components/coordination/tests/congestion.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bergamottrack_coordination::{
-    congestion::Congestion,
+    congestion,
     gate::{Entry, Gate, Place},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -26,7 +26,7 @@
     let mut random = StdRng::seed_from_u64(3);
     let mut gate = Gate::new(SLOTS);
     gate.set_bounds(SLOTS, SLOTS);
-    let mut congestion = vec![Congestion::default(); hosts];
+    let mut memory = vec![congestion::Memory::default(); hosts];
     let mut running: Vec<(Instant, usize)> = Vec::new();
     let mut waiting: Vec<(Place, usize)> = Vec::new();
     let (start, mut seen) = (Instant::now(), Seen::default());
@@ -36,7 +36,7 @@
         running.retain(|(end, _)| *end > now);
         for (_, host) in done {
             gate.end(Some(Duration::from_millis(WORK_MS)));
-            congestion[host].served(1, now);
+            memory[host].served(1, now);
             seen.served += 1;
         }
         while let Some(place) = gate.next(now) {
@@ -45,7 +45,7 @@
             running.push((now + WORK_MS as u32 * MS, host));
         }
         for host in (0..hosts).filter(|_| random.random_bool(each / 1000.0)).collect::<Vec<_>>() {
-            if congestion[host].lasts(1, PATIENCE, now).is_some() {
+            if memory[host].lasts(1, PATIENCE, now).is_some() {
                 seen.refused += 1;
                 continue;
             }
@@ -54,7 +54,7 @@
                 Entry::Go => running.push((now + WORK_MS as u32 * MS, host)),
                 Entry::Wait(place) => waiting.push((place, host)),
                 Entry::Refused(wait) => {
-                    congestion[host].refused(1, PATIENCE, wait, now);
+                    memory[host].refused(1, PATIENCE, wait, now);
                     seen.refused += 1;
                 }
             }
@@ -89,16 +89,16 @@
 #[test]
 fn a_refusal_speaks_for_no_more_than_its_kind() {
     let now = Instant::now();
-    let mut congestion = Congestion::default();
-    congestion.refused(2, PATIENCE, PATIENCE + 50 * MS, now);
-    assert_eq!(congestion.lasts(2, PATIENCE, now), Some(50 * MS));
-    assert_eq!(congestion.lasts(2, PATIENCE - MS, now), Some(50 * MS));
-    assert!(congestion.lasts(3, PATIENCE, now).is_some(), "what is less urgent waits longer");
-    assert_eq!(congestion.lasts(1, PATIENCE, now), None);
-    assert_eq!(congestion.lasts(2, PATIENCE + MS, now), None);
-    assert_eq!(congestion.lasts(2, PATIENCE, now + 50 * MS), None);
-    congestion.served(1, now);
-    assert!(congestion.lasts(2, PATIENCE, now).is_some());
-    congestion.served(2, now);
-    assert_eq!(congestion.lasts(2, PATIENCE, now), None);
+    let mut memory = congestion::Memory::default();
+    memory.refused(2, PATIENCE, PATIENCE + 50 * MS, now);
+    assert_eq!(memory.lasts(2, PATIENCE, now), Some(50 * MS));
+    assert_eq!(memory.lasts(2, PATIENCE - MS, now), Some(50 * MS));
+    assert!(memory.lasts(3, PATIENCE, now).is_some(), "what is less urgent waits longer");
+    assert_eq!(memory.lasts(1, PATIENCE, now), None);
+    assert_eq!(memory.lasts(2, PATIENCE + MS, now), None);
+    assert_eq!(memory.lasts(2, PATIENCE, now + 50 * MS), None);
+    memory.served(1, now);
+    assert!(memory.lasts(2, PATIENCE, now).is_some());
+    memory.served(2, now);
+    assert_eq!(memory.lasts(2, PATIENCE, now), None);
 }
--- a/components/coordination/tests/evacuation.rs
+++ b/components/coordination/tests/evacuation.rs
@@ -2,14 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use bergamottrack_coordination::{
-    FailureDomain, StoreClock,
-    evacuation::{Evacuations, Placement},
-};
+use bergamottrack_coordination::{evacuation, ids, store_clock};
 
 const BOUND: Duration = Duration::from_secs(5);
 
-fn domain(name: &str) -> FailureDomain {
+fn domain(name: &str) -> ids::FailureDomain {
     name.parse().unwrap()
 }
 
@@ -18,15 +15,15 @@
 }
 
 /// The names of the evacuated domains.
-fn names(known: &Evacuations) -> Vec<String> {
+fn names(known: &evacuation::Set) -> Vec<String> {
     known.domains().map(|(domain, _)| domain.to_string()).collect()
 }
 
 /// A host that read an empty set at the store's time 100 s, which was `now` here.
-fn known(now: Instant) -> (Evacuations, StoreClock) {
-    let mut store = StoreClock::default();
+fn known(now: Instant) -> (evacuation::Set, store_clock::StoreClock) {
+    let mut store = store_clock::StoreClock::default();
     store.note(now, secs(100));
-    let mut known = Evacuations::default();
+    let mut known = evacuation::Set::default();
     known.read(&[], true, 1, secs(100));
     (known, store)
 }
@@ -39,24 +36,24 @@
     known.read(&[(domain("a"), Some(2))], false, 2, secs(102));
     let at = |ms| known.placement(&domain("a"), &store, BOUND, now + Duration::from_millis(ms));
     // It may have been evacuated just after the read before, at 100 s.
-    assert_eq!(at(2000), Placement::Ending);
-    assert_eq!(at(2600), Placement::Forbidden);
+    assert_eq!(at(2000), evacuation::Placement::Ending);
+    assert_eq!(at(2600), evacuation::Placement::Forbidden);
     let other = known.placement(&domain("b"), &store, BOUND, now + secs(9));
-    assert_eq!(other, Placement::Allowed);
+    assert_eq!(other, evacuation::Placement::Allowed);
 }
 
 /// Guards against a host that starts during an evacuation and counts its bound from then.
 #[test]
 fn an_evacuation_of_unknown_age_is_complete() {
     let now = Instant::now();
-    let mut store = StoreClock::default();
+    let mut store = store_clock::StoreClock::default();
     store.note(now, secs(100));
-    let mut known = Evacuations::default();
+    let mut known = evacuation::Set::default();
     assert!(!known.is_known());
     known.read(&[(domain("a"), Some(2))], true, 7, secs(100));
     assert!(known.is_known());
     let placement = known.placement(&domain("a"), &store, BOUND, now);
-    assert_eq!(placement, Placement::Forbidden);
+    assert_eq!(placement, evacuation::Placement::Forbidden);
 }
 
 /// Guards against an evacuation that was taken back and stays in force, and the reverse:
@@ -71,12 +68,12 @@
     assert_eq!(names(&known), ["b"]);
     // A whole read of the same row does not make the evacuation younger.
     let placement = known.placement(&domain("b"), &store, BOUND, now + secs(3));
-    assert_eq!(placement, Placement::Forbidden);
+    assert_eq!(placement, evacuation::Placement::Forbidden);
     known.read(&[(domain("b"), None)], false, 10, secs(104));
     assert!(names(&known).is_empty());
     known.read(&[(domain("b"), Some(11))], false, 11, secs(105));
     let placement = known.placement(&domain("b"), &store, BOUND, now + secs(5));
-    assert_eq!(placement, Placement::Ending);
+    assert_eq!(placement, evacuation::Placement::Ending);
 }
 
 /// Guards against an answer that was under way for long and takes newer knowledge back.
@@ -108,10 +105,10 @@
     near.read(&[], false, 4, secs(106));
     reader.read(&[(domain("c"), Some(8))], false, 8, secs(107));
     near.adopt(&reader);
-    let after = |known: &Evacuations| {
+    let after = |known: &evacuation::Set| {
         known.domains().find(|(of, _)| **of == domain("c")).map(|(_, known)| known.after)
     };
     assert_eq!((after(&reader), after(&near)), (Some(secs(104)), Some(secs(106))));
     let placement = near.placement(&domain("c"), &store, BOUND, now + secs(7));
-    assert_eq!(placement, Placement::Ending);
+    assert_eq!(placement, evacuation::Placement::Ending);
 }
--- a/components/coordination/tests/homes.rs
+++ b/components/coordination/tests/homes.rs
@@ -1,16 +1,13 @@
 //! Regions in which requests may run.
 
-use bergamottrack_coordination::{
-    Region,
-    homes::{self, Homes},
-};
+use bergamottrack_coordination::{homes, ids};
 
-fn region(name: &str) -> Region {
+fn region(name: &str) -> ids::Region {
     name.parse().unwrap()
 }
 
-fn of(names: &[&str]) -> Homes {
-    Homes::new(names.iter().map(|name| region(name)))
+fn of(names: &[&str]) -> homes::Homes {
+    homes::Homes::new(names.iter().map(|name| region(name)))
 }
 
 /// Guards against a statement that leaves the homes of its database or its account.
@@ -39,7 +36,7 @@
 #[test]
 fn a_server_at_home_serves_more_databases() {
     let databases = [of(&[]), of(&["west"]), of(&["west", "east"])];
-    let served = |region: Option<&Region>| homes::served(databases.iter(), region);
+    let served = |region: Option<&ids::Region>| homes::served(databases.iter(), region);
     let (west, east) = (region("west"), region("east"));
     assert_eq!((served(Some(&west)), served(Some(&east)), served(None)), (3, 2, 1));
 }
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -9,8 +9,7 @@
     ServerId,
     bucket::LoanNo,
     changes::Changes,
-    demand,
-    evacuation::Evacuations,
+    demand, evacuation,
     freshness::Vouch,
     outcome::Outcome,
     pieces,
@@ -249,7 +248,7 @@
     pub majority: bool,
     /// Evacuated failure domains, once it knows them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub evacuations: Option<Evacuations>,
+    pub evacuations: Option<evacuation::Set>,
     /// Positions of leaders; in a question those that the sender saw itself since its last
     /// one, in an answer the newest that it knows.
     pub seen: Vec<Seen>,
@@ -311,7 +310,7 @@
     pub servers: Option<Vec<Listed>>,
     /// Evacuated failure domains, once it knows them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub evacuations: Option<Evacuations>,
+    pub evacuations: Option<evacuation::Set>,
 }
 
 /// The first message each way.
--- a/components/proxy/src/change.rs
+++ b/components/proxy/src/change.rs
@@ -14,7 +14,7 @@
 use bergamottrack_coordination::{
     GroupId, HostId, Point, ServerId, Term,
     duty::{self, CALL_BY, CALL_WITHIN},
-    evacuation::Placement,
+    evacuation,
     succession::{self, Next, Order, Standing, Terms},
     suspicion,
     view::{Leadership, Release, TURN, Versioned, View},
@@ -158,7 +158,7 @@
             monoio::time::sleep(BACK_EVERY).await;
             let Some(from) = self.from.as_ref().filter(|_| !self.planned) else { continue };
             let Some(pool) = host.server(from) else { continue };
-            if placement::of(host, &pool) != Placement::Allowed {
+            if placement::of(host, &pool) != evacuation::Placement::Allowed {
                 continue;
             }
             if let Ok(status) = lead::status(host, &pool, suspicion::PROBE_WITHIN).await
@@ -390,7 +390,7 @@
         id: listed.id.clone(),
         leads: status.role == Role::Primary,
         leaving: listed.leaving,
-        evacuated: placement::of(host, pool) != Placement::Allowed,
+        evacuated: placement::of(host, pool) != evacuation::Placement::Allowed,
         served: placement::served(host, pool),
         cold: pool.is_cold(host.now()),
         term: status.term,
--- a/components/proxy/src/confirm.rs
+++ b/components/proxy/src/confirm.rs
@@ -11,7 +11,7 @@
 use bergamottrack_coordination::{
     Point, ServerId,
     confirm::{CONFIRM_WITHIN, Confirm, Heard, Verdict},
-    evacuation::Placement,
+    evacuation,
 };
 use bergamottrack_model::{Role, ServerAnswer};
 use bergamottrack_peer::NotSent;
@@ -109,7 +109,8 @@
 fn replicas(host: &Host, group: &Group) -> Vec<(ServerId, Rc<Pool>)> {
     let leader = group.leader();
     let servers = host.servers(&group.id).into_iter();
-    let servers = servers.filter(|pool| placement::of(host, pool) == Placement::Allowed);
+    let servers =
+        servers.filter(|pool| placement::of(host, pool) == evacuation::Placement::Allowed);
     let named = servers.map(|pool| (pool.listed.borrow().id.clone(), pool.clone()));
     let mut replicas: Vec<_> = named.filter(|(id, _)| Some(id) != leader.as_ref()).collect();
     replicas.sort_by_key(|(_, pool)| {
--- a/components/proxy/src/gossip.rs
+++ b/components/proxy/src/gossip.rs
@@ -6,9 +6,7 @@
 };
 
 use bergamottrack_coordination::{
-    FailureDomain, GroupId, HostId,
-    evacuation::Evacuations,
-    freshness,
+    FailureDomain, GroupId, HostId, evacuation, freshness,
     view::{Leadership, Versioned},
 };
 use bergamottrack_peer::{
@@ -115,7 +113,7 @@
     }
 }
 
-fn evacuations(host: &Host) -> Option<Evacuations> {
+fn evacuations(host: &Host) -> Option<evacuation::Set> {
     let known = host.evacuations.borrow();
     known.is_known().then(|| known.clone())
 }
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -13,7 +13,7 @@
 use bergamottrack_coordination::{
     AccountId, Clock, FailureDomain, GroupId, HostId, Revision, ServerId, StoreClock, connections,
     demand::Demand,
-    evacuation::{Evacuations, Placement},
+    evacuation,
     freshness::{Bounds, Standing},
     holders,
     hubs::Neighbours,
@@ -98,7 +98,7 @@
     /// The store's clock when the list of servers was the newest for certain.
     pub servers_clock: Cell<Duration>,
     /// Evacuated failure domains.
-    pub evacuations: RefCell<Evacuations>,
+    pub evacuations: RefCell<evacuation::Set>,
     /// Servers whose entry has disappeared, and a number for each time it did.
     pub missing: RefCell<HashMap<ServerId, u64>>,
     /// Stamp of the list of servers.
@@ -483,7 +483,7 @@
             let serving = *self.phase.borrow() == Phase::Serving;
             for pool in self.pools.borrow().values() {
                 pool.trim();
-                let allowed = placement::of(&self, pool) == Placement::Allowed;
+                let allowed = placement::of(&self, pool) == evacuation::Placement::Allowed;
                 if serving && allowed && !pool.is_cold(self.now()) {
                     pool.open_ahead(&accounts);
                 }
--- a/components/proxy/src/job.rs
+++ b/components/proxy/src/job.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bergamottrack_adapter::wire;
-use bergamottrack_coordination::{AccountId, Fate, Point, homes::Homes};
+use bergamottrack_coordination::{AccountId, Fate, Point, homes};
 use bergamottrack_model::{
     Access, Currency, Failure, Request, ServerAnswer, Session, State, Statement, statement::Shape,
 };
@@ -58,7 +58,7 @@
     /// What it may do.
     pub access: Access,
     /// Where it may run.
-    pub homes: Homes,
+    pub homes: homes::Homes,
     /// How far the session has written in the group.
     pub floor: Option<Point>,
     /// When it must be done.
--- a/components/proxy/src/lead.rs
+++ b/components/proxy/src/lead.rs
@@ -8,9 +8,7 @@
 
 use bergamottrack_adapter::wire;
 use bergamottrack_coordination::{
-    AccountId, HostId, ServerId,
-    evacuation::Placement,
-    rendezvous,
+    AccountId, HostId, ServerId, evacuation, rendezvous,
     suspicion::{self, Advice},
     view::{Leadership, TURN, TURN_MARGIN},
 };
@@ -106,7 +104,7 @@
 /// Why another server is to lead though the leader is well, if one may.
 fn misplaced(host: &Host, group: &Group, leader: &Rc<Pool>) -> Option<&'static str> {
     let leaving = leader.listed.borrow().leaving;
-    let evacuated = placement::of(host, leader) != Placement::Allowed;
+    let evacuated = placement::of(host, leader) != evacuation::Placement::Allowed;
     if !leaving && !evacuated && !host.has_homes.get() {
         return None;
     }
--- a/components/proxy/src/place.rs
+++ b/components/proxy/src/place.rs
@@ -9,7 +9,7 @@
 use bergamottrack_coordination::{
     Point, ServerId,
     choice::{self, Candidate},
-    evacuation::Placement,
+    evacuation,
 };
 use bergamottrack_model::{Access, Request, ServerAnswer, Session, Statement, session};
 use bergamottrack_peer::NotSent;
@@ -95,7 +95,7 @@
     let leads = leader.as_ref().map(|usage| usage.server.clone());
     let mut servers = host.servers(&job.group.id);
     servers.retain(|pool| {
-        let fits = placement::of(host, pool) == Placement::Allowed;
+        let fits = placement::of(host, pool) == evacuation::Placement::Allowed;
         fits && placement::is_home(host, pool, &job.homes)
     });
     let health: Vec<_> = servers.iter().map(|pool| pool.health.borrow()).collect();
--- a/components/proxy/src/placement.rs
+++ b/components/proxy/src/placement.rs
@@ -1,42 +1,37 @@
 //! Where statements may run: evacuated failure domains, homes of databases and accounts.
 
-use std::{collections::BTreeSet, rc::Rc};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
-use bergamottrack_coordination::{
-    FailureDomain, GroupId, HostId, Region,
-    evacuation::{Evacuations, Placement, Row},
-    homes::{self, Homes},
-};
-use bergamottrack_model::Access;
-use bergamottrack_peer::Link;
-use std::time::Duration;
+use bergamottrack_coordination::{evacuation, homes, ids};
+use bergamottrack_model::statement;
+use bergamottrack_peer::link;
 use tracing::info;
 
-use crate::{host::Host, job::Job, pool::Pool};
+use crate::{host, job, pool};
 
 /// What may run at a server now.
-pub fn of(host: &Host, pool: &Pool) -> Placement {
+pub fn of(host: &host::Host, pool: &pool::Pool) -> evacuation::Placement {
     let domain = pool.listed.borrow().domain.clone();
     let (store, bound) = (host.store_clock.borrow(), host.settings.evacuate);
     host.evacuations.borrow().placement(&domain, &store, bound, host.now())
 }
 
 /// Whether nothing at all may be sent to a server.
-pub fn is_forbidden(host: &Host, pool: &Pool) -> bool {
-    of(host, pool) == Placement::Forbidden
+pub fn is_forbidden(host: &host::Host, pool: &pool::Pool) -> bool {
+    of(host, pool) == evacuation::Placement::Forbidden
 }
 
-fn region<'a>(host: &'a Host, domain: &FailureDomain) -> Option<&'a Region> {
+fn region<'a>(host: &'a host::Host, domain: &ids::FailureDomain) -> Option<&'a ids::Region> {
     host.settings.regions.get(domain)
 }
 
 /// Whether a server stands in one of the homes.
-pub fn is_home(host: &Host, pool: &Pool, homes: &Homes) -> bool {
+pub fn is_home(host: &host::Host, pool: &pool::Pool, homes: &homes::Homes) -> bool {
     homes.allow(region(host, &pool.listed.borrow().domain))
 }
 
 /// Whether another host may be sent statements with these homes.
-pub fn may_carry(host: &Host, carrier: &HostId, homes: &Homes) -> bool {
+pub fn may_carry(host: &host::Host, carrier: &ids::HostId, homes: &homes::Homes) -> bool {
     if homes.is_anywhere() {
         return true;
     }
@@ -47,14 +42,18 @@
 
 /// The link to the host that holds a server's connections, if statements with these homes
 /// may go through it.
-pub async fn carrier(host: &Host, pool: &Pool, homes: &Homes) -> Option<Rc<Link>> {
+pub async fn carrier(
+    host: &host::Host,
+    pool: &pool::Pool,
+    homes: &homes::Homes,
+) -> Option<Rc<link::Link>> {
     let link = host.settled_holder(pool).await?;
     may_carry(host, &link.host, homes).then_some(link)
 }
 
 /// How many of the group's databases a server may serve by their homes; the same for all
 /// servers where none has any.
-pub fn served(host: &Host, pool: &Pool) -> usize {
+pub fn served(host: &host::Host, pool: &pool::Pool) -> usize {
     let Some(plan) = host.plan().filter(|_| host.has_homes.get()) else { return 0 };
     let listed = pool.listed.borrow();
     let routes = plan.routes.values().filter(|route| route.group == listed.group);
@@ -62,15 +61,16 @@
 }
 
 /// Servers of a group that could lead it next.
-pub fn successors(host: &Host, group: &GroupId) -> Vec<Rc<Pool>> {
-    let fit =
-        |pool: &Rc<Pool>| !pool.listed.borrow().leaving && of(host, pool) == Placement::Allowed;
+pub fn successors(host: &host::Host, group: &ids::GroupId) -> Vec<Rc<pool::Pool>> {
+    let fit = |pool: &Rc<pool::Pool>| {
+        !pool.listed.borrow().leaving && of(host, pool) == evacuation::Placement::Allowed
+    };
     host.servers(group).into_iter().filter(fit).collect()
 }
 
 /// Why no server may run a job for as long as placements stay as they are; `None` where one
 /// may, or where the leader is about to be replaced by one that may.
-pub fn barred(host: &Host, job: &Job) -> Option<&'static str> {
+pub fn barred(host: &host::Host, job: &job::Job) -> Option<&'static str> {
     let servers = host.servers(&job.group.id);
     if servers.is_empty() {
         return None;
@@ -78,7 +78,7 @@
     if !servers.iter().any(|pool| !is_forbidden(host, pool)) {
         return Some("all servers of the group are in evacuated failure domains");
     }
-    let homes = |pool: &Rc<Pool>| is_home(host, pool, &job.homes);
+    let homes = |pool: &Rc<pool::Pool>| is_home(host, pool, &job.homes);
     if !servers.iter().any(homes) {
         return Some("no server of the group stands in a home of the database and account");
     }
@@ -86,7 +86,7 @@
         return Some("all servers in homes are in evacuated failure domains");
     }
     let leader = job.group.leader().and_then(|leader| host.server(&leader))?;
-    if job.access == Access::Read || successors(host, &job.group.id).iter().any(homes) {
+    if job.access == statement::Access::Read || successors(host, &job.group.id).iter().any(homes) {
         return None;
     }
     if is_forbidden(host, &leader) {
@@ -96,22 +96,28 @@
 }
 
 /// Takes rows of the store about evacuated failure domains.
-pub fn read(host: &Host, rows: &[Row], whole: bool, version: u64, clock: Duration) {
+pub fn read(
+    host: &host::Host,
+    rows: &[evacuation::Row],
+    whole: bool,
+    version: u64,
+    clock: Duration,
+) {
     let before = host.evacuations.borrow().clone();
     host.evacuations.borrow_mut().read(rows, whole, version, clock);
     note(host, &before, None);
 }
 
 /// Takes what another host knows of them.
-pub fn adopt(host: &Host, from: &HostId, told: &Evacuations) {
+pub fn adopt(host: &host::Host, from: &ids::HostId, told: &evacuation::Set) {
     let before = host.evacuations.borrow().clone();
     host.evacuations.borrow_mut().adopt(told);
     note(host, &before, Some(from));
 }
 
-fn note(host: &Host, before: &Evacuations, from: Option<&HostId>) {
+fn note(host: &host::Host, before: &evacuation::Set, from: Option<&ids::HostId>) {
     let after = host.evacuations.borrow();
-    let names = |of: &Evacuations| -> BTreeSet<(FailureDomain, u64)> {
+    let names = |of: &evacuation::Set| -> BTreeSet<(ids::FailureDomain, u64)> {
         of.domains().map(|(domain, evacuation)| (domain.clone(), evacuation.version)).collect()
     };
     let (old, new) = (names(before), names(&after));
@@ -120,7 +126,7 @@
     }
     let (from, clock) = (from.map(tracing::field::display), after.clock());
     let age_ms = host.age_of(clock).map(|age| age.as_millis() as u64);
-    let is_known = |domain: &FailureDomain| {
+    let is_known = |domain: &ids::FailureDomain| {
         host.pools.borrow().values().any(|pool| pool.listed.borrow().domain == *domain)
     };
     for (domain, version) in new.difference(&old) {
@@ -132,7 +138,8 @@
     }
     host.measures.evacuated.set(new.len() as i64);
     let pools = host.pools.borrow();
-    let evacuated =
-        |pool: &&Rc<Pool>| new.iter().any(|(domain, _)| *domain == pool.listed.borrow().domain);
+    let evacuated = |pool: &&Rc<pool::Pool>| {
+        new.iter().any(|(domain, _)| *domain == pool.listed.borrow().domain)
+    };
     pools.values().filter(evacuated).for_each(|pool| pool.drop_idle());
 }
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -10,12 +10,10 @@
 use bergamottrack_coordination::{
     AccountId, HostId,
     choice::Health,
-    cold::{self, Warmth},
-    congestion::Congestion,
+    cold, congestion,
     connections::{self, Bounds, Role, Usage},
     gate::{Entry, Gate, Place},
-    idle::Idle,
-    silence::Silence,
+    idle, silence,
 };
 use bergamottrack_model::{Failure, Listed};
 use monoio::time::Instant;
@@ -55,11 +53,11 @@
     /// What its answers say of it.
     pub health: RefCell<Health>,
     /// What the server owes on connections of this host, other hosts' statements included.
-    pub exchanges: RefCell<Silence>,
+    pub exchanges: RefCell<silence::Watch>,
     /// Whether the host that holds its connections has room for statements.
-    pub congestion: RefCell<Congestion>,
+    pub congestion: RefCell<congestion::Memory>,
     /// Whether it has just started, and what it was sent since.
-    pub warmth: RefCell<Warmth>,
+    pub warmth: RefCell<cold::Warmth>,
     /// The limit while it is cold, and how far all hosts may exceed it.
     cold: Cell<(Option<cold::Limit>, cold::Tolerance)>,
     /// How many statements are under way, and who waits.
@@ -67,7 +65,7 @@
     /// Whom to tell that they may go on, by their places at the gate.
     waiting: RefCell<HashMap<Place, oneshot::Sender<()>>>,
     /// Connections that nobody uses and since when.
-    idle: RefCell<Idle<(Backend, Instant)>>,
+    idle: RefCell<idle::Connections<(Backend, Instant)>>,
     /// Connections open or being opened, idle ones included; at most the cap of `bounds`.
     open: Cell<usize>,
     bounds: Cell<Bounds>,
@@ -121,7 +119,7 @@
             health: RefCell::default(),
             exchanges: RefCell::default(),
             congestion: RefCell::default(),
-            warmth: RefCell::new(Warmth::new(now)),
+            warmth: RefCell::new(cold::Warmth::new(now)),
             cold: Cell::default(),
             gate: RefCell::new(Gate::new(1)),
             waiting: RefCell::default(),
--- a/components/proxy/src/talk.rs
+++ b/components/proxy/src/talk.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use bergamottrack_adapter::wire;
-use bergamottrack_coordination::{AccountId, GroupId, Point, homes::Homes};
+use bergamottrack_coordination::{AccountId, GroupId, Point, homes};
 use bergamottrack_model::{
     Access, Account, Failure, Request, Route, ServerAnswer, Session, State, Statement,
 };
@@ -337,7 +337,7 @@
     async fn admit_operation(
         &self,
         request: &Request,
-    ) -> Result<(Rc<Route>, AccountId, Homes), Refused> {
+    ) -> Result<(Rc<Route>, AccountId, homes::Homes), Refused> {
         let (route, account) = self.admit().inspect_err(|refused| {
             info!(
                 id = %request.id, database = %self.database, version = self.host.version().0,
@@ -371,7 +371,7 @@
     fn job(
         &self,
         request: &Request,
-        (route, account, homes): (Rc<Route>, AccountId, Homes),
+        (route, account, homes): (Rc<Route>, AccountId, homes::Homes),
         access: Access,
     ) -> Job {
         Job {
