A leader that closes each connection is suspected by the host that holds its connections

Since silent leaders are left to the host that holds their connections, that host was asked how long the leader owed it answers: nothing, since no connection was ever opened, so the leader counted as well.

Change: that host says when the leader answered it last, and suspects a leader itself that refuses, or closes, the connections that it opens for other hosts.

--- a/components/coordination/src/silence.rs
+++ b/components/coordination/src/silence.rs
@@ -10,6 +10,8 @@
     /// When the server last answered while something ran there, or when the first of what
     /// runs began; none while nothing runs.
     since: Option<Instant>,
+    /// When it last answered.
+    answered: Option<Instant>,
 }
 
 impl Watch {
@@ -24,6 +26,7 @@
         self.running = self.running.saturating_sub(1);
         if answered {
             self.since = Some(now);
+            self.answered = Some(now);
         }
         if self.running == 0 {
             self.since = None;
@@ -35,6 +38,11 @@
         self.running
     }
 
+    /// How long ago it last answered; none if it never did.
+    pub fn answered(&self, now: Instant) -> Option<Duration> {
+        self.answered.map(|at| now.saturating_duration_since(at))
+    }
+
     /// How long it has owed an answer without giving any.
     pub fn lasts(&self, now: Instant) -> Duration {
         self.since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -153,7 +153,7 @@
     Newest(Known),
     /// A piece of a configuration.
     Piece(pieces::Wanted),
-    /// How long has this server owed the host answers without giving any?
+    /// How long ago did this server last answer the host anything?
     Silence(ServerId),
     /// Run this at a server whose connections the host holds.
     Relay(Box<Errand>),
@@ -232,8 +232,8 @@
     Ruling(demand::Ruling),
     /// What became of a statement.
     Relayed(Relayed),
-    /// How long a server has owed the host answers without giving any; none of one that the
-    /// host does not know.
+    /// How long ago a server last answered the host anything; none if it never did, or the host
+    /// does not know it.
     Silence(Option<Duration>),
 }
 
--- a/components/proxy/src/gossip.rs
+++ b/components/proxy/src/gossip.rs
@@ -65,8 +65,8 @@
         }
         Question::Silence(server) => {
             let pool = host.server(&server);
-            let lasts = pool.map(|pool| pool.exchanges.borrow().lasts(host.now()));
-            replier.reply(Answer::Silence(lasts));
+            let answered = pool.and_then(|pool| pool.exchanges.borrow().answered(host.now()));
+            replier.reply(Answer::Silence(answered));
         }
         Question::Relay(errand) => {
             monoio::spawn(relay::serve(host.clone(), peer.host.clone(), *errand, replier));
--- a/components/proxy/src/lead.rs
+++ b/components/proxy/src/lead.rs
@@ -175,8 +175,8 @@
     group.probed.set(false);
 }
 
-/// How long a server has owed answers to the host that holds its connections; `None` where
-/// this host holds them itself, or that host says nothing.
+/// How long ago a server last answered the host that holds its connections; `None` where
+/// this host holds them itself, that host says nothing, or the server never answered it.
 ///
 /// Guards against hosts that take a long queue for a silent server: each of their questions
 /// takes a connection and a slot of a server that has none to spare.
--- a/components/proxy/src/relay.rs
+++ b/components/proxy/src/relay.rs
@@ -100,11 +100,31 @@
     let watch = replier.watch();
     let relayed = match begin(&host, &from, &errand).await {
         Ok((leased, permit)) => run(&host, from, errand, leased, permit, watch).await,
-        Err(why) => Relayed::NotSent(why),
+        Err(why) => {
+            suspect(&host, &errand, why);
+            Relayed::NotSent(why)
+        }
     };
     replier.reply(Answer::Relayed(relayed));
 }
 
+/// Notes what speaks against a leader that took no connection.
+///
+/// Guards against a leader that closes each connection: other hosts leave it to this one, which
+/// has no statements of its own there.
+fn suspect(host: &Host, errand: &Errand, why: NotSent) {
+    let Some(pool) = host.server(&errand.server) else { return };
+    let group = host.group(&pool.listed.borrow().group);
+    if group.leader().as_ref() != Some(&errand.server) {
+        return;
+    }
+    match why {
+        NotSent::Dead => group.suspicion.borrow_mut().refused(host.now()),
+        NotSent::Silent => group.suspicion.borrow_mut().silent(host.now()),
+        _ => {}
+    }
+}
+
 async fn begin(
     host: &Host,
     from: &HostId,
