A member row newer than the view gives no lease

Cause: a view of more than 500 rows is read in pages, and has the version of the first one. A host that joins between the pages of the groups and of the hosts finds its row beside group rows that are older than an intent which does not wait for it, and could use the former leader by a lease nobody counts. At 987 hosts every read takes two pages.

Change: a row counts as membership only if its version is no greater than the view's. The next read or the next changes give the lease.

--- a/components/coordination/src/view.rs
+++ b/components/coordination/src/view.rs
@@ -248,7 +248,7 @@
     /// Returns the changes since the view of version `since`, or the whole view if that version
     /// is too old.
     pub fn changes(&self, since: u64) -> Changes {
-        self.removed.changes(&self.view, since)
+        self.removed.changes(&self.view, self.stamp, since)
     }
 
     /// Stamp of the view, see [`View::stamp`].
@@ -285,7 +285,12 @@
     /// no process of the host has read an older view.
     pub fn is_member(&self) -> bool {
         let own = self.view.members.get(&self.me);
-        own.is_some_and(|own| own.value.row_hash == self.row_hash && own.value.left.is_none())
+        own.is_some_and(|own| {
+            // A row newer than the view comes from a later page of the same read: the groups' rows
+            // of an earlier page may be older than an intent that does not wait for this host.
+            let is_current = own.version <= self.view.version;
+            is_current && own.value.row_hash == self.row_hash && own.value.left.is_none()
+        })
     }
 
     /// Returns whether this host holds a lease and so may use the leaders of the view.
--- a/components/coordination/tests/view.rs
+++ b/components/coordination/tests/view.rs
@@ -47,6 +47,21 @@
     assert!(!local.leased(start + LEASE_TTL));
 }
 
+/// Guards against a lease for which a failover does not wait, in a fleet whose view takes several
+/// calls to read: a host joins and a failover begins between the pages of the groups and of the
+/// host. Its row is then newer than the groups' rows.
+#[test]
+fn row_that_is_newer_than_the_view_gives_no_lease() {
+    let start = Instant::now();
+    let mut local = LocalView::new(host("a"), 1);
+    let mut paged = view(5, &[("a", member(1))]);
+    paged.members.get_mut(&host("a")).unwrap().version = 6;
+    local.replace(paged, start);
+    assert!(!local.leased(start));
+    local.replace(view(6, &[("a", member(1))]), start);
+    assert!(local.leased(start));
+}
+
 /// Guards against a host that uses a leader by a lease for which a failover does not wait, because
 /// the host was removed from the view or its row contains another address.
 #[test]
