Temporary links close when they are not used

Cause: links to hosts outside of the roster were closed by their age, and only when the roster was set, which on a host that is no hub happens at changes of the view.

Change: the time of the last use counts, and a periodic task closes links that nothing refers to. A link can be looked up without starting one, for the choice of a server.

--- a/components/peer/src/mesh.rs
+++ b/components/peer/src/mesh.rs
@@ -15,9 +15,9 @@
     message::Hello,
 };
 
-/// Age above which [`Mesh::set_roster`] closes a link to a host outside of the roster. It exceeds
-/// the duration of a failover, for which such links are opened, and of the notification of
-/// the hosts that it has ended.
+/// Time without use after which [`Mesh::close_unused`] closes a link to a host outside of the
+/// roster. It exceeds the duration of a failover, for which such links are opened, and of the
+/// notification of the hosts that it has ended.
 const TEMPORARY_LINK_TTL: Duration = Duration::from_secs(15);
 
 /// Links to all other hosts of the roster, and temporary links to hosts outside of it.
@@ -32,7 +32,7 @@
     keepalive: Keepalive,
     /// Links to the hosts of the roster and of the preceding roster.
     links: RefCell<HashMap<HostId, (Host, Rc<Link>)>>,
-    /// Links to hosts outside of the roster, with their creation times.
+    /// Links to hosts outside of the roster, with the times of their last use.
     temporary_links: RefCell<HashMap<HostId, (Rc<Link>, Instant)>>,
     /// Hosts removed from the roster by the last revision. They receive the revision and are used
     /// for nothing else.
@@ -72,7 +72,7 @@
 
     /// Starts links to new hosts of the roster, and closes links to hosts that are neither in it
     /// nor in the preceding one. A link to a host whose entry in the roster has changed is
-    /// replaced. Temporary links are closed from the age of [`TEMPORARY_LINK_TTL`] on.
+    /// replaced.
     pub fn set_roster(&self, roster: &[Host], before: &[Host]) {
         let is_member = |host: &Host| roster.iter().any(|other| other.id == host.id);
         let departed: Vec<&Host> = before.iter().filter(|host| !is_member(host)).collect();
@@ -88,9 +88,16 @@
         for host in roster.iter().chain(departed).filter(|h| h.id != self.me.id) {
             links.entry(host.id.clone()).or_insert_with(|| (host.clone(), self.start(host)));
         }
+    }
+
+    /// Closes temporary links that no task uses and that [`Mesh::reach`] has not returned for
+    /// [`TEMPORARY_LINK_TTL`].
+    pub fn close_unused(&self) {
         let now = self.clock.now();
-        self.temporary_links.borrow_mut().retain(|_, (link, since)| {
-            let keep = now.saturating_duration_since(*since) < TEMPORARY_LINK_TTL;
+        self.temporary_links.borrow_mut().retain(|_, (link, used)| {
+            // The link's own task and this map hold one reference each.
+            let in_use = Rc::strong_count(link) > 2;
+            let keep = in_use || now.saturating_duration_since(*used) < TEMPORARY_LINK_TTL;
             if !keep {
                 link.close();
             }
@@ -112,9 +119,18 @@
         if let Some(link) = self.link(&host.id) {
             return link;
         }
-        let start = || (self.start(host), self.clock.now());
+        let now = self.clock.now();
         let mut temporary_links = self.temporary_links.borrow_mut();
-        temporary_links.entry(host.id.clone()).or_insert_with(start).0.clone()
+        let entry = temporary_links.entry(host.id.clone());
+        let (link, used) = entry.or_insert_with(|| (self.start(host), now));
+        *used = now;
+        link.clone()
+    }
+
+    /// Returns the link to any host, if there is one; does not start a temporary link.
+    pub fn existing(&self, host: &HostId) -> Option<Rc<Link>> {
+        let temporary = || Some(self.temporary_links.borrow().get(host)?.0.clone());
+        self.link(host).or_else(temporary)
     }
 
     /// Returns the temporary links, which [`Mesh::reach`] has started.
