Holders, changes of the view and failure domains cost less at 1,000 hosts

Cause: per change of the view a host sorted all eligible hosts for each server to take two of them, cloned the whole view to send some of its rows, and cloned the failure domain of every member to list six.

Change: the first hosts of a rendezvous order are found in one pass; changes are built from the rows they hold and take the stamp that the view keeps; failure domains are collected by reference.

Result: a test compares the pass with the whole order for 200 servers and 150 hosts.

--- a/components/coordination/src/changes.rs
+++ b/components/coordination/src/changes.rs
@@ -54,20 +54,23 @@
         }
     }
 
-    /// Returns the changes of `view` since the view of version `since`, or the whole view if not
-    /// every removal since then is recorded.
-    pub fn changes(&self, view: &View, since: u64) -> Changes {
+    /// Returns the changes of `view`, whose stamp is `stamp`, since the view of version `since`, or
+    /// the whole view if not every removal since then is recorded.
+    pub fn changes(&self, view: &View, stamp: u64, since: u64) -> Changes {
         let since = if since < self.complete { 0 } else { since };
         let removed = self.hosts.iter().filter(|(version, _)| since > 0 && *version > since);
-        let header = View { members: BTreeMap::new(), groups: BTreeMap::new(), ..view.clone() };
         Changes {
             since,
             view: View {
+                version: view.version,
+                clock: view.clock,
+                secret: view.secret.clone(),
+                duty: view.duty.clone(),
                 members: newer::<HostId, Member>(&view.members, since),
                 groups: newer::<GroupId, Leadership>(&view.groups, since),
-                ..header
+                closed: view.closed.clone(),
             },
-            stamp: view.stamp(),
+            stamp,
             gone: removed.map(|(_, id)| id.clone()).collect(),
         }
     }
@@ -82,6 +85,11 @@
 }
 
 impl Changes {
+    /// Returns the whole view as changes.
+    pub fn whole(view: View) -> Self {
+        Self { since: 0, stamp: view.stamp(), view, gone: Vec::new() }
+    }
+
     /// Applies the changes to the older view `base` and returns the sender's view, or `None` if
     /// the changes do not apply to `base`, so that the whole view must be requested.
     ///
--- a/components/coordination/src/holders.rs
+++ b/components/coordination/src/holders.rs
@@ -50,7 +50,7 @@
 /// Returns the holder of a server among the eligible hosts, followed by its standby if there is
 /// more than one eligible host.
 pub fn order(eligible: &[HostId], server: &str) -> Vec<HostId> {
-    rendezvous::order(server, eligible).into_iter().take(MAX_HOLDERS).cloned().collect()
+    rendezvous::first(MAX_HOLDERS, server, eligible).into_iter().cloned().collect()
 }
 
 /// Returns a hash of the parts of a view that determine the assignment of holders: id, failure
--- a/components/coordination/src/hubs.rs
+++ b/components/coordination/src/hubs.rs
@@ -8,7 +8,10 @@
 //! failure domain. Traffic between failure
 //! domains, which is expensive, does not grow with the number of hosts.
 
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use xxhash_rust::xxh3;
 
@@ -101,11 +104,8 @@
 /// Returns the failure domains of all hosts of the view, sorted and including those of removed
 /// hosts.
 pub fn domains(view: &View) -> Vec<FailureDomain> {
-    let members = view.members.values();
-    let mut domains: Vec<_> = members.map(|member| member.value.domain.clone()).collect();
-    domains.sort();
-    domains.dedup();
-    domains
+    let domains: BTreeSet<_> = view.members.values().map(|member| &member.value.domain).collect();
+    domains.into_iter().cloned().collect()
 }
 
 impl Neighbours {
--- a/components/coordination/src/rendezvous.rs
+++ b/components/coordination/src/rendezvous.rs
@@ -41,6 +41,20 @@
     ranked.into_iter().map(|(_, _, host)| host).collect()
 }
 
+/// Returns the first `count` hosts of [`order`] without sorting the others.
+pub fn first<'a>(count: usize, key: &str, hosts: &'a [HostId]) -> Vec<&'a HostId> {
+    let mut first: Vec<(u64, &HostId)> = Vec::with_capacity(count + 1);
+    for host in hosts {
+        let candidate = (weight(key, host), host);
+        let rank = first.iter().position(|other| candidate > *other).unwrap_or(first.len());
+        if rank < count {
+            first.insert(rank, candidate);
+            first.truncate(count);
+        }
+    }
+    first.into_iter().map(|(_, host)| host).collect()
+}
+
 /// Returns the hosts by descending priority for `key`. Unlike in [`rank`], no failure domain comes
 /// first: the order depends only on `key` and the host ids.
 pub fn order<'a>(key: &str, hosts: &'a [HostId]) -> Vec<&'a HostId> {
--- a/components/coordination/tests/holders.rs
+++ b/components/coordination/tests/holders.rs
@@ -6,7 +6,7 @@
 };
 
 use bergamottrack_coordination::{
-    FailureDomain, HostId, holders,
+    FailureDomain, HostId, holders, rendezvous,
     view::{Member, Versioned, View},
 };
 
@@ -123,3 +123,17 @@
     left.members.values_mut().for_each(|member| member.value.left = Some(Duration::ZERO));
     assert_ne!(holders::stamp(&left), stamp(&base));
 }
+
+/// Guards against hosts that disagree on a server's holders: the search for the first two hosts
+/// gives the same result as the whole order.
+#[test]
+fn first_hosts_are_those_of_the_whole_order() {
+    let hosts: Vec<HostId> = (0..150).map(|n| format!("h{n}").parse().unwrap()).collect();
+    for server in 0..200 {
+        let key = format!("i-{server}");
+        for count in [0, 1, 2, 3, 200] {
+            let whole: Vec<_> = rendezvous::order(&key, &hosts).into_iter().take(count).collect();
+            assert_eq!(rendezvous::first(count, &key, &hosts), whole);
+        }
+    }
+}
