--- a/components/coordination/src/connections.rs
+++ b/components/coordination/src/connections.rs
@@ -8,9 +8,9 @@
 //! standby that replaces it: for seconds after a host loses power, a server still counts
 //! that host's connections.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
-use crate::AccountId;
+use crate::{AccountId, Rate};
 
 /// Fraction of a server's connections that its holder leaves to other hosts, as a divisor.
 const HEADROOM_DIVISOR: usize = 10;
@@ -32,6 +32,15 @@
 /// server's connections are then in use by idle transactions.
 const SCARCE_IDLE_TTL: Duration = Duration::from_millis(100);
 
+/// Minimum rate, in statements per second at one server, from which connections of an account are
+/// opened ahead of use. Statements of a lower rate come too late to use them.
+const MIN_AHEAD_RATE: f64 = 0.5;
+
+/// Minimum rate, in statements per second at one server, from which statements of an account use
+/// shared connections: one in a minute. Below it a connection is rarely used again, and most hosts
+/// would have to make a link to its holder first.
+const MIN_SHARED_RATE: f64 = 1.0 / 60.0;
+
 /// Role of a host for the connections of a server.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Role {
@@ -86,6 +95,33 @@
     }
 }
 
+/// Accounts by the use that they make of connections.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Accounts {
+    /// Accounts for which connections are opened ahead of use, by descending rate.
+    pub ahead: Vec<AccountId>,
+    /// Accounts that do not use shared connections.
+    pub unshared: HashSet<AccountId>,
+}
+
+/// Returns the accounts by the use that they make of connections, from their rates over the whole
+/// fleet and the number of database groups over which their statements are spread.
+///
+/// The number of connections opened ahead follows the sum of the rates: with many groups few
+/// accounts, or none, send a server enough statements.
+pub fn by_usage(mut rates: Vec<(AccountId, Rate)>, groups: usize) -> Accounts {
+    rates.sort_by(|(a, x), (b, y)| y.0.total_cmp(&x.0).then_with(|| a.cmp(b)));
+    let by_server = |rate: Rate| rate.0 / groups.max(1) as f64;
+    let unshared = rates.iter().filter(|(_, rate)| by_server(*rate) < MIN_SHARED_RATE);
+    Accounts {
+        unshared: unshared.map(|(id, _)| id.clone()).collect(),
+        ahead: {
+            let ahead = rates.iter().filter(|(_, rate)| by_server(*rate) >= MIN_AHEAD_RATE);
+            ahead.map(|(id, _)| id.clone()).collect()
+        },
+    }
+}
+
 /// Number of connections and statements of a host at a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Usage {
--- a/components/coordination/tests/connections.rs
+++ b/components/coordination/tests/connections.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bergamottrack_coordination::{
-    AccountId,
+    AccountId, Rate,
     connections::{self, Bounds, Role, Usage},
 };
 use rand::{Rng, SeedableRng, distr::weighted::WeightedIndex, prelude::Distribution, rngs::StdRng};
@@ -156,3 +156,36 @@
         }
     }
 }
+
+/// Returns accounts with rates that sum up to `total` and follow the distribution of their ranks.
+fn accounts(count: usize, total: f64) -> Vec<(AccountId, Rate)> {
+    let sum: f64 = (1..=count).map(|rank| 1.0 / rank as f64).sum();
+    let rate = |rank: usize| Rate(total / sum / rank as f64);
+    (1..=count).map(|rank| (format!("a{rank}").parse().unwrap(), rate(rank))).collect()
+}
+
+/// Guards against a fleet that opens 18,000 connections to 3,000 servers before the first
+/// statement: the number opened ahead follows the statements and not the servers.
+#[test]
+fn connections_opened_ahead_do_not_grow_with_the_number_of_groups() {
+    for groups in [1000, 2500] {
+        let usage = connections::by_usage(accounts(333, 2300.0), groups);
+        let opened = usage.ahead.len() * groups * 3;
+        assert!(opened < 2300, "{opened} connections ahead for {groups} groups");
+    }
+    let usage = connections::by_usage(accounts(8, 360.0), 3);
+    assert_eq!(usage.ahead.len(), 8, "few groups: a connection of each account is used soon");
+    assert_eq!(usage.ahead[0].as_str(), "a1", "by descending rate");
+}
+
+/// Guards against links from every host to every holder of connections: a host that sends a
+/// statement for an account of low rate connects to the server itself.
+#[test]
+fn accounts_that_rarely_use_a_server_do_not_share_connections() {
+    let fleet = connections::by_usage(accounts(333, 2300.0), 1000);
+    assert!(fleet.unshared.len() > 300, "{} accounts unshared", fleet.unshared.len());
+    for (hosts_accounts, total, groups) in [(8, 360.0, 3), (86, 1100.0, 8), (190, 1500.0, 20)] {
+        let usage = connections::by_usage(accounts(hosts_accounts, total), groups);
+        assert!(usage.unshared.is_empty(), "{groups} groups: {:?}", usage.unshared);
+    }
+}
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -172,6 +172,7 @@
             | Question::Forward(_)
             | Question::CancelTransaction(_)
             | Question::LastContact(_)
+            | Question::Register(_)
             | Question::TakeToken { .. } => {
                 return None;
             }
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -14,7 +14,7 @@
     outcome::Outcome,
     pieces,
     token::Secret,
-    view::{Leadership, Versioned},
+    view::{Leadership, Member, Versioned},
 };
 use bergamottrack_metrics::HostReport;
 use bergamottrack_model::ListedServer;
@@ -169,6 +169,9 @@
     /// Cancels a transaction of the sender by closing its connection, which rolls it back.
     #[serde(rename = "Hang")]
     CancelTransaction(TransactionId),
+    /// Requests that the sender becomes a member of the fleet with this row. The answer is the
+    /// host's whole data, once its view lists the sender.
+    Register(Box<Member>),
     /// Requests a token of an account's rate.
     #[serde(rename = "Take")]
     TakeToken {
@@ -279,6 +282,13 @@
     pub clock: Option<ClockReading>,
     /// Latest reading of the receiver's clock that the sender has received; in questions only.
     pub echo: Option<ClockReading>,
+    /// Groups whose positions the answer is to contain; `None` for all groups.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub interest: Option<Vec<GroupId>>,
+    /// Time since the sender's last answered question, in milliseconds, if the answer is to
+    /// contain only positions that the receiver learned in that time.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub learned_ms: Option<u32>,
 }
 
 /// Reading of a process's monotonic clock.
@@ -320,22 +330,53 @@
     pub view_version: u64,
     /// Stamp of the list of servers.
     pub servers: (u64, Duration),
+    /// Version of the list of servers; 0 to request the whole list.
+    #[serde(default)]
+    pub servers_version: u64,
+    /// Whether the sender reads packed state.
+    #[serde(default)]
+    pub reads_packed: bool,
 }
 
 /// Data of a host that another host lacks. A newer configuration is fetched in pieces instead.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Updates {
     /// Versions of the sender's data.
     pub known: KnownVersions,
     /// Changes of the view since the receiver's version; `None` if the sender's view is not newer.
     pub view: Option<Changes>,
-    /// List of servers; `None` if the sender's list is not newer.
+    /// Whole list of servers; `None` if the sender's list is not newer, or `server_changes` is
+    /// set.
     pub servers: Option<Vec<ListedServer>>,
+    /// Changes of the list of servers since the receiver's version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub server_changes: Option<ServerChanges>,
+    /// Whole view in place of `view`, as compressed CBOR.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub packed_view: Option<Bytes>,
+    /// Whole list of servers in place of `servers`, as compressed CBOR.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub packed_servers: Option<Bytes>,
     /// Evacuated failure domains; `None` until the sender has received them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub evacuations: Option<evacuation::Set>,
 }
 
+/// Changes of the list of servers since an older version.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ServerChanges {
+    /// Version of the older list; at least 1.
+    pub since: u64,
+    /// Version of the newer list.
+    pub version: u64,
+    /// Stamp of the newer list.
+    pub stamp: u64,
+    /// Entries that were added or changed.
+    pub changed: Vec<ListedServer>,
+    /// Servers whose entries disappeared.
+    pub gone: Vec<ServerId>,
+}
+
 /// First message of each end of a link.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Hello {
--- a/components/peer/tests/message.rs
+++ b/components/peer/tests/message.rs
@@ -2,8 +2,8 @@
 
 use bergamottrack_coordination::demand::{AccountReport, Report};
 use bergamottrack_peer::{
-    Question,
-    message::{Heartbeat, KnownVersions, Message},
+    Answer, Question,
+    message::{Heartbeat, KnownVersions, Message, Updates},
 };
 
 /// Maximum number of bytes that an account with an id of eight characters may add to a heartbeat.
@@ -26,6 +26,8 @@
         positions: Vec::new(),
         clock: None,
         echo: None,
+        interest: None,
+        learned_ms: None,
     };
     Message::Question(1, Question::Heartbeat(Box::new(heartbeat)))
 }
@@ -59,3 +61,48 @@
         assert!(received.level.unwrap() > sent.level.unwrap() * 0.998);
     }
 }
+
+/// Returns the encoded message without the fields of the given names, at any depth.
+fn without(message: &Message, fields: &[&str]) -> Vec<u8> {
+    fn strip(value: &mut ciborium::Value, fields: &[&str]) {
+        match value {
+            ciborium::Value::Map(entries) => {
+                entries.retain(|(key, _)| key.as_text().is_none_or(|key| !fields.contains(&key)));
+                entries.iter_mut().for_each(|(_, value)| strip(value, fields));
+            }
+            ciborium::Value::Array(values) => values.iter_mut().for_each(|v| strip(v, fields)),
+            _ => {}
+        }
+    }
+    let mut value = ciborium::from_reader(&message.encode()[..]).unwrap();
+    strip(&mut value, fields);
+    let mut encoded = Vec::new();
+    ciborium::into_writer(&value, &mut encoded).unwrap();
+    encoded
+}
+
+/// Guards against a rolling restart in which hosts of two builds do not read each other's
+/// messages: the fields that came with differences of the list of servers are optional.
+#[test]
+fn messages_without_the_fields_of_the_current_build_are_read() {
+    let earlier =
+        without(&heartbeat(3), &["interest", "learned_ms", "servers_version", "reads_packed"]);
+    let Message::Question(_, Question::Heartbeat(beat)) = Message::decode(&earlier).unwrap() else {
+        panic!("not a heartbeat")
+    };
+    assert_eq!((beat.interest, beat.learned_ms), (None, None), "all positions are requested");
+    assert_eq!(beat.known.servers_version, 0, "the whole list is requested");
+    assert!(!beat.known.reads_packed);
+    let updates = Updates {
+        known: KnownVersions { servers_version: 9, ..KnownVersions::default() },
+        servers: Some(Vec::new()),
+        ..Updates::default()
+    };
+    let answer = Message::Answer(1, Answer::Updates(Box::new(updates)));
+    let earlier = without(&answer, &["servers_version", "reads_packed"]);
+    let Message::Answer(_, Answer::Updates(updates)) = Message::decode(&earlier).unwrap() else {
+        panic!("no updates")
+    };
+    assert_eq!(updates.servers, Some(Vec::new()));
+    assert!(updates.server_changes.is_none() && updates.packed_servers.is_none());
+}
--- a/components/proxy/src/compression.rs
+++ b/components/proxy/src/compression.rs
@@ -9,6 +9,7 @@
 use anyhow::Context;
 use bytes::Bytes;
 use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
+use serde::{Serialize, de::DeserializeOwned};
 
 /// Maximum size of a decompressed configuration, in bytes; a larger one counts as corrupt.
 const MAX_SIZE: u64 = 64 << 20;
@@ -29,3 +30,16 @@
     anyhow::ensure!(raw.len() as u64 <= MAX_SIZE, "configuration exceeds {MAX_SIZE} bytes");
     Ok(raw)
 }
+
+/// Encodes a value as compressed CBOR.
+pub fn pack<T: Serialize + ?Sized>(value: &T) -> Bytes {
+    let mut raw = Vec::new();
+    ciborium::into_writer(value, &mut raw).expect("writing to memory");
+    compress(&raw)
+}
+
+/// Decodes a value from compressed CBOR, within the bound of [`decompress`].
+pub fn unpack<T: DeserializeOwned>(packed: &[u8]) -> anyhow::Result<T> {
+    let raw = decompress(packed)?;
+    ciborium::from_reader(raw.as_slice()).context("decoding packed state")
+}
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -9,11 +9,13 @@
 use bergamottrack_adapter::store::{self, Change, Rows, Table, TxOutcome};
 use bergamottrack_contract as contract;
 use bergamottrack_coordination::{
-    Clock, FailureDomain, GroupId, HostId, hubs,
+    Clock, FailureDomain, GroupId, HostId, StoreClock,
+    changes::Changes,
+    hubs,
     view::{self, Leadership, Member, Versioned, View},
 };
 use bergamottrack_model::Settings;
-use bergamottrack_peer::link::Keepalive;
+use bergamottrack_peer::{link::Keepalive, message::Updates};
 use bergamottrack_platform::http::Client;
 use tracing::{info, warn};
 
@@ -21,6 +23,7 @@
     follow::STORE_TIMEOUT,
     group::Group,
     host::{Host, Phase},
+    join,
 };
 
 /// Interval between reads of the view while all links are up. Hosts propagate a change at
@@ -124,23 +127,31 @@
 
 /// Membership of this host in the fleet, as established at start.
 pub struct Membership {
-    /// View that has this host as a member.
-    pub view: View,
-    /// Local time at which the view was requested.
-    pub requested_at: Instant,
+    /// State with a view that has this host as a member.
+    pub state: Updates,
+    /// Mapping between the store's clock and the local clock.
+    pub store_clock: StoreClock,
     /// Shared secret by which hosts of the fleet authenticate to each other.
     pub secret: Box<str>,
 }
 
-/// Reads the view, and joins the fleet if this host is not a member. Retries every step until it
-/// succeeds.
+/// Makes this host a member of the fleet: through a hub candidate, or else by reading the view and,
+/// if this host is not a member, writing its row. Retries every step until it succeeds.
 ///
 /// The row of an earlier process with the same [`member_hash`] is valid, so hosts that crash
 /// together and restart only read. Writing a row for each would take seconds when hundreds
 /// start: the store applies changes to one table partition sequentially. At the first start of
 /// the whole system (`Settings::first_start`) there are no rows, so hosts join before they read.
-pub async fn ensure_member(settings: &Settings, clock: &dyn Clock, client: &Client) -> Membership {
-    if settings.first_start {
+pub async fn ensure_member(
+    settings: &Settings,
+    clock: &Rc<dyn Clock>,
+    client: &Client,
+) -> Membership {
+    let entrance = join::through_hub(settings, clock, client).await;
+    if let join::Entrance::Member(membership) = entrance {
+        return *membership;
+    }
+    if settings.first_start && !matches!(entrance, join::Entrance::Candidate) {
         retry("joining", || join(settings, client)).await;
         // Spreads the reads: the first host to read creates the secret for all.
         let spread = FIRST_START_DELAY.mul_f64(rand::random_range(0.0..0.5));
@@ -156,7 +167,10 @@
         if let Some(secret) = view.secret.clone() {
             let ms = (clock.now() - requested_at).as_millis() as u64;
             info!(version = view.version, hosts = view.members.len(), ms, "start: view read");
-            return Membership { view, requested_at, secret };
+            let mut store_clock = StoreClock::default();
+            store_clock.note(requested_at, view.clock);
+            let state = Updates { view: Some(Changes::whole(view)), ..Updates::default() };
+            return Membership { state, store_clock, secret };
         }
         retry("creating the secret", || create_secret(client)).await;
     }
@@ -170,7 +184,7 @@
 
 /// Returns whether the view has a row of this host with the current [`member_hash`] that is not
 /// marked as evicted.
-fn is_member(view: &View, settings: &Settings) -> bool {
+pub fn is_member(view: &View, settings: &Settings) -> bool {
     let row = view.members.get(&settings.host);
     row.is_some_and(|row| row.value.row_hash == member_hash(settings) && row.value.left.is_none())
 }
@@ -240,6 +254,7 @@
                 }
                 host.store_clock.borrow_mut().note(requested_at, view.clock);
                 apply_view(&host, view, requested_at);
+                join::publish_hubs(&host, &client).await;
                 let all_up = host.mesh.links().iter().all(|link| link.is_up());
                 let pause = if all_up { VIEW_INTERVAL } else { DEGRADED_VIEW_INTERVAL };
                 let serving = *host.phase.borrow() == Phase::Serving;
@@ -264,16 +279,21 @@
     }
 }
 
-/// Writes this host's row to the store.
-async fn join(settings: &Settings, client: &Client) -> anyhow::Result<()> {
-    let member = Member {
+/// Returns the row of this host as a new member.
+pub fn own_row(settings: &Settings) -> Member {
+    Member {
         peer: settings.peer_address,
         domain: settings.domain.clone(),
         row_hash: member_hash(settings),
         left: None,
         released: 0,
         power: settings.cpu_millicores,
-    };
+    }
+}
+
+/// Writes this host's row to the store.
+async fn join(settings: &Settings, client: &Client) -> anyhow::Result<()> {
+    let member = own_row(settings);
     let value = serde_json::to_vec(&member)?;
     let put = vec![(member_key(&settings.host), value)];
     let verdict =
@@ -397,14 +417,6 @@
 fn update_members(host: &Host) {
     let leased_view = host.leased_view.borrow();
     let view = leased_view.view();
-    let members = view.members.iter().filter(|(_, member)| member.value.left.is_none());
-    let roster: Vec<contract::Host> = members
-        .map(|(id, member)| contract::Host {
-            id: id.clone(),
-            domain: member.value.domain.clone(),
-            peer: member.value.peer,
-        })
-        .collect();
     let me = &host.settings.host;
     let neighbours = hubs::neighbours(view, me, &host.settings.domain);
     let others: Vec<HostId> = if neighbours.mesh {
@@ -417,9 +429,12 @@
     let own = if neighbours.mesh { me.clone() } else { domain_party(&host.settings.domain) };
     host.demand.borrow_mut().set_participants(&own, others, host.now());
     host.peer_clocks.borrow_mut().retain(|id, _| neighbours.links.contains(id));
-    let is_linked = |host: &contract::Host| neighbours.links.contains(&host.id);
-    let linked: Vec<_> = roster.into_iter().filter(is_linked).collect();
-    host.mesh.set_roster(&linked, &[]);
+    let linked = neighbours.links.iter().filter_map(|id| {
+        let member = &view.members.get(id)?.value;
+        let (domain, peer) = (member.domain.clone(), member.peer);
+        Some(contract::Host { id: id.clone(), domain, peer })
+    });
+    host.mesh.set_roster(&linked.collect::<Vec<_>>(), &[]);
     *host.neighbours.borrow_mut() = neighbours;
 }
 
--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -1,6 +1,10 @@
 //! Follows two tables of the store: the operator's configuration and the list of servers.
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use bergamottrack_adapter::{
     configuration, registry,
@@ -8,6 +12,7 @@
 };
 use bergamottrack_coordination::{ServerId, freshness};
 use bergamottrack_model::ListedServer;
+use bergamottrack_peer::message::ServerChanges;
 use bergamottrack_platform::http::Client;
 use bytes::Bytes;
 use tracing::{debug, info, warn};
@@ -40,10 +45,14 @@
 /// from the store: slightly longer than the hub usually takes to send or confirm it.
 const MAX_SERVERS_AGE: Duration = Duration::from_millis(5600);
 
-/// Time that a new host of a large fleet waits for its hub to send the tables before it reads them
-/// from the store: several connection attempts and two heartbeats of a starting host.
+/// Time that a new host of a large fleet waits for a link to its hub before it reads the tables from
+/// the store: several connection attempts and two heartbeats of a starting host.
 const HUB_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time that a new host waits for the tables while it has a link to its hub. A hub whose hosts all
+/// start together sends them one after the other, and the store has no capacity for all of them.
+const HUB_TRANSFER_TIMEOUT: Duration = Duration::from_millis(4000);
+
 /// Interval at which a host that does not read the store checks whether it has to.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -60,12 +69,10 @@
     let client = Client::new(host.settings.store_address);
     let mut after = None;
     let mut unreachable = false;
-    // In a large fleet a new host receives the tables from its hub: the store has capacity for
-    // the calls of a few hosts a second, not of all at once.
-    let first_read =
-        host.now() + if host.is_hub_candidate() { Duration::ZERO } else { HUB_TIMEOUT };
+    let started = host.now();
     loop {
-        if !needed() || (after.is_none() && host.now() < first_read) {
+        let awaits_hub = || host.now().saturating_duration_since(started) < hub_timeout(host);
+        if !needed() || (after.is_none() && awaits_hub()) {
             monoio::time::sleep(CHECK_INTERVAL).await;
             continue;
         }
@@ -119,6 +126,18 @@
     }
 }
 
+/// Returns how long after its start a host waits for its hub to send the tables. In a large fleet
+/// the store has capacity for the calls of a few hosts a second, not of all at once.
+fn hub_timeout(host: &Host) -> Duration {
+    if host.is_hub_candidate() {
+        Duration::ZERO
+    } else if host.hub() == host.settings.host {
+        HUB_TIMEOUT
+    } else {
+        HUB_TRANSFER_TIMEOUT
+    }
+}
+
 /// Follows the configuration and the evacuations, in an endless loop.
 pub async fn configuration(host: Rc<Host>) {
     let apply = |rows: &Rows, whole| {
@@ -162,34 +181,75 @@
 /// Follows the list of servers, in an endless loop.
 pub async fn servers(host: Rc<Host>) {
     let apply = |rows: &Rows, whole: bool| {
-        let known: Vec<_> = host.pools.borrow().keys().cloned().collect();
-        let expected = if whole { known } else { Vec::new() };
-        let (listed, missing) = resolve_entries(&rows.rows, expected, rows.clock);
-        listed.into_iter().for_each(|listed| host.upsert_server(listed));
-        missing.into_iter().for_each(|id| schedule_removal(&host, id));
-        host.servers_clock.set(host.servers_clock.get().max(rows.clock));
-        host.update_servers_stamp();
-        host.refresh();
+        let expected = if whole { known_servers(&host) } else { Vec::new() };
+        let (mut listed, missing) = resolve_entries(&rows.rows, expected, rows.clock);
+        let catalog = host.backends.catalog.borrow();
+        listed.iter_mut().for_each(|listed| catalog.keep_cold_end(listed));
+        drop(catalog);
+        apply_list(&host, listed, missing, rows.version, whole);
+        host.backends.clock.set(host.backends.clock.get().max(rows.clock));
     };
     let needed = || {
-        let age = host.store_age(host.servers_clock.get());
+        let age = host.store_age(host.backends.clock.get());
         host.reads_store() || age.is_none_or(|age| age > MAX_SERVERS_AGE)
     };
     follow(&host, Table::Servers, SERVERS_POLL_TIMEOUT, needed, apply).await
 }
 
-/// Adopts the list of servers from another host.
+fn known_servers(host: &Host) -> Vec<ServerId> {
+    host.backends.catalog.borrow().all().map(|listed| listed.id.clone()).collect()
+}
+
+/// Applies present and disappeared entries, after which the list contains all changes up to
+/// `version`; `whole` if these are all entries.
+fn apply_list(
+    host: &Rc<Host>,
+    listed: Vec<ListedServer>,
+    missing: Vec<ServerId>,
+    version: u64,
+    whole: bool,
+) {
+    let (present, gone) = (listed.len(), missing.len());
+    let mut changed = 0;
+    for listed in listed {
+        changed += usize::from(host.upsert_server(listed, version));
+    }
+    for id in missing {
+        changed += usize::from(schedule_removal(host, id, version));
+    }
+    host.backends.catalog.borrow_mut().advance(version);
+    if changed > 0 {
+        info!(version, whole, present, gone, changed, "servers: list changed");
+        host.refresh();
+    }
+}
+
+/// Adopts the whole list of servers, of the given version, from another host.
 ///
 /// That host may have started just after an outage of the store, in which entries expired, and lack
 /// these entries. Servers missing from its list are therefore kept for `MISSING_ENTRY_TTL`, like
 /// servers missing from the store.
-pub fn adopt_servers(host: &Rc<Host>, listed: Vec<ListedServer>) {
-    let is_listed = |id: &ServerId| listed.iter().any(|listed| listed.id == *id);
-    let known: Vec<_> = host.pools.borrow().keys().cloned().collect();
-    known.into_iter().filter(|id| !is_listed(id)).for_each(|id| schedule_removal(host, id));
-    listed.into_iter().for_each(|listed| host.upsert_server(listed));
-    host.update_servers_stamp();
-    host.refresh();
+pub fn adopt_servers(host: &Rc<Host>, listed: Vec<ListedServer>, version: u64) {
+    let present: HashSet<_> = listed.iter().map(|listed| &listed.id).collect();
+    let known = known_servers(host).into_iter();
+    let missing = known.filter(|id| !present.contains(id)).collect();
+    apply_list(host, listed, missing, version, true);
+}
+
+/// Adopts changes of the list of servers from another host. If this host's list is then not that of
+/// the other host, the next request is for the whole list.
+pub fn adopt_changes(host: &Rc<Host>, changes: ServerChanges) {
+    let ServerChanges { since, version, stamp, changed, gone } = changes;
+    let known = host.backends.catalog.borrow().version();
+    if since > known || version < known {
+        return;
+    }
+    apply_list(host, changed, gone, version, false);
+    let mut catalog = host.backends.catalog.borrow_mut();
+    if catalog.stamp() != stamp {
+        info!(version, "servers: list differs after changes, requesting the whole list");
+        catalog.reset_version();
+    }
 }
 
 /// Resolves rows of the list of servers into the present entries and the servers without an entry.
@@ -233,24 +293,20 @@
     }
 }
 
-/// Removes a server without an entry after [`MISSING_ENTRY_TTL`], unless the entry is back by then.
-/// Does nothing for an unknown server or if the removal is scheduled already.
-fn schedule_removal(host: &Rc<Host>, id: ServerId) {
-    if host.server(&id).is_none() || host.missing.borrow().contains_key(&id) {
-        return;
-    }
+/// Removes a server that has no entry since `version` of the list after [`MISSING_ENTRY_TTL`],
+/// unless the entry is back by then. Returns false, without any effect, for an unknown server or if
+/// the removal is scheduled already.
+fn schedule_removal(host: &Rc<Host>, id: ServerId, version: u64) -> bool {
+    let occurrence = host.backends.catalog.borrow_mut().mark_missing(&id, version);
+    let Some(occurrence) = occurrence else { return false };
     info!(server = %id, "servers: entry disappeared");
-    let occurrence = rand::random();
-    host.missing.borrow_mut().insert(id.clone(), occurrence);
     monoio::spawn(remove_after_ttl(host.clone(), id, occurrence));
+    true
 }
 
 async fn remove_after_ttl(host: Rc<Host>, id: ServerId, occurrence: u64) {
     monoio::time::sleep(MISSING_ENTRY_TTL).await;
-    let still_missing = host.missing.borrow().get(&id) == Some(&occurrence);
-    if still_missing {
-        host.remove_server(&id);
-        host.update_servers_stamp();
+    if host.remove_server(&id, occurrence) {
         host.refresh();
     }
 }
--- a/components/proxy/src/gossip.rs
+++ b/components/proxy/src/gossip.rs
@@ -6,7 +6,9 @@
 };
 
 use bergamottrack_coordination::{
-    FailureDomain, GroupId, HostId, evacuation, freshness,
+    FailureDomain, GroupId, HostId,
+    changes::Changes,
+    evacuation, freshness,
     view::{Leadership, Versioned},
 };
 use bergamottrack_peer::{
@@ -14,12 +16,13 @@
     accept::Replier,
     message::{ClockReading, Heartbeat, Hello, KnownVersions, LeaderPosition, Updates},
 };
-use tracing::info;
+use bytes::Bytes;
+use tracing::{info, warn};
 
 use crate::{
-    fetch, fleet, follow, forward,
-    host::{Host, Phase},
-    placement, positions, tokens,
+    compression, fetch, fleet, follow, forward,
+    host::{Host, PeerClock, Phase},
+    join, placement, positions, tokens,
 };
 
 /// Interval of heartbeats, which carry demand and state versions: a fraction of the decay
@@ -53,7 +56,7 @@
     match question {
         Question::Heartbeat(beat) => {
             positions::apply_heartbeat(host, &beat);
-            replier.reply(Answer::Heartbeat(Box::new(heartbeat_answer(host))));
+            replier.reply(Answer::Heartbeat(Box::new(heartbeat_answer(host, &beat))));
             if beat.report.is_none() && peer.domain == host.settings.domain {
                 host.demand.borrow_mut().mark_idle(&peer.host);
             }
@@ -77,6 +80,9 @@
         Question::ApplyLeadership { group, row } => {
             monoio::spawn(apply_leadership(host.clone(), group, row, replier));
         }
+        Question::Register(row) => {
+            monoio::spawn(join::admit(host.clone(), peer.host.clone(), *row, replier));
+        }
         Question::Piece(wanted) => replier.reply(Answer::Piece(fetch::piece(host, wanted))),
         Question::Updates(known) => {
             replier.reply(Answer::Updates(Box::new(newer_than(host, known))))
@@ -108,46 +114,83 @@
 }
 
 /// Returns the state of this host that is newer than the requester's versions, and all known
-/// evacuations.
-fn newer_than(host: &Host, requester: KnownVersions) -> Updates {
+/// evacuations. State that is sent as a whole is packed if the requester reads that.
+pub fn newer_than(host: &Host, requester: KnownVersions) -> Updates {
     let known = host.versions();
-    let view = || host.leased_view.borrow().changes(requester.view_version);
+    let has_view = known.view.0 != requester.view.0 && known.view.1 > requester.view.1;
+    let view = has_view.then(|| host.leased_view.borrow().changes(requester.view_version));
+    let packs = |changes: &Changes| changes.since == 0 && requester.reads_packed;
+    let packed_view = view.as_ref().filter(|view| packs(view)).map(|whole| {
+        let mut packed = host.packed.borrow_mut();
+        cached(&mut packed.view, known.view.0, || compression::pack(&whole.view))
+    });
     let servers = known.servers.0 != requester.servers.0 && known.servers.1 > requester.servers.1;
+    let catalog = host.backends.catalog.borrow();
+    let server_changes = servers.then(|| catalog.changes(requester.servers_version)).flatten();
+    let whole = servers && server_changes.is_none();
+    let packed_servers = (whole && requester.reads_packed).then(|| {
+        let mut packed = host.packed.borrow_mut();
+        cached(&mut packed.servers, known.servers.0, || compression::pack(&catalog.listed()))
+    });
     Updates {
         known,
-        view: (known.view.0 != requester.view.0 && known.view.1 > requester.view.1).then(view),
-        servers: servers.then(|| host.listed()),
+        view: view.filter(|_| packed_view.is_none()),
+        packed_view,
+        servers: (whole && packed_servers.is_none()).then(|| catalog.listed()),
+        packed_servers,
+        server_changes,
         evacuations: evacuations(host),
     }
 }
 
+/// Returns the cached state with the given stamp; computes it if the cache holds another one.
+fn cached(cache: &mut Option<(u64, Bytes)>, stamp: u64, pack: impl FnOnce() -> Bytes) -> Bytes {
+    match cache {
+        Some((known, packed)) if *known == stamp => packed.clone(),
+        _ => cache.insert((stamp, pack())).1.clone(),
+    }
+}
+
+/// Replaces packed state in an answer by its content.
+pub fn unpack(updates: &mut Updates) -> anyhow::Result<()> {
+    if let Some(packed) = updates.packed_view.take() {
+        updates.view = Some(Changes::whole(compression::unpack(&packed)?));
+    }
+    if let Some(packed) = updates.packed_servers.take() {
+        updates.servers = Some(compression::unpack(&packed)?);
+    }
+    Ok(())
+}
+
 fn evacuations(host: &Host) -> Option<evacuation::Set> {
     let known = host.evacuations.borrow();
     known.is_known().then(|| known.clone())
 }
 
+/// Returns a heartbeat with this host's state, without a demand report.
 fn own_heartbeat(host: &Host) -> Heartbeat {
-    let report = tokens::is_reporter(host).then(|| host.demand.borrow().report(host.now()));
     let (known, majority) = (host.versions(), host.reaches_majority());
     let evacuations = evacuations(host);
     Heartbeat {
-        report,
+        report: None,
         known,
         majority,
         evacuations,
         positions: Vec::new(),
         clock: None,
         echo: None,
+        interest: None,
+        learned_ms: None,
     }
 }
 
 /// Returns the answer to a heartbeat. The answer has no demand report: this host's own heartbeats
 /// report the requests that it admitted.
-fn heartbeat_answer(host: &Host) -> Heartbeat {
+fn heartbeat_answer(host: &Host, beat: &Heartbeat) -> Heartbeat {
     let clock = host.now().saturating_duration_since(host.started);
     let clock = Some(ClockReading { run: host.run, clock });
-    let positions = if host.is_hub() { positions::newest(host) } else { Vec::new() };
-    Heartbeat { report: None, positions, clock, ..own_heartbeat(host) }
+    let positions = if host.is_hub() { positions::requested(host, beat) } else { Vec::new() };
+    Heartbeat { positions, clock, ..own_heartbeat(host) }
 }
 
 /// Returns the heartbeat for the host at the other end of the link, with the leader positions that
@@ -158,12 +201,17 @@
     beat: &Heartbeat,
     own: &[(Instant, LeaderPosition)],
 ) -> Heartbeat {
-    let Some((clock, received)) = host.peer_clocks.borrow().get(&link.host).copied() else {
-        return beat.clone();
+    let interest = positions::interest(host);
+    let Some(clock) = host.peer_clocks.borrow().get(&link.host).copied() else {
+        return Heartbeat { interest, ..beat.clone() };
     };
+    let elapsed = host.now().saturating_duration_since(clock.sent_at).as_millis();
     Heartbeat {
-        positions: positions::with_offsets(own, received),
-        echo: Some(clock),
+        positions: positions::with_offsets(own, clock.received_at),
+        echo: Some(clock.reading),
+        // Positions of a group that was not of interest before may have been learned earlier.
+        learned_ms: interest.is_none().then(|| u32::try_from(elapsed).unwrap_or(u32::MAX)),
+        interest,
         ..beat.clone()
     }
 }
@@ -220,8 +268,10 @@
     if known.plan.0 == host.version() {
         host.documents.borrow_mut().confirm(known.plan.1);
     }
-    if known.servers.0 == host.servers_stamp.get() {
-        host.servers_clock.set(host.servers_clock.get().max(known.servers.1));
+    let backends = &host.backends;
+    if known.servers.0 == backends.catalog.borrow().stamp() {
+        backends.clock.set(backends.clock.get().max(known.servers.1));
+        backends.catalog.borrow_mut().advance(known.servers_version);
     }
     let confirmed_at = host.store_clock.borrow().local(known.view.1);
     if let Some(confirmed_at) = confirmed_at {
@@ -235,9 +285,10 @@
     loop {
         tokens::free_shares(&host);
         host.demand.borrow_mut().publish(host.now());
-        let beat = own_heartbeat(&host);
-        let own = positions::take_observed(&host);
         let (hub, is_reporter) = (host.hub(), tokens::is_reporter(&host));
+        let report = is_reporter.then(|| host.demand.borrow().report(host.now()));
+        let beat = Heartbeat { report, ..own_heartbeat(&host) };
+        let own = positions::take_observed(&host);
         let is_recipient = |link: &Rc<Link>| link.is_up() && (is_reporter || link.host == hub);
         for link in host.mesh.links().into_iter().filter(is_recipient) {
             let beat = Box::new(heartbeat_for(&host, &link, &beat, &own));
@@ -256,7 +307,7 @@
                 }
             });
         }
-        let starting = host.plan().is_none() || host.pools.borrow().is_empty();
+        let starting = host.plan().is_none() || host.backends.catalog.borrow().is_empty();
         monoio::time::sleep(if starting { STARTUP_HEARTBEAT_INTERVAL } else { HEARTBEAT_INTERVAL })
             .await;
     }
@@ -265,7 +316,8 @@
 /// Records the clock and the leader positions in the answer to a heartbeat sent at `sent_at`.
 fn record_clock(host: &Host, link: &Link, answer: &Heartbeat, sent_at: Instant) {
     if let Some(clock) = answer.clock {
-        host.peer_clocks.borrow_mut().insert(link.host.clone(), (clock, host.now()));
+        let clock = PeerClock { reading: clock, sent_at, received_at: host.now() };
+        host.peer_clocks.borrow_mut().insert(link.host.clone(), clock);
     }
     positions::apply_reply(host, answer, sent_at);
 }
@@ -303,7 +355,14 @@
         let answer = link.query(Question::Updates(known), UPDATE_TIMEOUT).await;
         let ms = (host.now() - requested_at).as_millis() as u64;
         let newest = match answer {
-            Ok(Answer::Updates(newest)) => newest,
+            Ok(Answer::Updates(mut newest)) => match unpack(&mut newest) {
+                Ok(()) => newest,
+                Err(error) => {
+                    let error = format_args!("{error:#}");
+                    warn!(from = %link.host, %error, "fleet: newer state cannot be decoded, ignored");
+                    return;
+                }
+            },
             Ok(_) => return,
             Err(error) => {
                 host.metrics.unanswered.inc();
@@ -327,7 +386,7 @@
 
 /// Applies newer state of another host. Returns false if that host's view changes do not apply to
 /// this host's view.
-fn apply_updates(host: &Rc<Host>, newest: Updates) -> bool {
+pub fn apply_updates(host: &Rc<Host>, newest: Updates) -> bool {
     let changed = newest.view.map(|changes| changes.apply_to(host.leased_view.borrow().view()));
     let applied = !matches!(changed, Some(None));
     if let Some(view) = changed.flatten() {
@@ -337,7 +396,10 @@
         }
     }
     if let Some(servers) = newest.servers {
-        follow::adopt_servers(host, servers);
+        follow::adopt_servers(host, servers, newest.known.servers_version);
+    }
+    if let Some(changes) = newest.server_changes {
+        follow::adopt_changes(host, changes);
     }
     confirm_versions(host, newest.known);
     applied
--- a/components/proxy/src/group.rs
+++ b/components/proxy/src/group.rs
@@ -25,6 +25,8 @@
 pub struct Group {
     /// Id of the group.
     pub id: GroupId,
+    /// Time of the last use by a statement or a change of leadership.
+    pub last_used: Cell<Instant>,
     /// Log positions of the leader, each with a time. Gives the age of data, and the position that
     /// data of a given maximum age must include.
     pub ages: RefCell<PositionHistory>,
@@ -86,6 +88,7 @@
     pub fn new(id: GroupId, now: Instant) -> Rc<Self> {
         Rc::new(Self {
             id,
+            last_used: Cell::new(now),
             ages: RefCell::default(),
             seen: Cell::default(),
             suspicion: RefCell::default(),
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -2,8 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
-    hash::{DefaultHasher, Hash, Hasher},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -11,18 +10,15 @@
 
 use bergamottrack_contract as contract;
 use bergamottrack_coordination::{
-    AccountId, Clock, FailureDomain, GroupId, HostId, Revision, ServerId, StoreClock, connections,
+    AccountId, Clock, GroupId, HostId, Revision, StoreClock, connections,
     demand::Demand,
     evacuation,
     freshness::{Bounds, ConfigState},
-    holders,
     hubs::Neighbours,
     pieces::{Documents, Fetch},
-    view::{Leadership, LocalView},
-};
-use bergamottrack_model::{
-    Account, ListedServer, Plan, Role, Route, Settings, settings::Mechanism,
+    view::{LocalView, Member},
 };
+use bergamottrack_model::{Account, Plan, Route, Settings, settings::Mechanism};
 use bergamottrack_peer::{
     Link, Mesh,
     message::{ClockReading, KnownVersions},
@@ -35,8 +31,9 @@
     forward::RemoteTransactions,
     group::{Group, LeaderUse},
     metrics::Metrics,
-    placement,
-    pool::{self, Pool},
+    pool::Pool,
+    positions,
+    servers::Servers,
 };
 
 /// Validity of the hub's last report that it has contact with a majority of the fleet.
@@ -51,13 +48,6 @@
 /// plus the processing time of a busy host.
 const LINK_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Difference below which two reported ends of a server's cold phase count as equal.
-const COLD_TOLERANCE: Duration = Duration::from_millis(1000);
-
-/// Added to the reported end of a server's cold phase: [`COLD_TOLERANCE`] plus the
-/// uncertainty of the store's clock.
-const COLD_MARGIN: Duration = Duration::from_millis(1100);
-
 /// Shutdown phase of a host; the variants are in the order in which they occur.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -69,6 +59,26 @@
     Closing,
 }
 
+/// Clock value that another host sent in the answer to a heartbeat.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerClock {
+    /// The value.
+    pub reading: ClockReading,
+    /// Local time at which the heartbeat was sent.
+    pub sent_at: Instant,
+    /// Local time at which the answer arrived.
+    pub received_at: Instant,
+}
+
+/// Packed state, each with the stamp of its content.
+#[derive(Debug, Default)]
+pub struct PackedState {
+    /// Whole view.
+    pub view: Option<(u64, Bytes)>,
+    /// Whole list of servers.
+    pub servers: Option<(u64, Bytes)>,
+}
+
 /// Shared state of a host.
 pub struct Host {
     /// Settings given at start.
@@ -77,14 +87,16 @@
     pub clock: Rc<dyn Clock>,
     /// Start of the host; origin of the clock values sent to other hosts.
     pub started: Instant,
-    /// Latest clock value received from each host, and the local time of its arrival.
-    pub peer_clocks: RefCell<HashMap<HostId, (ClockReading, Instant)>>,
+    /// Latest clock value received from each host.
+    pub peer_clocks: RefCell<HashMap<HostId, PeerClock>>,
     /// Random id of this process; differs after every restart of the host.
     pub run: u64,
     /// Active configuration.
     pub plan: RefCell<Option<Rc<Plan>>>,
-    /// Accounts of the active configuration, by descending rate.
-    pub accounts_by_rate: RefCell<Rc<[AccountId]>>,
+    /// Accounts for which connections are opened ahead of use, by descending rate.
+    pub accounts_ahead: RefCell<Rc<[AccountId]>>,
+    /// Accounts whose statements do not use shared connections.
+    pub unshared_accounts: RefCell<HashSet<AccountId>>,
     /// Compressed configurations served to other hosts; the newest is the active one.
     pub documents: RefCell<Documents>,
     /// Partly fetched configuration, kept for resuming.
@@ -97,15 +109,10 @@
     pub newest: Cell<Revision>,
     /// Mapping between the store's clock and the local clock.
     pub store_clock: RefCell<StoreClock>,
-    /// Store time at which the server list was last confirmed to be current.
-    pub servers_clock: Cell<Duration>,
     /// Evacuated failure domains.
     pub evacuations: RefCell<evacuation::Set>,
-    /// Servers whose entry has disappeared from the list, each with a random number that identifies
-    /// this disappearance.
-    pub missing: RefCell<HashMap<ServerId, u64>>,
-    /// Hash of the server list.
-    pub servers_stamp: Cell<u64>,
+    /// The list of servers, and the pools of those in use.
+    pub backends: Servers,
     /// Hosts that this host keeps links to.
     pub neighbours: RefCell<Neighbours>,
     /// Local time of the hub's last report that it has contact with a majority.
@@ -114,17 +121,11 @@
     pub pending_requests: RefCell<HashMap<HostId, Instant>>,
     /// Time of the last contact from each host, and the version of its row at that time.
     pub last_contact: RefCell<HashMap<HostId, (Instant, Option<u64>)>>,
-    /// Connection pools of the backend servers, by server.
-    pub pools: RefCell<HashMap<ServerId, Rc<Pool>>>,
-    /// Pools by group, each group's sorted by server; `None` after a change of `pools`,
-    /// recomputed on the next access.
-    pub by_group: RefCell<Option<HashMap<GroupId, Vec<Rc<Pool>>>>>,
-    /// Hash of the members from which the servers' holders were last computed; 0 forces
-    /// recomputation.
-    pub holders_stamp: Cell<u64>,
     /// Whether any database or account of the active configuration has homes.
     pub has_homes: Cell<bool>,
-    /// Database groups by id.
+    /// Newest known log positions of the leaders.
+    pub positions: RefCell<positions::Board>,
+    /// Groups in use, by id.
     pub groups: RefCell<HashMap<GroupId, Rc<Group>>>,
     /// Newest view of the fleet and of the group leaders, with the lease on it.
     pub leased_view: RefCell<LocalView>,
@@ -138,6 +139,14 @@
     pub demand: RefCell<Demand>,
     /// Shutdown phase.
     pub phase: watch::Sender<Phase>,
+    /// Packed state that other hosts have requested.
+    pub packed: RefCell<PackedState>,
+    /// Rows of hosts that asked to become members and are not written yet.
+    pub registrations: RefCell<BTreeMap<HostId, Member>>,
+    /// Wakes the task that writes `registrations`.
+    pub registered: Notify,
+    /// Hub candidates that this host has last written to the store.
+    pub published_hubs: RefCell<Vec<HostId>>,
     /// Wakes the task that reads the fleet view.
     pub view_wakeup: Notify,
     /// Counters and histograms.
@@ -146,23 +155,9 @@
     pub sessions: Cell<usize>,
 }
 
-/// Groups the pools by database group, each group's sorted by server.
-fn pools_by_group(pools: &HashMap<ServerId, Rc<Pool>>) -> HashMap<GroupId, Vec<Rc<Pool>>> {
-    let mut by_group: HashMap<GroupId, Vec<Rc<Pool>>> = HashMap::new();
-    for pool in pools.values() {
-        by_group.entry(pool.listed.borrow().group.clone()).or_default().push(pool.clone());
-    }
-    for servers in by_group.values_mut() {
-        servers.sort_by(|a, b| a.listed.borrow().id.cmp(&b.listed.borrow().id));
-    }
-    by_group
-}
-
-/// Returns the accounts by descending rate; accounts of equal rate by id.
-fn accounts_by_rate(plan: &Plan) -> Rc<[AccountId]> {
-    let mut accounts: Vec<_> = plan.accounts().collect();
-    accounts.sort_by(|a, b| b.rate.0.total_cmp(&a.rate.0).then_with(|| a.id.cmp(&b.id)));
-    accounts.into_iter().map(|account| account.id.clone()).collect()
+/// Returns whether statements may be sent over the link to a holder.
+fn is_usable(link: &Rc<Link>) -> bool {
+    link.is_responsive(HOLDER_TIMEOUT) && !link.is_draining()
 }
 
 impl Host {
@@ -200,7 +195,10 @@
             }
         }
         drop(demand);
-        *self.accounts_by_rate.borrow_mut() = accounts_by_rate(&plan);
+        let rates = plan.accounts().map(|account| (account.id.clone(), account.rate));
+        let usage = connections::by_usage(rates.collect(), plan.groups.len());
+        *self.accounts_ahead.borrow_mut() = usage.ahead.into();
+        *self.unshared_accounts.borrow_mut() = usage.unshared;
         self.has_homes.set(plan.has_homes());
         self.documents.borrow_mut().add(plan.version, compressed);
         *self.plan.borrow_mut() = Some(Rc::new(plan));
@@ -284,7 +282,9 @@
             plan: (self.version(), self.documents.borrow().confirmed()),
             view: (leased_view.stamp(), leased_view.view().clock),
             view_version: leased_view.view().version,
-            servers: (self.servers_stamp.get(), self.servers_clock.get()),
+            servers: (self.backends.catalog.borrow().stamp(), self.backends.clock.get()),
+            servers_version: self.backends.catalog.borrow().version(),
+            reads_packed: true,
         }
     }
 
@@ -295,26 +295,6 @@
         Some(self.now().saturating_duration_since(local))
     }
 
-    /// Returns the server list without servers whose entry is missing, sorted by id.
-    pub fn listed(&self) -> Vec<ListedServer> {
-        let (pools, missing) = (self.pools.borrow(), self.missing.borrow());
-        let present = pools.iter().filter(|(id, _)| !missing.contains_key(*id));
-        let mut listed: Vec<_> = present.map(|(_, pool)| pool.listed.borrow().clone()).collect();
-        listed.sort_by(|a, b| a.id.cmp(&b.id));
-        listed
-    }
-
-    /// Recomputes the hash of the server list after a change.
-    pub fn update_servers_stamp(&self) {
-        let mut hash = DefaultHasher::new();
-        for listed in self.listed() {
-            (listed.id, listed.group, listed.address, listed.started_ms).hash(&mut hash);
-            (listed.leaving, listed.role == Role::Primary, listed.slots).hash(&mut hash);
-            listed.cold.hash(&mut hash);
-        }
-        self.servers_stamp.set(hash.finish());
-    }
-
     /// Returns the database's route and the account of the caller's key, each `None` if
     /// unknown. A public database needs no account.
     pub fn resolve(&self, database: &str, key: &str) -> (Option<Rc<Route>>, Option<Rc<Account>>) {
@@ -324,25 +304,6 @@
         }
     }
 
-    /// Returns the group, creating its state on first use.
-    pub fn group(&self, id: &GroupId) -> Rc<Group> {
-        let mut groups = self.groups.borrow_mut();
-        let new = || Group::new(id.clone(), self.now());
-        groups.entry(id.clone()).or_insert_with(new).clone()
-    }
-
-    /// Returns the pools of a group's servers, sorted by server.
-    pub fn servers(&self, group: &GroupId) -> Vec<Rc<Pool>> {
-        let mut by_group = self.by_group.borrow_mut();
-        let by_group = by_group.get_or_insert_with(|| pools_by_group(&self.pools.borrow()));
-        by_group.get(group).cloned().unwrap_or_default()
-    }
-
-    /// Returns the pool of a server.
-    pub fn server(&self, id: &ServerId) -> Option<Rc<Pool>> {
-        self.pools.borrow().get(id).cloned()
-    }
-
     /// Returns whether the lease under which leaders may be used is valid.
     pub fn leased(&self) -> bool {
         self.leased_view.borrow().leased(self.now())
@@ -359,182 +320,36 @@
         usage.holds() && self.leased()
     }
 
-    /// Applies the current view, server list and configuration to pools and groups.
-    pub fn refresh(&self) {
-        let now = self.now();
-        let hosts = self.leased_view.borrow().view().members.len().max(1);
-        let plan = self.plan();
-        self.update_holders();
-        for pool in self.pools.borrow().values() {
-            let group = pool.listed.borrow().group.clone();
-            let limits = plan.as_ref().and_then(|plan| plan.groups.get(&group).copied());
-            let shared = self.settings.is_enabled(Mechanism::SharedConnections);
-            let rank = pool.holders.borrow().iter().position(|host| *host == self.settings.host);
-            let role = match rank.filter(|_| shared) {
-                Some(0) => connections::Role::Holder,
-                Some(_) => connections::Role::Standby,
-                None => connections::Role::Other,
-            };
-            pool.set_bounds(limits.map_or(1, |limits| limits.connections), hosts, role);
-            let cold = limits.and_then(|limits| limits.cold);
-            pool.set_cold(cold, self.settings.cold_tolerance);
-            self.group(&group);
-        }
-        let groups: Vec<_> = self.groups.borrow().values().cloned().collect();
-        for group in groups {
-            let leader = self.listed_leader(&group.id);
-            if group.set_leader(leader.clone(), now) {
-                info!(
-                    group = %group.id,
-                    leader = leader.as_ref().map(tracing::field::display),
-                    view = self.leased_view.borrow().view().version,
-                    "leader: changed"
-                );
-            }
-        }
-    }
-
-    /// Recomputes the connection holders of each server after a change of the members, and of
-    /// servers without holders.
-    ///
-    /// The cost is proportional to hosts times servers, too much for every change of a leader.
-    fn update_holders(&self) {
-        let leased_view = self.leased_view.borrow();
-        let members = holders::stamp(leased_view.view());
-        let changed = self.holders_stamp.replace(members) != members;
-        let mut eligible: HashMap<FailureDomain, Vec<HostId>> = HashMap::new();
-        for pool in self.pools.borrow().values() {
-            if !changed && !pool.holders.borrow().is_empty() {
-                continue;
-            }
-            let listed = pool.listed.borrow();
-            let candidates = eligible
-                .entry(listed.domain.clone())
-                .or_insert_with(|| holders::eligible(leased_view.view(), &listed.domain));
-            *pool.holders.borrow_mut() = holders::order(candidates, listed.id.as_str());
-        }
-    }
-
-    /// Returns the leader of a group by the view; for a group without a row in the view, the
-    /// server that lists itself as primary, if it is the only one. `None` during a failover and
-    /// before the first view.
-    fn listed_leader(&self, group: &GroupId) -> Option<ServerId> {
-        let leased_view = self.leased_view.borrow();
-        leased_view.age(self.now())?;
-        match leased_view.leadership(group).map(|versioned| &versioned.value) {
-            Some(Leadership::Steady { leader, .. }) => Some(leader.clone()),
-            Some(Leadership::Moving { .. }) => None,
-            None => {
-                let servers = self.servers(group);
-                let primary = |pool: &&Rc<Pool>| pool.listed.borrow().role == Role::Primary;
-                let mut primaries = servers.iter().filter(primary);
-                let first = primaries.next()?.listed.borrow().id.clone();
-                primaries.next().is_none().then_some(first)
-            }
-        }
-    }
-
-    /// Adds or updates a server from its own entry in the server list.
-    pub fn upsert_server(&self, mut listed: ListedServer) {
-        self.missing.borrow_mut().remove(&listed.id);
-        let mut pools = self.pools.borrow_mut();
-        let now = self.now();
-        let previous = pools.get(&listed.id).map(|pool| pool.listed.borrow().clone());
-        let is_moved =
-            |old: &ListedServer| (&old.group, &old.domain) != (&listed.group, &listed.domain);
-        if previous.as_ref().is_none_or(is_moved) {
-            *self.by_group.borrow_mut() = None;
-            self.holders_stamp.set(0);
-        }
-        match pools.get(&listed.id) {
-            Some(pool) => {
-                let reported = pool.listed.borrow().cold;
-                // Ends are computed from the time of each report and vary slightly. Small
-                // differences are ignored, because every change is propagated to all hosts.
-                if !reported.is_zero() && listed.cold.abs_diff(reported) < COLD_TOLERANCE {
-                    listed.cold = reported;
-                }
-                let before = pool.listed.replace(listed.clone());
-                if before != listed {
-                    info!(
-                        server = %listed.id, group = %listed.group, address = %listed.address,
-                        role = ?listed.role, leaving = listed.leaving, "servers: entry changed"
-                    );
-                }
-                if before.started_ms != listed.started_ms || before.address != listed.address {
-                    pool.drop_idle();
-                }
-                let restarted = before.started_ms != listed.started_ms;
-                pool.warmth.borrow_mut().report(self.cold_until(&listed), restarted);
-            }
-            None => {
-                info!(
-                    server = %listed.id, group = %listed.group, address = %listed.address,
-                    role = ?listed.role, leaving = listed.leaving, "servers: server added"
-                );
-                let pool = Pool::new(listed.clone(), now);
-                pool.warmth.borrow_mut().report(self.cold_until(&listed), true);
-                pools.insert(listed.id.clone(), pool);
-            }
-        }
-    }
-
-    /// Returns the end of a server's cold phase by its entry; `None` if it is warm or the
-    /// store's clock is unknown.
-    fn cold_until(&self, listed: &ListedServer) -> Option<Instant> {
-        let cold = Some(listed.cold).filter(|cold| !cold.is_zero())?;
-        Some(self.store_clock.borrow().local(cold)? + COLD_MARGIN)
+    /// Returns whether hosts share connections through the servers' holders.
+    pub fn shares_connections(&self) -> bool {
+        self.settings.is_enabled(Mechanism::SharedConnections)
     }
 
-    /// Removes a server from the list and closes its idle connections.
-    pub fn remove_server(&self, id: &ServerId) {
-        self.missing.borrow_mut().remove(id);
-        *self.by_group.borrow_mut() = None;
-        if let Some(pool) = self.pools.borrow_mut().remove(id) {
-            info!(server = %id, "servers: server removed");
-            pool.drop_idle();
-        }
-    }
-
-    /// Closes unused connections, opens others ahead of use and closes transactions of other hosts
-    /// that are idle for too long, whose host is gone or whose server is forbidden, in an endless
-    /// loop.
-    pub async fn maintain_pools(self: Rc<Self>) {
-        loop {
-            monoio::time::sleep(pool::TRIM_INTERVAL).await;
-            let accounts = self.accounts_by_rate.borrow().clone();
-            let serving = *self.phase.borrow() == Phase::Serving;
-            for pool in self.pools.borrow().values() {
-                pool.trim();
-                let allowed = placement::of(&self, pool) == evacuation::Placement::Allowed;
-                if serving && allowed && !pool.is_cold(self.now()) {
-                    pool.open_ahead(&accounts);
-                }
-            }
-            let limit = self.plan().and_then(|plan| plan.idle_timeout);
-            self.remote_transactions
-                .sweep(limit, self.now(), |pool| placement::is_forbidden(&self, pool));
-        }
+    /// Returns whether statements of the account use shared connections. A connection of an account
+    /// that sends a server few statements is closed before its next use, so sharing it only costs a
+    /// hop.
+    pub fn shares_account(&self, account: &AccountId) -> bool {
+        self.shares_connections() && !self.unshared_accounts.borrow().contains(account)
     }
 
     /// Returns the link to the first usable holder of a server's connections; `None` if this host
     /// comes before it, no holder is usable, or shared connections are disabled.
     pub fn holder(&self, pool: &Pool) -> Option<Rc<Link>> {
-        if !self.settings.is_enabled(Mechanism::SharedConnections) {
+        if !self.shares_connections() {
             return None;
         }
-        for holder in pool.holders.borrow().iter() {
-            if *holder == self.settings.host {
-                return None;
-            }
-            let link = self.reach(holder);
-            let is_usable =
-                |link: &Rc<Link>| link.is_responsive(HOLDER_TIMEOUT) && !link.is_draining();
-            if let Some(link) = link.filter(is_usable) {
-                return Some(link);
-            }
-        }
-        None
+        let holders = pool.holders.borrow();
+        let others = holders.iter().take_while(|holder| **holder != self.settings.host);
+        others.filter_map(|holder| self.reach(holder)).find(is_usable)
+    }
+
+    /// Returns whether a statement of the account needs no new connection to the server, as far as
+    /// is known without a link: a holder to which there is no link counts as usable.
+    pub fn is_connected(&self, pool: &Pool, account: &AccountId) -> bool {
+        let holders = pool.holders.borrow();
+        let mut others = holders.iter().take_while(|holder| **holder != self.settings.host);
+        let usable = |holder| self.mesh.existing(holder).is_none_or(|link| is_usable(&link));
+        self.shares_account(account) && others.any(usable) || pool.has_idle(account)
     }
 
     /// Returns [`Host::holder`] after the first connection attempt of the links to the holders, for
@@ -543,7 +358,7 @@
     /// Without the attempt, the first statement to each server would open a connection of this
     /// host's own: in a large fleet most pairs of host and server see few statements.
     pub async fn connect_holder(&self, pool: &Pool) -> Option<Rc<Link>> {
-        if self.settings.is_enabled(Mechanism::SharedConnections) {
+        if self.shares_connections() {
             let holders = pool.holders.borrow().clone();
             for holder in holders.iter().take_while(|holder| **holder != self.settings.host) {
                 if let Some(link) = self.reach(holder) {
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod catalog;
 pub mod clock;
 pub mod compression;
 pub mod confirm;
@@ -15,6 +16,7 @@
 pub mod gossip;
 pub mod group;
 pub mod host;
+pub mod join;
 pub mod metrics;
 pub mod monitor;
 pub mod operation;
@@ -22,6 +24,7 @@
 pub mod pool;
 pub mod positions;
 pub mod serve;
+pub mod servers;
 pub mod session;
 pub mod target;
 pub mod tokens;
--- a/components/proxy/src/placement.rs
+++ b/components/proxy/src/placement.rs
@@ -43,13 +43,18 @@
     member.is_some_and(|member| homes.allow(region(host, &member.value.domain)))
 }
 
-/// Returns the link to the holder of a server's connections, if another host holds them and
-/// statements with these homes may be forwarded to it.
+/// Returns the link to the holder of a server's connections, if another host holds them,
+/// statements with these homes may be forwarded to it, and the account uses shared connections. At a
+/// cold server all accounts do, since only its holders have a share of its limit.
 pub async fn holder_link(
     host: &host::Host,
     pool: &pool::Pool,
+    account: &ids::AccountId,
     homes: &homes::Homes,
 ) -> Option<Rc<link::Link>> {
+    if !host.shares_account(account) && !pool.is_cold(host.now()) {
+        return None;
+    }
     let link = host.connect_holder(pool).await?;
     may_forward(host, &link.host, homes).then_some(link)
 }
@@ -143,7 +148,7 @@
     let (from, clock) = (from.map(tracing::field::display), after.clock());
     let age_ms = host.store_age(clock).map(|age| age.as_millis() as u64);
     let has_servers = |domain: &ids::FailureDomain| {
-        host.pools.borrow().values().any(|pool| pool.listed.borrow().domain == *domain)
+        host.backends.catalog.borrow().all().any(|listed| listed.domain == *domain)
     };
     for (domain, version) in new.difference(&old) {
         let servers = has_servers(domain);
@@ -153,9 +158,9 @@
         info!(%domain, version, age_ms, from, "evacuation: withdrawn");
     }
     host.metrics.evacuated.set(new.len() as i64);
-    let pools = host.pools.borrow();
+    let pools = host.pools();
     let evacuated = |pool: &&Rc<pool::Pool>| {
         new.iter().any(|(domain, _)| *domain == pool.listed.borrow().domain)
     };
-    pools.values().filter(evacuated).for_each(|pool| pool.drop_idle());
+    pools.iter().filter(evacuated).for_each(|pool| pool.drop_idle());
 }
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -72,6 +72,10 @@
     bounds: Cell<Bounds>,
     /// Role of this host for the server's connections.
     role: Cell<Role>,
+    /// Generation of the view, list and configuration that `bounds` and `role` are based on.
+    pub generation: Cell<u64>,
+    /// Hash of the members that `holders` is based on; 0 forces recomputation.
+    pub members: Cell<u64>,
     /// Hosts eligible to hold the server's connections, in order of preference.
     pub holders: RefCell<Vec<HostId>>,
     /// End of the time for which the last rejection limits the pool, and the number of this host's
@@ -116,7 +120,8 @@
 }
 
 impl Pool {
-    /// Returns a pool without connections for a server first listed at `now`.
+    /// Returns a pool without connections. `now` is the time from which requests to the server
+    /// count against this host's share of a cold server's limit.
     pub fn new(listed: ListedServer, now: StdInstant) -> Rc<Self> {
         Rc::new(Self {
             listed: RefCell::new(listed),
@@ -131,6 +136,8 @@
             open: Cell::default(),
             bounds: Cell::new(connections::bounds(1, 1, 1, Role::Other)),
             role: Cell::default(),
+            generation: Cell::default(),
+            members: Cell::default(),
             holders: RefCell::default(),
             observed_limit: Cell::default(),
             freed: Notify::new(),
@@ -178,8 +185,13 @@
         self.warmth.borrow_mut().lost(limit, StdInstant::now());
     }
 
+    /// Returns whether any connection is open or being opened.
+    pub fn has_connections(&self) -> bool {
+        self.open.get() > 0
+    }
+
     /// Returns whether this host holds the server's connections for all hosts.
-    fn is_holder(&self) -> bool {
+    pub fn is_holder(&self) -> bool {
         self.role.get() == Role::Holder
     }
 
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -29,6 +29,7 @@
 use crate::{
     BootClock, caller, eviction, fleet, follow, gossip,
     host::{Host, Phase},
+    join,
     metrics::Metrics,
     monitor,
 };
@@ -69,19 +70,20 @@
     monoio::spawn(http::serve(settings.readiness_address, readiness(state.clone())));
     monoio::spawn(http::serve(settings.metrics_address, metrics(state.clone())));
     let client = Client::new(settings.store_address);
-    let (run, clock) = (rand::random(), Rc::new(BootClock::new()));
+    let (run, clock): (_, Rc<dyn Clock>) = (rand::random(), Rc::new(BootClock::new()));
     let membership = monoio::select! {
-        membership = fleet::ensure_member(&settings, &*clock, &client) => membership,
+        membership = fleet::ensure_member(&settings, &clock, &client) => membership,
         // The host may have joined the view already. It has used no leader, as leaving requires.
         _ = wait_raised(&signals.stop) => return fleet::leave(&settings).await,
     };
     let host = new_host(settings, run, clock, &membership.secret);
     *state.borrow_mut() = Some(host.clone());
     info!(host = %host.settings.host, run = host.run, "host: started");
-    host.store_clock.borrow_mut().note(membership.requested_at, membership.view.clock);
-    fleet::apply_view(&host, membership.view, membership.requested_at);
+    *host.store_clock.borrow_mut() = membership.store_clock;
+    gossip::apply_updates(&host, membership.state);
     monoio::spawn(accept_peers(peers, host.clone()));
     monoio::spawn(fleet::follow(host.clone()));
+    monoio::spawn(join::write_registrations(host.clone()));
     monoio::spawn(gossip::send_heartbeats(host.clone()));
     monoio::spawn(gossip::poll_peers(host.clone()));
     monoio::spawn(eviction::evict_silent(host.clone()));
@@ -118,24 +120,21 @@
         started,
         peer_clocks: RefCell::default(),
         plan: RefCell::default(),
-        accounts_by_rate: RefCell::new(Rc::new([])),
+        accounts_ahead: RefCell::new(Rc::new([])),
+        unshared_accounts: RefCell::default(),
         documents: RefCell::default(),
         fetch: RefCell::default(),
         is_fetching: Cell::default(),
         unreadable_version: Cell::default(),
         newest: Cell::default(),
         store_clock: RefCell::default(),
-        servers_clock: Cell::default(),
         evacuations: RefCell::default(),
-        missing: RefCell::default(),
-        servers_stamp: Cell::default(),
         neighbours: RefCell::default(),
         hub_majority: Cell::default(),
         pending_requests: RefCell::default(),
         last_contact: RefCell::default(),
-        pools: RefCell::default(),
-        by_group: RefCell::default(),
-        holders_stamp: Cell::default(),
+        backends: Default::default(),
+        positions: RefCell::default(),
         has_homes: Cell::default(),
         groups: RefCell::default(),
         mesh,
@@ -143,6 +142,10 @@
         last_admission: Cell::default(),
         demand: RefCell::new(demand),
         phase: watch::Sender::new(Phase::Serving),
+        packed: RefCell::default(),
+        registrations: RefCell::default(),
+        registered: Notify::new(),
+        published_hubs: RefCell::default(),
         view_wakeup: Notify::new(),
         metrics: Metrics::default(),
         sessions: Cell::default(),
--- a/components/proxy/src/target.rs
+++ b/components/proxy/src/target.rs
@@ -115,7 +115,7 @@
             Candidate {
                 health,
                 same_domain: listed.domain == host.settings.domain,
-                connected: host.holder(pool).is_some() || pool.has_idle(&operation.account),
+                connected: host.is_connected(pool, &operation.account),
                 leads: leader_id.as_ref() == Some(&listed.id),
                 cold: pool.is_cold(now),
                 slots: listed.slots,
@@ -191,7 +191,7 @@
     };
     let now = host.now();
     let conn =
-        match placement::holder_link(host, &pool, &operation.homes).await {
+        match placement::holder_link(host, &pool, &operation.account, &operation.homes).await {
             Some(link) => Conn::remote(pool, link, operation.account.clone(), queue),
             None => Conn::own(&pool, &operation.account, session, queue, now).await.map_err(
                 |reason| record_not_sent(host, operation, &pool, usage.is_some(), reason, now),
--- a/lab/src/soak/store.rs
+++ b/lab/src/soak/store.rs
@@ -50,6 +50,8 @@
     pub lower_tokens: usize,
     /// Number of write transactions requested by hosts.
     pub changes: usize,
+    /// Number of reads of each whole table by hosts.
+    pub whole_reads: BTreeMap<Box<str>, usize>,
     /// Address of the link to each host, by the address on which the host listens for its peers.
     /// Hosts' rows are stored with the link's address.
     pub peer_links: BTreeMap<SocketAddr, SocketAddr>,
@@ -65,6 +67,7 @@
             token: 0,
             lower_tokens: 0,
             changes: 0,
+            whole_reads: BTreeMap::new(),
             peer_links: BTreeMap::new(),
         }
     }
@@ -86,10 +89,27 @@
         self.rows.insert((table.into(), key.into()), row);
     }
 
+    /// Returns the number of rows of a table with a key that begins with `prefix`.
+    pub fn count(&self, table: &str, prefix: &str) -> usize {
+        let present = self.rows.iter().filter(|(_, row)| !row.removed);
+        present.filter(|((of, key), _)| &**of == table && key.starts_with(prefix)).count()
+    }
+
+    /// Returns the rows of a table with a key in the range of `query`.
+    fn read(&mut self, table: &str, query: &BTreeMap<&str, &str>) -> Value {
+        let from = query.get("from").copied().unwrap_or_default();
+        let to = query.get("to").copied();
+        if from.is_empty() && to.is_none() {
+            *self.whole_reads.entry(table.into()).or_default() += 1;
+        }
+        let in_range = |key: &str| key >= from && to.is_none_or(|to| key < to);
+        self.page(table, |key, row| !row.removed && in_range(key))
+    }
+
     /// Returns the rows of a table that match `pick`, in order of their versions.
-    fn page(&self, table: &str, pick: impl Fn(&Row) -> bool) -> Value {
+    fn page(&self, table: &str, pick: impl Fn(&str, &Row) -> bool) -> Value {
         let mut rows: Vec<_> =
-            self.rows.iter().filter(|((of, _), row)| &**of == table && pick(row)).collect();
+            self.rows.iter().filter(|((of, key), row)| &**of == table && pick(key, row)).collect();
         rows.sort_by_key(|(_, row)| row.version);
         let rows: Vec<Value> = rows
             .into_iter()
@@ -171,7 +191,7 @@
         request.query.split('&').filter_map(|pair| pair.split_once('=')).collect();
     let table = query.get("table").copied().unwrap_or_default();
     match &*request.path {
-        "/-/rows-get" => Reply::json(StatusCode::OK, &store.borrow().page(table, |r| !r.removed)),
+        "/-/rows-get" => Reply::json(StatusCode::OK, &store.borrow_mut().read(table, &query)),
         "/-/rows-feed" => {
             let number = |name| query.get(name).and_then(|text| text.parse::<u64>().ok());
             let after = number("after").unwrap_or(0);
@@ -180,7 +200,7 @@
             while !store.borrow().has_changes(table, after) && Instant::now() < end {
                 monoio::time::sleep(Duration::from_millis(5)).await;
             }
-            Reply::json(StatusCode::OK, &store.borrow().page(table, |row| row.version > after))
+            Reply::json(StatusCode::OK, &store.borrow().page(table, |_, row| row.version > after))
         }
         "/-/rows-tx" => {
             let reply = store.borrow_mut().apply(&body);
--- a/tests/hubs.rs
+++ b/tests/hubs.rs
@@ -43,3 +43,52 @@
         }
     });
 }
+
+/// Number of hub candidates in the two failure domains.
+const CANDIDATES: usize = 6;
+
+/// Time in which hosts that start together are to serve.
+const START_TIME: Duration = Duration::from_secs(3);
+
+/// Guards against a store that is overrun when all hosts start together: each of a thousand hosts
+/// read the view, the servers and the configuration itself.
+#[test]
+fn hosts_that_start_together_read_whole_tables_only_at_hub_candidates() {
+    block_on(async {
+        let world = await_serving(World::start_sized(HOSTS, LARGE_HOSTS).unwrap()).await;
+        let hubs_written = async {
+            while world.borrow().store.borrow().count("fleet", "hubs/") < 2 {
+                sleep_ms(20).await;
+            }
+        };
+        monoio::time::timeout(hosts::WAIT_TIMEOUT, hubs_written).await.expect("hubs are published");
+        for host in 0..HOSTS {
+            world.borrow_mut().hosts[host].kill();
+        }
+        world.borrow().store.borrow_mut().whole_reads.clear();
+        for host in 0..HOSTS {
+            world.borrow_mut().hosts[host].start().unwrap();
+        }
+        let start = Instant::now();
+        for host in 0..HOSTS {
+            let address = world.borrow().callers[host];
+            loop {
+                if let Ok(mut conn) = Connection::start(address, "db0", "key-b").await
+                    && conn.query("READ k1").await.is_ok_and(|lines| lines[0].starts_with("DONE"))
+                {
+                    break;
+                }
+                assert!(start.elapsed() < START_TIME, "host {host} does not serve");
+                sleep_ms(20).await;
+            }
+        }
+        let reads = world.borrow().store.borrow().whole_reads.clone();
+        for table in ["op", "servers"] {
+            let count = reads.get(table).copied().unwrap_or_default();
+            assert!(count <= CANDIDATES, "{table} was read {count} times");
+        }
+        // Hubs read the view again when new hosts have joined and at their usual interval.
+        let views = reads.get("fleet").copied().unwrap_or_default();
+        assert!(views <= 2 * CANDIDATES, "the view was read {views} times");
+    });
+}
