A lost poll of the server list no longer makes every host read the whole list

Cause: a hub's long poll waits 4.5 s, and when the store drops its history the poll is lost and noticed after 5.5 s. All hosts of a failure domain learn from the hub's clock when the list was last confirmed, and all pass the limit of 5.6 s in the same moment.

Change: polls wait 3 s, so a lost one is noticed and the list read again before the limit; a host continues from the version of the list that its hub sent; the limit has a random second added per host. Reads of whole tables are logged.

--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -253,6 +253,7 @@
                     info!("fleet: view readable again");
                 }
                 host.store_clock.borrow_mut().note(requested_at, view.clock);
+                info!(version = view.version, "fleet: view read");
                 apply_view(&host, view, requested_at);
                 join::publish_hubs(&host, &client).await;
                 let all_up = host.mesh.links().iter().all(|link| link.is_up());
--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -15,7 +15,7 @@
 use bergamottrack_peer::message::ServerChanges;
 use bergamottrack_platform::http::Client;
 use bytes::Bytes;
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 
 use crate::{compression, host::Host, placement};
 
@@ -23,9 +23,10 @@
 /// On days when the store is slowest, an answer takes 250 ms, sixty times as long as usual.
 pub const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
 
-/// Maximum wait of a long poll for changes of the list of servers. A server that leaves continues
-/// to serve for seconds.
-const SERVERS_POLL_TIMEOUT: Duration = Duration::from_millis(4500);
+/// Maximum wait of a long poll for changes of the list of servers. A poll that is lost is noticed
+/// after this time plus [`STORE_TIMEOUT`], and the list read again and sent to the other hosts, before
+/// its age reaches [`MAX_SERVERS_AGE`].
+const SERVERS_POLL_TIMEOUT: Duration = Duration::from_millis(3000);
 
 /// Delay after a change of the list of servers before the next poll, so that one call returns
 /// several changes. When all servers start they report within one heartbeat; without the delay each
@@ -42,9 +43,13 @@
 const MISSING_ENTRY_TTL: Duration = Duration::from_millis(2500);
 
 /// Maximum age of the list of servers before a host that receives the list from its hub reads it
-/// from the store: slightly longer than the hub usually takes to send or confirm it.
+/// from the store. A server that leaves continues to serve for longer than this.
 const MAX_SERVERS_AGE: Duration = Duration::from_millis(5600);
 
+/// Maximum random time added to [`MAX_SERVERS_AGE`]. All hosts learn at the same time when the list
+/// was last confirmed, and without it they would all read the store at once.
+const SERVERS_AGE_SPREAD: Duration = Duration::from_millis(1000);
+
 /// Time that a new host of a large fleet waits for a link to its hub before it reads the tables from
 /// the store: several connection attempts and two heartbeats of a starting host.
 const HUB_TIMEOUT: Duration = Duration::from_millis(500);
@@ -58,16 +63,18 @@
 
 /// Follows a table in an endless loop: passes its rows to `apply`, with true for the whole table
 /// and false for changes. Reads only while `needed` returns true. `wait` is the maximum wait of a
-/// long poll.
+/// long poll, and `known` returns the version of the rows that other hosts have sent, 0 if there are
+/// none.
 async fn follow(
     host: &Rc<Host>,
     table: Table,
     wait: Duration,
     needed: impl Fn() -> bool,
+    known: impl Fn() -> u64,
     apply: impl Fn(&Rows, bool),
 ) -> ! {
     let client = Client::new(host.settings.store_address);
-    let mut after = None;
+    let mut after: Option<u64> = None;
     let mut unreachable = false;
     let started = host.now();
     loop {
@@ -77,6 +84,7 @@
             continue;
         }
         let sent_at = host.now();
+        after = after.max(Some(known()).filter(|version| *version > 0));
         let read = match after {
             None => store::read(&client, table, STORE_TIMEOUT).await.map(|rows| (rows, true)),
             Some(version) => {
@@ -88,8 +96,7 @@
                             %table, version,
                             "store: history of changes expired, reading the whole table"
                         );
-                        after = None;
-                        continue;
+                        store::read(&client, table, STORE_TIMEOUT).await.map(|rows| (rows, true))
                     }
                     Err(error) => Err(error),
                 }
@@ -97,10 +104,10 @@
         };
         match read {
             Ok((rows, whole)) => {
-                debug!(
-                    %table, whole, rows = rows.rows.len(), version = rows.version,
-                    "store: rows received"
-                );
+                if whole {
+                    let (rows, version) = (rows.rows.len(), rows.version);
+                    info!(%table, rows, version, "store: whole table read");
+                }
                 if std::mem::take(&mut unreachable) {
                     let ms = (host.now() - sent_at).as_millis() as u64;
                     info!(%table, ms, "store: table service reachable again");
@@ -156,7 +163,8 @@
         host.settings.apply_bound.min(host.settings.evacuation_bound),
     );
     let needed = || host.reads_store() || host.plan_age().is_none_or(|age| age > intervals.read);
-    follow(&host, Table::Configuration, intervals.wait, needed, apply).await
+    // The configuration and the evacuations that other hosts sent have no common version.
+    follow(&host, Table::Configuration, intervals.wait, needed, || 0, apply).await
 }
 
 /// Decodes a configuration and puts it in force if it is newer; returns false if it cannot be
@@ -189,11 +197,13 @@
         apply_list(&host, listed, missing, rows.version, whole);
         host.backends.clock.set(host.backends.clock.get().max(rows.clock));
     };
+    let max_age = MAX_SERVERS_AGE + SERVERS_AGE_SPREAD.mul_f64(rand::random());
     let needed = || {
         let age = host.store_age(host.backends.clock.get());
-        host.reads_store() || age.is_none_or(|age| age > MAX_SERVERS_AGE)
+        host.reads_store() || age.is_none_or(|age| age > max_age)
     };
-    follow(&host, Table::Servers, SERVERS_POLL_TIMEOUT, needed, apply).await
+    let known = || host.backends.catalog.borrow().version();
+    follow(&host, Table::Servers, SERVERS_POLL_TIMEOUT, needed, known, apply).await
 }
 
 fn known_servers(host: &Host) -> Vec<ServerId> {
