A starting host gets no view from before its start

Cause: found by reading, before any landing of the start through hubs. A failover does not wait for a host that refuses connections: its process has ended, and one that starts there later used to read the view from the store, after the intent. A hub could send such a process a view from before the intent, confirmed up to 2.4 s ago, and with it a lease on the former leader that nobody waits for.

Change: a request to become a member carries the time of the store's clock that the host read after it began to listen; the hub answers once its view is confirmed at that time or later, and reads the view at once for it. The sender checks the same. A wake-up during the pause of the reader is no longer lost on a host that is no hub. A starting host gives up on hub candidates at its deadline also in the middle of a list of them, and a hub writes the candidates again when only an address has changed.

Result: the test of the rule fails without it (the view of time 5 was sent for time 6) and passes.

--- a/components/coordination/src/view.rs
+++ b/components/coordination/src/view.rs
@@ -284,15 +284,29 @@
     /// reads the view. So a connection that is refused after the intent was written proves that
     /// no process of the host has read an older view.
     pub fn is_member(&self) -> bool {
-        let own = self.view.members.get(&self.me);
-        own.is_some_and(|own| {
+        self.lists(&self.me, self.row_hash)
+    }
+
+    /// Returns whether the view lists a host as a member, with the given row hash.
+    fn lists(&self, host: &HostId, row_hash: u64) -> bool {
+        self.view.members.get(host).is_some_and(|row| {
             // A row newer than the view comes from a later page of the same read: the groups' rows
-            // of an earlier page may be older than an intent that does not wait for this host.
-            let is_current = own.version <= self.view.version;
-            is_current && own.value.row_hash == self.row_hash && own.value.left.is_none()
+            // of an earlier page may be older than an intent that does not wait for the host.
+            let is_current = row.version <= self.view.version;
+            is_current && row.value.row_hash == row_hash && row.value.left.is_none()
         })
     }
 
+    /// Returns whether a host that has just started may act on this view: the view lists it, and
+    /// was the newest at the store time `since`, which the host has read after it began to listen.
+    ///
+    /// A failover does not wait for a host that refuses connections. A process that starts there
+    /// afterwards must not receive a view from before the intent, as a host that has not read the
+    /// store since may hold one.
+    pub fn admits(&self, host: &HostId, row_hash: u64, since: Duration) -> bool {
+        self.lists(host, row_hash) && self.view.clock >= since
+    }
+
     /// Returns whether this host holds a lease and so may use the leaders of the view.
     ///
     /// A host that is not a member holds no lease, since a failover would not wait for it.
--- a/components/coordination/tests/view.rs
+++ b/components/coordination/tests/view.rs
@@ -62,6 +62,22 @@
     assert!(local.leased(start));
 }
 
+/// Guards against a former leader that is used by a host which started after a failover found it
+/// dead: another host sends it the view from before the intent.
+#[test]
+fn starting_host_gets_no_view_from_before_its_start() {
+    let start = Instant::now();
+    let mut hub = LocalView::new(host("hub"), 1);
+    hub.replace(view(5, &[("hub", member(1)), ("a", member(2))]), start);
+    let started = Duration::from_secs(6);
+    assert!(hub.admits(&host("a"), 2, Duration::from_secs(5)));
+    assert!(!hub.admits(&host("a"), 3, Duration::from_secs(5)), "the row is of another address");
+    assert!(!hub.admits(&host("a"), 2, started), "an intent may have been written since");
+    let stamp = hub.stamp();
+    hub.renew(stamp, started, start + Duration::from_secs(1));
+    assert!(hub.admits(&host("a"), 2, started));
+}
+
 /// Guards against a host that uses a leader by a lease for which a failover does not wait, because
 /// the host was removed from the view or its row contains another address.
 #[test]
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -169,9 +169,9 @@
     /// Cancels a transaction of the sender by closing its connection, which rolls it back.
     #[serde(rename = "Hang")]
     CancelTransaction(TransactionId),
-    /// Requests that the sender becomes a member of the fleet with this row. The answer is the
-    /// host's whole data, once its view lists the sender.
-    Register(Box<Member>),
+    /// Requests that the sender becomes a member of the fleet. The answer is the host's whole data,
+    /// once its view lists the sender and is current.
+    Register(Box<Registration>),
     /// Requests a token of an account's rate.
     #[serde(rename = "Take")]
     TakeToken {
@@ -184,6 +184,16 @@
     },
 }
 
+/// Request of a starting host to become a member of the fleet.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Registration {
+    /// Row of the host in the view.
+    pub row: Member,
+    /// Time of the store's clock that the host read after it began to listen for peers. A view
+    /// that was not the newest at this time or later is no answer.
+    pub since: Duration,
+}
+
 /// Query for the outcome of a request that runs at most once.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct OutcomeQuery {
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -253,7 +253,6 @@
                     info!("fleet: view readable again");
                 }
                 host.store_clock.borrow_mut().note(requested_at, view.clock);
-                info!(version = view.version, "fleet: view read");
                 apply_view(&host, view, requested_at);
                 join::publish_hubs(&host, &client).await;
                 let all_up = host.mesh.links().iter().all(|link| link.is_up());
@@ -263,9 +262,8 @@
                     monoio::time::sleep(JOIN_RETRY_DELAY).await;
                     continue;
                 }
-                // A wake-up ends the pause early; the next read takes place only if `needs_read`
-                // holds then.
-                let _ = monoio::time::timeout(pause, host.view_wakeup.notified()).await;
+                let wake = monoio::time::timeout(pause, host.view_wakeup.notified()).await;
+                woken = wake.is_ok();
             }
             Err(error) => {
                 if !std::mem::replace(&mut last_read_failed, true) {
--- a/components/proxy/src/gossip.rs
+++ b/components/proxy/src/gossip.rs
@@ -80,8 +80,8 @@
         Question::ApplyLeadership { group, row } => {
             monoio::spawn(apply_leadership(host.clone(), group, row, replier));
         }
-        Question::Register(row) => {
-            monoio::spawn(join::admit(host.clone(), peer.host.clone(), *row, replier));
+        Question::Register(registration) => {
+            monoio::spawn(join::admit(host.clone(), peer.host.clone(), *registration, replier));
         }
         Question::Piece(wanted) => replier.reply(Answer::Piece(fetch::piece(host, wanted))),
         Question::Updates(known) => {
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -145,8 +145,8 @@
     pub registrations: RefCell<BTreeMap<HostId, Member>>,
     /// Wakes the task that writes `registrations`.
     pub registered: Notify,
-    /// Hub candidates that this host has last written to the store.
-    pub published_hubs: RefCell<Vec<HostId>>,
+    /// Hub candidates that this host has last written to the store, with their addresses.
+    pub published_hubs: RefCell<Vec<(HostId, SocketAddr)>>,
     /// Wakes the task that reads the fleet view.
     pub view_wakeup: Notify,
     /// Counters and histograms.
--- a/components/proxy/src/join.rs
+++ b/components/proxy/src/join.rs
@@ -9,7 +9,12 @@
 //! Nothing depends on the named hosts: if none of them answers in time, the host writes its own
 //! row and reads the view itself, see [`fleet::ensure_member`].
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use anyhow::{Context, bail};
 use bergamottrack_adapter::store::{self, Change, Table, TxOutcome};
@@ -20,7 +25,7 @@
 use bergamottrack_peer::{
     Answer, Link, Question,
     accept::Replier,
-    message::{Hello, KnownVersions, Updates},
+    message::{Hello, KnownVersions, Registration, Updates},
 };
 use bergamottrack_platform::http::Client;
 use serde::{Deserialize, Serialize};
@@ -133,12 +138,15 @@
         monoio::time::sleep(delay.mul_f64(rand::random_range(1.0..2.0))).await;
     }
     let mut store_clock = StoreClock::default();
-    while clock.now().saturating_duration_since(started) < HUB_TIMEOUT {
+    let deadline = started + HUB_TIMEOUT;
+    while clock.now() < deadline {
         let requested_at = clock.now();
         match read_hubs(client).await {
             Ok((hubs, store_time)) => {
                 store_clock.note(requested_at, store_time);
-                if let Some(entrance) = enter(settings, clock, client, &hubs, store_clock).await {
+                let time = (store_clock, store_time);
+                if let Some(entrance) = enter(settings, clock, client, &hubs, time, deadline).await
+                {
                     return entrance;
                 }
             }
@@ -151,13 +159,15 @@
     Entrance::Unanswered
 }
 
-/// Attempts to become a member with the hub candidates that are known; `None` to try again.
+/// Attempts to become a member with the hub candidates that are known; `None` to try again. `since`
+/// is the store's clock when they were read.
 async fn enter(
     settings: &Settings,
     clock: &Rc<dyn Clock>,
     client: &Client,
     hubs: &HubRows,
-    store_clock: StoreClock,
+    (store_clock, since): (StoreClock, Duration),
+    deadline: Instant,
 ) -> Option<Entrance> {
     let me = &settings.host;
     let Some((_, own)) = hubs.get(&settings.domain) else {
@@ -178,7 +188,12 @@
     let own = own.secret.as_ref().map(|secret| (secret, &own.hosts));
     for (secret, hosts) in own.into_iter().chain(others) {
         for (id, address) in hosts {
-            if let Some(state) = register(settings, clock, (id, *address), secret).await {
+            // Each candidate that does not answer takes up to the timeouts of a link and an answer.
+            if clock.now() >= deadline {
+                return Some(Entrance::Unanswered);
+            }
+            let candidate = (id, *address);
+            if let Some(state) = register(settings, clock, candidate, secret, since).await {
                 let secret = secret.clone();
                 let membership = Membership { state, store_clock, secret };
                 return Some(Entrance::Member(Box::new(membership)));
@@ -195,6 +210,7 @@
     clock: &Rc<dyn Clock>,
     (id, address): (&HostId, SocketAddr),
     secret: &str,
+    since: Duration,
 ) -> Option<Updates> {
     let (me, domain) = (settings.host.clone(), settings.domain.clone());
     let hello = move || Hello { host: me.clone(), domain: domain.clone(), nonce: rand::random() };
@@ -202,7 +218,8 @@
     let link = Link::start(id.clone(), address, hello, key, clock.clone(), fleet::LINK_KEEPALIVE);
     link.first_attempt(LINK_TIMEOUT).await;
     let requested_at = clock.now();
-    let question = Question::Register(Box::new(fleet::own_row(settings)));
+    let row = fleet::own_row(settings);
+    let question = Question::Register(Box::new(Registration { row, since }));
     let answer = link.query(question, REGISTER_TIMEOUT).await;
     link.close();
     let unpacked = answer.and_then(|answer| match answer {
@@ -217,7 +234,8 @@
         }
     };
     let view = &updates.view.as_ref().filter(|whole| whole.since == 0)?.view;
-    if !fleet::is_member(view, settings) {
+    if !fleet::is_member(view, settings) || updates.known.view.1 < since {
+        info!(hub = %id, "start: view of hub candidate is not current");
         return None;
     }
     let ms = (clock.now() - requested_at).as_millis() as u64;
@@ -226,20 +244,19 @@
 }
 
 /// Answers a starting host's request to become a member with the whole view, once the view lists
-/// the host.
-pub async fn admit(host: Rc<Host>, peer: HostId, row: Member, replier: Replier) {
+/// the host and is no older than the request.
+pub async fn admit(host: Rc<Host>, peer: HostId, registration: Registration, replier: Replier) {
+    let Registration { row, since } = registration;
     let deadline = host.now() + REGISTER_TIMEOUT;
     let hash = row.row_hash;
-    let is_listed = || {
-        let leased_view = host.leased_view.borrow();
-        let own = leased_view.view().members.get(&peer);
-        own.is_some_and(|own| own.value.row_hash == hash && own.value.left.is_none())
-    };
-    if !is_listed() {
+    let admits = |since| host.leased_view.borrow().admits(&peer, hash, since);
+    if admits(Duration::ZERO) {
+        host.view_wakeup.notify_one();
+    } else {
         host.registrations.borrow_mut().insert(peer.clone(), row);
         host.registered.notify_one();
     }
-    while !is_listed() {
+    while !admits(since) {
         if host.now() >= deadline {
             return replier.reply(Answer::Draining);
         }
@@ -294,7 +311,7 @@
 /// the last call. Only the host that reads the store for its failure domain does so.
 pub async fn publish_hubs(host: &Host, client: &Client) {
     let candidates = host.neighbours.borrow().candidates.clone();
-    if !host.reads_store() || *host.published_hubs.borrow() == candidates {
+    if !host.reads_store() {
         return;
     }
     let hubs = {
@@ -304,6 +321,9 @@
         let hosts = candidates.iter().take(MAX_PUBLISHED).filter_map(address).collect();
         Hubs { secret: view.secret.clone(), hosts }
     };
+    if *host.published_hubs.borrow() == hubs.hosts {
+        return;
+    }
     let domain = &host.settings.domain;
     let written = async {
         let known = read_hubs(client).await?.0.remove(domain);
@@ -316,7 +336,7 @@
         Ok(())
     };
     match written.await {
-        Ok(()) => *host.published_hubs.borrow_mut() = candidates,
+        Ok(()) => *host.published_hubs.borrow_mut() = hubs.hosts.clone(),
         Err(error) => {
             info!(error = %format_args!("{error:#}"), "fleet: hub candidates not written");
         }
