--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -230,7 +230,10 @@
 pub async fn follow(host: Rc<Host>) {
     let client = Client::new(host.settings.store_address);
     let mut last_read_failed = false;
-    let mut woken = false;
+    join::publish_hubs(&host, &client).await;
+    // The view of the start is as new as one that would be read now.
+    let wake = monoio::time::timeout(VIEW_INTERVAL, host.view_wakeup.notified()).await;
+    let mut woken = wake.is_ok();
     loop {
         if !needs_read(&host) && !woken {
             let wake = monoio::time::timeout(CHECK_INTERVAL, host.view_wakeup.notified()).await;
@@ -253,7 +256,6 @@
                     info!("fleet: view readable again");
                 }
                 host.store_clock.borrow_mut().note(requested_at, view.clock);
-                info!(version = view.version, "fleet: view read");
                 apply_view(&host, view, requested_at);
                 join::publish_hubs(&host, &client).await;
                 let all_up = host.mesh.links().iter().all(|link| link.is_up());
@@ -263,9 +265,8 @@
                     monoio::time::sleep(JOIN_RETRY_DELAY).await;
                     continue;
                 }
-                // A wake-up ends the pause early; the next read takes place only if `needs_read`
-                // holds then.
-                let _ = monoio::time::timeout(pause, host.view_wakeup.notified()).await;
+                let wake = monoio::time::timeout(pause, host.view_wakeup.notified()).await;
+                woken = wake.is_ok();
             }
             Err(error) => {
                 if !std::mem::replace(&mut last_read_failed, true) {
