Log why a failover stops waiting for a host, and the lease of a statement

Callers saw a read at a replaced primary, and no log line told whether the failover had stopped waiting for the host or the host had used the leader without a lease. A line and the metric failover_wait_ends now name the reason for each host; a statement's line has the version of the row that names the leader and the age of the lease under which it was sent. No decision changes.

--- a/components/coordination/src/view.rs
+++ b/components/coordination/src/view.rs
@@ -348,21 +348,28 @@
     }
 
     /// Records that a host holds no lease any more: the host released it or its process ended.
-    pub fn mark_released(&mut self, host: &HostId) {
+    /// Returns whether the failover waited for the host until now.
+    pub fn mark_released(&mut self, host: &HostId) -> bool {
+        let before = self.waiting.len();
         self.waiting.retain(|id| id != host);
+        self.waiting.len() < before
     }
 
     /// Records from `view` the releases of the hosts that could not reach the host that runs
     /// the failover, and the hosts that left or whose lease has expired. `intent` is the version
-    /// of the failover's intent.
-    pub fn note(&mut self, view: &View, intent: u64) {
-        self.waiting.retain(|host| match view.members.get(host) {
+    /// of the failover's intent. Returns the hosts for which the failover waits no longer.
+    pub fn note(&mut self, view: &View, intent: u64) -> Vec<HostId> {
+        let holds_lease = |host: &HostId| match view.members.get(host) {
             Some(member) => {
                 member.value.released < intent && !member.value.lease_expired(view.clock)
             }
             // A host that shuts down removes its row after its last use of a leader.
             None => false,
-        });
+        };
+        let waiting = std::mem::take(&mut self.waiting);
+        let (waiting, ended) = waiting.into_iter().partition(holds_lease);
+        self.waiting = waiting;
+        ended
     }
 
     /// Returns whether no host can hold a lease any more.
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -218,7 +218,10 @@
             if now >= last_read + RELEASE_READ_INTERVAL {
                 // Hosts that this host cannot reach publish their releases through the store.
                 if let Ok(view) = fleet::read(&self.client).await {
-                    release.borrow_mut().note(&view, self.intent);
+                    let ended = release.borrow_mut().note(&view, self.intent);
+                    for id in ended {
+                        record_wait_end(host, &group.id, &id, WaitEnd::Stored);
+                    }
                 }
                 last_read = host.now();
             }
@@ -500,13 +503,50 @@
             None => monitor::is_dead(&host, &id).await,
         };
         if released {
-            release.borrow_mut().mark_released(&id);
+            let why = if was_up { WaitEnd::Released } else { WaitEnd::Refused };
+            if release.borrow_mut().mark_released(&id) {
+                record_wait_end(&host, &group, &id, why);
+            }
             return;
         }
         monoio::time::sleep(if was_up { monitor::CHECK_INTERVAL } else { LINK_CHECK_INTERVAL })
             .await;
     }
     if release.borrow().waiting().contains(&id) {
-        info!(host = %id, "leader: host did not release the former leader, its lease has expired");
+        record_wait_end(&host, &group, &id, WaitEnd::Expired);
+    }
+}
+
+/// Reason why a failover no longer waits for a host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum WaitEnd {
+    /// The host answered that it has released the former leader.
+    Released,
+    /// The host's row in the store shows a release, or that the host has left the fleet.
+    Stored,
+    /// A connection to the host was refused.
+    Refused,
+    /// The host's lease has expired.
+    Expired,
+}
+
+impl WaitEnd {
+    /// Name in logs and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Released => "released",
+            Self::Stored => "stored",
+            Self::Refused => "refused",
+            Self::Expired => "expired",
+        }
+    }
+}
+
+/// Records why a failover no longer waits for a host. A host's own answer is the usual case and gets
+/// no line in the log.
+fn record_wait_end(host: &Host, group: &GroupId, id: &HostId, why: WaitEnd) {
+    host.metrics.record_wait_end(why.name());
+    if why != WaitEnd::Released {
+        info!(%group, host = %id, why = why.name(), "leader: failover no longer waits for host");
     }
 }
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -36,6 +36,7 @@
     pool::Pool,
     positions,
     servers::Servers,
+    timing::LeaseInfo,
 };
 
 /// Validity of the hub's last report that it has contact with a majority of the fleet.
@@ -318,6 +319,14 @@
         self.leased_view.borrow().leased(self.now())
     }
 
+    /// Returns the lease under which this host uses a group's leader; `None` if the view was never
+    /// proven to be the newest.
+    pub fn lease_info(&self, group: &GroupId) -> Option<LeaseInfo> {
+        let leased_view = self.leased_view.borrow();
+        let row = leased_view.leadership(group).map_or(0, |row| row.version);
+        Some(LeaseInfo { row, age: leased_view.age(self.now())? })
+    }
+
     /// Begins to use a group's leader; `None` without a valid lease or a leader.
     pub fn begin(&self, group: &Rc<Group>) -> Option<LeaderUse> {
         if self.leased() { group.begin() } else { None }
--- a/components/proxy/src/metrics.rs
+++ b/components/proxy/src/metrics.rs
@@ -42,6 +42,11 @@
     priority: u32,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct WaitEndLabel {
+    why: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct TokenRefusalLabel {
     account: String,
@@ -58,6 +63,7 @@
     stages: Family<StageLabel, Histogram, fn() -> Histogram>,
     token_waits: Family<PriorityLabel, Histogram, fn() -> Histogram>,
     token_refusals: Family<TokenRefusalLabel, Counter>,
+    wait_ends: Family<WaitEndLabel, Counter>,
     /// Number of statements sent to a server again.
     pub retries: Counter,
     /// Bytes of configurations sent to other hosts.
@@ -102,6 +108,12 @@
             "Operations over their account's rate, by whether the remaining tokens were reserved",
             token_refusals.clone(),
         );
+        let wait_ends = Family::default();
+        registry.register(
+            "failover_wait_ends",
+            "Hosts for whose lease a failover of this host waited, by why the wait ended",
+            wait_ends.clone(),
+        );
         registry.register("retries", "Statements sent to a server again", retries.clone());
         let (sent_bytes, received_bytes, unanswered) = <(Counter, Counter, Counter)>::default();
         registry.register(
@@ -138,6 +150,7 @@
             stages,
             token_waits,
             token_refusals,
+            wait_ends,
             retries,
             sent_bytes,
             received_bytes,
@@ -179,6 +192,11 @@
         self.token_refusals.get_or_create(&label).inc();
     }
 
+    /// Records why a failover no longer waits for a host's lease.
+    pub fn record_wait_end(&self, why: &'static str) {
+        self.wait_ends.get_or_create(&WaitEndLabel { why }).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/components/proxy/src/session.rs
+++ b/components/proxy/src/session.rs
@@ -476,6 +476,8 @@
             version = self.host.version().0,
             ms = took.as_millis() as u64, tries, outcome, why, priority,
             token_ms = ms(Stage::Token), connection_ms = ms(Stage::Connection),
+            lease_row = timing.lease().map(|lease| lease.row),
+            lease_ms = timing.lease().map(|lease| lease.age.as_millis() as u64),
             server_ms = ms(Stage::Server), confirmation_ms = ms(Stage::Confirmation),
             holder = timing.holder().as_ref().map(tracing::field::display), "statement"
         );
--- a/components/proxy/src/target.rs
+++ b/components/proxy/src/target.rs
@@ -285,6 +285,8 @@
     // The answer of a former leader may not be passed on, so the exchange ends when this host stops
     // using the leader, not only at the timeout.
     operation.timing.set_holder(execution.conn.holder());
+    let lease = execution.usage.as_ref().and_then(|_| host.lease_info(&operation.group.id));
+    operation.timing.set_lease(lease);
     let answer = monoio::select! {
         answer = execution.conn.exchange(timeout) => answer,
         _ = revoked => {
--- a/components/proxy/src/timing.rs
+++ b/components/proxy/src/timing.rs
@@ -35,10 +35,21 @@
     }
 }
 
+/// Lease under which a host uses a leader.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseInfo {
+    /// Version of the row that names the leader; 0 if the view has no row of the group.
+    pub row: u64,
+    /// Time since the view was last proven to be the newest.
+    pub age: Duration,
+}
+
 /// Times of one statement over all its attempts.
 #[derive(Debug, Default)]
 pub struct Timing {
     stages: [Cell<Duration>; Stage::ALL.len()],
+    /// Lease under which the statement was last sent to a leader; none if it was not.
+    lease: Cell<Option<LeaseInfo>>,
     /// Host that holds the connections of the server that was asked last; none if this host does.
     holder: RefCell<Option<HostId>>,
 }
@@ -55,6 +66,16 @@
         self.stages[stage as usize].get()
     }
 
+    /// Sets the lease under which the statement is sent to a leader; none for a replica.
+    pub fn set_lease(&self, lease: Option<LeaseInfo>) {
+        self.lease.set(lease);
+    }
+
+    /// Returns the lease under which the statement was last sent to a leader.
+    pub fn lease(&self) -> Option<LeaseInfo> {
+        self.lease.get()
+    }
+
     /// Sets the host that holds the connections of the server that is asked.
     pub fn set_holder(&self, holder: Option<&HostId>) {
         *self.holder.borrow_mut() = holder.cloned();
