A failover waits for the lease of a host that refuses connections

Callers saw a booking read at a replaced primary: the read lacked a commit that the new primary had acknowledged.

Cause: a failover counted a host as released when a connection to the host was refused, as proof that no process runs there. A network that rejects connections refuses for a running host too, which reaches the former leader and holds a lease of up to 7.5 s.

Evidence: the log line of the preceding commits names "refused" for each of the three cut hosts 0.1 s after the failover began, and their reads ran under valid leases on the view from before the intent.

Now a wait ends only by the host's own answer, by its release or departure in the table service, or when the lease has expired, so no host uses the former leader when another server is promoted. The assumption that a refused connection shows the end of a process is withdrawn.

--- a/components/coordination/src/view.rs
+++ b/components/coordination/src/view.rs
@@ -280,9 +280,7 @@
     /// Returns whether the view lists this host as a member, with its current row hash.
     ///
     /// A row written by an earlier process of the host with the same hash counts as well: a
-    /// failover contacts the host at the same address, and a process listens there before it
-    /// reads the view. So a connection that is refused after the intent was written proves that
-    /// no process of the host has read an older view.
+    /// failover waits for the host, whichever process runs there.
     pub fn is_member(&self) -> bool {
         self.lists(&self.me, self.row_hash)
     }
@@ -300,7 +298,7 @@
     /// Returns whether a host that has just started may act on this view: the view lists it, and
     /// was the newest at the store time `since`, which the host has read after it began to listen.
     ///
-    /// A failover does not wait for a host that refuses connections. A process that starts there
+    /// A failover no longer waits for a host that has released its lease. A process that starts there
     /// afterwards must not receive a view from before the intent, as a host that has not read the
     /// store since may hold one.
     pub fn admits(&self, host: &HostId, row_hash: u64, since: Duration) -> bool {
@@ -347,7 +345,7 @@
         &self.waiting
     }
 
-    /// Records that a host holds no lease any more: the host released it or its process ended.
+    /// Records that a host has released its lease.
     /// Returns whether the failover waited for the host until now.
     pub fn mark_released(&mut self, host: &HostId) -> bool {
         let before = self.waiting.len();
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -482,8 +482,11 @@
     }
 }
 
-/// Requests a host's release of the former leader until the host releases it, the host is found
-/// dead, or no lease is outstanding any more.
+/// Requests a host's release of the former leader until the host releases it, or no lease is
+/// outstanding any more.
+///
+/// That the host cannot be reached, or refuses connections, does not show that it has stopped: a
+/// network can refuse connections to a host that still reaches the former leader.
 async fn request_release(
     host: Rc<Host>,
     id: HostId,
@@ -492,25 +495,19 @@
     release: Rc<RefCell<LeaseRelease>>,
 ) {
     while !release.borrow().is_over(host.now()) {
-        let link = host.reach(&id);
-        let was_up = link.as_ref().is_some_and(|link| link.is_up());
-        let released = match link.filter(|_| was_up) {
-            Some(link) => {
-                let question = Question::ApplyLeadership { group: group.clone(), row: row.clone() };
-                let answer = link.query(question, APPLY_TIMEOUT).await;
-                matches!(answer, Ok(Answer::LeadershipApplied(version)) if version >= row.version)
-            }
-            None => monitor::is_dead(&host, &id).await,
+        let Some(link) = host.reach(&id).filter(|link| link.is_up()) else {
+            monoio::time::sleep(LINK_CHECK_INTERVAL).await;
+            continue;
         };
-        if released {
-            let why = if was_up { WaitEnd::Released } else { WaitEnd::Refused };
+        let question = Question::ApplyLeadership { group: group.clone(), row: row.clone() };
+        let answer = link.query(question, APPLY_TIMEOUT).await;
+        if matches!(answer, Ok(Answer::LeadershipApplied(version)) if version >= row.version) {
             if release.borrow_mut().mark_released(&id) {
-                record_wait_end(&host, &group, &id, why);
+                record_wait_end(&host, &group, &id, WaitEnd::Released);
             }
             return;
         }
-        monoio::time::sleep(if was_up { monitor::CHECK_INTERVAL } else { LINK_CHECK_INTERVAL })
-            .await;
+        monoio::time::sleep(monitor::CHECK_INTERVAL).await;
     }
     if release.borrow().waiting().contains(&id) {
         record_wait_end(&host, &group, &id, WaitEnd::Expired);
@@ -524,8 +521,6 @@
     Released,
     /// The host's row in the store shows a release, or that the host has left the fleet.
     Stored,
-    /// A connection to the host was refused.
-    Refused,
     /// The host's lease has expired.
     Expired,
 }
@@ -536,7 +531,6 @@
         match self {
             Self::Released => "released",
             Self::Stored => "stored",
-            Self::Refused => "refused",
             Self::Expired => "expired",
         }
     }
--- a/components/proxy/src/monitor.rs
+++ b/components/proxy/src/monitor.rs
@@ -300,7 +300,7 @@
 
 /// Returns whether a host's machine refuses connections, which shows that no process of the host
 /// runs; false for a host that is not in the view.
-pub async fn is_dead(host: &Host, id: &HostId) -> bool {
+async fn is_dead(host: &Host, id: &HostId) -> bool {
     let Some(peer_address) = host.peer_address(id) else { return false };
     let dial = monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer_address)).await;
     matches!(dial, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -63,7 +63,8 @@
     signals: Signals,
     reread: impl Fn() -> anyhow::Result<Settings>,
 ) -> anyhow::Result<()> {
-    // The listeners are opened first: other hosts treat a host that refuses connections as dead.
+    // The listeners are opened first: a failover may request a release as soon as the view lists this
+    // host.
     let peers = listen(settings.peer_address).context("listening for other hosts")?;
     let callers = listen(settings.caller_address).context("listening for callers")?;
     let state: Rc<RefCell<Option<Rc<Host>>>> = Rc::default();
