A host uses leaders only while it has contact with a majority of witnesses

Cause: only the lease bounded how long a host that is cut off uses a leader. A host now also needs contact that is less than 2 s old: a proof of its view, or answers to its heartbeats by a majority of the most suitable hosts of each failure domain, or by one of them that has contact itself. Each answer carries the leadership rows that the host lacks. Once the hosts without the intent are no majority of these, they can get no further contact, and 2.25 s later the failover promotes. Otherwise it waits for the lease as before, also for hosts of earlier builds, whose rows do not name the limit.

--- a/components/coordination/src/hubs.rs
+++ b/components/coordination/src/hubs.rs
@@ -58,6 +58,23 @@
     ranked.into_iter().map(|(_, _, id)| id.clone()).collect()
 }
 
+/// Returns the hosts for which `is_eligible` holds and that are among the [`CANDIDATES`] most suitable
+/// of these in their failure domain.
+pub fn most_suitable(view: &View, is_eligible: impl Fn(&HostId) -> bool) -> BTreeSet<HostId> {
+    let mut domains: BTreeMap<_, Vec<_>> = BTreeMap::new();
+    for (id, member) in view.members.iter().filter(|(id, _)| is_eligible(id)) {
+        domains.entry(&member.value.domain).or_default().push(suitability(id, member));
+    }
+    domains
+        .into_values()
+        .flat_map(|mut ranked| {
+            ranked.sort();
+            ranked.truncate(CANDIDATES);
+            ranked.into_iter().map(|(_, _, id)| id.clone())
+        })
+        .collect()
+}
+
 /// Returns the sort key of a host that puts the most suitable hub first.
 fn suitability<'a>(id: &'a HostId, member: &Versioned<Member>) -> (Reverse<u32>, u64, &'a HostId) {
     (Reverse(member.value.power), xxh3::xxh3_64(id.as_str().as_bytes()), id)
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod confirm;
 pub mod congestion;
 pub mod connections;
+pub mod contact;
 pub mod demand;
 pub mod duty;
 pub mod evacuation;
--- a/components/coordination/src/view.rs
+++ b/components/coordination/src/view.rs
@@ -4,7 +4,9 @@
 //! while it holds a *lease*: it can prove that at most [`LEASE_TTL`] ago the view named that
 //! leader and listed the host as a member. A failover first writes an intent to the store;
 //! from then on no host can get a new lease on the former leader. Another server may be
-//! promoted only after every host has released its lease or [`LEASE_TTL`] has passed.
+//! promoted only after no host uses the former leader any more: each host has released its lease, or
+//! the lease or the host's contact with the fleet has certainly expired, see the module [`contact`].
+//! No other observation of a host shows that it has stopped.
 //!
 //! This is safe with clocks that are steady but not synchronized: a host counts its lease
 //! from a local time *before* the store answered, and the host that waits counts from a local
@@ -12,7 +14,7 @@
 //! while a machine is suspended.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -23,6 +25,7 @@
 use crate::{
     FailureDomain, GroupId, HostId, ServerId, Term,
     changes::{Changes, RemovedHosts},
+    contact::{self, CONTACT_TTL, Contact, Quorum, VersionHistory},
     duty::Duty,
     succession::Terms,
 };
@@ -30,12 +33,12 @@
 /// How long a host may use a leader without a new proof that the server leads.
 ///
 /// The lease outlasts typical store outages of 4 to 6 s by more than a second, so that callers
-/// do not notice them. In return, a failover waits up to this long, plus [`LEASE_MARGIN`], for
-/// a host that does not answer.
+/// do not notice them. In return, a failover waits up to this long, plus [`LEASE_MARGIN`], if it
+/// reaches no majority of the witnesses.
 pub const LEASE_TTL: Duration = Duration::from_millis(7500);
 
-/// Margin that the host that runs a failover adds to [`LEASE_TTL`]: the drift of two clocks
-/// over the lease, and the time between a lease check and the send that follows it.
+/// Margin that the host that runs a failover adds to [`LEASE_TTL`] and [`CONTACT_TTL`]: the drift of
+/// two clocks over the lease, and the time between a lease check and the send that follows it.
 pub const LEASE_MARGIN: Duration = Duration::from_millis(250);
 
 /// A host of the fleet.
@@ -61,6 +64,9 @@
     /// Processor capacity of the host in thousandths of a core.
     #[serde(default)]
     pub power: u32,
+    /// Whether the host uses leaders only for [`CONTACT_TTL`] after its last contact.
+    #[serde(default)]
+    pub contact: bool,
 }
 
 impl Member {
@@ -173,8 +179,11 @@
 
 /// Returns the hash of a host's address, failure domain and power, which identifies the
 /// content of its row.
+///
+/// The suffix distinguishes the rows of processes that limit their use of leaders by contact from
+/// those of earlier builds, which write their own row when they start in place of such a process.
 pub fn row_hash(peer: SocketAddr, domain: &FailureDomain, power: u32) -> u64 {
-    xxh3::xxh3_64(format!("{peer} {domain} {power}").as_bytes())
+    xxh3::xxh3_64(format!("{peer} {domain} {power} contact").as_bytes())
 }
 
 /// Newest view of one host, with the latest time at which it is proven to have been current.
@@ -191,6 +200,10 @@
     /// Latest local time at which the view is proven to have been the newest; none before the
     /// first proof.
     confirmed_at: Option<Instant>,
+    /// Contact with the witnesses of `view`.
+    contact: Contact,
+    /// Versions of `view` over time.
+    history: VersionHistory,
 }
 
 impl LocalView {
@@ -203,6 +216,8 @@
             stamp: 0,
             removed: RemovedHosts::default(),
             confirmed_at: None,
+            contact: Contact::default(),
+            history: VersionHistory::default(),
         }
     }
 
@@ -228,6 +243,7 @@
         self.removed.note(&self.view, &view);
         self.stamp = view.stamp();
         self.view = view;
+        self.contact.set_witnesses(&self.me, contact::witnesses(&self.view));
         self.confirmed_at = self.confirmed_at.max(Some(sent_at));
         true
     }
@@ -271,10 +287,54 @@
         self.confirmed_at.map(|at| now.saturating_duration_since(at))
     }
 
-    /// Local time at which the lease on the leaders of the view expires; none before the first
-    /// proof.
-    pub fn lease_expiry(&self) -> Option<Instant> {
-        self.confirmed_at.map(|at| at + LEASE_TTL)
+    /// Local time at which this host may no longer use the leaders of the view; none before the
+    /// first proof.
+    pub fn lease_expiry(&self, now: Instant) -> Option<Instant> {
+        let expiry = self.confirmed_at? + LEASE_TTL;
+        if !self.is_limited() {
+            return Some(expiry);
+        }
+        let contact = self.confirmed_at.max(self.contact.last(now))?;
+        Some(expiry.min(contact + CONTACT_TTL))
+    }
+
+    /// Returns whether this host uses leaders only for [`CONTACT_TTL`] after its last contact: a
+    /// failover waits for the whole lease of a host whose row does not say so.
+    fn is_limited(&self) -> bool {
+        self.view.members.get(&self.me).is_some_and(|row| row.value.contact)
+    }
+
+    /// Time since this host's last contact with the fleet, see the module [`contact`]; none before
+    /// the first one.
+    pub fn contact_age(&self, now: Instant) -> Option<Duration> {
+        let last = self.confirmed_at.max(self.contact.last(now));
+        last.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Records a host's answer to a heartbeat sent at `sent_at`, after the rows in the answer were
+    /// applied. `age` is the age of that host's own contact.
+    pub fn note_contact(&mut self, from: &HostId, sent_at: Instant, age: Option<Duration>) {
+        self.contact.note(from, sent_at, age);
+    }
+
+    /// Returns the leadership rows that are newer than the view of version `since`; `None` if there
+    /// are more than [`contact::MAX_ROWS`].
+    pub fn rows_since(&self, since: u64) -> Option<Vec<(GroupId, Versioned<Leadership>)>> {
+        let newer = self.view.groups.iter().filter(|(_, row)| row.version > since);
+        let rows: Vec<_> = newer.take(contact::MAX_ROWS + 1).collect();
+        let fits = rows.len() <= contact::MAX_ROWS;
+        fits.then(|| rows.into_iter().map(|(id, row)| (id.clone(), row.clone())).collect())
+    }
+
+    /// Records the version of the view at `now`, for [`LocalView::settled`].
+    pub fn note_version(&mut self, now: Instant) {
+        self.history.note(self.view.version, now);
+    }
+
+    /// Returns a version that the store had before the oldest lease that is valid at `now` began; 0 if
+    /// this host has none.
+    pub fn settled(&self, now: Instant) -> u64 {
+        self.history.settled(now)
     }
 
     /// Returns whether the view lists this host as a member, with its current row hash.
@@ -309,7 +369,7 @@
     ///
     /// A host that is not a member holds no lease, since a failover would not wait for it.
     pub fn leased(&self, now: Instant) -> bool {
-        self.is_member() && self.age(now).is_some_and(|age| age < LEASE_TTL)
+        self.is_member() && self.lease_expiry(now).is_some_and(|expiry| now < expiry)
     }
 
     /// Leadership of a group; none if the view has no row of the group.
@@ -318,26 +378,42 @@
     }
 }
 
-/// Tracks the hosts that may still hold a lease on a former leader.
+/// Tracks the hosts that may still use a former leader.
 #[derive(Debug)]
 pub struct LeaseRelease {
     /// Local time at which every lease has expired, whether released or not.
     pub deadline: Instant,
     /// Hosts that may still hold a lease.
     waiting: Vec<HostId>,
+    /// Hosts that hold their lease without contact.
+    unlimited: BTreeSet<HostId>,
+    quorum: Quorum,
+    /// Time since which no host in `waiting` has had contact without receiving the intent; none
+    /// until the quorum is reached.
+    cut_off: Option<Instant>,
 }
 
 impl LeaseRelease {
-    /// Starts the wait at `now`, after the store accepted the intent, for all members of `view`
-    /// but `me` and removed hosts whose lease has expired. `view` must be at least as new as the
-    /// intent.
-    pub fn new(view: &View, me: &HostId, now: Instant) -> Self {
+    /// Starts the wait at `now`, after the store accepted the intent and `me` applied it, for all
+    /// members of `view` but `me` and removed hosts whose lease has expired. `view` must be at least
+    /// as new as the intent. `settled` is a version that the store had before the oldest valid lease
+    /// began.
+    pub fn new(view: &View, me: &HostId, settled: u64, now: Instant) -> Self {
         let members = view.members.iter();
         let waiting = members
             .filter(|(host, member)| *host != me && !member.value.lease_expired(view.clock))
             .map(|(host, _)| host.clone())
             .collect();
-        Self { deadline: now + LEASE_TTL + LEASE_MARGIN, waiting }
+        let unlimited = view.members.iter().filter(|(_, member)| !member.value.contact);
+        let mut release = Self {
+            deadline: now + LEASE_TTL + LEASE_MARGIN,
+            waiting,
+            unlimited: unlimited.map(|(host, _)| host.clone()).collect(),
+            quorum: Quorum::new(view, settled),
+            cut_off: None,
+        };
+        release.update(now);
+        release
     }
 
     /// Hosts that may still hold a lease, up to the deadline.
@@ -345,33 +421,49 @@
         &self.waiting
     }
 
-    /// Records that a host has released its lease.
-    /// Returns whether the failover waited for the host until now.
-    pub fn mark_released(&mut self, host: &HostId) -> bool {
+    /// Records that a host has released its lease. Returns whether the failover waited for the host
+    /// until now.
+    pub fn mark_released(&mut self, host: &HostId, now: Instant) -> bool {
         let before = self.waiting.len();
         self.waiting.retain(|id| id != host);
+        self.update(now);
         self.waiting.len() < before
     }
 
     /// Records from `view` the releases of the hosts that could not reach the host that runs
     /// the failover, and the hosts that left or whose lease has expired. `intent` is the version
     /// of the failover's intent. Returns the hosts for which the failover waits no longer.
-    pub fn note(&mut self, view: &View, intent: u64) -> Vec<HostId> {
+    pub fn note(&mut self, view: &View, intent: u64, now: Instant) -> Vec<HostId> {
         let holds_lease = |host: &HostId| match view.members.get(host) {
             Some(member) => {
                 member.value.released < intent && !member.value.lease_expired(view.clock)
             }
-            // A host that shuts down removes its row after its last use of a leader.
+            // A host that shuts down removes its row after its last use of a leader and its last
+            // answer to a heartbeat.
             None => false,
         };
         let waiting = std::mem::take(&mut self.waiting);
         let (waiting, ended) = waiting.into_iter().partition(holds_lease);
         self.waiting = waiting;
+        self.update(now);
         ended
     }
 
-    /// Returns whether no host can hold a lease any more.
+    fn update(&mut self, now: Instant) {
+        if self.cut_off.is_none() && self.quorum.is_reached(&self.waiting) {
+            self.cut_off = Some(now);
+        }
+    }
+
+    /// Returns whether the hosts that have not released their lease can no longer have contact.
+    pub fn is_cut_off(&self, now: Instant) -> bool {
+        let limited = !self.waiting.iter().any(|id| self.unlimited.contains(id));
+        let lost = self.cut_off.is_some_and(|at| now >= at + CONTACT_TTL + LEASE_MARGIN);
+        limited && lost
+    }
+
+    /// Returns whether no host can use the former leader any more.
     pub fn is_over(&self, now: Instant) -> bool {
-        self.waiting.is_empty() || now >= self.deadline
+        self.waiting.is_empty() || now >= self.deadline || self.is_cut_off(now)
     }
 }
--- a/components/coordination/tests/changes.rs
+++ b/components/coordination/tests/changes.rs
@@ -40,6 +40,7 @@
         left: None,
         released: 0,
         power: 250,
+        contact: false,
     };
     Versioned { version: number, value }
 }
--- a/components/coordination/tests/holders.rs
+++ b/components/coordination/tests/holders.rs
@@ -32,6 +32,7 @@
         left: None,
         released: 0,
         power,
+        contact: false,
     };
     let rows = hosts.iter().map(|(name, domain_name, power)| {
         (host(name), Versioned { version: 1, value: member(name, domain_name, *power) })
--- a/components/coordination/tests/hubs.rs
+++ b/components/coordination/tests/hubs.rs
@@ -22,6 +22,7 @@
                 left: None,
                 released: 0,
                 power: if n % 8 < 4 { 500 } else { 120 },
+                contact: false,
             };
             (id(n), Versioned { version: 1, value: member })
         })
--- a/components/coordination/tests/view.rs
+++ b/components/coordination/tests/view.rs
@@ -19,6 +19,7 @@
         left: None,
         released: 0,
         power: 250,
+        contact: false,
     }
 }
 
@@ -137,11 +138,11 @@
 fn failover_waits_for_hosts_that_have_not_released_their_lease() {
     let now = Instant::now();
     let view = view(7, &[("me", member(1)), ("b", member(1)), ("c", member(1))]);
-    let mut release = LeaseRelease::new(&view, &host("me"), now);
-    release.mark_released(&host("b"));
+    let mut release = LeaseRelease::new(&view, &host("me"), 0, now);
+    release.mark_released(&host("b"), now);
     assert!(!release.is_over(now + LEASE_TTL));
     assert!(release.is_over(now + LEASE_TTL + LEASE_MARGIN));
-    release.mark_released(&host("c"));
+    release.mark_released(&host("c"), now);
     assert!(release.is_over(now));
 }
 
@@ -152,12 +153,12 @@
 fn release_written_to_the_store_ends_the_wait_of_a_failover() {
     let now = Instant::now();
     let before = view(7, &[("me", member(1)), ("b", member(1))]);
-    let mut release = LeaseRelease::new(&before, &host("me"), now);
+    let mut release = LeaseRelease::new(&before, &host("me"), 0, now);
     let earlier = Member { released: 6, ..member(1) };
-    release.note(&view(8, &[("b", earlier)]), 7);
+    release.note(&view(8, &[("b", earlier)]), 7, now);
     assert!(!release.is_over(now));
     let released = Member { released: 7, ..member(1) };
-    release.note(&view(9, &[("b", released)]), 7);
+    release.note(&view(9, &[("b", released)]), 7, now);
     assert!(release.is_over(now));
 }
 
@@ -168,9 +169,9 @@
     let now = Instant::now();
     let removed = Member { left: Some(Duration::from_secs(2)), ..member(1) };
     let early = view(5, &[("me", member(1)), ("b", removed.clone())]);
-    assert!(!LeaseRelease::new(&early, &host("me"), now).is_over(now));
+    assert!(!LeaseRelease::new(&early, &host("me"), 0, now).is_over(now));
     let late = view(60, &[("me", member(1)), ("b", removed)]);
-    assert!(LeaseRelease::new(&late, &host("me"), now).is_over(now));
+    assert!(LeaseRelease::new(&late, &host("me"), 0, now).is_over(now));
 }
 
 /// Guards against a lease that lasts too long, because a report delayed by a partition counts from
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -306,6 +306,20 @@
     /// contain only positions that the receiver learned in that time.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub learned_ms: Option<u32>,
+    /// Contact with the fleet that the answer gives to the sender of the question; in answers only,
+    /// `None` from a host that is shutting down.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub contact: Option<ContactReply>,
+}
+
+/// Part of the answer to a heartbeat by which its receiver has contact with the fleet.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ContactReply {
+    /// All leadership rows of the sender that are newer than the receiver's view.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rows: Vec<(GroupId, Versioned<Leadership>)>,
+    /// Age of the sender's own contact in milliseconds, rounded up; `None` before its first contact.
+    pub age_ms: Option<u32>,
 }
 
 /// Reading of a process's monotonic clock.
--- a/components/peer/tests/message.rs
+++ b/components/peer/tests/message.rs
@@ -35,6 +35,7 @@
         echo: None,
         interest: None,
         learned_ms: None,
+        contact: None,
     };
     Message::Question(1, Question::Heartbeat(Box::new(heartbeat)))
 }
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -192,8 +192,11 @@
         view: View,
         sent_at: Instant,
     ) -> anyhow::Result<()> {
-        let release = LeaseRelease::new(&view, &host.settings.host, host.now());
+        // Applied first, so that this host's answers to heartbeats contain the intent.
         fleet::apply_view(host, view.clone(), sent_at);
+        let now = host.now();
+        let settled = host.leased_view.borrow().settled(now);
+        let release = LeaseRelease::new(&view, &host.settings.host, settled, now);
         let release = Rc::new(RefCell::new(release));
         let waiting = release.borrow().waiting().to_vec();
         for id in waiting {
@@ -218,7 +221,7 @@
             if now >= last_read + RELEASE_READ_INTERVAL {
                 // Hosts that this host cannot reach publish their releases through the store.
                 if let Ok(view) = fleet::read(&self.client).await {
-                    let ended = release.borrow_mut().note(&view, self.intent);
+                    let ended = release.borrow_mut().note(&view, self.intent, host.now());
                     for id in ended {
                         record_wait_end(host, &group.id, &id, WaitEnd::Stored);
                     }
@@ -482,8 +485,8 @@
     }
 }
 
-/// Requests a host's release of the former leader until the host releases it, or no lease is
-/// outstanding any more.
+/// Requests a host's release of the former leader until the host releases it, or until no host that
+/// has not released it can use it any more.
 ///
 /// That the host cannot be reached, or refuses connections, does not show that it has stopped: a
 /// network can refuse connections to a host that still reaches the former leader.
@@ -502,7 +505,7 @@
         let question = Question::ApplyLeadership { group: group.clone(), row: row.clone() };
         let answer = link.query(question, APPLY_TIMEOUT).await;
         if matches!(answer, Ok(Answer::LeadershipApplied(version)) if version >= row.version) {
-            if release.borrow_mut().mark_released(&id) {
+            if release.borrow_mut().mark_released(&id, host.now()) {
                 record_wait_end(&host, &group, &id, WaitEnd::Released);
             }
             return;
@@ -510,7 +513,9 @@
         monoio::time::sleep(monitor::CHECK_INTERVAL).await;
     }
     if release.borrow().waiting().contains(&id) {
-        record_wait_end(&host, &group, &id, WaitEnd::Expired);
+        let cut_off = release.borrow().is_cut_off(host.now());
+        let why = if cut_off { WaitEnd::CutOff } else { WaitEnd::Expired };
+        record_wait_end(&host, &group, &id, why);
     }
 }
 
@@ -521,6 +526,8 @@
     Released,
     /// The host's row in the store shows a release, or that the host has left the fleet.
     Stored,
+    /// The host can have had no contact with the fleet for long enough.
+    CutOff,
     /// The host's lease has expired.
     Expired,
 }
@@ -531,6 +538,7 @@
         match self {
             Self::Released => "released",
             Self::Stored => "stored",
+            Self::CutOff => "cut off",
             Self::Expired => "expired",
         }
     }
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -11,7 +11,7 @@
 use bergamottrack_coordination::{
     Clock, FailureDomain, GroupId, HostId, StoreClock,
     changes::Changes,
-    hubs,
+    contact, hubs,
     view::{self, Leadership, Member, Versioned, View},
 };
 use bergamottrack_model::Settings;
@@ -218,10 +218,34 @@
 }
 
 /// Returns whether this host has to read the view from the store now: on behalf of its failure
-/// domain, because its view is older than [`MAX_VIEW_AGE`], or because it is not a member.
+/// domain, because its view is older than [`MAX_VIEW_AGE`], because it has no recent contact with
+/// other hosts, or because it is not a member.
 fn needs_read(host: &Host) -> bool {
     let outdated = host.leased_view.borrow().age(host.now()).is_none_or(|age| age > MAX_VIEW_AGE);
-    host.reads_store() || outdated || !host.leased_view.borrow().is_member()
+    let is_member = host.leased_view.borrow().is_member();
+    host.reads_store() || outdated || lacks_contact(host) || !is_member
+}
+
+/// Returns whether this host soon loses contact with the fleet unless it reads the view itself.
+fn lacks_contact(host: &Host) -> bool {
+    let age = host.leased_view.borrow().contact_age(host.now());
+    age.is_none_or(|age| age > contact::READ_TIMEOUT)
+}
+
+/// Waits for a wake-up, for `limit` at most or until this host lacks contact; returns whether it was
+/// woken.
+async fn pause(host: &Host, limit: Duration) -> bool {
+    let until = monoio::time::Instant::now() + limit;
+    while monoio::time::Instant::now() < until {
+        let next = until.min(monoio::time::Instant::now() + CHECK_INTERVAL);
+        if monoio::time::timeout_at(next, host.view_wakeup.notified()).await.is_ok() {
+            return true;
+        }
+        if lacks_contact(host) {
+            return false;
+        }
+    }
+    false
 }
 
 /// Reads the view, in an endless loop: repeatedly, with a pause after each read, while
@@ -259,14 +283,13 @@
                 apply_view(&host, view, requested_at);
                 join::publish_hubs(&host, &client).await;
                 let all_up = host.mesh.links().iter().all(|link| link.is_up());
-                let pause = if all_up { VIEW_INTERVAL } else { DEGRADED_VIEW_INTERVAL };
+                let interval = if all_up { VIEW_INTERVAL } else { DEGRADED_VIEW_INTERVAL };
                 let serving = *host.phase.borrow() == Phase::Serving;
                 if serving && !host.leased_view.borrow().is_member() {
                     monoio::time::sleep(JOIN_RETRY_DELAY).await;
                     continue;
                 }
-                let wake = monoio::time::timeout(pause, host.view_wakeup.notified()).await;
-                woken = wake.is_ok();
+                woken = pause(&host, interval).await;
             }
             Err(error) => {
                 if !std::mem::replace(&mut last_read_failed, true) {
@@ -290,6 +313,7 @@
         left: None,
         released: 0,
         power: settings.cpu_millicores,
+        contact: true,
     }
 }
 
@@ -308,7 +332,8 @@
     Ok(())
 }
 
-/// Removes this host's row from the store. Requires that this host no longer uses any leader.
+/// Removes this host's row from the store. Requires that this host no longer uses any leader nor
+/// gives contact to other hosts.
 pub async fn leave(settings: &Settings) -> anyhow::Result<()> {
     let client = Client::new(settings.store_address);
     let remove = vec![member_key(&settings.host)];
@@ -319,11 +344,12 @@
 /// Applies a view that was the newest at the local time `requested_at` or later; ignores it if
 /// this host has a newer one.
 pub fn apply_view(host: &Rc<Host>, view: View, requested_at: Instant) {
-    let until = host.leased_view.borrow().lease_expiry();
+    let until = host.leased_view.borrow().lease_expiry(host.now());
     let before = host.leased_view.borrow().view().groups.clone();
     if !host.leased_view.borrow_mut().replace(view, requested_at) {
         return;
     }
+    host.leased_view.borrow_mut().note_version(host.now());
     let after = host.leased_view.borrow().view().groups.clone();
     update_members(host);
     host.refresh();
@@ -337,7 +363,7 @@
 /// Applies one group's row, received from the host that runs its failover; ignores it unless it is
 /// newer than this host's row.
 pub fn apply_row(host: &Rc<Host>, id: &GroupId, row: Versioned<Leadership>) {
-    let until = host.leased_view.borrow().lease_expiry();
+    let until = host.leased_view.borrow().lease_expiry(host.now());
     if host.leased_view.borrow_mut().replace_group(id, row.clone()) {
         host.refresh();
         handle_new_row(host, id, row, until, host.now());
--- a/components/proxy/src/gossip.rs
+++ b/components/proxy/src/gossip.rs
@@ -8,6 +8,7 @@
 use bergamottrack_coordination::{
     FailureDomain, GroupId, HostId,
     changes::Changes,
+    contact,
     demand::TokenRequest,
     evacuation, freshness, reports,
     view::{Leadership, Versioned},
@@ -15,7 +16,9 @@
 use bergamottrack_peer::{
     Answer, Link, Question,
     accept::Replier,
-    message::{ClockReading, Heartbeat, Hello, KnownVersions, LeaderPosition, Updates},
+    message::{
+        ClockReading, ContactReply, Heartbeat, Hello, KnownVersions, LeaderPosition, Updates,
+    },
 };
 use bytes::Bytes;
 use tracing::{info, warn};
@@ -185,6 +188,7 @@
         echo: None,
         interest: None,
         learned_ms: None,
+        contact: None,
     }
 }
 
@@ -194,7 +198,39 @@
     let clock = host.now().saturating_duration_since(host.started);
     let clock = Some(ClockReading { run: host.run, clock });
     let positions = if host.is_hub() { positions::requested(host, beat) } else { Vec::new() };
-    Heartbeat { positions, clock, ..own_heartbeat(host) }
+    let contact = contact_reply(host, beat.known.view_version);
+    Heartbeat { positions, clock, contact, ..own_heartbeat(host) }
+}
+
+/// Returns the contact for a host whose view has the version `since`; `None` if this host is about to
+/// leave the fleet, or if the other host lacks too many rows.
+fn contact_reply(host: &Host, since: u64) -> Option<ContactReply> {
+    if host.withdrawn.get() {
+        return None;
+    }
+    let leased_view = host.leased_view.borrow();
+    let rows = leased_view.rows_since(since)?;
+    let age_ms = leased_view
+        .contact_age(host.now())
+        .map(|age| u32::try_from(age.as_millis()).map_or(u32::MAX, |ms| ms.saturating_add(1)));
+    Some(ContactReply { rows, age_ms })
+}
+
+/// Applies the contact in a host's answer to a heartbeat sent at `sent_at`.
+fn apply_contact(host: &Rc<Host>, from: &HostId, reply: ContactReply, sent_at: Instant) {
+    // The rows first: contact counts for a host that has all rows of the answering host.
+    for (group, row) in reply.rows {
+        fleet::apply_row(host, &group, row);
+    }
+    let age = reply.age_ms.map(|ms| Duration::from_millis(ms.into()));
+    host.leased_view.borrow_mut().note_contact(from, sent_at, age);
+}
+
+/// Returns whether heartbeats go to all hosts in reach, because this host has had no contact with
+/// the fleet through its hub for [`contact::WIDEN_TIMEOUT`].
+fn widens(host: &Host) -> bool {
+    let age = host.leased_view.borrow().contact_age(host.now());
+    age.is_none_or(|age| age > contact::WIDEN_TIMEOUT)
 }
 
 /// Returns the heartbeat for the host at the other end of the link, with the leader positions that
@@ -287,7 +323,7 @@
 }
 
 /// Sends demand and state versions in an endless loop: to all connected hosts if this host reports
-/// the requests that it admitted, otherwise to its hub only.
+/// the requests that it admitted or lacks contact with the fleet, otherwise to its hub only.
 pub async fn send_heartbeats(host: Rc<Host>) {
     loop {
         tokens::free_shares(&host);
@@ -297,7 +333,8 @@
         let report = is_reporter.then(|| host.demand.borrow().report(host.now()));
         let beat = Heartbeat { report, ..own_heartbeat(&host) };
         let own = positions::take_observed(&host);
-        let is_recipient = |link: &Rc<Link>| link.is_up() && (is_reporter || link.host == hub);
+        let to_all = is_reporter || widens(&host);
+        let is_recipient = |link: &Rc<Link>| link.is_up() && (to_all || link.host == hub);
         for link in host.mesh.links().into_iter().filter(is_recipient) {
             let beat = Box::new(heartbeat_for(&host, &link, &beat, &own));
             host.held_claims.borrow_mut().note_sent(&link.host, host.now());
@@ -305,10 +342,13 @@
             monoio::spawn(async move {
                 let sent_at = host.now();
                 // A missing answer needs no action: silent hosts are evicted by their last contact.
-                if let Ok(Answer::Heartbeat(answer)) =
+                if let Ok(Answer::Heartbeat(mut answer)) =
                     link.query(Question::Heartbeat(beat), HEARTBEAT_TIMEOUT).await
                 {
                     record_clock(&host, &link, &answer, sent_at);
+                    if let Some(reply) = answer.contact.take() {
+                        apply_contact(&host, &link.host, reply, sent_at);
+                    }
                     let member = host.leased_view.borrow().view().members.get(&link.host).cloned();
                     if let Some(member) = member {
                         apply_heartbeat(&host, &link.host, &member.value.domain, *answer);
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -146,6 +146,8 @@
     pub silent_candidates: Cell<usize>,
     /// Claims on the accounts' rates that hubs granted to this host.
     pub held_claims: RefCell<HeldClaims>,
+    /// Whether this host gives no contact to other hosts any more, since its row is being removed.
+    pub withdrawn: Cell<bool>,
     /// Shutdown phase.
     pub phase: watch::Sender<Phase>,
     /// Packed state that other hosts have requested.
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -146,6 +146,7 @@
         invalid_claims: RefCell::default(),
         silent_candidates: Cell::default(),
         held_claims: RefCell::default(),
+        withdrawn: Cell::default(),
         phase: watch::Sender::new(Phase::Serving),
         packed: RefCell::default(),
         registrations: RefCell::default(),
@@ -208,6 +209,7 @@
     info!(
         ready,
         leased = host.map(Host::leased),
+        contact_ms = host.and_then(contact_age).map(|age| age.as_millis() as u64),
         version = host.map(|host| host.version().0),
         newest = host.map(|host| host.newest.get().0),
         plan_age_ms = host.and_then(Host::plan_age).map(|age| age.as_millis() as u64),
@@ -215,6 +217,10 @@
     );
 }
 
+fn contact_age(host: &Host) -> Option<Duration> {
+    host.leased_view.borrow().contact_age(host.now())
+}
+
 fn metrics(state: Rc<RefCell<Option<Rc<Host>>>>) -> Rc<Handler> {
     Rc::new(move |_| {
         let text = state.borrow().as_ref().map(|host| host.metrics.encode());
@@ -261,7 +267,9 @@
         monoio::time::sleep(POLL_INTERVAL).await;
     }
     let cut = host.sessions.get();
-    // No leader is used from here on, so other hosts need not wait for this one.
+    // No leader is used from here on, and no contact is given, so other hosts need not wait for this
+    // one.
+    host.withdrawn.set(true);
     match monoio::time::timeout(EXIT_MARGIN / 2, fleet::leave(&host.settings)).await {
         Ok(Ok(())) => info!(cut, "host: stopped"),
         Ok(Err(error)) => {
