A failover is taken over from a holder only with a majority's contact

The host that runs a failover counted as dead when one connection to it was refused, and another host then replaced its intent after 0.5 s. No rule is at stake: each step of a failover is conditional on its own intent.

A failover is now taken over from a host that has left the fleet or was evicted, or that was out of reach for 1 s, whether refused or silent, by a host that reaches a majority. Two sides of a cut are never both a majority.

--- a/components/proxy/src/monitor.rs
+++ b/components/proxy/src/monitor.rs
@@ -1,7 +1,6 @@
 //! The leader monitor: checks the leaders of all groups and decides on failovers.
 
 use std::{
-    io,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -30,7 +29,7 @@
 /// Interval between checks of the leaders.
 pub const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Timeout of a connection attempt to a host that may be dead.
+/// Timeout of a connection attempt to a host that runs a failover.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Timeout of a request to the host that holds a server's connections.
@@ -40,11 +39,15 @@
 /// complete within one heartbeat.
 const LEADERLESS_TIMEOUT: Duration = Duration::from_millis(3500);
 
-/// Delay after a host was found dead before its failover is taken over, so that the last requests
-/// of the dead host have arrived. Also the delay before a failover that is not taken over is
+/// Delay before the failover of a host that no longer runs it is taken over, so that the last
+/// requests of the host have arrived. Also the delay before a failover that is not taken over is
 /// checked again.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(500);
 
+/// How long the host that runs a failover must have been out of reach before another host takes the
+/// failover over: longer than a restart of its process.
+const HOLDER_LOSS_TIMEOUT: Duration = Duration::from_millis(1000);
+
 /// Checks the leaders of all groups, in an endless loop; pauses while this host holds no lease or
 /// closes its sessions.
 pub async fn watch(host: Rc<Host>) {
@@ -270,8 +273,12 @@
     leased_view.view().clock + leased_view.age(host.now()).unwrap_or_default()
 }
 
-/// Takes over the failover that began at `since` if `holder`, the host that runs it, is dead, is
-/// this host itself (which no longer runs it), or has exceeded [`FAILOVER_TTL`].
+/// Takes over the failover that began at `since` if `holder`, the host that runs it, is this host
+/// itself (which no longer runs it), has left the fleet, is out of reach of a majority, or has
+/// exceeded [`FAILOVER_TTL`].
+///
+/// A failover that is taken over from a running host is safe: its intent is replaced, and with it the
+/// condition of each further step.
 async fn take_over(
     host: Rc<Host>,
     group: Rc<Group>,
@@ -281,16 +288,16 @@
     from: Option<ServerId>,
 ) {
     let own = holder == host.settings.host;
-    let dead = own || is_dead(&host, &holder).await;
-    if dead {
+    let lost = own || is_lost(&host, &group, &holder).await;
+    if lost {
         monoio::time::sleep(TAKEOVER_DELAY).await;
     }
     let late = store_now(&host) > since + FAILOVER_TTL + FAILOVER_MARGIN;
     let pending = host.leased_view.borrow().leadership(&group.id).is_some_and(
         |row| matches!(&row.value, Leadership::Moving { since: current, .. } if *current == since),
     );
-    if pending && (late || dead) {
-        info!(group = %group.id, %holder, late, dead, "leader: unfinished failover taken over");
+    if pending && (late || lost) {
+        info!(group = %group.id, %holder, late, lost, "leader: unfinished failover taken over");
         start_failover(&host, &group, from, planned, "the previous failover did not finish");
     } else {
         monoio::time::sleep(TAKEOVER_DELAY).await;
@@ -298,12 +305,27 @@
     group.probing.set(false);
 }
 
-/// Returns whether a host's machine refuses connections, which shows that no process of the host
-/// runs; false for a host that is not in the view.
-async fn is_dead(host: &Host, id: &HostId) -> bool {
-    let Some(peer_address) = host.peer_address(id) else { return false };
-    let dial = monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer_address)).await;
-    matches!(dial, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+/// Returns whether the host that runs a group's failover has left the fleet, or has been out of reach
+/// for [`HOLDER_LOSS_TIMEOUT`] while this host had contact with a majority.
+///
+/// Without the majority, hosts on both sides of a partition that reach the store would take the
+/// failover over from each other until the partition ends.
+async fn is_lost(host: &Host, group: &Group, holder: &HostId) -> bool {
+    let member = host.leased_view.borrow().view().members.get(holder).cloned();
+    let Some(member) = member.filter(|row| row.value.left.is_none()) else { return true };
+    let connect = TcpStream::connect(member.value.peer);
+    let reachable = matches!(monoio::time::timeout(CONNECT_TIMEOUT, connect).await, Ok(Ok(_)));
+    let now = host.now();
+    let mut lost_holder = group.lost_holder.borrow_mut();
+    if reachable {
+        *lost_holder = None;
+        return false;
+    }
+    let since = match &*lost_holder {
+        Some((id, since)) if id == holder => *since,
+        _ => lost_holder.insert((holder.clone(), now)).1,
+    };
+    host.reaches_majority() && now.saturating_duration_since(since) >= HOLDER_LOSS_TIMEOUT
 }
 
 /// Starts a failover in a task of its own, unless the group's row changes before this host has
