--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -98,7 +98,9 @@
     Ok(())
 }
 
-fn new_host(settings: Settings, run: u64, clock: Rc<dyn Clock>, secret: &str) -> Rc<Host> {
+/// Creates the state of a host without a view, a list of servers or a configuration. `run` identifies
+/// this process among successive ones of the host.
+pub fn new_host(settings: Settings, run: u64, clock: Rc<dyn Clock>, secret: &str) -> Rc<Host> {
     let me = contract::Host {
         id: settings.host.clone(),
         domain: settings.domain.clone(),
