Send a forwarded statement to a leader under the holder's own lease

A statement of a caller runs on the connections of another host, the holder. The caller's host ends its use of the leader when a failover begins or its lease expires, but the statement stayed in the holder's queue and was sent to the former leader when its turn came, up to the queue timeout later: callers of primary databases could cause a read at a replaced primary without any refused connection. Open transactions of other hosts continued in the same way at a leader that the holder had released.

Cause: the holder ran statements of other hosts without a lease, so its release of the leader did not cover them. Statements now say whether they rely on the leader; the holder begins to use the leader for them, checks the use right before it sends, and keeps it with the transaction. A failover waits for the holder as for any host. A host of the preceding build sends no such field and is served as before. A holder without a lease refuses statements that rely on the leader, also if the caller's host still has a lease.

--- a/components/peer/src/forward.rs
+++ b/components/peer/src/forward.rs
@@ -38,6 +38,10 @@
     /// Whether the statement opens the transaction.
     #[serde(rename = "o", default, skip_serializing_if = "std::ops::Not::not")]
     pub opens: bool,
+    /// Whether the server is used as the leader of its group, which requires a lease of the host that
+    /// sends the statement to the server.
+    #[serde(rename = "n", default, skip_serializing_if = "std::ops::Not::not")]
+    pub leads: bool,
     /// Priority under overload; 0 is the highest.
     #[serde(rename = "u")]
     pub priority: u32,
@@ -89,6 +93,9 @@
     Unreachable,
     /// The server's failure domain is evacuated.
     Evacuated,
+    /// The holder may not use the server as leader: it has no lease, or its view names no leader or
+    /// another one.
+    NotLeader,
 }
 
 /// Result of a forwarded statement.
--- a/components/proxy/src/conn.rs
+++ b/components/proxy/src/conn.rs
@@ -72,6 +72,8 @@
     transaction: Option<TransactionId>,
     /// Whether the holder keeps the connection for the transaction.
     pinned: bool,
+    /// Whether the server is used as the leader of its group.
+    leads: bool,
 }
 
 /// A connection to a backend server.
@@ -98,8 +100,15 @@
         Ok(Self::Own(Box::new(Own { leased, permit: Some(permit) })))
     }
 
-    /// Returns a connection held by the host at the other end of the link; sends nothing yet.
-    pub fn remote(pool: Rc<Pool>, link: Rc<Link>, account: AccountId, queue: QueueParams) -> Self {
+    /// Returns a connection held by the host at the other end of the link; sends nothing yet. `leads`
+    /// is whether the server is used as the leader of its group.
+    pub fn remote(
+        pool: Rc<Pool>,
+        link: Rc<Link>,
+        account: AccountId,
+        queue: QueueParams,
+        leads: bool,
+    ) -> Self {
         Self::Remote(Box::new(Remote {
             pool,
             link,
@@ -111,6 +120,7 @@
             without_session: false,
             transaction: None,
             pinned: false,
+            leads,
         }))
     }
 
@@ -242,6 +252,7 @@
             shape: self.shape.take(),
             transaction: self.transaction,
             opens: self.transaction.is_some() && !self.pinned,
+            leads: self.leads,
             priority: self.queue.priority,
             queue_timeout_ms: self.queue.queue_timeout.as_millis() as u32,
             timeout_ms: timeout.as_millis() as u32,
@@ -295,6 +306,7 @@
         shape: None,
         transaction: None,
         opens: false,
+        leads: false,
         priority: 0,
         queue_timeout_ms: timeout.as_millis() as u32,
         timeout_ms: timeout.as_millis() as u32,
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -1,4 +1,8 @@
 //! Forwarded statements: other hosts' statements that run on connections held by this host.
+//!
+//! A statement that relies on the group's leader needs a lease of this host as well. The host that
+//! forwards it may release the leader, or its lease may expire, while the statement is on the way or
+//! in the queue here; a failover then waits for neither.
 
 use std::{
     cell::RefCell,
@@ -17,6 +21,7 @@
 
 use crate::{
     conn,
+    group::LeaderUse,
     host::{Host, Phase},
     monitor, placement,
     pool::{Leased, Permit, Pool},
@@ -36,6 +41,17 @@
     since: Instant,
     /// Monitor of the link over which the transaction's statements are forwarded.
     link: LinkMonitor,
+    /// Use of the server as leader; `None` if the transaction does not rely on the leader.
+    usage: Option<LeaderUse>,
+}
+
+/// Connection for a forwarded statement.
+struct Acquired {
+    leased: Leased,
+    /// Permit for the statement; `None` for statements without an account.
+    permit: Option<Permit>,
+    /// Use of the server as leader; `None` if the statement does not rely on the leader.
+    usage: Option<LeaderUse>,
 }
 
 /// Transactions of other hosts on connections held by this host.
@@ -104,7 +120,7 @@
 pub async fn serve(host: Rc<Host>, from: HostId, statement: ForwardedStatement, replier: Replier) {
     let link = replier.link_monitor();
     let relayed = match acquire(&host, &from, &statement).await {
-        Ok((leased, permit)) => run(&host, from, statement, leased, permit, link).await,
+        Ok(acquired) => run(&host, from, statement, acquired, link).await,
         Err(reason) => {
             record_failure(&host, &statement, reason);
             ForwardResult::NotSent(reason)
@@ -130,51 +146,80 @@
     }
 }
 
+/// Returns whether a statement may be sent under this use of the leader.
+fn may_send(host: &Host, usage: Option<&LeaderUse>) -> bool {
+    usage.is_none_or(|usage| host.holds(usage))
+}
+
+/// Begins to use the statement's server as leader; `None` if the statement does not rely on the
+/// leader.
+fn begin_use(
+    host: &Host,
+    pool: &Pool,
+    statement: &ForwardedStatement,
+) -> Result<Option<LeaderUse>, NotSent> {
+    if !statement.leads {
+        return Ok(None);
+    }
+    let group = host.group(&pool.listed.borrow().group);
+    let usage = host.begin(&group).filter(|usage| usage.server == statement.server);
+    usage.map(Some).ok_or(NotSent::NotLeader)
+}
+
 /// Acquires the connection for a forwarded statement: the connection of its open transaction, or a
-/// connection from the pool. There is no permit for statements without an account.
+/// connection from the pool. The statement may be sent until the next suspension of the task.
 async fn acquire(
     host: &Host,
     from: &HostId,
     statement: &ForwardedStatement,
-) -> Result<(Leased, Option<Permit>), NotSent> {
+) -> Result<Acquired, NotSent> {
     let pool = host.server(&statement.server).ok_or(NotSent::UnknownServer)?;
     if placement::is_forbidden(host, &pool) {
         return Err(NotSent::Evacuated);
     }
     if let Some(id) = statement.transaction.filter(|_| !statement.opens) {
         let idle = host.remote_transactions.idle.borrow_mut().remove(&(from.clone(), id));
-        let idle = idle.ok_or(NotSent::Closed)?;
+        let IdleTransaction { leased, usage, .. } = idle.ok_or(NotSent::Closed)?;
         let until = monoio::time::Instant::now() + statement.timeout();
         let permit = pool.enter_in_transaction(until).await.map_err(conn::queue_full)?;
-        return Ok((idle.leased, Some(permit)));
+        if !may_send(host, usage.as_ref()) {
+            return Err(NotSent::NotLeader);
+        }
+        return Ok(Acquired { leased, permit: Some(permit), usage });
     }
     if *host.phase.borrow() == Phase::Closing {
         return Err(NotSent::Draining);
     }
+    let usage = begin_use(host, &pool, statement)?;
     let until = monoio::time::Instant::now() + statement.timeout();
-    let Some(account) = &statement.account else {
-        let leased = pool.lease_any(&monitor::any_account(host), until).await;
-        return Ok((leased.map_err(conn::not_sent)?, None));
+    let (leased, permit) = match &statement.account {
+        Some(account) => {
+            let (priority, queue_timeout) = (statement.priority, statement.queue_timeout());
+            let permit = pool.enter(priority, queue_timeout, host.now()).await;
+            let permit = permit.map_err(conn::queue_full)?;
+            (pool.lease(account, &statement.values, until).await, Some(permit))
+        }
+        None => (pool.lease_any(&monitor::any_account(host), until).await, None),
     };
-    let permit = pool.enter(statement.priority, statement.queue_timeout(), host.now()).await;
-    let permit = permit.map_err(conn::queue_full)?;
-    let leased = pool.lease(account, &statement.values, until).await;
     let leased = leased.map_err(conn::not_sent)?;
-    // The server may have been evacuated while the statement was queued.
+    // The server may have been evacuated or replaced while the statement was queued.
     if placement::is_forbidden(host, &pool) {
         return Err(NotSent::Evacuated);
     }
-    Ok((leased, Some(permit)))
+    if !may_send(host, usage.as_ref()) {
+        return Err(NotSent::NotLeader);
+    }
+    Ok(Acquired { leased, permit, usage })
 }
 
 async fn run(
     host: &Host,
     from: HostId,
     statement: ForwardedStatement,
-    mut leased: Leased,
-    permit: Option<Permit>,
+    acquired: Acquired,
     link: LinkMonitor,
 ) -> ForwardResult {
+    let Acquired { mut leased, permit, usage } = acquired;
     let backend = leased.backend();
     if statement.account.is_some() {
         let shape = statement.shape.as_ref();
@@ -192,7 +237,14 @@
             if let Some(permit) = permit {
                 permit.latency.set(Some(sent_at.elapsed()));
             }
-            release(host, from, &statement, leased, &answer, link);
+            release(
+                host,
+                from,
+                &statement,
+                Acquired { leased, permit: None, usage },
+                &answer,
+                link,
+            );
             ForwardResult::Answered(answer)
         }
         Ok(Err(error)) => {
@@ -214,14 +266,15 @@
     host: &Host,
     from: HostId,
     statement: &ForwardedStatement,
-    mut leased: Leased,
+    acquired: Acquired,
     answer: &ServerAnswer,
     link: LinkMonitor,
 ) {
+    let Acquired { mut leased, usage, .. } = acquired;
     let open = statement.transaction.filter(|_| answer.state != State::Idle);
     match open {
         Some(id) => {
-            let transaction = IdleTransaction { leased, since: host.now(), link };
+            let transaction = IdleTransaction { leased, since: host.now(), link, usage };
             host.remote_transactions.store((from, id), transaction);
         }
         None if leased.backend().is_clean(answer) => leased.give_back(),
--- a/components/proxy/src/target.rs
+++ b/components/proxy/src/target.rs
@@ -191,13 +191,15 @@
         deadline: until,
     };
     let now = host.now();
-    let conn =
-        match placement::holder_link(host, &pool, &operation.account, &operation.homes).await {
-            Some(link) => Conn::remote(pool, link, operation.account.clone(), queue),
-            None => Conn::own(&pool, &operation.account, session, queue, now).await.map_err(
-                |reason| record_not_sent(host, operation, &pool, usage.is_some(), reason, now),
-            )?,
-        };
+    let conn = match placement::holder_link(host, &pool, &operation.account, &operation.homes).await
+    {
+        Some(link) => Conn::remote(pool, link, operation.account.clone(), queue, usage.is_some()),
+        None => {
+            Conn::own(&pool, &operation.account, session, queue, now).await.map_err(|reason| {
+                record_not_sent(host, operation, &pool, usage.is_some(), reason, now)
+            })?
+        }
+    };
     operation.timing.add(Stage::Connection, host.now().saturating_duration_since(now));
     if usage.as_ref().is_some_and(|usage| !host.holds(usage)) {
         return Err(Refusal::busy("the leader changed"));
@@ -254,6 +256,7 @@
         NotSent::Draining => "the holder of the server's connections is being stopped",
         NotSent::Unreachable => "the holder of the server's connections is out of reach",
         NotSent::Evacuated => "the server's failure domain is evacuated",
+        NotSent::NotLeader => "the holder of the server's connections may not use the leader",
     })
 }
 
