Count a host that votes as running

A revision counts as propagated without hosts that are determined to be dead: out of reach for 30 s and absent from the platform's list. The list is read once a second, and not at all while the platform is unavailable, whereas votes are requested more often. A host that was back in contact and still had the old revision was left out of the majority until the next read, so a change could be reported as in force while a majority of the hosts acted on the old configuration, with a revoked key or the old parts of rates.

A host that votes in a round now belongs to the majorities of that round, for the propagation of a revision and for the removal of unreachable hosts. Hosts that are dead do not vote, so the loss of a majority blocks no change.

Evidence: host_that_votes_is_not_dead in components/coordination/tests/freshness.rs failed before the change ("assertion failed: !freshness::tally(...).propagated") and passes with it, as do the other twelve tests of the file.

--- a/components/coordination/src/freshness.rs
+++ b/components/coordination/src/freshness.rs
@@ -74,9 +74,7 @@
     let vote = |host: &HostId| votes.iter().find(|(id, _)| id == host).map(|(_, vote)| vote);
     let has_revision = |host: &&HostId| vote(host).is_some_and(|vote| vote.known >= known);
     let confirmed = |host: &&HostId| vote(host).is_some_and(|vote| vote.confirmed);
-    let alive = |hosts: &[HostId]| -> Vec<HostId> {
-        hosts.iter().filter(|host| !dead.contains(host)).cloned().collect()
-    };
+    let alive = |hosts: &[HostId]| alive(hosts, dead, votes);
     let newer = votes.iter().filter(|(_, vote)| vote.known > known);
     let newer = newer.max_by_key(|(_, vote)| vote.known);
     Tally {
@@ -88,6 +86,14 @@
     }
 }
 
+/// Returns the hosts that are not `dead`, or that have voted all the same: hosts are determined to
+/// be dead less often than votes are requested.
+pub fn alive(hosts: &[HostId], dead: &[HostId], votes: &[(HostId, FreshnessVote)]) -> Vec<HostId> {
+    let has_voted = |host: &HostId| votes.iter().any(|(id, _)| id == host);
+    let alive = hosts.iter().filter(|host| !dead.contains(host) || has_voted(host));
+    alive.cloned().collect()
+}
+
 /// Returns whether `passes` holds for a majority of the hosts; true if there are no hosts.
 pub fn has_majority<'a>(hosts: &'a [HostId], passes: impl Fn(&&'a HostId) -> bool) -> bool {
     hosts.is_empty() || hosts.iter().filter(passes).count() >= leadership::majority(hosts.len())
--- a/components/coordination/tests/freshness.rs
+++ b/components/coordination/tests/freshness.rs
@@ -96,6 +96,17 @@
     assert!(!freshness::tally(Revision(7), &roster, &roster, &[], &own).propagated);
 }
 
+/// Guards against hosts that act on an old revision after it counts as propagated: the platform did
+/// not list them for a while and they were out of reach, and the list that shows their return has
+/// not been read yet.
+#[test]
+fn host_that_votes_is_not_dead() {
+    let roster = hosts(&["h1", "h2", "h3"]);
+    let dead = hosts(&["h2", "h3"]);
+    let votes = votes_of(&[("h1", 8, true), ("h2", 7, true), ("h3", 7, true)]);
+    assert!(!freshness::tally(Revision(8), &roster, &roster, &dead, &votes).propagated);
+}
+
 /// Guards against a proof without any vote.
 #[test]
 fn empty_roster_proves_no_freshness() {
--- a/components/fleet/src/rounds.rs
+++ b/components/fleet/src/rounds.rs
@@ -174,9 +174,8 @@
     /// Determines the hosts of the roster that a majority of its hosts reports as unreachable,
     /// not counting dead hosts. A broken link between only two hosts thus removes neither of them.
     fn update_unreachable(&self, doc: &RevisionDoc, answers: &[(HostId, FreshnessVote)]) {
-        let dead = self.dead.borrow();
         let roster = host_ids(&doc.roster);
-        let alive: Vec<_> = roster.iter().filter(|host| !dead.contains(host)).cloned().collect();
+        let alive = freshness::alive(&roster, &self.dead.borrow(), answers);
         let cannot_reach = |host: &HostId, by: &HostId| {
             answers.iter().any(|(id, vote)| id == by && vote.unreachable.contains(host))
         };
