Check the lease again after a wait for a cold server

A statement of an open transaction waits for the host's share of the request limit while its leader is cold, for up to the statement's timeout. The lease was checked before the wait and after the answer only, so callers could cause a read at a replaced primary if the lease expired within the wait: a failover allows 250 ms between a check and the send that follows it.

The check is now made right before the send, at the host's own connections as at those that it holds for others. A statement that fails it has not been sent, and the transaction ends as aborted.

The stand-in of a server moves to a module that two test files share.

--- a/components/peer/src/forward.rs
+++ b/components/peer/src/forward.rs
@@ -93,8 +93,8 @@
     Unreachable,
     /// The server's failure domain is evacuated.
     Evacuated,
-    /// The holder may not use the server as leader: it has no lease, or its view names no leader or
-    /// another one.
+    /// The host with the connection may not use the server as leader: it has no lease, or its view
+    /// names no leader or another one.
     NotLeader,
 }
 
--- a/components/proxy/src/conn.rs
+++ b/components/proxy/src/conn.rs
@@ -182,10 +182,15 @@
         }
     }
 
-    /// Sends the lines written so far and reads the answer.
-    pub async fn exchange(&mut self, timeout: Duration) -> Result<ServerAnswer, ExchangeError> {
+    /// Sends the lines written so far and reads the answer. Sends nothing if `may_send` does not hold
+    /// after a wait for the server's capacity.
+    pub async fn exchange(
+        &mut self,
+        timeout: Duration,
+        may_send: impl Fn() -> bool,
+    ) -> Result<ServerAnswer, ExchangeError> {
         match self {
-            Self::Own(own) => own.exchange(timeout).await,
+            Self::Own(own) => own.exchange(timeout, may_send).await,
             Self::Remote(remote) => remote.exchange(timeout).await,
         }
     }
@@ -209,7 +214,11 @@
 }
 
 impl Own {
-    async fn exchange(&mut self, timeout: Duration) -> Result<ServerAnswer, ExchangeError> {
+    async fn exchange(
+        &mut self,
+        timeout: Duration,
+        may_send: impl Fn() -> bool,
+    ) -> Result<ServerAnswer, ExchangeError> {
         let pool = self.leased.pool().clone();
         let sent_at = Instant::now();
         let permit = match self.permit.take() {
@@ -219,6 +228,9 @@
                 permit.map_err(|wait| ExchangeError::NotSent(queue_full(wait)))?
             }
         };
+        if !may_send() {
+            return Err(ExchangeError::NotSent(NotSent::NotLeader));
+        }
         pool.exchanges.borrow_mut().begin(StdInstant::now());
         let answer = monoio::time::timeout(timeout, self.leased.backend().exchange()).await;
         pool.exchanges.borrow_mut().end(matches!(answer, Ok(Ok(_))), StdInstant::now());
--- a/components/proxy/src/operation.rs
+++ b/components/proxy/src/operation.rs
@@ -464,7 +464,7 @@
     monoio::spawn(async move {
         conn.put_without_session(wire::put_rollback);
         // Dropping the connection without an answer closes it, which rolls back too.
-        if let Ok(answer) = conn.exchange(ROLLBACK_TIMEOUT).await {
+        if let Ok(answer) = conn.exchange(ROLLBACK_TIMEOUT, || true).await {
             conn.give_back(&answer);
         }
         drop(usage);
--- a/components/proxy/src/target.rs
+++ b/components/proxy/src/target.rs
@@ -256,7 +256,7 @@
         NotSent::Draining => "the holder of the server's connections is being stopped",
         NotSent::Unreachable => "the holder of the server's connections is out of reach",
         NotSent::Evacuated => "the server's failure domain is evacuated",
-        NotSent::NotLeader => "the holder of the server's connections may not use the leader",
+        NotSent::NotLeader => "the host with the connection may not use the leader",
     })
 }
 
@@ -290,8 +290,9 @@
     operation.timing.set_holder(execution.conn.holder());
     let lease = execution.usage.as_ref().and_then(|_| host.lease_info(&operation.group.id));
     operation.timing.set_lease(lease);
+    let may_send = || execution.usage.as_ref().is_none_or(|usage| host.holds(usage));
     let answer = monoio::select! {
-        answer = execution.conn.exchange(timeout) => answer,
+        answer = execution.conn.exchange(timeout, may_send) => answer,
         _ = revoked => {
             operation.timing.add(Stage::Server, host.now().saturating_duration_since(sent_at));
             pool.health.borrow_mut().end(None, host.now());
--- a/components/proxy/tests/forward.rs
+++ b/components/proxy/tests/forward.rs
@@ -1,75 +1,30 @@
 //! Statements of another host at the holder of a server's connections.
 
 mod hosts;
+mod server;
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use bergamottrack_contract::{Host as Peer, Routes};
 use bergamottrack_coordination::{
-    ManualClock, SystemClock, Term, evacuation,
+    ManualClock, SystemClock, Term,
     token::Secret,
     view::{LEASE_TTL, Leadership, Versioned},
 };
-use bergamottrack_model::{ListedServer, Role};
 use bergamottrack_peer::{
     Answer, ForwardResult, ForwardedStatement, Link, Mesh, Question, TransactionId,
     accept::{self, Service},
 };
 use bergamottrack_proxy::{Host, gossip};
-use monoio::{
-    io::{AsyncReadRent, AsyncWriteRentExt},
-    net::{TcpListener, TcpStream},
-};
+use monoio::net::TcpListener;
+use server::Server;
 
 /// Version of the row of the intent to replace the leader.
 const INTENT: u64 = 3;
 
-/// Time for which a test waits for a condition, and longest time of a statement.
+/// Timeout of requests to the holder, and time for which a test waits for a condition.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Backend server with one connection, which answers a statement once the test allows it.
-#[derive(Default)]
-struct Server {
-    /// Texts of the statements received.
-    received: RefCell<Vec<String>>,
-    /// Number of statements that may be answered.
-    allowed: RefCell<usize>,
-}
-
-impl Server {
-    async fn serve(self: Rc<Self>, mut stream: TcpStream) {
-        let mut pending = String::new();
-        let mut answered = 0;
-        loop {
-            let (read, chunk) = stream.read(vec![0; 1024]).await;
-            let Ok(1..) = read else { return };
-            pending.push_str(std::str::from_utf8(&chunk[..read.unwrap()]).unwrap());
-            while let Some((line, rest)) = pending.split_once("\r\n") {
-                let text = line.splitn(3, ' ').last().unwrap().to_owned();
-                let is_start = line.starts_with("START");
-                pending = rest.to_owned();
-                if !is_start {
-                    self.received.borrow_mut().push(text.clone());
-                    answered += 1;
-                    while *self.allowed.borrow() < answered {
-                        monoio::time::sleep(Duration::from_millis(5)).await;
-                    }
-                }
-                let state = if text.starts_with("BEGIN") { 'T' } else { 'I' };
-                let answer = format!("DONE 1.1\r\nREADY {state} 1.1\r\n");
-                let answer = if is_start { "READY I -\r\n".to_owned() } else { answer };
-                if stream.write_all(answer.into_bytes()).await.0.is_err() {
-                    return;
-                }
-            }
-        }
-    }
-
-    async fn await_received(&self, count: usize) {
-        until(|| self.received.borrow().len() >= count).await;
-    }
-}
-
 /// Waits until a condition holds.
 async fn until(check: impl Fn() -> bool) {
     let end = monoio::time::Instant::now() + TIMEOUT;
@@ -89,33 +44,11 @@
 
 impl Holder {
     async fn start() -> Self {
-        let server = Rc::new(Server::default());
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let accepting = server.clone();
-        monoio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                monoio::spawn(accepting.clone().serve(stream));
-            }
-        });
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let peer = listener.local_addr().unwrap();
         let clock = Rc::new(ManualClock::new());
         let host = hosts::start(peer, clock.clone());
-        *host.evacuations.borrow_mut() = evacuation::Set::default();
-        let listed = ListedServer {
-            id: hosts::server(),
-            group: hosts::group(),
-            address,
-            domain: host.settings.domain.clone(),
-            slots: 1,
-            leaving: false,
-            role: Role::Primary,
-            started_ms: 1,
-            cold: Duration::ZERO,
-        };
-        host.upsert_server(listed, 1);
-        host.refresh();
+        let server = Server::start(&host);
         let accepting = host.clone();
         let service = Rc::new(Service {
             secret: host.mesh.secret.clone(),
@@ -176,15 +109,6 @@
         let answer = self.link.query(question, TIMEOUT).await.unwrap();
         assert!(matches!(answer, Answer::LeadershipApplied(INTENT)), "{answer:?}");
     }
-
-    /// Lets the server answer all statements.
-    fn allow_all(&self) {
-        *self.server.allowed.borrow_mut() = usize::MAX;
-    }
-
-    fn received(&self) -> Vec<String> {
-        self.server.received.borrow().clone()
-    }
 }
 
 fn statement(text: &str) -> ForwardedStatement {
@@ -214,14 +138,14 @@
 async fn queued_statement_is_not_sent_to_a_released_leader() {
     let holder = Holder::start().await;
     let first = holder.forward(statement("READ k1"));
-    holder.server.await_received(1).await;
+    until(|| !holder.server.received().is_empty()).await;
     let second = holder.enqueue(statement("READ k2")).await;
     holder.release().await;
-    holder.allow_all();
+    holder.server.allow_all();
     assert!(matches!(first.await, ForwardResult::Answered(_)));
     let result = second.await;
     assert!(matches!(result, ForwardResult::NotSent(_)), "{result:?}");
-    assert_eq!(holder.received(), ["READ k1"]);
+    assert_eq!(holder.server.received(), ["READ k1"]);
 }
 
 /// Guards against a read at a replaced leader: the leases of both hosts expire while the statement
@@ -230,21 +154,21 @@
 async fn queued_statement_is_not_sent_to_the_leader_after_the_lease() {
     let holder = Holder::start().await;
     let first = holder.forward(statement("READ k1"));
-    holder.server.await_received(1).await;
+    until(|| !holder.server.received().is_empty()).await;
     let second = holder.enqueue(statement("READ k2")).await;
     holder.clock.advance(LEASE_TTL);
-    holder.allow_all();
+    holder.server.allow_all();
     assert!(matches!(first.await, ForwardResult::Answered(_)));
     let result = second.await;
     assert!(matches!(result, ForwardResult::NotSent(_)), "{result:?}");
-    assert_eq!(holder.received(), ["READ k1"]);
+    assert_eq!(holder.server.received(), ["READ k1"]);
 }
 
 /// Guards against statements of a transaction that run at a leader which its holder has released.
 #[monoio::test(driver = "legacy", enable_timer = true)]
 async fn transaction_of_another_host_ends_with_the_release_of_the_leader() {
     let holder = Holder::start().await;
-    holder.allow_all();
+    holder.server.allow_all();
     for text in ["BEGIN", "READ k1"] {
         let result = holder.forward(in_transaction(text, 7)).await;
         assert!(matches!(result, ForwardResult::Answered(_)), "{result:?}");
@@ -254,7 +178,7 @@
     holder.release().await;
     let result = holder.forward(in_transaction("READ k2", 8)).await;
     assert!(matches!(result, ForwardResult::NotSent(_)), "{result:?}");
-    assert_eq!(holder.received(), ["BEGIN", "READ k1", "BEGIN"]);
+    assert_eq!(holder.server.received(), ["BEGIN", "READ k1", "BEGIN"]);
 }
 
 /// Guards against refusals of statements that need no leader, such as reads at replicas, while a
@@ -262,10 +186,10 @@
 #[monoio::test(driver = "legacy", enable_timer = true)]
 async fn statement_that_needs_no_leader_is_sent_without_a_lease() {
     let holder = Holder::start().await;
-    holder.allow_all();
+    holder.server.allow_all();
     holder.release().await;
     holder.clock.advance(LEASE_TTL);
     let result = holder.forward(ForwardedStatement { leads: false, ..statement("READ k1") }).await;
     assert!(matches!(result, ForwardResult::Answered(_)), "{result:?}");
-    assert_eq!(holder.received(), ["READ k1"]);
+    assert_eq!(holder.server.received(), ["READ k1"]);
 }
