Describe a refused connection without a conclusion about the process

Comments and one answer to callers said that a server or host which refuses connections does not run. A network that rejects connections refuses for a process that runs, and code was written on the strength of such comments. Callers got "the server does not run"; they now get "the server refuses connections".

The comments name both causes and what is done in either case: the leader is replaced, the server is suspected to be cold, the primary is replaced sooner.

--- a/components/coordination/src/cold.rs
+++ b/components/coordination/src/cold.rs
@@ -94,7 +94,7 @@
         }
     }
 
-    /// Records that the server refused a connection: its process is not running and will be cold
+    /// Records that the server refused a connection: its process may have ended and will then be cold
     /// after its start. No effect without a limit.
     pub fn refused(&mut self, limit: Option<Limit>, now: Instant) {
         let Some(limit) = limit else { return };
--- a/components/coordination/src/suspicion.rs
+++ b/components/coordination/src/suspicion.rs
@@ -2,9 +2,10 @@
 //!
 //! The detection covers, under constant traffic, a leader that crashes (connections are
 //! refused), a leader that stops answering, and a leader that only some hosts cannot reach. A
-//! refused connection proves that the process has ended. A missing answer alone proves nothing:
-//! a leader that this host cannot reach may serve all other hosts, and its replicas then
-//! continue to receive its log.
+//! missing answer alone does not suffice: a leader that this host cannot reach may serve all other
+//! hosts, and its replicas then continue to receive its log. A refused connection has two causes,
+//! the end of the process or a network that rejects connections. The leader is replaced in both
+//! cases, so a failover must be safe beside a leader that runs.
 
 use std::time::{Duration, Instant};
 
--- a/components/home/src/backend.rs
+++ b/components/home/src/backend.rs
@@ -36,7 +36,8 @@
 impl std::error::Error for Closed {}
 
 /// Returns whether an error indicates that the server process has ended: the connection was
-/// refused, reset, aborted or closed.
+/// refused, reset, aborted or closed. A network may do the same for a process that runs, which is
+/// then replaced sooner than after a silence.
 ///
 /// A running server that accepts no more connections sends an error message instead, and a server
 /// that hangs sends nothing.
--- a/components/peer/src/forward.rs
+++ b/components/peer/src/forward.rs
@@ -73,7 +73,7 @@
     QueueFull(u32),
     /// All connections are in use.
     Full,
-    /// The server's process is not running.
+    /// The connection to the server was refused.
     Dead,
     /// The server does not answer.
     Silent,
--- a/components/peer/src/link.rs
+++ b/components/peer/src/link.rs
@@ -78,7 +78,7 @@
     closed: Cell<bool>,
     /// Whether the peer is shutting down.
     draining: Cell<bool>,
-    /// Whether the last attempt to connect was refused because nothing listened at the address.
+    /// Whether the last attempt to connect was refused.
     refused: Cell<bool>,
     /// Whether the first attempt to connect has ended.
     attempted: Cell<bool>,
@@ -153,8 +153,8 @@
         self.draining.get()
     }
 
-    /// Returns whether the last attempt to connect was refused, which indicates that the peer's
-    /// process has ended.
+    /// Returns whether the last attempt to connect was refused: the peer's process has ended, or a
+    /// network rejects connections to it.
     pub fn is_refused(&self) -> bool {
         self.refused.get()
     }
--- a/components/proxy/src/backend.rs
+++ b/components/proxy/src/backend.rs
@@ -35,7 +35,7 @@
 /// Reason why no connection was opened.
 #[derive(Debug)]
 pub enum OpenError {
-    /// The server's machine refused the connection: no process listens there.
+    /// The connection was refused: no process listens at the address, or a network rejects it.
     Refused,
     /// The server answered and rejected the session.
     Rejected(Failure),
--- a/components/proxy/src/target.rs
+++ b/components/proxy/src/target.rs
@@ -247,7 +247,7 @@
     }
     Refusal::busy(match reason {
         NotSent::Full => "all connections to the server are in use",
-        NotSent::Dead => "the server does not run",
+        NotSent::Dead => "the server refuses connections",
         NotSent::Silent => "the server does not answer",
         NotSent::Misdirected => "another server has the address",
         NotSent::Rejected | NotSent::QueueFull(_) => "the server takes no connection",
