--- a/components/proxy/src/conn.rs
+++ b/components/proxy/src/conn.rs
@@ -72,6 +72,8 @@
     transaction: Option<TransactionId>,
     /// Whether the holder keeps the connection for the transaction.
     pinned: bool,
+    /// Whether the server is used as the leader of its group.
+    leads: bool,
 }
 
 /// A connection to a backend server.
@@ -98,8 +100,15 @@
         Ok(Self::Own(Box::new(Own { leased, permit: Some(permit) })))
     }
 
-    /// Returns a connection held by the host at the other end of the link; sends nothing yet.
-    pub fn remote(pool: Rc<Pool>, link: Rc<Link>, account: AccountId, queue: QueueParams) -> Self {
+    /// Returns a connection held by the host at the other end of the link; sends nothing yet. `leads`
+    /// is whether the server is used as the leader of its group.
+    pub fn remote(
+        pool: Rc<Pool>,
+        link: Rc<Link>,
+        account: AccountId,
+        queue: QueueParams,
+        leads: bool,
+    ) -> Self {
         Self::Remote(Box::new(Remote {
             pool,
             link,
@@ -111,6 +120,7 @@
             without_session: false,
             transaction: None,
             pinned: false,
+            leads,
         }))
     }
 
@@ -172,10 +182,15 @@
         }
     }
 
-    /// Sends the lines written so far and reads the answer.
-    pub async fn exchange(&mut self, timeout: Duration) -> Result<ServerAnswer, ExchangeError> {
+    /// Sends the lines written so far and reads the answer. Sends nothing if `may_send` does not hold
+    /// after a wait for the server's capacity.
+    pub async fn exchange(
+        &mut self,
+        timeout: Duration,
+        may_send: impl Fn() -> bool,
+    ) -> Result<ServerAnswer, ExchangeError> {
         match self {
-            Self::Own(own) => own.exchange(timeout).await,
+            Self::Own(own) => own.exchange(timeout, may_send).await,
             Self::Remote(remote) => remote.exchange(timeout).await,
         }
     }
@@ -199,7 +214,11 @@
 }
 
 impl Own {
-    async fn exchange(&mut self, timeout: Duration) -> Result<ServerAnswer, ExchangeError> {
+    async fn exchange(
+        &mut self,
+        timeout: Duration,
+        may_send: impl Fn() -> bool,
+    ) -> Result<ServerAnswer, ExchangeError> {
         let pool = self.leased.pool().clone();
         let sent_at = Instant::now();
         let permit = match self.permit.take() {
@@ -209,6 +228,9 @@
                 permit.map_err(|wait| ExchangeError::NotSent(queue_full(wait)))?
             }
         };
+        if !may_send() {
+            return Err(ExchangeError::NotSent(NotSent::NotLeader));
+        }
         pool.exchanges.borrow_mut().begin(StdInstant::now());
         let answer = monoio::time::timeout(timeout, self.leased.backend().exchange()).await;
         pool.exchanges.borrow_mut().end(matches!(answer, Ok(Ok(_))), StdInstant::now());
@@ -242,6 +264,7 @@
             shape: self.shape.take(),
             transaction: self.transaction,
             opens: self.transaction.is_some() && !self.pinned,
+            leads: self.leads,
             priority: self.queue.priority,
             queue_timeout_ms: self.queue.queue_timeout.as_millis() as u32,
             timeout_ms: timeout.as_millis() as u32,
@@ -295,6 +318,7 @@
         shape: None,
         transaction: None,
         opens: false,
+        leads: false,
         priority: 0,
         queue_timeout_ms: timeout.as_millis() as u32,
         timeout_ms: timeout.as_millis() as u32,
--- a/components/proxy/src/target.rs
+++ b/components/proxy/src/target.rs
@@ -191,13 +191,15 @@
         deadline: until,
     };
     let now = host.now();
-    let conn =
-        match placement::holder_link(host, &pool, &operation.account, &operation.homes).await {
-            Some(link) => Conn::remote(pool, link, operation.account.clone(), queue),
-            None => Conn::own(&pool, &operation.account, session, queue, now).await.map_err(
-                |reason| record_not_sent(host, operation, &pool, usage.is_some(), reason, now),
-            )?,
-        };
+    let conn = match placement::holder_link(host, &pool, &operation.account, &operation.homes).await
+    {
+        Some(link) => Conn::remote(pool, link, operation.account.clone(), queue, usage.is_some()),
+        None => {
+            Conn::own(&pool, &operation.account, session, queue, now).await.map_err(|reason| {
+                record_not_sent(host, operation, &pool, usage.is_some(), reason, now)
+            })?
+        }
+    };
     operation.timing.add(Stage::Connection, host.now().saturating_duration_since(now));
     if usage.as_ref().is_some_and(|usage| !host.holds(usage)) {
         return Err(Refusal::busy("the leader changed"));
@@ -245,7 +247,7 @@
     }
     Refusal::busy(match reason {
         NotSent::Full => "all connections to the server are in use",
-        NotSent::Dead => "the server does not run",
+        NotSent::Dead => "the server refuses connections",
         NotSent::Silent => "the server does not answer",
         NotSent::Misdirected => "another server has the address",
         NotSent::Rejected | NotSent::QueueFull(_) => "the server takes no connection",
@@ -254,6 +256,7 @@
         NotSent::Draining => "the holder of the server's connections is being stopped",
         NotSent::Unreachable => "the holder of the server's connections is out of reach",
         NotSent::Evacuated => "the server's failure domain is evacuated",
+        NotSent::NotLeader => "the host with the connection may not use the leader",
     })
 }
 
@@ -287,8 +290,9 @@
     operation.timing.set_holder(execution.conn.holder());
     let lease = execution.usage.as_ref().and_then(|_| host.lease_info(&operation.group.id));
     operation.timing.set_lease(lease);
+    let may_send = || execution.usage.as_ref().is_none_or(|usage| host.holds(usage));
     let answer = monoio::select! {
-        answer = execution.conn.exchange(timeout) => answer,
+        answer = execution.conn.exchange(timeout, may_send) => answer,
         _ = revoked => {
             operation.timing.add(Stage::Server, host.now().saturating_duration_since(sent_at));
             pool.health.borrow_mut().end(None, host.now());
--- /dev/null
+++ b/components/proxy/tests/forward.rs
@@ -0,0 +1,195 @@
+//! Statements of another host at the holder of a server's connections.
+
+mod hosts;
+mod server;
+
+use std::{rc::Rc, time::Duration};
+
+use bergamottrack_contract::{Host as Peer, Routes};
+use bergamottrack_coordination::{
+    ManualClock, SystemClock, Term,
+    token::Secret,
+    view::{LEASE_TTL, Leadership, Versioned},
+};
+use bergamottrack_peer::{
+    Answer, ForwardResult, ForwardedStatement, Link, Mesh, Question, TransactionId,
+    accept::{self, Service},
+};
+use bergamottrack_proxy::{Host, gossip};
+use monoio::net::TcpListener;
+use server::Server;
+
+/// Version of the row of the intent to replace the leader.
+const INTENT: u64 = 3;
+
+/// Timeout of requests to the holder, and time for which a test waits for a condition.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Waits until a condition holds.
+async fn until(check: impl Fn() -> bool) {
+    let end = monoio::time::Instant::now() + TIMEOUT;
+    while !check() {
+        assert!(monoio::time::Instant::now() < end, "the condition does not hold in time");
+        monoio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// The host h2, which holds the connections of the server s1, and the link of h1 to it.
+struct Holder {
+    host: Rc<Host>,
+    server: Rc<Server>,
+    link: Rc<Link>,
+    clock: Rc<ManualClock>,
+}
+
+impl Holder {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let peer = listener.local_addr().unwrap();
+        let clock = Rc::new(ManualClock::new());
+        let host = hosts::start(peer, clock.clone());
+        let server = Server::start(&host);
+        let accepting = host.clone();
+        let service = Rc::new(Service {
+            secret: host.mesh.secret.clone(),
+            serve: Box::new(|_, _| {}),
+            answer: Box::new(move |peer, question, replier| {
+                gossip::answer(&accepting, peer, question, replier);
+            }),
+        });
+        let hello = host.mesh.hello();
+        monoio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                monoio::spawn(accept::serve(stream, hello.clone(), service.clone()));
+            }
+        });
+        let me = |name: &str, peer| Peer {
+            id: hosts::id(name),
+            domain: host.settings.domain.clone(),
+            peer,
+        };
+        let own = me("h1", hosts::NO_ADDRESS.parse().unwrap());
+        let secret = Secret::new(b"ours");
+        let mesh = Mesh::new(own, secret, Rc::new(SystemClock), Routes::default());
+        mesh.set_roster(&[me("h2", peer)], &[]);
+        let link = mesh.link(&hosts::id("h2")).unwrap();
+        until(|| link.is_up()).await;
+        Self { host, server, link, clock }
+    }
+
+    /// Forwards a statement in a task of its own; returns its result.
+    fn forward(&self, statement: ForwardedStatement) -> monoio::task::JoinHandle<ForwardResult> {
+        let link = self.link.clone();
+        monoio::spawn(async move {
+            let answer = link.query(Question::Forward(Box::new(statement)), TIMEOUT).await;
+            let Ok(Answer::ForwardResult(result)) = answer else { panic!("{answer:?}") };
+            result
+        })
+    }
+
+    /// Forwards a statement and waits until it is in the queue of the server.
+    async fn enqueue(
+        &self,
+        statement: ForwardedStatement,
+    ) -> monoio::task::JoinHandle<ForwardResult> {
+        let result = self.forward(statement);
+        let pool = self.host.server(&hosts::server()).unwrap();
+        until(|| !pool.wait(0, TIMEOUT, self.host.now()).is_zero()).await;
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        result
+    }
+
+    /// Begins an unplanned failover of the group and waits until h2 has released the leader.
+    async fn release(&self) {
+        let (from, holder) = (Some(hosts::server()), hosts::id("h1"));
+        let (since, planned, term) = (hosts::VIEW_CLOCK, false, Term(1));
+        let value = Leadership::Moving { from, holder, since, planned, term };
+        let row = Versioned { version: INTENT, value };
+        let question = Question::ApplyLeadership { group: hosts::group(), row };
+        let answer = self.link.query(question, TIMEOUT).await.unwrap();
+        assert!(matches!(answer, Answer::LeadershipApplied(INTENT)), "{answer:?}");
+    }
+}
+
+fn statement(text: &str) -> ForwardedStatement {
+    ForwardedStatement {
+        server: hosts::server(),
+        account: Some("a1".parse().unwrap()),
+        line: format!("QUERY q1 {text}\r\n").into_bytes().into(),
+        values: Default::default(),
+        shape: None,
+        transaction: None,
+        opens: false,
+        leads: true,
+        priority: 0,
+        queue_timeout_ms: 5000,
+        timeout_ms: 5000,
+    }
+}
+
+fn in_transaction(text: &str, id: TransactionId) -> ForwardedStatement {
+    let opens = text.starts_with("BEGIN");
+    ForwardedStatement { transaction: Some(id), opens, ..statement(text) }
+}
+
+/// Guards against a read at a replaced leader: both hosts have released the leader while the
+/// statement of one of them is in the queue of the other, which sends it after the promotion.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn queued_statement_is_not_sent_to_a_released_leader() {
+    let holder = Holder::start().await;
+    let first = holder.forward(statement("READ k1"));
+    until(|| !holder.server.received().is_empty()).await;
+    let second = holder.enqueue(statement("READ k2")).await;
+    holder.release().await;
+    holder.server.allow_all();
+    assert!(matches!(first.await, ForwardResult::Answered(_)));
+    let result = second.await;
+    assert!(matches!(result, ForwardResult::NotSent(_)), "{result:?}");
+    assert_eq!(holder.server.received(), ["READ k1"]);
+}
+
+/// Guards against a read at a replaced leader: the leases of both hosts expire while the statement
+/// of one of them is in the queue of the other.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn queued_statement_is_not_sent_to_the_leader_after_the_lease() {
+    let holder = Holder::start().await;
+    let first = holder.forward(statement("READ k1"));
+    until(|| !holder.server.received().is_empty()).await;
+    let second = holder.enqueue(statement("READ k2")).await;
+    holder.clock.advance(LEASE_TTL);
+    holder.server.allow_all();
+    assert!(matches!(first.await, ForwardResult::Answered(_)));
+    let result = second.await;
+    assert!(matches!(result, ForwardResult::NotSent(_)), "{result:?}");
+    assert_eq!(holder.server.received(), ["READ k1"]);
+}
+
+/// Guards against statements of a transaction that run at a leader which its holder has released.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn transaction_of_another_host_ends_with_the_release_of_the_leader() {
+    let holder = Holder::start().await;
+    holder.server.allow_all();
+    for text in ["BEGIN", "READ k1"] {
+        let result = holder.forward(in_transaction(text, 7)).await;
+        assert!(matches!(result, ForwardResult::Answered(_)), "{result:?}");
+    }
+    let result = holder.forward(in_transaction("BEGIN", 8)).await;
+    assert!(matches!(result, ForwardResult::Answered(_)), "{result:?}");
+    holder.release().await;
+    let result = holder.forward(in_transaction("READ k2", 8)).await;
+    assert!(matches!(result, ForwardResult::NotSent(_)), "{result:?}");
+    assert_eq!(holder.server.received(), ["BEGIN", "READ k1", "BEGIN"]);
+}
+
+/// Guards against refusals of statements that need no leader, such as reads at replicas, while a
+/// group has none.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn statement_that_needs_no_leader_is_sent_without_a_lease() {
+    let holder = Holder::start().await;
+    holder.server.allow_all();
+    holder.release().await;
+    holder.clock.advance(LEASE_TTL);
+    let result = holder.forward(ForwardedStatement { leads: false, ..statement("READ k1") }).await;
+    assert!(matches!(result, ForwardResult::Answered(_)), "{result:?}");
+    assert_eq!(holder.server.received(), ["READ k1"]);
+}
