Evicted hub candidates count until their leases have certainly expired

Callers on one side of a partition could use the whole rate while hosts on the other still admitted requests: a candidate that had left the view counted for the length of a lease since its last message. A candidate that only its peers do not reach renews its lease until it is evicted, four to five seconds after that message, and runs statements for as long after the eviction.

The time now counts from the moment at which the candidate is left out of the list. That is not before the store accepted the eviction, from which the lease lasts LEASE_TTL at most, and the margin covers the clocks.

--- a/components/coordination/src/demand.rs
+++ b/components/coordination/src/demand.rs
@@ -64,8 +64,8 @@
 /// to its demand: one report is missing.
 const MISSED_REPORT_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Time since the last contact for which a host that may admit requests is taken into account after
-/// it has left the fleet. It can run no statements after its lease has expired.
+/// Time for which a host that may admit requests is taken into account after it has left the fleet:
+/// until then it may have renewed its lease, and it can run no statements after that has expired.
 const CONTACT_TTL: Duration = view::LEASE_TTL.saturating_add(view::LEASE_MARGIN);
 
 /// Demand in requests per second up to which an account is left out of reports: almost all
@@ -161,6 +161,8 @@
     /// Time of the last contact with each host that may admit requests for any participant; empty
     /// if each participant is a single host.
     contacts: BTreeMap<HostId, Instant>,
+    /// Time at which each host of `contacts` that is no longer a candidate was left out.
+    departed: BTreeMap<HostId, Instant>,
     /// Time at which this host became a hub candidate; `None` if each participant is a single host.
     candidate_since: Option<Instant>,
     /// Claims of the hosts that this host admits requests for; unused if each participant is a
@@ -185,6 +187,7 @@
             own: (None, Participant::new(now)),
             participants: BTreeMap::new(),
             contacts: BTreeMap::new(),
+            departed: BTreeMap::new(),
             candidate_since: None,
             claims: Claims::default(),
             claimed_at: None,
@@ -264,8 +267,14 @@
             (host, contact.map_or(known, |contact| contact.max(known)))
         };
         self.contacts = hosts.into_iter().map(since).collect();
-        old.retain(|_, contact| now.saturating_duration_since(*contact) < CONTACT_TTL);
-        self.contacts.extend(old);
+        let departed = std::mem::take(&mut self.departed);
+        for (host, contact) in old {
+            let since = departed.get(&host).copied().unwrap_or(now);
+            if now.saturating_duration_since(since) < CONTACT_TTL {
+                self.contacts.insert(host.clone(), contact);
+                self.departed.insert(host, since);
+            }
+        }
     }
 
     /// Records a message of a host that may request tokens from this host, or admit requests.
--- a/components/coordination/tests/claims.rs
+++ b/components/coordination/tests/claims.rs
@@ -84,7 +84,7 @@
     requested: Vec<(Instant, usize)>,
     /// Side of each host; messages pass only within a side.
     sides: [usize; FLEET],
-    /// Hosts that were evicted from the view.
+    /// Hosts that were evicted by the other side, which alone reaches the store.
     evicted: BTreeSet<usize>,
     /// Pairs of hosts, sender and receiver, between which nothing passes.
     cut: Vec<(usize, usize)>,
@@ -372,6 +372,26 @@
     }
 }
 
+/// Guards against the whole rate on one side of a partition before the leases of the candidates that
+/// it evicted have expired: a candidate that only its peers do not reach renews its lease until it
+/// is evicted, seconds after its last message.
+#[test]
+fn evicted_candidates_count_until_their_leases_have_expired() {
+    for seed in 0..20 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let weights = weights(&mut rng);
+        let mut fleet = Fleet::new(|n| 5.0 * RATE.0 * weights[n]);
+        fleet.run(Duration::from_secs(10));
+        fleet.sides = sides(&mut rng);
+        fleet.run(EVICTION_TIMEOUT);
+        let evicts = |n: &usize| is_candidate(*n) && fleet.sides[*n] == 1;
+        fleet.evicted = (0..FLEET).filter(evicts).collect();
+        fleet.run(view::LEASE_TTL);
+        println!("seed {seed}");
+        fleet.assert_within_limit();
+    }
+}
+
 /// Guards against a burst that is granted on each side, for an account that begins to send more than
 /// its rate before the partition is detected.
 #[test]
