Test that partitions in one direction keep the limit in a mesh

Callers would see more than the rate admitted if hosts that receive no reports of the others took the parts of hosts that still receive theirs: silence for LOST_TIMEOUT is read as the end or the isolation of a host. No fault was found. No code changes.

--- a/components/coordination/tests/demand.rs
+++ b/components/coordination/tests/demand.rs
@@ -196,6 +196,26 @@
     }
 }
 
+/// Guards against the whole rate on each side of a partition in one direction: hosts that receive no
+/// reports of the others must not take the parts of hosts that receive theirs.
+#[test]
+fn partition_in_one_direction_keeps_the_limit() {
+    for size in 1..9 {
+        let mut fleet = Fleet::new(9);
+        let rates = [RATE.0; 9];
+        fleet.run(Duration::from_secs(6), &rates, |_, _| true);
+        fleet.run(Duration::from_secs(10), &rates, |to, from| to >= size || from < size);
+        fleet.run(Duration::from_secs(6), &rates, |_, _| true);
+        let worst = fleet.worst_window();
+        println!("{size} hosts receive no reports: {worst}");
+        assert!(
+            worst <= allowed(),
+            "{size} hosts receive no reports: {worst} were admitted in a window, {} are allowed",
+            allowed()
+        );
+    }
+}
+
 /// Crashes the hosts from `alive` on under load, evicts them, and returns the fraction of the rate
 /// that the others admitted between the end of isolation and the eviction, while the crashed hosts
 /// might hold a lease, and after that.
