Test: hosts behind refusing links read no log that lacks an acknowledged write

Callers saw a read at a replaced primary while the network between hosts rejected connections. The links of the lab could not show it: a refusing link accepted connections and closed them. Now the link does not listen while it refuses, so that the kernel refuses connections, and listens again on the same address afterwards; a fault may reset the open connections too. Cuts, delays, rates and resets stay as they are.

The test runs three hosts. Two are cut off from the third and the store by such links and still reach the leader, which refuses the third. The third replaces it, and no read through the two that begins after an acknowledged write may lack it.

The fault itself is not fixed here.

--- a/lab/src/fault.rs
+++ b/lab/src/fault.rs
@@ -37,7 +37,7 @@
     /// Bytes a second, each way; 0 for no limit.
     #[arg(long, default_value_t = 0)]
     pub bytes_per_sec: u64,
-    /// New connections are closed at once.
+    /// New connections are refused.
     #[arg(long)]
     pub refuse: bool,
     /// Only reset the connections there are.
@@ -63,6 +63,7 @@
         refuse: args.refuse,
         delay_ms: args.delay_ms,
         bytes_per_sec: args.bytes_per_sec,
+        ..Fault::default()
     };
     let path = if args.reset { "/reset" } else { "/set" };
     let set = SetFault { names: args.names, fault };
--- a/lab/src/link.rs
+++ b/lab/src/link.rs
@@ -1,5 +1,5 @@
 //! Fault-injecting link: forwards TCP connections between two processes and can cut (each direction
-//! alone), delay, throttle, freeze, reset and reopen them.
+//! alone), delay, throttle, freeze, refuse, reset and reopen them.
 
 use std::{
     cell::RefCell,
@@ -7,6 +7,7 @@
     fs::File,
     io::Write,
     net::SocketAddr,
+    os::fd::{AsRawFd, RawFd},
     path::PathBuf,
     pin::Pin,
     rc::Rc,
@@ -21,7 +22,7 @@
 use hyper::StatusCode;
 use monoio::{
     io::IntoPollIo,
-    net::{TcpStream, tcp::stream_poll::TcpStreamPoll},
+    net::{TcpListener, TcpStream, tcp::stream_poll::TcpStreamPoll},
 };
 use serde::{Deserialize, Serialize};
 use tokio::{
@@ -33,6 +34,8 @@
 const CHUNK_SIZE: usize = 16 * 1024;
 /// Maximum number of chunks in flight in one direction of a connection.
 const MAX_IN_FLIGHT: usize = 64;
+/// Interval between attempts to listen again after connections were refused.
+const LISTEN_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Settings of a link process.
 #[derive(Args, Clone, Debug)]
@@ -67,8 +70,10 @@
     pub cut_up: bool,
     /// Whether bytes sent down are held back until the cut is removed.
     pub cut_down: bool,
-    /// Whether new connections are refused, by closing them at once.
+    /// Whether the kernel refuses new connections, because the link does not listen.
     pub refuse: bool,
+    /// Whether open connections are reset when the fault is set.
+    pub reset: bool,
     /// Delay of each byte, in milliseconds.
     pub delay_ms: u64,
     /// Limit in bytes per second for each direction of a connection; 0 means no limit.
@@ -168,6 +173,9 @@
         for_each_match(self, names, |link| {
             *link.fault.borrow_mut() = fault.clone();
             link.changed.notify_waiters();
+            if fault.reset {
+                link.reset.notify_waiters();
+            }
         });
     }
 
@@ -191,19 +199,58 @@
         reset: Notify::new(),
     });
     links.named.borrow_mut().insert(add.name, link.clone());
-    monoio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            monoio::spawn(forward(link.clone(), stream, add.to));
-        }
-    });
+    monoio::spawn(accept(link, listener, add.listen, add.to));
     Ok(())
 }
 
+/// Accepts connections until an error occurs. While connections are refused, nothing listens on the
+/// address.
+async fn accept(link: Rc<Link>, mut listener: TcpListener, address: SocketAddr, to: SocketAddr) {
+    loop {
+        let forward_all = async {
+            while let Ok((stream, _)) = listener.accept().await {
+                monoio::spawn(forward(link.clone(), stream, to));
+            }
+        };
+        monoio::select! {
+            _ = forward_all => return,
+            _ = link.wait_until(|fault| fault.refuse) => {}
+        }
+        drop(listener);
+        link.wait_until(|fault| !fault.refuse).await;
+        listener = loop {
+            match listen(address) {
+                Ok(listener) => break listener,
+                Err(_) => monoio::time::sleep(LISTEN_RETRY_INTERVAL).await,
+            }
+        };
+    }
+}
+
+/// Has the kernel reset a connection when its socket is closed.
+fn reset_on_close(socket: RawFd) {
+    let linger = libc::linger { l_onoff: 1, l_linger: 0 };
+    let size = size_of::<libc::linger>() as libc::socklen_t;
+    // SAFETY: the call reads `linger`, which outlives it.
+    #[allow(unsafe_code)]
+    unsafe {
+        let value = (&raw const linger).cast();
+        libc::setsockopt(socket, libc::SOL_SOCKET, libc::SO_LINGER, value, size);
+    }
+}
+
 async fn forward(link: Rc<Link>, stream: TcpStream, to: SocketAddr) {
     if link.fault.borrow().refuse {
-        return;
+        // Accepted just before the refusal began.
+        return reset_on_close(stream.as_raw_fd());
     }
-    let reset = link.reset.notified();
+    let socket = stream.as_raw_fd();
+    let reset = async {
+        link.reset.notified().await;
+        if link.fault.borrow().reset {
+            reset_on_close(socket);
+        }
+    };
     let forwarding = async {
         // The onward connection is opened only when the upward direction is not cut.
         link.wait_until(|fault| !fault.cut_up).await;
