Soak: links that refuse and reset connections, beside the silent ones

The soak cut links only by silence, so it passed while callers saw reads at replaced primaries behind a network that rejects connections. A new option `--refusals` draws schedules in which links between hosts, to the store and to servers refuse and reset connections, once for seconds or in series of short resets, while hosts are paused or the store answers nothing; one account exceeds its rate throughout, as in every soak. In half of the draws all hosts refuse each other, one alone reaches the store, and a leader refuses connections for a short time and then serves again without the log of its successor. The checks of the soak cover stale reads already and stay as they are.

The fault itself is not fixed here.

--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -53,6 +53,10 @@
     /// what they receive, in place of drawn faults.
     #[arg(long)]
     pub herd: bool,
+    /// Have links between hosts, to the store and to servers refuse and reset connections, while
+    /// hosts are paused and the store answers nothing, in place of drawn faults.
+    #[arg(long)]
+    pub refusals: bool,
     /// Make no faults: the load alone, to measure what a host uses for it.
     #[arg(long)]
     pub calm: bool,
@@ -127,9 +131,10 @@
         return Vec::new();
     }
     let (length, servers) = (Duration::from_secs(args.secs), world::GROUPS * 3);
-    let mut steps = match (args.herd, args.grow) {
-        (true, _) => schedule::mass_restarts(length, servers),
-        (_, true) => schedule::generate_growth(seed, length, args.hosts),
+    let mut steps = match (args.herd, args.grow, args.refusals) {
+        (true, ..) => schedule::mass_restarts(length, servers),
+        (_, true, _) => schedule::generate_growth(seed, length, args.hosts),
+        (.., true) => schedule::generate_refusals(seed, length, args.hosts, servers),
         _ => schedule::generate(seed, length, args.hosts, servers),
     };
     if args.links {
--- a/lab/src/soak/schedule.rs
+++ b/lab/src/soak/schedule.rs
@@ -60,6 +60,18 @@
     DelayHost(usize),
     /// Reset other hosts' connections to a host.
     ResetHost(usize),
+    /// Refuse other hosts' connections to a host and reset the open ones.
+    RefuseHost(usize),
+    /// Refuse and reset all connections between hosts.
+    RefusePeers,
+    /// Refuse and reset a host's connections to the store.
+    RefuseStore(usize),
+    /// Refuse and reset connections to a server.
+    RefuseServer(usize),
+    /// Refuse and reset connections to the servers of a group that act as leader.
+    RefuseLeader(usize),
+    /// Block replication between the servers of a group that act as leader and the others.
+    IsolateLeader(usize),
     /// Mark a server as draining, then as ready again.
     Leave(usize),
     /// Add this number of databases to the configuration.
@@ -175,6 +187,48 @@
     steps
 }
 
+/// Generates the steps for a seed in which links refuse and reset connections, while hosts are
+/// paused and the store answers no request.
+pub fn generate_refusals(seed: u64, length: Duration, hosts: usize, servers: usize) -> Vec<Step> {
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(16));
+    let ms = Duration::from_millis;
+    let mut at = ms(random.random_range(STEP_INTERVAL_MS));
+    let mut steps = Vec::new();
+    while at < length {
+        let duration = ms(random.random_range(1500..7000));
+        let (host, server) = (random.random_range(0..hosts), random.random_range(0..servers));
+        let mut add = |after: u64, duration, action| {
+            steps.push(Step { at: at + ms(after), duration, action });
+        };
+        match random.random_range(0..6) {
+            // The hosts cannot reach each other, and one of them still reaches the store. The
+            // leader refuses connections for long enough to be replaced, and then serves again
+            // without the log of its successor.
+            0..3 => {
+                add(0, duration, Action::RefusePeers);
+                for cut in (0..hosts).filter(|cut| *cut != host) {
+                    add(0, duration, Action::RefuseStore(cut));
+                }
+                let refusal = ms(random.random_range(300..1500));
+                add(random.random_range(100..1200), refusal, Action::RefuseLeader(server / 3));
+                add(50, duration, Action::IsolateLeader(server / 3));
+            }
+            3 => (0..5).for_each(|n| add(n * 400, ms(250), Action::RefuseHost(host))),
+            4 => add(0, duration, Action::RefuseHost(host)),
+            _ => add(0, duration, Action::RefuseServer(server)),
+        }
+        let other = (host + 1) % hosts;
+        match random.random_range(0..4) {
+            0 => add(200, duration / 2, Action::PauseHost(other)),
+            1 => add(200, duration / 2, Action::StoreDown),
+            _ => {}
+        }
+        at += ms(random.random_range(STEP_INTERVAL_MS)) * 3;
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
 /// Generates the steps for a seed that grow the configuration, over links that are throttled
 /// throughout and reset at times.
 pub fn generate_growth(seed: u64, length: Duration, hosts: usize) -> Vec<Step> {
@@ -214,6 +268,18 @@
             Action::SilenceHost(host) => world.links.set(&peer(host), &silence()),
             Action::DelayHost(host) => world.links.set(&peer(host), &delay()),
             Action::ResetHost(host) => world.links.reset(&peer(host)),
+            Action::RefuseHost(host) => world.links.set(&peer(host), &refuse()),
+            Action::RefusePeers => world.links.set("peer*", &refuse()),
+            Action::RefuseStore(host) => world.links.set(&format!("store{host}"), &refuse()),
+            Action::RefuseServer(server) => world.links.set(&link(server), &refuse()),
+            Action::RefuseLeader(group) => {
+                let leaders = world.leaders(group);
+                leaders.iter().for_each(|index| world.links.set(&link(*index), &refuse()));
+            }
+            Action::IsolateLeader(group) => {
+                let (leaders, mut groups) = (world.leaders(group), world.groups.borrow_mut());
+                leaders.iter().for_each(|index| groups.servers[*index].isolated = true);
+            }
             Action::Leave(server) => world.start_draining(server),
             Action::Grow(count) => drop(world.add_databases(count)),
             Action::SlowLinks => set_slow(world, &slow()),
@@ -244,18 +310,34 @@
             Action::KillLeader(group) => world.start_group(group),
             Action::CutServer(server)
             | Action::SilenceServer(server)
-            | Action::DelayServer(server) => {
+            | Action::DelayServer(server)
+            | Action::RefuseServer(server) => {
                 world.links.set(&format!("s{server}"), &Fault::default());
             }
-            Action::CutHost(host) | Action::SilenceHost(host) | Action::DelayHost(host) => {
+            Action::RefuseLeader(group) => {
+                for server in world::members(group) {
+                    world.links.set(&format!("s{server}"), &Fault::default());
+                }
+            }
+            Action::IsolateLeader(group) => {
+                let mut groups = world.groups.borrow_mut();
+                world::members(group).for_each(|server| groups.servers[server].isolated = false);
+            }
+            Action::CutHost(host)
+            | Action::SilenceHost(host)
+            | Action::DelayHost(host)
+            | Action::RefuseHost(host) => {
                 world.links.set(&format!("peer{host}"), &Fault::default());
             }
+            Action::RefusePeers => world.links.set("peer*", &Fault::default()),
             Action::Leave(server) => world.stop_draining(server),
             Action::SlowLinks => set_slow(world, &Fault::default()),
             Action::ResetHost(_) => {}
             Action::Lag(server) => world.groups.borrow_mut().servers[server].lag = Duration::ZERO,
             Action::LoseAnswers(server) => world.groups.borrow_mut().servers[server].loss = 0.0,
-            Action::CutStore(host) => world.links.set(&format!("store{host}"), &Fault::default()),
+            Action::CutStore(host) | Action::RefuseStore(host) => {
+                world.links.set(&format!("store{host}"), &Fault::default());
+            }
             Action::StoreDown => world.store.borrow_mut().faults.down = false,
             Action::StoreSlow => world.store.borrow_mut().faults.delay = Duration::ZERO,
             Action::Withdraw => world.restore_key(),
@@ -292,6 +374,10 @@
     Fault { cut_down: true, ..Fault::default() }
 }
 
+fn refuse() -> Fault {
+    Fault { refuse: true, reset: true, ..Fault::default() }
+}
+
 fn delay() -> Fault {
     Fault { delay_ms: 60, ..Fault::default() }
 }
--- a/lab/src/soak/world.rs
+++ b/lab/src/soak/world.rs
@@ -347,13 +347,15 @@
         }
     }
 
+    /// Returns the servers of a group that act as leader.
+    pub fn leaders(&self, group: usize) -> Vec<usize> {
+        let groups = self.groups.borrow();
+        members(group).filter(|index| groups.servers[*index].is_leader).collect()
+    }
+
     /// Stops the leader of a group.
     pub fn stop_leader(&self, group: usize) {
-        let is_leader = |index: &usize| {
-            let groups = self.groups.borrow();
-            groups.servers[*index].is_leader && groups.servers[*index].group == group
-        };
-        let leader = (0..GROUPS * 3).find(is_leader);
+        let leader = self.leaders(group).first().copied();
         leader.into_iter().for_each(|index| self.standins[index].stop());
     }
 
@@ -422,6 +424,11 @@
     }
 }
 
+/// Returns the servers of a group.
+pub fn members(group: usize) -> std::ops::Range<usize> {
+    group * 3..group * 3 + 3
+}
+
 /// Returns the name of a database. Names of added databases share no pattern, as real ones, so
 /// that the configuration cannot be made much smaller.
 fn database(number: usize) -> String {
--- a/tests/refusing_links.rs
+++ b/tests/refusing_links.rs
@@ -9,8 +9,11 @@
     time::Instant,
 };
 
-use hosts::{Connection, WAIT_TIMEOUT, block_on, sleep_ms, start_system};
-use lab::link::Fault;
+use hosts::{Connection, WAIT_TIMEOUT, block_on, sleep_ms, soak_args, start_system};
+use lab::{
+    link::Fault,
+    soak::{self, SoakArgs},
+};
 
 /// Numbers of the hosts that reach neither the other hosts nor the store, but the leader.
 const CUT_HOSTS: [usize; 2] = [0, 2];
@@ -133,3 +136,12 @@
         }
     });
 }
+
+/// Guards against guarantees that hold only while cut links are silent. All hosts refuse each other,
+/// one alone reaches the store, and a replaced leader serves again without its successor's log.
+#[test]
+fn refusing_links_of_a_fixed_seed_break_no_guarantee() {
+    let soak_args = SoakArgs { refusals: true, ..soak_args(4, 8, 5) };
+    let outcome = block_on(soak::soak(3, &soak_args)).unwrap();
+    assert!(outcome.broken.is_empty(), "{:#?}", outcome.broken);
+}
