--- a/components/coordination/tests/demand.rs
+++ b/components/coordination/tests/demand.rs
@@ -111,6 +111,7 @@
             left: evicted.contains(&n).then_some(evicted_at),
             released: 0,
             power: 500,
+            contact: true,
         };
         let members = (0..size).map(|n| (host(n), Versioned { version: 1, value: member(n) }));
         let view = View { members: members.collect(), clock, ..View::default() };
