--- a/components/coordination/tests/contact.rs
+++ b/components/coordination/tests/contact.rs
@@ -407,7 +407,7 @@
         let lacks_contact = host.local.contact_age(now).is_none_or(|age| age > ms(1000));
         if host.beat_at <= now {
             host.beat_at = now + ms(400);
-            let to_all = n % 2 == 0 || lacks_contact;
+            let to_all = n.is_multiple_of(2) || lacks_contact;
             for other in others.into_iter().filter(|other| to_all || *other == hub) {
                 self.send(n, other, Message::Heartbeat { since, sent_at: now });
             }
