confirm: a stall ends once the list has lost all replicas

What callers saw: both replicas of a group and its primary are lost, the last server is promoted, a commit stays unconfirmed, and from then on every write of the group is refused as not run, also after the platform has dropped both replicas from the list. Cause: the stall ended only when a replica showed the commit. Writes were refused before a verdict could accept a commit without replicas, and a replica that was removed and came back was polled by no one, since polls start with commits. Fix: a stall counts only while the list names a replica, a commit without listed replicas ends it, and the check itself starts the polls of the replicas listed. Evidence: stall_ends_once_the_list_has_lost_all_replicas; its assertion without the fix failed with "assertion failed: !progress.is_stalled()".

--- a/components/coordination/src/confirm.rs
+++ b/components/coordination/src/confirm.rs
@@ -67,7 +67,8 @@
     /// Last probe of each replica and its time.
     probes: BTreeMap<ServerId, (ProbeResult, Instant)>,
     /// First commit that no replica confirmed in time, and the time since which the commit has
-    /// been pending; none once a replica has received the commit.
+    /// been pending; none once a replica has received the commit or a commit was accepted without
+    /// replicas.
     unconfirmed: Option<(Point, Instant)>,
 }
 
@@ -107,6 +108,10 @@
         if self.covers(commit) {
             return Verdict::Confirmed;
         }
+        if replicas.is_empty() {
+            self.unconfirmed = None;
+            return Verdict::LeaderOnly;
+        }
         let probe =
             |id| self.probes.get(id).filter(|(_, time)| *time >= began).map(|(probe, _)| *probe);
         let all = |wanted: &[ProbeResult]| {
@@ -125,12 +130,18 @@
         Verdict::Unknown
     }
 
-    /// Returns whether a commit was not confirmed in time and no replica has received it
-    /// since: the outcome of a write sent now would be unknown.
-    pub fn is_stalled(&self) -> bool {
+    /// Returns whether a commit was not confirmed in time and no replica has received it since.
+    pub fn has_unconfirmed(&self) -> bool {
         self.unconfirmed.is_some()
     }
 
+    /// Returns whether a commit was not confirmed in time and no replica has received it since,
+    /// where `replicas` are the servers that could replace the leader: the outcome of a write sent
+    /// now would be unknown.
+    pub fn is_stalled(&self, replicas: &[ServerId]) -> bool {
+        self.unconfirmed.is_some() && !replicas.is_empty()
+    }
+
     /// Returns whether a leader that has led since `led_since` must be replaced because no
     /// replica receives its log although one is reachable: it answered a probe less than 600 ms
     /// ago. False within the first 10 s of the leader.
--- a/components/coordination/tests/confirm.rs
+++ b/components/coordination/tests/confirm.rs
@@ -47,7 +47,7 @@
     ids.iter()
         .for_each(|id| progress.record(id, ProbeResult::Received(point("3/9")), start + ms(200)));
     assert_eq!(progress.verdict(point("3/10"), &ids, start, late), Verdict::Unknown);
-    assert!(progress.is_stalled());
+    assert!(progress.is_stalled(&ids));
     assert!(!progress.is_partitioned(led, late), "a stall of 300 ms does not replace the leader");
     let then = late + STALL_TIMEOUT;
     assert!(!progress.is_partitioned(led, then + ms(500)), "the replicas were not probed since");
@@ -55,7 +55,7 @@
     assert!(progress.is_partitioned(led, then));
     assert!(!progress.is_partitioned(then - ms(5000), then), "another leader would be no better");
     progress.record(&ids[0], ProbeResult::Received(point("3/10")), then);
-    assert!(!progress.is_stalled(), "the replicas receive records again");
+    assert!(!progress.is_stalled(&ids), "the replicas receive records again");
 }
 
 /// Guards against refusal of all bookings after both replicas of a group have crashed: no other
@@ -73,6 +73,20 @@
     assert_eq!(progress.verdict(point("3/10"), &ids, start, late), Verdict::Unknown);
 }
 
+/// Guards against refusal of all bookings for as long as two crashed replicas stay away: a commit
+/// was not confirmed before the list lost them, and no replica can receive it later.
+#[test]
+fn stall_ends_once_the_list_has_lost_all_replicas() {
+    let (start, ids) = (Instant::now(), replicas());
+    let mut progress = ReplicaProgress::default();
+    let late = start + CONFIRM_TIMEOUT;
+    assert_eq!(progress.verdict(point("3/10"), &ids, start, late), Verdict::Unknown);
+    assert!(progress.is_stalled(&ids[..1]), "one replica is still in the list");
+    assert!(!progress.is_stalled(&[]));
+    assert_eq!(progress.verdict(point("3/11"), &[], late, late), Verdict::LeaderOnly);
+    assert!(!progress.is_stalled(&ids), "the replicas are back, and the next commit decides");
+}
+
 /// Guards against an unknown outcome of a booking that is kept: slow reads take all slots of the
 /// replicas for seconds, so that no replica has capacity to answer a probe.
 #[test]
@@ -83,7 +97,7 @@
     assert_eq!(progress.verdict(point("3/10"), &ids, start, start + ms(60)), Verdict::Pending);
     let late = start + CONFIRM_TIMEOUT;
     assert_eq!(progress.verdict(point("3/10"), &ids, start, late), Verdict::LeaderOnly);
-    assert!(!progress.is_stalled());
+    assert!(!progress.is_stalled(&ids));
 }
 
 /// Guards against confirmation of a discarded commit: a replica was promoted and its position is
--- a/components/proxy/src/confirm.rs
+++ b/components/proxy/src/confirm.rs
@@ -85,11 +85,7 @@
         if verdict != Verdict::Pending {
             break verdict;
         }
-        for (id, pool) in replicas.into_iter().take(polled) {
-            if receipts.polling.borrow_mut().insert(id.clone()) {
-                monoio::spawn(poll_replica(host.clone(), group.clone(), id, pool));
-            }
-        }
+        start_polls(host, group, replicas.into_iter().take(polled));
         let next = deadline.min(Instant::now() + NEXT_REPLICA_DELAY);
         let updated = monoio::time::timeout_at(next, receipts.updated.notified()).await;
         polled += usize::from(updated.is_err());
@@ -111,6 +107,33 @@
     }
 }
 
+/// Returns whether a write to the group's leader would have an unknown outcome, since no replica
+/// shows that it receives the leader's log. Polls the replicas until one does: one that was removed
+/// from the list and is back is no longer polled by a commit.
+pub fn is_stalled(host: &Rc<Host>, group: &Rc<Group>) -> bool {
+    if !group.receipts.state.borrow().has_unconfirmed() {
+        return false;
+    }
+    let replicas = replicas(host, group);
+    let ids: Vec<_> = replicas.iter().map(|(id, _)| id.clone()).collect();
+    let stalled = group.receipts.state.borrow().is_stalled(&ids);
+    start_polls(host, group, replicas.into_iter());
+    stalled
+}
+
+/// Starts to poll the replicas that are not being polled.
+fn start_polls(
+    host: &Rc<Host>,
+    group: &Rc<Group>,
+    replicas: impl Iterator<Item = (ServerId, Rc<Pool>)>,
+) {
+    for (id, pool) in replicas {
+        if group.receipts.polling.borrow_mut().insert(id.clone()) {
+            monoio::spawn(poll_replica(host.clone(), group.clone(), id, pool));
+        }
+    }
+}
+
 /// Returns the servers of a group other than its leader whose placement is allowed, in the order
 /// in which they are polled: warm before cold, then by expected wait, then those of this host's
 /// failure domain before others.
@@ -134,7 +157,7 @@
     let receipts = &group.receipts;
     loop {
         let waiting = receipts.waiting.get() > 0;
-        let stalled = receipts.state.borrow().is_stalled();
+        let stalled = receipts.state.borrow().has_unconfirmed();
         let is_replica = group.leader().is_some_and(|leader| leader != id);
         if !(waiting || stalled) || !is_replica || host.server(&id).is_none() {
             break;
--- a/components/proxy/src/operation.rs
+++ b/components/proxy/src/operation.rs
@@ -139,11 +139,10 @@
 ///
 /// Refuses the operation after [`LEADER_TIMEOUT`] or at its deadline, and at once if waiting for a
 /// leader would not help.
-async fn wait_for_targets(host: &Host, operation: &Operation) -> Result<Vec<Target>, Refusal> {
+async fn wait_for_targets(host: &Rc<Host>, operation: &Operation) -> Result<Vec<Target>, Refusal> {
     let until = operation.deadline.min(Instant::now() + LEADER_TIMEOUT);
     loop {
-        if operation.access == Access::Write && operation.group.receipts.state.borrow().is_stalled()
-        {
+        if operation.access == Access::Write && confirm::is_stalled(host, &operation.group) {
             return Err(Refusal::busy("the leader's replicas receive nothing"));
         }
         let mut targets = target::select(host, operation);
