confirm: a replica that refuses connections does not count as stopped

What callers saw: a booking acknowledged as done and lost by the next promotion. A network that rejects connections refuses for replicas that run. Both "did not run", so the leader's acknowledgement sufficed, at once; a few seconds later the leader was lost for good and one of the replicas led without the commit. Cause: a refused connection was taken as proof that the server's process has ended. Test: replicas_that_refuse_connections_confirm_nothing; before, the verdict was "left: LeaderOnly, right: Pending". The old test acknowledgement_of_the_leader_suffices_without_running_replicas demanded this verdict and is replaced: without listed replicas the acknowledgement still suffices, and a listed one that is unreachable still makes the outcome unknown. Why the fix works: hosts promote listed servers only, so a server matters as long as the list names it, whatever a connection to it shows. "NotSent::Dead" is now "Refused" and keeps its name between hosts; that nothing was sent remains true, and so does "not run" for the caller.

--- a/components/coordination/src/confirm.rs
+++ b/components/coordination/src/confirm.rs
@@ -38,9 +38,8 @@
     Received(Point),
     /// The replica is running but has no capacity for the probe.
     Busy,
-    /// The replica refused the connection: its process is not running.
-    Dead,
-    /// The replica did not answer in time, or the connection failed.
+    /// The replica did not answer in time, or the connection failed. A refused connection is no
+    /// proof that the process has ended: a network may reject connections to one that runs.
     Silent,
 }
 
@@ -51,8 +50,8 @@
     Pending,
     /// A second server holds the commit.
     Confirmed,
-    /// The leader's acknowledgement is sufficient: no replica is running that could replace
-    /// it, or the running ones are too busy to answer.
+    /// The leader's acknowledgement is sufficient: no other server is listed that could replace it,
+    /// or the listed ones are too busy to answer.
     LeaderOnly,
     /// [`CONFIRM_TIMEOUT`] has passed, and a replica that could become the leader may lack the
     /// commit.
@@ -114,16 +113,11 @@
         }
         let probe =
             |id| self.probes.get(id).filter(|(_, time)| *time >= began).map(|(probe, _)| *probe);
-        let all = |wanted: &[ProbeResult]| {
-            replicas.iter().all(|id| probe(id).is_some_and(|probe| wanted.contains(&probe)))
-        };
-        if all(&[ProbeResult::Dead]) {
-            return Verdict::LeaderOnly;
-        }
+        let all = |wanted| replicas.iter().all(|id| probe(id) == Some(wanted));
         if now.saturating_duration_since(began) < CONFIRM_TIMEOUT {
             return Verdict::Pending;
         }
-        if all(&[ProbeResult::Dead, ProbeResult::Busy]) {
+        if all(ProbeResult::Busy) {
             return Verdict::LeaderOnly;
         }
         self.unconfirmed.get_or_insert((commit, began));
--- a/components/coordination/tests/confirm.rs
+++ b/components/coordination/tests/confirm.rs
@@ -58,19 +58,30 @@
     assert!(!progress.is_stalled(&ids), "the replicas receive records again");
 }
 
-/// Guards against refusal of all bookings after both replicas of a group have crashed: no other
-/// server could lead, so refusals would protect nothing.
+/// Guards against lost bookings behind a network that refuses connections: the replicas run, lack
+/// the commits of the leader, and one of them is the next leader.
 #[test]
-fn acknowledgement_of_the_leader_suffices_without_running_replicas() {
+fn replicas_that_refuse_connections_confirm_nothing() {
     let (start, ids) = (Instant::now(), replicas());
     let mut progress = ReplicaProgress::default();
-    ids.iter().for_each(|id| progress.record(id, ProbeResult::Dead, start));
-    assert_eq!(progress.verdict(point("3/10"), &ids, start, start), Verdict::LeaderOnly);
-    assert_eq!(progress.verdict(point("3/10"), &[], start, start), Verdict::LeaderOnly);
-    let one_silent = [ProbeResult::Dead, ProbeResult::Silent];
-    ids.iter().zip(one_silent).for_each(|(id, probe)| progress.record(id, probe, start));
+    ids.iter().for_each(|id| progress.record(id, ProbeResult::Silent, start));
+    assert_eq!(progress.verdict(point("3/10"), &ids, start, start), Verdict::Pending);
     let late = start + CONFIRM_TIMEOUT;
     assert_eq!(progress.verdict(point("3/10"), &ids, start, late), Verdict::Unknown);
+    assert!(progress.is_stalled(&ids));
+}
+
+/// Guards against refusal of all bookings after both replicas of a group have crashed and the list
+/// has lost them: no other server could lead, so refusals would protect nothing. A replica that is
+/// still listed may be promoted and must show the commit.
+#[test]
+fn acknowledgement_of_the_leader_suffices_without_listed_replicas() {
+    let (start, ids) = (Instant::now(), replicas());
+    let mut progress = ReplicaProgress::default();
+    assert_eq!(progress.verdict(point("3/10"), &[], start, start), Verdict::LeaderOnly);
+    progress.record(&ids[1], ProbeResult::Silent, start);
+    let late = start + CONFIRM_TIMEOUT;
+    assert_eq!(progress.verdict(point("3/10"), &ids[1..], start, late), Verdict::Unknown);
 }
 
 /// Guards against refusal of all bookings for as long as two crashed replicas stay away: a commit
--- a/components/peer/src/forward.rs
+++ b/components/peer/src/forward.rs
@@ -69,8 +69,9 @@
     QueueFull(u32),
     /// All connections are in use.
     Full,
-    /// The server's process is not running.
-    Dead,
+    /// The connection to the server was refused, by its machine or by the network.
+    #[serde(rename = "Dead")]
+    Refused,
     /// The server does not answer.
     Silent,
     /// Another server has the address.
--- a/components/proxy/src/backend.rs
+++ b/components/proxy/src/backend.rs
@@ -35,7 +35,8 @@
 /// Reason why no connection was opened.
 #[derive(Debug)]
 pub enum OpenError {
-    /// The server's machine refused the connection: no process listens there.
+    /// The connection was refused: by the server's machine, where no process listens, or by the
+    /// network. The server has received nothing.
     Refused,
     /// The server answered and rejected the session.
     Rejected(Failure),
--- a/components/proxy/src/confirm.rs
+++ b/components/proxy/src/confirm.rs
@@ -72,7 +72,11 @@
 
 /// Waits until a second server holds a commit of the group's leader; fails with the reason for the
 /// caller if that is not shown within [`CONFIRM_TIMEOUT`]. Succeeds without a second server if no
-/// replica runs or has capacity for a status request.
+/// replica is listed, or none has capacity for a status request.
+///
+/// A replica that refuses connections stays a possible leader until the list of servers has lost
+/// it: the platform drops the entry after three missed heartbeats, and `follow` keeps it for a time
+/// in which other hosts may still promote the server.
 pub async fn wait(host: &Rc<Host>, group: &Rc<Group>, commit: Point) -> Result<(), &'static str> {
     let receipts = &group.receipts;
     let (began, deadline) = (host.now(), Instant::now() + CONFIRM_TIMEOUT);
@@ -99,7 +103,7 @@
         Verdict::LeaderOnly => {
             info!(
                 group = %group.id, %commit,
-                "replicas: none runs or has capacity, commit accepted without confirmation"
+                "replicas: none is listed or has capacity, commit accepted without confirmation"
             );
             Ok(())
         }
@@ -215,11 +219,12 @@
     let timeout = deadline.saturating_duration_since(Instant::now()).min(HOLDER_TIMEOUT);
     match conn::forward_query(&link, pool, line.freeze(), timeout).await {
         Ok(answer) => Some(Ok(answer)),
-        Err(ExchangeError::NotSent(NotSent::Dead)) => Some(Err(ProbeResult::Dead)),
         Err(ExchangeError::NotSent(NotSent::Full | NotSent::Rejected)) => {
             Some(Err(ProbeResult::Busy))
         }
-        Err(ExchangeError::NotSent(NotSent::Silent)) => Some(Err(ProbeResult::Silent)),
+        Err(ExchangeError::NotSent(NotSent::Refused | NotSent::Silent)) => {
+            Some(Err(ProbeResult::Silent))
+        }
         Err(_) => None,
     }
 }
@@ -233,9 +238,8 @@
     let leased = pool.lease_any(&monitor::any_account(host), deadline).await;
     let mut leased = leased.map_err(|error| match error {
         NoConnection::Full => ProbeResult::Busy,
-        NoConnection::Open(OpenError::Refused) => ProbeResult::Dead,
         NoConnection::Open(OpenError::Rejected(_)) => ProbeResult::Busy,
-        NoConnection::Open(OpenError::Silent(_)) => ProbeResult::Silent,
+        NoConnection::Open(OpenError::Refused | OpenError::Silent(_)) => ProbeResult::Silent,
     })?;
     let backend = leased.backend();
     wire::put_status(&mut backend.out);
--- a/components/proxy/src/conn.rs
+++ b/components/proxy/src/conn.rs
@@ -312,7 +312,7 @@
 pub fn not_sent(error: NoConnection) -> NotSent {
     match error {
         NoConnection::Full => NotSent::Full,
-        NoConnection::Open(OpenError::Refused) => NotSent::Dead,
+        NoConnection::Open(OpenError::Refused) => NotSent::Refused,
         NoConnection::Open(OpenError::Silent(_)) => NotSent::Silent,
         NoConnection::Open(OpenError::Rejected(Failure::Misdirected)) => NotSent::Misdirected,
         NoConnection::Open(OpenError::Rejected(_)) => NotSent::Rejected,
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -124,7 +124,7 @@
         return;
     }
     match reason {
-        NotSent::Dead => group.suspicion.borrow_mut().refused(host.now()),
+        NotSent::Refused => group.suspicion.borrow_mut().refused(host.now()),
         NotSent::Silent => group.suspicion.borrow_mut().silent(host.now()),
         _ => {}
     }
--- a/components/proxy/src/operation.rs
+++ b/components/proxy/src/operation.rs
@@ -226,7 +226,7 @@
 }
 
 /// Waits until a second server holds the commit that an answer acknowledges. The leader's answer
-/// suffices if no replica is running, or if the running replicas are too busy to answer in time.
+/// suffices if no replica is listed, or if the listed replicas are too busy to answer in time.
 /// Returns at once for a failure or an answer without a log position.
 ///
 /// Guards against an acknowledged write that is lost by a failover: the successor is the replica
--- a/components/proxy/src/target.rs
+++ b/components/proxy/src/target.rs
@@ -223,7 +223,7 @@
             congestion.refused(operation.priority, operation.queue_timeout, wait, host.now());
             return Refusal::overloaded(wait);
         }
-        NotSent::Dead => {
+        NotSent::Refused => {
             health.fail(started);
             health.fail(started);
             if leads {
@@ -245,7 +245,7 @@
     }
     Refusal::busy(match reason {
         NotSent::Full => "all connections to the server are in use",
-        NotSent::Dead => "the server does not run",
+        NotSent::Refused => "the server refuses connections",
         NotSent::Silent => "the server does not answer",
         NotSent::Misdirected => "another server has the address",
         NotSent::Rejected | NotSent::QueueFull(_) => "the server takes no connection",
