confirm: a busy replica confirms a commit by the position it shows, and by nothing else

What callers would see: a booking acknowledged as done and lost by the next promotion. A leader is cut off from its replicas while these have no free slot or connection: after 400 ms "too busy to answer" sufficed, and each of them may be the next leader. Cause: the lack of an answer was taken for a replica that has received the commit. Servers that report that they lead counted as busy too. Fix: an answer without a status still ends with the server's log position, which is a lower bound of what it has received. It confirms commits up to it; a busy replica that shows no such position confirms nothing, and does not replace the leader. Tests (the first one failed in a form for the old enum): busy_replicas_without_the_commit_confirm_nothing_and_replace_no_leader; before, the verdict was "left: LeaderOnly, right: Unknown". The old test busy_replicas_do_not_make_the_outcome_unknown demanded that verdict; its purpose, that a booking that is kept stays known while slow reads take all slots, is kept by position_of_a_busy_replica_confirms_a_commit; before, a busy probe had no position.

--- a/components/coordination/src/confirm.rs
+++ b/components/coordination/src/confirm.rs
@@ -36,8 +36,9 @@
 pub enum ProbeResult {
     /// The last record that the replica has received.
     Received(Point),
-    /// The replica is running but has no capacity for the probe.
-    Busy,
+    /// The replica is running but has no capacity for the probe. The point, if its answer contains
+    /// one, is a lower bound of what it has received.
+    Busy(Option<Point>),
     /// The replica did not answer in time, or the connection failed. A refused connection is no
     /// proof that the process has ended: a network may reject connections to one that runs.
     Silent,
@@ -50,8 +51,7 @@
     Pending,
     /// A second server holds the commit.
     Confirmed,
-    /// The leader's acknowledgement is sufficient: no other server is listed that could replace it,
-    /// or the listed ones are too busy to answer.
+    /// The leader's acknowledgement is sufficient: no other server is listed that could replace it.
     LeaderOnly,
     /// [`CONFIRM_TIMEOUT`] has passed, and a replica that could become the leader may lack the
     /// commit.
@@ -84,7 +84,7 @@
     /// Records the result of a probe of the replica `server`, and its point as [`Self::note`] does.
     pub fn record(&mut self, server: &ServerId, probe: ProbeResult, now: Instant) {
         self.probes.insert(server.clone(), (probe, now));
-        if let ProbeResult::Received(point) = probe {
+        if let ProbeResult::Received(point) | ProbeResult::Busy(Some(point)) = probe {
             self.note(point);
         }
     }
@@ -96,7 +96,7 @@
     }
 
     /// Returns the verdict on a commit that has been pending since `began`, where `replicas` are
-    /// the servers that could replace the leader. Only probes recorded since `began` count.
+    /// the servers that could replace the leader.
     pub fn verdict(
         &mut self,
         commit: Point,
@@ -111,15 +111,9 @@
             self.unconfirmed = None;
             return Verdict::LeaderOnly;
         }
-        let probe =
-            |id| self.probes.get(id).filter(|(_, time)| *time >= began).map(|(probe, _)| *probe);
-        let all = |wanted| replicas.iter().all(|id| probe(id) == Some(wanted));
         if now.saturating_duration_since(began) < CONFIRM_TIMEOUT {
             return Verdict::Pending;
         }
-        if all(ProbeResult::Busy) {
-            return Verdict::LeaderOnly;
-        }
         self.unconfirmed.get_or_insert((commit, began));
         Verdict::Unknown
     }
--- a/components/coordination/tests/confirm.rs
+++ b/components/coordination/tests/confirm.rs
@@ -99,15 +99,32 @@
 }
 
 /// Guards against an unknown outcome of a booking that is kept: slow reads take all slots of the
-/// replicas for seconds, so that no replica has capacity to answer a probe.
+/// replicas for seconds, and a replica without a free slot still returns its log position.
 #[test]
-fn busy_replicas_do_not_make_the_outcome_unknown() {
+fn position_of_a_busy_replica_confirms_a_commit() {
     let (start, ids) = (Instant::now(), replicas());
     let mut progress = ReplicaProgress::default();
-    ids.iter().for_each(|id| progress.record(id, ProbeResult::Busy, start + ms(50)));
+    progress.record(&ids[0], ProbeResult::Busy(Some(point("3/9"))), start + ms(50));
+    progress.record(&ids[1], ProbeResult::Busy(None), start + ms(50));
     assert_eq!(progress.verdict(point("3/10"), &ids, start, start + ms(60)), Verdict::Pending);
+    progress.record(&ids[0], ProbeResult::Busy(Some(point("3/10"))), start + ms(70));
+    assert_eq!(progress.verdict(point("3/10"), &ids, start, start + ms(70)), Verdict::Confirmed);
+}
+
+/// Guards against lost bookings of a leader that is partitioned from its replicas while these have
+/// no capacity for a probe. Their positions include records with a delay, so a position that lacks
+/// the commit is no reason to replace the leader.
+#[test]
+fn busy_replicas_without_the_commit_confirm_nothing_and_replace_no_leader() {
+    let (start, ids) = (Instant::now(), replicas());
+    let mut progress = ReplicaProgress::default();
     let late = start + CONFIRM_TIMEOUT;
-    assert_eq!(progress.verdict(point("3/10"), &ids, start, late), Verdict::LeaderOnly);
+    progress.record(&ids[0], ProbeResult::Busy(Some(point("3/9"))), late);
+    progress.record(&ids[1], ProbeResult::Busy(None), late);
+    assert_eq!(progress.verdict(point("3/10"), &ids, start, late), Verdict::Unknown);
+    assert!(progress.is_stalled(&ids));
+    assert!(!progress.is_partitioned(start - ms(60_000), late + STALL_TIMEOUT));
+    progress.record(&ids[0], ProbeResult::Busy(Some(point("3/10"))), late + ms(50));
     assert!(!progress.is_stalled(&ids));
 }
 
--- a/components/proxy/src/confirm.rs
+++ b/components/proxy/src/confirm.rs
@@ -72,7 +72,7 @@
 
 /// Waits until a second server holds a commit of the group's leader; fails with the reason for the
 /// caller if that is not shown within [`CONFIRM_TIMEOUT`]. Succeeds without a second server if no
-/// replica is listed, or none has capacity for a status request.
+/// replica is listed.
 ///
 /// A replica that refuses connections stays a possible leader until the list of servers has lost
 /// it: the platform drops the entry after three missed heartbeats, and `follow` keeps it for a time
@@ -103,7 +103,7 @@
         Verdict::LeaderOnly => {
             info!(
                 group = %group.id, %commit,
-                "replicas: none is listed or has capacity, commit accepted without confirmation"
+                "replicas: none is listed, commit accepted without confirmation"
             );
             Ok(())
         }
@@ -191,12 +191,13 @@
             Some(answer) => answer?,
             None => own_status(host, pool, deadline).await?,
         };
-        let status = wire::decode_status(&answer).ok_or(ProbeResult::Busy)?;
+        // Each answer of a server ends with its log position, also one without a status.
+        let status = wire::decode_status(&answer).ok_or(ProbeResult::Busy(answer.point))?;
         // A server that reports that it leads is the new or a former leader, not a replica.
         Ok(if status.role == Role::Replica {
             ProbeResult::Received(status.received)
         } else {
-            ProbeResult::Busy
+            ProbeResult::Busy(None)
         })
     };
     let reading = monoio::time::timeout_at(deadline, request).await;
@@ -220,7 +221,7 @@
     match conn::forward_query(&link, pool, line.freeze(), timeout).await {
         Ok(answer) => Some(Ok(answer)),
         Err(ExchangeError::NotSent(NotSent::Full | NotSent::Rejected)) => {
-            Some(Err(ProbeResult::Busy))
+            Some(Err(ProbeResult::Busy(None)))
         }
         Err(ExchangeError::NotSent(NotSent::Refused | NotSent::Silent)) => {
             Some(Err(ProbeResult::Silent))
@@ -237,8 +238,7 @@
 ) -> Result<ServerAnswer, ProbeResult> {
     let leased = pool.lease_any(&monitor::any_account(host), deadline).await;
     let mut leased = leased.map_err(|error| match error {
-        NoConnection::Full => ProbeResult::Busy,
-        NoConnection::Open(OpenError::Rejected(_)) => ProbeResult::Busy,
+        NoConnection::Full | NoConnection::Open(OpenError::Rejected(_)) => ProbeResult::Busy(None),
         NoConnection::Open(OpenError::Refused | OpenError::Silent(_)) => ProbeResult::Silent,
     })?;
     let backend = leased.backend();
--- a/components/proxy/src/operation.rs
+++ b/components/proxy/src/operation.rs
@@ -226,8 +226,8 @@
 }
 
 /// Waits until a second server holds the commit that an answer acknowledges. The leader's answer
-/// suffices if no replica is listed, or if the listed replicas are too busy to answer in time.
-/// Returns at once for a failure or an answer without a log position.
+/// suffices if no replica is listed. Returns at once for a failure or an answer without a log
+/// position.
 ///
 /// Guards against an acknowledged write that is lost by a failover: the successor is the replica
 /// with the newest log position, which may lack a commit that only the former leader holds.
