suspicion: a refused connection is no proof of a crash, and replaces the leader all the same

Comment only. The module claimed that a refused connection proves the end of the leader's process; a network that rejects connections refuses for one that runs. Weighed: positions of the replicas as second evidence, as for a silent leader. Not done, because the refusal costs callers less than the silence. The second evidence would add the 350 ms for which the replicas' positions must stand still to the failover of each crashed primary (now 60 ms).

--- a/components/coordination/src/suspicion.rs
+++ b/components/coordination/src/suspicion.rs
@@ -2,9 +2,13 @@
 //!
 //! The detection covers, under constant traffic, a leader that crashes (connections are
 //! refused), a leader that stops answering, and a leader that only some hosts cannot reach. A
-//! refused connection proves that the process has ended. A missing answer alone proves nothing:
-//! a leader that this host cannot reach may serve all other hosts, and its replicas then
-//! continue to receive its log.
+//! missing answer alone proves nothing: a leader that this host cannot reach may serve all other
+//! hosts, and its replicas then continue to receive its log.
+//!
+//! A refused connection proves nothing either, since a network may reject connections to a leader
+//! that runs. It suffices all the same: silence between the leader and the holder of its
+//! connections replaces the leader as well, only later, and the hosts that are not its holder
+//! send it most statements through the holder.
 
 use std::time::{Duration, Instant};
 
