--- a/components/coordination/src/confirm.rs
+++ b/components/coordination/src/confirm.rs
@@ -36,11 +36,11 @@
 pub enum ProbeResult {
     /// The last record that the replica has received.
     Received(Point),
-    /// The replica is running but has no capacity for the probe.
-    Busy,
-    /// The replica refused the connection: its process is not running.
-    Dead,
-    /// The replica did not answer in time, or the connection failed.
+    /// The replica is running but has no capacity for the probe. The point, if its answer contains
+    /// one, is a lower bound of what it has received.
+    Busy(Option<Point>),
+    /// The replica did not answer in time, or the connection failed. A refused connection is no
+    /// proof that the process has ended: a network may reject connections to one that runs.
     Silent,
 }
 
@@ -51,8 +51,7 @@
     Pending,
     /// A second server holds the commit.
     Confirmed,
-    /// The leader's acknowledgement is sufficient: no replica is running that could replace
-    /// it, or the running ones are too busy to answer.
+    /// The leader's acknowledgement is sufficient: no other server is listed that could replace it.
     LeaderOnly,
     /// [`CONFIRM_TIMEOUT`] has passed, and a replica that could become the leader may lack the
     /// commit.
@@ -67,7 +66,8 @@
     /// Last probe of each replica and its time.
     probes: BTreeMap<ServerId, (ProbeResult, Instant)>,
     /// First commit that no replica confirmed in time, and the time since which the commit has
-    /// been pending; none once a replica has received the commit.
+    /// been pending; none once a replica has received the commit or a commit was accepted without
+    /// replicas.
     unconfirmed: Option<(Point, Instant)>,
 }
 
@@ -84,7 +84,7 @@
     /// Records the result of a probe of the replica `server`, and its point as [`Self::note`] does.
     pub fn record(&mut self, server: &ServerId, probe: ProbeResult, now: Instant) {
         self.probes.insert(server.clone(), (probe, now));
-        if let ProbeResult::Received(point) = probe {
+        if let ProbeResult::Received(point) | ProbeResult::Busy(Some(point)) = probe {
             self.note(point);
         }
     }
@@ -96,7 +96,7 @@
     }
 
     /// Returns the verdict on a commit that has been pending since `began`, where `replicas` are
-    /// the servers that could replace the leader. Only probes recorded since `began` count.
+    /// the servers that could replace the leader.
     pub fn verdict(
         &mut self,
         commit: Point,
@@ -107,30 +107,29 @@
         if self.covers(commit) {
             return Verdict::Confirmed;
         }
-        let probe =
-            |id| self.probes.get(id).filter(|(_, time)| *time >= began).map(|(probe, _)| *probe);
-        let all = |wanted: &[ProbeResult]| {
-            replicas.iter().all(|id| probe(id).is_some_and(|probe| wanted.contains(&probe)))
-        };
-        if all(&[ProbeResult::Dead]) {
+        if replicas.is_empty() {
+            self.unconfirmed = None;
             return Verdict::LeaderOnly;
         }
         if now.saturating_duration_since(began) < CONFIRM_TIMEOUT {
             return Verdict::Pending;
         }
-        if all(&[ProbeResult::Dead, ProbeResult::Busy]) {
-            return Verdict::LeaderOnly;
-        }
         self.unconfirmed.get_or_insert((commit, began));
         Verdict::Unknown
     }
 
-    /// Returns whether a commit was not confirmed in time and no replica has received it
-    /// since: the outcome of a write sent now would be unknown.
-    pub fn is_stalled(&self) -> bool {
+    /// Returns whether a commit was not confirmed in time and no replica has received it since.
+    pub fn has_unconfirmed(&self) -> bool {
         self.unconfirmed.is_some()
     }
 
+    /// Returns whether a commit was not confirmed in time and no replica has received it since,
+    /// where `replicas` are the servers that could replace the leader: the outcome of a write sent
+    /// now would be unknown.
+    pub fn is_stalled(&self, replicas: &[ServerId]) -> bool {
+        self.unconfirmed.is_some() && !replicas.is_empty()
+    }
+
     /// Returns whether a leader that has led since `led_since` must be replaced because no
     /// replica receives its log although one is reachable: it answered a probe less than 600 ms
     /// ago. False within the first 10 s of the leader.
--- a/components/coordination/src/suspicion.rs
+++ b/components/coordination/src/suspicion.rs
@@ -2,10 +2,13 @@
 //!
 //! The detection covers, under constant traffic, a leader that crashes (connections are
 //! refused), a leader that stops answering, and a leader that only some hosts cannot reach. A
-//! missing answer alone does not suffice: a leader that this host cannot reach may serve all other
-//! hosts, and its replicas then continue to receive its log. A refused connection has two causes,
-//! the end of the process or a network that rejects connections. The leader is replaced in both
-//! cases, so a failover must be safe beside a leader that runs.
+//! missing answer alone proves nothing: a leader that this host cannot reach may serve all other
+//! hosts, and its replicas then continue to receive its log.
+//!
+//! A refused connection proves nothing either, since a network may reject connections to a leader
+//! that runs. It suffices all the same: silence between the leader and the holder of its
+//! connections replaces the leader as well, only later, and the hosts that are not its holder
+//! send it most statements through the holder.
 
 use std::time::{Duration, Instant};
 
--- a/components/coordination/tests/confirm.rs
+++ b/components/coordination/tests/confirm.rs
@@ -47,7 +47,7 @@
     ids.iter()
         .for_each(|id| progress.record(id, ProbeResult::Received(point("3/9")), start + ms(200)));
     assert_eq!(progress.verdict(point("3/10"), &ids, start, late), Verdict::Unknown);
-    assert!(progress.is_stalled());
+    assert!(progress.is_stalled(&ids));
     assert!(!progress.is_partitioned(led, late), "a stall of 300 ms does not replace the leader");
     let then = late + STALL_TIMEOUT;
     assert!(!progress.is_partitioned(led, then + ms(500)), "the replicas were not probed since");
@@ -55,35 +55,77 @@
     assert!(progress.is_partitioned(led, then));
     assert!(!progress.is_partitioned(then - ms(5000), then), "another leader would be no better");
     progress.record(&ids[0], ProbeResult::Received(point("3/10")), then);
-    assert!(!progress.is_stalled(), "the replicas receive records again");
+    assert!(!progress.is_stalled(&ids), "the replicas receive records again");
 }
 
-/// Guards against refusal of all bookings after both replicas of a group have crashed: no other
-/// server could lead, so refusals would protect nothing.
+/// Guards against lost bookings behind a network that refuses connections: the replicas run, lack
+/// the commits of the leader, and one of them is the next leader.
 #[test]
-fn acknowledgement_of_the_leader_suffices_without_running_replicas() {
+fn replicas_that_refuse_connections_confirm_nothing() {
+    let (start, ids) = (Instant::now(), replicas());
+    let mut progress = ReplicaProgress::default();
+    ids.iter().for_each(|id| progress.record(id, ProbeResult::Silent, start));
+    assert_eq!(progress.verdict(point("3/10"), &ids, start, start), Verdict::Pending);
+    let late = start + CONFIRM_TIMEOUT;
+    assert_eq!(progress.verdict(point("3/10"), &ids, start, late), Verdict::Unknown);
+    assert!(progress.is_stalled(&ids));
+}
+
+/// Guards against refusal of all bookings after both replicas of a group have crashed and the list
+/// has lost them: no other server could lead, so refusals would protect nothing. A replica that is
+/// still listed may be promoted and must show the commit.
+#[test]
+fn acknowledgement_of_the_leader_suffices_without_listed_replicas() {
     let (start, ids) = (Instant::now(), replicas());
     let mut progress = ReplicaProgress::default();
-    ids.iter().for_each(|id| progress.record(id, ProbeResult::Dead, start));
-    assert_eq!(progress.verdict(point("3/10"), &ids, start, start), Verdict::LeaderOnly);
     assert_eq!(progress.verdict(point("3/10"), &[], start, start), Verdict::LeaderOnly);
-    let one_silent = [ProbeResult::Dead, ProbeResult::Silent];
-    ids.iter().zip(one_silent).for_each(|(id, probe)| progress.record(id, probe, start));
+    progress.record(&ids[1], ProbeResult::Silent, start);
+    let late = start + CONFIRM_TIMEOUT;
+    assert_eq!(progress.verdict(point("3/10"), &ids[1..], start, late), Verdict::Unknown);
+}
+
+/// Guards against refusal of all bookings for as long as two crashed replicas stay away: a commit
+/// was not confirmed before the list lost them, and no replica can receive it later.
+#[test]
+fn stall_ends_once_the_list_has_lost_all_replicas() {
+    let (start, ids) = (Instant::now(), replicas());
+    let mut progress = ReplicaProgress::default();
     let late = start + CONFIRM_TIMEOUT;
     assert_eq!(progress.verdict(point("3/10"), &ids, start, late), Verdict::Unknown);
+    assert!(progress.is_stalled(&ids[..1]), "one replica is still in the list");
+    assert!(!progress.is_stalled(&[]));
+    assert_eq!(progress.verdict(point("3/11"), &[], late, late), Verdict::LeaderOnly);
+    assert!(!progress.is_stalled(&ids), "the replicas are back, and the next commit decides");
 }
 
 /// Guards against an unknown outcome of a booking that is kept: slow reads take all slots of the
-/// replicas for seconds, so that no replica has capacity to answer a probe.
+/// replicas for seconds, and a replica without a free slot still returns its log position.
 #[test]
-fn busy_replicas_do_not_make_the_outcome_unknown() {
+fn position_of_a_busy_replica_confirms_a_commit() {
     let (start, ids) = (Instant::now(), replicas());
     let mut progress = ReplicaProgress::default();
-    ids.iter().for_each(|id| progress.record(id, ProbeResult::Busy, start + ms(50)));
+    progress.record(&ids[0], ProbeResult::Busy(Some(point("3/9"))), start + ms(50));
+    progress.record(&ids[1], ProbeResult::Busy(None), start + ms(50));
     assert_eq!(progress.verdict(point("3/10"), &ids, start, start + ms(60)), Verdict::Pending);
+    progress.record(&ids[0], ProbeResult::Busy(Some(point("3/10"))), start + ms(70));
+    assert_eq!(progress.verdict(point("3/10"), &ids, start, start + ms(70)), Verdict::Confirmed);
+}
+
+/// Guards against lost bookings of a leader that is partitioned from its replicas while these have
+/// no capacity for a probe. Their positions include records with a delay, so a position that lacks
+/// the commit is no reason to replace the leader.
+#[test]
+fn busy_replicas_without_the_commit_confirm_nothing_and_replace_no_leader() {
+    let (start, ids) = (Instant::now(), replicas());
+    let mut progress = ReplicaProgress::default();
     let late = start + CONFIRM_TIMEOUT;
-    assert_eq!(progress.verdict(point("3/10"), &ids, start, late), Verdict::LeaderOnly);
-    assert!(!progress.is_stalled());
+    progress.record(&ids[0], ProbeResult::Busy(Some(point("3/9"))), late);
+    progress.record(&ids[1], ProbeResult::Busy(None), late);
+    assert_eq!(progress.verdict(point("3/10"), &ids, start, late), Verdict::Unknown);
+    assert!(progress.is_stalled(&ids));
+    assert!(!progress.is_partitioned(start - ms(60_000), late + STALL_TIMEOUT));
+    progress.record(&ids[0], ProbeResult::Busy(Some(point("3/10"))), late + ms(50));
+    assert!(!progress.is_stalled(&ids));
 }
 
 /// Guards against confirmation of a discarded commit: a replica was promoted and its position is
--- a/components/peer/src/forward.rs
+++ b/components/peer/src/forward.rs
@@ -73,8 +73,9 @@
     QueueFull(u32),
     /// All connections are in use.
     Full,
-    /// The connection to the server was refused.
-    Dead,
+    /// The connection to the server was refused, by its machine or by the network.
+    #[serde(rename = "Dead")]
+    Refused,
     /// The server does not answer.
     Silent,
     /// Another server has the address.
--- a/components/proxy/src/confirm.rs
+++ b/components/proxy/src/confirm.rs
@@ -72,7 +72,11 @@
 
 /// Waits until a second server holds a commit of the group's leader; fails with the reason for the
 /// caller if that is not shown within [`CONFIRM_TIMEOUT`]. Succeeds without a second server if no
-/// replica runs or has capacity for a status request.
+/// replica is listed.
+///
+/// A replica that refuses connections stays a possible leader until the list of servers has lost
+/// it: the platform drops the entry after three missed heartbeats, and `follow` keeps it for a time
+/// in which other hosts may still promote the server.
 pub async fn wait(host: &Rc<Host>, group: &Rc<Group>, commit: Point) -> Result<(), &'static str> {
     let receipts = &group.receipts;
     let (began, deadline) = (host.now(), Instant::now() + CONFIRM_TIMEOUT);
@@ -85,11 +89,7 @@
         if verdict != Verdict::Pending {
             break verdict;
         }
-        for (id, pool) in replicas.into_iter().take(polled) {
-            if receipts.polling.borrow_mut().insert(id.clone()) {
-                monoio::spawn(poll_replica(host.clone(), group.clone(), id, pool));
-            }
-        }
+        start_polls(host, group, replicas.into_iter().take(polled));
         let next = deadline.min(Instant::now() + NEXT_REPLICA_DELAY);
         let updated = monoio::time::timeout_at(next, receipts.updated.notified()).await;
         polled += usize::from(updated.is_err());
@@ -103,7 +103,7 @@
         Verdict::LeaderOnly => {
             info!(
                 group = %group.id, %commit,
-                "replicas: none runs or has capacity, commit accepted without confirmation"
+                "replicas: none is listed, commit accepted without confirmation"
             );
             Ok(())
         }
@@ -111,6 +111,33 @@
     }
 }
 
+/// Returns whether a write to the group's leader would have an unknown outcome, since no replica
+/// shows that it receives the leader's log. Polls the replicas until one does: one that was removed
+/// from the list and is back is no longer polled by a commit.
+pub fn is_stalled(host: &Rc<Host>, group: &Rc<Group>) -> bool {
+    if !group.receipts.state.borrow().has_unconfirmed() {
+        return false;
+    }
+    let replicas = replicas(host, group);
+    let ids: Vec<_> = replicas.iter().map(|(id, _)| id.clone()).collect();
+    let stalled = group.receipts.state.borrow().is_stalled(&ids);
+    start_polls(host, group, replicas.into_iter());
+    stalled
+}
+
+/// Starts to poll the replicas that are not being polled.
+fn start_polls(
+    host: &Rc<Host>,
+    group: &Rc<Group>,
+    replicas: impl Iterator<Item = (ServerId, Rc<Pool>)>,
+) {
+    for (id, pool) in replicas {
+        if group.receipts.polling.borrow_mut().insert(id.clone()) {
+            monoio::spawn(poll_replica(host.clone(), group.clone(), id, pool));
+        }
+    }
+}
+
 /// Returns the servers of a group other than its leader whose placement is allowed, in the order
 /// in which they are polled: warm before cold, then by expected wait, then those of this host's
 /// failure domain before others.
@@ -134,7 +161,7 @@
     let receipts = &group.receipts;
     loop {
         let waiting = receipts.waiting.get() > 0;
-        let stalled = receipts.state.borrow().is_stalled();
+        let stalled = receipts.state.borrow().has_unconfirmed();
         let is_replica = group.leader().is_some_and(|leader| leader != id);
         if !(waiting || stalled) || !is_replica || host.server(&id).is_none() {
             break;
@@ -164,12 +191,13 @@
             Some(answer) => answer?,
             None => own_status(host, pool, deadline).await?,
         };
-        let status = wire::decode_status(&answer).ok_or(ProbeResult::Busy)?;
+        // Each answer of a server ends with its log position, also one without a status.
+        let status = wire::decode_status(&answer).ok_or(ProbeResult::Busy(answer.point))?;
         // A server that reports that it leads is the new or a former leader, not a replica.
         Ok(if status.role == Role::Replica {
             ProbeResult::Received(status.received)
         } else {
-            ProbeResult::Busy
+            ProbeResult::Busy(None)
         })
     };
     let reading = monoio::time::timeout_at(deadline, request).await;
@@ -192,11 +220,12 @@
     let timeout = deadline.saturating_duration_since(Instant::now()).min(HOLDER_TIMEOUT);
     match conn::forward_query(&link, pool, line.freeze(), timeout).await {
         Ok(answer) => Some(Ok(answer)),
-        Err(ExchangeError::NotSent(NotSent::Dead)) => Some(Err(ProbeResult::Dead)),
         Err(ExchangeError::NotSent(NotSent::Full | NotSent::Rejected)) => {
-            Some(Err(ProbeResult::Busy))
+            Some(Err(ProbeResult::Busy(None)))
+        }
+        Err(ExchangeError::NotSent(NotSent::Refused | NotSent::Silent)) => {
+            Some(Err(ProbeResult::Silent))
         }
-        Err(ExchangeError::NotSent(NotSent::Silent)) => Some(Err(ProbeResult::Silent)),
         Err(_) => None,
     }
 }
@@ -209,10 +238,8 @@
 ) -> Result<ServerAnswer, ProbeResult> {
     let leased = pool.lease_any(&monitor::any_account(host), deadline).await;
     let mut leased = leased.map_err(|error| match error {
-        NoConnection::Full => ProbeResult::Busy,
-        NoConnection::Open(OpenError::Refused) => ProbeResult::Dead,
-        NoConnection::Open(OpenError::Rejected(_)) => ProbeResult::Busy,
-        NoConnection::Open(OpenError::Silent(_)) => ProbeResult::Silent,
+        NoConnection::Full | NoConnection::Open(OpenError::Rejected(_)) => ProbeResult::Busy(None),
+        NoConnection::Open(OpenError::Refused | OpenError::Silent(_)) => ProbeResult::Silent,
     })?;
     let backend = leased.backend();
     wire::put_status(&mut backend.out);
--- a/components/proxy/src/operation.rs
+++ b/components/proxy/src/operation.rs
@@ -139,11 +139,10 @@
 ///
 /// Refuses the operation after [`LEADER_TIMEOUT`] or at its deadline, and at once if waiting for a
 /// leader would not help.
-async fn wait_for_targets(host: &Host, operation: &Operation) -> Result<Vec<Target>, Refusal> {
+async fn wait_for_targets(host: &Rc<Host>, operation: &Operation) -> Result<Vec<Target>, Refusal> {
     let until = operation.deadline.min(Instant::now() + LEADER_TIMEOUT);
     loop {
-        if operation.access == Access::Write && operation.group.receipts.state.borrow().is_stalled()
-        {
+        if operation.access == Access::Write && confirm::is_stalled(host, &operation.group) {
             return Err(Refusal::busy("the leader's replicas receive nothing"));
         }
         let mut targets = target::select(host, operation);
@@ -227,8 +226,8 @@
 }
 
 /// Waits until a second server holds the commit that an answer acknowledges. The leader's answer
-/// suffices if no replica is running, or if the running replicas are too busy to answer in time.
-/// Returns at once for a failure or an answer without a log position.
+/// suffices if no replica is listed. Returns at once for a failure or an answer without a log
+/// position.
 ///
 /// Guards against an acknowledged write that is lost by a failover: the successor is the replica
 /// with the newest log position, which may lack a commit that only the former leader holds.
