Test: a write is confirmed by one replica while the other refuses

Callers of a group whose first replica refuses connections get UNCERTAIN for the first write and BUSY ("the leader's replicas receive nothing") for further ones, although the other replica holds the log. Cause, read and tried: `confirm::wait` polls a further replica only after 40 ms without a reading, and a refusal counts as a reading every 3 ms, so the other replica is never polled. While writes are refused, no poll of it starts either. By reading, not run: an answer of that replica to another statement ends the state.

The fault itself is not fixed here.

--- a/tests/refusing_links.rs
+++ b/tests/refusing_links.rs
@@ -6,7 +6,7 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use hosts::{Connection, WAIT_TIMEOUT, block_on, sleep_ms, soak_args, start_system};
@@ -21,6 +21,9 @@
 /// Number of the host that reaches the store, but not the leader.
 const OTHER_HOST: usize = 1;
 
+/// Maximum time until a write is confirmed, many times the usual one.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Reads through one host, repeated until the test ends.
 #[derive(Default)]
 struct Reads {
@@ -145,3 +148,22 @@
     let outcome = block_on(soak::soak(3, &soak_args)).unwrap();
     assert!(outcome.broken.is_empty(), "{:#?}", outcome.broken);
 }
+
+/// Guards against a replica that refuses connections and so keeps the other one from being polled:
+/// no commit is confirmed, and writes are refused.
+#[test]
+fn a_write_is_confirmed_by_one_replica_while_the_other_refuses() {
+    block_on(async {
+        let world = start_system(1).await;
+        let address = world.borrow().callers[0];
+        let mut line = Connection::start(address, "db0", "key-b").await.unwrap();
+        let refuse = Fault { refuse: true, reset: true, ..Fault::default() };
+        // The replica in the host's failure domain, which is polled first.
+        world.borrow().links.set("s2", &refuse);
+        let began = Instant::now();
+        while line.query_outcome("WRITE k1 value").await != "DONE I" {
+            assert!(began.elapsed() < CONFIRMATION_TIMEOUT, "no write is confirmed");
+            sleep_ms(20).await;
+        }
+    });
+}
