A new leader is not replaced for refused connections alone

Cause: a refused connection replaces a leader after 60 ms. A network that refuses connections between some hosts and each of two servers makes these hosts replace each other's choice as fast as promotions go.

A leader that took over less than 3.5 s ago is now replaced on refusals only if its replicas receive nothing either, as for a silent leader. A crash of a leader in that time is replaced some 0.4 s later than before; any other crash as before. new_leader_that_refuses_connections_is_kept_while_its_replicas_receive fails without the change, since the advice was to replace.

--- a/components/coordination/src/suspicion.rs
+++ b/components/coordination/src/suspicion.rs
@@ -54,9 +54,19 @@
 /// restarts at once is not replaced.
 pub const REFUSAL_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// How long after the start of its leadership a leader that refuses connections is replaced only if
+/// its replicas receive nothing either.
+///
+/// Guards against hosts that each reach another server, because a network rejects connections to the
+/// others, and replace each other's choice in turn. Exceeds the time of 3 s in which two hosts may not
+/// promote alternately.
+pub const NEW_LEADER_DURATION: Duration = Duration::from_millis(3500);
+
 /// Evidence that a leader has failed.
 #[derive(Clone, Debug, Default)]
 pub struct Suspicion {
+    /// Time until which the leader counts as new; none for the first leader that a host finds.
+    new_until: Option<Instant>,
     /// Time of the first refused connection since the last answer; none without a refusal.
     refused: Option<Instant>,
     /// Time since which the leader has answered neither statements nor probes.
@@ -78,9 +88,14 @@
 }
 
 impl Suspicion {
+    /// Records that another server has become the leader.
+    pub fn start_leadership(&mut self, now: Instant) {
+        *self = Self { new_until: Some(now + NEW_LEADER_DURATION), ..Self::default() };
+    }
+
     /// Records an answer of the leader, which clears all evidence.
     pub fn answered(&mut self) {
-        *self = Self::default();
+        *self = Self { new_until: self.new_until, ..Self::default() };
     }
 
     /// Discards the evidence of silence, which becomes outdated while another host probes the
@@ -111,10 +126,11 @@
     /// Returns the recommended action at `now`.
     pub fn advice(&self, now: Instant) -> Advice {
         let has_lasted = |since: Instant, limit| now.saturating_duration_since(since) >= limit;
-        if self.refused.is_some_and(|since| has_lasted(since, REFUSAL_TIMEOUT)) {
+        let refused = self.refused.filter(|since| has_lasted(*since, REFUSAL_TIMEOUT));
+        if refused.is_some() && self.new_until.is_none_or(|until| now >= until) {
             return Advice::Replace;
         }
-        let Some(unanswered) = self.unanswered else { return Advice::Keep };
+        let Some(unanswered) = self.unanswered.or(refused) else { return Advice::Keep };
         if has_lasted(unanswered, UNREACHABLE_TIMEOUT) {
             return Advice::Replace;
         }
--- a/components/coordination/tests/suspicion.rs
+++ b/components/coordination/tests/suspicion.rs
@@ -104,3 +104,33 @@
     suspicion.reset_silence();
     assert_eq!(suspicion.advice(start + 100 * MS), Advice::Replace, "refusals are kept");
 }
+
+/// Guards against hosts that replace each other's leader in turn, because a network refuses each of
+/// them the connections to the server that the other one has promoted.
+#[test]
+fn new_leader_that_refuses_connections_is_kept_while_its_replicas_receive() {
+    let start = Instant::now();
+    let mut suspicion = Suspicion::default();
+    suspicion.start_leadership(start);
+    suspicion.answered();
+    suspicion.refused(start);
+    for n in 0..17_u32 {
+        let now = start + (100 + n * 200) * MS;
+        suspicion.received(Point::new(2, u64::from(n)), now);
+        assert_eq!(suspicion.advice(now), Advice::AskReplicas);
+    }
+    assert_eq!(suspicion.advice(start + suspicion::NEW_LEADER_DURATION), Advice::Replace);
+}
+
+/// Guards against seconds without a leader after a server that was just promoted has crashed.
+#[test]
+fn new_leader_that_refuses_connections_is_replaced_once_its_replicas_have_stalled() {
+    let start = Instant::now();
+    let mut suspicion = Suspicion::default();
+    suspicion.start_leadership(start);
+    suspicion.refused(start);
+    assert_eq!(suspicion.advice(start + 100 * MS), Advice::AskReplicas);
+    suspicion.received(Point::new(2, 5), start + 100 * MS);
+    suspicion.received(Point::new(2, 5), start + 100 * MS + REPLICA_STALL_TIMEOUT);
+    assert_eq!(suspicion.advice(start + 100 * MS + REPLICA_STALL_TIMEOUT), Advice::Replace);
+}
--- a/components/proxy/src/group.rs
+++ b/components/proxy/src/group.rs
@@ -130,9 +130,11 @@
             self.end_epoch();
             *self.ages.borrow_mut() = PositionHistory::default();
             self.seen.set(None);
-            self.suspicion.borrow_mut().answered();
             // The first leader after a host's start is assumed to have led before.
             let had_leader = self.led_since.get().is_some();
+            if had_leader {
+                self.suspicion.borrow_mut().start_leadership(now);
+            }
             self.led_since.set(Some(if had_leader {
                 now
             } else {
