A further replica is polled by time, whatever the first one shows

Callers' writes had unknown outcomes and were then refused although a replica held the log: the replica polled first refused connections, or was stopped, and the other one was not polled.

Cause: the next replica was polled only after 40 ms without any reading, and each refusal is a reading after 3 ms.

--- a/components/proxy/src/confirm.rs
+++ b/components/proxy/src/confirm.rs
@@ -42,7 +42,7 @@
 /// between two failure domains.
 const RETRY_DELAY: Duration = Duration::from_millis(3);
 
-/// Delay without a new reading before a further replica is polled as well: longer than a usual
+/// Delay without a confirmation before a further replica is polled as well: longer than a usual
 /// statement at the first replica may delay that replica's answer.
 const NEXT_REPLICA_DELAY: Duration = Duration::from_millis(40);
 
@@ -81,7 +81,6 @@
     let receipts = &group.receipts;
     let (began, deadline) = (host.now(), Instant::now() + CONFIRM_TIMEOUT);
     receipts.waiting.set(receipts.waiting.get() + 1);
-    let mut polled = 1;
     let verdict = loop {
         let replicas = replicas(host, group);
         let ids: Vec<_> = replicas.iter().map(|(id, _)| id.clone()).collect();
@@ -89,10 +88,13 @@
         if verdict != Verdict::Pending {
             break verdict;
         }
+        // By time, as readings that confirm nothing, such as refused connections, arrive as well.
+        let elapsed = host.now().saturating_duration_since(began);
+        let polled = 1 + elapsed.div_duration_f64(NEXT_REPLICA_DELAY) as usize;
         start_polls(host, group, replicas.into_iter().take(polled));
         let next = deadline.min(Instant::now() + NEXT_REPLICA_DELAY);
-        let updated = monoio::time::timeout_at(next, receipts.updated.notified()).await;
-        polled += usize::from(updated.is_err());
+        // Without a reading, a further replica is polled.
+        let _ = monoio::time::timeout_at(next, receipts.updated.notified()).await;
     };
     receipts.waiting.set(receipts.waiting.get() - 1);
     match verdict {
