A published release covers all intents up to its version

A read at a replaced primary was possible beside two failovers at a time: a host that reaches only the table service publishes its release as the version of one group's intent, and the failover of another group takes it as the release of each intent up to that version.

Cause: the host may have received the row of one group alone, with the answer to a heartbeat or by a view that contains it, or may still drain the planned intent of another group. A release for one group is taken as proof of another.

A host now publishes once its view contains every intent up to the version and it has released each of them; it reads the view meanwhile.

--- a/components/coordination/src/view.rs
+++ b/components/coordination/src/view.rs
@@ -57,8 +57,8 @@
     /// lease, and registers again if it runs.
     #[serde(default)]
     pub left: Option<Duration>,
-    /// Version of the newest intent for which the host has released its lease; written only
-    /// when the host cannot reach the host that runs the failover.
+    /// Version up to which the host has released its lease for every intent of any group; written
+    /// only when the host cannot reach the host that runs a failover.
     #[serde(default)]
     pub released: u64,
     /// Processor capacity of the host in thousandths of a core.
@@ -298,6 +298,17 @@
         Some(expiry.min(contact + CONTACT_TTL))
     }
 
+    /// Returns whether this host may publish its release of all intents up to `version`: its view
+    /// contains all of them, and it has released each. `released` returns the greatest version that a
+    /// group has released.
+    pub fn has_released(&self, version: u64, released: impl Fn(&GroupId) -> u64) -> bool {
+        let is_open = |(group, row): (&GroupId, &Versioned<Leadership>)| {
+            let moving = matches!(row.value, Leadership::Moving { .. });
+            moving && row.version <= version && released(group) < row.version
+        };
+        self.view.version >= version && !self.view.groups.iter().any(is_open)
+    }
+
     /// Returns whether this host uses leaders only for [`CONTACT_TTL`] after its last contact: a
     /// failover waits for the whole lease of a host whose row does not say so.
     fn is_limited(&self) -> bool {
--- a/components/coordination/tests/contact.rs
+++ b/components/coordination/tests/contact.rs
@@ -184,6 +184,28 @@
     assert_eq!(history.settled(start + longest + ms(3000)), 9);
 }
 
+/// Guards against a promotion beside a host that uses the former leader: the host received the intent of
+/// another group alone, and its release of that one counted for all intents up to its version.
+#[test]
+fn release_is_published_only_once_all_intents_up_to_it_are_released() {
+    let start = Instant::now();
+    let other: GroupId = "payments".parse().unwrap();
+    let mut host = LocalView::new(id(5), 1);
+    host.replace(view(30, 6), start);
+    host.replace_group(&other, Versioned { version: 35, value: moving(2, ms(35)) });
+    let released = |ours: u64| {
+        let other = other.clone();
+        move |id: &GroupId| if *id == other { 35 } else { ours }
+    };
+    assert!(!host.has_released(35, released(0)), "an intent up to 35 may be missing");
+    let mut newer = view(36, 6);
+    newer.groups.insert(group(), Versioned { version: 31, value: moving(1, ms(31)) });
+    newer.groups.insert(other.clone(), Versioned { version: 35, value: moving(2, ms(35)) });
+    host.replace(newer, start);
+    assert!(!host.has_released(35, released(0)), "intent 31 is not released");
+    assert!(host.has_released(35, released(31)));
+}
+
 /// Message between two hosts of the model.
 enum Message {
     Heartbeat {
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -394,6 +394,7 @@
         if group.release_requested.get() >= row.version {
             return;
         }
+        wait_all_released(&host, row.version).await;
         if let Err(error) = publish_release(&host, &holder, row.version).await {
             let error = format_args!("{error:#}");
             info!(group = %group.id, %holder, %error, "fleet: release not published");
@@ -415,6 +416,17 @@
     group.released.set(group.released.get().max(version));
 }
 
+/// Waits until this host has received and released all intents up to `version`, which its published
+/// release covers. Has the view read, as this host may have received the row of one group alone.
+async fn wait_all_released(host: &Host, version: u64) {
+    let released =
+        |id: &GroupId| host.groups.borrow().get(id).map_or(0, |group| group.released.get());
+    while !host.leased_view.borrow().has_released(version, released) {
+        host.view_wakeup.notify_one();
+        monoio::time::sleep(CHECK_INTERVAL).await;
+    }
+}
+
 /// Publishes through the store that this host no longer uses the former leader. `holder` is the
 /// host that runs the failover. Does nothing if that is this host, or if this host is not a
 /// member of the fleet.
