A host that leaves marks its row before the row is removed

A read at a replaced primary was possible at a host that was restarted: the removal of its row by the former process, sent without an answer, is performed seconds later, and a failover neither asks nor waits for a host without a row. Sessions with open transactions also used leaders during the removal.

Cause: the absence of a row was taken as proof that the host has stopped. The row does not change when a process starts at the same address, so a condition on its version alone does not tell the processes apart.

The leaving process marks the row as left first, on its version, and then removes the marked row. A process that starts in between finds the mark and writes a row of its own, on which the removal fails; until the mark's lease has expired, failovers wait. A host that withdraws uses no leader any more. Not reproduced with real processes.

--- a/components/proxy/src/eviction.rs
+++ b/components/proxy/src/eviction.rs
@@ -17,10 +17,6 @@
 /// was only cut off joins again.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Time within which the store applies an eviction after the request, also without an answer. Until
-/// then the evicted host may prove its membership and get a new lease.
-const IN_FLIGHT_TTL: Duration = Duration::from_secs(2);
-
 /// Evicts silent hosts and removes the rows of evicted hosts whose leases have expired, in an
 /// endless loop. Only a hub does so, while it holds a lease.
 pub async fn evict_silent(host: Rc<Host>) {
@@ -90,7 +86,7 @@
         let sends_heartbeats = neighbours.mesh || row.value.domain == host.settings.domain;
         if sends_heartbeats && row.value.left.is_none() && *id != host.settings.host && silent(id) {
             // The view may be as old as a lease, and its time precedes the eviction.
-            let left = view.clock + leased_view.age(now)? + IN_FLIGHT_TTL;
+            let left = view.clock + leased_view.age(now)? + fleet::IN_FLIGHT_TTL;
             let member = Member { left: Some(left), ..row.value.clone() };
             let value = serde_json::to_vec(&member).ok()?;
             let put = vec![(fleet::member_key(id), value)];
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -64,6 +64,10 @@
 /// store.
 const RELEASE_REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time within which the store applies the mark of a host that was removed after the request, also
+/// without an answer. Until then the host may prove its membership and get a new lease.
+pub const IN_FLIGHT_TTL: Duration = Duration::from_secs(2);
+
 /// Ping interval and timeout of links between hosts. Heartbeats are more frequent than these
 /// pings.
 pub const LINK_KEEPALIVE: Keepalive =
@@ -334,13 +338,51 @@
 
 /// Removes this host's row from the store. Requires that this host no longer uses any leader nor
 /// gives contact to other hosts.
-pub async fn leave(settings: &Settings) -> anyhow::Result<()> {
+///
+/// First marks the row as left, then removes the marked row: a call without an answer may be performed
+/// after the next process of the host has started. A process that finds the mark writes a row of its
+/// own, so that a failover does not miss it. `known` is the row with the store's time now, if the
+/// caller has them; the row is read if `known` is none or out of date.
+pub async fn leave(
+    settings: &Settings,
+    known: Option<(Versioned<Member>, Duration)>,
+) -> anyhow::Result<()> {
     let client = Client::new(settings.store_address);
-    let remove = vec![member_key(&settings.host)];
-    store::change(&client, &Change { remove, ..Change::default() }, STORE_TIMEOUT).await?;
+    let key = member_key(&settings.host);
+    let mut marked = TxOutcome::Conflict;
+    if let Some((row, clock)) = known {
+        marked = mark_left(&client, &key, row, clock).await?;
+    }
+    if marked == TxOutcome::Conflict {
+        let view = read(&client).await?;
+        let Some(row) = view.members.get(&settings.host).cloned() else { return Ok(()) };
+        marked = mark_left(&client, &key, row, view.clock).await?;
+    }
+    let TxOutcome::Applied(marked) = marked else {
+        anyhow::bail!("marking the host's row as left: the store answered {marked:?}");
+    };
+    let expect = vec![(key.clone(), marked)];
+    let removal = Change { expect, remove: vec![key], ..Change::default() };
+    store::change(&client, &removal, STORE_TIMEOUT).await?;
     Ok(())
 }
 
+/// Marks a host's row as left unless it has changed; `clock` is the store's time now.
+async fn mark_left(
+    client: &Client,
+    key: &str,
+    row: Versioned<Member>,
+    clock: Duration,
+) -> anyhow::Result<TxOutcome> {
+    let member = Member { left: Some(clock + IN_FLIGHT_TTL), ..row.value };
+    let change = Change {
+        expect: vec![(key.into(), row.version)],
+        put: vec![(key.into(), serde_json::to_vec(&member)?)],
+        remove: Vec::new(),
+    };
+    store::change(client, &change, STORE_TIMEOUT).await
+}
+
 /// Applies a view that was the newest at the local time `requested_at` or later; ignores it if
 /// this host has a newer one.
 pub fn apply_view(host: &Rc<Host>, view: View, requested_at: Instant) {
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -318,7 +318,7 @@
 
     /// Returns whether the lease under which leaders may be used is valid.
     pub fn leased(&self) -> bool {
-        self.leased_view.borrow().leased(self.now())
+        !self.withdrawn.get() && self.leased_view.borrow().leased(self.now())
     }
 
     /// Returns the lease under which this host uses a group's leader; `None` if the view was never
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -75,7 +75,7 @@
     let membership = monoio::select! {
         membership = fleet::ensure_member(&settings, &clock, &client) => membership,
         // The host may have joined the view already. It has used no leader, as leaving requires.
-        _ = wait_raised(&signals.stop) => return fleet::leave(&settings).await,
+        _ = wait_raised(&signals.stop) => return fleet::leave(&settings, None).await,
     };
     let host = new_host(settings, run, clock, &membership.secret);
     *state.borrow_mut() = Some(host.clone());
@@ -272,7 +272,9 @@
     // No leader is used from here on, and no contact is given, so other hosts need not wait for this
     // one.
     host.withdrawn.set(true);
-    match monoio::time::timeout(EXIT_MARGIN / 2, fleet::leave(&host.settings)).await {
+    let row = host.leased_view.borrow().view().members.get(&host.settings.host).cloned();
+    let leaving = fleet::leave(&host.settings, row.map(|row| (row, monitor::store_now(host))));
+    match monoio::time::timeout(EXIT_MARGIN / 2, leaving).await {
         Ok(Ok(())) => info!(cut, "host: stopped"),
         Ok(Err(error)) => {
             info!(cut, error = %format_args!("{error:#}"), "host: stopped without leaving the view");
