Two hosts do not take a failover over from each other without end

Callers of a group could have no leader for as long as two hosts that both reach a majority cannot reach each other while a third one does not answer: each takes the failover over after 1 s, before the other's failover, which waits 2.25 s for the third host, has ended.

A host whose own failover was replaced now takes over after 4 s, longer than such a failover lasts. The time for which a holder was out of reach counts for one failover only; before, one failed connection in the next failover of the group sufficed.

--- a/components/proxy/src/group.rs
+++ b/components/proxy/src/group.rs
@@ -7,7 +7,7 @@
 };
 
 use bergamottrack_coordination::{
-    GroupId, HostId, Point, ServerId, ages::PositionHistory, suspicion::Suspicion,
+    GroupId, Point, ServerId, ages::PositionHistory, suspicion::Suspicion,
 };
 use bergamottrack_model::Consistency;
 use tokio::sync::Notify;
@@ -39,9 +39,10 @@
     pub probing: Cell<bool>,
     /// Whether this host has scheduled or runs a failover of the group.
     pub in_failover: Cell<bool>,
-    /// Host that runs the group's failover and cannot be reached, with the time since which; `None`
-    /// while it can.
-    pub lost_holder: RefCell<Option<(HostId, Instant)>>,
+    /// Failover whose host cannot be reached: the store's time at its begin, and the time since which.
+    pub lost_holder: Cell<Option<(Duration, Instant)>>,
+    /// Time at which this host last began a failover of the group.
+    pub began_failover: Cell<Option<Instant>>,
     /// Greatest version of a failover intent, a row `Leadership::Moving` of the group, for which no
     /// work of this host relies on the former leader any more. An intent is released if its
     /// version is at most this one.
@@ -97,7 +98,8 @@
             suspicion: RefCell::default(),
             probing: Cell::default(),
             in_failover: Cell::default(),
-            lost_holder: RefCell::default(),
+            lost_holder: Cell::default(),
+            began_failover: Cell::default(),
             released: Cell::default(),
             release_requested: Cell::default(),
             receipts: Receipts::default(),
--- a/components/proxy/src/monitor.rs
+++ b/components/proxy/src/monitor.rs
@@ -48,6 +48,11 @@
 /// failover over: longer than a restart of its process.
 const HOLDER_LOSS_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// [`HOLDER_LOSS_TIMEOUT`] of a host whose own failover was replaced: longer than a failover beside a
+/// host that does not answer, so that two hosts that cannot reach each other do not take a failover
+/// over from each other for as long as that lasts.
+const REPLACED_HOLDER_TIMEOUT: Duration = Duration::from_millis(4000);
+
 /// Checks the leaders of all groups, in an endless loop; pauses while this host holds no lease or
 /// closes its sessions.
 pub async fn watch(host: Rc<Host>) {
@@ -236,7 +241,7 @@
 pub enum StatusError {
     /// The server answered, but has no capacity for the request.
     Busy,
-    /// The server's machine refused the connection: no process listens there.
+    /// The connection was refused: no process listens at the address, or a network rejects it.
     Refused,
     /// No answer arrived in time, the session was rejected, or the connection broke.
     Silent,
@@ -288,7 +293,7 @@
     from: Option<ServerId>,
 ) {
     let own = holder == host.settings.host;
-    let lost = own || is_lost(&host, &group, &holder).await;
+    let lost = own || is_lost(&host, &group, &holder, since).await;
     if lost {
         monoio::time::sleep(TAKEOVER_DELAY).await;
     }
@@ -310,22 +315,27 @@
 ///
 /// Without the majority, hosts on both sides of a partition that reach the store would take the
 /// failover over from each other until the partition ends.
-async fn is_lost(host: &Host, group: &Group, holder: &HostId) -> bool {
+async fn is_lost(host: &Host, group: &Group, holder: &HostId, since: Duration) -> bool {
     let member = host.leased_view.borrow().view().members.get(holder).cloned();
     let Some(member) = member.filter(|row| row.value.left.is_none()) else { return true };
     let connect = TcpStream::connect(member.value.peer);
     let reachable = matches!(monoio::time::timeout(CONNECT_TIMEOUT, connect).await, Ok(Ok(_)));
-    let now = host.now();
-    let mut lost_holder = group.lost_holder.borrow_mut();
     if reachable {
-        *lost_holder = None;
+        group.lost_holder.set(None);
         return false;
     }
-    let since = match &*lost_holder {
-        Some((id, since)) if id == holder => *since,
-        _ => lost_holder.insert((holder.clone(), now)).1,
+    let now = host.now();
+    let lost_since = match group.lost_holder.get() {
+        Some((failover, lost_since)) if failover == since => lost_since,
+        _ => now,
     };
-    host.reaches_majority() && now.saturating_duration_since(since) >= HOLDER_LOSS_TIMEOUT
+    group.lost_holder.set(Some((since, lost_since)));
+    let replaced = group
+        .began_failover
+        .get()
+        .is_some_and(|at| now.saturating_duration_since(at) < FAILOVER_TTL);
+    let limit = if replaced { REPLACED_HOLDER_TIMEOUT } else { HOLDER_LOSS_TIMEOUT };
+    host.reaches_majority() && now.saturating_duration_since(lost_since) >= limit
 }
 
 /// Starts a failover in a task of its own, unless the group's row changes before this host has
@@ -357,6 +367,7 @@
         let failover = Failover::begin(&host, &group, before, from, planned).await;
         match failover {
             Ok(Some(failover)) => {
+                group.began_failover.set(Some(host.now()));
                 if let Err(error) = failover.run(&host, &group).await {
                     warn!(
                         group = %group.id, error = %format_args!("{error:#}"),
