Contact: hosts without a lease pass on none, and lost hosts count once

- a host whose lease had expired passed on contact of a view that the quorum of a failover does not cover (host_without_a_lease_passes_on_no_contact);
- hosts that were lost and evicted counted as missing witnesses but not in the size of the majority, so that failovers waited for the whole lease for some 10 s after an eviction (eviction_of_lost_hosts_does_not_lengthen_a_failover);
Hosts that are no hub candidates now wait for 1.6 s.

Hosts whose rows do not name the limit read and send no more than before.

--- a/components/coordination/src/contact.rs
+++ b/components/coordination/src/contact.rs
@@ -8,7 +8,7 @@
 //!
 //! - the time at which its view was last proven to be the newest,
 //! - the time since which a majority of the *witnesses* have answered its heartbeats,
-//! - the contact of a witness that answered, as of that answer.
+//! - the contact of a witness that answered and holds a lease, as of that answer.
 //!
 //! An answer of a witness contains every leadership row that the host lacks. A failover writes its
 //! intent to the store first and has every host in reach apply it. Once the witnesses that lack the
@@ -28,7 +28,7 @@
 };
 
 use crate::{
-    HostId, hubs,
+    FailureDomain, HostId, hubs,
     view::{LEASE_MARGIN, LEASE_TTL, View},
 };
 
@@ -43,6 +43,10 @@
 /// Age of a host's contact from which it reads the store itself.
 pub const READ_TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// [`READ_TIMEOUT`] of a host that is no hub candidate: after the loss of its hub, another candidate
+/// usually has contact by then.
+pub const LATE_READ_TIMEOUT: Duration = Duration::from_millis(1600);
+
 /// Maximum number of leadership rows in the answer of a witness. A host that lacks more requests the
 /// changes of the view first.
 pub const MAX_ROWS: usize = 64;
@@ -147,10 +151,9 @@
 /// Decides when the hosts that lack a failover's intent can have no further contact.
 #[derive(Debug, Default)]
 pub struct Quorum {
-    /// Hosts that may be witnesses of a view for which a lease is valid.
-    candidates: BTreeSet<HostId>,
-    /// Minimum number of witnesses of each of these views.
-    size: usize,
+    /// Hosts that may be witnesses of a view for which a lease is valid, each with its failure domain
+    /// and whether it is a member of each of these views.
+    candidates: BTreeMap<HostId, (FailureDomain, bool)>,
 }
 
 impl Quorum {
@@ -163,16 +166,30 @@
             })
         };
         // A further host of a failure domain only reduces the number of these among the witnesses.
-        let mut candidates = hubs::most_suitable(view, is_settled);
-        let size = candidates.len();
-        candidates.extend(view.members.keys().filter(|id| !is_settled(id)).cloned());
-        Self { candidates, size }
+        let witnesses = hubs::most_suitable(view, is_settled);
+        let candidates = view.members.iter().filter_map(|(id, row)| {
+            let settled = is_settled(id);
+            let counts = !settled || witnesses.contains(id);
+            counts.then(|| (id.clone(), (row.value.domain.clone(), settled)))
+        });
+        Self { candidates: candidates.collect() }
     }
 
     /// Returns whether each majority of the witnesses includes a host that has the intent, if all hosts
     /// but `waiting` have it.
     pub fn is_reached(&self, waiting: &[HostId]) -> bool {
-        let missing = waiting.iter().filter(|id| self.candidates.contains(id)).count();
-        missing < majority(self.size)
+        // A host that is no member of some of the views counts only where it is a witness, so only if
+        // it lacks the intent: the majority of a view grows by less than one for each further host.
+        let mut sizes: BTreeMap<&FailureDomain, usize> = BTreeMap::new();
+        let mut missing = 0;
+        for (id, (domain, settled)) in &self.candidates {
+            let lacks_intent = waiting.contains(id);
+            missing += usize::from(lacks_intent);
+            if *settled || lacks_intent {
+                *sizes.entry(domain).or_default() += 1;
+            }
+        }
+        let size: usize = sizes.values().map(|size| (*size).min(hubs::CANDIDATES)).sum();
+        missing < majority(size)
     }
 }
--- a/components/coordination/src/hubs.rs
+++ b/components/coordination/src/hubs.rs
@@ -26,7 +26,7 @@
 
 /// Maximum number of hosts of a failure domain that may be its hub. With three candidates, up to
 /// two may fail at once without isolating the hosts of the failure domain for a moment.
-const CANDIDATES: usize = 3;
+pub const CANDIDATES: usize = 3;
 
 /// Maximum number of remote hubs that a host may use when no candidate of its own failure
 /// domain is reachable.
--- a/components/coordination/src/view.rs
+++ b/components/coordination/src/view.rs
@@ -52,9 +52,9 @@
     /// processes of the host that are started with the same values.
     #[serde(rename = "place")]
     pub row_hash: u64,
-    /// Time of the store's clock at which other hosts removed this host because they did not
-    /// receive its heartbeats; none while it is a member. A removed host may still hold a
-    /// lease, and registers again if it runs.
+    /// Latest time of the store's clock at which the host was removed: by other hosts that did not
+    /// receive its heartbeats, or by itself before it ended; none while it is a member. A removed
+    /// host may still hold a lease, and registers again if it runs.
     #[serde(default)]
     pub left: Option<Duration>,
     /// Version up to which the host has released its lease for every intent of any group; written
@@ -298,6 +298,17 @@
         Some(expiry.min(contact + CONTACT_TTL))
     }
 
+    /// Returns the age of the contact that this host passes on; none without a lease, since a failover
+    /// takes only hosts with a lease into account.
+    pub fn relayed_age(&self, now: Instant) -> Option<Duration> {
+        self.contact_age(now).filter(|_| self.leased(now))
+    }
+
+    /// Returns whether this host's use of leaders is limited by contact that is older than `limit`.
+    pub fn lacks_contact(&self, limit: Duration, now: Instant) -> bool {
+        self.is_limited() && self.contact_age(now).is_none_or(|age| age > limit)
+    }
+
     /// Returns whether this host may publish its release of all intents up to `version`: its view
     /// contains all of them, and it has released each. `released` returns the greatest version that a
     /// group has released.
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -318,7 +318,7 @@
     /// All leadership rows of the sender that are newer than the receiver's view.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rows: Vec<(GroupId, Versioned<Leadership>)>,
-    /// Age of the sender's own contact in milliseconds, rounded up; `None` before its first contact.
+    /// Age of the sender's own contact in milliseconds, rounded up; `None` without a lease.
     pub age_ms: Option<u32>,
 }
 
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -232,8 +232,11 @@
 
 /// Returns whether this host soon loses contact with the fleet unless it reads the view itself.
 fn lacks_contact(host: &Host) -> bool {
-    let age = host.leased_view.borrow().contact_age(host.now());
-    age.is_none_or(|age| age > contact::READ_TIMEOUT)
+    let limit = match host.is_hub_candidate() {
+        true => contact::READ_TIMEOUT,
+        false => contact::LATE_READ_TIMEOUT,
+    };
+    host.leased_view.borrow().lacks_contact(limit, host.now())
 }
 
 /// Waits for a wake-up, for `limit` at most or until this host lacks contact; returns whether it was
--- a/components/proxy/src/gossip.rs
+++ b/components/proxy/src/gossip.rs
@@ -229,8 +229,7 @@
 /// Returns whether heartbeats go to all hosts in reach, because this host has had no contact with
 /// the fleet through its hub for [`contact::WIDEN_TIMEOUT`].
 fn widens(host: &Host) -> bool {
-    let age = host.leased_view.borrow().contact_age(host.now());
-    age.is_none_or(|age| age > contact::WIDEN_TIMEOUT)
+    host.leased_view.borrow().lacks_contact(contact::WIDEN_TIMEOUT, host.now())
 }
 
 /// Returns the heartbeat for the host at the other end of the link, with the leader positions that
