A host passes on contact only while it holds a lease, in its answers too

The state type had the age of the contact that a host may pass on, but the answer to a heartbeat still contained the age of any contact, so a host whose lease has expired could keep another one using a former leader. The answer now uses it. Found by reading the diff; no test plays the answer of a host without a lease over a link.

A host that waits to publish its release reads the view only while its view lacks the intent, and stops if the group has another row. The model of the contact passes on views less often, so that the rows of answers matter.

--- a/components/coordination/tests/contact.rs
+++ b/components/coordination/tests/contact.rs
@@ -412,7 +412,7 @@
                 let confirmed = host.local.age(self.now).map(|age| self.now - age);
                 let known = host.local.view().clone();
                 self.send(to, from, Message::Answer { rows, age, sent_at });
-                if let Some(confirmed) = confirmed.filter(|_| self.random.random_bool(0.5)) {
+                if let Some(confirmed) = confirmed.filter(|_| self.random.random_bool(0.1)) {
                     self.send(to, from, Message::View(Box::new(known), confirmed));
                 }
             }
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -439,7 +439,9 @@
         if group.release_requested.get() >= row.version {
             return;
         }
-        wait_all_released(&host, row.version).await;
+        if !wait_all_released(&host, &group.id, row.version).await {
+            return;
+        }
         if let Err(error) = publish_release(&host, &holder, row.version).await {
             let error = format_args!("{error:#}");
             info!(group = %group.id, %holder, %error, "fleet: release not published");
@@ -463,13 +465,20 @@
 
 /// Waits until this host has received and released all intents up to `version`, which its published
 /// release covers. Has the view read, as this host may have received the row of one group alone.
-async fn wait_all_released(host: &Host, version: u64) {
+/// Returns false if the row of the group `id` changes meanwhile.
+async fn wait_all_released(host: &Host, id: &GroupId, version: u64) -> bool {
     let released =
         |id: &GroupId| host.groups.borrow().get(id).map_or(0, |group| group.released.get());
     while !host.leased_view.borrow().has_released(version, released) {
-        host.view_wakeup.notify_one();
+        if host.leased_view.borrow().leadership(id).is_none_or(|row| row.version != version) {
+            return false;
+        }
+        if host.leased_view.borrow().view().version < version {
+            host.view_wakeup.notify_one();
+        }
         monoio::time::sleep(CHECK_INTERVAL).await;
     }
+    true
 }
 
 /// Publishes through the store that this host no longer uses the former leader. `holder` is the
--- a/components/proxy/src/gossip.rs
+++ b/components/proxy/src/gossip.rs
@@ -211,7 +211,7 @@
     let leased_view = host.leased_view.borrow();
     let rows = leased_view.rows_since(since)?;
     let age_ms = leased_view
-        .contact_age(host.now())
+        .relayed_age(host.now())
         .map(|age| u32::try_from(age.as_millis()).map_or(u32::MAX, |ms| ms.saturating_add(1)));
     Some(ContactReply { rows, age_ms })
 }
