Tests: heartbeats and rows of builds without contact

A rolling restart has hosts of two builds side by side. An answer without contact gives none, and a row without the field belongs to a host that uses leaders for its whole lease, for which a failover waits. One comment of a link's test reworded.

--- a/components/peer/tests/message.rs
+++ b/components/peer/tests/message.rs
@@ -6,10 +6,11 @@
     Burst, Rate,
     claims::Claim,
     demand::{AccountReport, Report, Ruling},
+    view::Member,
 };
 use bergamottrack_peer::{
     Answer, Question,
-    message::{Heartbeat, KnownVersions, Message, Updates},
+    message::{ContactReply, Heartbeat, KnownVersions, Message, Registration, Updates},
 };
 
 /// Maximum number of bytes that an account with an id of eight characters may add to a heartbeat.
@@ -115,6 +116,47 @@
     assert!(updates.server_changes.is_none() && updates.packed_servers.is_none());
 }
 
+/// Guards against contact by the answers of an earlier build, which do not contain the rows that the
+/// receiver lacks, and against answers that it does not read.
+#[test]
+fn heartbeats_with_and_without_contact_are_read() {
+    let Message::Question(_, Question::Heartbeat(beat)) = heartbeat(3) else {
+        panic!("not a heartbeat")
+    };
+    let contact = Some(ContactReply { rows: Vec::new(), age_ms: Some(120) });
+    let current = Heartbeat { contact: contact.clone(), ..*beat };
+    let current = Message::Answer(1, Answer::Heartbeat(Box::new(current)));
+    let contact_in = |encoded: &[u8]| match Message::decode(encoded).unwrap() {
+        Message::Answer(_, Answer::Heartbeat(beat)) => beat.contact,
+        _ => panic!("not a heartbeat"),
+    };
+    assert_eq!(contact_in(&current.encode()), contact);
+    assert_eq!(contact_in(&without(&current, &["contact"])), None);
+}
+
+/// Guards against a failover that waits for contact alone beside a host of an earlier build, which uses
+/// leaders for its whole lease.
+#[test]
+fn row_of_an_earlier_build_does_not_limit_the_host_by_contact() {
+    let row = Member {
+        peer: "192.0.2.1:7000".parse().unwrap(),
+        domain: "north".parse().unwrap(),
+        row_hash: 1,
+        left: None,
+        released: 0,
+        power: 250,
+        contact: true,
+    };
+    let registration = Registration { row, since: Duration::from_secs(9) };
+    let message = Message::Question(1, Question::Register(Box::new(registration)));
+    let is_limited = |encoded: &[u8]| match Message::decode(encoded).unwrap() {
+        Message::Question(_, Question::Register(registration)) => registration.row.contact,
+        _ => panic!("not a registration"),
+    };
+    assert!(is_limited(&message.encode()));
+    assert!(!is_limited(&without(&message, &["contact"])));
+}
+
 /// Returns a token request with a claim and a priority, and a ruling.
 fn token_messages() -> (Message, Message) {
     let question = Question::TakeToken {
--- a/lab/tests/link.rs
+++ b/lab/tests/link.rs
@@ -54,8 +54,8 @@
     TcpStream::connect(address).is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
 }
 
-/// Guards against a link that accepts connections and closes them, which a process can tell from a
-/// refusal, and against one that does not listen again.
+/// Guards against a link that accepts connections and closes them, which a process distinguishes
+/// from a refusal, and against one that does not listen again.
 #[test]
 fn a_refusing_link_does_not_listen_until_the_fault_ends() {
     with_connection(async |links, address, mut open| {
