A planned failover whose leader does not report chooses the successor by log

Callers can lose an acknowledged commit: while a leader is replaced as planned (it leaves, its failure domain is evacuated, a database's home is elsewhere), it ends or its failure domain is closed to all statements before its state is read. One replica holds the last acknowledged commits, the other lacks them but is warm or in a home, and the other is promoted.

Cause: `succession::next` orders candidates of a planned failover by placement, since the failover then waits until the successor has the leader's last record. A leader without a status has no last record, so there is no wait, and the placement still decided. The missing answer was taken as nothing to wait for.

Servers whose logs are equal are chosen as before, and a later planned failover, with a leader that answers, corrects the placement.

--- a/components/coordination/src/succession.rs
+++ b/components/coordination/src/succession.rs
@@ -78,7 +78,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Order {
     /// By the number of databases that the server may serve, then warm before cold, then by
-    /// log. For planned failovers, in which the successor can still receive the whole log.
+    /// log. For planned failovers, in which the successor can still receive the whole log; as
+    /// [`Order::Log`] if the leader does not report its state.
     Placement,
     /// By log, since records missing from the successor's log may have been acknowledged; then
     /// by the number of databases and warm before cold. For unplanned failovers.
@@ -98,6 +99,8 @@
     {
         return adopt(leader);
     }
+    // Without the leader's last record, nothing shows which acknowledged records a successor lacks.
+    let order = if leader.is_some() { order } else { Order::Log };
     let eligible = |server: &&Standing| !server.leads && !server.leaving && !server.evacuated;
     let replicas = states.iter().filter(eligible);
     let successor = replicas.max_by_key(|server| {
--- a/components/coordination/tests/succession.rs
+++ b/components/coordination/tests/succession.rs
@@ -123,3 +123,19 @@
     assert_eq!(succession::next(&states, terms(4, 3), leaves, Order::Placement), promote("home"));
     assert_eq!(succession::next(&states, terms(4, 3), leaves, Order::Log), promote("cold"));
 }
+
+/// Guards against acknowledged commits that a planned failover loses: the leader ends, or its failure
+/// domain is closed to all statements, before its state is read, so that nothing shows which records a
+/// successor chosen by placement lacks.
+#[test]
+fn log_precedes_placement_if_the_leader_does_not_report() {
+    let cold = Standing { cold: true, ..server("cold", false, 4, (4, 50)) };
+    let outside = Standing { served: 0, ..server("outside", false, 4, (4, 50)) };
+    let behind = server("behind", false, 4, (4, 48));
+    for ahead in [cold, outside] {
+        let promote = Next::Promote { successor: ahead.id.clone(), after: Term(4), last: None };
+        let states = [ahead, behind.clone()];
+        let leaves = Some(&id("leader"));
+        assert_eq!(succession::next(&states, terms(4, 3), leaves, Order::Placement), promote);
+    }
+}
