A failover counts the terms that its own promotion calls may have ended

Two servers could lead a group: callers write at a former leader, and read at it, after another server was promoted. A promotion call gets no answer within 1.5 s and takes effect; the successor is not seen to lead within 3 s, since it is out of reach, busy or has crashed; the former leader, not notified, reports that it leads and is adopted again.

Cause: no answer and no leader in sight were taken as no promotion. The terms that a call closes were written to the store, for a failover that another host takes over, but the failover that called kept the terms it had read at its begin. (1) Its next selection allowed the former leader: in a planned failover without another eligible server, and in an unplanned one whose `from` is not the server that leads. (2) When a later call of it was rejected, it reopened the terms in the store to the state before its first call, and the next failover adopts the former leader. (3) Closing up to the newest term in sight could lower the closed term of the store.

Now the failover keeps the closed terms after each call, never lowers them, and a rejection reopens only what its own call closed.

Servers, table and promotion service are stand-ins in the test; not reproduced with whole hosts.

--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -1,7 +1,7 @@
 //! A failover run by this host, from the intent to the new leader.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -60,7 +60,7 @@
     /// Version of the intent's row in the store.
     intent: u64,
     /// The group's terms as stored; only the host that wrote the intent changes them.
-    terms: Terms,
+    terms: Cell<Terms>,
     /// Time by which this host must finish; another host may take over some time later.
     deadline: Instant,
 }
@@ -99,16 +99,16 @@
             }
         };
         let deadline = now + FAILOVER_TTL;
-        let terms = Terms { known: term, ..Terms::default() };
+        let terms = Cell::new(Terms { known: term, ..Terms::default() });
         Ok(intent.map(|intent| Self { client, from, planned, intent, terms, deadline }))
     }
 
     /// Runs the failover until the leader is written to the store: a new one, or the former one
     /// if it recovers. Fails if no leader is found before the deadline.
-    pub async fn run(mut self, host: &Rc<Host>, group: &Rc<Group>) -> anyhow::Result<()> {
+    pub async fn run(self, host: &Rc<Host>, group: &Rc<Group>) -> anyhow::Result<()> {
         let (began, sent_at) = (host.now(), host.now());
         let view = self.read_view(host).await?;
-        self.terms = view.terms(&group.id);
+        self.terms.set(view.terms(&group.id));
         let recovered = monoio::select! {
             released = self.wait_released(host, group, view, sent_at) => released.map(|()| None),
             recovered = self.wait_recovery(host) => Ok(Some(recovered)),
@@ -176,7 +176,7 @@
             }
             if let Ok(status) = monitor::status(host, &pool, suspicion::PROBE_TIMEOUT).await
                 && status.role == Role::Primary
-                && self.terms.allow(status.term)
+                && self.terms.get().allow(status.term)
             {
                 return (from.clone(), status.term);
             }
@@ -280,9 +280,10 @@
             .filter_map(|(pool, status)| Some(standing(host, pool, status.ok()?)))
             .collect();
         let leaving = self.from.as_ref().filter(|_| self.planned);
-        let next = succession::next(&standings, self.terms, leaving, order);
+        let terms = self.terms.get();
+        let next = succession::next(&standings, terms, leaving, order);
         info!(
-            group = %group.id, intent = self.intent, terms = ?self.terms, told = ?standings, ?next,
+            group = %group.id, intent = self.intent, ?terms, told = ?standings, ?next,
             "leader: next step of the failover selected"
         );
         next
@@ -299,9 +300,13 @@
         after: Term,
     ) -> anyhow::Result<Option<(ServerId, Term)>> {
         let server = pool.listed.borrow().id.clone();
-        let Some((token, call_by)) = self.acquire_duty(host, group, after).await? else {
+        let before = self.terms.get();
+        let closed = before.closed.max(after);
+        let Some((token, call_by)) = self.acquire_duty(host, group, closed).await? else {
             return Ok(None);
         };
+        // Also for the next selection of this failover: the call may take effect without an answer.
+        self.terms.set(Terms { closed, ..before });
         // If this host was suspended after the acquisition, another host may have acquired the
         // duty since.
         anyhow::ensure!(
@@ -316,6 +321,9 @@
         info!(group = %id, %server, token, ?answer, error, "promotion: requested");
         let rejected = matches!(promoted, Ok(Outcome::Refused | Outcome::Unavailable));
         if promoted.is_ok() {
+            if rejected {
+                self.terms.set(before);
+            }
             // Not released without an answer: the call may still be in flight.
             self.release_duty(host, group, token, rejected).await;
         }
@@ -335,7 +343,7 @@
         Ok(None)
     }
 
-    /// Acquires the duty to call for promotions and closes the terms up to `after`. Returns the
+    /// Acquires the duty to call for promotions and closes the terms up to `closed`. Returns the
     /// token and the time by which the call must begin; `None` while another host has the duty,
     /// or if the store did not apply the change.
     ///
@@ -346,7 +354,7 @@
         &self,
         host: &Host,
         group: &Group,
-        after: Term,
+        closed: Term,
     ) -> anyhow::Result<Option<(u64, Instant)>> {
         let began = host.now();
         let view = fleet::read(&self.client).await?;
@@ -362,13 +370,13 @@
             ],
             put: vec![
                 (fleet::DUTY_KEY.into(), serde_json::to_vec(&acquired)?),
-                (fleet::closed_key(&group.id), serde_json::to_vec(&after)?),
+                (fleet::closed_key(&group.id), serde_json::to_vec(&closed)?),
             ],
             remove: Vec::new(),
         };
         let verdict = store::change(&self.client, &change, STORE_TIMEOUT).await?;
         let TxOutcome::Applied(token) = verdict else { return Ok(None) };
-        info!(group = %group.id, token, closed = %after, "duty: acquired");
+        info!(group = %group.id, token, %closed, "duty: acquired");
         Ok(Some((token, began + CALL_DEADLINE)))
     }
 
@@ -382,7 +390,8 @@
             serde_json::to_vec(&released).expect("writing to memory"),
         )];
         if rejected {
-            let closed = serde_json::to_vec(&self.terms.closed).expect("writing to memory");
+            let closed = self.terms.get().closed;
+            let closed = serde_json::to_vec(&closed).expect("writing to memory");
             put.push((fleet::closed_key(&group.id), closed));
         }
         let change =
--- /dev/null
+++ b/components/proxy/tests/failover.rs
@@ -0,0 +1,209 @@
+//! Steps of a failover after all hosts have released the former leader.
+
+mod hosts;
+mod platform;
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bergamottrack_adapter::store::{self, Change, TxOutcome};
+use bergamottrack_coordination::{
+    Clock, ServerId, SystemClock, Term,
+    view::{Leadership, Versioned, View},
+};
+use bergamottrack_model::{ListedServer, Role, Settings};
+use bergamottrack_platform::http::Client;
+use bergamottrack_proxy::{Host, failover::Failover, fleet, group::Group, serve};
+use hyper::StatusCode;
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt},
+    net::{TcpListener, TcpStream},
+};
+use platform::Platform;
+
+/// Time for which a test waits for a condition.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Term of the former leader s1.
+const TERM: u64 = 5;
+
+/// Waits until a condition holds.
+async fn until(check: impl Fn() -> bool) {
+    let end = Instant::now() + TIMEOUT;
+    while !check() {
+        assert!(Instant::now() < end, "the condition does not hold in time");
+        monoio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Answer of a server to a request for its status.
+#[derive(Clone, Copy, Debug)]
+enum Report {
+    /// The server does not answer.
+    Silent,
+    /// Position in the former leader's term.
+    Replica(u64),
+    /// Term in which the server leads.
+    Primary(u64),
+}
+
+/// Servers s1 to s3 of the group, and the host h2 that runs the failover.
+struct Fleet {
+    host: Rc<Host>,
+    group: Rc<Group>,
+    platform: Rc<RefCell<Platform>>,
+    reports: [Rc<RefCell<Report>>; 3],
+}
+
+impl Fleet {
+    /// Starts a fleet whose leader is s1.
+    fn start(clock: Rc<dyn Clock>, reports: [Report; 3]) -> Self {
+        let (platform, address) = platform::start();
+        let settings = Settings {
+            store_address: address,
+            promoter_address: address,
+            ..hosts::settings("h2", hosts::NO_ADDRESS.parse().unwrap())
+        };
+        let host = serve::new_host(settings, 1, clock, "ours");
+        let reports = reports.map(|report| Rc::new(RefCell::new(report)));
+        for (report, name) in reports.iter().zip(["s1", "s2", "s3"]) {
+            start_server(&host, name, report.clone());
+        }
+        let group = host.group(&hosts::group());
+        Self { host, group, platform, reports }
+    }
+
+    fn report(&self, server: usize, report: Report) {
+        *self.reports[server - 1].borrow_mut() = report;
+    }
+
+    fn client(&self) -> Client {
+        Client::new(self.host.settings.store_address)
+    }
+
+    /// Writes the row of the group, and begins a failover of s1.
+    async fn begin(&self, planned: bool) -> Failover {
+        let value = Leadership::Steady { leader: id("s1"), term: Term(TERM) };
+        let put = vec![(fleet::group_key(&self.group.id), serde_json::to_vec(&value).unwrap())];
+        let change = Change { put, ..Change::default() };
+        let client = self.client();
+        // The stand-in may not listen yet.
+        let version = loop {
+            if let Ok(TxOutcome::Applied(version)) = store::change(&client, &change, TIMEOUT).await
+            {
+                break version;
+            }
+        };
+        let before = Some(Versioned { version, value });
+        let begun = Failover::begin(&self.host, &self.group, before, Some(id("s1")), planned).await;
+        begun.unwrap().expect("the intent is not written")
+    }
+
+    async fn view(&self) -> View {
+        fleet::read(&self.client()).await.unwrap()
+    }
+
+    /// Returns the leadership in the store.
+    async fn leadership(&self) -> Leadership {
+        self.view().await.groups[&self.group.id].value.clone()
+    }
+}
+
+fn id(name: &str) -> ServerId {
+    name.parse().unwrap()
+}
+
+/// Starts a server that answers requests for its status, and adds it to the host's list.
+fn start_server(host: &Host, name: &str, report: Rc<RefCell<Report>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listed = ListedServer {
+        id: id(name),
+        group: hosts::group(),
+        address: listener.local_addr().unwrap(),
+        domain: host.settings.domain.clone(),
+        slots: 1,
+        leaving: false,
+        role: Role::Replica,
+        started_ms: 1,
+        cold: Duration::ZERO,
+    };
+    host.upsert_server(listed, 1);
+    monoio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            monoio::spawn(serve_statuses(stream, report.clone()));
+        }
+    });
+}
+
+async fn serve_statuses(mut stream: TcpStream, report: Rc<RefCell<Report>>) {
+    let mut pending = String::new();
+    loop {
+        let (read, chunk) = stream.read(vec![0; 1024]).await;
+        let Ok(1..) = read else { return };
+        pending.push_str(std::str::from_utf8(&chunk[..read.unwrap()]).unwrap());
+        while let Some((line, rest)) = pending.split_once("\r\n") {
+            let is_start = line.starts_with("START");
+            pending = rest.to_owned();
+            let report = *report.borrow();
+            let row = |role, term, number| {
+                let point = format!("{term}.{number}");
+                format!("ROW {role} {term} {point} {term} 0 0 0\r\nDONE -\r\nREADY I {point}\r\n")
+            };
+            let answer = match report {
+                Report::Silent => continue,
+                _ if is_start => "READY I -\r\n".to_owned(),
+                Report::Replica(number) => row("replica", TERM, number),
+                Report::Primary(term) => row("primary", term, 60),
+            };
+            if stream.write_all(answer.into_bytes()).await.0.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Guards against two leaders: a promotion call gets no answer and takes effect, the successor is out
+/// of reach for longer than the wait for it, and the former leader, which still reports that it leads,
+/// is adopted again.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn former_leader_is_not_adopted_after_an_unanswered_promotion() {
+    let reports = [Report::Primary(TERM), Report::Silent, Report::Replica(60)];
+    let fleet = Fleet::start(Rc::new(SystemClock), reports);
+    let failover = fleet.begin(true).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    until(|| fleet.platform.borrow().promoted == ["s3".into()]).await;
+    fleet.report(3, Report::Silent);
+    // Longer than the timeout of the call, the wait for the successor and a further selection.
+    monoio::time::sleep(Duration::from_millis(6500)).await;
+    fleet.report(3, Report::Primary(TERM + 1));
+    run.await.unwrap();
+    let successor = Leadership::Steady { leader: id("s3"), term: Term(TERM + 1) };
+    assert_eq!(fleet.leadership().await, successor);
+}
+
+/// Guards against a former leader that a later failover adopts: a promotion call gets no answer and may
+/// take effect, and the rejection of the next call reopens the terms that the first one may have ended.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn rejected_promotion_reopens_no_term_that_an_earlier_call_may_have_ended() {
+    let reports = [Report::Silent, Report::Replica(60), Report::Replica(60)];
+    let fleet = Fleet::start(Rc::new(SystemClock), reports);
+    fleet.platform.borrow_mut().answers = [None, Some(StatusCode::CONFLICT)].into();
+    let failover = fleet.begin(false).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    until(|| fleet.platform.borrow().promoted.len() == 2).await;
+    let is_released = async || fleet.view().await.duty.is_some_and(|duty| duty.value.free);
+    while !is_released().await {
+        monoio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(fleet.view().await.closed.get(&fleet.group.id), Some(&Term(TERM)));
+    drop(run);
+}
--- a/components/proxy/tests/hosts/mod.rs
+++ b/components/proxy/tests/hosts/mod.rs
@@ -1,5 +1,8 @@
 //! Host of a fleet without a store, whose view and clock the test sets.
 
+// Each test uses a part.
+#![allow(dead_code)]
+
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use bergamottrack_coordination::{
@@ -27,7 +30,8 @@
     "s1".parse().unwrap()
 }
 
-fn settings(host: &str, peer_address: SocketAddr) -> Settings {
+/// Returns the settings of a host whose services do not run.
+pub fn settings(host: &str, peer_address: SocketAddr) -> Settings {
     let unused = NO_ADDRESS.parse().unwrap();
     Settings {
         host: id(host),
--- /dev/null
+++ b/components/proxy/tests/platform/mod.rs
@@ -0,0 +1,105 @@
+//! Stand-in of the platform: the table of the fleet, and promotion calls.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bergamottrack_operator::serve::{self as http, Handler, Reply, Request};
+use hyper::StatusCode;
+use serde_json::{Value, json};
+
+/// Table of the fleet, and the promotion calls received.
+pub struct Platform {
+    started: Instant,
+    version: u64,
+    /// Rows by key: version, and encoded value.
+    rows: BTreeMap<Box<str>, (u64, Box<str>)>,
+    /// Answers to the next promotion calls; none for a call that is not answered.
+    pub answers: VecDeque<Option<StatusCode>>,
+    /// Servers whose promotion was requested.
+    pub promoted: Vec<Box<str>>,
+}
+
+/// Starts the platform; returns its address too.
+pub fn start() -> (Rc<RefCell<Platform>>, SocketAddr) {
+    let platform = Rc::new(RefCell::new(Platform {
+        started: Instant::now(),
+        version: 1,
+        rows: BTreeMap::new(),
+        answers: VecDeque::new(),
+        promoted: Vec::new(),
+    }));
+    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = free.local_addr().unwrap();
+    drop(free);
+    let answering = platform.clone();
+    let handler: Rc<Handler> =
+        Rc::new(move |request: Request| -> Pin<Box<dyn Future<Output = Reply>>> {
+            Box::pin(answer(answering.clone(), request))
+        });
+    monoio::spawn(async move { http::serve(address, handler).await.unwrap() });
+    (platform, address)
+}
+
+async fn answer(platform: Rc<RefCell<Platform>>, request: Request) -> Reply {
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    match &*request.path {
+        "/-/rows-get" => platform.borrow().read(),
+        "/-/rows-tx" => platform.borrow_mut().change(&body),
+        "/promotion" => {
+            let server = body["instanceId"].as_str().unwrap().into();
+            platform.borrow_mut().promoted.push(server);
+            let answer = platform.borrow_mut().answers.pop_front().flatten();
+            if answer.is_none() {
+                monoio::time::sleep(Duration::from_secs(3600)).await;
+            }
+            Reply::text(answer.unwrap_or_default(), "")
+        }
+        _ => Reply::text(StatusCode::NOT_FOUND, ""),
+    }
+}
+
+impl Platform {
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn read(&self) -> Reply {
+        let rows = self.rows.iter().map(
+            |(key, (version, value))| json!({"key": key, "value": value, "versionNumber": version}),
+        );
+        let rows: Vec<_> = rows.collect();
+        let (version, now) = (self.version, self.now_ms());
+        Reply::json(
+            StatusCode::OK,
+            &json!({"rows": rows, "hasMore": false, "versionNumber": version, "nowMs": now}),
+        )
+    }
+
+    fn change(&mut self, body: &Value) -> Reply {
+        let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        let key = |entry: &Value| -> Box<str> { entry["key"].as_str().unwrap().into() };
+        let holds = |entry: &Value| {
+            let version = self.rows.get(&key(entry)).map_or(0, |(version, _)| *version);
+            entry["versionNumber"].as_u64() == Some(version)
+        };
+        if !list("precondition").iter().all(holds) {
+            return Reply::json(StatusCode::PRECONDITION_FAILED, &json!({"rows": []}));
+        }
+        self.version += 1;
+        for entry in list("setKeys") {
+            let value = entry["value"].as_str().unwrap().into();
+            self.rows.insert(key(&entry), (self.version, value));
+        }
+        for entry in list("remove") {
+            self.rows.remove(&key(&entry));
+        }
+        let (version, now) = (self.version, self.now_ms());
+        Reply::json(StatusCode::OK, &json!({"versionNumber": version, "nowMs": now}))
+    }
+}
