A promotion is not requested by a host that was suspended while it connected

A server could be promoted long after the failover that chose it was replaced: hosts still use the leader that another failover installed, so that callers read a log that lacks acknowledged writes, and writes at the replaced leader are acknowledged. The call also has a lower token than later ones.

Cause: the time to begin the call is checked before the connection to the platform is set up, by the clock that counts suspended time. The set-up and the call are bounded by timers that stand still while the machine is suspended. A host that is suspended in between, milliseconds, or up to 1.5 s while the platform is slow or a packet is lost, sends the call when it resumes, whatever the duty's expiry has allowed others to do since.

Now the time is checked again right before the request is sent: until the start of the call plus its timeout, which the expiry of the duty covers.

What remains is the time between the check and the write, which no wait separates.

--- a/components/platform/src/http.rs
+++ b/components/platform/src/http.rs
@@ -71,13 +71,25 @@
     address: SocketAddr,
     call: Call<'_>,
     timeout: Duration,
+) -> Result<Response, HttpError> {
+    call_if(address, call, timeout, || true).await
+}
+
+/// As [`call`], but sends nothing if `may_send` does not hold once the connection is set up.
+///
+/// The clock of `timeout` stands still while the machine is suspended.
+pub async fn call_if(
+    address: SocketAddr,
+    call: Call<'_>,
+    timeout: Duration,
+    may_send: impl Fn() -> bool,
 ) -> Result<Response, HttpError> {
     let deadline = Instant::now() + timeout;
     let timed_out = || std::io::Error::from(std::io::ErrorKind::TimedOut);
-    let stream = monoio::time::timeout_at(deadline, TcpStream::connect(address))
-        .await
-        .unwrap_or_else(|_| Err(timed_out()))
-        .map_err(|error| HttpError::Unreachable { address, error })?;
+    let stream = monoio::time::timeout_at(deadline, TcpStream::connect(address)).await;
+    let stream = stream.unwrap_or_else(|_| Err(timed_out()));
+    let stream = stream.and_then(|stream| if may_send() { Ok(stream) } else { Err(timed_out()) });
+    let stream = stream.map_err(|error| HttpError::Unreachable { address, error })?;
     let description = format!("{} {}", call.method, call.path);
     let whole = async {
         let answered = monoio::time::timeout_at(deadline, exchange(address, stream, call));
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -307,15 +307,14 @@
         };
         // Also for the next selection of this failover: the call may take effect without an answer.
         self.terms.set(Terms { closed, ..before });
-        // If this host was suspended after the acquisition, another host may have acquired the
-        // duty since.
-        anyhow::ensure!(
-            host.now() < call_by,
-            "promotion not requested: time to begin the call is over"
-        );
+        // If this host was suspended after the acquisition, also while it connects to the platform,
+        // another host may have acquired the duty since.
+        let may_begin = || host.now() < call_by;
+        anyhow::ensure!(may_begin(), "promotion not requested: time to begin the call is over");
+        let may_send = || host.now() < call_by + CALL_TIMEOUT;
         let duty = promotion::Duty { holder: &host.settings.host, token };
         let (address, id) = (host.settings.promoter_address, &group.id);
-        let promoted = promotion::promote(address, duty, id, &server, CALL_TIMEOUT).await;
+        let promoted = promotion::promote(address, duty, id, &server, CALL_TIMEOUT, may_send).await;
         let error = promoted.as_ref().err().map(tracing::field::display);
         let answer = promoted.as_ref().ok();
         info!(group = %id, %server, token, ?answer, error, "promotion: requested");
--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -5,13 +5,14 @@
 
 use std::{
     cell::RefCell,
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use bergamottrack_adapter::store::{self, Change, TxOutcome};
 use bergamottrack_coordination::{
-    Clock, ServerId, SystemClock, Term,
+    Clock, ManualClock, ServerId, SystemClock, Term,
     view::{Leadership, Versioned, View},
 };
 use bergamottrack_model::{ListedServer, Role, Settings};
@@ -20,7 +21,7 @@
 use hyper::StatusCode;
 use monoio::{
     io::{AsyncReadRent, AsyncWriteRentExt},
-    net::{TcpListener, TcpStream},
+    net::{ListenerOpts, TcpListener, TcpStream},
 };
 use platform::Platform;
 
@@ -59,12 +60,12 @@
 }
 
 impl Fleet {
-    /// Starts a fleet whose leader is s1.
-    fn start(clock: Rc<dyn Clock>, reports: [Report; 3]) -> Self {
+    /// Starts a fleet whose leader is s1. Promotions are requested at `promoter`, or of the platform.
+    fn start(clock: Rc<dyn Clock>, promoter: Option<SocketAddr>, reports: [Report; 3]) -> Self {
         let (platform, address) = platform::start();
         let settings = Settings {
             store_address: address,
-            promoter_address: address,
+            promoter_address: promoter.unwrap_or(address),
             ..hosts::settings("h2", hosts::NO_ADDRESS.parse().unwrap())
         };
         let host = serve::new_host(settings, 1, clock, "ours");
@@ -171,7 +172,7 @@
 #[monoio::test(driver = "legacy", enable_timer = true)]
 async fn former_leader_is_not_adopted_after_an_unanswered_promotion() {
     let reports = [Report::Primary(TERM), Report::Silent, Report::Replica(60)];
-    let fleet = Fleet::start(Rc::new(SystemClock), reports);
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
     let failover = fleet.begin(true).await;
     let run = monoio::spawn({
         let (host, group) = (fleet.host.clone(), fleet.group.clone());
@@ -192,7 +193,7 @@
 #[monoio::test(driver = "legacy", enable_timer = true)]
 async fn rejected_promotion_reopens_no_term_that_an_earlier_call_may_have_ended() {
     let reports = [Report::Silent, Report::Replica(60), Report::Replica(60)];
-    let fleet = Fleet::start(Rc::new(SystemClock), reports);
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
     fleet.platform.borrow_mut().answers = [None, Some(StatusCode::CONFLICT)].into();
     let failover = fleet.begin(false).await;
     let run = monoio::spawn({
@@ -207,3 +208,39 @@
     assert_eq!(fleet.view().await.closed.get(&fleet.group.id), Some(&Term(TERM)));
     drop(run);
 }
+
+/// Guards against a server that is promoted long after its failover was replaced: the host is suspended
+/// while it connects to the platform, the clock of its timers stands still meanwhile, and the call is
+/// sent when it resumes, with a token of before the promotions of others.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn promotion_is_not_requested_after_a_suspension_while_connecting() {
+    let options = ListenerOpts::new().reuse_port(false).backlog(0);
+    let promoter = TcpListener::bind_with_config("127.0.0.1:0", &options).unwrap();
+    let address = promoter.local_addr().unwrap();
+    // Fills the queue of new connections, so that a further one is established when its opening
+    // packet is sent again.
+    let filler = TcpStream::connect(address).await.unwrap();
+    let clock = Rc::new(ManualClock::new());
+    let reports = [Report::Silent, Report::Replica(60), Report::Replica(60)];
+    let fleet = Fleet::start(clock.clone(), Some(address), reports);
+    let failover = fleet.begin(false).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    while fleet.view().await.duty.is_none() {
+        monoio::time::sleep(Duration::from_millis(5)).await;
+    }
+    monoio::time::sleep(Duration::from_millis(100)).await;
+    clock.advance(Duration::from_secs(10));
+    drop(promoter.accept().await.unwrap());
+    drop(filler);
+    let received = async {
+        let (mut stream, _) = promoter.accept().await.unwrap();
+        let (read, chunk) = stream.read(vec![0; 1024]).await;
+        String::from_utf8_lossy(&chunk[..read.unwrap_or_default()]).into_owned()
+    };
+    let received = monoio::time::timeout(Duration::from_secs(3), received).await;
+    assert_eq!(received.unwrap_or_default(), "");
+    drop(run);
+}
