The duty is kept after a promotion call whose outcome is not known

Two promotion calls could overlap: the platform answers one with a failure other than a refusal or a lack of capacity (500, 502, 504), of which the promotion may still be performed, and the next holder of the duty already calls for another server. Hosts then use a leader that the earlier call replaces.

Cause: any answer was taken as the end of the call, although `Outcome::Unclear` is documented as "may still be done". The terms stayed closed, but the duty was released at once.

Now the duty is released only after an outcome; otherwise it expires, as after a call without an answer.

Evidence: the test fails before the change (the duty is free 0.5 s after an answer 504) and passes after it.

--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -319,11 +319,11 @@
         let answer = promoted.as_ref().ok();
         info!(group = %id, %server, token, ?answer, error, "promotion: requested");
         let rejected = matches!(promoted, Ok(Outcome::Refused | Outcome::Unavailable));
-        if promoted.is_ok() {
+        if matches!(promoted, Ok(outcome) if outcome != Outcome::Unclear) {
             if rejected {
                 self.terms.set(before);
             }
-            // Not released without an answer: the call may still be in flight.
+            // Not released without an outcome: the call may still be in progress.
             self.release_duty(host, group, token, rejected).await;
         }
         if rejected {
--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -248,6 +248,24 @@
     drop(run);
 }
 
+/// Guards against promotions in the wrong order: a call is answered with a failure of which the platform
+/// may still perform the promotion, and the duty is released, so that another call overtakes it.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn duty_is_not_released_after_an_answer_without_an_outcome() {
+    let reports = [Report::Silent, Report::Replica(60), Report::Replica(60)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.platform.borrow_mut().answers = [Some(StatusCode::GATEWAY_TIMEOUT)].into();
+    let failover = fleet.begin(false).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    until(|| !fleet.platform.borrow().promoted.is_empty()).await;
+    monoio::time::sleep(Duration::from_millis(500)).await;
+    assert!(!fleet.view().await.duty.unwrap().value.free);
+    drop(run);
+}
+
 /// Runs an unplanned failover in which s2, whose log is ahead of that of s3, answers with its position
 /// only after `delay`, and `first` until then; returns the server that is promoted.
 async fn promoted_beside(first: Report, delay: Duration) -> Box<str> {
