The lease of an evicted host counts from a mark that is written late

Callers could read at a replaced leader through a host that was evicted: the failover does not wait for its lease, though it is valid.

Cause: `left` in the mark is the time of the request plus 2 s, as the latest time at which the host could still prove its membership. The call is given up after `STORE_TIMEOUT` (1 s), and a call that was given up is performed within 2 s more (docs/ASSUMPTIONS.md; the duty's expiry counts both). So a mark can be written up to 1 s after the time that it names. The same holds for a host that marks its own row when it leaves, whose next process relies on the unmarked row.

Now the time covers the call's timeout too. A failover beside a host that was evicted and does not answer waits for it up to 1 s longer, where it did not wait for contact.

--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -64,9 +64,12 @@
 /// store.
 const RELEASE_REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time within which the store performs a call that was given up, or never.
+const LATE_CALL_TTL: Duration = Duration::from_secs(2);
+
 /// Time within which the store applies the mark of a host that was removed after the request, also
 /// without an answer. Until then the host may prove its membership and get a new lease.
-pub const IN_FLIGHT_TTL: Duration = Duration::from_secs(2);
+pub const IN_FLIGHT_TTL: Duration = STORE_TIMEOUT.saturating_add(LATE_CALL_TTL);
 
 /// Ping interval and timeout of links between hosts. Heartbeats are more frequent than these
 /// pings.
