A call to the platform that is given up resets its connection

A server could be promoted many seconds after its failover was replaced: hosts use the leader that a later failover installed, callers read a log that lacks acknowledged writes, and a lower token follows a higher one. The mark of an evicted host could be written long after the time that it names, so that a failover does not wait for the host's valid lease.

Cause: a call is given up after 1 to 1.5 s, and its expiry in the store (the duty, the mark) covers 2 s more, since a closed connection was taken as the end of the call. A network that is cut at that moment holds the request back and delivers it when the cut ends, followed by the end of the stream: closing a socket does not discard what the kernel has not delivered.

Now sockets to the platform are reset when they are closed. A persistent connection that is dropped while idle is reset too.

--- a/components/platform/src/http.rs
+++ b/components/platform/src/http.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
+    os::fd::{AsRawFd, BorrowedFd},
     time::Duration,
 };
 
@@ -104,7 +105,7 @@
     stream: TcpStream,
     call: Call<'_>,
 ) -> anyhow::Result<hyper::Response<Incoming>> {
-    stream.set_nodelay(true)?;
+    prepare(&stream)?;
     let io = MonoioIo::new(stream.into_poll_io()?);
     let (mut sender, conn) = http1::handshake(io).await.context("shaking hands")?;
     monoio::spawn(conn);
@@ -120,6 +121,19 @@
     sender.send_request(request).await.context("sending")
 }
 
+/// Has small requests sent at once, and the connection reset when it is closed.
+///
+/// A network that is cut holds bytes back and delivers them afterwards, also those of a closed
+/// connection. A call that was given up would be performed then, seconds after others rely on its
+/// expiry; a reset discards the bytes.
+fn prepare(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    // SAFETY: the stream keeps the descriptor open for the duration of the call.
+    #[allow(unsafe_code)]
+    let socket = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
+    Ok(rustix::net::sockopt::set_socket_linger(socket, Some(Duration::ZERO))?)
+}
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// Client that keeps its connection open for the next call.
@@ -221,7 +235,7 @@
         .await
         .context("connecting")?
         .context("connecting")?;
-    stream.set_nodelay(true)?;
+    prepare(&stream)?;
     let io = MonoioIo::new(stream.into_poll_io()?);
     let (sender, conn) = http1::handshake(io).await.context("HTTP handshake")?;
     monoio::spawn(async move {
--- a/components/platform/tests/http.rs
+++ b/components/platform/tests/http.rs
@@ -85,3 +85,31 @@
         assert!(began.elapsed() < Duration::from_secs(10));
     });
 }
+
+/// Accepts a connection, reads the request and answers nothing; returns whether the connection was
+/// reset after the caller has closed it.
+async fn is_reset(listener: &TcpListener) -> bool {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let (read, _) = stream.read(vec![0; 4096]).await;
+    assert!(read.unwrap() > 0, "no request arrives");
+    if stream.read(vec![0; 4096]).await.0.is_err() {
+        return true;
+    }
+    // After an orderly end of the stream, only a reset makes the first write fail.
+    monoio::time::sleep(INTERVAL).await;
+    stream.write_all(b"x".to_vec()).await.0.is_err()
+}
+
+/// Guards against a call that is performed long after it was given up: a network that is cut holds the
+/// request back, and delivers it afterwards unless the connection was reset.
+#[test]
+fn a_call_that_is_given_up_resets_its_connection() {
+    on_runtime(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (answer, reset) = monoio::join!(single(address), is_reset(&listener));
+        assert!(answer.is_err() && reset, "the connection of a single call is not reset");
+        let (answer, reset) = monoio::join!(persistent(address), is_reset(&listener));
+        assert!(answer.is_err() && reset, "the persistent connection is not reset");
+    });
+}
