A host whose list of servers is young replaces no leader that it lacks

A leader that runs was replaced, with seconds without a leader for callers, and possibly by a server that lacks acknowledged commits: all entries of the list expire in an outage of the store, and are back within two seconds of its end. A host that starts in these seconds finds the entry of a replica before that of the leader, and at once starts an unplanned failover. The same holds for a host that gets the list from a hub, which sends no missing entries.

Cause: a missing row was taken as proof that the server is gone. Hosts that know an entry keep it for `MISSING_ENTRY_TTL` after it disappeared; a host that never had it has nothing to keep.

Now the monitor replaces such a leader only once the host has had its first entry for that time.

Evidence: the test fails before the change (a failover is scheduled within 1.5 s) and passes after it. Not changed: a failover that such a host runs for another reason chooses among the entries that it has.

--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -40,7 +40,7 @@
 /// of the store are back within 2 s of its return; the rest covers the delay between two reads of
 /// the list. A server that has stopped is detected by refused connections, and a server that is
 /// leaving serves for longer than this.
-const MISSING_ENTRY_TTL: Duration = Duration::from_millis(2500);
+pub const MISSING_ENTRY_TTL: Duration = Duration::from_millis(2500);
 
 /// Maximum age of the list of servers before a host that receives the list from its hub reads it
 /// from the store. A server that leaves continues to serve for longer than this.
--- a/components/proxy/src/monitor.rs
+++ b/components/proxy/src/monitor.rs
@@ -89,6 +89,9 @@
         return;
     };
     let Some(pool) = host.server(&leader) else {
+        if !host.has_settled_list() {
+            return;
+        }
         return start_failover(
             host,
             group,
--- a/components/proxy/src/servers.rs
+++ b/components/proxy/src/servers.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     catalog::{Catalog, Upsert},
+    follow::MISSING_ENTRY_TTL,
     group::Group,
     host::{Host, Phase},
     placement,
@@ -47,6 +48,8 @@
     pub catalog: RefCell<Catalog>,
     /// Store time at which the list was last confirmed to be current.
     pub clock: Cell<Duration>,
+    /// Time at which this host received its first entry of the list; none before.
+    listed_since: Cell<Option<Instant>>,
     /// Pools of the servers in use, by server.
     pools: RefCell<HashMap<ServerId, Rc<Pool>>>,
     /// Number of changes of the view, the list and the configuration. A pool of an earlier
@@ -202,6 +205,8 @@
         let before = match effect {
             Upsert::Unchanged => return false,
             Upsert::Added => {
+                let since = self.backends.listed_since.get().unwrap_or_else(|| self.now());
+                self.backends.listed_since.set(Some(since));
                 debug!(
                     server = %listed.id, group = %listed.group, address = %listed.address,
                     role = ?listed.role, leaving = listed.leaving, "servers: server added"
@@ -230,6 +235,13 @@
         true
     }
 
+    /// Returns whether a server that this host's list has never had has certainly no entry: entries that
+    /// expired in an outage of the store have had the time to return since this host's first entry.
+    pub fn has_settled_list(&self) -> bool {
+        let since = self.backends.listed_since.get();
+        since.is_some_and(|at| self.now().saturating_duration_since(at) >= MISSING_ENTRY_TTL)
+    }
+
     /// Returns the end of a server's cold phase by its entry; `None` if it is warm or the
     /// store's clock is unknown.
     fn cold_until(&self, listed: &ListedServer) -> Option<Instant> {
--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -17,7 +17,7 @@
 };
 use bergamottrack_model::{ListedServer, Role, Settings};
 use bergamottrack_platform::http::Client;
-use bergamottrack_proxy::{Host, failover::Failover, fleet, group::Group, serve};
+use bergamottrack_proxy::{Host, failover::Failover, fleet, group::Group, monitor, serve};
 use hyper::StatusCode;
 use monoio::{
     io::{AsyncReadRent, AsyncWriteRentExt},
@@ -266,6 +266,33 @@
     drop(run);
 }
 
+/// Guards against the replacement of a leader that runs, and by a server that lacks acknowledged
+/// commits: all entries have expired in an outage of the store, and a host that starts finds the entry
+/// of a replica before that of the leader is back, which takes two seconds.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn leader_whose_entry_is_not_back_after_an_outage_is_kept() {
+    let reports = [Report::Primary(TERM), Report::Replica(60), Report::Replica(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    let host = &fleet.host;
+    for name in ["s1", "s2"] {
+        let occurrence = host.backends.catalog.borrow_mut().mark_missing(&id(name), 1).unwrap();
+        assert!(host.remove_server(&id(name), occurrence));
+    }
+    let row = Versioned { version: 2, value: fleet::own_row(&host.settings) };
+    let value = Leadership::Steady { leader: id("s1"), term: Term(TERM) };
+    let view = View {
+        version: 2,
+        members: [(host.settings.host.clone(), row)].into(),
+        groups: [(fleet.group.id.clone(), Versioned { version: 2, value })].into(),
+        ..View::default()
+    };
+    fleet::apply_view(host, view, host.now());
+    assert!(host.leased());
+    monoio::spawn(monitor::watch(host.clone()));
+    monoio::time::sleep(Duration::from_millis(1500)).await;
+    assert!(!fleet.group.in_failover.get(), "the leader is replaced");
+}
+
 /// Runs an unplanned failover in which s2, whose log is ahead of that of s3, answers with its position
 /// only after `delay`, and `first` until then; returns the server that is promoted.
 async fn promoted_beside(first: Report, delay: Duration) -> Box<str> {
