--- a/components/platform/src/http.rs
+++ b/components/platform/src/http.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
+    os::fd::{AsRawFd, BorrowedFd},
     time::Duration,
 };
 
@@ -71,13 +72,25 @@
     address: SocketAddr,
     call: Call<'_>,
     timeout: Duration,
+) -> Result<Response, HttpError> {
+    call_if(address, call, timeout, || true).await
+}
+
+/// As [`call`], but sends nothing if `may_send` does not hold once the connection is set up.
+///
+/// The clock of `timeout` stands still while the machine is suspended.
+pub async fn call_if(
+    address: SocketAddr,
+    call: Call<'_>,
+    timeout: Duration,
+    may_send: impl Fn() -> bool,
 ) -> Result<Response, HttpError> {
     let deadline = Instant::now() + timeout;
     let timed_out = || std::io::Error::from(std::io::ErrorKind::TimedOut);
-    let stream = monoio::time::timeout_at(deadline, TcpStream::connect(address))
-        .await
-        .unwrap_or_else(|_| Err(timed_out()))
-        .map_err(|error| HttpError::Unreachable { address, error })?;
+    let stream = monoio::time::timeout_at(deadline, TcpStream::connect(address)).await;
+    let stream = stream.unwrap_or_else(|_| Err(timed_out()));
+    let stream = stream.and_then(|stream| if may_send() { Ok(stream) } else { Err(timed_out()) });
+    let stream = stream.map_err(|error| HttpError::Unreachable { address, error })?;
     let description = format!("{} {}", call.method, call.path);
     let whole = async {
         let answered = monoio::time::timeout_at(deadline, exchange(address, stream, call));
@@ -92,7 +105,7 @@
     stream: TcpStream,
     call: Call<'_>,
 ) -> anyhow::Result<hyper::Response<Incoming>> {
-    stream.set_nodelay(true)?;
+    prepare(&stream)?;
     let io = MonoioIo::new(stream.into_poll_io()?);
     let (mut sender, conn) = http1::handshake(io).await.context("shaking hands")?;
     monoio::spawn(conn);
@@ -108,6 +121,19 @@
     sender.send_request(request).await.context("sending")
 }
 
+/// Has small requests sent at once, and the connection reset when it is closed.
+///
+/// A network that is cut holds bytes back and delivers them afterwards, also those of a closed
+/// connection. A call that was given up would be performed then, seconds after others rely on its
+/// expiry; a reset discards the bytes.
+fn prepare(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    // SAFETY: the stream keeps the descriptor open for the duration of the call.
+    #[allow(unsafe_code)]
+    let socket = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
+    Ok(rustix::net::sockopt::set_socket_linger(socket, Some(Duration::ZERO))?)
+}
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// Client that keeps its connection open for the next call.
@@ -209,7 +235,7 @@
         .await
         .context("connecting")?
         .context("connecting")?;
-    stream.set_nodelay(true)?;
+    prepare(&stream)?;
     let io = MonoioIo::new(stream.into_poll_io()?);
     let (sender, conn) = http1::handshake(io).await.context("HTTP handshake")?;
     monoio::spawn(async move {
