A busy replica counts in a failover with the position in its answer

Callers could lose an acknowledged commit: the replica that alone confirmed it has no free slot when a failover reads the positions, and the other replica, which lacks the commit, is promoted.

Cause: confirmation counts the position in the answer of a busy replica; the failover dropped that answer, as if the server were gone.

The position is a lower bound of what the server has received, so a busy server is chosen only for what it certainly has. A busy former leader does not count: it reports no role.

Evidence: busy_replica_with_confirmed_commits_is_not_passed_over failed before (s3 at 5.50 promoted beside s2 at 5.60) and passes now, 1 run of the test file, with five others of the file. A replica that does not answer at all is still passed over: its test fails and is listed.

--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -26,7 +26,13 @@
 use tracing::{info, warn};
 
 use crate::{
-    fleet, follow::STORE_TIMEOUT, group::Group, host::Host, monitor, placement, pool::Pool,
+    fleet,
+    follow::STORE_TIMEOUT,
+    group::Group,
+    host::Host,
+    monitor::{self, StatusError},
+    placement,
+    pool::Pool,
 };
 
 /// Time for a promoted server to become leader before the promotion is requested again.
@@ -277,7 +283,7 @@
         let standings: Vec<Standing> = pools
             .iter()
             .zip(statuses)
-            .filter_map(|(pool, status)| Some(standing(host, pool, status.ok()?)))
+            .filter_map(|(pool, status)| Some(standing(host, pool, self.reported(pool, status)?)))
             .collect();
         let leaving = self.from.as_ref().filter(|_| self.planned);
         let terms = self.terms.get();
@@ -289,6 +295,20 @@
         next
     }
 
+    /// Returns the status that counts for the selection of the next leader. That of a busy server is
+    /// the position in its answer, which may confirm commits that no other server has; a busy former
+    /// leader has none.
+    fn reported(&self, pool: &Pool, status: Result<Status, StatusError>) -> Option<Status> {
+        let is_former = || self.from.as_ref() == Some(&pool.listed.borrow().id);
+        match status {
+            Ok(status) => Some(status),
+            Err(StatusError::Busy(Some(received))) if !is_former() => {
+                Some(Status { role: Role::Replica, term: received.term, received })
+            }
+            Err(_) => None,
+        }
+    }
+
     /// Requests the promotion of a server and waits until the server leads in a term after
     /// `after`; `None` if the duty was not acquired, the platform rejects the request, or the
     /// server does not lead within [`PROMOTION_TIMEOUT`].
--- a/components/proxy/src/monitor.rs
+++ b/components/proxy/src/monitor.rs
@@ -7,7 +7,7 @@
 
 use bergamottrack_adapter::wire;
 use bergamottrack_coordination::{
-    AccountId, HostId, ServerId, evacuation, rendezvous,
+    AccountId, HostId, Point, ServerId, evacuation, rendezvous,
     suspicion::{self, Advice},
     view::{FAILOVER_MARGIN, FAILOVER_TTL, Leadership},
 };
@@ -205,7 +205,7 @@
     let (answer, ()) = monoio::join!(status(&host, &leader, suspicion::PROBE_TIMEOUT), readings);
     let now = host.now();
     match answer {
-        Ok(_) | Err(StatusError::Busy) => group.suspicion.borrow_mut().answered(),
+        Ok(_) | Err(StatusError::Busy(_)) => group.suspicion.borrow_mut().answered(),
         Err(StatusError::Refused) => group.suspicion.borrow_mut().refused(now),
         Err(StatusError::Silent) => {
             group.suspicion.borrow_mut().silent(since);
@@ -242,8 +242,9 @@
 
 /// Reason why a server's status is not known.
 pub enum StatusError {
-    /// The server answered, but has no capacity for the request.
-    Busy,
+    /// The server answered, but has no capacity for the request. The point, if its answer contains
+    /// one, is a lower bound of what it has received.
+    Busy(Option<Point>),
     /// The connection was refused: no process listens at the address, or a network rejects it.
     Refused,
     /// No answer arrived in time, the session was rejected, or the connection broke.
@@ -261,7 +262,7 @@
         })?;
         wire::put_status(&mut backend.out);
         let answer = backend.exchange().await.map_err(|_| StatusError::Silent)?;
-        wire::decode_status(&answer).ok_or(StatusError::Busy)
+        wire::decode_status(&answer).ok_or(StatusError::Busy(answer.point))
     };
     monoio::time::timeout(timeout, request).await.unwrap_or(Err(StatusError::Silent))
 }
