A failover waits for the position of a listed replica that does not answer

Callers could lose an acknowledged commit: the replica that alone confirmed it does not answer the one status request of a failover, and the other replica, which lacks the commit, is promoted.

Cause: the best of the servers that answered within 400 ms was promoted; no answer was taken as a server that is gone.

Now an unplanned failover promotes a server only once each listed replica has reported its position, for 4 s from the intent at most: the platform's list loses a server that has ended within that time, and a change of leader stays within 7 s. If a listed replica is silent for longer, commits that it alone has confirmed are lost, as before.

--- a/components/proxy/src/catalog.rs
+++ b/components/proxy/src/catalog.rs
@@ -96,6 +96,11 @@
         self.by_group.get(group).into_iter().flatten().filter_map(|id| self.get(id))
     }
 
+    /// Returns whether a server has an entry that is not missing.
+    pub fn is_present(&self, id: &ServerId) -> bool {
+        self.entries.get(id).is_some_and(|entry| entry.missing.is_none())
+    }
+
     fn present(&self) -> impl Iterator<Item = &ListedServer> {
         let present = self.entries.values().filter(|entry| entry.missing.is_none());
         present.map(|entry| &entry.listed)
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -44,6 +44,11 @@
 /// Interval between reads of the store for the releases of hosts that this host cannot reach.
 const RELEASE_READ_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time from the intent for which a failover waits for the position of each listed replica: the one that
+/// does not answer may be the only one that has confirmed a commit. With a second each for detection and
+/// promotion, a change of leader is over within 7 s.
+const REPLICA_TIMEOUT: Duration = Duration::from_millis(4000);
+
 /// Interval between status requests to the successor.
 const STATUS_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -69,6 +74,8 @@
     terms: Cell<Terms>,
     /// Time by which this host must finish; another host may take over some time later.
     deadline: Instant,
+    /// End of the wait for replicas that do not answer.
+    replicas_until: Instant,
 }
 
 impl Failover {
@@ -106,7 +113,16 @@
         };
         let deadline = now + FAILOVER_TTL;
         let terms = Cell::new(Terms { known: term, ..Terms::default() });
-        Ok(intent.map(|intent| Self { client, from, planned, intent, terms, deadline }))
+        let replicas_until = now + REPLICA_TIMEOUT;
+        Ok(intent.map(|intent| Self {
+            client,
+            from,
+            planned,
+            intent,
+            terms,
+            deadline,
+            replicas_until,
+        }))
     }
 
     /// Runs the failover until the leader is written to the store: a new one, or the former one
@@ -280,14 +296,27 @@
         let requests =
             pools.iter().map(|pool| monitor::status(host, pool, suspicion::PROBE_TIMEOUT));
         let statuses = future::join_all(requests).await;
-        let standings: Vec<Standing> = pools
-            .iter()
-            .zip(statuses)
-            .filter_map(|(pool, status)| Some(standing(host, pool, self.reported(pool, status)?)))
+        let statuses =
+            pools.iter().zip(statuses).map(|(pool, status)| (pool, self.reported(pool, status)));
+        let (reported, silent): (Vec<_>, Vec<_>) =
+            statuses.partition(|(_, status)| status.is_some());
+        let standings: Vec<Standing> = reported
+            .into_iter()
+            .filter_map(|(pool, status)| Some(standing(host, pool, status?)))
             .collect();
         let leaving = self.from.as_ref().filter(|_| self.planned);
         let terms = self.terms.get();
-        let next = succession::next(&standings, terms, leaving, order);
+        let mut next = succession::next(&standings, terms, leaving, order);
+        let is_listed = |(pool, _): &(&Rc<Pool>, _)| {
+            let id = &pool.listed.borrow().id;
+            self.from.as_ref() != Some(id) && host.backends.catalog.borrow().is_present(id)
+        };
+        if matches!(next, Next::Promote { last: None, .. })
+            && host.now() < self.replicas_until
+            && silent.iter().any(is_listed)
+        {
+            next = Next::Nobody;
+        }
         info!(
             group = %group.id, intent = self.intent, ?terms, told = ?standings, ?next,
             "leader: next step of the failover selected"
