Test: a release whose answer is lost is published

A group has no leader for 4.25 s in place of about one, and for 7.75 s if the cut takes a majority of the witnesses, though every host has released the leader and reaches the store. The links of a host are cut between the request for its release and the answer: milliseconds, and up to 1.2 s in a planned failover, in which the host's open transactions end first.

Cause: a request that has arrived is taken as proof that the answer arrives. A host publishes its release in the store only if no host has sent it the row (`group.release_requested`), and the host that runs the failover can repeat the request only over the links. docs/design/contact-beside-the-lease.md states that a host that is cut off from the others and reaches the table service publishes its release.

Evidence: the test fails on this code (no release in the store within the time of contact); without the mark of the request, as a control, the same steps publish it after 0.6 s. Not mended here: publishing again after a second while the row still names the intent would cost each host of a large fleet a write in every failover that waits for one host.

--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -13,6 +13,7 @@
 use bergamottrack_adapter::store::{self, Change, TxOutcome};
 use bergamottrack_coordination::{
     Clock, ManualClock, ServerId, SystemClock, Term,
+    contact::CONTACT_TTL,
     view::{Leadership, Versioned, View},
 };
 use bergamottrack_model::{ListedServer, Role, Settings};
@@ -326,3 +327,44 @@
     let promoted = promoted_beside(Report::Silent, Duration::from_millis(700)).await;
     assert_eq!(&*promoted, "s2");
 }
+
+/// Guards against a failover that waits for a host's contact to expire, although the host has released
+/// the leader and reaches the store: the links are cut between the request for the release and the answer.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn release_whose_answer_is_lost_is_published() {
+    let reports = [Report::Primary(TERM), Report::Replica(60), Report::Replica(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    let (host, client) = (&fleet.host, fleet.client());
+    let write = async |key, value: Vec<u8>| {
+        let change = Change { put: vec![(key, value)], ..Change::default() };
+        // The stand-in may not listen yet.
+        loop {
+            if let Ok(TxOutcome::Applied(version)) = store::change(&client, &change, TIMEOUT).await
+            {
+                break version;
+            }
+        }
+    };
+    let me = &host.settings.host;
+    let row = serde_json::to_vec(&fleet::own_row(&host.settings)).unwrap();
+    write(fleet::member_key(me), row).await;
+    fleet::apply_view(host, fleet.view().await, host.now());
+    let value = Leadership::Moving {
+        from: Some(id("s1")),
+        holder: hosts::id("h1"),
+        since: Duration::ZERO,
+        planned: false,
+        term: Term(TERM),
+    };
+    let row = serde_json::to_vec(&value).unwrap();
+    let intent = write(fleet::group_key(&fleet.group.id), row).await;
+    // As a request of the host that runs the failover does.
+    fleet.group.release_requested.set(intent);
+    fleet::apply_row(host, &fleet.group.id, Versioned { version: intent, value });
+    monoio::spawn(fleet::follow(host.clone()));
+    let end = Instant::now() + CONTACT_TTL;
+    while fleet.view().await.members[me].value.released < intent {
+        assert!(Instant::now() < end, "the release is not published");
+        monoio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
