--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -308,8 +308,7 @@
     fleet.report(2, Report::Replica(60));
     until(|| !fleet.platform.borrow().promoted.is_empty()).await;
     drop(run);
-    let promoted = fleet.platform.borrow().promoted[0].clone();
-    promoted
+    fleet.platform.borrow().promoted[0].clone()
 }
 
 /// Guards against the loss of acknowledged commits: the replica that confirmed them has no free slot
