Reports that a partition held up do not end the loss of a host

Cause: admissions of a lost participant are within the part reserved for it and are not charged. The first report that a partition held up made the participant live again, and the held-up ones after it, sent before its loss was noticed, were charged at its end. The same class as for claims: an arrival was taken for the time of sending.

Now a host that was lost stays so until a report arrives that was not preceded by a late one. This is what happens if the held-up reports are lost with their links, so the sum of admissions is the same as without them.

--- a/components/coordination/src/reports.rs
+++ b/components/coordination/src/reports.rs
@@ -141,6 +141,8 @@
     /// Requests in the last report if they were left out, as admitted within the claims of another
     /// side.
     left_out: Option<u64>,
+    /// Whether the process was lost until its last report, or that report was held up since then.
+    was_lost: bool,
     /// Time at which the last report was received.
     last_contact: Instant,
 }
@@ -158,6 +160,7 @@
             claims: None,
             has_claims: false,
             left_out: None,
+            was_lost: false,
             last_contact: now,
         }
     }
@@ -181,6 +184,19 @@
         now.checked_sub(elapsed).map_or(self.last_contact, |at| at.min(self.last_contact))
     }
 
+    /// Returns whether the last report, which was sent at `sent_before` at the latest, was held up.
+    /// Reports that were held up arrive together.
+    fn was_held_up(&self, sent_before: Instant) -> bool {
+        sent_before + REPORT_INTERVAL / 2 <= self.last_contact
+    }
+
+    /// Returns whether the process was lost until it sent the next report. A report that was held up
+    /// does not end this.
+    fn is_lost_before(&self, sent_before: Instant, now: Instant) -> bool {
+        Liveness::since(sent_before, now) == Liveness::Lost
+            || self.was_lost && self.was_held_up(sent_before)
+    }
+
     fn advance(&mut self, report: &Report) {
         if self.last_report.0 != report.run {
             self.previous_run = Some(self.last_report.0);
@@ -215,9 +231,7 @@
         if self.admitted.is_empty() {
             return ended_recently;
         }
-        // Reports that were held up arrive together.
-        let held_up = sent_before + REPORT_INTERVAL / 2 <= self.last_contact;
-        let continues = self.left_out.is_some() && held_up && ended_recently;
+        let continues = self.left_out.is_some() && self.was_held_up(sent_before) && ended_recently;
         continues || Self::is_claimed(sent_before, claimed_at)
     }
 
@@ -235,7 +249,8 @@
         claimed_at: Option<Instant>,
         now: Instant,
     ) -> Vec<i64> {
-        let lost = Liveness::since(sent_before, now) == Liveness::Lost;
+        let lost = self.is_lost_before(sent_before, now);
+        self.was_lost = lost;
         let claimed = self.is_of_other_side(sent_before, claimed_at, now);
         self.left_out = claimed.then_some(0);
         let elapsed = now.saturating_duration_since(sent_before).max(REPORT_INTERVAL);
@@ -355,12 +370,15 @@
 
     /// Returns whether the participant was lost until the host `from` sent a report.
     pub fn was_lost(&self, from: &HostId, report: &Report, now: Instant) -> bool {
-        let contact = |(host, reporter): (&HostId, &Reporter)| match host == from {
-            true => reporter.sent_before(report, now),
-            false => reporter.last_contact,
-        };
-        let contact = self.reporters.iter().map(contact).max().unwrap_or(self.last_contact);
-        Liveness::since(contact, now) == Liveness::Lost
+        if self.reporters.is_empty() {
+            return self.liveness(now) == Liveness::Lost;
+        }
+        self.reporters.iter().all(|(host, reporter)| match host == from {
+            true => reporter.is_lost_before(reporter.sent_before(report, now), now),
+            false => {
+                reporter.was_lost || Liveness::since(reporter.last_contact, now) == Liveness::Lost
+            }
+        })
     }
 
     /// Returns the requests of the account that silent processes are assumed to have admitted
--- a/components/coordination/tests/demand.rs
+++ b/components/coordination/tests/demand.rs
@@ -8,7 +8,7 @@
 
 use bergamottrack_coordination::{
     AccountId, Burst, HostId, Rate,
-    demand::{Demand, ISOLATION_TIMEOUT, Tolerance},
+    demand::{Demand, ISOLATION_TIMEOUT, Report, Tolerance},
     hubs,
     view::{LEASE_MARGIN, LEASE_TTL, Member, Versioned, View},
 };
@@ -29,6 +29,8 @@
     hosts: Vec<(HostId, Demand)>,
     now: Instant,
     admitted: Vec<(Instant, usize)>,
+    /// Reports that were not received, with the time, the receiver and the sender.
+    missed: Vec<(Instant, usize, usize, Report)>,
 }
 
 fn account() -> AccountId {
@@ -47,7 +49,12 @@
             demand.set_participants(&host(n), others, Instant::now());
             (host(n), demand)
         });
-        Self { hosts: hosts.collect(), now: Instant::now(), admitted: Vec::new() }
+        Self {
+            hosts: hosts.collect(),
+            now: Instant::now(),
+            admitted: Vec::new(),
+            missed: Vec::new(),
+        }
     }
 
     /// Simulates `time`: host `n` has `rates[n]` requests per second, and the host `to` receives
@@ -85,11 +92,23 @@
             for (from, report) in reports.iter().enumerate() {
                 if from != to && receives(to, from) {
                     demand.receive_report(&host(from), &host(from), report, self.now);
+                } else if from != to {
+                    self.missed.push((now, to, from, report.clone()));
                 }
             }
         }
     }
 
+    /// Delivers the reports of before `until` that were not received.
+    fn deliver_missed(&mut self, until: Instant) {
+        for (at, to, from, report) in std::mem::take(&mut self.missed) {
+            if at < until {
+                let (_, demand) = &mut self.hosts[to];
+                demand.receive_report(&host(from), &host(from), &report, self.now);
+            }
+        }
+    }
+
     fn admitted_since(&self, since: Instant) -> usize {
         self.admitted.iter().filter(|(at, _)| *at >= since).count()
     }
@@ -167,6 +186,26 @@
     assert!(worst <= allowed(), "{worst} were admitted in a window, {} are allowed", allowed());
 }
 
+/// Guards against refusals after a partition: the reports of its first seconds arrive late, the lost
+/// hosts count as live again, and all admissions within their reserved parts are charged.
+#[test]
+fn reports_that_a_partition_held_up_do_not_charge_the_admissions_of_lost_hosts() {
+    for size in 1..6 {
+        let mut fleet = Fleet::new(6);
+        let rates = [0.75 * RATE.0 / 6.0; 6];
+        fleet.run(Duration::from_secs(6), &rates, |_, _| true);
+        let since = fleet.now;
+        fleet.run(Duration::from_secs(30), &rates, |to, from| (to < size) == (from < size));
+        fleet.deliver_missed(since + Duration::from_millis(2200));
+        let healed = fleet.now;
+        fleet.run(Duration::from_secs(3), &rates, |_, _| true);
+        let served = fleet.admitted_since(healed) as f64 / (3.0 * 0.75 * RATE.0);
+        println!("{size} hosts on one side: {served:.3} of the requests admitted");
+        assert!(served >= 0.95, "{served:.3} of the requests admitted");
+        assert!(fleet.worst_window() <= allowed());
+    }
+}
+
 /// Time of the store at which silent hosts are evicted in these tests.
 const EVICTED_AT: Duration = Duration::from_secs(60);
 
