Lab: ports are not probed while another thread starts a process

Cause: `Ports::take` binds each port of a block to find out whether it is free. A process that another test thread of the program starts at that moment inherits the socket by fork and holds it until it is executed, so the port is in use when the link or server binds it.

`Command::spawn` returns once the child is executed, so that a lock held for the call suffices. Starts do not wait for each other.

--- a/lab/src/ports.rs
+++ b/lab/src/ports.rs
@@ -1,6 +1,9 @@
 //! Allocation of ports to processes of tests that run in parallel.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::{PoisonError, RwLock, RwLockReadGuard},
+};
 
 use anyhow::Context;
 
@@ -13,6 +16,15 @@
 /// Number of ports of a block.
 const BLOCK_SIZE: u16 = 250;
 
+/// Lock against processes that start, by another thread, while ports are probed: until such a
+/// process is executed, it holds a copy of the socket that occupied a probed port.
+static PROBES: RwLock<()> = RwLock::new(());
+
+/// Waits until no ports are probed, and prevents probes until the guard is dropped.
+pub(crate) fn prevent_probes() -> RwLockReadGuard<'static, ()> {
+    PROBES.read().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Block of ports, reserved for this process until the value is dropped.
 #[derive(Debug)]
 pub struct Ports {
@@ -25,6 +37,7 @@
 impl Ports {
     /// Reserves a free block.
     pub fn take() -> anyhow::Result<Self> {
+        let _probes = PROBES.write().unwrap_or_else(PoisonError::into_inner);
         let blocks = (FIRST_PORT..END_PORT).step_by(usize::from(BLOCK_SIZE));
         let ports = blocks.into_iter().find_map(|first| {
             let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, first)).ok()?;
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -9,6 +9,8 @@
 
 use anyhow::Context;
 
+use crate::ports;
+
 /// Child process with its arguments, environment and log; killed when dropped.
 #[derive(Debug)]
 pub struct Process {
@@ -55,6 +57,8 @@
             .stdout(log.try_clone()?)
             .stderr(log);
         kill_with_parent(&mut command);
+        // The call returns once the child is executed.
+        let _no_probes = ports::prevent_probes();
         let child = command
             .spawn()
             .with_context(|| format!("starting {} ({})", self.name, self.program.display()))?;
