Tests: a failure names how late the stand-ins ran

Now the soak, the tests with hosts/mod.rs and the scenarios print, with a failure, each timer of the stand-ins and links that fired 50 ms late or more, its time, and the thread's processor time while it waited. Stand-ins that are processes log it.

A process that a scenario suspends counts as late for that time.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod demo;
 pub mod experiment;
 pub mod fault;
+pub mod lateness;
 pub mod link;
 pub mod load;
 pub mod platform;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -4,8 +4,10 @@
 
 use clap::{Args, Parser, Subcommand};
 use lab::{
-    cost, demo, experiment, fault, link, load, platform, product, server, slopes, soak, storm, up,
+    cost, demo, experiment, fault, lateness::Lateness, link, load, platform, product, server,
+    slopes, soak, storm, up,
 };
+use tracing_subscriber::{EnvFilter, filter::LevelFilter};
 
 /// Stand-ins, faults, load and experiments for bergamottrack.
 #[derive(Debug, Parser)]
@@ -63,16 +65,15 @@
 
 fn main() -> anyhow::Result<()> {
     let cli = Cli::parse();
-    tracing_subscriber::fmt()
-        .with_env_filter(tracing_subscriber::EnvFilter::from_env("LAB_LOG"))
-        .with_writer(std::io::stderr)
-        .init();
+    let filter = EnvFilter::builder().with_env_var("LAB_LOG");
+    let filter = filter.with_default_directive(LevelFilter::WARN.into()).from_env_lossy();
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).init();
     match cli.command {
-        Command::Server(args) => run_on_monoio(server::run(args)),
+        Command::Server(args) => run_standin("the server", server::run(args)),
         Command::Soak(args) => run_on_monoio(soak::run(args)),
         Command::Gaps(args) => run_on_monoio(soak::gaps::run(args)),
-        Command::Link(args) => run_on_monoio(link::run(args)),
-        Command::Platform(args) => run_on_monoio(platform::run(args)),
+        Command::Link(args) => run_standin("the links", link::run(args)),
+        Command::Platform(args) => run_standin("the platform", platform::run(args)),
         Command::Fault(args) => tokio::runtime::Runtime::new()?.block_on(fault::run(args)),
         Command::Outage(args) => tokio::runtime::Runtime::new()?.block_on(fault::outage(args)),
         Command::Storm(args) => {
@@ -98,6 +99,14 @@
     runtime.block_on(work)
 }
 
+/// Runs a stand-in that is a process of its own, and logs how late its timers fire.
+fn run_standin(name: &str, work: impl Future<Output = anyhow::Result<()>>) -> anyhow::Result<()> {
+    run_on_monoio(async {
+        Lateness::start(name);
+        work.await
+    })
+}
+
 /// Builds the product, then runs a command on a single-threaded tokio runtime.
 fn run_with_product(work: impl Future<Output = anyhow::Result<()>>) -> anyhow::Result<()> {
     product::build()?;
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -23,6 +23,8 @@
 use schedule::{Action, Step};
 use world::World;
 
+use crate::lateness::Lateness;
+
 /// Settings of a soak.
 #[derive(Args, Clone, Debug)]
 pub struct SoakArgs {
@@ -72,9 +74,6 @@
 /// bound of the settings, and one second for operations in flight.
 const WITHDRAWAL_TIMEOUT: Duration = Duration::from_millis(4500);
 
-/// Interval of the timer that measures how late the stand-ins run.
-const LATENESS_INTERVAL: Duration = Duration::from_millis(10);
-
 /// Maximum time until all hosts apply a configuration: the bound of the settings.
 const CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(3000);
 
@@ -150,8 +149,7 @@
     let world = Rc::new(RefCell::new(World::start_sized(args.hosts, large)?));
     monoio::spawn(World::maintain(world.clone()));
     let stop = Rc::new(Cell::new(false));
-    let lateness = Rc::new(Cell::new(Duration::ZERO));
-    monoio::spawn(measure_lateness(lateness.clone()));
+    let lateness = Lateness::start("");
     for caller in world.borrow().make_callers(args.callers) {
         monoio::spawn(caller.run(stop.clone()));
     }
@@ -179,22 +177,11 @@
     if !outcome.broken.is_empty() {
         let kept = world.keep_logs(seed)?;
         outcome.broken.push(format!("logs are kept in {}", kept.display()));
-        let lateness = lateness.get();
-        outcome.broken.push(format!("stand-ins and links ran up to {lateness:?} late"));
+        outcome.broken.push(format!("stand-ins, links and callers: {}", lateness.borrow()));
     }
     Ok(outcome)
 }
 
-/// Records the maximum time by which a timer of this thread, which also runs the stand-ins and the
-/// links, fires late, in an endless loop. A large value shows that a fault lies in the test system.
-async fn measure_lateness(maximum: Rc<Cell<Duration>>) {
-    loop {
-        let due = Instant::now() + LATENESS_INTERVAL;
-        monoio::time::sleep(LATENESS_INTERVAL).await;
-        maximum.set(maximum.get().max(due.elapsed()));
-    }
-}
-
 /// Applies each step at its time and reverts it at its end.
 async fn apply_steps(world: &Rc<RefCell<World>>, steps: &[Step]) -> anyhow::Result<()> {
     let began = Instant::now();
--- a/lab/src/system.rs
+++ b/lab/src/system.rs
@@ -259,6 +259,14 @@
         Ok(target)
     }
 
+    /// Returns the log lines of stand-ins and links about timers that fired late.
+    pub fn late_timers(&self) -> Vec<String> {
+        let processes = self.servers.values().chain(&self.link).chain([&self.platform]);
+        let logs: Vec<String> = processes.map(Process::log).collect();
+        let lines = logs.iter().flat_map(|log| log.lines());
+        lines.filter(|line| line.contains("lateness:")).map(Into::into).collect()
+    }
+
     /// Returns the address on which `from` connects to `to`: that of a new link if the plan has
     /// links, `address` itself otherwise.
     fn route(&mut self, from: &str, to: &str, address: SocketAddr) -> anyhow::Result<SocketAddr> {
--- a/lab/src/usage.rs
+++ b/lab/src/usage.rs
@@ -12,6 +12,17 @@
     Duration::from_nanos(nanos.sum())
 }
 
+/// Returns the processor time used so far by the calling thread.
+pub fn thread_processor() -> Duration {
+    let mut time = libc::timespec { tv_sec: 0, tv_nsec: 0 };
+    // SAFETY: the call writes `time`, which outlives it.
+    #[allow(unsafe_code)]
+    unsafe {
+        libc::clock_gettime(libc::CLOCK_THREAD_CPUTIME_ID, &raw mut time);
+    }
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
 /// Returns the resident memory of a process in bytes, from `VmRSS`; 0 when it has ended.
 pub fn memory(pid: u32) -> u64 {
     let text = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
--- a/tests/hosts/mod.rs
+++ b/tests/hosts/mod.rs
@@ -10,7 +10,10 @@
     time::{Duration, Instant},
 };
 
-use lab::soak::{SoakArgs, world::World};
+use lab::{
+    lateness::{Lateness, OnFailure},
+    soak::{SoakArgs, world::World},
+};
 use monoio::{
     io::IntoPollIo,
     net::{TcpStream, tcp::stream_poll::TcpStreamPoll},
@@ -20,13 +23,14 @@
 /// Timeout for any awaited condition.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Runs a test on a new runtime of this thread.
+/// Runs a test on a new runtime of this thread. If it fails, prints how late the thread ran.
 pub fn block_on<T>(test: impl Future<Output = T>) -> T {
-    monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .unwrap()
-        .block_on(test)
+    monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer().build().unwrap().block_on(
+        async {
+            let _report = OnFailure(Lateness::start(""));
+            test.await
+        },
+    )
 }
 
 /// Arguments of a soak with seed 1; `secs` is the duration of its faults in seconds.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -218,6 +218,7 @@
     fn drop(&mut self) {
         if let Some(system) = self.system.as_mut().filter(|_| std::thread::panicking()) {
             println!("logs kept in {:?}", system.keep_logs());
+            system.late_timers().iter().for_each(|line| println!("{line}"));
         }
     }
 }
