--- a/lab/src/lateness.rs
+++ b/lab/src/lateness.rs
@@ -1,4 +1,4 @@
-//! Measurement of how late the timers of an event loop fire, which tells a slow test system from a
+//! Measurement of how late the timers of an event loop fire, to distinguish a slow test system from a
 //! fault of the product.
 
 use std::{
