Tests: late reports of a hub of the same side are charged

Cause: while claims divide the rates because some hub is silent, requests are left out if claims divided the rates 1.6 s after the latest time at which the last report can have been sent. A hub of the same side whose report came 1.2 s late, and whose next ones were lost with their link, counted as in contact by arrival, so its claims were part of the receiver's side all the time; 2.4 s of its admissions were left out. The receiver's bucket was full when that of the hub was empty.

--- a/components/coordination/tests/claims.rs
+++ b/components/coordination/tests/claims.rs
@@ -657,3 +657,40 @@
         assert!(report.invalid_claim().is_some());
     }
 }
+
+/// Guards against a bucket that fills at the whole rate of its side while the admissions of a hub of
+/// the same side are left out: another hub has crashed, so that claims divide the rates, and the
+/// hub's reports were late and then lost with their link.
+#[test]
+fn late_reports_of_a_hub_of_the_same_side_are_charged_while_claims_divide_the_rates() {
+    let (from, to, crashed) = (0, HOSTS, 2 * HOSTS + 1);
+    let rates = |first: f64, second: f64| {
+        move |n| match n {
+            _ if n == from => first * RATE.0,
+            _ if n == to => second * RATE.0,
+            _ => 0.0,
+        }
+    };
+    for (late, lost) in [(1200, 1200), (1400, 1000), (1600, 1200), (1800, 1000), (2000, 1200)] {
+        println!("the first report {late} ms late, the others of the next {lost} ms lost");
+        let mut fleet = Fleet::new(rates(0.5, 0.0));
+        fleet.run(Duration::from_secs(10));
+        fleet.nodes[crashed].process = Process::Ended;
+        fleet.run(Duration::from_secs(6));
+        fleet.set_rate(rates(8.0, 0.0));
+        fleet.run(Duration::from_millis(100));
+        fleet.cut = vec![(from, to)];
+        fleet.run(Duration::from_millis(late));
+        let held_up = std::mem::take(&mut fleet.held_up);
+        let mut of_link =
+            held_up.into_iter().filter(|report| (report.from, report.to) == (from, to));
+        let first = of_link.next().expect("a report was held up");
+        fleet.deliver(first);
+        fleet.run(Duration::from_millis(lost));
+        fleet.held_up.clear();
+        fleet.cut.clear();
+        fleet.set_rate(rates(8.0, 20.0));
+        fleet.run(Duration::from_secs(6));
+        fleet.assert_within_limit();
+    }
+}
