Late reports of a hub of the same side are charged while claims divide the rates

The latest time of sending only extends this: a report after a left-out one that was held up is left out too, if the division is over 600 ms after that one has arrived. While it lasts, the claims of a process in contact are part of this side.

Reports that arrive while the division lasts for more than 600 ms after the held-up ones are charged as before.

--- a/components/coordination/src/reports.rs
+++ b/components/coordination/src/reports.rs
@@ -28,6 +28,10 @@
 /// held-up reports arrive, is assumed to have admitted requests within the claims of its side.
 const FIRST_REPORT_TIMEOUT: Duration = Duration::from_millis(2000);
 
+/// Time from the arrival of a held-up report until the division must be over for the next report to be
+/// left out as well: one report is missing.
+const HELD_UP_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Time after which the counts of a host without reports may be dropped. If the host reports
 /// again later, each account is charged for at most its recent demand there.
 const COUNTS_TTL: Duration = Duration::from_secs(60);
@@ -231,8 +235,12 @@
         if self.admitted.is_empty() {
             return ended_recently;
         }
-        let continues = self.left_out.is_some() && self.was_held_up(sent_before) && ended_recently;
-        continues || Self::is_claimed(sent_before, claimed_at)
+        // While claims divide the rates, those of a process in contact belong to this side. A
+        // division lasts little longer than the held-up reports take to arrive.
+        let ended = claimed_at.is_some_and(|at| at < self.last_contact + HELD_UP_TIMEOUT);
+        let continues =
+            self.left_out.is_some() && self.was_held_up(sent_before) && ended && ended_recently;
+        continues || Self::is_claimed(self.last_contact, claimed_at)
     }
 
     /// Applies the entries of a report and returns, for each entry, the number of requests
