Tests: late reports of a host that was not lost are charged

Cause: a host counted as lost if the latest time at which its last report can have been sent was 4 s ago. A report came 0.8 s late and the next 3.2 s of reports were lost with their link: the host was never lost here, so the buckets had filled at its part too, and its admissions were charged to none.

--- a/components/coordination/tests/demand.rs
+++ b/components/coordination/tests/demand.rs
@@ -528,3 +528,29 @@
     let worst = fleet.worst_window();
     assert!(worst <= allowed(), "{worst} were admitted in a window, {} are allowed", allowed());
 }
+
+/// Guards against admissions that no bucket is charged with: a host without contact for less than the
+/// time after which it counts as lost uses its demand's part of the rate, however late its last
+/// report arrived.
+#[test]
+fn late_reports_of_a_host_that_was_not_lost_are_charged() {
+    let receives = |_, from| from != 0;
+    for (size, late, lost) in [(12, 800, 3200), (9, 800, 3200), (20, 1200, 3200)] {
+        let mut fleet = Fleet::new(size);
+        let mut rates = vec![0.02 * RATE.0; size];
+        rates[1] = 0.3 * RATE.0;
+        fleet.run(Duration::from_secs(6), &rates, |_, _| true);
+        rates.fill(0.0);
+        rates[0] = 8.0 * RATE.0;
+        fleet.run(Duration::from_millis(late), &rates, receives);
+        // The first report arrives late, the others are lost with their link.
+        let (first, ..) = *fleet.missed.first().expect("a report was missed");
+        fleet.deliver_missed(first + TICK);
+        fleet.run(Duration::from_millis(lost), &rates, receives);
+        rates[1..].fill(20.0 * RATE.0);
+        fleet.run(Duration::from_secs(3), &rates, |_, _| true);
+        let worst = fleet.worst_window();
+        println!("{size} hosts: {worst} admitted in a window, {} are allowed", allowed());
+        assert!(worst <= allowed());
+    }
+}
