--- a/components/coordination/src/reports.rs
+++ b/components/coordination/src/reports.rs
@@ -197,7 +197,7 @@
     /// Returns whether the process was lost until it sent the next report. A report that was held up
     /// does not end this.
     fn is_lost_before(&self, sent_before: Instant, now: Instant) -> bool {
-        Liveness::since(sent_before, now) == Liveness::Lost
+        Liveness::since(self.last_contact, now) == Liveness::Lost
             || self.was_lost && self.was_held_up(sent_before)
     }
 
