Review: a leaving replica with all commits is passed over by a failover

Cause: a failover chooses among servers that are not leaving, also where only a leaving one has the commits that were confirmed by it.

Change: case 1 shows this without load; the busy replica becomes its second way.

--- a/review/stand/failover.rs
+++ b/review/stand/failover.rs
@@ -3,6 +3,7 @@
 
 use std::{
     io,
+    net::SocketAddr,
     sync::{
         Mutex,
         atomic::{AtomicBool, Ordering},
@@ -13,7 +14,7 @@
 
 use crate::{
     client::Client,
-    world::{KEY, OTHER_KEY, Setting, World},
+    world::{KEY, OTHER_KEY, Record, Setting, World},
 };
 
 /// Sessions that read.
@@ -66,30 +67,7 @@
         }
         for n in 0..WRITERS {
             let (front, stop, acknowledged) = (fronts[n % fronts.len()], &stop, &acknowledged);
-            scope.spawn(move || {
-                let mut k = 0;
-                while !stop.load(Ordering::Relaxed) {
-                    let Ok(mut client) = Client::start(front, "bookings", KEY) else {
-                        thread::sleep(WRITE_PAUSE);
-                        continue;
-                    };
-                    loop {
-                        let id = format!("w{n}k{k}");
-                        k += 1;
-                        record.line(&format!("client sends {id}: WRITE w{n} {k}"));
-                        let answer = client.query(&id, &format!("WRITE w{n} {k}"));
-                        let Ok(answer) = answer else { break };
-                        record.line(&format!("{id} is answered: {}", answer.outcome));
-                        if answer.is_done() {
-                            acknowledged.lock().unwrap().push((id, Instant::now()));
-                        }
-                        thread::sleep(WRITE_PAUSE);
-                        if stop.load(Ordering::Relaxed) {
-                            break;
-                        }
-                    }
-                }
-            });
+            scope.spawn(move || write(n, front, WRITE_PAUSE, record, stop, acknowledged));
         }
         thread::sleep(Duration::from_secs(3));
         if setting.trouble {
@@ -111,19 +89,53 @@
         thread::sleep(Duration::from_secs(2));
         stop.store(true, Ordering::Relaxed);
     });
-    let state = service.state.lock().unwrap();
-    let acknowledged = acknowledged.into_inner().expect("no writer failed");
+    Ok(judge(&world, record, &acknowledged.into_inner().expect("no writer failed")))
+}
+
+/// Writes until `stop`, and notes the ids of acknowledged writes with the time of the answer.
+pub fn write(
+    n: usize,
+    front: SocketAddr,
+    pause: Duration,
+    record: &Record,
+    stop: &AtomicBool,
+    acknowledged: &Mutex<Vec<(String, Instant)>>,
+) {
+    let mut k = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let Ok(mut client) = Client::start(front, "bookings", KEY) else {
+            thread::sleep(pause);
+            continue;
+        };
+        while !stop.load(Ordering::Relaxed) {
+            let id = format!("w{n}k{k}");
+            k += 1;
+            record.line(&format!("client sends {id}: WRITE w{n} {k}"));
+            let Ok(answer) = client.query(&id, &format!("WRITE w{n} {k}")) else { break };
+            record.line(&format!("{id} is answered: {}", answer.outcome));
+            if answer.is_done() {
+                acknowledged.lock().unwrap().push((id, Instant::now()));
+            }
+            thread::sleep(pause);
+        }
+    }
+}
+
+/// Compares the commits that were acknowledged before each promotion with the log of the promoted
+/// instance; returns whether none is missing.
+pub fn judge(world: &World, record: &Record, acknowledged: &[(String, Instant)]) -> bool {
+    let state = world.service.state.lock().unwrap();
     let mut held = true;
-    for promotion in &state.promotions {
-        let (at, id, term, kept) = promotion;
+    for (at, id, term, kept) in &state.promotions {
         record.line_at(*at, &format!("{id} leads term {term}, with {} commits", kept.len()));
         let before = acknowledged.iter().filter(|(_, when)| when < at);
         let lost: Vec<&str> =
             before.filter(|(id, _)| !kept.contains(id)).map(|(id, _)| id.as_str()).collect();
         held &= lost.is_empty();
         let verdict = if lost.is_empty() { "none is missing" } else { "BROKEN" };
-        record.line(&format!("acknowledged commits that {id} lacks: {lost:?} ({verdict})"));
+        let count = lost.len();
+        record.line(&format!("{count} acknowledged commits that {id} lacks: {lost:?} ({verdict})"));
     }
     record.line(&format!("{} commits were acknowledged", acknowledged.len()));
-    Ok(held)
+    held
 }
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -8,6 +8,7 @@
 mod host;
 mod instances;
 mod json;
+mod leaving;
 mod platform;
 mod smuggle;
 mod stop;
@@ -39,6 +40,7 @@
     };
     let case: Case = match name.as_str() {
         "failover" => failover::run,
+        "leaving" => leaving::run,
         "smuggle" => smuggle::run,
         "stop" => stop::run,
         _ => {
--- a/review/stand/world.rs
+++ b/review/stand/world.rs
@@ -90,7 +90,7 @@
         let world = Self { platform: platform.clone(), service, hosts: Vec::new() };
         world.configure(7, sync, &[("church", Some(KEY)), ("school", Some(OTHER_KEY))]);
         for i in 0..ips.len() {
-            world.enlist(i);
+            world.enlist(i, "ready");
         }
         let mut world = world;
         for i in 0..hosts {
@@ -150,14 +150,14 @@
         self.platform.put("op", "config", &text);
     }
 
-    /// Writes the entry of an instance.
-    pub fn enlist(&self, i: usize) {
+    /// Writes the entry of an instance, in the state `ready` or `draining`.
+    pub fn enlist(&self, i: usize, standing: &str) {
         let state = self.service.state.lock().unwrap();
         let instance = &state.instances[i];
         let role = if instance.leads { "primary" } else { "replica" };
         let text = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
-             \"slots\":5,\"state\":\"ready\",\"coldRemainingMs\":0,\"databaseRole\":\"{role}\",\
+             \"slots\":5,\"state\":\"{standing}\",\"coldRemainingMs\":0,\"databaseRole\":\"{role}\",\
              \"sequence\":1,\"born\":1764840000000}}",
             self.service.name,
             instance.address,
