Failover log shows whether a server's position comes from a busy answer

The log of a failover's selection did not tell a reported position from the one beside a busy answer, which is what the server has applied.

Standing has the field busy, which the selection does not use yet.

--- a/components/coordination/src/succession.rs
+++ b/components/coordination/src/succession.rs
@@ -34,6 +34,9 @@
     pub term: Term,
     /// Last log record that the server has received.
     pub received: Point,
+    /// Whether the server had no capacity to report its position. `received` is then the last record
+    /// that it has applied, and it may have received more.
+    pub busy: bool,
 }
 
 /// Terms of a group in the store.
--- a/components/coordination/tests/succession.rs
+++ b/components/coordination/tests/succession.rs
@@ -20,6 +20,7 @@
         cold: false,
         term: Term(term),
         received,
+        busy: false,
     }
 }
 
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -299,10 +299,10 @@
         let statuses =
             pools.iter().zip(statuses).map(|(pool, status)| (pool, self.reported(pool, status)));
         let (reported, silent): (Vec<_>, Vec<_>) =
-            statuses.partition(|(_, status)| status.is_some());
+            statuses.partition(|(_, report)| report.is_some());
         let standings: Vec<Standing> = reported
             .into_iter()
-            .filter_map(|(pool, status)| Some(standing(host, pool, status?)))
+            .filter_map(|(pool, report)| Some(standing(host, pool, report?)))
             .collect();
         let leaving = self.from.as_ref().filter(|_| self.planned);
         let terms = self.terms.get();
@@ -327,12 +327,13 @@
     /// Returns the status that counts for the selection of the next leader. That of a busy server is
     /// the position in its answer, which may confirm commits that no other server has; a busy former
     /// leader has none.
-    fn reported(&self, pool: &Pool, status: Result<Status, StatusError>) -> Option<Status> {
+    fn reported(&self, pool: &Pool, status: Result<Status, StatusError>) -> Option<Report> {
         let is_former = || self.from.as_ref() == Some(&pool.listed.borrow().id);
         match status {
-            Ok(status) => Some(status),
+            Ok(status) => Some(Report { status, busy: false }),
             Err(StatusError::Busy(Some(received))) if !is_former() => {
-                Some(Status { role: Role::Replica, term: received.term, received })
+                let status = Status { role: Role::Replica, term: received.term, received };
+                Some(Report { status, busy: true })
             }
             Err(_) => None,
         }
@@ -489,8 +490,16 @@
     }
 }
 
-/// Combines a server's reported status with its entry in the list and its placement.
-fn standing(host: &Host, pool: &Pool, status: Status) -> Standing {
+/// Answer of a server to a request for its status.
+struct Report {
+    /// Reported status; that of a busy server contains the position of its answer.
+    status: Status,
+    /// Whether the server had no capacity to report its status.
+    busy: bool,
+}
+
+/// Combines a server's report with its entry in the list and its placement.
+fn standing(host: &Host, pool: &Pool, Report { status, busy }: Report) -> Standing {
     let listed = pool.listed.borrow();
     Standing {
         id: listed.id.clone(),
@@ -501,6 +510,7 @@
         cold: pool.is_cold(host.now()),
         term: status.term,
         received: status.received,
+        busy,
     }
 }
 
