Tests: the stand-in of the platform keeps its port from the start

Seen once in a run of the failover tests: 'Address already in use' in rejected_promotion_reopens_no_term_that_an_earlier_call_may_have_ended. The stand-in reserved a free port, released it and let the HTTP server bind it again; a connection of another test, whose port the system assigns, may take it in between. It now passes its open listener on: operator::serve has serve_on, which serve uses too.

--- a/components/operator/src/serve.rs
+++ b/components/operator/src/serve.rs
@@ -94,6 +94,11 @@
     let listener =
         listen(address).with_context(|| format!("cannot listen for operators on {address}"))?;
     info!("operator: listening on {}.", listener.local_addr()?);
+    serve_on(listener, handler).await
+}
+
+/// Serves the connections of a listener without end.
+pub async fn serve_on(listener: TcpListener, handler: Rc<Handler>) -> ! {
     loop {
         let stream = accept::stream(&listener, "operators").await;
         monoio::spawn(connection(stream, handler.clone()));
--- a/components/proxy/tests/platform/mod.rs
+++ b/components/proxy/tests/platform/mod.rs
@@ -34,15 +34,14 @@
         answers: VecDeque::new(),
         promoted: Vec::new(),
     }));
-    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = free.local_addr().unwrap();
-    drop(free);
+    let listener = http::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
     let answering = platform.clone();
     let handler: Rc<Handler> =
         Rc::new(move |request: Request| -> Pin<Box<dyn Future<Output = Reply>>> {
             Box::pin(answer(answering.clone(), request))
         });
-    monoio::spawn(async move { http::serve(address, handler).await.unwrap() });
+    monoio::spawn(http::serve_on(listener, handler));
     (platform, address)
 }
 
