A failover promotes a leaving server that has records which no other shows

Cause: a replica that is being removed counts for the confirmation of a commit, but succession::next left it out of the choice. The log of the host that ran the failover: i-appointments-1, leaving, at 1.304; i-appointments-2, which received nothing for 3 s, at 1.162; next: Promote i-appointments-2. That the position of the first had not arrived, or that the commits had been confirmed wrongly, is ruled out by the same line.

Change: a leaving server is promoted if it has more than every server that stays and no leader can send its log. It leaves soon, so the next planned failover must not lose what it brought: a replica without the leader's term is no successor while the leader reports, a planned failover does not begin before another server has the term, and a leaving server that has lost its last chance for new statements (drain bound less 1.5 s) gets none outside of open transactions, also as a leader. If a planned successor does not receive the leader's log, the second choice has leaving servers too, and a second choice of nobody no longer promotes the first one.

Tests, which fail before: leaving_server_with_records_that_no_other_shows_is_promoted, leaving_server_is_promoted_if_the_successor_receives_nothing_of_the_leader, leader_is_not_replaced_by_a_replica_without_its_term, leaving_replica_with_confirmed_commits_is_not_passed_over (s3 in place of s2), leaving_leader_is_kept_until_a_replica_has_its_term, server_that_has_been_leaving_for_the_drain_bound_gets_no_new_statement.

--- a/components/coordination/src/succession.rs
+++ b/components/coordination/src/succession.rs
@@ -11,6 +11,11 @@
 //! closes all terms up to the newest reported or known one, because the promotion may take
 //! effect and end them; a rejected request reopens the terms that were closed for it. The leader
 //! of a closed term is never adopted; another promotion is required.
+//!
+//! Each replica counts for the confirmation of a commit, also one that is being removed. Such a
+//! server is therefore promoted if it has records that no other replica shows and no leader can
+//! send them. It is replaced in a planned failover once another server has received its term, which
+//! begins with the whole log that it brought.
 
 use crate::{Point, ServerId, Term};
 
@@ -69,8 +74,9 @@
         /// Newest term, reported or known. All terms up to this one are closed before the
         /// promotion is requested.
         after: Term,
-        /// Last record of the former leader; none if it did not report its state, if its term is
-        /// closed, or if a server reports a newer term or a newer one is known.
+        /// Last record of the former leader, which the successor must receive first; none if the
+        /// leader did not report its state, if its term is closed, if a server reports a newer term
+        /// or a newer one is known, or in [`Order::Stalled`].
         last: Option<Point>,
     },
     /// No server can lead at present.
@@ -87,6 +93,9 @@
     /// By log, since records missing from the successor's log may have been acknowledged; then
     /// by the number of databases and warm before cold. For unplanned failovers.
     Log,
+    /// As [`Order::Log`], without a wait for the leader's last record. For planned failovers whose
+    /// successor does not receive it.
+    Stalled,
 }
 
 /// Returns the next step from the reported states. `retiring` is the leader to be replaced in a
@@ -104,21 +113,29 @@
     }
     // Without the leader's last record, nothing shows which acknowledged records a successor lacks.
     let order = if leader.is_some() { order } else { Order::Log };
-    let eligible = |server: &&Standing| !server.leads && !server.leaving && !server.evacuated;
-    let replicas = states.iter().filter(eligible);
-    let successor = replicas.max_by_key(|server| {
+    // A replica without the leader's term may lack commits that the leader brought from earlier terms.
+    let has_term = |server: &Standing| leader.is_none_or(|leader| server.term >= leader.term);
+    let eligible = |server: &&Standing| !server.leads && !server.evacuated && has_term(server);
+    let rank = |server: &&Standing| {
         let placement = (server.served, !server.cold);
         match order {
             Order::Placement => (Some(placement), server.received, placement),
-            Order::Log => (None, server.received, placement),
+            Order::Log | Order::Stalled => (None, server.received, placement),
         }
-    });
-    let Some(successor) = successor else {
+    };
+    let (leaving, staying): (Vec<_>, Vec<_>) =
+        states.iter().filter(eligible).partition(|server| server.leaving);
+    let Some(successor) = staying.into_iter().max_by_key(rank) else {
         // Without a successor the leader stays, also a retiring or evacuated one, unless it is
         // being removed: statements that only a leader can run may still run on it.
         return leader.filter(|leader| !leader.leaving).map_or(Next::Nobody, adopt);
     };
+    // A leader that sends its log to the successor makes the promotion of a leaving server needless.
+    let waits = leader.is_some() && order != Order::Stalled;
+    let ahead = leaving.into_iter().max_by_key(rank);
+    let ahead = ahead.filter(|server| !waits && server.received > successor.received);
+    let successor = ahead.unwrap_or(successor);
     // `None` for the leader of a closed term: the promotion must not wait for its records.
-    let last = leader.map(|leader| leader.received);
+    let last = leader.filter(|_| waits).map(|leader| leader.received);
     Next::Promote { successor: successor.id.clone(), after: newest.max(terms.known), last }
 }
--- a/components/coordination/tests/succession.rs
+++ b/components/coordination/tests/succession.rs
@@ -91,6 +91,56 @@
     assert_eq!(succession::next(&[old], terms(1, 1), None, Order::Log), Next::Nobody);
 }
 
+/// Guards against the loss of acknowledged commits that only a leaving replica has confirmed: it is left
+/// out of the choice, and a replica that has received nothing for seconds is promoted.
+#[test]
+fn leaving_server_with_records_that_no_other_shows_is_promoted() {
+    let leaving = Standing { leaving: true, ..server("leaving", false, 1, (1, 304)) };
+    let deaf = server("deaf", false, 1, (1, 162));
+    let states = [leaving.clone(), deaf];
+    let promote = |name| Next::Promote { successor: id(name), after: Term(1), last: None };
+    for order in [Order::Log, Order::Placement] {
+        assert_eq!(succession::next(&states, terms(1, 0), None, order), promote("leaving"));
+    }
+    let equal = server("equal", false, 1, (1, 304));
+    let states = [leaving, equal];
+    assert_eq!(succession::next(&states, terms(1, 0), None, Order::Log), promote("equal"));
+}
+
+/// Guards against the loss of acknowledged commits in a planned failover: the successor does not receive
+/// the leader's log, and a leaving replica, which does, is left out of the second choice.
+#[test]
+fn leaving_server_is_promoted_if_the_successor_receives_nothing_of_the_leader() {
+    let leader = server("leader", true, 4, (4, 50));
+    let leaving = Standing { leaving: true, ..server("leaving", false, 4, (4, 50)) };
+    let states = [leader, leaving, server("deaf", false, 4, (4, 20))];
+    let retiring = Some(&id("leader"));
+    let last = Some(Point::new(4, 50));
+    let promote = |name, last| Next::Promote { successor: id(name), after: Term(4), last };
+    for order in [Order::Log, Order::Placement] {
+        let next = succession::next(&states, terms(4, 3), retiring, order);
+        assert_eq!(next, promote("deaf", last));
+    }
+    let next = succession::next(&states, terms(4, 3), retiring, Order::Stalled);
+    assert_eq!(next, promote("leaving", None));
+}
+
+/// Guards against the loss of acknowledged commits that a leader brought from an earlier term: it is
+/// replaced, as it is leaving, before any other server has received its term.
+#[test]
+fn leader_is_not_replaced_by_a_replica_without_its_term() {
+    let leader = server("leader", true, 5, (5, 60));
+    let states = [leader.clone(), server("deaf", false, 4, (4, 20))];
+    let retiring = Some(&id("leader"));
+    for order in [Order::Log, Order::Placement, Order::Stalled] {
+        let next = succession::next(&states, terms(5, 4), retiring, order);
+        assert_eq!(next, Next::Adopt(id("leader"), Term(5)));
+        let leaving = Standing { leaving: true, ..leader.clone() };
+        let states = [leaving, states[1].clone()];
+        assert_eq!(succession::next(&states, terms(5, 4), retiring, order), Next::Nobody);
+    }
+}
+
 /// Guards against a leader that stays in an evacuated failure domain, and against a successor in
 /// one.
 #[test]
--- a/components/model/src/settings.rs
+++ b/components/model/src/settings.rs
@@ -36,6 +36,9 @@
     /// Time after an evacuation within which the last statement may be sent to the servers of the
     /// failure domain.
     pub evacuation_bound: Duration,
+    /// Time after a backend server has reported that it is leaving within which the last statement may
+    /// be sent to it, except in open transactions; `Duration::MAX` if there is no bound.
+    pub drain_bound: Duration,
     /// Tolerance by which the rate limit for cold servers may be exceeded.
     pub cold_tolerance: cold::Tolerance,
     /// Time within which a revoked key must stop working even on isolated hosts; `None` if isolated
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -267,19 +267,22 @@
         pools.retain(|pool| self.planned || Some(&pool.listed.borrow().id) != self.from.as_ref());
         let order = if self.planned { Order::Placement } else { Order::Log };
         let next = self.select_successor(host, group, &pools, order).await;
+        let next = match next {
+            Next::Promote { ref successor, last: Some(last), .. } => {
+                let Some(pool) = host.server(successor) else { return Ok(None) };
+                if wait_caught_up(host, &pool, last).await {
+                    next
+                } else {
+                    self.select_successor(host, group, &pools, Order::Stalled).await
+                }
+            }
+            next => next,
+        };
         match next {
             Next::Adopt(leader, term) => Ok(Some((leader, term))),
             Next::Nobody => Ok(None),
-            Next::Promote { successor, after, last } => {
+            Next::Promote { successor, after, .. } => {
                 let Some(pool) = host.server(&successor) else { return Ok(None) };
-                if let Some(last) = last
-                    && !wait_caught_up(host, &pool, last).await
-                    && let Next::Promote { successor, after, .. } =
-                        self.select_successor(host, group, &pools, Order::Log).await
-                    && let Some(pool) = host.server(&successor)
-                {
-                    return self.promote(host, group, &pool, after).await;
-                }
                 self.promote(host, group, &pool, after).await
             }
         }
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -151,6 +151,12 @@
     usage.is_none_or(|usage| host.holds(usage))
 }
 
+/// Returns whether the server may no longer get the statement, which is not one of an open transaction,
+/// as it is leaving. Does not apply to the hosts' own queries, which have no account.
+fn is_drained(host: &Host, pool: &Pool, statement: &ForwardedStatement) -> bool {
+    statement.account.is_some() && placement::is_drained(host, pool)
+}
+
 /// Begins to use the statement's server as leader; `None` if the statement does not rely on the
 /// leader.
 fn begin_use(
@@ -190,6 +196,9 @@
     if *host.phase.borrow() == Phase::Closing {
         return Err(NotSent::Draining);
     }
+    if is_drained(host, &pool, statement) {
+        return Err(NotSent::Rejected);
+    }
     let usage = begin_use(host, &pool, statement)?;
     let until = monoio::time::Instant::now() + statement.timeout();
     let (leased, permit) = match &statement.account {
@@ -206,6 +215,9 @@
     if placement::is_forbidden(host, &pool) {
         return Err(NotSent::Evacuated);
     }
+    if is_drained(host, &pool, statement) {
+        return Err(NotSent::Rejected);
+    }
     if !may_send(host, usage.as_ref()) {
         return Err(NotSent::NotLeader);
     }
--- a/components/proxy/src/group.rs
+++ b/components/proxy/src/group.rs
@@ -41,6 +41,9 @@
     pub in_failover: Cell<bool>,
     /// Failover whose host cannot be reached: the store's time at its begin, and the time since which.
     pub lost_holder: Cell<Option<(Duration, Instant)>>,
+    /// Time before which no planned failover begins, since no server had received the leader's term;
+    /// `None` if one may begin.
+    pub successor_retry_at: Cell<Option<Instant>>,
     /// Time at which this host last began a failover of the group.
     pub began_failover: Cell<Option<Instant>>,
     /// Greatest version of a failover intent, a row `Leadership::Moving` of the group, for which no
@@ -99,6 +102,7 @@
             probing: Cell::default(),
             in_failover: Cell::default(),
             lost_holder: Cell::default(),
+            successor_retry_at: Cell::default(),
             began_failover: Cell::default(),
             released: Cell::default(),
             release_requested: Cell::default(),
--- a/components/proxy/src/monitor.rs
+++ b/components/proxy/src/monitor.rs
@@ -9,11 +9,11 @@
 use bergamottrack_coordination::{
     AccountId, HostId, Point, ServerId, evacuation, rendezvous,
     suspicion::{self, Advice},
-    view::{FAILOVER_MARGIN, FAILOVER_TTL, Leadership},
+    view::{FAILOVER_MARGIN, FAILOVER_TTL, Leadership, Versioned},
 };
 use bergamottrack_model::Status;
 use bergamottrack_peer::{Answer, Question};
-use futures_util::future;
+use futures_util::{StreamExt, future, stream::FuturesUnordered};
 use monoio::net::TcpStream;
 use tracing::{info, warn};
 
@@ -53,6 +53,10 @@
 /// over from each other for as long as that lasts.
 const REPLACED_HOLDER_TIMEOUT: Duration = Duration::from_millis(6500);
 
+/// Delay before a planned failover is considered again, after no server of the group had received the
+/// leader's term.
+const SUCCESSOR_RETRY_DELAY: Duration = Duration::from_millis(300);
+
 /// Checks the leaders of all groups, in an endless loop; pauses while this host holds no lease or
 /// closes its sessions.
 pub async fn watch(host: Rc<Host>) {
@@ -100,7 +104,8 @@
             "the leader is no longer in the list of servers",
         );
     };
-    if let Some(why) = planned_failover_reason(host, group, &pool) {
+    let may_plan = group.successor_retry_at.get().is_none_or(|at| now >= at);
+    if may_plan && let Some(why) = planned_failover_reason(host, group, &pool) {
         return start_failover(host, group, Some(leader), true, why);
     }
     if placement::is_forbidden(host, &pool) {
@@ -114,8 +119,9 @@
         monoio::spawn(probe(host.clone(), group.clone(), pool, now));
     }
     let led_since = group.led_since();
-    if led_since
-        .is_some_and(|led_since| group.receipts.state.borrow().is_partitioned(led_since, now))
+    if may_plan
+        && led_since
+            .is_some_and(|led_since| group.receipts.state.borrow().is_partitioned(led_since, now))
     {
         return start_failover(
             host,
@@ -368,6 +374,12 @@
             group.in_failover.set(false);
             return;
         }
+        if planned && !has_successor(&host, &group, from.as_ref(), before.as_ref()).await {
+            info!(group = %group.id, "leader: kept, no other server has received its term");
+            group.successor_retry_at.set(Some(host.now() + SUCCESSOR_RETRY_DELAY));
+            group.in_failover.set(false);
+            return;
+        }
         let failover = Failover::begin(&host, &group, before, from, planned).await;
         match failover {
             Ok(Some(failover)) => {
@@ -390,3 +402,32 @@
         group.in_failover.set(false);
     });
 }
+
+/// Returns whether a server has received the leader's term and may become the leader. Succeeds without a
+/// known term.
+///
+/// Guards against a planned failover for which the leader ends its work and no server may follow: until
+/// another server has its term, the leader may be the only one with commits of earlier terms.
+async fn has_successor(
+    host: &Rc<Host>,
+    group: &Group,
+    from: Option<&ServerId>,
+    row: Option<&Versioned<Leadership>>,
+) -> bool {
+    let Some(Leadership::Steady { term, .. }) = row.map(|row| &row.value) else { return true };
+    let mut others = placement::successors(host, &group.id);
+    others.retain(|pool| Some(&pool.listed.borrow().id) != from);
+    let requests = others.iter().map(|pool| status(host, pool, suspicion::PROBE_TIMEOUT));
+    let mut requests: FuturesUnordered<_> = requests.collect();
+    while let Some(answer) = requests.next().await {
+        let received = match answer {
+            Ok(status) => status.term,
+            Err(StatusError::Busy(Some(point))) => point.term,
+            Err(_) => continue,
+        };
+        if received >= *term {
+            return true;
+        }
+    }
+    false
+}
--- a/components/proxy/src/placement.rs
+++ b/components/proxy/src/placement.rs
@@ -22,6 +22,17 @@
     of(host, pool) == evacuation::Placement::Forbidden
 }
 
+/// Part of the drain bound for the report that a server is leaving to arrive at a host, and for a
+/// statement to wait at the holder and arrive at the server.
+const DRAIN_MARGIN: Duration = Duration::from_millis(1500);
+
+/// Returns whether a backend server has been leaving for so long that it may get no statements
+/// outside of open transactions.
+pub fn is_drained(host: &host::Host, pool: &pool::Pool) -> bool {
+    let limit = host.settings.drain_bound.saturating_sub(DRAIN_MARGIN);
+    host.leaving_for(&pool.listed.borrow().id).is_some_and(|elapsed| elapsed >= limit)
+}
+
 fn region<'a>(host: &'a host::Host, domain: &ids::FailureDomain) -> Option<&'a ids::Region> {
     host.settings.regions.get(domain)
 }
--- a/components/proxy/src/servers.rs
+++ b/components/proxy/src/servers.rs
@@ -50,6 +50,8 @@
     pub clock: Cell<Duration>,
     /// Time at which this host received its first entry of the list; none before.
     listed_since: Cell<Option<Instant>>,
+    /// Servers that are leaving, each with the time at which this host received the report.
+    leaving: RefCell<HashMap<ServerId, Instant>>,
     /// Pools of the servers in use, by server.
     pools: RefCell<HashMap<ServerId, Rc<Pool>>>,
     /// Number of changes of the view, the list and the configuration. A pool of an earlier
@@ -202,6 +204,12 @@
     /// before. Returns whether the list changed.
     pub fn upsert_server(&self, listed: ListedServer, version: u64) -> bool {
         let effect = self.backends.catalog.borrow_mut().upsert(listed.clone(), version);
+        if listed.leaving {
+            let mut leaving = self.backends.leaving.borrow_mut();
+            leaving.entry(listed.id.clone()).or_insert_with(|| self.now());
+        } else {
+            self.backends.leaving.borrow_mut().remove(&listed.id);
+        }
         let before = match effect {
             Upsert::Unchanged => return false,
             Upsert::Added => {
@@ -235,6 +243,13 @@
         true
     }
 
+    /// Returns how long ago this host received the report that a server is leaving; `None` if the
+    /// server is not leaving.
+    pub fn leaving_for(&self, id: &ServerId) -> Option<Duration> {
+        let since = self.backends.leaving.borrow().get(id).copied()?;
+        Some(self.now().saturating_duration_since(since))
+    }
+
     /// Returns whether a server that this host's list has never had has certainly no entry: entries that
     /// expired in an outage of the store have had the time to return since this host's first entry.
     pub fn has_settled_list(&self) -> bool {
@@ -256,6 +271,7 @@
             return false;
         }
         info!(server = %id, "servers: server removed");
+        self.backends.leaving.borrow_mut().remove(id);
         if let Some(pool) = self.backends.pools.borrow_mut().remove(id) {
             pool.drop_idle();
         }
--- a/components/proxy/src/target.rs
+++ b/components/proxy/src/target.rs
@@ -139,7 +139,7 @@
         let pool = servers[i].clone();
         let listed = pool.listed.borrow().clone();
         // A server that is leaving gets no new reads while the group has another permitted server.
-        if listed.leaving && servers.len() > 1 {
+        if listed.leaving && servers.len() > 1 || placement::is_drained(host, &pool) {
             continue;
         }
         let usage = leader.take_if(|usage| usage.server == listed.id);
@@ -171,7 +171,9 @@
 fn leader_allowed(host: &Host, operation: &Operation, usage: &LeaderUse) -> bool {
     let pool = host.server(&usage.server);
     pool.is_some_and(|pool| {
-        !placement::is_forbidden(host, &pool) && placement::is_home(host, &pool, &operation.homes)
+        !placement::is_forbidden(host, &pool)
+            && !placement::is_drained(host, &pool)
+            && placement::is_home(host, &pool, &operation.homes)
     })
 }
 
--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -25,6 +25,7 @@
     net::{ListenerOpts, TcpListener, TcpStream},
 };
 use platform::Platform;
+use serde::Serialize;
 
 /// Time for which a test waits for a condition.
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -50,6 +51,8 @@
     Busy(u64),
     /// Position in the former leader's term.
     Replica(u64),
+    /// Position in the term before that of the former leader.
+    Behind(u64),
     /// Term in which the server leads.
     Primary(u64),
 }
@@ -84,23 +87,45 @@
         *self.reports[server - 1].borrow_mut() = report;
     }
 
-    fn client(&self) -> Client {
-        Client::new(self.host.settings.store_address)
+    /// Marks a server as leaving.
+    fn set_leaving(&self, name: &str) {
+        let listed = self.host.server(&id(name)).unwrap().listed.borrow().clone();
+        assert!(self.host.upsert_server(ListedServer { leaving: true, ..listed }, 2));
     }
 
-    /// Writes the row of the group, and begins a failover of s1.
-    async fn begin(&self, planned: bool) -> Failover {
+    /// Writes the host's row and that of the group, whose leader is s1, and starts the host's monitor.
+    async fn watch(&self) {
+        let host = &self.host;
         let value = Leadership::Steady { leader: id("s1"), term: Term(TERM) };
-        let put = vec![(fleet::group_key(&self.group.id), serde_json::to_vec(&value).unwrap())];
+        self.write(fleet::group_key(&self.group.id), &value).await;
+        self.write(fleet::member_key(&host.settings.host), &fleet::own_row(&host.settings)).await;
+        fleet::apply_view(host, self.view().await, host.now());
+        assert!(host.leased());
+        monoio::spawn(monitor::watch(host.clone()));
+    }
+
+    /// Writes a row and returns its version.
+    async fn write(&self, key: Box<str>, value: &impl Serialize) -> u64 {
+        let put = vec![(key, serde_json::to_vec(value).unwrap())];
         let change = Change { put, ..Change::default() };
         let client = self.client();
         // The stand-in may not listen yet.
-        let version = loop {
+        loop {
             if let Ok(TxOutcome::Applied(version)) = store::change(&client, &change, TIMEOUT).await
             {
                 break version;
             }
-        };
+        }
+    }
+
+    fn client(&self) -> Client {
+        Client::new(self.host.settings.store_address)
+    }
+
+    /// Writes the row of the group, and begins a failover of s1.
+    async fn begin(&self, planned: bool) -> Failover {
+        let value = Leadership::Steady { leader: id("s1"), term: Term(TERM) };
+        let version = self.write(fleet::group_key(&self.group.id), &value).await;
         let before = Some(Versioned { version, value });
         let begun = Failover::begin(&self.host, &self.group, before, Some(id("s1")), planned).await;
         begun.unwrap().expect("the intent is not written")
@@ -161,6 +186,7 @@
                 _ if is_start => "READY I -\r\n".to_owned(),
                 Report::Busy(number) => format!("ERROR BUSY s\r\nREADY I {TERM}.{number}\r\n"),
                 Report::Replica(number) => row("replica", TERM, number),
+                Report::Behind(number) => row("replica", TERM - 1, number),
                 Report::Primary(term) => row("primary", term, 60),
             };
             if stream.write_all(answer.into_bytes()).await.0.is_err() {
@@ -279,17 +305,7 @@
         let occurrence = host.backends.catalog.borrow_mut().mark_missing(&id(name), 1).unwrap();
         assert!(host.remove_server(&id(name), occurrence));
     }
-    let row = Versioned { version: 2, value: fleet::own_row(&host.settings) };
-    let value = Leadership::Steady { leader: id("s1"), term: Term(TERM) };
-    let view = View {
-        version: 2,
-        members: [(host.settings.host.clone(), row)].into(),
-        groups: [(fleet.group.id.clone(), Versioned { version: 2, value })].into(),
-        ..View::default()
-    };
-    fleet::apply_view(host, view, host.now());
-    assert!(host.leased());
-    monoio::spawn(monitor::watch(host.clone()));
+    fleet.watch().await;
     monoio::time::sleep(Duration::from_millis(1500)).await;
     assert!(!fleet.group.in_failover.get(), "the leader is replaced");
 }
@@ -327,26 +343,47 @@
     assert_eq!(&*promoted, "s2");
 }
 
+/// Guards against the loss of acknowledged commits: the replica that confirmed them is leaving and is left
+/// out of the choice.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn leaving_replica_with_confirmed_commits_is_not_passed_over() {
+    let reports = [Report::Silent, Report::Replica(60), Report::Replica(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.set_leaving("s2");
+    let failover = fleet.begin(false).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    until(|| !fleet.platform.borrow().promoted.is_empty()).await;
+    assert_eq!(fleet.platform.borrow().promoted, ["s2".into()]);
+    drop(run);
+}
+
+/// Guards against the loss of acknowledged commits: a leaving server was promoted for them, and is
+/// replaced before any other server has received its term.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn leaving_leader_is_kept_until_a_replica_has_its_term() {
+    let reports = [Report::Primary(TERM), Report::Behind(50), Report::Behind(40)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.set_leaving("s1");
+    fleet.watch().await;
+    monoio::time::sleep(Duration::from_millis(1500)).await;
+    assert_eq!(fleet.group.leader(), Some(id("s1")));
+    assert!(fleet.group.began_failover.get().is_none(), "a failover has begun");
+    fleet.report(3, Report::Replica(60));
+    until(|| fleet.group.began_failover.get().is_some()).await;
+}
+
 /// Guards against a failover that waits for a host's contact to expire, although the host has released
 /// the leader and reaches the store: the links are cut between the request for the release and the answer.
 #[monoio::test(driver = "legacy", enable_timer = true)]
 async fn release_whose_answer_is_lost_is_published() {
     let reports = [Report::Primary(TERM), Report::Replica(60), Report::Replica(50)];
     let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
-    let (host, client) = (&fleet.host, fleet.client());
-    let write = async |key, value: Vec<u8>| {
-        let change = Change { put: vec![(key, value)], ..Change::default() };
-        // The stand-in may not listen yet.
-        loop {
-            if let Ok(TxOutcome::Applied(version)) = store::change(&client, &change, TIMEOUT).await
-            {
-                break version;
-            }
-        }
-    };
+    let host = &fleet.host;
     let me = &host.settings.host;
-    let row = serde_json::to_vec(&fleet::own_row(&host.settings)).unwrap();
-    write(fleet::member_key(me), row).await;
+    fleet.write(fleet::member_key(me), &fleet::own_row(&host.settings)).await;
     fleet::apply_view(host, fleet.view().await, host.now());
     let value = Leadership::Moving {
         from: Some(id("s1")),
@@ -355,8 +392,7 @@
         planned: false,
         term: Term(TERM),
     };
-    let row = serde_json::to_vec(&value).unwrap();
-    let intent = write(fleet::group_key(&fleet.group.id), row).await;
+    let intent = fleet.write(fleet::group_key(&fleet.group.id), &value).await;
     // As a request of the host that runs the failover does.
     fleet.group.release_requested.set(intent);
     fleet::apply_row(host, &fleet.group.id, Versioned { version: intent, value });
--- a/components/proxy/tests/forward.rs
+++ b/components/proxy/tests/forward.rs
@@ -11,6 +11,7 @@
     token::Secret,
     view::{LEASE_TTL, Leadership, Versioned},
 };
+use bergamottrack_model::ListedServer;
 use bergamottrack_peer::{
     Answer, ForwardResult, ForwardedStatement, Link, Mesh, Question, TransactionId,
     accept::{self, Service},
@@ -99,6 +100,12 @@
         result
     }
 
+    /// Marks the server as leaving.
+    fn set_leaving(&self) {
+        let listed = self.host.server(&hosts::server()).unwrap().listed.borrow().clone();
+        assert!(self.host.upsert_server(ListedServer { leaving: true, ..listed }, 2));
+    }
+
     /// Begins an unplanned failover of the group and waits until h2 has released the leader.
     async fn release(&self) {
         let (from, holder) = (Some(hosts::server()), hosts::id("h1"));
@@ -181,6 +188,37 @@
     assert_eq!(holder.server.received(), ["BEGIN", "READ k1", "BEGIN"]);
 }
 
+/// Guards against statements at a server that has been leaving for as long as it may get any: it was
+/// promoted meanwhile, and no other server has its log yet.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn server_that_has_been_leaving_for_the_drain_bound_gets_no_new_statement() {
+    let holder = Holder::start().await;
+    holder.server.allow_all();
+    holder.set_leaving();
+    let read = |text| ForwardedStatement { leads: false, ..statement(text) };
+    let result = holder.forward(read("READ k1")).await;
+    assert!(matches!(result, ForwardResult::Answered(_)), "{result:?}");
+    holder.clock.advance(holder.host.settings.drain_bound);
+    let result = holder.forward(read("READ k2")).await;
+    assert!(matches!(result, ForwardResult::NotSent(_)), "{result:?}");
+    assert_eq!(holder.server.received(), ["READ k1"]);
+}
+
+/// Guards against an open transaction that is cut off at the drain bound of its server.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn open_transaction_goes_on_after_the_drain_bound() {
+    let holder = Holder::start().await;
+    holder.server.allow_all();
+    holder.set_leaving();
+    let run = |text| holder.forward(ForwardedStatement { leads: false, ..in_transaction(text, 7) });
+    let result = run("BEGIN READ").await;
+    assert!(matches!(result, ForwardResult::Answered(_)), "{result:?}");
+    holder.clock.advance(holder.host.settings.drain_bound);
+    let result = run("READ k1").await;
+    assert!(matches!(result, ForwardResult::Answered(_)), "{result:?}");
+    assert_eq!(holder.server.received(), ["BEGIN READ", "READ k1"]);
+}
+
 /// Guards against refusals of statements that need no leader, such as reads at replicas, while a
 /// group has none.
 #[monoio::test(driver = "legacy", enable_timer = true)]
--- a/components/proxy/tests/hosts/mod.rs
+++ b/components/proxy/tests/hosts/mod.rs
@@ -48,6 +48,7 @@
         shutdown_grace: Duration::from_secs(10),
         apply_bound: Duration::from_secs(3),
         evacuation_bound: Duration::from_secs(3),
+        drain_bound: Duration::from_secs(7),
         cold_tolerance: cold::Tolerance::default(),
         revocation_bound: None,
         rate_tolerance: demand::Tolerance {
