A failover repeats its selection while a busy replica may be ahead

Cause: a server without a free slot answers a request for its status with BUSY and the position that it has applied. The failover took this position for what the server has received.

Change: a selection is undecided while a server other than the successor is busy, as it is while one is silent; both have until 4 s after the intent, which keeps a change of leader within 7 s. The status is requested again every 5 ms on the same connection, as a new one takes a slot for longer.

Tests: busy_replica_that_has_not_applied_its_log_is_not_passed_over (before: s3 promoted in place of s2) and selection_is_undecided_while_another_replica_is_busy_or_silent.

--- a/components/coordination/src/succession.rs
+++ b/components/coordination/src/succession.rs
@@ -98,6 +98,17 @@
     Stalled,
 }
 
+/// Returns whether the selection must be repeated, since a server that has not reported its position may
+/// be ahead of the selected successor. `silent` is the number of listed servers without any report.
+///
+/// A server that has no capacity to report may have confirmed commits that it has not applied yet.
+pub fn is_undecided(next: &Next, states: &[Standing], silent: usize) -> bool {
+    let Next::Promote { successor, last: None, .. } = next else { return false };
+    let may_be_ahead =
+        |server: &Standing| server.busy && !server.evacuated && server.id != *successor;
+    silent > 0 || states.iter().any(may_be_ahead)
+}
+
 /// Returns the next step from the reported states. `retiring` is the leader to be replaced in a
 /// planned failover.
 pub fn next(states: &[Standing], terms: Terms, retiring: Option<&ServerId>, order: Order) -> Next {
--- a/components/coordination/tests/succession.rs
+++ b/components/coordination/tests/succession.rs
@@ -107,6 +107,22 @@
     assert_eq!(succession::next(&states, terms(1, 0), None, Order::Log), promote("equal"));
 }
 
+/// Guards against the loss of acknowledged commits: a busy replica, whose answer shows only what it has
+/// applied, has received more than the one that is selected.
+#[test]
+fn selection_is_undecided_while_another_replica_is_busy_or_silent() {
+    let busy = |server: Standing| Standing { busy: true, ..server };
+    let next = |states: &[Standing]| succession::next(states, terms(1, 0), None, Order::Log);
+    let shown = server("shown", false, 1, (1, 50));
+    let states = [busy(server("late", false, 1, (1, 40))), shown.clone()];
+    assert!(succession::is_undecided(&next(&states), &states, 0));
+    let states = [busy(server("ahead", false, 1, (1, 60))), shown.clone()];
+    assert!(!succession::is_undecided(&next(&states), &states, 0));
+    assert!(succession::is_undecided(&next(&states), &states, 1));
+    let states = [server("late", false, 1, (1, 40)), shown];
+    assert!(!succession::is_undecided(&next(&states), &states, 0));
+}
+
 /// Guards against the loss of acknowledged commits in a planned failover: the successor does not receive
 /// the leader's log, and a leaving replica, which does, is left out of the second choice.
 #[test]
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -45,7 +45,7 @@
 const RELEASE_READ_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time from the intent for which a failover waits for the position of each listed replica: the one that
-/// does not answer may be the only one that has confirmed a commit. With a second each for detection and
+/// does not answer, or is busy, may be the only one that has confirmed a commit. With a second each for detection and
 /// promotion, a change of leader is over within 7 s.
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(4000);
 
@@ -74,7 +74,7 @@
     terms: Cell<Terms>,
     /// Time by which this host must finish; another host may take over some time later.
     deadline: Instant,
-    /// End of the wait for replicas that do not answer.
+    /// End of the wait for replicas that do not report their position.
     replicas_until: Instant,
 }
 
@@ -297,7 +297,7 @@
         order: Order,
     ) -> Next {
         let requests =
-            pools.iter().map(|pool| monitor::status(host, pool, suspicion::PROBE_TIMEOUT));
+            pools.iter().map(|pool| monitor::free_status(host, pool, suspicion::PROBE_TIMEOUT));
         let statuses = future::join_all(requests).await;
         let statuses =
             pools.iter().zip(statuses).map(|(pool, status)| (pool, self.reported(pool, status)));
@@ -314,10 +314,8 @@
             let id = &pool.listed.borrow().id;
             self.from.as_ref() != Some(id) && host.backends.catalog.borrow().is_present(id)
         };
-        if matches!(next, Next::Promote { last: None, .. })
-            && host.now() < self.replicas_until
-            && silent.iter().any(is_listed)
-        {
+        let silent = silent.iter().filter(|server| is_listed(server)).count();
+        if host.now() < self.replicas_until && succession::is_undecided(&next, &standings, silent) {
             next = Next::Nobody;
         }
         info!(
@@ -328,8 +326,8 @@
     }
 
     /// Returns the status that counts for the selection of the next leader. That of a busy server is
-    /// the position in its answer, which may confirm commits that no other server has; a busy former
-    /// leader has none.
+    /// the position in its answer, a lower bound of what it has received; a busy former leader has
+    /// none.
     fn reported(&self, pool: &Pool, status: Result<Status, StatusError>) -> Option<Report> {
         let is_former = || self.from.as_ref() == Some(&pool.listed.borrow().id);
         match status {
--- a/components/proxy/src/monitor.rs
+++ b/components/proxy/src/monitor.rs
@@ -1,6 +1,7 @@
 //! The leader monitor: checks the leaders of all groups and decides on failovers.
 
 use std::{
+    cell::RefCell,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -35,6 +36,10 @@
 /// Timeout of a request to the host that holds a server's connections.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Interval between requests for the status of a server that has no capacity for them: a slot becomes
+/// free every few milliseconds.
+const BUSY_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Time without a known leader before a failover starts. After a start, the list of servers is
 /// complete within one heartbeat.
 const LEADERLESS_TIMEOUT: Duration = Duration::from_millis(3500);
@@ -259,18 +264,45 @@
 
 /// Requests a server's status on a connection opened for it; `timeout` includes the opening.
 pub async fn status(host: &Host, pool: &Pool, timeout: Duration) -> Result<Status, StatusError> {
-    let listed = pool.listed.borrow().clone();
-    let account = any_account(host);
+    let request = async { read_status(&mut open(host, pool).await?).await };
+    monoio::time::timeout(timeout, request).await.unwrap_or(Err(StatusError::Silent))
+}
+
+/// As [`status`], but repeats the request on the same connection while the server is busy. Returns the
+/// last answer at the timeout.
+pub async fn free_status(
+    host: &Host,
+    pool: &Pool,
+    timeout: Duration,
+) -> Result<Status, StatusError> {
+    let last = RefCell::new(StatusError::Silent);
     let request = async {
-        let mut backend = Backend::open(&listed, &account).await.map_err(|error| match error {
-            OpenError::Refused => StatusError::Refused,
-            _ => StatusError::Silent,
-        })?;
-        wire::put_status(&mut backend.out);
-        let answer = backend.exchange().await.map_err(|_| StatusError::Silent)?;
-        wire::decode_status(&answer).ok_or(StatusError::Busy(answer.point))
+        let mut backend = open(host, pool).await?;
+        loop {
+            match read_status(&mut backend).await {
+                Err(busy @ StatusError::Busy(_)) => drop(last.replace(busy)),
+                answer => return answer,
+            }
+            monoio::time::sleep(BUSY_INTERVAL).await;
+        }
     };
-    monoio::time::timeout(timeout, request).await.unwrap_or(Err(StatusError::Silent))
+    let answer = monoio::time::timeout(timeout, request).await;
+    answer.unwrap_or_else(|_| Err(last.into_inner()))
+}
+
+/// Opens a connection for requests for a server's status.
+async fn open(host: &Host, pool: &Pool) -> Result<Backend, StatusError> {
+    let listed = pool.listed.borrow().clone();
+    Backend::open(&listed, &any_account(host)).await.map_err(|error| match error {
+        OpenError::Refused => StatusError::Refused,
+        _ => StatusError::Silent,
+    })
+}
+
+async fn read_status(backend: &mut Backend) -> Result<Status, StatusError> {
+    wire::put_status(&mut backend.out);
+    let answer = backend.exchange().await.map_err(|_| StatusError::Silent)?;
+    wire::decode_status(&answer).ok_or(StatusError::Busy(answer.point))
 }
 
 /// Returns an account for this host's own queries, since servers require one: any account of the
--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -335,6 +335,15 @@
     assert_eq!(&*promoted, "s2");
 }
 
+/// Guards against the loss of acknowledged commits: the replica that confirmed them applies them late and
+/// has no free slot when the failover reads the positions, so that its answer shows less than the other
+/// one has.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn busy_replica_that_has_not_applied_its_log_is_not_passed_over() {
+    let promoted = promoted_beside(Report::Busy(40), Duration::from_millis(700)).await;
+    assert_eq!(&*promoted, "s2");
+}
+
 /// Guards against the loss of acknowledged commits: the replica that confirmed them is silent for
 /// longer than one request for its position, and the other one, which lacks them, is promoted.
 #[monoio::test(driver = "legacy", enable_timer = true)]
