A holder leaves one slot to status requests while its group has no leader

Callers saw: a failover beside replicas that are full of reads takes 0.8 s longer, since it waits for the position of each of them. The holder sends the next read as soon as a slot is free, with one more in the server's own queue, so a request for the status finds no slot.

Change: while the group's row announces a failover, the holder of a server's connections keeps at most slots - 1 statements in flight.

--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -147,13 +147,26 @@
 
     /// Sets the number of connections that the server accepts, the number of hosts that share
     /// them, and this host's role for them.
-    pub fn set_bounds(&self, max_connections: usize, hosts: usize, role: Role) {
+    ///
+    /// With `keep_slot_free`, the holder leaves one slot of the server to requests for its status: a
+    /// failover waits for the position of each server, and a server without a free slot reports none.
+    pub fn set_bounds(
+        &self,
+        max_connections: usize,
+        hosts: usize,
+        role: Role,
+        keep_slot_free: bool,
+    ) {
         let slots = self.listed.borrow().slots;
         let bounds = connections::bounds(max_connections, slots, hosts, role);
         self.bounds.set(bounds);
         self.role.set(role);
-        let min_in_flight = if role == Role::Holder { slots + EXTRA_IN_FLIGHT } else { 1 };
-        self.gate.borrow_mut().set_bounds(min_in_flight, bounds.cap);
+        let (min_in_flight, max_in_flight) = match role {
+            Role::Holder if keep_slot_free => (1, slots.saturating_sub(1)),
+            Role::Holder => (slots + EXTRA_IN_FLIGHT, bounds.cap),
+            _ => (1, bounds.cap),
+        };
+        self.gate.borrow_mut().set_bounds(min_in_flight, max_in_flight.min(bounds.cap));
     }
 
     /// Sets the request limit that applies while the server is cold, and its tolerance; `None` for
--- a/components/proxy/src/servers.rs
+++ b/components/proxy/src/servers.rs
@@ -122,7 +122,10 @@
             Some(_) => connections::Role::Standby,
             None => connections::Role::Other,
         };
-        pool.set_bounds(limits.map_or(1, |limits| limits.connections), hosts, role);
+        let max_connections = limits.map_or(1, |limits| limits.connections);
+        let leadership = self.leased_view.borrow().leadership(&group).map(|row| row.value.clone());
+        let in_failover = matches!(leadership, Some(Leadership::Moving { .. }));
+        pool.set_bounds(max_connections, hosts, role, in_failover);
         pool.set_cold(limits.and_then(|limits| limits.cold), self.settings.cold_tolerance);
     }
 
