A host does not run a forwarded statement that its sender has given up

Cause: a host forwards a statement to the holder of the server's connections as a cut of the network begins, gives it up, and tells its caller or runs a read elsewhere. It closes the link without a reset, so the system goes on sending what the link's socket holds, and the holder counts the timeout from the arrival.

Change, by three proofs that a statement is still wanted, checked at its arrival and just before it is sent to the server: - A link is closed with a reset, which discards what the peer has not got. - The link on which the statement arrived is still open: a process that was suspended finds statement and reset together. - The timeout, counted from when it was sent, is not over. The clocks of two hosts cannot be compared, so the accepting end sends readings of its own clock, in its hello and in place of answers to pings; a statement names the earliest reading at which it was sent, and an age by it is never too low. A COMMIT or later statement that is not sent closes its transaction's connection, which rolls it back. Builds without readings are served as before: readings are requested only from a peer whose hello has one.

Related paths read: rows of groups have versions, registrations and heartbeats name the time they rely on, a late cancel names a transaction that is never used again, a late token request costs a token.

--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -153,8 +153,8 @@
     /// Answers a peer's request; `None` if it does not concern the fleet.
     pub fn answer(&self, peer: &Hello, question: Question) -> Option<Answer> {
         Some(match question {
-            Question::Ping if self.leaving.get() => Answer::Draining,
-            Question::Ping => Answer::Pong,
+            Question::Ping | Question::Clock if self.leaving.get() => Answer::Draining,
+            Question::Ping | Question::Clock => Answer::Pong,
             Question::Freshness => Answer::Freshness(self.vote()),
             Question::Revision => {
                 Answer::Revision(self.current.get().map(|doc| Box::new((*doc).clone())))
--- a/components/peer/src/accept.rs
+++ b/components/peer/src/accept.rs
@@ -1,9 +1,14 @@
 //! Accepting end of a link, with one task per peer.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    collections::HashMap,
+    fmt,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use anyhow::{Context, bail};
-use bergamottrack_coordination::token::Secret;
+use bergamottrack_coordination::{Clock, token::Secret};
 use futures_util::StreamExt;
 use monoio::{
     io::IntoPollIo,
@@ -30,29 +35,58 @@
 /// Handler for questions of peers. The answer may be sent after the handler has returned.
 pub type Responder = dyn Fn(&Hello, Question, Replier);
 
+/// Clock of one connection: the time since it was accepted.
+#[derive(Clone)]
+struct ConnectionClock {
+    clock: Rc<dyn Clock>,
+    accepted: Instant,
+}
+
+impl ConnectionClock {
+    fn elapsed(&self) -> Duration {
+        self.clock.now().saturating_duration_since(self.accepted)
+    }
+}
+
+impl fmt::Debug for ConnectionClock {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}", self.elapsed())
+    }
+}
+
 /// Sends the answer to one question of a peer.
 #[derive(Debug)]
 pub struct Replier {
     number: RequestNo,
     outgoing: UnboundedSender<Message>,
+    clock: ConnectionClock,
+    /// Whether the answer must contain a reading of the clock.
+    with_clock: bool,
 }
 
 impl Replier {
     /// Sends the answer to the peer. The answer is dropped if the link has closed meanwhile.
     pub fn reply(self, answer: Answer) {
+        let answer = if self.with_clock {
+            let draining = matches!(answer, Answer::Draining);
+            Answer::Clock { elapsed: self.clock.elapsed(), draining }
+        } else {
+            answer
+        };
         let _ = self.outgoing.send(Message::Answer(self.number, answer));
     }
 
     /// Returns a monitor of the link on which the question was received.
     pub fn link_monitor(&self) -> LinkMonitor {
-        LinkMonitor { outgoing: self.outgoing.clone() }
+        LinkMonitor { outgoing: self.outgoing.clone(), clock: self.clock.clone() }
     }
 }
 
-/// Handle for checking whether a peer's link is still open.
+/// Handle for checking whether a peer's link is still open, and how old its messages are.
 #[derive(Clone, Debug)]
 pub struct LinkMonitor {
     outgoing: UnboundedSender<Message>,
+    clock: ConnectionClock,
 }
 
 impl LinkMonitor {
@@ -60,12 +94,20 @@
     pub fn is_open(&self) -> bool {
         !self.outgoing.is_closed()
     }
+
+    /// Returns the greatest possible age of a message that was sent when the clock of this connection
+    /// showed at least `sent`.
+    pub fn age(&self, sent: Duration) -> Duration {
+        self.clock.elapsed().saturating_sub(sent)
+    }
 }
 
 /// Handlers for requests of peers, and the secret for authentication with them.
 pub struct Service {
     /// Secret shared by all hosts.
     pub secret: Secret,
+    /// Clock by which the age of messages is determined.
+    pub clock: Rc<dyn Clock>,
     /// Starts a separate task that serves an exchange.
     pub serve: Box<dyn Fn(Open, HomeSide)>,
     /// Handler for questions.
@@ -81,6 +123,7 @@
 
 async fn run(stream: TcpStream, hello: Hello, service: &Service) -> anyhow::Result<()> {
     stream.set_nodelay(true)?;
+    let clock = ConnectionClock { clock: service.clock.clone(), accepted: service.clock.now() };
     // Only the dialling end monitors activity and closes links to unresponsive peers.
     let io = ActivityStream::new(stream.into_poll_io()?, || {});
     let handshake = tokio_tungstenite::accept_async_with_config(io, Some(socket::config()));
@@ -88,12 +131,12 @@
         .await
         .context("the peer did not complete the WebSocket handshake in time")??;
     let (mut writer, mut reader) = ws.split();
-    let authenticate = authenticate(&hello, &service.secret, &mut reader, &mut writer);
+    let authenticate = authenticate(&hello, &service.secret, &clock, &mut reader, &mut writer);
     let peer = monoio::time::timeout(socket::HELLO_TIMEOUT, authenticate).await??;
     let (outgoing, mut rx) = mpsc::unbounded_channel();
     monoio::select! {
         result = socket::write_messages(&mut writer, &mut rx) => result,
-        result = dispatch(&mut reader, &peer, outgoing, service) => result,
+        result = dispatch(&mut reader, &peer, outgoing, service, &clock) => result,
     }
 }
 
@@ -101,13 +144,15 @@
 async fn authenticate(
     own: &Hello,
     secret: &Secret,
+    clock: &ConnectionClock,
     reader: &mut socket::Reader,
     writer: &mut socket::Writer,
 ) -> anyhow::Result<Hello> {
     let Message::Hello(peer) = socket::receive(reader).await? else {
         bail!("the first message of the peer was not a hello")
     };
-    socket::send(writer, &Message::Hello(own.clone())).await?;
+    let dated = Hello { clock: Some(clock.elapsed()), ..own.clone() };
+    socket::send(writer, &Message::Hello(dated)).await?;
     let proof = Proof::new(secret, End::Accepting, &peer, own);
     socket::send(writer, &Message::Proof(proof)).await?;
     match socket::receive(reader).await? {
@@ -124,6 +169,7 @@
     peer: &Hello,
     outgoing: UnboundedSender<Message>,
     service: &Service,
+    clock: &ConnectionClock,
 ) -> anyhow::Result<()> {
     // When the link closes, dropping the senders makes each home side receive `None`.
     let mut exchanges: HashMap<RequestNo, UnboundedSender<ToHome>> = HashMap::new();
@@ -150,7 +196,11 @@
                 }
             }
             Message::Question(number, question) => {
-                (service.answer)(peer, question, Replier { number, outgoing: outgoing.clone() });
+                let with_clock = matches!(question, Question::Clock);
+                let question = if with_clock { Question::Ping } else { question };
+                let (outgoing, clock) = (outgoing.clone(), clock.clone());
+                let replier = Replier { number, outgoing, clock, with_clock };
+                (service.answer)(peer, question, replier);
             }
             other => bail!("the peer sent a message of the accepting end: {other:?}"),
         }
--- a/components/peer/src/forward.rs
+++ b/components/peer/src/forward.rs
@@ -48,9 +48,13 @@
     /// Queue timeout in milliseconds.
     #[serde(rename = "q")]
     pub queue_timeout_ms: u32,
-    /// Timeout of the statement in all, queue time included, in milliseconds.
+    /// Timeout of the statement in all, from when it was sent to the holder, in milliseconds.
     #[serde(rename = "t")]
     pub timeout_ms: u32,
+    /// Reading of the holder's clock on the link when the statement was sent, at the earliest; `None`
+    /// from a sender that has no reading.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub sent: Option<Duration>,
 }
 
 impl ForwardedStatement {
@@ -59,7 +63,7 @@
         Duration::from_millis(self.queue_timeout_ms.into())
     }
 
-    /// Returns how long the statement may take in all, queue time included.
+    /// Returns how long the statement may take in all, from when it was sent to the holder.
     pub fn timeout(&self) -> Duration {
         Duration::from_millis(self.timeout_ms.into())
     }
--- a/components/peer/src/link.rs
+++ b/components/peer/src/link.rs
@@ -24,6 +24,7 @@
     activity::ActivityStream,
     exchange::Exchange,
     message::{Answer, End, Hello, Message, Open, Proof, Question, RequestNo, ToEntry},
+    peer_clock::PeerClock,
     socket,
 };
 
@@ -74,6 +75,8 @@
     last_contact: Rc<Cell<Option<Instant>>>,
     /// Time since which an answer has been pending and no message has been received.
     pending_since: Cell<Option<Instant>>,
+    /// Clock of the peer on the current connection.
+    peer_clock: PeerClock,
     closed: Cell<bool>,
     /// Whether the peer is shutting down.
     draining: Cell<bool>,
@@ -103,6 +106,7 @@
             next_number: Cell::default(),
             last_contact: Rc::default(),
             pending_since: Cell::default(),
+            peer_clock: PeerClock::default(),
             closed: Cell::default(),
             draining: Cell::default(),
             attempted: Cell::default(),
@@ -188,6 +192,11 @@
             .with_context(|| format!("the link to {} went down", self.host))
     }
 
+    /// Returns the earliest reading that the peer's clock may show now; `None` if the peer sends none.
+    pub fn earliest_clock(&self) -> Option<Duration> {
+        self.peer_clock.earliest(self.clock.now())
+    }
+
     fn register(&self, waiter: Waiter) -> RequestNo {
         let number = self.next_number.get();
         self.next_number.set(number + 1);
@@ -201,6 +210,8 @@
         let stream =
             monoio::time::timeout(CONNECT_TIMEOUT, connect).await.context("connecting")??;
         stream.set_nodelay(true)?;
+        // The sender of a message gives it up with the connection.
+        bergamottrack_socket::reset_on_close(&stream)?;
         let url = format!("ws://{address}/");
         let (last_contact, clock) = (self.last_contact.clone(), self.clock.clone());
         let io = ActivityStream::new(stream.into_poll_io()?, move || {
@@ -211,7 +222,11 @@
         let (ws, _) = monoio::time::timeout(socket::HELLO_TIMEOUT, handshake).await??;
         let (mut writer, mut reader) = ws.split();
         let authenticate = dialler.authenticate(&self.host, &mut reader, &mut writer);
-        monoio::time::timeout(socket::HELLO_TIMEOUT, authenticate).await??;
+        let peer = monoio::time::timeout(socket::HELLO_TIMEOUT, authenticate).await??;
+        self.peer_clock.reset();
+        if let Some(elapsed) = peer.clock {
+            self.peer_clock.note(elapsed, self.clock.now());
+        }
         let (tx, mut rx) = mpsc::unbounded_channel();
         *self.outgoing.borrow_mut() = Some(tx);
         self.draining.set(false);
@@ -262,7 +277,13 @@
     /// would be lost, and the large message would fail in the same way at the next request.
     async fn ping(&self) -> anyhow::Result<()> {
         while !self.closed.get() {
-            match self.query(Question::Ping, self.keepalive.timeout).await {
+            let question =
+                if self.earliest_clock().is_some() { Question::Clock } else { Question::Ping };
+            match self.query(question, self.keepalive.timeout).await {
+                Ok(Answer::Clock { elapsed, draining }) => {
+                    self.peer_clock.note(elapsed, self.clock.now());
+                    self.draining.set(draining);
+                }
                 Ok(answer) => self.draining.set(matches!(answer, Answer::Draining)),
                 Err(_) if self.has_recent_contact() => continue,
                 Err(error) => return Err(error),
@@ -282,13 +303,13 @@
 }
 
 impl Dialler {
-    /// Authenticates the peer to this host, then this host to the peer.
+    /// Authenticates the peer to this host, then this host to the peer. Returns the peer's hello.
     async fn authenticate(
         &self,
         host: &HostId,
         reader: &mut socket::Reader,
         writer: &mut socket::Writer,
-    ) -> anyhow::Result<()> {
+    ) -> anyhow::Result<Hello> {
         let own = (self.hello)();
         socket::send(writer, &Message::Hello(own.clone())).await?;
         let peer = match socket::receive(reader).await? {
@@ -300,7 +321,8 @@
             _ => bail!("the peer at {} has no valid proof of the shared secret", self.address),
         }
         let proof = Proof::new(&self.secret, End::Dialling, &own, &peer);
-        socket::send(writer, &Message::Proof(proof)).await
+        socket::send(writer, &Message::Proof(proof)).await?;
+        Ok(peer)
     }
 }
 
--- a/components/peer/src/mesh.rs
+++ b/components/peer/src/mesh.rs
@@ -164,7 +164,7 @@
 }
 
 fn hello(me: &Host) -> Hello {
-    Hello { host: me.id.clone(), domain: me.domain.clone(), nonce: rand::random() }
+    Hello { host: me.id.clone(), domain: me.domain.clone(), nonce: rand::random(), clock: None }
 }
 
 fn candidate(host: &Host) -> rendezvous::Candidate<'_> {
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -173,6 +173,9 @@
     /// Requests that the sender becomes a member of the fleet. The answer is the host's whole data,
     /// once its view lists the sender and is current.
     Register(Box<Registration>),
+    /// Requests a sign of life, as `Ping`, and a reading of the peer's clock. Sent only to a peer whose
+    /// hello contains a reading.
+    Clock,
     /// Requests a token of an account's rate.
     #[serde(rename = "Take")]
     TakeToken {
@@ -269,6 +272,13 @@
     Piece(Option<pieces::Piece>),
     /// Ruling on whether the token is granted.
     Ruling(demand::Ruling),
+    /// Answer to [`Question::Clock`].
+    Clock {
+        /// Time since the host accepted the connection.
+        elapsed: Duration,
+        /// Whether the host is shutting down and accepts no new work.
+        draining: bool,
+    },
     /// Result of a forwarded statement.
     #[serde(rename = "Relayed")]
     ForwardResult(ForwardResult),
@@ -417,6 +427,10 @@
     pub domain: FailureDomain,
     /// Random bytes, new for each connection.
     pub nonce: Nonce,
+    /// Time since the accepting end accepted the connection, by its own clock; `None` from the
+    /// dialling end, and from an accepting end that does not answer [`Question::Clock`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub clock: Option<Duration>,
 }
 
 /// Random bytes chosen by one end of a link.
--- a/components/peer/tests/authentication.rs
+++ b/components/peer/tests/authentication.rs
@@ -33,6 +33,7 @@
     let mesh = mesh(me.clone(), secret);
     let service = Rc::new(Service {
         secret: mesh.secret.clone(),
+        clock: Rc::new(SystemClock),
         serve: Box::new(|_, _| {}),
         answer: Box::new(|_, _, replier| replier.reply(Answer::Pong)),
     });
--- a/components/platform/src/http.rs
+++ b/components/platform/src/http.rs
@@ -3,7 +3,6 @@
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
-    os::fd::{AsRawFd, BorrowedFd},
     time::Duration,
 };
 
@@ -121,17 +120,11 @@
     sender.send_request(request).await.context("sending")
 }
 
-/// Has small requests sent at once, and the connection reset when it is closed.
-///
-/// A network that is cut holds bytes back and delivers them afterwards, also those of a closed
-/// connection. A call that was given up would be performed then, seconds after others rely on its
-/// expiry; a reset discards the bytes.
+/// Has small requests sent at once, and the connection reset when it is closed: a call that was given
+/// up would otherwise be performed after a cut of the network, seconds after others rely on its expiry.
 fn prepare(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    // SAFETY: the stream keeps the descriptor open for the duration of the call.
-    #[allow(unsafe_code)]
-    let socket = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
-    Ok(rustix::net::sockopt::set_socket_linger(socket, Some(Duration::ZERO))?)
+    bergamottrack_socket::reset_on_close(stream)
 }
 
 type Sender = http1::SendRequest<Full<Bytes>>;
--- a/components/proxy/src/conn.rs
+++ b/components/proxy/src/conn.rs
@@ -268,6 +268,7 @@
             priority: self.queue.priority,
             queue_timeout_ms: self.queue.queue_timeout.as_millis() as u32,
             timeout_ms: timeout.as_millis() as u32,
+            sent: self.link.earliest_clock(),
         };
         // Until the answer arrives, the holder may keep the connection for the transaction.
         self.pinned = self.transaction.is_some();
@@ -322,6 +323,7 @@
         priority: 0,
         queue_timeout_ms: timeout.as_millis() as u32,
         timeout_ms: timeout.as_millis() as u32,
+        sent: link.earliest_clock(),
     };
     forward(link, statement).await
 }
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -3,6 +3,12 @@
 //! A statement that relies on the group's leader needs a lease of this host as well. The host that
 //! forwards it may release the leader, or its lease may expire, while the statement is on the way or
 //! in the queue here; a failover then waits for neither.
+//!
+//! A statement may also arrive long after the host that forwards it gave it up, and told its caller or
+//! ran it elsewhere: a network that was cut delivers what it held back, and this host may have been
+//! suspended. A statement is therefore sent to the server only while its timeout, counted from when it
+//! was sent to this host, is not over and its link is open: the sender closes the link with a reset when
+//! it gives up all that it sent on it.
 
 use std::{
     cell::RefCell,
@@ -116,12 +122,54 @@
     }
 }
 
+/// A forwarded statement and the link on which it arrived.
+struct Arrival {
+    statement: ForwardedStatement,
+    link: LinkMonitor,
+    /// Age of the statement at its arrival, at most.
+    age: Duration,
+    /// Time at which the timeout of the statement is over.
+    deadline: monoio::time::Instant,
+}
+
+impl Arrival {
+    fn new(statement: ForwardedStatement, link: LinkMonitor) -> Self {
+        let age = statement.sent.map_or(Duration::ZERO, |sent| link.age(sent));
+        let left = statement.timeout().saturating_sub(age);
+        Self { statement, link, age, deadline: monoio::time::Instant::now() + left }
+    }
+
+    /// Returns whether the sender may have given the statement up. Includes time in which this host was
+    /// suspended, which `deadline` does not.
+    fn is_given_up(&self) -> bool {
+        let is_over = |sent| self.link.age(sent) >= self.statement.timeout();
+        !self.link.is_open()
+            || self.statement.sent.is_some_and(is_over)
+            || monoio::time::Instant::now() >= self.deadline
+    }
+
+    /// Returns how long the statement may still be queued.
+    fn queue_timeout(&self) -> Duration {
+        let elapsed = self.statement.sent.map_or(Duration::ZERO, |sent| self.link.age(sent));
+        self.statement.queue_timeout().saturating_sub(elapsed)
+    }
+}
+
 /// Runs a forwarded statement and replies with the result.
 pub async fn serve(host: Rc<Host>, from: HostId, statement: ForwardedStatement, replier: Replier) {
-    let link = replier.link_monitor();
-    let relayed = match acquire(&host, &from, &statement).await {
-        Ok(acquired) => run(&host, from, statement, acquired, link).await,
+    let arrival = Arrival::new(statement, replier.link_monitor());
+    let relayed = match acquire(&host, &from, &arrival).await {
+        Ok(acquired) => run(&host, from, arrival, acquired).await,
+        Err(NotSent::Unreachable) => {
+            info!(
+                server = %arrival.statement.server, %from,
+                age_ms = arrival.age.as_millis() as u64, open = arrival.link.is_open(),
+                "relay: statement not run, its sender has given it up"
+            );
+            ForwardResult::NotSent(NotSent::Unreachable)
+        }
         Err(reason) => {
+            let Arrival { statement, .. } = arrival;
             record_failure(&host, &statement, reason);
             ForwardResult::NotSent(reason)
         }
@@ -174,25 +222,29 @@
 
 /// Acquires the connection for a forwarded statement: the connection of its open transaction, or a
 /// connection from the pool. The statement may be sent until the next suspension of the task.
-async fn acquire(
-    host: &Host,
-    from: &HostId,
-    statement: &ForwardedStatement,
-) -> Result<Acquired, NotSent> {
+async fn acquire(host: &Host, from: &HostId, arrival: &Arrival) -> Result<Acquired, NotSent> {
+    let Arrival { statement, deadline, .. } = arrival;
+    let deadline = *deadline;
     let pool = host.server(&statement.server).ok_or(NotSent::UnknownServer)?;
     if placement::is_forbidden(host, &pool) {
         return Err(NotSent::Evacuated);
     }
     if let Some(id) = statement.transaction.filter(|_| !statement.opens) {
         let idle = host.remote_transactions.idle.borrow_mut().remove(&(from.clone(), id));
+        // Dropped, and its transaction with it, if the statement is not sent.
         let IdleTransaction { leased, usage, .. } = idle.ok_or(NotSent::Closed)?;
-        let until = monoio::time::Instant::now() + statement.timeout();
-        let permit = pool.enter_in_transaction(until).await.map_err(conn::queue_full)?;
+        let permit = pool.enter_in_transaction(deadline).await.map_err(conn::queue_full)?;
+        if arrival.is_given_up() {
+            return Err(NotSent::Unreachable);
+        }
         if !may_send(host, usage.as_ref()) {
             return Err(NotSent::NotLeader);
         }
         return Ok(Acquired { leased, permit: Some(permit), usage });
     }
+    if arrival.is_given_up() {
+        return Err(NotSent::Unreachable);
+    }
     if *host.phase.borrow() == Phase::Closing {
         return Err(NotSent::Draining);
     }
@@ -200,15 +252,14 @@
         return Err(NotSent::Rejected);
     }
     let usage = begin_use(host, &pool, statement)?;
-    let until = monoio::time::Instant::now() + statement.timeout();
     let (leased, permit) = match &statement.account {
         Some(account) => {
-            let (priority, queue_timeout) = (statement.priority, statement.queue_timeout());
+            let (priority, queue_timeout) = (statement.priority, arrival.queue_timeout());
             let permit = pool.enter(priority, queue_timeout, host.now()).await;
             let permit = permit.map_err(conn::queue_full)?;
-            (pool.lease(account, &statement.values, until).await, Some(permit))
+            (pool.lease(account, &statement.values, deadline).await, Some(permit))
         }
-        None => (pool.lease_any(&monitor::any_account(host), until).await, None),
+        None => (pool.lease_any(&monitor::any_account(host), deadline).await, None),
     };
     let leased = leased.map_err(conn::not_sent)?;
     // The server may have been evacuated or replaced while the statement was queued.
@@ -218,19 +269,17 @@
     if is_drained(host, &pool, statement) {
         return Err(NotSent::Rejected);
     }
+    if arrival.is_given_up() {
+        return Err(NotSent::Unreachable);
+    }
     if !may_send(host, usage.as_ref()) {
         return Err(NotSent::NotLeader);
     }
     Ok(Acquired { leased, permit, usage })
 }
 
-async fn run(
-    host: &Host,
-    from: HostId,
-    statement: ForwardedStatement,
-    acquired: Acquired,
-    link: LinkMonitor,
-) -> ForwardResult {
+async fn run(host: &Host, from: HostId, arrival: Arrival, acquired: Acquired) -> ForwardResult {
+    let Arrival { statement, link, deadline, .. } = arrival;
     let Acquired { mut leased, permit, usage } = acquired;
     let backend = leased.backend();
     if statement.account.is_some() {
@@ -242,7 +291,7 @@
     let sent_at = Instant::now();
     let pool = leased.pool().clone();
     pool.exchanges.borrow_mut().begin(host.now());
-    let answer = monoio::time::timeout(statement.timeout(), leased.backend().exchange()).await;
+    let answer = monoio::time::timeout_at(deadline, leased.backend().exchange()).await;
     pool.exchanges.borrow_mut().end(matches!(answer, Ok(Ok(_))), host.now());
     match answer {
         Ok(Ok(answer)) => {
--- a/components/proxy/src/join.rs
+++ b/components/proxy/src/join.rs
@@ -213,7 +213,12 @@
     since: Duration,
 ) -> Option<Updates> {
     let (me, domain) = (settings.host.clone(), settings.domain.clone());
-    let hello = move || Hello { host: me.clone(), domain: domain.clone(), nonce: rand::random() };
+    let hello = move || Hello {
+        host: me.clone(),
+        domain: domain.clone(),
+        nonce: rand::random(),
+        clock: None,
+    };
     let key = Secret::new(secret.as_bytes());
     let link = Link::start(id.clone(), address, hello, key, clock.clone(), fleet::LINK_KEEPALIVE);
     link.first_attempt(LINK_TIMEOUT).await;
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -175,6 +175,7 @@
     let (hello, secret) = (host.mesh.hello(), host.mesh.secret.clone());
     let service = Rc::new(Service {
         secret,
+        clock: host.clock.clone(),
         serve: Box::new(|_, _| {}),
         answer: Box::new(move |peer, question, replier| {
             gossip::answer(&host, peer, question, replier);
--- a/components/proxy/tests/forward.rs
+++ b/components/proxy/tests/forward.rs
@@ -41,18 +41,21 @@
     server: Rc<Server>,
     link: Rc<Link>,
     clock: Rc<ManualClock>,
+    /// Clock by which the host determines the age of messages.
+    link_clock: Rc<ManualClock>,
 }
 
 impl Holder {
     async fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let peer = listener.local_addr().unwrap();
-        let clock = Rc::new(ManualClock::new());
+        let (clock, link_clock) = (Rc::new(ManualClock::new()), Rc::new(ManualClock::new()));
         let host = hosts::start(peer, clock.clone());
         let server = Server::start(&host);
         let accepting = host.clone();
         let service = Rc::new(Service {
             secret: host.mesh.secret.clone(),
+            clock: link_clock.clone(),
             serve: Box::new(|_, _| {}),
             answer: Box::new(move |peer, question, replier| {
                 gossip::answer(&accepting, peer, question, replier);
@@ -75,7 +78,7 @@
         mesh.set_roster(&[me("h2", peer)], &[]);
         let link = mesh.link(&hosts::id("h2")).unwrap();
         until(|| link.is_up()).await;
-        Self { host, server, link, clock }
+        Self { host, server, link, clock, link_clock }
     }
 
     /// Forwards a statement in a task of its own; returns its result.
@@ -88,6 +91,14 @@
         })
     }
 
+    /// Forwards a statement without waiting for its result.
+    fn send(&self, statement: ForwardedStatement) {
+        let link = self.link.clone();
+        monoio::spawn(async move {
+            let _ = link.query(Question::Forward(Box::new(statement)), TIMEOUT).await;
+        });
+    }
+
     /// Forwards a statement and waits until it is in the queue of the server.
     async fn enqueue(
         &self,
@@ -131,6 +142,7 @@
         priority: 0,
         queue_timeout_ms: 5000,
         timeout_ms: 5000,
+        sent: None,
     }
 }
 
@@ -219,6 +231,60 @@
     assert_eq!(holder.server.received(), ["BEGIN READ", "READ k1"]);
 }
 
+/// Guards against a statement that runs seconds after its caller had an answer: a network that was cut
+/// delivers it after the cut, or the holder was suspended.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn statement_that_arrives_after_its_timeout_is_not_run() {
+    let holder = Holder::start().await;
+    holder.server.allow_all();
+    let current = holder.link.earliest_clock();
+    assert!(current.is_some());
+    let read = |text, sent| ForwardedStatement { leads: false, sent, ..statement(text) };
+    let result = holder.forward(read("READ k1", current)).await;
+    assert!(matches!(result, ForwardResult::Answered(_)), "{result:?}");
+    holder.link_clock.advance(Duration::from_millis(6000));
+    let result = holder.forward(read("READ k2", current)).await;
+    assert!(matches!(result, ForwardResult::NotSent(_)), "{result:?}");
+    assert_eq!(holder.server.received(), ["READ k1"]);
+}
+
+/// Guards against a COMMIT that a cut network delivers after its timeout, when the caller has been told
+/// that the outcome is unknown and another host may have read that it did not commit.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn transaction_whose_statement_arrives_after_its_timeout_is_rolled_back() {
+    let holder = Holder::start().await;
+    holder.server.allow_all();
+    let sent = holder.link.earliest_clock();
+    let run = |text| holder.forward(ForwardedStatement { sent, ..in_transaction(text, 7) });
+    let result = run("BEGIN").await;
+    assert!(matches!(result, ForwardResult::Answered(_)), "{result:?}");
+    holder.link_clock.advance(Duration::from_millis(6000));
+    for _ in 0..2 {
+        let result = run("COMMIT").await;
+        assert!(matches!(result, ForwardResult::NotSent(_)), "{result:?}");
+    }
+    assert_eq!(holder.server.received(), ["BEGIN"]);
+}
+
+/// Guards against a statement that waits in the holder's queue and runs after its sender has closed the
+/// link, and with it given the statement up.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn queued_statement_is_not_run_after_its_link_has_closed() {
+    let holder = Holder::start().await;
+    holder.send(statement("READ k1"));
+    until(|| !holder.server.received().is_empty()).await;
+    let pool = holder.host.server(&hosts::server()).unwrap();
+    let is_free = || pool.wait(0, TIMEOUT, holder.host.now()).is_zero();
+    holder.send(statement("READ k2"));
+    until(|| !is_free()).await;
+    holder.link.close();
+    until(|| !holder.link.is_up()).await;
+    monoio::time::sleep(Duration::from_millis(100)).await;
+    holder.server.allow_all();
+    until(is_free).await;
+    assert_eq!(holder.server.received(), ["READ k1"]);
+}
+
 /// Guards against refusals of statements that need no leader, such as reads at replicas, while a
 /// group has none.
 #[monoio::test(driver = "legacy", enable_timer = true)]
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -140,6 +140,7 @@
     let report = move || Answer::Report(Box::new(operator.report()));
     let service = Rc::new(Service {
         secret: mesh.secret.clone(),
+        clock: Rc::new(SystemClock),
         serve: Box::new(move |open, side| {
             let doc = current.get();
             connection_homes.serve(doc.as_ref().and_then(|doc| doc.config.as_ref()), open, side);
