A connection to a server is reset if its statement is given up

Callers can see: a write that was given up runs after a cut of the network, seconds after its caller was told that the outcome is unknown, and overwrites a later acknowledged write of the same caller.

A host closes the connection after the timeout, and the system goes on sending the statement.

Change: a connection that is dropped while an answer is pending is reset. Idle ones are closed as before.

--- a/components/proxy/src/backend.rs
+++ b/components/proxy/src/backend.rs
@@ -15,6 +15,7 @@
     net::{TcpStream, tcp::stream_poll::TcpStreamPoll},
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tracing::debug;
 
 /// Timeout of a connection attempt. An attempt takes 2 ms between machines of one region, so a
 /// server that has not answered within the timeout is silent or cut off.
@@ -60,6 +61,19 @@
     pub server: ServerId,
     /// Session values and named statements that the connection holds.
     pub carried: ConnectionState,
+    /// Whether an exchange has begun and not ended.
+    exchanging: bool,
+}
+
+impl Drop for Backend {
+    /// Resets the connection if an answer is pending: the statement was given up.
+    fn drop(&mut self) {
+        if self.exchanging
+            && let Err(error) = bergamottrack_socket::reset_on_close(&self.io)
+        {
+            debug!(server = %self.server, %error, "backend: connection closed without a reset");
+        }
+    }
 }
 
 impl Backend {
@@ -90,6 +104,7 @@
             account: account.clone(),
             server: listed.id.clone(),
             carried: ConnectionState::default(),
+            exchanging: false,
         };
         wire::put_start(&listed.group, account, &listed.id, &mut backend.out);
         let started = monoio::time::timeout(SESSION_START_TIMEOUT, backend.exchange()).await;
@@ -126,6 +141,7 @@
     /// Fails if a session step before the statement failed: the statement may have run with other
     /// values than its session's, and the connection must be closed.
     pub async fn exchange(&mut self) -> anyhow::Result<ServerAnswer> {
+        self.exchanging = true;
         self.io
             .write_all(&self.out)
             .await
@@ -134,6 +150,7 @@
         loop {
             let answer = self.next().await?;
             if self.pending_steps == 0 {
+                self.exchanging = false;
                 return Ok(answer);
             }
             self.pending_steps -= 1;
