An absurd cold time in one entry of the list ends no host

Callers saw: all hosts end, again at each start, as long as one row of the table of servers has a coldRemainingMs near the greatest number of seconds; any writer can put it there (review, further faults).

Not played with hosts.

--- a/components/coordination/src/store_clock.rs
+++ b/components/coordination/src/store_clock.rs
@@ -42,7 +42,7 @@
         let distance = store.abs_diff(known);
         let drift = distance.mul_f64(MAX_DRIFT);
         if store >= known {
-            Some(local + distance - drift)
+            local.checked_add(distance - drift)
         } else {
             local.checked_sub(distance + drift)
         }
--- a/components/proxy/src/servers.rs
+++ b/components/proxy/src/servers.rs
@@ -264,7 +264,7 @@
     /// store's clock is unknown.
     fn cold_until(&self, listed: &ListedServer) -> Option<Instant> {
         let cold = Some(listed.cold).filter(|cold| !cold.is_zero())?;
-        Some(self.store_clock.borrow().local(cold)? + COLD_MARGIN)
+        self.store_clock.borrow().local(cold)?.checked_add(COLD_MARGIN)
     }
 
     /// Removes a server that has been missing since the given disappearance, and closes its idle
