A stopping host answers each statement before it exits

Callers saw (review, further faults): a host that is stopped takes transactions until 2.3 s after the signal, and exits after 5.1 s in the middle of 7 to 15 statements that a server works on; their connections end without an answer.

Cause: an open transaction had the whole grace period, less a margin, and nothing answered the statements that were in flight at its end.

Change: after half of the grace period a statement of an open transaction is answered with ABORTED and not run, unless it commits or rolls back. At the end, each statement without an answer gets UNCERTAIN, for which 0.15 s of the margin are used.

Tests, which fail before: statement_in_flight_is_answered_before_the_host_exits, open_transaction_of_an_ending_host_is_aborted_at_its_next_statement.

--- a/components/proxy/src/caller.rs
+++ b/components/proxy/src/caller.rs
@@ -92,7 +92,14 @@
         match connection.next_event(session.state() == State::Idle, timeout).await? {
             Event::Line(line) => match wire::decode_caller(&line) {
                 Ok(CallerMessage::Query(request)) => {
-                    session.answer(&request, &mut connection.out).await
+                    let mut phase = host.phase.subscribe();
+                    let answered = monoio::select! {
+                        () = session.answer(&request, &mut connection.out) => true,
+                        _ = phase.wait_for(|phase| *phase == Phase::Stopped) => false,
+                    };
+                    if !answered {
+                        session.abandon(&request, &mut connection.out);
+                    }
                 }
                 Ok(CallerMessage::Malformed) => session.answer_malformed(&mut connection.out),
                 Ok(CallerMessage::Bye) => return Ok(()),
@@ -154,7 +161,7 @@
             let read = if interruptible {
                 monoio::select! {
                     read = read => Some(read),
-                    _ = phase.wait_for(|phase| *phase == Phase::Closing) => None,
+                    _ = phase.wait_for(|phase| *phase >= Phase::Closing) => None,
                 }
             } else {
                 Some(read.await)
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -245,7 +245,7 @@
     if arrival.is_given_up() {
         return Err(NotSent::Unreachable);
     }
-    if *host.phase.borrow() == Phase::Closing {
+    if *host.phase.borrow() >= Phase::Closing {
         return Err(NotSent::Draining);
     }
     if is_drained(host, &pool, statement) {
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -60,6 +60,10 @@
     Leaving,
     /// Sessions are closed as soon as they have no open transaction.
     Closing,
+    /// An open transaction is ended at its next statement, unless that commits it.
+    Ending,
+    /// Statements without an answer get one, and nothing runs any more.
+    Stopped,
 }
 
 /// Clock value that another host sent in the answer to a heartbeat.
--- a/components/proxy/src/monitor.rs
+++ b/components/proxy/src/monitor.rs
@@ -67,7 +67,7 @@
 pub async fn watch(host: Rc<Host>) {
     loop {
         monoio::time::sleep(CHECK_INTERVAL).await;
-        if !host.leased() || *host.phase.borrow() == Phase::Closing {
+        if !host.leased() || *host.phase.borrow() >= Phase::Closing {
             continue;
         }
         let groups: Vec<_> = host.groups.borrow().values().cloned().collect();
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -45,6 +45,9 @@
 /// period the process would be killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(900);
 
+/// Part of [`EXIT_MARGIN`] for the answers to statements that have none at its begin.
+const ABANDON_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Maximum number of connections waiting to be accepted, per listener.
 const BACKLOG: i32 = 1024;
 
@@ -259,16 +262,28 @@
 /// Shuts the host down: continues to serve while new callers still arrive, then closes sessions
 /// between transactions, and leaves the view when no session and no idle transaction of another
 /// host remains, but at the latest [`EXIT_MARGIN`] before the process would be killed.
+///
+/// Transactions have half of the grace period to end, so that each of their statements can still be
+/// answered. A statement without an answer at the end gets one before the process exits.
 async fn stop(host: &Rc<Host>) {
     let started = Instant::now();
-    let limit = host.settings.shutdown_grace.saturating_sub(EXIT_MARGIN);
+    let grace = host.settings.shutdown_grace;
+    let limit = grace.saturating_sub(EXIT_MARGIN);
+    let is_needed = || host.sessions.get() + host.remote_transactions.count() > 0;
+    let wait_until = async |end| {
+        while is_needed() && started.elapsed() < end {
+            monoio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
     info!(sessions = host.sessions.get(), "host: stopping");
     host.phase.send_replace(Phase::Leaving);
     monoio::time::sleep(READINESS_DELAY.min(limit / 2)).await;
     host.phase.send_replace(Phase::Closing);
-    while host.sessions.get() + host.remote_transactions.count() > 0 && started.elapsed() < limit {
-        monoio::time::sleep(POLL_INTERVAL).await;
-    }
+    wait_until(limit.min(grace / 2)).await;
+    host.phase.send_replace(Phase::Ending);
+    wait_until(limit).await;
+    host.phase.send_replace(Phase::Stopped);
+    wait_until(limit + ABANDON_TIMEOUT).await;
     let cut = host.sessions.get();
     // No leader is used from here on, and no contact is given, so other hosts need not wait for this
     // one.
--- a/components/proxy/src/session.rs
+++ b/components/proxy/src/session.rs
@@ -12,7 +12,7 @@
 use tracing::info;
 
 use crate::{
-    host::Host,
+    host::{Host, Phase},
     operation::{self, Operation, Refusal, StepOutcome},
     target::Execution,
     timing::{Stage, Timing},
@@ -34,6 +34,9 @@
 /// client account.
 const ANONYMOUS: &str = "-";
 
+/// Reason for a caller whose statement ends with the host.
+const HOST_STOPPING: &str = "the host is being stopped";
+
 /// An open transaction.
 struct Transaction {
     operation: Operation,
@@ -120,8 +123,20 @@
         self.fail(&refusal, out);
     }
 
+    /// Answers a statement that has no answer yet as the host stops: it may have run. An open
+    /// transaction is rolled back.
+    pub fn abandon(&mut self, request: &Request, out: &mut BytesMut) {
+        info!(id = %request.id, "statement: abandoned, the host is being stopped");
+        self.fail(&Refusal::new(Failure::Uncertain, HOST_STOPPING), out);
+    }
+
     /// Answers a statement according to the transaction state.
     pub async fn answer(&mut self, request: &Request, out: &mut BytesMut) {
+        let ends = matches!(request.statement, Statement::Commit | Statement::Rollback);
+        if self.state == State::Open && !ends && *self.host.phase.borrow() >= Phase::Ending {
+            let refusal = Refusal::busy(HOST_STOPPING);
+            return self.fail(&Refusal { failure: Failure::Aborted, ..refusal }, out);
+        }
         match self.state {
             State::Idle => self.answer_idle(request, out).await,
             State::Open => self.answer_open(request, out).await,
