An open transaction ends at its next statement once its key is removed

Cause: the key is looked up when an operation begins only, and nothing bounds a transaction whose caller keeps sending.

Change: each statement of a transaction but ROLLBACK is answered with FORBIDDEN, and the transaction rolled back, if the session's key no longer belongs to the transaction's account. Routes are not looked at: their changes apply from the next transaction on.

--- a/components/proxy/src/session.rs
+++ b/components/proxy/src/session.rs
@@ -137,6 +137,12 @@
             let refusal = Refusal::busy(HOST_STOPPING);
             return self.fail(&Refusal { failure: Failure::Aborted, ..refusal }, out);
         }
+        if self.state == State::Open
+            && request.statement != Statement::Rollback
+            && let Some(refusal) = self.key_refusal()
+        {
+            return self.fail(&refusal, out);
+        }
         match self.state {
             State::Idle => self.answer_idle(request, out).await,
             State::Open => self.answer_open(request, out).await,
@@ -301,6 +307,16 @@
         }
     }
 
+    /// Returns the refusal of the open transaction's next statement if the session's key no longer
+    /// belongs to the transaction's account under the current configuration. Changes of the route apply
+    /// from the next transaction on.
+    fn key_refusal(&self) -> Option<Refusal> {
+        let account = self.transaction.as_ref()?.operation.contract.as_ref()?;
+        let (plan, key) = (self.host.plan()?, &self.key);
+        let holds = plan.keys.get(key).is_some_and(|current| current.id == account.id);
+        (!holds).then(|| Refusal::new(Failure::Denied, "the key was removed"))
+    }
+
     /// Answers a statement that changes only the session and needs no server.
     fn answer_local(&mut self, request: &Request, out: &mut BytesMut) {
         let session = &mut self.session;
