The values and incomplete messages of all sessions have a memory limit

Cause: the number of names of a session was limited, their bytes were not, and nothing limited what all connections hold together.

Change: the names, values and named statements of a session are limited to 1 MB (TOOBIG), the length of a message. Those of all sessions and their incomplete messages share 32 MB, of which each session has 4 KB without a charge; beyond it a SET is answered with BUSY and a connection with an incomplete message is closed with BUSY. The budget of the pg protocol's messages does this already and moves to coordination, with the free bytes as a parameter. An empty buffer of more than 16 KB is not kept.

Left: connections to servers hold copies of their last session's values.

Tests, which fail before: session_holds_values_of_one_message_at_most, sessions_together_hold_a_bounded_size_of_values, incomplete_messages_together_hold_a_bounded_size. No figure of a process's memory was taken.

--- a/components/pg/src/budget.rs
+++ b/components/coordination/src/budget.rs
@@ -2,16 +2,15 @@
 
 use std::{cell::Cell, fmt, rc::Rc};
 
-/// Bytes that each connection may hold without a charge to the budget.
-const FREE_PER_CONNECTION: usize = 64 << 10;
-
-/// Maximum number of bytes of incoming messages that all connections together may hold.
+/// Maximum number of bytes that all connections together may hold.
 ///
-/// Each connection may receive a large message. Without a common limit, enough large messages at
-/// the same time exhaust the memory of the host.
+/// Each connection may hold a large message or large session values. Without a common limit, enough of
+/// them at the same time exhaust the memory of the host.
 #[derive(Debug)]
 pub struct Budget {
     limit: usize,
+    /// Bytes that each connection may hold without a charge.
+    free: usize,
     used: Cell<usize>,
 }
 
@@ -21,7 +20,7 @@
 
 impl fmt::Display for BudgetExhausted {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("too many large messages are on their way to this host")
+        f.write_str("the connections of this host hold too much memory")
     }
 }
 
@@ -36,9 +35,10 @@
 }
 
 impl Budget {
-    /// Creates an unused budget of `limit` bytes.
-    pub fn new(limit: usize) -> Rc<Self> {
-        Rc::new(Self { limit, used: Cell::default() })
+    /// Creates an unused budget of `limit` bytes, from which each connection has `free` bytes without a
+    /// charge.
+    pub fn new(limit: usize, free: usize) -> Rc<Self> {
+        Rc::new(Self { limit, free, used: Cell::default() })
     }
 
     /// Creates the charge of a connection that holds nothing.
@@ -51,7 +51,7 @@
     /// Sets the number of bytes that the connection holds. If they do not fit into the budget,
     /// returns an error and changes nothing. A charge that does not grow never fails.
     pub fn set(&mut self, bytes: usize) -> Result<(), BudgetExhausted> {
-        let bytes = bytes.saturating_sub(FREE_PER_CONNECTION);
+        let bytes = bytes.saturating_sub(self.budget.free);
         let used = self.budget.used.get() - self.bytes + bytes;
         if bytes > self.bytes && used > self.budget.limit {
             return Err(BudgetExhausted);
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod ages;
 pub mod attempts;
 pub mod bucket;
+pub mod budget;
 pub mod changes;
 pub mod choice;
 pub mod claims;
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -7,7 +7,6 @@
 use bergamottrack_peer::Question;
 use bergamottrack_pg::{
     answer::{self, Severity},
-    budget::BudgetExhausted,
     stream::{self, Stream},
 };
 use monoio::{io::IntoPollIo, net::TcpStream, time::Instant};
@@ -167,7 +166,11 @@
 
 /// Returns the refusal of a message that exceeds the memory budget.
 pub fn memory_refusal() -> Refusal {
-    Refusal::not_run(Reason::Overload, Some(RETRY_DELAY), BudgetExhausted.to_string())
+    Refusal::not_run(
+        Reason::Overload,
+        Some(RETRY_DELAY),
+        "too many large messages are on their way to this host",
+    )
 }
 
 /// Returns the refusal by a draining host; another host can serve the caller at once.
--- a/components/entry/src/callers.rs
+++ b/components/entry/src/callers.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, io, net::SocketAddr, rc::Rc};
 
-use bergamottrack_pg::budget::Budget;
+use bergamottrack_coordination::budget::Budget;
 use monoio::net::{ListenerOpts, TcpListener};
 use tokio::sync::Notify;
 
@@ -26,6 +26,9 @@
 /// Maximum memory for large messages that a host is receiving from callers, in bytes.
 const MAX_INPUT: usize = 64 << 20;
 
+/// Bytes of a message that each connection may receive without a charge to that memory.
+const FREE_INPUT: usize = 64 << 10;
+
 /// Callers connected to a host.
 pub struct Callers {
     /// Memory budget for messages received from callers.
@@ -52,7 +55,7 @@
     /// Creates an empty set of callers with a maximum number of connections.
     pub fn new(limit: usize) -> Rc<Self> {
         Rc::new(Self {
-            input: Budget::new(MAX_INPUT),
+            input: Budget::new(MAX_INPUT, FREE_INPUT),
             limit,
             connected: Cell::default(),
             over_limit: Cell::default(),
--- a/components/entry/src/session.rs
+++ b/components/entry/src/session.rs
@@ -7,12 +7,14 @@
 };
 
 use anyhow::{Context, bail};
-use bergamottrack_coordination::{Reason, Refusal};
+use bergamottrack_coordination::{
+    Reason, Refusal,
+    budget::{BudgetExhausted, Charge},
+};
 use bergamottrack_peer::{Exchange, Intent, Open, ToHome, message::TransactionState};
 use bergamottrack_pg::{
     Frame, PgReader, PgWriter,
     answer::{self, Severity},
-    budget::{BudgetExhausted, Charge},
     frame,
     stream::Stream,
 };
--- a/components/model/src/session.rs
+++ b/components/model/src/session.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3;
 
-use crate::statement::{Access, Shape};
+use crate::statement::{Access, Shape, Statement};
 
 /// Values and prepared statements of a caller's session.
 #[derive(Clone, Debug, Default)]
@@ -15,6 +15,29 @@
     pub prepared: HashMap<Box<str>, Shape>,
 }
 
+impl Session {
+    /// Returns the size in bytes of all names, values and prepared statements after a statement that
+    /// changes them.
+    pub fn size_after(&self, statement: &Statement) -> usize {
+        let mut size: usize =
+            self.values.iter().map(|(name, value)| name.len() + value.len()).sum();
+        size +=
+            self.prepared.iter().map(|(name, shape)| name.len() + shape.text.len()).sum::<usize>();
+        let value_size =
+            |name: &str| self.values.get(name).map_or(0, |value| name.len() + value.len());
+        let shape_size =
+            |name: &str| self.prepared.get(name).map_or(0, |shape| name.len() + shape.text.len());
+        match statement {
+            Statement::Set { name, value } => size - value_size(name) + name.len() + value.len(),
+            Statement::Prepare { name, shape } => {
+                size - shape_size(name) + name.len() + shape.text.len()
+            }
+            Statement::Deallocate { name } => size - shape_size(name),
+            _ => size,
+        }
+    }
+}
+
 /// Values and prepared statements of a connection to a server.
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionState {
--- a/components/pg/src/lib.rs
+++ b/components/pg/src/lib.rs
@@ -1,7 +1,6 @@
 //! PostgreSQL messages and message streams, on top of the `pgwire` codec.
 
 pub mod answer;
-pub mod budget;
 pub mod frame;
 pub mod scram;
 pub mod stream;
--- a/components/pg/src/stream.rs
+++ b/components/pg/src/stream.rs
@@ -3,14 +3,12 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use bergamottrack_coordination::budget::Charge;
 use bytes::BytesMut;
 use pgwire::messages::{DecodeContext, PgWireFrontendMessage, SslNegotiationMetaMessage};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadHalf, WriteHalf};
 
-use crate::{
-    budget::Charge,
-    frame::{self, Frame},
-};
+use crate::frame::{self, Frame};
 
 /// Maximum length of a start-up message in bytes.
 pub const MAX_STARTUP: usize = 10_000;
--- a/components/proxy/src/caller.rs
+++ b/components/proxy/src/caller.rs
@@ -4,6 +4,7 @@
 
 use anyhow::Context;
 use bergamottrack_adapter::wire::{self, CallerMessage, LineReader, WireError};
+use bergamottrack_coordination::budget::Charge;
 use bergamottrack_model::{Failure, State};
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
@@ -23,6 +24,9 @@
     session::CallerSession,
 };
 
+/// Maximum capacity in bytes of an empty buffer that a connection keeps for its next message.
+const MAX_KEPT_BUFFER: usize = 16 << 10;
+
 /// Timeout of a caller's start message.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -42,6 +46,8 @@
     Line(Bytes),
     Closed,
     TooLong,
+    /// The sessions of this host hold too much memory for the caller's message.
+    NoMemory,
     /// Nothing arrived from the caller within the timeout.
     IdleTimeout,
     /// The host is shutting down and the session is between transactions.
@@ -51,11 +57,17 @@
 struct Connection {
     io: TcpStreamPoll,
     buf: BytesMut,
+    /// Memory of `buf`.
+    memory: Charge,
     lines: LineReader,
     out: BytesMut,
     phase: watch::Receiver<Phase>,
 }
 
+fn no_memory() -> Refusal {
+    Refusal::busy("the sessions of this host hold too much")
+}
+
 /// Serves one caller until its connection ends.
 pub async fn serve(host: Rc<Host>, stream: TcpStream) {
     host.sessions.set(host.sessions.get() + 1);
@@ -76,6 +88,7 @@
     let mut connection = Connection {
         io: configure(stream).context("configuring a caller's connection")?,
         buf: BytesMut::new(),
+        memory: host.session_memory.charge(),
         lines: LineReader::default(),
         out: BytesMut::new(),
         phase: host.phase.subscribe(),
@@ -112,6 +125,7 @@
                 let refusal = Refusal::new(Failure::TooLarge, "the message is too large");
                 return connection.close_with(&refusal).await;
             }
+            Event::NoMemory => return connection.close_with(&no_memory()).await,
             Event::IdleTimeout => session.expire_transaction(),
             Event::Closed | Event::Shutdown => return Ok(()),
         }
@@ -130,6 +144,10 @@
                 self.close_with(&refusal).await?;
                 return Ok(None);
             }
+            Event::NoMemory => {
+                self.close_with(&no_memory()).await?;
+                return Ok(None);
+            }
             Event::Closed | Event::IdleTimeout | Event::Shutdown => return Ok(None),
         };
         if let Ok(CallerMessage::Start { database, key }) = wire::decode_caller(&line) {
@@ -145,7 +163,15 @@
     async fn next_event(&mut self, idle: bool, timeout: Option<Duration>) -> anyhow::Result<Event> {
         loop {
             match self.lines.take(&mut self.buf) {
-                Ok(Some(line)) => return Ok(Event::Line(line)),
+                Ok(Some(line)) => {
+                    // A charge that shrinks does not fail.
+                    let _ = self.memory.set(self.buf.len());
+                    return Ok(Event::Line(line));
+                }
+                // The memory of a long line is not kept for the next ones.
+                Ok(None) if self.buf.is_empty() && self.buf.capacity() > MAX_KEPT_BUFFER => {
+                    self.buf = BytesMut::new();
+                }
                 Ok(None) => {}
                 Err(WireError::TooLong | WireError::Unknown) => return Ok(Event::TooLong),
             }
@@ -177,6 +203,9 @@
             match read {
                 None => return Ok(Event::IdleTimeout),
                 Some(Ok(0)) => return Ok(Event::Closed),
+                Some(Ok(_)) if self.memory.set(self.buf.len()).is_err() => {
+                    return Ok(Event::NoMemory);
+                }
                 Some(Ok(_)) => {}
                 Some(Err(error)) => return Err(error).context("reading from a caller"),
             }
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -11,6 +11,7 @@
 use bergamottrack_contract as contract;
 use bergamottrack_coordination::{
     AccountId, Clock, GroupId, HostId, Revision, StoreClock,
+    budget::Budget,
     claims::HeldClaims,
     connections,
     demand::Demand,
@@ -168,6 +169,20 @@
     pub metrics: Metrics,
     /// Number of open sessions.
     pub sessions: Cell<usize>,
+    /// Memory of all sessions, for their values, named statements and incomplete messages.
+    pub session_memory: Rc<Budget>,
+}
+
+/// Maximum of [`Host::session_memory`] in bytes; hosts have 160 MB or more in all.
+const MAX_SESSION_MEMORY: usize = 32 << 20;
+
+/// Bytes of values and named statements, and of an incomplete message, that each session may hold
+/// without a charge to that memory.
+const FREE_SESSION_MEMORY: usize = 4 << 10;
+
+/// Returns the unused memory of all sessions.
+pub fn session_memory() -> Rc<Budget> {
+    Budget::new(MAX_SESSION_MEMORY, FREE_SESSION_MEMORY)
 }
 
 /// Returns whether statements may be sent over the link to a holder.
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -28,7 +28,7 @@
 
 use crate::{
     BootClock, caller, eviction, fleet, follow, gossip,
-    host::{Host, Phase},
+    host::{Host, Phase, session_memory},
     join,
     metrics::Metrics,
     monitor,
@@ -160,6 +160,7 @@
         view_wakeup: Notify::new(),
         metrics: Metrics::default(),
         sessions: Cell::default(),
+        session_memory: session_memory(),
     })
 }
 
--- a/components/proxy/src/session.rs
+++ b/components/proxy/src/session.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use bergamottrack_adapter::wire;
-use bergamottrack_coordination::{GroupId, Point, demand::Ruling, homes};
+use bergamottrack_coordination::{GroupId, Point, budget::Charge, demand::Ruling, homes};
 use bergamottrack_model::{
     Access, Account, Failure, Request, Route, ServerAnswer, Session, State, Statement,
 };
@@ -23,6 +23,10 @@
 /// limit one session could exhaust the host's memory.
 const MAX_NAMES: usize = 512;
 
+/// Maximum size in bytes of the values and named statements of one session: one message of the
+/// greatest length. Connections to servers hold copies of them.
+const MAX_SIZE: usize = wire::MAX_LINE;
+
 /// An operation waits for a token for up to its latency target divided by this: a caller that is
 /// refused after it has most of the time left.
 const TOKEN_WAIT_DIVISOR: u32 = 4;
@@ -62,6 +66,8 @@
     database: Box<str>,
     key: Box<str>,
     session: Session,
+    /// Memory of the session's values and named statements.
+    memory: Charge,
     /// Log position of the session's last write, by group.
     last_writes: HashMap<GroupId, Point>,
     transaction: Option<Transaction>,
@@ -75,6 +81,7 @@
     /// Creates a session without a transaction.
     pub fn new(host: Rc<Host>, database: Box<str>, key: Box<str>) -> Self {
         Self {
+            memory: host.session_memory.charge(),
             host,
             database,
             key,
@@ -329,6 +336,14 @@
             let refusal = Refusal::new(Failure::TooLarge, "the session holds too many names");
             return self.fail(&refusal, out);
         }
+        let size = session.size_after(&request.statement);
+        if size > MAX_SIZE {
+            let refusal = Refusal::new(Failure::TooLarge, "the session holds too much");
+            return self.fail(&refusal, out);
+        }
+        if self.memory.set(size).is_err() {
+            return self.fail(&Refusal::busy("the sessions of this host hold too much"), out);
+        }
         match &request.statement {
             Statement::Set { name, value } => {
                 session.values.insert(name.clone(), value.clone());
--- a/components/proxy/tests/callers/mod.rs
+++ b/components/proxy/tests/callers/mod.rs
@@ -1,5 +1,8 @@
 //! Host that serves callers, and their sessions.
 
+// Each test uses a part.
+#![allow(dead_code)]
+
 use std::{rc::Rc, time::Duration};
 
 use bergamottrack_adapter::configuration;
@@ -33,13 +36,19 @@
 impl Caller {
     /// Opens a session at a host.
     pub async fn start(host: &Rc<Host>, database: &str, key: &str) -> Self {
+        let mut caller = Self::connect(host).await;
+        let answer = caller.send(&format!("START {database} {key}")).await;
+        assert_eq!(answer, "READY I -\r\n");
+        caller
+    }
+
+    /// Connects to a host without beginning a session.
+    pub async fn connect(host: &Rc<Host>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
         let (accepted, _) = listener.accept().await.unwrap();
         monoio::spawn(caller::serve(host.clone(), accepted));
-        let mut caller = Self { stream };
-        assert_eq!(caller.send(&format!("START {database} {key}")).await, "READY I -\r\n");
-        caller
+        Self { stream }
     }
 
     /// Sends a message.
@@ -47,14 +56,22 @@
         self.stream.write_all(format!("{line}\r\n").into_bytes()).await.0.unwrap();
     }
 
-    /// Reads an answer, up to the session's state.
+    /// Sends bytes that end no message; returns whether the connection is still open.
+    pub async fn try_write(&mut self, text: &str) -> bool {
+        self.stream.write_all(text.as_bytes().to_vec()).await.0.is_ok()
+    }
+
+    /// Reads an answer, up to the session's state or to the failure with which the host closes.
     pub async fn read(&mut self) -> String {
         let mut answer = String::new();
         let read = async {
             while !(answer.contains("READY") && answer.ends_with("\r\n")) {
                 let (read, chunk) = self.stream.read(vec![0; 1024]).await;
                 let len = read.unwrap();
-                assert!(len > 0, "the connection ends after {answer:?}");
+                if len == 0 {
+                    assert!(answer.starts_with("ERROR "), "the connection ends after {answer:?}");
+                    return;
+                }
                 answer.push_str(std::str::from_utf8(&chunk[..len]).unwrap());
             }
         };
--- /dev/null
+++ b/components/proxy/tests/memory.rs
@@ -0,0 +1,78 @@
+//! Memory that callers' sessions may hold.
+
+mod callers;
+mod hosts;
+mod server;
+
+use callers::Caller;
+
+/// Length of a value: almost the greatest length of a message.
+const LARGE: usize = 1_000_000;
+
+/// Sends a statement that sets a large value.
+async fn set(caller: &mut Caller, name: &str) -> String {
+    let value = "x".repeat(LARGE);
+    caller.send(&format!("QUERY q1 SET {name} {value}")).await
+}
+
+/// Guards against a session that takes the host over its memory, so that the platform ends it: each value
+/// is as long as a message may be, and only the number of names was limited.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn session_holds_values_of_one_message_at_most() {
+    let (host, _server) = callers::start();
+    let mut caller = Caller::start(&host, "bookings", "-").await;
+    for _ in 0..3 {
+        let answer = set(&mut caller, "a").await;
+        assert!(answer.starts_with("DONE "), "{answer:?}");
+    }
+    let answer = set(&mut caller, "b").await;
+    assert!(answer.starts_with("ERROR TOOBIG "), "{answer:?}");
+}
+
+/// Guards against many sessions that take the host over its memory together.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn sessions_together_hold_a_bounded_size_of_values() {
+    let (host, _server) = callers::start();
+    let mut callers = Vec::new();
+    let refused = loop {
+        let mut caller = Caller::start(&host, "bookings", "-").await;
+        let answer = set(&mut caller, "a").await;
+        if !answer.starts_with("DONE ") {
+            break answer;
+        }
+        callers.push(caller);
+        assert!(callers.len() < 100, "100 sessions hold a large value each");
+    };
+    assert!(refused.starts_with("ERROR BUSY "), "{refused:?}");
+    // The memory of a session that has ended is free again.
+    callers.pop();
+    let mut answer = String::new();
+    for _ in 0..100 {
+        let mut caller = Caller::start(&host, "bookings", "-").await;
+        answer = set(&mut caller, "a").await;
+        if answer.starts_with("DONE ") {
+            break;
+        }
+        monoio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    assert!(answer.starts_with("DONE "), "{answer:?}");
+}
+
+/// Guards against incomplete messages that take the host over its memory: each connection may hold one of
+/// the greatest length, and none of them ends.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn incomplete_messages_together_hold_a_bounded_size() {
+    let (host, _server) = callers::start();
+    let mut open = Vec::new();
+    for _ in 0..100 {
+        let mut caller = Caller::connect(&host).await;
+        if !caller.try_write(&"x".repeat(LARGE)).await {
+            return;
+        }
+        open.push(caller);
+        if host.session_memory.charge().set(LARGE + 8192).is_err() {
+            return;
+        }
+    }
+    panic!("100 connections hold a large incomplete message each");
+}
--- a/components/proxy/tests/server/mod.rs
+++ b/components/proxy/tests/server/mod.rs
@@ -1,5 +1,8 @@
 //! Stand-in of a backend server.
 
+// Each test uses a part.
+#![allow(dead_code)]
+
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use bergamottrack_model::{ListedServer, Role};
