--- a/lab/src/link.rs
+++ b/lab/src/link.rs
@@ -5,11 +5,11 @@
     cell::RefCell,
     collections::BTreeMap,
     fs::File,
-    io::Write,
+    io::{self, Write},
     net::SocketAddr,
     os::fd::{AsRawFd, RawFd},
     path::PathBuf,
-    pin::Pin,
+    pin::{Pin, pin},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -19,6 +19,7 @@
     serve::{Handler, listen},
 };
 use clap::Args;
+use futures_util::future;
 use hyper::StatusCode;
 use monoio::{
     io::IntoPollIo,
@@ -227,15 +228,10 @@
     }
 }
 
-/// Has the kernel reset a connection when its socket is closed.
+/// Has the system reset a connection when its socket is closed.
 fn reset_on_close(socket: RawFd) {
-    let linger = libc::linger { l_onoff: 1, l_linger: 0 };
-    let size = size_of::<libc::linger>() as libc::socklen_t;
-    // SAFETY: the call reads `linger`, which outlives it.
-    #[allow(unsafe_code)]
-    unsafe {
-        let value = (&raw const linger).cast();
-        libc::setsockopt(socket, libc::SOL_SOCKET, libc::SO_LINGER, value, size);
+    if let Err(error) = bergamottrack_socket::reset_on_close(&socket) {
+        tracing::warn!("link: a connection is closed without a reset: {error}.");
     }
 }
 
@@ -257,11 +253,17 @@
         let Ok(onward) = TcpStream::connect(to).await else { return };
         let _ = (stream.set_nodelay(true), onward.set_nodelay(true));
         let (Ok(near), Ok(far)) = (stream.into_poll_io(), onward.into_poll_io()) else { return };
+        let sockets = [near.as_raw_fd(), far.as_raw_fd()];
         let (near_read, near_write) = tokio::io::split(near);
         let (far_read, far_write) = tokio::io::split(far);
         let up = forward_direction(&link, near_read, far_write, |fault| fault.cut_up);
         let down = forward_direction(&link, far_read, near_write, |fault| fault.cut_down);
-        monoio::join!(up, down);
+        // Keeps the sockets open until after they are marked.
+        let mut both = pin!(future::try_join(up, down));
+        if both.as_mut().await.is_err() {
+            // Both ends are reset, and the bytes that are held back are lost.
+            sockets.into_iter().for_each(reset_on_close);
+        }
     };
     monoio::select! {
         _ = forwarding => {}
@@ -272,23 +274,23 @@
 /// Returns whether the fault cuts the direction concerned.
 type IsCut = fn(&Fault) -> bool;
 
-/// Forwards the bytes of one direction until the stream ends.
+/// Forwards the bytes of one direction until the stream ends; fails once the sender has reset it.
 async fn forward_direction(
     link: &Link,
     mut from: ReadHalf<TcpStreamPoll>,
     mut to: WriteHalf<TcpStreamPoll>,
     cut: IsCut,
-) {
+) -> io::Result<()> {
     let (tx, mut rx) = mpsc::channel::<(Instant, Vec<u8>)>(MAX_IN_FLIGHT);
     let read = async move {
         loop {
             let mut chunk = vec![0; CHUNK_SIZE];
-            match from.read(&mut chunk).await {
-                Ok(n) if n > 0 => chunk.truncate(n),
-                _ => return,
+            match from.read(&mut chunk).await? {
+                0 => return Ok(()),
+                len => chunk.truncate(len),
             }
             if tx.send((Instant::now(), chunk)).await.is_err() {
-                return;
+                return Ok(());
             }
         }
     };
@@ -321,13 +323,14 @@
                 tracing::warn!("link: writing to the record file failed: {error}.");
             }
             if to.write_all(&chunk).await.is_err() {
-                return;
+                return Ok(());
             }
         }
         link.wait_until(|fault| !cut(fault)).await;
         let _ = to.shutdown().await;
+        Ok(())
     };
-    monoio::join!(read, write);
+    future::try_join(read, write).await.map(|_| ())
 }
 
 impl Link {
--- a/lab/src/soak/group.rs
+++ b/lab/src/soak/group.rs
@@ -99,6 +99,8 @@
     pub servers: Vec<Server>,
     /// Statements sent by callers, by statement id.
     pub sent: HashMap<Box<str>, Statement>,
+    /// Times at which callers sent their statements, by statement id.
+    sent_at: HashMap<Box<str>, Instant>,
     /// Answers that servers gave to each statement, by statement id.
     pub answers: HashMap<Box<str>, Vec<Answer>>,
     /// Violated guarantees, one description each.
@@ -119,6 +121,12 @@
     replaced_commits: HashSet<Box<str>>,
 }
 
+/// Timeout of statements on all routes.
+pub const ROUTE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time that a statement may wait at a server itself, which is not aware of timeouts.
+const QUEUE_ALLOWANCE: Duration = Duration::from_secs(1);
+
 impl Groups {
     /// Returns the index of the group's leader with the highest term.
     pub fn leader(&self, group: usize) -> Option<usize> {
@@ -241,6 +249,7 @@
                 sent.required = newest;
             }
         }
+        self.sent_at.insert(id.into(), Instant::now());
         self.sent.insert(id.into(), sent);
     }
 
@@ -299,6 +308,11 @@
                 format!("{id} read {term}.{shown} at {}, it must see {required:?}", server.id);
             self.broken.push(story);
         }
+        let age = self.sent_at.get(*id).map(Instant::elapsed).unwrap_or_default();
+        if age > ROUTE_TIMEOUT + QUEUE_ALLOWANCE {
+            let age = age.as_millis();
+            self.broken.push(format!("{id} was run {age} ms after its caller sent it"));
+        }
         let account = (*account).into();
         self.operations.entry(sent.operation).or_insert((Instant::now(), account));
         self.answers
