A failover compares its choice with the last confirmed record

Callers can see: acknowledged commits gone after a planned failover. The replica that confirmed them has left the list or stays silent, the successor receives nothing, and the leader, which has them and reports, is replaced all the same.

Cause: a planned failover whose successor does not catch up chooses by log among the servers that report, and nothing names what was confirmed.

Change: a host that releases a leader answers with the last record that a replica has confirmed to it, if the request says that the sender reads such an answer; earlier builds ignore the request's field and answer as before.

Tests, which fail before: leader_is_not_replaced_by_a_replica_without_the_confirmed_record, selection_is_undecided_while_the_successor_lacks_the_confirmed_record; release_of_a_leader_names_the_last_confirmed_record.

--- a/components/coordination/src/confirm.rs
+++ b/components/coordination/src/confirm.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Returns the greatest point that at least one replica has received; `None` before the first report.
+    pub fn newest(&self) -> Option<Point> {
+        self.newest
+    }
+
     /// Returns whether a replica is known to hold the commit. A point of a later term is no
     /// proof, since the commit may have been discarded before that term began.
     pub fn covers(&self, commit: Point) -> bool {
--- a/components/coordination/src/succession.rs
+++ b/components/coordination/src/succession.rs
@@ -99,19 +99,34 @@
 }
 
 /// Returns whether the selection must be repeated, since a server that has not reported its position may
-/// be ahead of the selected successor. `silent` is the number of listed servers without any report.
+/// be ahead of the selected successor. `silent` is the number of listed servers without any report, and
+/// `confirmed` the last record that a replica is known to have confirmed.
 ///
-/// A server that has no capacity to report may have confirmed commits that it has not applied yet.
-pub fn is_undecided(next: &Next, states: &[Standing], silent: usize) -> bool {
+/// A server that has no capacity to report may have confirmed commits that it has not applied yet, and
+/// one that is not listed now may be back.
+pub fn is_undecided(
+    next: &Next,
+    states: &[Standing],
+    silent: usize,
+    confirmed: Option<Point>,
+) -> bool {
     let Next::Promote { successor, last: None, .. } = next else { return false };
     let may_be_ahead =
         |server: &Standing| server.busy && !server.evacuated && server.id != *successor;
-    silent > 0 || states.iter().any(may_be_ahead)
+    let lacks_confirmed =
+        |server: &Standing| server.id == *successor && Some(server.received) < confirmed;
+    silent > 0 || states.iter().any(|server| may_be_ahead(server) || lacks_confirmed(server))
 }
 
 /// Returns the next step from the reported states. `retiring` is the leader to be replaced in a
-/// planned failover.
-pub fn next(states: &[Standing], terms: Terms, retiring: Option<&ServerId>, order: Order) -> Next {
+/// planned failover, and `confirmed` the last record that a replica is known to have confirmed.
+pub fn next(
+    states: &[Standing],
+    terms: Terms,
+    confirmed: Option<Point>,
+    retiring: Option<&ServerId>,
+    order: Order,
+) -> Next {
     let newest = states.iter().map(|server| server.term).max().unwrap_or_default();
     let leader = states.iter().find(|server| server.leads && server.term == newest);
     let leader = leader.filter(|leader| terms.allow(leader.term));
@@ -124,9 +139,14 @@
     }
     // Without the leader's last record, nothing shows which acknowledged records a successor lacks.
     let order = if leader.is_some() { order } else { Order::Log };
-    // A replica without the leader's term may lack commits that the leader brought from earlier terms.
-    let has_term = |server: &Standing| leader.is_none_or(|leader| server.term >= leader.term);
-    let eligible = |server: &&Standing| !server.leads && !server.evacuated && has_term(server);
+    // The leader may be the only server with a confirmed record: the replica that confirmed it may be
+    // gone, and a replica without the leader's term may lack commits that the leader brought.
+    let waits = leader.is_some() && order != Order::Stalled;
+    let may_follow = |server: &Standing| {
+        let has_term = leader.is_none_or(|leader| server.term >= leader.term);
+        has_term && (leader.is_none() || waits || Some(server.received) >= confirmed)
+    };
+    let eligible = |server: &&Standing| !server.leads && !server.evacuated && may_follow(server);
     let rank = |server: &&Standing| {
         let placement = (server.served, !server.cold);
         match order {
@@ -142,7 +162,6 @@
         return leader.filter(|leader| !leader.leaving).map_or(Next::Nobody, adopt);
     };
     // A leader that sends its log to the successor makes the promotion of a leaving server needless.
-    let waits = leader.is_some() && order != Order::Stalled;
     let ahead = leaving.into_iter().max_by_key(rank);
     let ahead = ahead.filter(|server| !waits && server.received > successor.received);
     let successor = ahead.unwrap_or(successor);
--- a/components/coordination/tests/succession.rs
+++ b/components/coordination/tests/succession.rs
@@ -24,6 +24,10 @@
     }
 }
 
+fn select(states: &[Standing], terms: Terms, retiring: Option<&ServerId>, order: Order) -> Next {
+    succession::next(states, terms, None, retiring, order)
+}
+
 fn terms(known: u64, closed: u64) -> Terms {
     Terms { known: Term(known), closed: Term(closed) }
 }
@@ -35,21 +39,15 @@
 fn former_leader_is_not_adopted_if_a_replica_has_a_newer_term() {
     let states = [server("old", true, 2, (2, 9)), server("replica", false, 3, (3, 4))];
     let promote = Next::Promote { successor: id("replica"), after: Term(3), last: None };
-    assert_eq!(succession::next(&states, terms(2, 1), None, Order::Log), promote);
+    assert_eq!(select(&states, terms(2, 1), None, Order::Log), promote);
     let states = [
         server("old", true, 2, (2, 9)),
         server("new", true, 3, (3, 5)),
         server("replica", false, 3, (3, 4)),
     ];
-    assert_eq!(
-        succession::next(&states, terms(2, 1), None, Order::Log),
-        Next::Adopt(id("new"), Term(3))
-    );
+    assert_eq!(select(&states, terms(2, 1), None, Order::Log), Next::Adopt(id("new"), Term(3)));
     let states = [server("only", true, 1, (1, 9)), server("replica", false, 1, (1, 4))];
-    assert_eq!(
-        succession::next(&states, terms(0, 0), None, Order::Log),
-        Next::Adopt(id("only"), Term(1))
-    );
+    assert_eq!(select(&states, terms(0, 0), None, Order::Log), Next::Adopt(id("only"), Term(1)));
 }
 
 /// Guards against a write that is lost a second after its acknowledgement: a leader is replaced
@@ -59,10 +57,10 @@
 fn former_leader_is_not_adopted_if_no_replica_has_its_successors_term() {
     let states = [server("old", true, 1, (1, 206)), server("deaf", false, 1, (1, 183))];
     let promote = Next::Promote { successor: id("deaf"), after: Term(2), last: None };
-    assert_eq!(succession::next(&states, terms(2, 1), None, Order::Log), promote);
+    assert_eq!(select(&states, terms(2, 1), None, Order::Log), promote);
     // The promotion may have taken effect although no host knows the new leader.
     let promote = Next::Promote { successor: id("deaf"), after: Term(1), last: None };
-    assert_eq!(succession::next(&states, terms(1, 1), None, Order::Log), promote);
+    assert_eq!(select(&states, terms(1, 1), None, Order::Log), promote);
 }
 
 /// Guards against losing records in a planned failover: the successor must first receive the last
@@ -76,7 +74,7 @@
     ];
     let promote =
         Next::Promote { successor: id("near"), after: Term(4), last: Some(Point::new(4, 50)) };
-    assert_eq!(succession::next(&states, terms(4, 3), Some(&id("leader")), Order::Log), promote);
+    assert_eq!(select(&states, terms(4, 3), Some(&id("leader")), Order::Log), promote);
 }
 
 /// Guards against promoting a server that is being removed, and against adopting the leader of a
@@ -85,10 +83,10 @@
 fn group_without_an_eligible_server_gets_no_leader() {
     let mut leaving = server("leaving", false, 1, (1, 3));
     leaving.leaving = true;
-    assert_eq!(succession::next(&[leaving], terms(1, 0), None, Order::Log), Next::Nobody);
-    assert_eq!(succession::next(&[], terms(1, 0), None, Order::Log), Next::Nobody);
+    assert_eq!(select(&[leaving], terms(1, 0), None, Order::Log), Next::Nobody);
+    assert_eq!(select(&[], terms(1, 0), None, Order::Log), Next::Nobody);
     let old = server("old", true, 1, (1, 3));
-    assert_eq!(succession::next(&[old], terms(1, 1), None, Order::Log), Next::Nobody);
+    assert_eq!(select(&[old], terms(1, 1), None, Order::Log), Next::Nobody);
 }
 
 /// Guards against the loss of acknowledged commits that only a leaving replica has confirmed: it is left
@@ -100,11 +98,11 @@
     let states = [leaving.clone(), deaf];
     let promote = |name| Next::Promote { successor: id(name), after: Term(1), last: None };
     for order in [Order::Log, Order::Placement] {
-        assert_eq!(succession::next(&states, terms(1, 0), None, order), promote("leaving"));
+        assert_eq!(select(&states, terms(1, 0), None, order), promote("leaving"));
     }
     let equal = server("equal", false, 1, (1, 304));
     let states = [leaving, equal];
-    assert_eq!(succession::next(&states, terms(1, 0), None, Order::Log), promote("equal"));
+    assert_eq!(select(&states, terms(1, 0), None, Order::Log), promote("equal"));
 }
 
 /// Guards against the loss of acknowledged commits: a busy replica, whose answer shows only what it has
@@ -112,15 +110,15 @@
 #[test]
 fn selection_is_undecided_while_another_replica_is_busy_or_silent() {
     let busy = |server: Standing| Standing { busy: true, ..server };
-    let next = |states: &[Standing]| succession::next(states, terms(1, 0), None, Order::Log);
+    let next = |states: &[Standing]| select(states, terms(1, 0), None, Order::Log);
     let shown = server("shown", false, 1, (1, 50));
     let states = [busy(server("late", false, 1, (1, 40))), shown.clone()];
-    assert!(succession::is_undecided(&next(&states), &states, 0));
+    assert!(succession::is_undecided(&next(&states), &states, 0, None));
     let states = [busy(server("ahead", false, 1, (1, 60))), shown.clone()];
-    assert!(!succession::is_undecided(&next(&states), &states, 0));
-    assert!(succession::is_undecided(&next(&states), &states, 1));
+    assert!(!succession::is_undecided(&next(&states), &states, 0, None));
+    assert!(succession::is_undecided(&next(&states), &states, 1, None));
     let states = [server("late", false, 1, (1, 40)), shown];
-    assert!(!succession::is_undecided(&next(&states), &states, 0));
+    assert!(!succession::is_undecided(&next(&states), &states, 0, None));
 }
 
 /// Guards against the loss of acknowledged commits in a planned failover: the successor does not receive
@@ -134,10 +132,10 @@
     let last = Some(Point::new(4, 50));
     let promote = |name, last| Next::Promote { successor: id(name), after: Term(4), last };
     for order in [Order::Log, Order::Placement] {
-        let next = succession::next(&states, terms(4, 3), retiring, order);
+        let next = select(&states, terms(4, 3), retiring, order);
         assert_eq!(next, promote("deaf", last));
     }
-    let next = succession::next(&states, terms(4, 3), retiring, Order::Stalled);
+    let next = select(&states, terms(4, 3), retiring, Order::Stalled);
     assert_eq!(next, promote("leaving", None));
 }
 
@@ -149,14 +147,42 @@
     let states = [leader.clone(), server("deaf", false, 4, (4, 20))];
     let retiring = Some(&id("leader"));
     for order in [Order::Log, Order::Placement, Order::Stalled] {
-        let next = succession::next(&states, terms(5, 4), retiring, order);
+        let next = select(&states, terms(5, 4), retiring, order);
         assert_eq!(next, Next::Adopt(id("leader"), Term(5)));
         let leaving = Standing { leaving: true, ..leader.clone() };
         let states = [leaving, states[1].clone()];
-        assert_eq!(succession::next(&states, terms(5, 4), retiring, order), Next::Nobody);
+        assert_eq!(select(&states, terms(5, 4), retiring, order), Next::Nobody);
     }
 }
 
+/// Guards against the loss of acknowledged commits in a planned failover: the replica that confirmed them
+/// has left the list, the successor receives nothing, and only the leader has them.
+#[test]
+fn leader_is_not_replaced_by_a_replica_without_the_confirmed_record() {
+    let leader = server("leader", true, 4, (4, 50));
+    let states = [leader, server("deaf", false, 4, (4, 20))];
+    let next = |confirmed, order| {
+        let confirmed = Some(Point::new(4, confirmed));
+        succession::next(&states, terms(4, 3), confirmed, Some(&id("leader")), order)
+    };
+    assert_eq!(next(40, Order::Stalled), Next::Adopt(id("leader"), Term(4)));
+    let promote = |last| Next::Promote { successor: id("deaf"), after: Term(4), last };
+    assert_eq!(next(20, Order::Stalled), promote(None));
+    assert_eq!(next(40, Order::Placement), promote(Some(Point::new(4, 50))));
+}
+
+/// Guards against the loss of acknowledged commits: the replica that confirmed them has left the list for
+/// a moment, as the leader crashes.
+#[test]
+fn selection_is_undecided_while_the_successor_lacks_the_confirmed_record() {
+    let states = [server("behind", false, 1, (1, 50))];
+    let next = select(&states, terms(1, 0), None, Order::Log);
+    let is_undecided =
+        |number| succession::is_undecided(&next, &states, 0, Some(Point::new(1, number)));
+    assert!(is_undecided(51));
+    assert!(!is_undecided(50));
+}
+
 /// Guards against a leader that stays in an evacuated failure domain, and against a successor in
 /// one.
 #[test]
@@ -169,11 +195,11 @@
     let last = Some(Point::new(4, 50));
     let promote = Next::Promote { successor: id("behind"), after: Term(4), last };
     for order in [Order::Log, Order::Placement] {
-        assert_eq!(succession::next(&states, terms(4, 3), None, order), promote);
+        assert_eq!(select(&states, terms(4, 3), None, order), promote);
     }
     // If all are evacuated the leader stays, and serves again once the evacuation is cancelled.
     let adopt = Next::Adopt(id("leader"), Term(4));
-    assert_eq!(succession::next(&[leader, ahead], terms(4, 3), None, Order::Log), adopt);
+    assert_eq!(select(&[leader, ahead], terms(4, 3), None, Order::Log), adopt);
 }
 
 /// Guards against a planned failover to a server that may serve fewer databases or is cold, and
@@ -187,8 +213,8 @@
     let leaves = Some(&id("leader"));
     let last = Some(Point::new(4, 50));
     let promote = |name| Next::Promote { successor: id(name), after: Term(4), last };
-    assert_eq!(succession::next(&states, terms(4, 3), leaves, Order::Placement), promote("home"));
-    assert_eq!(succession::next(&states, terms(4, 3), leaves, Order::Log), promote("cold"));
+    assert_eq!(select(&states, terms(4, 3), leaves, Order::Placement), promote("home"));
+    assert_eq!(select(&states, terms(4, 3), leaves, Order::Log), promote("cold"));
 }
 
 /// Guards against acknowledged commits that a planned failover loses: the leader ends, or its failure
@@ -203,6 +229,6 @@
         let promote = Next::Promote { successor: ahead.id.clone(), after: Term(4), last: None };
         let states = [ahead, behind.clone()];
         let leaves = Some(&id("leader"));
-        assert_eq!(succession::next(&states, terms(4, 3), leaves, Order::Placement), promote);
+        assert_eq!(select(&states, terms(4, 3), leaves, Order::Placement), promote);
     }
 }
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -155,6 +155,9 @@
         group: GroupId,
         /// Leadership row of the group.
         row: Versioned<Leadership>,
+        /// Whether the sender reads [`Answer::Released`].
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        wants_confirmed: bool,
     },
     /// Requests the host's data that are newer than the given versions.
     #[serde(rename = "Newest")]
@@ -263,6 +266,14 @@
     /// one.
     #[serde(rename = "Acting")]
     LeadershipApplied(u64),
+    /// As `LeadershipApplied`, for a sender that requests the last confirmed record as well.
+    Released {
+        /// Version of the group's leadership row that the host has applied.
+        version: u64,
+        /// Last record that a replica has confirmed to the host; `None` if it has requested no
+        /// confirmation.
+        confirmed: Option<Point>,
+    },
     /// Heartbeat of the host.
     Heartbeat(Box<Heartbeat>),
     /// The host's data that are newer than the versions in the question.
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -72,6 +72,9 @@
     intent: u64,
     /// The group's terms as stored; only the host that wrote the intent changes them.
     terms: Cell<Terms>,
+    /// Last record that a replica has confirmed to a host which has released the former leader; `None`
+    /// if no host has named one.
+    confirmed: Rc<Cell<Option<Point>>>,
     /// Time by which this host must finish; another host may take over some time later.
     deadline: Instant,
     /// End of the wait for replicas that do not report their position.
@@ -120,6 +123,7 @@
             planned,
             intent,
             terms,
+            confirmed: Rc::default(),
             deadline,
             replicas_until,
         }))
@@ -230,6 +234,7 @@
                 group.id.clone(),
                 row,
                 release.clone(),
+                self.confirmed.clone(),
             ));
         }
         let mut last_read = host.now();
@@ -309,17 +314,20 @@
             .collect();
         let leaving = self.from.as_ref().filter(|_| self.planned);
         let terms = self.terms.get();
-        let mut next = succession::next(&standings, terms, leaving, order);
+        let own = group.receipts.state.borrow().newest();
+        let confirmed = self.confirmed.get().max(own);
+        let mut next = succession::next(&standings, terms, confirmed, leaving, order);
         let is_listed = |(pool, _): &(&Rc<Pool>, _)| {
             let id = &pool.listed.borrow().id;
             self.from.as_ref() != Some(id) && host.backends.catalog.borrow().is_present(id)
         };
         let silent = silent.iter().filter(|server| is_listed(server)).count();
-        if host.now() < self.replicas_until && succession::is_undecided(&next, &standings, silent) {
+        let is_undecided = succession::is_undecided(&next, &standings, silent, confirmed);
+        if host.now() < self.replicas_until && is_undecided {
             next = Next::Nobody;
         }
         info!(
-            group = %group.id, intent = self.intent, ?terms, told = ?standings, ?next,
+            group = %group.id, intent = self.intent, ?terms, ?confirmed, told = ?standings, ?next,
             "leader: next step of the failover selected"
         );
         next
@@ -545,7 +553,11 @@
 fn notify_hosts(host: &Rc<Host>, id: &GroupId, row: &Versioned<Leadership>) {
     let links = host.mesh.links().into_iter().chain(host.mesh.temporary_links());
     for link in links.filter(|link| link.is_up()) {
-        let question = Question::ApplyLeadership { group: id.clone(), row: row.clone() };
+        let question = Question::ApplyLeadership {
+            group: id.clone(),
+            row: row.clone(),
+            wants_confirmed: false,
+        };
         monoio::spawn(async move {
             // A host that does not answer receives the row from its hub or the store.
             let _ = link.query(question, APPLY_TIMEOUT).await;
@@ -564,15 +576,28 @@
     group: GroupId,
     row: Versioned<Leadership>,
     release: Rc<RefCell<LeaseRelease>>,
+    confirmed: Rc<Cell<Option<Point>>>,
 ) {
     while !release.borrow().is_over(host.now()) {
         let Some(link) = host.reach(&id).filter(|link| link.is_up()) else {
             monoio::time::sleep(LINK_CHECK_INTERVAL).await;
             continue;
         };
-        let question = Question::ApplyLeadership { group: group.clone(), row: row.clone() };
+        let question = Question::ApplyLeadership {
+            group: group.clone(),
+            row: row.clone(),
+            wants_confirmed: true,
+        };
         let answer = link.query(question, APPLY_TIMEOUT).await;
-        if matches!(answer, Ok(Answer::LeadershipApplied(version)) if version >= row.version) {
+        let version = match answer {
+            Ok(Answer::LeadershipApplied(version)) => Some(version),
+            Ok(Answer::Released { version, confirmed: newest }) => {
+                confirmed.set(confirmed.get().max(newest));
+                Some(version)
+            }
+            _ => None,
+        };
+        if version.is_some_and(|version| version >= row.version) {
             if release.borrow_mut().mark_released(&id, host.now()) {
                 record_wait_end(&host, &group, &id, WaitEnd::Released);
             }
--- a/components/proxy/src/gossip.rs
+++ b/components/proxy/src/gossip.rs
@@ -84,8 +84,9 @@
             host.remote_transactions.cancel(&peer.host, work, host.now());
             replier.reply(Answer::Pong);
         }
-        Question::ApplyLeadership { group, row } => {
-            monoio::spawn(apply_leadership(host.clone(), group, row, replier));
+        Question::ApplyLeadership { group, row, wants_confirmed } => {
+            let host = host.clone();
+            monoio::spawn(apply_leadership(host, group, row, wants_confirmed, replier));
         }
         Question::Register(registration) => {
             monoio::spawn(join::admit(host.clone(), peer.host.clone(), *registration, replier));
@@ -105,6 +106,7 @@
     host: Rc<Host>,
     id: GroupId,
     row: Versioned<Leadership>,
+    wants_confirmed: bool,
     replier: Replier,
 ) {
     let group = host.group(&id);
@@ -114,7 +116,13 @@
         let newest = host.leased_view.borrow().leadership(&id).cloned().unwrap_or(row.clone());
         let moving = matches!(newest.value, Leadership::Moving { .. });
         if !moving || group.released.get() >= newest.version {
-            return replier.reply(Answer::LeadershipApplied(newest.version));
+            let version = newest.version;
+            let confirmed = group.receipts.state.borrow().newest();
+            return replier.reply(if wants_confirmed {
+                Answer::Released { version, confirmed }
+            } else {
+                Answer::LeadershipApplied(version)
+            });
         }
         monoio::time::sleep(Duration::from_millis(10)).await;
     }
--- a/components/proxy/tests/forward.rs
+++ b/components/proxy/tests/forward.rs
@@ -7,7 +7,7 @@
 
 use bergamottrack_contract::{Host as Peer, Routes};
 use bergamottrack_coordination::{
-    ManualClock, SystemClock, Term,
+    ManualClock, Point, SystemClock, Term,
     token::Secret,
     view::{LEASE_TTL, Leadership, Versioned},
 };
@@ -119,13 +119,18 @@
 
     /// Begins an unplanned failover of the group and waits until h2 has released the leader.
     async fn release(&self) {
+        let answer = self.request_release(false).await;
+        assert!(matches!(answer, Answer::LeadershipApplied(INTENT)), "{answer:?}");
+    }
+
+    /// Requests the release of the leader, also of the last confirmed record if `wants_confirmed`.
+    async fn request_release(&self, wants_confirmed: bool) -> Answer {
         let (from, holder) = (Some(hosts::server()), hosts::id("h1"));
         let (since, planned, term) = (hosts::VIEW_CLOCK, false, Term(1));
         let value = Leadership::Moving { from, holder, since, planned, term };
         let row = Versioned { version: INTENT, value };
-        let question = Question::ApplyLeadership { group: hosts::group(), row };
-        let answer = self.link.query(question, TIMEOUT).await.unwrap();
-        assert!(matches!(answer, Answer::LeadershipApplied(INTENT)), "{answer:?}");
+        let question = Question::ApplyLeadership { group: hosts::group(), row, wants_confirmed };
+        self.link.query(question, TIMEOUT).await.unwrap()
     }
 }
 
@@ -183,6 +188,18 @@
     assert_eq!(holder.server.received(), ["READ k1"]);
 }
 
+/// Guards against the loss of a commit that this host has acknowledged: the host that runs the failover has
+/// not confirmed it, and the replica that did is gone.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn release_of_a_leader_names_the_last_confirmed_record() {
+    let holder = Holder::start().await;
+    let point = Point::new(1, 60);
+    holder.host.group(&hosts::group()).receipts.state.borrow_mut().note(point);
+    let answer = holder.request_release(true).await;
+    let Answer::Released { version: INTENT, confirmed } = answer else { panic!("{answer:?}") };
+    assert_eq!(confirmed, Some(point));
+}
+
 /// Guards against statements of a transaction that run at a leader which its holder has released.
 #[monoio::test(driver = "legacy", enable_timer = true)]
 async fn transaction_of_another_host_ends_with_the_release_of_the_leader() {
