Releases of a leader by other hosts have a module of their own

failover.rs had grown to 647 lines with two jobs: the steps of a failover, and the requests to other hosts with the records of why the wait for each ended. The second moves to release.rs unchanged but for visibility.

--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -12,7 +12,7 @@
     store::{self, Change, TxOutcome},
 };
 use bergamottrack_coordination::{
-    GroupId, HostId, Point, ServerId, Term,
+    Point, ServerId, Term,
     duty::{self, CALL_DEADLINE, CALL_TIMEOUT},
     evacuation,
     succession::{self, Next, Order, Standing, Terms},
@@ -20,7 +20,6 @@
     view::{FAILOVER_TTL, Leadership, LeaseRelease, Versioned, View},
 };
 use bergamottrack_model::{Role, Status};
-use bergamottrack_peer::{Answer, Question};
 use bergamottrack_platform::http::Client;
 use futures_util::future;
 use tracing::{info, warn};
@@ -33,6 +32,7 @@
     monitor::{self, StatusError},
     placement,
     pool::Pool,
+    release::{self, WaitEnd},
 };
 
 /// Time for a promoted server to become leader before the promotion is requested again.
@@ -55,13 +55,6 @@
 /// Time for the successor of a leaving leader to receive all of its log.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Timeout of a request to apply a group's row. The other host replies after its statements at
-/// the former leader have ended.
-const APPLY_TIMEOUT: Duration = Duration::from_millis(1800);
-
-/// Delay before a host whose link is not up is tried again.
-const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-
 /// A failover that this host runs.
 pub struct Failover {
     client: Client,
@@ -228,7 +221,7 @@
         for id in waiting {
             let row = view.groups.get(&group.id).cloned();
             let row = row.context("view does not contain the intent")?;
-            monoio::spawn(request_release(
+            monoio::spawn(release::request_release(
                 host.clone(),
                 id,
                 group.id.clone(),
@@ -250,7 +243,7 @@
                 if let Ok(view) = fleet::read(&self.client).await {
                     let ended = release.borrow_mut().note(&view, self.intent, host.now());
                     for id in ended {
-                        record_wait_end(host, &group.id, &id, WaitEnd::Stored);
+                        release::record_wait_end(host, &group.id, &id, WaitEnd::Stored);
                     }
                 }
                 last_read = host.now();
@@ -487,7 +480,7 @@
                 if row.is_none_or(|row| row.version != self.intent) {
                     let row = row.cloned();
                     fleet::apply_view(host, view, sent_at);
-                    row.into_iter().for_each(|row| notify_hosts(host, &group.id, &row));
+                    row.into_iter().for_each(|row| release::notify_hosts(host, &group.id, &row));
                     return Ok(());
                 }
             }
@@ -548,100 +541,3 @@
     warn!(%server, %last, "leader: successor has not received the leader's whole log");
     false
 }
-
-/// Sends a group's row to all hosts whose links are up, without waiting for their answers.
-fn notify_hosts(host: &Rc<Host>, id: &GroupId, row: &Versioned<Leadership>) {
-    let links = host.mesh.links().into_iter().chain(host.mesh.temporary_links());
-    for link in links.filter(|link| link.is_up()) {
-        let question = Question::ApplyLeadership {
-            group: id.clone(),
-            row: row.clone(),
-            wants_confirmed: false,
-        };
-        monoio::spawn(async move {
-            // A host that does not answer receives the row from its hub or the store.
-            let _ = link.query(question, APPLY_TIMEOUT).await;
-        });
-    }
-}
-
-/// Requests a host's release of the former leader until the host releases it, or until no host that
-/// has not released it can use it any more.
-///
-/// That the host cannot be reached, or refuses connections, does not show that it has stopped: a
-/// network can refuse connections to a host that still reaches the former leader.
-async fn request_release(
-    host: Rc<Host>,
-    id: HostId,
-    group: GroupId,
-    row: Versioned<Leadership>,
-    release: Rc<RefCell<LeaseRelease>>,
-    confirmed: Rc<Cell<Option<Point>>>,
-) {
-    while !release.borrow().is_over(host.now()) {
-        let Some(link) = host.reach(&id).filter(|link| link.is_up()) else {
-            monoio::time::sleep(LINK_CHECK_INTERVAL).await;
-            continue;
-        };
-        let question = Question::ApplyLeadership {
-            group: group.clone(),
-            row: row.clone(),
-            wants_confirmed: true,
-        };
-        let answer = link.query(question, APPLY_TIMEOUT).await;
-        let version = match answer {
-            Ok(Answer::LeadershipApplied(version)) => Some(version),
-            Ok(Answer::Released { version, confirmed: newest }) => {
-                confirmed.set(confirmed.get().max(newest));
-                Some(version)
-            }
-            _ => None,
-        };
-        if version.is_some_and(|version| version >= row.version) {
-            if release.borrow_mut().mark_released(&id, host.now()) {
-                record_wait_end(&host, &group, &id, WaitEnd::Released);
-            }
-            return;
-        }
-        monoio::time::sleep(monitor::CHECK_INTERVAL).await;
-    }
-    if release.borrow().waiting().contains(&id) {
-        let cut_off = release.borrow().is_cut_off(host.now());
-        let why = if cut_off { WaitEnd::CutOff } else { WaitEnd::Expired };
-        record_wait_end(&host, &group, &id, why);
-    }
-}
-
-/// Reason why a failover no longer waits for a host.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum WaitEnd {
-    /// The host answered that it has released the former leader.
-    Released,
-    /// The host's row in the store shows a release, or that the host has left the fleet.
-    Stored,
-    /// The host can have had no contact with the fleet for long enough.
-    CutOff,
-    /// The host's lease has expired.
-    Expired,
-}
-
-impl WaitEnd {
-    /// Name in logs and metrics.
-    fn name(self) -> &'static str {
-        match self {
-            Self::Released => "released",
-            Self::Stored => "stored",
-            Self::CutOff => "cut off",
-            Self::Expired => "expired",
-        }
-    }
-}
-
-/// Records why a failover no longer waits for a host. A host's own answer is the usual case and gets
-/// no line in the log.
-fn record_wait_end(host: &Host, group: &GroupId, id: &HostId, why: WaitEnd) {
-    host.metrics.record_wait_end(why.name());
-    if why != WaitEnd::Released {
-        info!(%group, host = %id, why = why.name(), "leader: failover no longer waits for host");
-    }
-}
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod placement;
 pub mod pool;
 pub mod positions;
+pub mod release;
 pub mod serve;
 pub mod servers;
 pub mod session;
