Each accepted link has a nonce of its own

Found by reading: a host on the users' platform made its hello once and sent it on all links that it accepted. The proof of the dialling end covers both nonces, so whoever records the messages of a link on the network could send them again on another connection, be taken for the same host and, with what follows in the record, run its statements.

Change: accept::serve takes the hello from the service, which creates one for each connection; peer_service has what the host and its tests share.

Test: hello_of_each_connection_has_a_new_nonce (fails with one hello for all connections).

--- a/components/peer/src/accept.rs
+++ b/components/peer/src/accept.rs
@@ -106,6 +106,8 @@
 pub struct Service {
     /// Secret shared by all hosts.
     pub secret: Secret,
+    /// Creates this host's hello, with a new nonce for each connection.
+    pub hello: Box<dyn Fn() -> Hello>,
     /// Clock by which the age of messages is determined.
     pub clock: Rc<dyn Clock>,
     /// Starts a separate task that serves an exchange.
@@ -115,13 +117,13 @@
 }
 
 /// Serves one peer until its link ends.
-pub async fn serve(stream: TcpStream, hello: Hello, service: Rc<Service>) {
-    if let Err(error) = run(stream, hello, &service).await {
+pub async fn serve(stream: TcpStream, service: Rc<Service>) {
+    if let Err(error) = run(stream, &service).await {
         debug!("link: link accepted from a peer closed: {error:#}.");
     }
 }
 
-async fn run(stream: TcpStream, hello: Hello, service: &Service) -> anyhow::Result<()> {
+async fn run(stream: TcpStream, service: &Service) -> anyhow::Result<()> {
     stream.set_nodelay(true)?;
     let clock = ConnectionClock { clock: service.clock.clone(), accepted: service.clock.now() };
     // Only the dialling end monitors activity and closes links to unresponsive peers.
@@ -131,6 +133,7 @@
         .await
         .context("the peer did not complete the WebSocket handshake in time")??;
     let (mut writer, mut reader) = ws.split();
+    let hello = (service.hello)();
     let authenticate = authenticate(&hello, &service.secret, &clock, &mut reader, &mut writer);
     let peer = monoio::time::timeout(socket::HELLO_TIMEOUT, authenticate).await??;
     let (outgoing, mut rx) = mpsc::unbounded_channel();
--- a/components/peer/tests/authentication.rs
+++ b/components/peer/tests/authentication.rs
@@ -33,13 +33,14 @@
     let mesh = mesh(me.clone(), secret);
     let service = Rc::new(Service {
         secret: mesh.secret.clone(),
+        hello: Box::new(move || mesh.hello()),
         clock: Rc::new(SystemClock),
         serve: Box::new(|_, _| {}),
         answer: Box::new(|_, _, replier| replier.reply(Answer::Pong)),
     });
     monoio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            monoio::spawn(accept::serve(stream, mesh.hello(), service.clone()));
+            monoio::spawn(accept::serve(stream, service.clone()));
         }
     });
     me
--- a/components/peer/tests/slow_link.rs
+++ b/components/peer/tests/slow_link.rs
@@ -52,13 +52,14 @@
     let mesh = mesh(host("h1", address));
     let service = Rc::new(Service {
         secret: mesh.secret.clone(),
+        hello: Box::new(move || mesh.hello()),
         clock: Rc::new(SystemClock),
         serve: Box::new(|_, _| {}),
         answer: Box::new(|_, question, replier| replier.reply(answer(question))),
     });
     monoio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            monoio::spawn(accept::serve(stream, mesh.hello(), service.clone()));
+            monoio::spawn(accept::serve(stream, service.clone()));
         }
     });
     address
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -44,9 +44,9 @@
 /// Interval between reads of the store for the releases of hosts that this host cannot reach.
 const RELEASE_READ_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time from the intent for which a failover waits for the position of each listed replica: the one that
-/// does not answer, or is busy, may be the only one that has confirmed a commit. With a second each for detection and
-/// promotion, a change of leader is over within 7 s.
+/// Time from the intent for which a failover waits for the position of each listed replica: the one
+/// that does not answer, or is busy, may be the only one that has confirmed a commit. With a second
+/// each for detection and promotion, a change of leader is over within 7 s.
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(4000);
 
 /// Interval between status requests to the successor.
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -175,19 +175,25 @@
     }
 }
 
-async fn accept_peers(listener: TcpListener, host: Rc<Host>) {
-    let (hello, secret) = (host.mesh.hello(), host.mesh.secret.clone());
-    let service = Rc::new(Service {
-        secret,
-        clock: host.clock.clone(),
+/// Returns the service of a host for other hosts. `clock` gives the age of their messages.
+pub fn peer_service(host: &Rc<Host>, clock: Rc<dyn Clock>) -> Rc<Service> {
+    let (mesh, host) = (host.mesh.clone(), host.clone());
+    Rc::new(Service {
+        secret: mesh.secret.clone(),
+        hello: Box::new(move || mesh.hello()),
+        clock,
         serve: Box::new(|_, _| {}),
         answer: Box::new(move |peer, question, replier| {
             gossip::answer(&host, peer, question, replier);
         }),
-    });
+    })
+}
+
+async fn accept_peers(listener: TcpListener, host: Rc<Host>) {
+    let service = peer_service(&host, host.clock.clone());
     loop {
         let stream = accept::stream(&listener, "peers").await;
-        monoio::spawn(accept::serve(stream, hello.clone(), service.clone()));
+        monoio::spawn(accept::serve(stream, service.clone()));
     }
 }
 
--- a/components/proxy/tests/forward.rs
+++ b/components/proxy/tests/forward.rs
@@ -3,7 +3,7 @@
 mod hosts;
 mod server;
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bergamottrack_contract::{Host as Peer, Routes};
 use bergamottrack_coordination::{
@@ -13,12 +13,17 @@
 };
 use bergamottrack_model::ListedServer;
 use bergamottrack_peer::{
-    Answer, ForwardResult, ForwardedStatement, Link, Mesh, Question, TransactionId,
-    accept::{self, Service},
+    Answer, ForwardResult, ForwardedStatement, Link, Mesh, Question, TransactionId, accept,
+    message::{Hello, Message, Nonce},
+};
+use bergamottrack_proxy::{Host, serve};
+use futures_util::{SinkExt, StreamExt};
+use monoio::{
+    io::IntoPollIo,
+    net::{TcpListener, TcpStream},
 };
-use bergamottrack_proxy::{Host, gossip};
-use monoio::net::TcpListener;
 use server::Server;
+use tokio_tungstenite::tungstenite;
 
 /// Version of the row of the intent to replace the leader.
 const INTENT: u64 = 3;
@@ -43,6 +48,8 @@
     clock: Rc<ManualClock>,
     /// Clock by which the host determines the age of messages.
     link_clock: Rc<ManualClock>,
+    /// Address at which the host accepts links.
+    peer: SocketAddr,
 }
 
 impl Holder {
@@ -52,19 +59,10 @@
         let (clock, link_clock) = (Rc::new(ManualClock::new()), Rc::new(ManualClock::new()));
         let host = hosts::start(peer, clock.clone());
         let server = Server::start(&host);
-        let accepting = host.clone();
-        let service = Rc::new(Service {
-            secret: host.mesh.secret.clone(),
-            clock: link_clock.clone(),
-            serve: Box::new(|_, _| {}),
-            answer: Box::new(move |peer, question, replier| {
-                gossip::answer(&accepting, peer, question, replier);
-            }),
-        });
-        let hello = host.mesh.hello();
+        let service = serve::peer_service(&host, link_clock.clone());
         monoio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                monoio::spawn(accept::serve(stream, hello.clone(), service.clone()));
+                monoio::spawn(accept::serve(stream, service.clone()));
             }
         });
         let me = |name: &str, peer| Peer {
@@ -78,7 +76,7 @@
         mesh.set_roster(&[me("h2", peer)], &[]);
         let link = mesh.link(&hosts::id("h2")).unwrap();
         until(|| link.is_up()).await;
-        Self { host, server, link, clock, link_clock }
+        Self { host, server, link, clock, link_clock, peer }
     }
 
     /// Forwards a statement in a task of its own; returns its result.
@@ -156,6 +154,28 @@
     ForwardedStatement { transaction: Some(id), opens, ..statement(text) }
 }
 
+/// Connects to a host as a peer does; returns the nonce of the host's hello.
+async fn received_nonce(peer: SocketAddr, hello: Hello) -> Nonce {
+    let stream = TcpStream::connect(peer).await.unwrap().into_poll_io().unwrap();
+    let url = format!("ws://{peer}/");
+    let (mut socket, _) = tokio_tungstenite::client_async(url, stream).await.unwrap();
+    let message = tungstenite::Message::Binary(Message::Hello(hello).encode());
+    socket.send(message).await.unwrap();
+    let received = socket.next().await.unwrap().unwrap().into_data();
+    let Ok(Message::Hello(hello)) = Message::decode(&received) else { panic!("no hello") };
+    hello.nonce
+}
+
+/// Guards against an attacker on the network that records the messages of a host and sends them again on a
+/// connection of its own: the proof in them is valid for the same two nonces.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn hello_of_each_connection_has_a_new_nonce() {
+    let holder = Holder::start().await;
+    let hello = holder.host.mesh.hello();
+    let first = received_nonce(holder.peer, hello.clone()).await;
+    assert_ne!(received_nonce(holder.peer, hello).await, first);
+}
+
 /// Guards against a read at a replaced leader: both hosts have released the leader while the
 /// statement of one of them is in the queue of the other, which sends it after the promotion.
 #[monoio::test(driver = "legacy", enable_timer = true)]
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -140,6 +140,7 @@
     let report = move || Answer::Report(Box::new(operator.report()));
     let service = Rc::new(Service {
         secret: mesh.secret.clone(),
+        hello: Box::new(move || mesh.hello()),
         clock: Rc::new(SystemClock),
         serve: Box::new(move |open, side| {
             let doc = current.get();
@@ -156,6 +157,6 @@
     });
     loop {
         let stream = accept::stream(&listener, "peers").await;
-        monoio::spawn(accept::serve(stream, mesh.hello(), service.clone()));
+        monoio::spawn(accept::serve(stream, service.clone()));
     }
 }
