Links of the first design are closed without a reset, as before

Cause: such a link is closed while it sends a message that takes longer than its 600 ms of silence, as no answer to a ping arrives meanwhile. What the system had taken of the message still arrived; since links are closed with a reset, and the lab's links lose held bytes with it, nothing of it does, and each further copy ends in the same way.

Change: the reset is a setting of a link's connections.

--- a/components/peer/src/link.rs
+++ b/components/peer/src/link.rs
@@ -40,7 +40,7 @@
 /// Default time without data from the peer after which a link counts as down.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Ping settings of a link.
+/// Settings of a link's connections.
 #[derive(Clone, Copy, Debug)]
 pub struct Keepalive {
     /// Interval between pings.
@@ -48,11 +48,15 @@
     /// Time without data from the peer after which the link counts as down; several times
     /// `interval`.
     pub timeout: Duration,
+    /// Whether a connection is reset when the link closes it, so that the peer gets nothing that was
+    /// given up. Not for a link that sends messages which take longer than `timeout`: no answer to a
+    /// ping arrives meanwhile, and a reset would discard the rest of each such message.
+    pub resets: bool,
 }
 
 impl Default for Keepalive {
     fn default() -> Self {
-        Self { interval: PING_INTERVAL, timeout: SILENCE_TIMEOUT }
+        Self { interval: PING_INTERVAL, timeout: SILENCE_TIMEOUT, resets: false }
     }
 }
 
@@ -210,8 +214,9 @@
         let stream =
             monoio::time::timeout(CONNECT_TIMEOUT, connect).await.context("connecting")??;
         stream.set_nodelay(true)?;
-        // The sender of a message gives it up with the connection.
-        bergamottrack_socket::reset_on_close(&stream)?;
+        if self.keepalive.resets {
+            bergamottrack_socket::reset_on_close(&stream)?;
+        }
         let url = format!("ws://{address}/");
         let (last_contact, clock) = (self.last_contact.clone(), self.clock.clone());
         let io = ActivityStream::new(stream.into_poll_io()?, move || {
--- a/components/peer/tests/link.rs
+++ b/components/peer/tests/link.rs
@@ -4,7 +4,7 @@
 
 use bergamottrack_contract::{Host, Routes};
 use bergamottrack_coordination::{SystemClock, token::Secret};
-use bergamottrack_peer::Mesh;
+use bergamottrack_peer::{Mesh, link::Keepalive};
 use monoio::{io::AsyncReadRent, net::TcpListener};
 
 fn host(id: &str, address: &str) -> Host {
@@ -18,7 +18,9 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let peer = host("h1", &listener.local_addr().unwrap().to_string());
     let me = host("h2", "127.0.0.1:9");
-    let mesh = Mesh::new(me, Secret::new(b"ours"), Rc::new(SystemClock), Routes::default());
+    let (clock, keepalive) =
+        (Rc::new(SystemClock), Keepalive { resets: true, ..Default::default() });
+    let mesh = Mesh::with_keepalive(me, Secret::new(b"ours"), clock, Routes::default(), keepalive);
     mesh.set_roster(std::slice::from_ref(&peer), &[]);
     let (mut stream, _) = listener.accept().await.unwrap();
     // The peer does not answer the handshake, which the link gives up after its timeout.
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -73,8 +73,11 @@
 
 /// Ping interval and timeout of links between hosts. Heartbeats are more frequent than these
 /// pings.
-pub const LINK_KEEPALIVE: Keepalive =
-    Keepalive { interval: Duration::from_millis(1000), timeout: Duration::from_millis(2200) };
+pub const LINK_KEEPALIVE: Keepalive = Keepalive {
+    interval: Duration::from_millis(1000),
+    timeout: Duration::from_millis(2200),
+    resets: true,
+};
 
 const MEMBER_PREFIX: &str = "host/";
 
