--- a/components/peer/tests/message.rs
+++ b/components/peer/tests/message.rs
@@ -3,14 +3,14 @@
 use std::time::Duration;
 
 use bergamottrack_coordination::{
-    Burst, Rate,
+    Burst, Rate, Term,
     claims::Claim,
     demand::{AccountReport, Report, Ruling},
-    view::Member,
+    view::{Leadership, Member, Versioned},
 };
 use bergamottrack_peer::{
     Answer, Question,
-    message::{ContactReply, Heartbeat, KnownVersions, Message, Registration, Updates},
+    message::{ContactReply, Heartbeat, Hello, KnownVersions, Message, Registration, Updates},
 };
 
 /// Maximum number of bytes that an account with an id of eight characters may add to a heartbeat.
@@ -223,3 +223,25 @@
         assert!(Message::decode(&encoded).is_ok(), "{beside}");
     }
 }
+
+/// Guards against hosts of two builds that cannot read each other's messages during a rolling restart: a
+/// field that was added later is omitted while it has its default, and may be absent.
+#[test]
+fn fields_of_a_later_build_are_omitted_by_default() {
+    let hello = Hello {
+        host: "h1".parse().unwrap(),
+        domain: "d1".parse().unwrap(),
+        nonce: [7; 16],
+        clock: None,
+    };
+    let value = Leadership::Steady { leader: "s1".parse().unwrap(), term: Term(1) };
+    let row = Versioned { version: 2, value };
+    let group = "g1".parse().unwrap();
+    let apply = Question::ApplyLeadership { group, row, wants_confirmed: false };
+    for message in [Message::Hello(hello), Message::Question(1, apply)] {
+        let bytes = message.encode();
+        let text = String::from_utf8_lossy(&bytes);
+        assert!(!text.contains("clock") && !text.contains("wants_confirmed"), "{text}");
+        assert_eq!(Message::decode(&bytes).unwrap().encode(), bytes);
+    }
+}
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -4,7 +4,7 @@
 //! forwards it may release the leader, or its lease may expire, while the statement is on the way or
 //! in the queue here; a failover then waits for neither.
 //!
-//! A statement may also arrive long after the host that forwards it gave it up, and told its caller or
+//! A statement may also arrive long after the host that forwards it gave it up, answered its caller or
 //! ran it elsewhere: a network that was cut delivers what it held back, and this host may have been
 //! suspended. A statement is therefore sent to the server only while its timeout, counted from when it
 //! was sent to this host, is not over and its link is open: the sender closes the link with a reset when
--- a/components/proxy/tests/forward.rs
+++ b/components/proxy/tests/forward.rs
@@ -285,7 +285,7 @@
     assert_eq!(holder.server.received(), ["READ k1"]);
 }
 
-/// Guards against a COMMIT that a cut network delivers after its timeout, when the caller has been told
+/// Guards against a COMMIT that a cut network delivers after its timeout, when the caller has the answer
 /// that the outcome is unknown and another host may have read that it did not commit.
 #[monoio::test(driver = "legacy", enable_timer = true)]
 async fn transaction_whose_statement_arrives_after_its_timeout_is_rolled_back() {
