--- a/review/stand-2/hosts.rs
+++ b/review/stand-2/hosts.rs
@@ -94,6 +94,11 @@
         self.child = Some(child.expect("starting target/release/bergamottrack"));
     }
 
+    /// Process id; none while no process runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -115,6 +120,11 @@
         probe().is_ok_and(|line| line.contains(" 200"))
     }
 
+    /// Number of lines of the host's log that contain `word`.
+    pub fn count_lines(&self, word: &str) -> usize {
+        self.log_lines(&[word]).len()
+    }
+
     /// Lines of the host's log that contain one of `words`.
     pub fn log_lines(&self, words: &[&str]) -> Vec<String> {
         let text = fs::read_to_string(&self.log).unwrap_or_default();
--- a/review/stand-2/lost_commit.rs
+++ b/review/stand-2/lost_commit.rs
@@ -84,7 +84,7 @@
 }
 
 /// Writes in one session until it breaks or the run ends.
-fn write_on(
+pub fn write_on(
     host: std::net::SocketAddr,
     number: usize,
     groups: &Groups,
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -5,6 +5,8 @@
 mod hosts;
 mod json;
 mod lost_commit;
+mod lost_host;
+mod memory;
 mod platform;
 mod record;
 mod servers;
@@ -29,6 +31,8 @@
         || std::env::var("TROUBLE").is_err();
     let result = match &**case {
         "lost-commit" => lost_commit::run(trouble, &record),
+        "lost-host" => lost_host::run(trouble, &record),
+        "memory" => memory::run(trouble, &record),
         other => Err(format!("no case {other}")),
     };
     let code = match result {
--- a/review/stand-2/world.rs
+++ b/review/stand-2/world.rs
@@ -14,8 +14,11 @@
     servers::{Groups, MAX_CONNECTIONS, SLOTS},
 };
 
-/// Key of the one client account.
-pub const KEY: &str = "key-of-the-account";
+/// Key of the first client account.
+pub const KEY: &str = "key-of-account-0";
+
+/// Client accounts, each with a key of its own.
+pub const ACCOUNTS: usize = 8;
 
 /// Database on a `primary` route.
 pub const PRIMARY: &str = "booking";
@@ -26,7 +29,7 @@
 /// Entries that a server misses before its entry is removed.
 const MISSED: u32 = 3;
 
-/// Rate and burst of the client account.
+/// Rate and burst of a client account.
 const RATE: u32 = 119;
 
 /// Failure domains of the hosts.
@@ -101,7 +104,19 @@
     }
 }
 
+/// Key of a client account.
+pub fn key(account: usize) -> String {
+    format!("key-of-account-{account}")
+}
+
 fn configuration(service: &str, sync_replicas: usize) -> String {
+    let account = |number: usize| {
+        format!(
+            "{{\"name\":\"nypu92{number}\",\"apiKeys\":[\"{}\"],\"priority\":1,\"ratePerS\":{RATE},\"burst\":{RATE}}}",
+            key(number)
+        )
+    };
+    let accounts: Vec<String> = (0..ACCOUNTS).map(account).collect();
     let route = |name: &str, kind: &str| {
         format!(
             "{{\"name\":\"r-{name}\",\"host\":\"{name}\",\"prefix\":\"/\",\"kind\":\"{kind}\",\"timeoutMs\":1000,\
@@ -112,11 +127,11 @@
     format!(
         "{{\"version\":7,\"routes\":[{},{},{}],\"services\":[{{\"name\":\"{service}\",\
         \"healthCheckPath\":\"/health\",\"maxConnections\":{MAX_CONNECTIONS},\"protocol\":\"h1\",\"tls\":false,\
-        \"syncReplicas\":{sync_replicas}}}],\"limits\":{{\"transactionIdleMs\":3000}},\"tenants\":[{{\
-        \"name\":\"nypu920\",\"apiKeys\":[\"{KEY}\"],\"priority\":1,\"ratePerS\":{RATE},\"burst\":{RATE}}}]}}",
+        \"syncReplicas\":{sync_replicas}}}],\"limits\":{{\"transactionIdleMs\":3000}},\"tenants\":[{}]}}",
         route(PRIMARY, "primary"),
         route("catalogue", "bounded_staleness"),
         route("revision", "read_own_writes"),
+        accounts.join(","),
     )
 }
 
