Review case 4: a former primary that runs is passed over

Cause looked for: further orders of events, with `syncReplicas` 1, in which a failover promotes a server that lacks acknowledged commits.

Change: a script with the stand-ins of the other cases. A primary that is to be replaced hands over as planned while one replica receives nothing; the new primary crashes before the former one has stepped down.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# Case 4: acknowledged commits of a service with `syncReplicas` 1 are not in the promoted log.
+# Case 4: a former primary that runs and has all acknowledged commits is passed over.
 # Exits with 0 if the rule held, 1 if it was broken, 2 if the case could not run; TROUBLE=0 makes no
 # disruption. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/bergamottrack ] && [ -x target/review-2/stand ] || exit 2
-exec target/review-2/stand lost-commit review/4/record.txt
+exec target/review-2/stand old-leader review/4/record.txt
--- a/review/stand-2/hosts.rs
+++ b/review/stand-2/hosts.rs
@@ -112,7 +112,9 @@
         let probe = || -> std::io::Result<String> {
             let mut stream = TcpStream::connect_timeout(&self.ready, Duration::from_millis(300))?;
             stream.set_read_timeout(Some(Duration::from_millis(500)))?;
-            stream.write_all(b"GET /-/readiness HTTP/1.1\r\nHost: platform\r\nConnection: close\r\n\r\n")?;
+            stream.write_all(
+                b"GET /-/readiness HTTP/1.1\r\nHost: platform\r\nConnection: close\r\n\r\n",
+            )?;
             let mut line = String::new();
             BufReader::new(stream).read_line(&mut line)?;
             Ok(line)
--- a/review/stand-2/json.rs
+++ b/review/stand-2/json.rs
@@ -70,8 +70,10 @@
                 write!(f, "[{}]", entries.join(","))
             }
             Self::Object(members) => {
-                let members: Vec<String> =
-                    members.iter().map(|(name, value)| format!("{}:{value}", quote(name))).collect();
+                let members: Vec<String> = members
+                    .iter()
+                    .map(|(name, value)| format!("{}:{value}", quote(name)))
+                    .collect();
                 write!(f, "{{{}}}", members.join(","))
             }
         }
@@ -194,7 +196,8 @@
     const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
-        let word = chunk.iter().enumerate().fold(0u32, |w, (i, b)| w | u32::from(*b) << (16 - 8 * i));
+        let word =
+            chunk.iter().enumerate().fold(0u32, |w, (i, b)| w | u32::from(*b) << (16 - 8 * i));
         for i in 0..4 {
             let digit = DIGITS[(word >> (18 - 6 * i) & 63) as usize] as char;
             out.push(if i <= chunk.len() { digit } else { '=' });
--- a/review/stand-2/lost_commit.rs
+++ b/review/stand-2/lost_commit.rs
@@ -4,18 +4,18 @@
 
 use std::{
     sync::{
-        atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant},
 };
 
 use crate::{
-    hosts::{wait_until, Client},
+    hosts::{Client, wait_until},
     record::Record,
     servers::Groups,
-    world::{World, KEY, PRIMARY},
+    world::{KEY, PRIMARY, World},
 };
 
 /// Clients that write.
@@ -53,7 +53,8 @@
         return Err("no 100 writes in 10 s".into());
     }
     let began = Instant::now();
-    let at = |time: Duration| thread::sleep((began + time).saturating_duration_since(Instant::now()));
+    let at =
+        |time: Duration| thread::sleep((began + time).saturating_duration_since(Instant::now()));
     let leader = world.groups.leader().unwrap_or(0);
     let (with, without) = ((leader + 1) % 3, (leader + 2) % 3);
     if trouble {
@@ -100,9 +101,13 @@
         if answer.is_done() {
             groups.acknowledge(&id);
             count.fetch_add(1, Ordering::Relaxed);
-            record.line(&format!("client {number}: WRITE {id} answered {}", answer.lines.join(" / ")));
+            record.line(&format!(
+                "client {number}: WRITE {id} answered {}",
+                answer.lines.join(" / ")
+            ));
         } else {
-            record.line(&format!("client {number}: WRITE {id} refused {}", answer.lines.join(" / ")));
+            record
+                .line(&format!("client {number}: WRITE {id} refused {}", answer.lines.join(" / ")));
             thread::sleep(Duration::from_millis(100));
         }
         thread::sleep(Duration::from_millis(20));
--- a/review/stand-2/lost_host.rs
+++ b/review/stand-2/lost_host.rs
@@ -4,19 +4,14 @@
 
 use std::{
     sync::{
-        atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant},
 };
 
-use crate::{
-    hosts::wait_until,
-    lost_commit::write_on,
-    record::Record,
-    world::World,
-};
+use crate::{hosts::wait_until, lost_commit::write_on, record::Record, world::World};
 
 /// Clients that write.
 const CLIENTS: usize = 8;
@@ -34,7 +29,8 @@
 const HOST_BEFORE: Duration = Duration::from_millis(100);
 
 /// Time from the crash until the other replica is down, and for how long (`srv_crash`).
-const REPLICA_DOWN: (Duration, Duration) = (Duration::from_millis(3900), Duration::from_millis(1000));
+const REPLICA_DOWN: (Duration, Duration) =
+    (Duration::from_millis(3900), Duration::from_millis(1000));
 
 /// Runs the case.
 pub fn run(trouble: bool, record: &Record) -> Result<(), String> {
@@ -61,7 +57,8 @@
     // wait for leases short.
     thread::sleep(SETTLED);
     let began = Instant::now();
-    let at = |time: Duration| thread::sleep((began + time).saturating_duration_since(Instant::now()));
+    let at =
+        |time: Duration| thread::sleep((began + time).saturating_duration_since(Instant::now()));
     let leader = world.groups.leader().unwrap_or(0);
     let (with, without) = ((leader + 1) % 3, (leader + 2) % 3);
     if trouble {
@@ -85,9 +82,13 @@
     let again = wait_until(Duration::from_secs(20), || written() > before + 50);
     stop.store(true, Ordering::Relaxed);
     clients.into_iter().for_each(|client| drop(client.join()));
-    world.record_logs(&["leader: failover scheduled", "leader: replaced", "longer waits", "promotion: "], record);
+    world.record_logs(
+        &["leader: failover scheduled", "leader: replaced", "longer waits", "promotion: "],
+        record,
+    );
     world.record_last_log("leader: next step", record);
-    let selections: usize = world.hosts.iter().map(|host| host.count_lines("leader: next step")).sum();
+    let selections: usize =
+        world.hosts.iter().map(|host| host.count_lines("leader: next step")).sum();
     let acknowledged = world.groups.check_lost();
     let promotions = world.groups.promotions();
     record.line(&format!(
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -7,6 +7,8 @@
 mod lost_commit;
 mod lost_host;
 mod memory;
+mod new_leader;
+mod old_leader;
 mod platform;
 mod record;
 mod servers;
@@ -33,6 +35,8 @@
         "lost-commit" => lost_commit::run(trouble, &record),
         "lost-host" => lost_host::run(trouble, &record),
         "memory" => memory::run(trouble, &record),
+        "new-leader" => new_leader::run(trouble, &record),
+        "old-leader" => old_leader::run(trouble, &record),
         other => Err(format!("no case {other}")),
     };
     let code = match result {
--- a/review/stand-2/memory.rs
+++ b/review/stand-2/memory.rs
@@ -4,8 +4,8 @@
 use std::{
     net::SocketAddr,
     sync::{
-        atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -14,7 +14,7 @@
 use crate::{
     hosts::{Client, Host},
     record::Record,
-    world::{key, World, ACCOUNTS, PRIMARY},
+    world::{ACCOUNTS, PRIMARY, World, key},
 };
 
 /// Hosts that the sessions are connected to.
@@ -88,12 +88,15 @@
     }
     stop.store(true, Ordering::Relaxed);
     let (done, refused) = (done.load(Ordering::Relaxed), refused.load(Ordering::Relaxed));
-    record.line(&format!("{done} writes done, {refused} refused; ends {ends:?}; peaks in MB {peaks:?}"));
+    record.line(&format!(
+        "{done} writes done, {refused} refused; ends {ends:?}; peaks in MB {peaks:?}"
+    ));
     if done == 0 {
         return Err("no write was done".into());
     }
     if ends.iter().all(|ends| *ends >= ENDS) {
-        let story = format!("processes of {HOSTS} of 8 machines ended {ENDS} times, over {MEMORY_MB} MB");
+        let story =
+            format!("processes of {HOSTS} of 8 machines ended {ENDS} times, over {MEMORY_MB} MB");
         record.broken("Fault", &story);
     }
     Ok(())
@@ -101,10 +104,12 @@
 
 /// Resident memory of a host's process.
 fn memory_mb(host: &Host) -> u64 {
-    let status = host.pid().and_then(|pid| std::fs::read_to_string(format!("/proc/{pid}/status")).ok());
+    let status =
+        host.pid().and_then(|pid| std::fs::read_to_string(format!("/proc/{pid}/status")).ok());
     let status = status.unwrap_or_default();
     let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)).and_then(|n| n.parse::<u64>().ok());
+    let kilobytes =
+        line.and_then(|line| line.split_whitespace().nth(1)).and_then(|n| n.parse::<u64>().ok());
     kilobytes.unwrap_or(0) / 1024
 }
 
@@ -123,7 +128,8 @@
         if stop.load(Ordering::Relaxed) {
             break;
         }
-        let answer = client.query(&format!("m{number}x{serial}"), &format!("WRITE item{number} {data}"))?;
+        let answer =
+            client.query(&format!("m{number}x{serial}"), &format!("WRITE item{number} {data}"))?;
         if answer.is_done() {
             done.fetch_add(1, Ordering::Relaxed);
         } else {
--- a/review/stand-2/platform.rs
+++ b/review/stand-2/platform.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    json::{base64, Json},
+    json::{Json, base64},
     record::Record,
     servers::Groups,
 };
@@ -127,7 +127,8 @@
                 let end = Instant::now() + Duration::from_millis(wait);
                 let mut rows = self.rows.lock().unwrap();
                 loop {
-                    let is_new = rows.rows.iter().any(|((t, _), row)| *t == table && row.version > after);
+                    let is_new =
+                        rows.rows.iter().any(|((t, _), row)| *t == table && row.version > after);
                     let left = end.saturating_duration_since(Instant::now());
                     if is_new || left.is_zero() {
                         return (200, self.page(&rows, &table, |_, row| row.version > after));
@@ -161,13 +162,22 @@
 
     fn change(&self, body: &Json) -> (u16, String) {
         let mut rows = self.rows.lock().unwrap();
-        let name = |entry: &Json| (entry.get("table").text().to_owned(), entry.get("key").text().to_owned());
+        let name = |entry: &Json| {
+            (entry.get("table").text().to_owned(), entry.get("key").text().to_owned())
+        };
         let holds = body.get("precondition").list().iter().all(|entry| {
             let row = rows.rows.get(&name(entry)).filter(|row| !row.removed);
             row.map_or(0, |row| row.version) == entry.get("versionNumber").number()
         });
         if !holds {
-            return (412, format!("{{\"rows\":[],\"versionNumber\":{},\"nowMs\":{}}}", rows.version, self.now_ms()));
+            return (
+                412,
+                format!(
+                    "{{\"rows\":[],\"versionNumber\":{},\"nowMs\":{}}}",
+                    rows.version,
+                    self.now_ms()
+                ),
+            );
         }
         rows.version += 1;
         let version = rows.version;
@@ -194,7 +204,8 @@
         }
         *highest = value.max(*highest);
         let accepted = self.groups.promote(&id);
-        self.record.line(&format!("platform: promotion of {id} by {holder}, token {token}: {accepted}"));
+        self.record
+            .line(&format!("platform: promotion of {id} by {holder}, token {token}: {accepted}"));
         (if accepted { 200 } else { 409 }, String::new())
     }
 }
--- a/review/stand-2/servers.rs
+++ b/review/stand-2/servers.rs
@@ -6,8 +6,8 @@
     io::{BufRead, BufReader, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        atomic::{AtomicU64, Ordering},
         Arc, Condvar, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -33,6 +33,9 @@
 /// Time from the promotion call until the server leads.
 const PROMOTE_TIME: Duration = Duration::from_millis(300);
 
+/// Time for which a replaced leader that can reach the new one continues.
+const STEP_DOWN_TIME: Duration = Duration::from_millis(1000);
+
 /// Time between a record's arrival at a replica and its visibility to reads.
 const LAG: Duration = Duration::from_millis(8);
 
@@ -61,8 +64,12 @@
     pub up: bool,
     /// Whether it receives nothing from the leader.
     pub deaf: bool,
+    /// Whether it reports that it is draining; it serves on.
+    pub draining: bool,
     /// Whether it acts as leader.
     pub leads: bool,
+    /// Since when it can reach the leader of a later term while it acts as leader itself.
+    superseded: Option<Instant>,
     /// Term that it has received.
     pub term: u64,
     log: Vec<Entry>,
@@ -122,7 +129,12 @@
 
 impl Groups {
     /// Starts one server in each of `zones`; the first one leads.
-    pub fn start(service: &str, zones: &[&'static str], sync_replicas: usize, record: Record) -> Arc<Self> {
+    pub fn start(
+        service: &str,
+        zones: &[&'static str],
+        sync_replicas: usize,
+        record: Record,
+    ) -> Arc<Self> {
         let groups = Arc::new(Self {
             service: service.into(),
             sync_replicas,
@@ -140,7 +152,9 @@
                 address,
                 up: true,
                 deaf: false,
+                draining: false,
                 leads: index == 0,
+                superseded: None,
                 term: 1,
                 log: Vec::new(),
                 applied: 0,
@@ -152,9 +166,11 @@
             thread::spawn(move || shared.listen(index, listener));
         }
         let shared = groups.clone();
-        thread::spawn(move || loop {
-            thread::sleep(Duration::from_millis(1));
-            shared.tick();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(1));
+                shared.tick();
+            }
         });
         groups
     }
@@ -205,10 +221,23 @@
         state.servers[index].deaf = deaf;
         let (id, held) = (state.servers[index].id.clone(), state.servers[index].log.len());
         drop(state);
-        let what = if deaf { "disruption: receives nothing from now on" } else { "end of disruption: receives again" };
+        let what = if deaf {
+            "disruption: receives nothing from now on"
+        } else {
+            "end of disruption: receives again"
+        };
         self.record.line(&format!("{what}: {id}, its log has {held} commits"));
     }
 
+    /// Has a server report that it is draining; it serves on.
+    pub fn drain(&self, index: usize) {
+        let mut state = self.lock();
+        state.servers[index].draining = true;
+        let id = state.servers[index].id.clone();
+        drop(state);
+        self.record.line(&format!("planned work: {id} reports that it is draining"));
+    }
+
     /// Records that a client has the success of a write.
     pub fn acknowledge(&self, id: &str) {
         self.lock().acknowledged.push(id.into());
@@ -219,9 +248,14 @@
     pub fn check_lost(&self) -> usize {
         let state = self.lock();
         for promotion in &state.promotions {
-            let earlier = |id: &&String| state.committed.get(*id).is_some_and(|term| *term < promotion.term);
-            let lost: Vec<&String> =
-                state.acknowledged.iter().filter(earlier).filter(|id| !promotion.kept.contains(*id)).collect();
+            let earlier =
+                |id: &&String| state.committed.get(*id).is_some_and(|term| *term < promotion.term);
+            let lost: Vec<&String> = state
+                .acknowledged
+                .iter()
+                .filter(earlier)
+                .filter(|id| !promotion.kept.contains(*id))
+                .collect();
             if !lost.is_empty() {
                 let story = format!(
                     "{} acknowledged commits are not in the log of {}, promoted to term {}; the first: {}",
@@ -257,7 +291,8 @@
     fn tick(&self) {
         let now = Instant::now();
         let mut state = self.lock();
-        let due: Vec<usize> = state.pending.iter().filter(|(_, at)| *at <= now).map(|(i, _)| *i).collect();
+        let due: Vec<usize> =
+            state.pending.iter().filter(|(_, at)| *at <= now).map(|(i, _)| *i).collect();
         state.pending.retain(|(_, at)| *at > now);
         for index in due {
             if !state.servers[index].up {
@@ -267,19 +302,28 @@
             let server = &mut state.servers[index];
             (server.term, server.leads, server.applied) = (term, true, server.log.len());
             let kept = server.log.iter().map(|entry| entry.id.clone()).collect();
+            server.superseded = None;
             let (id, held) = (server.id.clone(), server.log.len());
             state.promotions.push(Promotion { term, server: id.clone(), kept });
             self.record.line(&format!("{id} leads term {term} with {held} commits"));
         }
-        let Some(from) = leader(&state.servers).filter(|from| state.servers[*from].up) else { return };
+        let Some(from) = leader(&state.servers).filter(|from| state.servers[*from].up) else {
+            state.servers.iter_mut().for_each(|server| server.superseded = None);
+            return;
+        };
         let (term, log) = (state.servers[from].term, state.servers[from].log.clone());
         state.servers[from].applied = log.len();
         let mut advanced = false;
         for index in (0..state.servers.len()).filter(|index| *index != from) {
             let server = &mut state.servers[index];
             if !server.up || server.deaf {
+                server.superseded = None;
+                continue;
+            }
+            if server.leads && server.superseded.get_or_insert(now).elapsed() < STEP_DOWN_TIME {
                 continue;
             }
+            server.superseded = None;
             let common = server.log.iter().zip(&log).take_while(|(a, b)| a.id == b.id).count();
             advanced |= common < log.len() || server.term != term;
             (server.term, server.leads) = (term, false);
@@ -332,7 +376,10 @@
             let state = self.lock();
             (state.servers[index].id.clone(), state.servers[index].connections.len())
         };
-        if words.len() < 3 || words[1] != self.service || words.get(3).is_some_and(|other| *other != id) {
+        if words.len() < 3
+            || words[1] != self.service
+            || words.get(3).is_some_and(|other| *other != id)
+        {
             return out.write_all(b"ERROR MISROUTED another instance\r\n");
         }
         if open > MAX_CONNECTIONS {
@@ -349,7 +396,9 @@
                 return Ok(());
             }
             let line = line.trim_end_matches("\r\n");
-            let Some((id, text)) = line.strip_prefix("QUERY ").and_then(|rest| rest.split_once(' ')) else {
+            let Some((id, text)) =
+                line.strip_prefix("QUERY ").and_then(|rest| rest.split_once(' '))
+            else {
                 return Ok(());
             };
             let reply = self.statement(index, &mut session, id, text);
@@ -400,7 +449,8 @@
     }
 
     fn statement(&self, index: usize, session: &mut Session, id: &str, text: &str) -> Reply {
-        let (after, text) = match text.strip_prefix("AFTER ").and_then(|rest| rest.split_once(' ')) {
+        let (after, text) = match text.strip_prefix("AFTER ").and_then(|rest| rest.split_once(' '))
+        {
             Some((position, rest)) => (Some(position), rest),
             None => (None, text),
         };
@@ -419,7 +469,8 @@
                 let state = self.lock();
                 let server = &state.servers[index];
                 let role = if server.leads { "primary" } else { "replica" };
-                let (term, received, open) = (server.term, server.log.len(), server.connections.len());
+                let (term, received, open) =
+                    (server.term, server.log.len(), server.connections.len());
                 let row = format!("{role} {term} {term}.{received} 0 8 {} {open}", server.running);
                 return Reply::Done(vec![row], "-".into());
             }
@@ -485,7 +536,8 @@
         item: &str,
         data: &str,
     ) -> Reply {
-        let signature = format!("{index}.{:x}", self.next.fetch_add(1, Ordering::Relaxed) ^ 0x5bd1_e995_77aa);
+        let signature =
+            format!("{index}.{:x}", self.next.fetch_add(1, Ordering::Relaxed) ^ 0x5bd1_e995_77aa);
         let mut state = self.lock();
         let server = &mut state.servers[index];
         if !server.up {
@@ -544,13 +596,17 @@
             .filter(|server| server.log.len() >= number && server.term == term)
             .map(|server| &*server.id)
             .collect();
-        self.record.line(&format!("{} runs {id} {verb}: {term}.{number}, held by {holders:?}", state.servers[index].id));
+        self.record.line(&format!(
+            "{} runs {id} {verb}: {term}.{number}, held by {holders:?}",
+            state.servers[index].id
+        ));
         Reply::Done(Vec::new(), signature)
     }
 
     fn has_applied(&self, index: usize, after: Option<&str>) -> bool {
         let position = after.and_then(|text| text.split_once('.'));
-        let position = position.and_then(|(t, n)| Some((t.parse::<u64>().ok()?, n.parse::<usize>().ok()?)));
+        let position =
+            position.and_then(|(t, n)| Some((t.parse::<u64>().ok()?, n.parse::<usize>().ok()?)));
         let state = self.lock();
         let server = &state.servers[index];
         position.is_none_or(|(term, number)| server.term >= term && server.applied >= number)
@@ -558,5 +614,7 @@
 }
 
 fn leader(servers: &[Server]) -> Option<usize> {
-    (0..servers.len()).filter(|index| servers[*index].leads).max_by_key(|index| servers[*index].term)
+    (0..servers.len())
+        .filter(|index| servers[*index].leads)
+        .max_by_key(|index| servers[*index].term)
 }
--- a/review/stand-2/world.rs
+++ b/review/stand-2/world.rs
@@ -4,11 +4,11 @@
     path::{Path, PathBuf},
     sync::Arc,
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
-    hosts::{wait_until, Addresses, Host},
+    hosts::{Addresses, Host, wait_until},
     platform::Platform,
     record::Record,
     servers::{Groups, MAX_CONNECTIONS, SLOTS},
@@ -135,37 +135,39 @@
     )
 }
 
-/// Writes the servers' entries, and removes that of a server that has stopped.
+/// Writes the servers' entries, a change at once, and removes that of a server that has been silent.
 fn register(platform: &Platform, groups: &Groups) {
-    let mut missed = [0; 3];
+    let mut written: Vec<Option<(String, Instant)>> = vec![None; 3];
     let mut sequence = 0;
     loop {
-        sequence += 1;
         let mut entries = Vec::new();
         groups.each(|server| {
             let role = if server.leads { "primary" } else { "replica" };
+            let state = if server.draining { "draining" } else { "ready" };
             let text = format!(
-                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{SLOTS},\
-                \"state\":\"ready\",\"coldRemainingMs\":0,\"databaseRole\":\"{role}\",\"sequence\":{sequence},\
-                \"born\":1700000000000}}",
+                "\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{SLOTS},\
+                \"state\":\"{state}\",\"coldRemainingMs\":0,\"databaseRole\":\"{role}\",\"born\":1700000000000",
                 groups.service, server.address, server.zone
             );
             entries.push((server.id.clone(), server.up.then_some(text)));
         });
-        for (index, (id, text)) in entries.into_iter().enumerate() {
+        for (last, (id, text)) in written.iter_mut().zip(entries) {
+            let is_due = |text: &String| {
+                last.as_ref().is_none_or(|(known, at)| known != text || at.elapsed() >= HEARTBEAT)
+            };
             match text {
-                Some(text) => {
-                    missed[index] = 0;
-                    platform.put("servers", &id, &text);
+                Some(text) if is_due(&text) => {
+                    sequence += 1;
+                    platform.put("servers", &id, &format!("{{{text},\"sequence\":{sequence}}}"));
+                    *last = Some((text, Instant::now()));
                 }
-                None => {
-                    missed[index] += 1;
-                    if missed[index] > MISSED {
-                        platform.remove("servers", &id);
-                    }
+                None if last.as_ref().is_some_and(|(_, at)| at.elapsed() >= HEARTBEAT * MISSED) => {
+                    platform.remove("servers", &id);
+                    *last = None;
                 }
+                _ => {}
             }
         }
-        thread::sleep(HEARTBEAT);
+        thread::sleep(Duration::from_millis(50));
     }
 }
