Review case 6: a primary that is back is not asked

Change: a script, the crash of the case on the four-second wait with a primary that is back after two seconds.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Case 8: a replica that is down for one second is passed over, and with it acknowledged commits.
+# Exits with 0 if the rule held, 1 if it was broken, 2 if the case could not run; TROUBLE=0 makes no
+# disruption. Needs the build of the deploy file and review/build-2.sh.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/release/bergamottrack ] && [ -x target/review-2/stand ] || exit 2
+exec target/review-2/stand lost-host review/8/record.txt
--- a/review/stand-2/lost_commit.rs
+++ b/review/stand-2/lost_commit.rs
@@ -1,6 +1,6 @@
 //! A service with `syncReplicas` 1: one replica receives nothing for a while, the primary crashes
 //! meanwhile, and so does the other replica, which has each acknowledged commit. Both come back with
-//! their logs.
+//! their logs, the primary at the end of that time or soon after its crash.
 
 use std::{
     sync::{
@@ -28,11 +28,24 @@
 /// Time from its begin until the crashes.
 const CRASH_AFTER: Duration = Duration::from_millis(1500);
 
+/// Time for which a primary that is soon back is down (`srv_crash`).
+const SHORT: Duration = Duration::from_millis(2000);
+
 /// Time for which the other replica is down (`srv_crash`).
 const DOWN: Duration = Duration::from_millis(7000);
 
-/// Runs the case.
+/// Runs the case in which the primary is back when the other replica receives again.
 pub fn run(trouble: bool, record: &Record) -> Result<(), String> {
+    run_with(DEAF, trouble, record)
+}
+
+/// Runs the case in which the primary is back long before a successor is chosen.
+pub fn run_short(trouble: bool, record: &Record) -> Result<(), String> {
+    run_with(CRASH_AFTER + SHORT, trouble, record)
+}
+
+/// Runs the case with a primary that is back at the time `back`.
+fn run_with(back: Duration, trouble: bool, record: &Record) -> Result<(), String> {
     let world = World::start(1, record)?;
     let (stop, count) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
     let clients: Vec<_> = (0..CLIENTS)
@@ -62,9 +75,10 @@
         at(CRASH_AFTER);
         world.groups.crash(leader);
         world.groups.crash(with);
+        at(back);
+        world.groups.restart(leader);
         at(DEAF);
         world.groups.set_deaf(without, false);
-        world.groups.restart(leader);
         at(CRASH_AFTER + DOWN);
         world.groups.restart(with);
     }
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -33,6 +33,7 @@
         || std::env::var("TROUBLE").is_err();
     let result = match &**case {
         "lost-commit" => lost_commit::run(trouble, &record),
+        "returned-primary" => lost_commit::run_short(trouble, &record),
         "lost-host" => lost_host::run(trouble, &record),
         "memory" => memory::run(trouble, &record),
         "new-leader" => new_leader::run(trouble, &record),
