--- a/components/proxy/src/servers.rs
+++ b/components/proxy/src/servers.rs
@@ -220,7 +220,8 @@
                 self.backends.listed_since.set(Some(since));
                 debug!(
                     server = %listed.id, group = %listed.group, address = %listed.address,
-                    role = ?listed.role, leaving = listed.leaving, "servers: server added"
+                    role = ?listed.role, leaving = listed.leaving, started_ms = listed.started_ms,
+                    "servers: server added"
                 );
                 return true;
             }
@@ -228,7 +229,8 @@
         };
         info!(
             server = %listed.id, group = %listed.group, address = %listed.address,
-            role = ?listed.role, leaving = listed.leaving, "servers: entry changed"
+            role = ?listed.role, leaving = listed.leaving, started_ms = listed.started_ms,
+            "servers: entry changed"
         );
         let pool = self.backends.pools.borrow().get(&listed.id).cloned();
         if let Some(pool) = pool {
