Failover: a successor is promoted if reports show that it is complete

Hypotheses: (a) the replica reported more than it had; (b) the choice did not count the servers that could have the commits; (c) the confirmed record was known and not compared. The line of the selection tells them apart: one server reports, with term 1, while the known term is 2, `confirmed` is none. So (b), and the confirmed record was discarded with the change of leader.

Cause: the choice passed whenever no reason to wait was known. Two of three servers were missing, of which either may have had a commit, and neither was a reason: the former leader never counted as silent, and the entry of the first one had lapsed.

Change: the choice has to show that its successor has every acknowledged commit. Such a commit is held by two servers, so with m servers missing it is held by 2 - m of those that reported: the newest position is needed with one server missing, the second newest with none, and nothing is shown with two. A busy server counts as missing for the others. The report of the leader of the known term shows the same. `is_undecided` is gone; a host names acknowledged commits also after a change of leader.

The tests of `succession` call through `evidence`, which adds a server that does not report in place of a dead leader; `selection_is_undecided_...` became `no_successor_is_complete_...` and `successor_without_...` with the same states and a definite result. Two expectations changed: a leaving leader without a complete successor stays where commits would be lost, and Nobody is as before where that is permitted; the leader of a closed term with two further servers missing leads to Nobody in a group of three in place of one.

--- a/components/coordination/src/succession.rs
+++ b/components/coordination/src/succession.rs
@@ -12,10 +12,16 @@
 //! effect and end them; a rejected request reopens the terms that were closed for it. The leader
 //! of a closed term is never adopted; another promotion is required.
 //!
+//! A successor must be shown to be *complete*, that is, to have every acknowledged commit. An
+//! acknowledged commit is held by two servers of the group's [`ReplicaSet`], so a record that fewer can
+//! hold was not acknowledged: a server that has not reported its position may hold any record.
+//!
 //! Each replica counts for the confirmation of a commit, also one that is being removed. Such a
-//! server is therefore promoted if it has records that no other replica shows and no leader can
-//! send them. It is replaced in a planned failover once another server has received its term, which
-//! begins with the whole log that it brought.
+//! server is therefore promoted if no other one is complete and no leader can send the records. It is
+//! replaced in a planned failover once another server has received its term, which begins with the whole
+//! log that it brought.
+
+use std::collections::BTreeSet;
 
 use crate::{Point, ServerId, Term};
 
@@ -75,8 +81,8 @@
         /// promotion is requested.
         after: Term,
         /// Last record of the former leader, which the successor must receive first; none if the
-        /// leader did not report its state, if its term is closed, if a server reports a newer term
-        /// or a newer one is known, or in [`Order::Stalled`].
+        /// successor is complete without it, if the leader did not report its state, or in
+        /// [`Order::Stalled`].
         last: Option<Point>,
     },
     /// No server can lead at present.
@@ -93,43 +99,97 @@
     /// By log, since records missing from the successor's log may have been acknowledged; then
     /// by the number of databases and warm before cold. For unplanned failovers.
     Log,
-    /// As [`Order::Log`], without a wait for the leader's last record. For planned failovers whose
+    /// As [`Order::Log`], without a wait for the former leader's last record. For failovers whose
     /// successor does not receive it.
     Stalled,
 }
 
-/// Returns whether the selection must be repeated, since a server that has not reported its position may
-/// be ahead of the selected successor. `silent` is the number of listed servers without any report, and
-/// `confirmed` the last record that a replica is known to have confirmed.
-///
-/// A server that has no capacity to report may have confirmed commits that it has not applied yet, and
-/// one that is not listed now may be back.
-pub fn is_undecided(
-    next: &Next,
-    states: &[Standing],
-    silent: usize,
-    confirmed: Option<Point>,
-) -> bool {
-    let Next::Promote { successor, last: None, .. } = next else { return false };
-    let may_be_ahead =
-        |server: &Standing| server.busy && !server.evacuated && server.id != *successor;
-    let lacks_confirmed =
-        |server: &Standing| server.id == *successor && Some(server.received) < confirmed;
-    silent > 0 || states.iter().any(|server| may_be_ahead(server) || lacks_confirmed(server))
+/// Servers of a group that may have confirmed a commit.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ReplicaSet {
+    /// Ids of the servers, among them the leader.
+    pub servers: BTreeSet<ServerId>,
+    /// Whether no server outside of `servers` can have confirmed a commit. If not, one may have.
+    pub closed: bool,
+}
+
+/// Whether a server may be promoted that is not shown to be complete.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Completeness {
+    /// Never.
+    Required,
+    /// Not yet: further reports are awaited for some time.
+    Awaited,
+    /// Yes, if no server is shown to be complete.
+    Waived,
+}
+
+/// Knowledge about a group by which a successor is shown to be complete.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Evidence {
+    /// Terms in the store.
+    pub terms: Terms,
+    /// Servers that may have confirmed a commit.
+    pub replica_set: ReplicaSet,
+    /// Last record that a replica is known to have confirmed; `None` if none is known. Later ones may
+    /// have been confirmed.
+    pub confirmed: Option<Point>,
+    /// Whether a server may be promoted that is not shown to be complete.
+    pub completeness: Completeness,
+}
+
+impl Evidence {
+    /// Returns whether a server is shown to have every acknowledged commit. The positions must have been
+    /// read after all hosts had released the former leader.
+    pub fn shows_complete(&self, server: &Standing, states: &[Standing]) -> bool {
+        if Some(server.received) < self.confirmed {
+            return false;
+        }
+        // No other server leads in the known term, and no commit of a later one is acknowledged.
+        let has_log_of = |leader: &Standing| {
+            let known = leader.leads && leader.term == self.terms.known && !leader.busy;
+            known && server.term >= leader.term && server.received >= leader.received
+        };
+        if self.terms.known > Term(0) && states.iter().any(has_log_of) {
+            return true;
+        }
+        let servers = &self.replica_set.servers;
+        let reported = states.iter().filter(|state| {
+            // A busy server may have received more than it shows.
+            servers.contains(&state.id) && (!state.busy || state.id == server.id)
+        });
+        let mut received: Vec<Point> = reported.map(|state| state.received).collect();
+        received.sort_unstable_by(|a, b| b.cmp(a));
+        let missing = servers.len() - received.len() + usize::from(!self.replica_set.closed);
+        // The servers that hold an acknowledged commit, less those that may be missing.
+        let holders = servers.len().min(2).saturating_sub(missing);
+        holders > 0 && received.get(holders - 1).is_some_and(|point| server.received >= *point)
+    }
+
+    /// Returns the servers of the replica set that have not reported their position.
+    pub fn missing<'a>(&'a self, states: &'a [Standing]) -> impl Iterator<Item = &'a ServerId> {
+        let reports = |id: &ServerId| states.iter().any(|state| state.id == *id && !state.busy);
+        self.replica_set.servers.iter().filter(move |id| !reports(id))
+    }
 }
 
 /// Returns the next step from the reported states. `retiring` is the leader to be replaced in a
-/// planned failover, and `confirmed` the last record that a replica is known to have confirmed.
+/// planned failover.
 pub fn next(
     states: &[Standing],
-    terms: Terms,
-    confirmed: Option<Point>,
+    evidence: &Evidence,
     retiring: Option<&ServerId>,
     order: Order,
 ) -> Next {
+    let Evidence { terms, confirmed, completeness, .. } = evidence;
     let newest = states.iter().map(|server| server.term).max().unwrap_or_default();
+    let after = newest.max(terms.known);
     let leader = states.iter().find(|server| server.leads && server.term == newest);
     let leader = leader.filter(|leader| terms.allow(leader.term));
+    // A server that has started again under its id may have lost its log.
+    let leader = leader.filter(|leader| {
+        *completeness == Completeness::Waived || Some(leader.received) >= *confirmed
+    });
     let adopt = |leader: &Standing| Next::Adopt(leader.id.clone(), leader.term);
     if let Some(leader) = leader
         && Some(&leader.id) != retiring
@@ -137,14 +197,15 @@
     {
         return adopt(leader);
     }
-    // Without the leader's last record, nothing shows which acknowledged records a successor lacks.
+    let stalled = order == Order::Stalled;
+    // Without the leader's last record, placement must not decide which records are lost.
     let order = if leader.is_some() { order } else { Order::Log };
-    // The leader may be the only server with a confirmed record: the replica that confirmed it may be
-    // gone, and a replica without the leader's term may lack commits that the leader brought.
-    let waits = leader.is_some() && order != Order::Stalled;
+    let waits = leader.is_some() && !stalled;
     let may_follow = |server: &Standing| {
+        // A replica without the leader's term may lack commits that the leader brought.
         let has_term = leader.is_none_or(|leader| server.term >= leader.term);
-        has_term && (leader.is_none() || waits || Some(server.received) >= confirmed)
+        let has_confirmed = Some(server.received) >= *confirmed;
+        has_term && (leader.is_none() || waits || has_confirmed)
     };
     let eligible = |server: &&Standing| !server.leads && !server.evacuated && may_follow(server);
     let rank = |server: &&Standing| {
@@ -154,18 +215,41 @@
             Order::Log | Order::Stalled => (None, server.received, placement),
         }
     };
+    let promote =
+        |server: &Standing, last| Next::Promote { successor: server.id.clone(), after, last };
     let (leaving, staying): (Vec<_>, Vec<_>) =
         states.iter().filter(eligible).partition(|server| server.leaving);
-    let Some(successor) = staying.into_iter().max_by_key(rank) else {
-        // Without a successor the leader stays, also a retiring or evacuated one, unless it is
-        // being removed: statements that only a leader can run may still run on it.
-        return leader.filter(|leader| !leader.leaving).map_or(Next::Nobody, adopt);
-    };
-    // A leader that sends its log to the successor makes the promotion of a leaving server needless.
-    let ahead = leaving.into_iter().max_by_key(rank);
-    let ahead = ahead.filter(|server| !waits && server.received > successor.received);
-    let successor = ahead.unwrap_or(successor);
-    // `None` for the leader of a closed term: the promotion must not wait for its records.
-    let last = leader.filter(|_| waits).map(|leader| leader.received);
-    Next::Promote { successor: successor.id.clone(), after: newest.max(terms.known), last }
+    if let Some(leader) = leader.filter(|_| waits)
+        && let Some(successor) = staying.iter().copied().max_by_key(rank)
+    {
+        // A leader that sends its log to the successor makes it complete.
+        return promote(successor, Some(leader.received));
+    }
+    let complete = |server: &&Standing| evidence.shows_complete(server, states);
+    let successor = staying.iter().copied().filter(complete).max_by_key(rank);
+    if let Some(successor) = successor {
+        return promote(successor, None);
+    }
+    // Without any staying server, a leaving one would only be replaced again.
+    if let Some(successor) = leaving.iter().copied().filter(complete).max_by_key(rank)
+        && !staying.is_empty()
+        && !waits
+    {
+        return promote(successor, None);
+    }
+    if *completeness == Completeness::Waived
+        && let Some(successor) = staying.iter().copied().max_by_key(rank)
+    {
+        let ahead = leaving.into_iter().max_by_key(rank);
+        let ahead = ahead.filter(|server| !waits && server.received > successor.received);
+        return promote(ahead.unwrap_or(successor), None);
+    }
+    // Without a successor the leader stays, also a retiring or evacuated one: statements that only a
+    // leader can run may still run on it. One that is being removed stays only if its commits would
+    // be lost, and so does one whose successor may still report.
+    match (leader, completeness) {
+        (Some(leader), Completeness::Required) => adopt(leader),
+        (Some(leader), _) if !leader.leaving && (waits || staying.is_empty()) => adopt(leader),
+        _ => Next::Nobody,
+    }
 }
--- a/components/coordination/tests/succession.rs
+++ b/components/coordination/tests/succession.rs
@@ -1,8 +1,10 @@
 //! Selection of the next leader of a group.
 
+use std::collections::BTreeSet;
+
 use bergamottrack_coordination::{
     Point, ServerId, Term,
-    succession::{self, Next, Order, Standing, Terms},
+    succession::{self, Completeness, Evidence, Next, Order, ReplicaSet, Standing, Terms},
 };
 
 fn id(name: &str) -> ServerId {
@@ -24,8 +26,19 @@
     }
 }
 
+/// Returns evidence for a group of the given servers, and of a former leader `gone` that does not report
+/// if no server leads.
+fn evidence(states: &[Standing], terms: Terms) -> Evidence {
+    let mut servers: BTreeSet<_> = states.iter().map(|server| server.id.clone()).collect();
+    if !states.iter().any(|server| server.leads) {
+        servers.insert(id("gone"));
+    }
+    let replica_set = ReplicaSet { servers, closed: true };
+    Evidence { terms, replica_set, confirmed: None, completeness: Completeness::Required }
+}
+
 fn select(states: &[Standing], terms: Terms, retiring: Option<&ServerId>, order: Order) -> Next {
-    succession::next(states, terms, None, retiring, order)
+    succession::next(states, &evidence(states, terms), retiring, order)
 }
 
 fn terms(known: u64, closed: u64) -> Terms {
@@ -56,11 +69,13 @@
 #[test]
 fn former_leader_is_not_adopted_if_no_replica_has_its_successors_term() {
     let states = [server("old", true, 1, (1, 206)), server("deaf", false, 1, (1, 183))];
-    let promote = Next::Promote { successor: id("deaf"), after: Term(2), last: None };
-    assert_eq!(select(&states, terms(2, 1), None, Order::Log), promote);
     // The promotion may have taken effect although no host knows the new leader.
-    let promote = Next::Promote { successor: id("deaf"), after: Term(1), last: None };
-    assert_eq!(select(&states, terms(1, 1), None, Order::Log), promote);
+    for known in [1, 2] {
+        for order in [Order::Log, Order::Stalled] {
+            let next = select(&states, terms(known, 1), None, order);
+            assert!(!matches!(next, Next::Adopt(..)), "{next:?}");
+        }
+    }
 }
 
 /// Guards against losing records in a planned failover: the successor must first receive the last
@@ -85,8 +100,11 @@
     leaving.leaving = true;
     assert_eq!(select(&[leaving], terms(1, 0), None, Order::Log), Next::Nobody);
     assert_eq!(select(&[], terms(1, 0), None, Order::Log), Next::Nobody);
-    let old = server("old", true, 1, (1, 3));
-    assert_eq!(select(&[old], terms(1, 1), None, Order::Log), Next::Nobody);
+    let states = [server("old", true, 1, (1, 3))];
+    let mut evidence = evidence(&states, terms(1, 1));
+    evidence.replica_set.servers.extend([id("silent"), id("replica")]);
+    evidence.terms.known = Term(2);
+    assert_eq!(succession::next(&states, &evidence, None, Order::Log), Next::Nobody);
 }
 
 /// Guards against the loss of acknowledged commits that only a leaving replica has confirmed: it is left
@@ -108,17 +126,102 @@
 /// Guards against the loss of acknowledged commits: a busy replica, whose answer shows only what it has
 /// applied, has received more than the one that is selected.
 #[test]
-fn selection_is_undecided_while_another_replica_is_busy_or_silent() {
+fn no_successor_is_complete_while_another_replica_is_busy_or_silent() {
     let busy = |server: Standing| Standing { busy: true, ..server };
     let next = |states: &[Standing]| select(states, terms(1, 0), None, Order::Log);
+    let promote = |name| Next::Promote { successor: id(name), after: Term(1), last: None };
     let shown = server("shown", false, 1, (1, 50));
     let states = [busy(server("late", false, 1, (1, 40))), shown.clone()];
-    assert!(succession::is_undecided(&next(&states), &states, 0, None));
+    assert_eq!(next(&states), Next::Nobody);
     let states = [busy(server("ahead", false, 1, (1, 60))), shown.clone()];
-    assert!(!succession::is_undecided(&next(&states), &states, 0, None));
-    assert!(succession::is_undecided(&next(&states), &states, 1, None));
+    assert_eq!(next(&states), promote("ahead"));
+    let mut silent = evidence(&states, terms(1, 0));
+    silent.replica_set.servers.insert(id("silent"));
+    assert_eq!(succession::next(&states, &silent, None, Order::Log), Next::Nobody);
     let states = [server("late", false, 1, (1, 40)), shown];
-    assert!(!succession::is_undecided(&next(&states), &states, 0, None));
+    assert_eq!(next(&states), promote("shown"));
+}
+
+/// Guards against the loss of acknowledged commits: the leader that a failover has just promoted crashes
+/// before the other replica has received its term, and that replica is the only one that reports.
+#[test]
+fn replica_without_the_known_term_is_not_promoted_while_two_servers_are_missing() {
+    let states = [server("deaf", false, 1, (1, 1615))];
+    let mut evidence = evidence(&states, terms(2, 1));
+    evidence.replica_set.servers.insert(id("first"));
+    let next = |evidence: &Evidence| succession::next(&states, evidence, None, Order::Log);
+    assert_eq!(next(&evidence), Next::Nobody);
+    evidence.completeness = Completeness::Awaited;
+    assert_eq!(next(&evidence), Next::Nobody);
+    evidence.completeness = Completeness::Waived;
+    let promote = Next::Promote { successor: id("deaf"), after: Term(2), last: None };
+    assert_eq!(next(&evidence), promote);
+}
+
+/// Guards against the loss of acknowledged commits: two servers of five are missing, and a majority has
+/// reported without the one replica that confirmed them.
+#[test]
+fn reports_of_a_majority_do_not_show_a_complete_successor() {
+    let states = ["a", "b", "c"].map(|name| server(name, false, 1, (1, 40)));
+    let mut evidence = evidence(&states, terms(1, 0));
+    evidence.replica_set.servers.insert(id("silent"));
+    assert_eq!(succession::next(&states, &evidence, None, Order::Log), Next::Nobody);
+}
+
+/// Guards against a leader that is kept although it is cut off from its replicas: its last records, which
+/// no other server holds, are not acknowledged.
+#[test]
+fn records_that_only_one_of_all_reporting_servers_holds_are_not_required() {
+    let states = [
+        server("leader", true, 4, (4, 50)),
+        server("ahead", false, 4, (4, 42)),
+        server("behind", false, 4, (4, 40)),
+    ];
+    let promote = Next::Promote { successor: id("ahead"), after: Term(4), last: None };
+    let retiring = Some(&id("leader"));
+    assert_eq!(select(&states, terms(4, 3), retiring, Order::Stalled), promote);
+}
+
+/// Guards against the loss of acknowledged commits: the row of the group was written by a host that does
+/// not record its servers, and a server that is no longer listed may have confirmed a commit.
+#[test]
+fn unrecorded_replica_set_counts_as_one_with_a_further_missing_server() {
+    let replicas = [server("ahead", false, 1, (1, 50)), server("behind", false, 1, (1, 40))];
+    let mut open = evidence(&replicas, terms(1, 0));
+    open.replica_set.closed = false;
+    assert_eq!(succession::next(&replicas, &open, None, Order::Log), Next::Nobody);
+    // All listed servers report, and the newest log has what any two of them and the further one hold.
+    let [ahead, behind] = replicas;
+    let states = [ahead, behind, server("gone", false, 1, (1, 45))];
+    let promote = Next::Promote { successor: id("ahead"), after: Term(1), last: None };
+    assert_eq!(succession::next(&states, &open, None, Order::Log), promote);
+}
+
+/// Guards against the loss of all commits: a server starts again under its id without its log, and
+/// reports that it leads.
+#[test]
+fn leader_without_acknowledged_commits_is_not_adopted() {
+    let states = [server("reborn", true, 1, (1, 0)), server("replica", false, 1, (1, 50))];
+    let mut evidence = evidence(&states, terms(1, 0));
+    evidence.confirmed = Some(Point::new(1, 50));
+    let promote = Next::Promote { successor: id("replica"), after: Term(1), last: None };
+    assert_eq!(succession::next(&states, &evidence, None, Order::Log), promote);
+}
+
+/// Guards against the loss of acknowledged commits: a retiring leader that is being removed is given up
+/// although no complete successor is shown.
+#[test]
+fn leaving_leader_is_kept_if_its_successor_lacks_commits() {
+    let leader = Standing { leaving: true, ..server("leader", true, 4, (4, 50)) };
+    let states = [leader, server("deaf", false, 4, (4, 20))];
+    let mut evidence = evidence(&states, terms(4, 3));
+    evidence.replica_set.servers.insert(id("silent"));
+    let next = |evidence: &Evidence| {
+        succession::next(&states, evidence, Some(&id("leader")), Order::Stalled)
+    };
+    assert_eq!(next(&evidence), Next::Adopt(id("leader"), Term(4)));
+    evidence.completeness = Completeness::Awaited;
+    assert_eq!(next(&evidence), Next::Nobody);
 }
 
 /// Guards against the loss of acknowledged commits in a planned failover: the successor does not receive
@@ -151,7 +254,11 @@
         assert_eq!(next, Next::Adopt(id("leader"), Term(5)));
         let leaving = Standing { leaving: true, ..leader.clone() };
         let states = [leaving, states[1].clone()];
-        assert_eq!(select(&states, terms(5, 4), retiring, order), Next::Nobody);
+        let mut evidence = evidence(&states, terms(5, 4));
+        let next = |evidence: &Evidence| succession::next(&states, evidence, retiring, order);
+        assert_eq!(next(&evidence), Next::Adopt(id("leader"), Term(5)));
+        evidence.completeness = Completeness::Waived;
+        assert_eq!(next(&evidence), Next::Nobody);
     }
 }
 
@@ -163,7 +270,8 @@
     let states = [leader, server("deaf", false, 4, (4, 20))];
     let next = |confirmed, order| {
         let confirmed = Some(Point::new(4, confirmed));
-        succession::next(&states, terms(4, 3), confirmed, Some(&id("leader")), order)
+        let evidence = Evidence { confirmed, ..evidence(&states, terms(4, 3)) };
+        succession::next(&states, &evidence, Some(&id("leader")), order)
     };
     assert_eq!(next(40, Order::Stalled), Next::Adopt(id("leader"), Term(4)));
     let promote = |last| Next::Promote { successor: id("deaf"), after: Term(4), last };
@@ -174,13 +282,16 @@
 /// Guards against the loss of acknowledged commits: the replica that confirmed them has left the list for
 /// a moment, as the leader crashes.
 #[test]
-fn selection_is_undecided_while_the_successor_lacks_the_confirmed_record() {
+fn successor_without_the_last_acknowledged_commit_is_not_complete() {
     let states = [server("behind", false, 1, (1, 50))];
-    let next = select(&states, terms(1, 0), None, Order::Log);
-    let is_undecided =
-        |number| succession::is_undecided(&next, &states, 0, Some(Point::new(1, number)));
-    assert!(is_undecided(51));
-    assert!(!is_undecided(50));
+    let next = |number| {
+        let confirmed = Some(Point::new(1, number));
+        let evidence = Evidence { confirmed, ..evidence(&states, terms(1, 0)) };
+        succession::next(&states, &evidence, None, Order::Log)
+    };
+    assert_eq!(next(51), Next::Nobody);
+    let promote = Next::Promote { successor: id("behind"), after: Term(1), last: None };
+    assert_eq!(next(50), promote);
 }
 
 /// Guards against a leader that stays in an evacuated failure domain, and against a successor in
--- a/components/proxy/src/confirm.rs
+++ b/components/proxy/src/confirm.rs
@@ -58,11 +58,19 @@
     waiting: Cell<usize>,
     /// Replicas that are being polled.
     polling: RefCell<HashSet<ServerId>>,
+    /// Last commit acknowledged to a client of this host; kept over a change of the leader.
+    acknowledged: Cell<Option<Point>>,
     /// Notified after each reading.
     updated: Notify,
 }
 
 impl Receipts {
+    /// Returns the last record that a replica has confirmed to this host, or the last commit acknowledged
+    /// to a client since the start of this host, under any leader.
+    pub fn confirmed(&self) -> Option<Point> {
+        self.acknowledged.get().max(self.state.borrow().newest())
+    }
+
     /// Discards all readings, for use after a change of the leader.
     pub fn reset(&self) {
         *self.state.borrow_mut() = ReplicaProgress::default();
@@ -97,6 +105,9 @@
         let _ = monoio::time::timeout_at(next, receipts.updated.notified()).await;
     };
     receipts.waiting.set(receipts.waiting.get() - 1);
+    if verdict != Verdict::Unknown {
+        receipts.acknowledged.set(receipts.acknowledged.get().max(Some(commit)));
+    }
     match verdict {
         Verdict::Unknown => {
             info!(group = %group.id, %commit, "replicas: commit not confirmed in time");
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeSet,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -15,7 +16,7 @@
     Point, ServerId, Term,
     duty::{self, CALL_DEADLINE, CALL_TIMEOUT},
     evacuation,
-    succession::{self, Next, Order, Standing, Terms},
+    succession::{self, Completeness, Evidence, Next, Order, ReplicaSet, Standing, Terms},
     suspicion,
     view::{FAILOVER_TTL, Leadership, LeaseRelease, Versioned, View},
 };
@@ -44,9 +45,9 @@
 /// Interval between reads of the store for the releases of hosts that this host cannot reach.
 const RELEASE_READ_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time from the intent for which a failover waits for the position of each listed replica: the one
-/// that does not answer, or is busy, may be the only one that has confirmed a commit. With a second
-/// each for detection and promotion, a change of leader is over within 7 s.
+/// Time from the intent after which the newest log is promoted although it is not shown to be complete,
+/// in groups whose configuration permits it. With a second each for detection and promotion, a change of
+/// leader is over within 7 s.
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(4000);
 
 /// Interval between status requests to the successor.
@@ -68,9 +69,11 @@
     /// Last record that a replica has confirmed to a host which has released the former leader; `None`
     /// if no host has named one.
     confirmed: Rc<Cell<Option<Point>>>,
+    /// Last selected step and the servers whose reports were missing, as logged.
+    logged: RefCell<Option<(Next, Vec<ServerId>)>>,
     /// Time by which this host must finish; another host may take over some time later.
     deadline: Instant,
-    /// End of the wait for replicas that do not report their position.
+    /// Time from which a successor may be promoted without evidence, if the configuration permits it.
     replicas_until: Instant,
 }
 
@@ -117,6 +120,7 @@
             intent,
             terms,
             confirmed: Rc::default(),
+            logged: RefCell::default(),
             deadline,
             replicas_until,
         }))
@@ -130,7 +134,7 @@
         self.terms.set(view.terms(&group.id));
         let recovered = monoio::select! {
             released = self.wait_released(host, group, view, sent_at) => released.map(|()| None),
-            recovered = self.wait_recovery(host) => Ok(Some(recovered)),
+            recovered = self.wait_recovery(host, group) => Ok(Some(recovered)),
         };
         if let Some((leader, term)) = recovered? {
             info!(
@@ -185,7 +189,7 @@
     /// No other server can lead while hosts may hold leases on the former leader. If the former
     /// leader recovers in that time, keeping it ends the outage without loss of acknowledged
     /// writes.
-    async fn wait_recovery(&self, host: &Host) -> (ServerId, Term) {
+    async fn wait_recovery(&self, host: &Host, group: &Group) -> (ServerId, Term) {
         loop {
             monoio::time::sleep(RECOVERY_CHECK_INTERVAL).await;
             let Some(from) = self.from.as_ref().filter(|_| !self.planned) else { continue };
@@ -196,6 +200,7 @@
             if let Ok(status) = monitor::status(host, &pool, suspicion::PROBE_TIMEOUT).await
                 && status.role == Role::Primary
                 && self.terms.get().allow(status.term)
+                && Some(status.received) >= self.confirmed(group)
             {
                 return (from.clone(), status.term);
             }
@@ -297,35 +302,59 @@
         let requests =
             pools.iter().map(|pool| monitor::free_status(host, pool, suspicion::PROBE_TIMEOUT));
         let statuses = future::join_all(requests).await;
-        let statuses =
-            pools.iter().zip(statuses).map(|(pool, status)| (pool, self.reported(pool, status)));
-        let (reported, silent): (Vec<_>, Vec<_>) =
-            statuses.partition(|(_, report)| report.is_some());
-        let standings: Vec<Standing> = reported
-            .into_iter()
-            .filter_map(|(pool, report)| Some(standing(host, pool, report?)))
+        let reports = pools.iter().zip(statuses);
+        let standings: Vec<_> = reports
+            .filter_map(|(pool, status)| Some(standing(host, pool, self.reported(pool, status)?)))
             .collect();
+        self.next_step(host, group, &standings, order, true)
+    }
+
+    /// Selects the next step from the reports. `all` if no further report arrives; only then may a
+    /// successor be promoted that is not shown to be complete.
+    fn next_step(
+        &self,
+        host: &Host,
+        group: &Group,
+        standings: &[Standing],
+        order: Order,
+        all: bool,
+    ) -> Next {
         let leaving = self.from.as_ref().filter(|_| self.planned);
-        let terms = self.terms.get();
-        let own = group.receipts.state.borrow().newest();
-        let confirmed = self.confirmed.get().max(own);
-        let mut next = succession::next(&standings, terms, confirmed, leaving, order);
-        let is_listed = |(pool, _): &(&Rc<Pool>, _)| {
-            let id = &pool.listed.borrow().id;
-            self.from.as_ref() != Some(id) && host.backends.catalog.borrow().is_present(id)
-        };
-        let silent = silent.iter().filter(|server| is_listed(server)).count();
-        let is_undecided = succession::is_undecided(&next, &standings, silent, confirmed);
-        if host.now() < self.replicas_until && is_undecided {
-            next = Next::Nobody;
+        let evidence = self.evidence(host, group, standings, all);
+        let next = succession::next(standings, &evidence, leaving, order);
+        let missing: Vec<_> = evidence.missing(standings).cloned().collect();
+        if next == Next::Nobody && !all {
+            return next;
+        }
+        let step = Some((next.clone(), missing.clone()));
+        if self.logged.replace(step.clone()) != step {
+            let Evidence { terms, confirmed, completeness, .. } = evidence;
+            info!(
+                group = %group.id, intent = self.intent, ?terms, ?confirmed, ?completeness,
+                ?missing, told = ?standings, ?next, "leader: next step of the failover selected"
+            );
         }
-        info!(
-            group = %group.id, intent = self.intent, ?terms, ?confirmed, told = ?standings, ?next,
-            "leader: next step of the failover selected"
-        );
         next
     }
 
+    /// Returns the last record that a replica is known to have confirmed.
+    fn confirmed(&self, group: &Group) -> Option<Point> {
+        self.confirmed.get().max(group.receipts.confirmed())
+    }
+
+    /// Returns the evidence for the selection of a successor.
+    fn evidence(&self, host: &Host, group: &Group, standings: &[Standing], all: bool) -> Evidence {
+        let completeness = match all && host.now() >= self.replicas_until {
+            false => Completeness::Awaited,
+            true => Completeness::Waived,
+        };
+        let mut servers = listed_candidates(host, group, standings);
+        servers.extend(self.from.clone());
+        let replica_set = ReplicaSet { servers, closed: true };
+        let confirmed = self.confirmed(group);
+        Evidence { terms: self.terms.get(), replica_set, confirmed, completeness }
+    }
+
     /// Returns the status that counts for the selection of the next leader. That of a busy server is
     /// the position in its answer, a lower bound of what it has received; a busy former leader has
     /// none.
@@ -492,6 +521,19 @@
     }
 }
 
+/// Returns the servers of a group that have an entry and may be promoted, or may be once they report.
+fn listed_candidates(host: &Host, group: &Group, standings: &[Standing]) -> BTreeSet<ServerId> {
+    let is_evacuated = |id: &ServerId| {
+        let state = standings.iter().find(|state| state.id == *id);
+        state.is_some_and(|state| state.evacuated)
+    };
+    let mut pools = host.servers(&group.id);
+    pools.retain(|pool| !placement::is_forbidden(host, pool));
+    let ids = pools.iter().map(|pool| pool.listed.borrow().id.clone());
+    let catalog = host.backends.catalog.borrow();
+    ids.filter(|id| catalog.is_present(id) && !is_evacuated(id)).collect()
+}
+
 /// Answer of a server to a request for its status.
 struct Report {
     /// Reported status; that of a busy server contains the position of its answer.
--- a/components/proxy/src/gossip.rs
+++ b/components/proxy/src/gossip.rs
@@ -117,7 +117,7 @@
         let moving = matches!(newest.value, Leadership::Moving { .. });
         if !moving || group.released.get() >= newest.version {
             let version = newest.version;
-            let confirmed = group.receipts.state.borrow().newest();
+            let confirmed = group.receipts.confirmed();
             return replier.reply(if wants_confirmed {
                 Answer::Released { version, confirmed }
             } else {
--- a/components/proxy/tests/forward.rs
+++ b/components/proxy/tests/forward.rs
@@ -16,7 +16,7 @@
     Answer, ForwardResult, ForwardedStatement, Link, Mesh, Question, TransactionId, accept,
     message::{Hello, Message, Nonce},
 };
-use bergamottrack_proxy::{Host, serve};
+use bergamottrack_proxy::{Host, confirm, serve};
 use futures_util::{SinkExt, StreamExt};
 use monoio::{
     io::IntoPollIo,
@@ -220,6 +220,21 @@
     assert_eq!(confirmed, Some(point));
 }
 
+/// Guards against the loss of a commit that this host has acknowledged: the leader changes, and the
+/// successor crashes before another server has received the commit.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn release_of_a_leader_names_a_commit_acknowledged_under_an_earlier_one() {
+    let holder = Holder::start().await;
+    let group = holder.host.group(&hosts::group());
+    let point = Point::new(1, 60);
+    group.receipts.state.borrow_mut().note(point);
+    confirm::wait(&holder.host, &group, point).await.unwrap();
+    group.set_leader(Some("other".parse().unwrap()), holder.host.now());
+    let answer = holder.request_release(true).await;
+    let Answer::Released { version: INTENT, confirmed } = answer else { panic!("{answer:?}") };
+    assert_eq!(confirmed, Some(point));
+}
+
 /// Guards against statements of a transaction that run at a leader which its holder has released.
 #[monoio::test(driver = "legacy", enable_timer = true)]
 async fn transaction_of_another_host_ends_with_the_release_of_the_leader() {
