Failover: the former leader is asked if the other servers show no complete successor

The leader was back after 2 s, led, and had everything. 2.2 to 2.3 s later the replica that had received nothing was promoted, and 203 to 228 acknowledged commits were lost.

Hypotheses: (a) the leader reported a closed term; (b) it was not asked; (c) it was asked and its answer came too late. No selection line names the leader, in any of the waits of 0.5 s each, so (b): an unplanned failover took it out of the servers that it read, and the check for its recovery ends with the wait for hosts, after 30 ms.

Change: it is read like the others. Its report is awaited only if the others show no complete successor, so a failover with one is as fast as before; a server that leads an open term with each confirmed record is kept.

--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -22,7 +22,7 @@
 };
 use bergamottrack_model::{Role, Status};
 use bergamottrack_platform::http::Client;
-use futures_util::future;
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use tracing::{info, warn};
 
 use crate::{
@@ -265,9 +265,6 @@
     ) -> anyhow::Result<Option<(ServerId, Term)>> {
         let mut pools = host.servers(&group.id);
         pools.retain(|pool| !placement::is_forbidden(host, pool));
-        // In an unplanned failover, a status request to the former leader would only cost its
-        // timeout.
-        pools.retain(|pool| self.planned || Some(&pool.listed.borrow().id) != self.from.as_ref());
         let order = if self.planned { Order::Placement } else { Order::Log };
         let next = self.select_successor(host, group, &pools, order).await;
         let next = match next {
@@ -292,6 +289,9 @@
     }
 
     /// Requests the status of the servers and selects the next leader.
+    ///
+    /// In an unplanned failover, the report of the former leader is awaited only if the others show no
+    /// complete successor: it would usually cost its timeout.
     async fn select_successor(
         &self,
         host: &Host,
@@ -299,13 +299,26 @@
         pools: &[Rc<Pool>],
         order: Order,
     ) -> Next {
-        let requests =
-            pools.iter().map(|pool| monitor::free_status(host, pool, suspicion::PROBE_TIMEOUT));
-        let statuses = future::join_all(requests).await;
-        let reports = pools.iter().zip(statuses);
-        let standings: Vec<_> = reports
-            .filter_map(|(pool, status)| Some(standing(host, pool, self.reported(pool, status)?)))
-            .collect();
+        let is_former =
+            |pool: &Pool| !self.planned && Some(&pool.listed.borrow().id) == self.from.as_ref();
+        let requests = pools.iter().map(async |pool| {
+            (pool, monitor::free_status(host, pool, suspicion::PROBE_TIMEOUT).await)
+        });
+        let mut requests: FuturesUnordered<_> = requests.collect();
+        let mut others = pools.iter().filter(|pool| !is_former(pool)).count();
+        let mut standings = Vec::new();
+        while let Some((pool, status)) = requests.next().await {
+            others -= usize::from(!is_former(pool));
+            let report = self.reported(pool, status);
+            standings.extend(report.map(|report| standing(host, pool, report)));
+            if others > 0 {
+                continue;
+            }
+            let next = self.next_step(host, group, &standings, order, false);
+            if next != Next::Nobody {
+                return next;
+            }
+        }
         self.next_step(host, group, &standings, order, true)
     }
 
--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -384,6 +384,24 @@
     until(|| fleet.group.began_failover.get().is_some()).await;
 }
 
+/// Guards against the loss of acknowledged commits: the leader and the replica that has them crash, and
+/// the leader is back while the failover waits for that replica, but its position is not read.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn former_leader_that_is_back_is_kept_if_no_successor_is_complete() {
+    let reports = [Report::Silent, Report::Silent, Report::Replica(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    let failover = fleet.begin(false).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    monoio::time::sleep(Duration::from_millis(1500)).await;
+    fleet.report(1, Report::Primary(TERM));
+    run.await.unwrap();
+    assert_eq!(fleet.leadership().await, Leadership::Steady { leader: id("s1"), term: Term(TERM) });
+    assert!(fleet.platform.borrow().promoted.is_empty());
+}
+
 /// Guards against a failover that waits for a host's contact to expire, although the host has released
 /// the leader and reaches the store: the links are cut between the request for the release and the answer.
 #[monoio::test(driver = "legacy", enable_timer = true)]
