Failover: `syncReplicas` decides whether an incomplete successor may be promoted

The replica that had received nothing for 1.5 s was promoted 4.2 s after the crash, 0.8 and 2.8 s before the two others were back, and 190 to 247 acknowledged commits were lost.

Hypotheses: (a) the host did not know that the replica lacked commits; (b) it knew, and let the choice pass. The last selection names a confirmed record of 1.308 and a successor at 1.107, so (b): the wait ended 4 s after the intent, and `syncReplicas` was not read at all.

Change: the field is read. Where it is 1 or more, no server is promoted without evidence, however long that takes: the service's commits are acknowledged on the word that another server has them, and LOST has no exception. Where it is 0, the newest log is promoted 4 s after the intent, as before. An operator accepts a loss by a version of the configuration with `syncReplicas` 0, which the choice reads each time.

--- a/components/model/src/plan.rs
+++ b/components/model/src/plan.rs
@@ -58,6 +58,9 @@
     pub connections: usize,
     /// Rate limit for servers that have just started; `None` if they need no special treatment.
     pub cold: Option<cold::Limit>,
+    /// Number of replicas that have a commit before a server acknowledges it. If it is not 0, no server
+    /// is promoted that may lack an acknowledged commit.
+    pub sync_replicas: u32,
 }
 
 /// Version of the whole configuration.
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -34,6 +34,7 @@
     placement,
     pool::Pool,
     release::{self, WaitEnd},
+    replica_set,
 };
 
 /// Time for a promoted server to become leader before the promotion is requested again.
@@ -357,9 +358,11 @@
 
     /// Returns the evidence for the selection of a successor.
     fn evidence(&self, host: &Host, group: &Group, standings: &[Standing], all: bool) -> Evidence {
-        let completeness = match all && host.now() >= self.replicas_until {
-            false => Completeness::Awaited,
-            true => Completeness::Waived,
+        let required = replica_set::is_required(host, group);
+        let completeness = match (required, all && host.now() >= self.replicas_until) {
+            (true, _) => Completeness::Required,
+            (false, false) => Completeness::Awaited,
+            (false, true) => Completeness::Waived,
         };
         let mut servers = listed_candidates(host, group, standings);
         servers.extend(self.from.clone());
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod pool;
 pub mod positions;
 pub mod release;
+pub mod replica_set;
 pub mod serve;
 pub mod servers;
 pub mod session;
--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -16,9 +16,13 @@
     contact::CONTACT_TTL,
     view::{Leadership, Versioned, View},
 };
-use bergamottrack_model::{ListedServer, Role, Settings};
+use bergamottrack_model::{
+    ListedServer, Role, Settings,
+    plan::{Limits, Plan},
+};
 use bergamottrack_platform::http::Client;
 use bergamottrack_proxy::{Host, failover::Failover, fleet, group::Group, monitor, serve};
+use bytes::Bytes;
 use hyper::StatusCode;
 use monoio::{
     io::{AsyncReadRent, AsyncWriteRentExt},
@@ -93,6 +97,13 @@
         assert!(self.host.upsert_server(ListedServer { leaving: true, ..listed }, 2));
     }
 
+    /// Puts a configuration in force that requires a complete successor.
+    fn require_complete(&self) {
+        let limits = Limits { connections: 10, cold: None, sync_replicas: 1 };
+        let groups = [(hosts::group(), limits)].into();
+        self.host.set_plan(Plan { groups, ..Plan::default() }, Bytes::new());
+    }
+
     /// Writes the host's row and that of the group, whose leader is s1, and starts the host's monitor.
     async fn watch(&self) {
         let host = &self.host;
@@ -402,6 +413,29 @@
     assert!(fleet.platform.borrow().promoted.is_empty());
 }
 
+/// Guards against the loss of acknowledged commits: the leader and the replica that has them are away for
+/// longer than the failover waits for positions, and the replica that lacks them is promoted.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn incomplete_replica_is_not_promoted_after_any_time_if_completeness_is_required() {
+    let reports = [Report::Silent, Report::Silent, Report::Replica(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.require_complete();
+    let failover = fleet.begin(false).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    monoio::time::sleep(Duration::from_secs(5)).await;
+    assert!(fleet.platform.borrow().promoted.is_empty());
+    fleet.platform.borrow_mut().answers = [Some(StatusCode::OK)].into();
+    fleet.report(2, Report::Replica(60));
+    until(|| fleet.platform.borrow().promoted == ["s2".into()]).await;
+    fleet.report(2, Report::Primary(TERM + 1));
+    run.await.unwrap();
+    let successor = Leadership::Steady { leader: id("s2"), term: Term(TERM + 1) };
+    assert_eq!(fleet.leadership().await, successor);
+}
+
 /// Guards against a failover that waits for a host's contact to expire, although the host has released
 /// the leader and reaches the store: the links are cut between the request for the release and the answer.
 #[monoio::test(driver = "legacy", enable_timer = true)]
