Failover: a test for positions that are first read after a long wait for a host

Hypotheses: (a) the position of the replica was known from before and not kept; (b) the time in which positions are awaited was over before the first was read. The failover reads none during the wait for hosts, and it counts the 4 s from the intent, so (b); (a) would have helped here, but not where the replica is away during the wait as well.

Positions of before the release are not kept: they are lower bounds, and a choice with evidence does not need them.

--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -14,7 +14,7 @@
 use bergamottrack_coordination::{
     Clock, ManualClock, ServerId, SystemClock, Term,
     contact::CONTACT_TTL,
-    view::{Leadership, Versioned, View},
+    view::{self, Leadership, Versioned, View},
 };
 use bergamottrack_model::{
     ListedServer, Role, Settings,
@@ -436,6 +436,27 @@
     assert_eq!(fleet.leadership().await, successor);
 }
 
+/// Guards against the loss of acknowledged commits: the wait for a host that is gone outlasts the time for
+/// which positions are awaited, and the replica that has them is away for the second after it.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn replica_that_is_away_as_the_wait_for_a_host_ends_is_not_passed_over() {
+    let reports = [Report::Silent, Report::Silent, Report::Replica(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.require_complete();
+    let gone = hosts::id("h3");
+    fleet.write(fleet::member_key(&gone), &fleet::own_row(&fleet.host.settings)).await;
+    let failover = fleet.begin(false).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    monoio::time::sleep(view::LEASE_TTL + view::LEASE_MARGIN + Duration::from_secs(1)).await;
+    assert!(fleet.platform.borrow().promoted.is_empty());
+    fleet.report(2, Report::Replica(60));
+    until(|| fleet.platform.borrow().promoted == ["s2".into()]).await;
+    drop(run);
+}
+
 /// Guards against a failover that waits for a host's contact to expire, although the host has released
 /// the leader and reaches the store: the links are cut between the request for the release and the answer.
 #[monoio::test(driver = "legacy", enable_timer = true)]
