Failover: the group's row names the servers that may have confirmed a commit

What callers would see: acknowledged commits are lost in a failover on a host that does not list the replica which has them. The set by which a successor is shown to be complete was that of the listed servers, and an entry lapses after three missed heartbeats, also beside an outage of the store.

Change: for services with `syncReplicas`, the group's row names its servers, and intents and the rows of later leaders take them over. The holder of the leader's connections adds a server when it is listed. It removes one, and writes a first set, only once the leader and then a listed replica have shown that the replica has all that the leader had: two listed servers then hold each commit that the removed one may have confirmed. A confirmation by a server that is not named does not count. Without names, one further server is assumed to be missing, as in rows of earlier builds. A planned failover begins only if a successor has what a replica confirmed to this host, as its leader would be kept otherwise.

--- a/components/coordination/src/view.rs
+++ b/components/coordination/src/view.rs
@@ -87,6 +87,10 @@
         /// Term in which the leader leads; 0 until its status has been read.
         #[serde(default)]
         term: Term,
+        /// Servers of the group that may have confirmed a commit, see the module
+        /// `succession`; empty if they are not recorded.
+        #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+        servers: BTreeSet<ServerId>,
     },
     /// A failover is in progress; no server may be used as the leader.
     Moving {
@@ -102,6 +106,9 @@
         /// Term in which `from` led; 0 while it is unknown.
         #[serde(default)]
         term: Term,
+        /// Servers of the group that may have confirmed a commit, as in [`Self::Steady`].
+        #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+        servers: BTreeSet<ServerId>,
     },
 }
 
@@ -151,6 +158,13 @@
             Self::Steady { term, .. } | Self::Moving { term, .. } => *term,
         }
     }
+
+    /// Servers of the group that may have confirmed a commit; empty if they are not recorded.
+    pub fn servers(&self) -> &BTreeSet<ServerId> {
+        match self {
+            Self::Steady { servers, .. } | Self::Moving { servers, .. } => servers,
+        }
+    }
 }
 
 impl View {
--- a/components/coordination/tests/changes.rs
+++ b/components/coordination/tests/changes.rs
@@ -1,6 +1,9 @@
 //! Differences between two views, which hosts exchange instead of whole views.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
 use bergamottrack_coordination::{
     GroupId, HostId, Term,
@@ -20,7 +23,11 @@
 fn steady(leader: &str, version: u64) -> Versioned<Leadership> {
     Versioned {
         version,
-        value: Leadership::Steady { leader: leader.parse().unwrap(), term: Term(1) },
+        value: Leadership::Steady {
+            leader: leader.parse().unwrap(),
+            term: Term(1),
+            servers: BTreeSet::new(),
+        },
     }
 }
 
@@ -28,7 +35,14 @@
     let (holder, since) = (host(1), Duration::from_secs(version));
     Versioned {
         version,
-        value: Leadership::Moving { from: None, holder, since, planned: false, term: Term(1) },
+        value: Leadership::Moving {
+            from: None,
+            holder,
+            since,
+            planned: false,
+            term: Term(1),
+            servers: BTreeSet::new(),
+        },
     }
 }
 
--- a/components/coordination/tests/contact.rs
+++ b/components/coordination/tests/contact.rs
@@ -39,11 +39,22 @@
 }
 
 fn steady(term: u64) -> Leadership {
-    Leadership::Steady { leader: format!("i-{term}").parse().unwrap(), term: Term(term) }
+    Leadership::Steady {
+        leader: format!("i-{term}").parse().unwrap(),
+        term: Term(term),
+        servers: BTreeSet::new(),
+    }
 }
 
 fn moving(holder: usize, since: Duration) -> Leadership {
-    Leadership::Moving { from: None, holder: id(holder), since, planned: false, term: Term(1) }
+    Leadership::Moving {
+        from: None,
+        holder: id(holder),
+        since,
+        planned: false,
+        term: Term(1),
+        servers: BTreeSet::new(),
+    }
 }
 
 fn view(version: u64, hosts: usize) -> View {
--- a/components/peer/tests/message.rs
+++ b/components/peer/tests/message.rs
@@ -1,6 +1,6 @@
 //! Encoding of messages between hosts.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use bergamottrack_coordination::{
     Burst, Rate, Term,
@@ -234,7 +234,11 @@
         nonce: [7; 16],
         clock: None,
     };
-    let value = Leadership::Steady { leader: "s1".parse().unwrap(), term: Term(1) };
+    let value = Leadership::Steady {
+        leader: "s1".parse().unwrap(),
+        term: Term(1),
+        servers: BTreeSet::new(),
+    };
     let row = Versioned { version: 2, value };
     let group = "g1".parse().unwrap();
     let apply = Question::ApplyLeadership { group, row, wants_confirmed: false };
--- a/components/proxy/src/confirm.rs
+++ b/components/proxy/src/confirm.rs
@@ -27,6 +27,7 @@
     host::Host,
     monitor, placement,
     pool::{NoConnection, Pool},
+    replica_set,
 };
 
 /// Timeout of a status request to one replica, equal to the maximum wait of a commit. A shorter
@@ -151,15 +152,16 @@
     }
 }
 
-/// Returns the servers of a group other than its leader whose placement is allowed, in the order
-/// in which they are polled: warm before cold, then by expected wait, then those of this host's
-/// failure domain before others.
+/// Returns the servers of a group other than its leader whose confirmation counts and whose placement is
+/// allowed, in the order in which they are polled: warm before cold, then by expected wait, then those of
+/// this host's failure domain before others.
 fn replicas(host: &Host, group: &Group) -> Vec<(ServerId, Rc<Pool>)> {
     let leader = group.leader();
     let servers = host.servers(&group.id).into_iter();
     let servers =
         servers.filter(|pool| placement::of(host, pool) == evacuation::Placement::Allowed);
     let named = servers.map(|pool| (pool.listed.borrow().id.clone(), pool.clone()));
+    let named = named.filter(|(id, _)| replica_set::counts(host, group, id));
     let mut replicas: Vec<_> = named.filter(|(id, _)| Some(id) != leader.as_ref()).collect();
     replicas.sort_by_key(|(_, pool)| {
         let other_domain = pool.listed.borrow().domain != host.settings.domain;
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -70,6 +70,8 @@
     /// Last record that a replica has confirmed to a host which has released the former leader; `None`
     /// if no host has named one.
     confirmed: Rc<Cell<Option<Point>>>,
+    /// Servers that may have confirmed a commit, by the group's row; empty if they are not recorded.
+    recorded: BTreeSet<ServerId>,
     /// Last selected step and the servers whose reports were missing, as logged.
     logged: RefCell<Option<(Next, Vec<ServerId>)>>,
     /// Time by which this host must finish; another host may take over some time later.
@@ -93,7 +95,10 @@
         let now = host.now();
         let (holder, since) = (host.settings.host.clone(), monitor::store_now(host));
         let term = before.as_ref().map(|row| row.value.term()).unwrap_or_default();
-        let moving = Leadership::Moving { from: from.clone(), holder, since, planned, term };
+        let recorded = before.as_ref().map(|row| row.value.servers().clone()).unwrap_or_default();
+        let servers = recorded.clone();
+        let moving =
+            Leadership::Moving { from: from.clone(), holder, since, planned, term, servers };
         let change = Change {
             expect: vec![(key.clone(), before.map_or(0, |row| row.version))],
             put: vec![(key, serde_json::to_vec(&moving)?)],
@@ -121,6 +126,7 @@
             intent,
             terms,
             confirmed: Rc::default(),
+            recorded,
             logged: RefCell::default(),
             deadline,
             replicas_until,
@@ -342,9 +348,10 @@
         }
         let step = Some((next.clone(), missing.clone()));
         if self.logged.replace(step.clone()) != step {
-            let Evidence { terms, confirmed, completeness, .. } = evidence;
+            let Evidence { terms, confirmed, completeness, replica_set } = evidence;
+            let recorded = replica_set.closed;
             info!(
-                group = %group.id, intent = self.intent, ?terms, ?confirmed, ?completeness,
+                group = %group.id, intent = self.intent, ?terms, ?confirmed, ?completeness, recorded,
                 ?missing, told = ?standings, ?next, "leader: next step of the failover selected"
             );
         }
@@ -364,9 +371,17 @@
             (false, false) => Completeness::Awaited,
             (false, true) => Completeness::Waived,
         };
-        let mut servers = listed_candidates(host, group, standings);
+        let recorded = required && !self.recorded.is_empty();
+        let mut servers = if recorded {
+            self.recorded.clone()
+        } else if required {
+            let catalog = host.backends.catalog.borrow();
+            catalog.group(&group.id).map(|listed| listed.id.clone()).collect()
+        } else {
+            listed_candidates(host, group, standings)
+        };
         servers.extend(self.from.clone());
-        let replica_set = ReplicaSet { servers, closed: true };
+        let replica_set = ReplicaSet { servers, closed: recorded || !required };
         let confirmed = self.confirmed(group);
         Evidence { terms: self.terms.get(), replica_set, confirmed, completeness }
     }
@@ -511,7 +526,11 @@
         term: Term,
     ) -> anyhow::Result<()> {
         let key = fleet::group_key(&group.id);
-        let steady = Leadership::Steady { leader, term };
+        let mut servers = self.recorded.clone();
+        if !servers.is_empty() {
+            servers.insert(leader.clone());
+        }
+        let steady = Leadership::Steady { leader, term, servers };
         let change = Change {
             expect: vec![(key.clone(), self.intent)],
             put: vec![(key, serde_json::to_vec(&steady)?)],
--- a/components/proxy/src/group.rs
+++ b/components/proxy/src/group.rs
@@ -39,6 +39,10 @@
     pub probing: Cell<bool>,
     /// Whether this host has scheduled or runs a failover of the group.
     pub in_failover: Cell<bool>,
+    /// Whether a task of this host records the servers of the group.
+    pub recording: Cell<bool>,
+    /// Time since which the group's row does not name the listed servers; `None` while it does.
+    pub unrecorded_since: Cell<Option<Instant>>,
     /// Failover whose host cannot be reached: the store's time at its begin, and the time since which.
     pub lost_holder: Cell<Option<(Duration, Instant)>>,
     /// Time before which no planned failover begins, since no server had received the leader's term;
@@ -101,6 +105,8 @@
             suspicion: RefCell::default(),
             probing: Cell::default(),
             in_failover: Cell::default(),
+            recording: Cell::default(),
+            unrecorded_since: Cell::default(),
             lost_holder: Cell::default(),
             successor_retry_at: Cell::default(),
             began_failover: Cell::default(),
--- a/components/proxy/src/monitor.rs
+++ b/components/proxy/src/monitor.rs
@@ -25,6 +25,7 @@
     host::{Host, Phase},
     placement,
     pool::Pool,
+    replica_set,
 };
 
 /// Interval between checks of the leaders.
@@ -109,6 +110,7 @@
             "the leader is no longer in the list of servers",
         );
     };
+    replica_set::check(host, group, &pool);
     let may_plan = group.successor_retry_at.get().is_none_or(|at| now >= at);
     if may_plan && let Some(why) = planned_failover_reason(host, group, &pool) {
         return start_failover(host, group, Some(leader), true, why);
@@ -435,8 +437,9 @@
     });
 }
 
-/// Returns whether a server has received the leader's term and may become the leader. Succeeds without a
-/// known term.
+/// Returns whether a server has received the leader's term and may become the leader; where complete
+/// successors are required, it must also have the records that a replica has confirmed to this host. Succeeds
+/// without a known term.
 ///
 /// Guards against a planned failover for which the leader ends its work and no server may follow: until
 /// another server has its term, the leader may be the only one with commits of earlier terms.
@@ -449,15 +452,17 @@
     let Some(Leadership::Steady { term, .. }) = row.map(|row| &row.value) else { return true };
     let mut others = placement::successors(host, &group.id);
     others.retain(|pool| Some(&pool.listed.borrow().id) != from);
+    let required = replica_set::is_required(host, group);
+    let confirmed = group.receipts.confirmed().filter(|_| required);
     let requests = others.iter().map(|pool| status(host, pool, suspicion::PROBE_TIMEOUT));
     let mut requests: FuturesUnordered<_> = requests.collect();
     while let Some(answer) = requests.next().await {
-        let received = match answer {
-            Ok(status) => status.term,
-            Err(StatusError::Busy(Some(point))) => point.term,
+        let (received, point) = match answer {
+            Ok(status) => (status.term, status.received),
+            Err(StatusError::Busy(Some(point))) => (point.term, point),
             Err(_) => continue,
         };
-        if received >= *term {
+        if received >= *term && Some(point) >= confirmed {
             return true;
         }
     }
--- a/components/proxy/src/servers.rs
+++ b/components/proxy/src/servers.rs
@@ -318,7 +318,7 @@
         let mut groups = self.groups.borrow_mut();
         groups.retain(|_, group| {
             let idle = now.saturating_duration_since(group.last_used.get()) > UNUSED_TTL;
-            let busy = group.in_failover.get() || group.probing.get();
+            let busy = group.in_failover.get() || group.probing.get() || group.recording.get();
             !idle || busy || Rc::strong_count(group) > 1
         });
         self.backends.pools.borrow_mut().retain(|_, pool| {
--- a/components/proxy/src/target.rs
+++ b/components/proxy/src/target.rs
@@ -23,6 +23,7 @@
     operation::{Operation, Refusal},
     placement,
     pool::Pool,
+    replica_set,
     timing::Stage,
 };
 
@@ -342,6 +343,7 @@
 ) {
     if let Some(point) = answer.point
         && operation.group.leader().is_some_and(|id| id != pool.listed.borrow().id)
+        && replica_set::counts(host, &operation.group, &pool.listed.borrow().id)
     {
         // A replica that returns a log position has received the log up to there.
         operation.group.receipts.state.borrow_mut().note(point);
--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -5,6 +5,7 @@
 
 use std::{
     cell::RefCell,
+    collections::BTreeSet,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -21,7 +22,9 @@
     plan::{Limits, Plan},
 };
 use bergamottrack_platform::http::Client;
-use bergamottrack_proxy::{Host, failover::Failover, fleet, group::Group, monitor, serve};
+use bergamottrack_proxy::{
+    Host, failover::Failover, fleet, group::Group, monitor, replica_set, serve,
+};
 use bytes::Bytes;
 use hyper::StatusCode;
 use monoio::{
@@ -104,10 +107,16 @@
         self.host.set_plan(Plan { groups, ..Plan::default() }, Bytes::new());
     }
 
+    /// Removes a server from the host's list.
+    fn remove(&self, name: &str) {
+        let occurrence = self.host.backends.catalog.borrow_mut().mark_missing(&id(name), 2);
+        assert!(self.host.remove_server(&id(name), occurrence.unwrap()));
+    }
+
     /// Writes the host's row and that of the group, whose leader is s1, and starts the host's monitor.
     async fn watch(&self) {
         let host = &self.host;
-        let value = Leadership::Steady { leader: id("s1"), term: Term(TERM) };
+        let value = steady(BTreeSet::new());
         self.write(fleet::group_key(&self.group.id), &value).await;
         self.write(fleet::member_key(&host.settings.host), &fleet::own_row(&host.settings)).await;
         fleet::apply_view(host, self.view().await, host.now());
@@ -135,7 +144,12 @@
 
     /// Writes the row of the group, and begins a failover of s1.
     async fn begin(&self, planned: bool) -> Failover {
-        let value = Leadership::Steady { leader: id("s1"), term: Term(TERM) };
+        self.begin_with(planned, &[]).await
+    }
+
+    /// As [`Self::begin`], with the given recorded servers.
+    async fn begin_with(&self, planned: bool, recorded: &[&str]) -> Failover {
+        let value = steady(ids(recorded));
         let version = self.write(fleet::group_key(&self.group.id), &value).await;
         let before = Some(Versioned { version, value });
         let begun = Failover::begin(&self.host, &self.group, before, Some(id("s1")), planned).await;
@@ -152,6 +166,15 @@
     }
 }
 
+fn ids(names: &[&str]) -> BTreeSet<ServerId> {
+    names.iter().map(|name| id(name)).collect()
+}
+
+/// Returns a row with the leader s1 and the recorded servers.
+fn steady(servers: BTreeSet<ServerId>) -> Leadership {
+    Leadership::Steady { leader: id("s1"), term: Term(TERM), servers }
+}
+
 fn id(name: &str) -> ServerId {
     name.parse().unwrap()
 }
@@ -225,7 +248,8 @@
     monoio::time::sleep(Duration::from_millis(6500)).await;
     fleet.report(3, Report::Primary(TERM + 1));
     run.await.unwrap();
-    let successor = Leadership::Steady { leader: id("s3"), term: Term(TERM + 1) };
+    let successor =
+        Leadership::Steady { leader: id("s3"), term: Term(TERM + 1), servers: BTreeSet::new() };
     assert_eq!(fleet.leadership().await, successor);
 }
 
@@ -409,7 +433,7 @@
     monoio::time::sleep(Duration::from_millis(1500)).await;
     fleet.report(1, Report::Primary(TERM));
     run.await.unwrap();
-    assert_eq!(fleet.leadership().await, Leadership::Steady { leader: id("s1"), term: Term(TERM) });
+    assert_eq!(fleet.leadership().await, steady(BTreeSet::new()));
     assert!(fleet.platform.borrow().promoted.is_empty());
 }
 
@@ -420,7 +444,7 @@
     let reports = [Report::Silent, Report::Silent, Report::Replica(50)];
     let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
     fleet.require_complete();
-    let failover = fleet.begin(false).await;
+    let failover = fleet.begin_with(false, &["s1", "s2", "s3"]).await;
     let run = monoio::spawn({
         let (host, group) = (fleet.host.clone(), fleet.group.clone());
         async move { failover.run(&host, &group).await }
@@ -432,10 +456,29 @@
     until(|| fleet.platform.borrow().promoted == ["s2".into()]).await;
     fleet.report(2, Report::Primary(TERM + 1));
     run.await.unwrap();
-    let successor = Leadership::Steady { leader: id("s2"), term: Term(TERM + 1) };
+    let servers = ids(&["s1", "s2", "s3"]);
+    let successor = Leadership::Steady { leader: id("s2"), term: Term(TERM + 1), servers };
     assert_eq!(fleet.leadership().await, successor);
 }
 
+/// Guards against the loss of acknowledged commits: the entry of the replica that has them has lapsed,
+/// and the failover takes only listed servers into account.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn recorded_server_without_an_entry_is_not_passed_over() {
+    let reports = [Report::Silent, Report::Replica(60), Report::Replica(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.require_complete();
+    fleet.remove("s2");
+    let failover = fleet.begin_with(false, &["s1", "s2", "s3"]).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    monoio::time::sleep(Duration::from_secs(1)).await;
+    assert!(fleet.platform.borrow().promoted.is_empty());
+    drop(run);
+}
+
 /// Guards against the loss of acknowledged commits: the wait for a host that is gone outlasts the time for
 /// which positions are awaited, and the replica that has them is away for the second after it.
 #[monoio::test(driver = "legacy", enable_timer = true)]
@@ -445,7 +488,7 @@
     fleet.require_complete();
     let gone = hosts::id("h3");
     fleet.write(fleet::member_key(&gone), &fleet::own_row(&fleet.host.settings)).await;
-    let failover = fleet.begin(false).await;
+    let failover = fleet.begin_with(false, &["s1", "s2", "s3"]).await;
     let run = monoio::spawn({
         let (host, group) = (fleet.host.clone(), fleet.group.clone());
         async move { failover.run(&host, &group).await }
@@ -457,6 +500,79 @@
     drop(run);
 }
 
+/// Guards against the loss of acknowledged commits: a replica whose log ends before that of the former
+/// leader is promoted, while the former leader runs in a closed term and has them.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn former_leader_of_a_closed_term_is_promoted_if_no_replica_receives_its_log() {
+    let reports = [Report::Primary(TERM - 1), Report::Silent, Report::Behind(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.require_complete();
+    let closed = fleet::closed_key(&fleet.group.id);
+    fleet.write(closed, &Term(TERM - 1)).await;
+    let value = Leadership::Steady {
+        leader: id("s2"),
+        term: Term(TERM),
+        servers: ids(&["s1", "s2", "s3"]),
+    };
+    let version = fleet.write(fleet::group_key(&fleet.group.id), &value).await;
+    let before = Some(Versioned { version, value });
+    let failover = Failover::begin(&fleet.host, &fleet.group, before, Some(id("s2")), false).await;
+    let failover = failover.unwrap().unwrap();
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    until(|| !fleet.platform.borrow().promoted.is_empty()).await;
+    assert_eq!(fleet.platform.borrow().promoted, ["s1".into()]);
+    drop(run);
+}
+
+/// Guards against a set of servers that does not hold the acknowledged commits twice: it is recorded, or a
+/// server without an entry is removed from it, although no replica has received the leader's log.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn servers_are_recorded_and_removed_once_a_replica_has_the_leaders_log() {
+    let reports = [Report::Primary(TERM), Report::Replica(50), Report::Replica(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.require_complete();
+    fleet.watch().await;
+    monoio::spawn(fleet::follow(fleet.host.clone()));
+    let recorded = async |servers: &[&str]| {
+        let end = Instant::now() + TIMEOUT;
+        while fleet.leadership().await != steady(ids(servers)) {
+            assert!(Instant::now() < end, "not recorded: {:?}", fleet.leadership().await);
+            monoio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    monoio::time::sleep(Duration::from_secs(4)).await;
+    assert_eq!(fleet.leadership().await, steady(BTreeSet::new()));
+    fleet.report(2, Report::Replica(60));
+    recorded(&["s1", "s2", "s3"]).await;
+    fleet.report(2, Report::Replica(50));
+    fleet.remove("s3");
+    monoio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(fleet.leadership().await, steady(ids(&["s1", "s2", "s3"])));
+    // A server is added without such evidence.
+    start_server(&fleet.host, "s4", Rc::new(RefCell::new(Report::Replica(10))));
+    recorded(&["s1", "s2", "s3", "s4"]).await;
+    fleet.report(2, Report::Replica(60));
+    recorded(&["s1", "s2", "s4"]).await;
+}
+
+/// Guards against the loss of acknowledged commits: a server confirms them of which a failover on another
+/// host does not know.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn confirmation_of_a_server_that_is_not_recorded_does_not_count() {
+    let reports = [Report::Primary(TERM), Report::Replica(60), Report::Replica(60)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    let key = fleet::group_key(&fleet.group.id);
+    fleet.write(key, &steady(ids(&["s1", "s2"]))).await;
+    fleet::apply_view(&fleet.host, fleet.view().await, fleet.host.now());
+    let counts = |name| replica_set::counts(&fleet.host, &fleet.group, &id(name));
+    assert!(counts("s3"));
+    fleet.require_complete();
+    assert!(counts("s2") && !counts("s3"));
+}
+
 /// Guards against a failover that waits for a host's contact to expire, although the host has released
 /// the leader and reaches the store: the links are cut between the request for the release and the answer.
 #[monoio::test(driver = "legacy", enable_timer = true)]
@@ -473,6 +589,7 @@
         since: Duration::ZERO,
         planned: false,
         term: Term(TERM),
+        servers: BTreeSet::new(),
     };
     let intent = fleet.write(fleet::group_key(&fleet.group.id), &value).await;
     // As a request of the host that runs the failover does.
--- a/components/proxy/tests/forward.rs
+++ b/components/proxy/tests/forward.rs
@@ -3,7 +3,7 @@
 mod hosts;
 mod server;
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use bergamottrack_contract::{Host as Peer, Routes};
 use bergamottrack_coordination::{
@@ -125,7 +125,8 @@
     async fn request_release(&self, wants_confirmed: bool) -> Answer {
         let (from, holder) = (Some(hosts::server()), hosts::id("h1"));
         let (since, planned, term) = (hosts::VIEW_CLOCK, false, Term(1));
-        let value = Leadership::Moving { from, holder, since, planned, term };
+        let value =
+            Leadership::Moving { from, holder, since, planned, term, servers: BTreeSet::new() };
         let row = Versioned { version: INTENT, value };
         let question = Question::ApplyLeadership { group: hosts::group(), row, wants_confirmed };
         self.link.query(question, TIMEOUT).await.unwrap()
--- a/components/proxy/tests/hosts/mod.rs
+++ b/components/proxy/tests/hosts/mod.rs
@@ -3,7 +3,12 @@
 // Each test uses a part.
 #![allow(dead_code)]
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bergamottrack_coordination::{
     Clock, GroupId, HostId, ServerId, Term, cold, demand,
@@ -67,7 +72,8 @@
     let other = fleet::own_row(&settings("h1", NO_ADDRESS.parse().unwrap()));
     let members = [(id("h1"), other), (id("h2"), fleet::own_row(&host.settings))];
     let row = |value: Member| Versioned { version: 1, value };
-    let leadership = Leadership::Steady { leader: server(), term: Term(1) };
+    let leadership =
+        Leadership::Steady { leader: server(), term: Term(1), servers: BTreeSet::new() };
     let view = View {
         version: 2,
         clock: VIEW_CLOCK,
