Failover: hosts state what they have acknowledged; servers join the recorded set with the log

Change: a host states with its release, beside its last confirmed record, the time from which it remembers its own acknowledgements, and the newest position of the leader that it knows. If every member has stated, the newest confirmed record covers all commits; those of processes that ended and of hosts that left are covered by a position that the leader returned later. A successor with that position is complete. A server joins the recorded set once it has the leader's log, and leaves it with its entry. The row has the start time of each server: one that has started again without its log does not count as the one that confirmed.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod congestion;
 pub mod connections;
 pub mod contact;
+pub mod coverage;
 pub mod demand;
 pub mod duty;
 pub mod evacuation;
--- a/components/coordination/src/succession.rs
+++ b/components/coordination/src/succession.rs
@@ -49,6 +49,9 @@
     /// Whether the server had no capacity to report its position. `received` is then the last record
     /// that it has applied, and it may have received more.
     pub busy: bool,
+    /// Whether the server has started again since its group's row named it, so that it may lack what the
+    /// earlier process had confirmed.
+    pub reborn: bool,
 }
 
 /// Terms of a group in the store.
@@ -135,6 +138,9 @@
     /// Last record that a replica is known to have confirmed; `None` if none is known. Later ones may
     /// have been confirmed.
     pub confirmed: Option<Point>,
+    /// Position that covers every acknowledged commit by the statements of all hosts, see the module
+    /// [`coverage`](crate::coverage); `None` if they show none.
+    pub coverage: Option<Point>,
     /// Whether a server may be promoted that is not shown to be complete.
     pub completeness: Completeness,
 }
@@ -146,9 +152,13 @@
         if Some(server.received) < self.confirmed {
             return false;
         }
+        if self.coverage.is_some_and(|point| server.received >= point) {
+            return true;
+        }
         // No other server leads in the known term, and no commit of a later one is acknowledged.
         let has_log_of = |leader: &Standing| {
-            let known = leader.leads && leader.term == self.terms.known && !leader.busy;
+            let known = leader.leads && leader.term == self.terms.known;
+            let known = known && !leader.busy && !leader.reborn;
             known && server.term >= leader.term && server.received >= leader.received
         };
         if self.terms.known > Term(0) && states.iter().any(has_log_of) {
@@ -157,7 +167,8 @@
         let servers = &self.replica_set.servers;
         let reported = states.iter().filter(|state| {
             // A busy server may have received more than it shows.
-            servers.contains(&state.id) && (!state.busy || state.id == server.id)
+            let exact = !state.busy || state.id == server.id;
+            servers.contains(&state.id) && exact && !state.reborn && state.term > Term(0)
         });
         let mut received: Vec<Point> = reported.map(|state| state.received).collect();
         received.sort_unstable_by(|a, b| b.cmp(a));
@@ -169,7 +180,9 @@
 
     /// Returns the servers of the replica set that have not reported their position.
     pub fn missing<'a>(&'a self, states: &'a [Standing]) -> impl Iterator<Item = &'a ServerId> {
-        let reports = |id: &ServerId| states.iter().any(|state| state.id == *id && !state.busy);
+        let reports = |id: &ServerId| {
+            states.iter().any(|state| state.id == *id && !state.busy && !state.reborn)
+        };
         self.replica_set.servers.iter().filter(move |id| !reports(id))
     }
 }
@@ -238,7 +251,9 @@
     {
         return promote(successor, None);
     }
-    let former = states.iter().filter(|server| server.leads && !server.evacuated);
+    let former = states
+        .iter()
+        .filter(|server| server.leads && !server.evacuated && Some(&server.id) != retiring);
     let former = former.filter(|_| leader.is_none()).filter(complete);
     if let Some(former) = former.max_by_key(rank) {
         // The platform may not have performed the promotion that closed the term: then it still takes
--- a/components/coordination/src/view.rs
+++ b/components/coordination/src/view.rs
@@ -77,6 +77,10 @@
     }
 }
 
+/// Servers of a group, each with the start of its process in milliseconds of Unix time: a process that
+/// starts anew under the same id has nothing of the earlier one's log.
+pub type RecordedServers = BTreeMap<ServerId, u64>;
+
 /// Leadership of a group.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Leadership {
@@ -89,8 +93,8 @@
         term: Term,
         /// Servers of the group that may have confirmed a commit, see the module
         /// `succession`; empty if they are not recorded.
-        #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
-        servers: BTreeSet<ServerId>,
+        #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+        servers: RecordedServers,
     },
     /// A failover is in progress; no server may be used as the leader.
     Moving {
@@ -107,8 +111,8 @@
         #[serde(default)]
         term: Term,
         /// Servers of the group that may have confirmed a commit, as in [`Self::Steady`].
-        #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
-        servers: BTreeSet<ServerId>,
+        #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+        servers: RecordedServers,
     },
 }
 
@@ -160,7 +164,7 @@
     }
 
     /// Servers of the group that may have confirmed a commit; empty if they are not recorded.
-    pub fn servers(&self) -> &BTreeSet<ServerId> {
+    pub fn servers(&self) -> &RecordedServers {
         match self {
             Self::Steady { servers, .. } | Self::Moving { servers, .. } => servers,
         }
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -13,12 +13,13 @@
     store::{self, Change, TxOutcome},
 };
 use bergamottrack_coordination::{
-    Point, ServerId, Term,
+    HostId, Point, ServerId, Term,
+    coverage::{self, Statement},
     duty::{self, CALL_DEADLINE, CALL_TIMEOUT},
     evacuation,
     succession::{self, Completeness, Evidence, Next, Order, ReplicaSet, Standing, Terms},
     suspicion,
-    view::{FAILOVER_TTL, Leadership, LeaseRelease, Versioned, View},
+    view::{FAILOVER_TTL, Leadership, LeaseRelease, RecordedServers, Versioned, View},
 };
 use bergamottrack_model::{Role, Status};
 use bergamottrack_platform::http::Client;
@@ -70,8 +71,12 @@
     /// Last record that a replica has confirmed to a host which has released the former leader; `None`
     /// if no host has named one.
     confirmed: Rc<Cell<Option<Point>>>,
+    /// Statements of the hosts that have released the former leader.
+    statements: Rc<RefCell<BTreeMap<HostId, Statement>>>,
+    /// View that contains the intent; empty before it is read.
+    view: RefCell<View>,
     /// Servers that may have confirmed a commit, by the group's row; empty if they are not recorded.
-    recorded: BTreeSet<ServerId>,
+    recorded: RecordedServers,
     /// Last selected step and the servers whose reports were missing, as logged.
     logged: RefCell<Option<(Next, Vec<ServerId>)>>,
     /// Time by which this host must finish; another host may take over some time later.
@@ -126,6 +131,8 @@
             intent,
             terms,
             confirmed: Rc::default(),
+            statements: Rc::default(),
+            view: RefCell::default(),
             recorded,
             logged: RefCell::default(),
             deadline,
@@ -139,6 +146,7 @@
         let (began, sent_at) = (host.now(), host.now());
         let view = self.read_view(host).await?;
         self.terms.set(view.terms(&group.id));
+        *self.view.borrow_mut() = view.clone();
         let recovered = monoio::select! {
             released = self.wait_released(host, group, view, sent_at) => released.map(|()| None),
             recovered = self.wait_recovery(host, group) => Ok(Some(recovered)),
@@ -240,6 +248,7 @@
                 row,
                 release.clone(),
                 self.confirmed.clone(),
+                self.statements.clone(),
             ));
         }
         let mut last_read = host.now();
@@ -317,7 +326,7 @@
         while let Some((pool, status)) = requests.next().await {
             others -= usize::from(!is_former(pool));
             let report = self.reported(pool, status);
-            standings.extend(report.map(|report| standing(host, pool, report)));
+            standings.extend(report.map(|report| self.standing(host, pool, report)));
             if others > 0 {
                 continue;
             }
@@ -348,10 +357,10 @@
         }
         let step = Some((next.clone(), missing.clone()));
         if self.logged.replace(step.clone()) != step {
-            let Evidence { terms, confirmed, completeness, replica_set } = evidence;
+            let Evidence { terms, confirmed, coverage, completeness, replica_set } = evidence;
             let recorded = replica_set.closed;
             info!(
-                group = %group.id, intent = self.intent, ?terms, ?confirmed, ?completeness, recorded,
+                group = %group.id, intent = self.intent, ?terms, ?confirmed, ?coverage, ?completeness, recorded,
                 ?missing, told = ?standings, ?next, "leader: next step of the failover selected"
             );
         }
@@ -373,7 +382,7 @@
         };
         let recorded = required && !self.recorded.is_empty();
         let mut servers = if recorded {
-            self.recorded.clone()
+            self.recorded.keys().cloned().collect()
         } else if required {
             let catalog = host.backends.catalog.borrow();
             catalog.group(&group.id).map(|listed| listed.id.clone()).collect()
@@ -382,8 +391,20 @@
         };
         servers.extend(self.from.clone());
         let replica_set = ReplicaSet { servers, closed: recorded || !required };
-        let confirmed = self.confirmed(group);
-        Evidence { terms: self.terms.get(), replica_set, confirmed, completeness }
+        let terms = self.terms.get();
+        let (confirmed, coverage) = (self.confirmed(group), self.coverage(host, group));
+        Evidence { terms, replica_set, confirmed, coverage, completeness }
+    }
+
+    /// Returns the position that covers every acknowledged commit by the statements of all hosts; `None` if
+    /// they show none.
+    fn coverage(&self, host: &Host, group: &Group) -> Option<Point> {
+        let mut statements = self.statements.borrow().clone();
+        statements.insert(host.settings.host.clone(), release::statement(host, group)?);
+        let departed = host.member_lost.get().unwrap_or(host.started).max(host.started);
+        let elapsed = host.now().saturating_duration_since(departed);
+        let departed = monitor::store_now(host).saturating_sub(elapsed);
+        coverage::position(&self.view.borrow(), &statements, departed)
     }
 
     /// Returns the status that counts for the selection of the next leader. That of a busy server is
@@ -401,6 +422,24 @@
         }
     }
 
+    /// Combines a server's report with its entry in the list and its placement.
+    fn standing(&self, host: &Host, pool: &Pool, Report { status, busy }: Report) -> Standing {
+        let listed = pool.listed.borrow();
+        let started = self.recorded.get(&listed.id);
+        Standing {
+            id: listed.id.clone(),
+            leads: status.role == Role::Primary,
+            leaving: listed.leaving,
+            evacuated: placement::of(host, pool) != evacuation::Placement::Allowed,
+            served: placement::served(host, pool),
+            cold: pool.is_cold(host.now()),
+            term: status.term,
+            received: status.received,
+            busy,
+            reborn: started.is_some_and(|started| *started != listed.started_ms),
+        }
+    }
+
     /// Requests the promotion of a server and waits until the server leads in a term after
     /// `after`; `None` if the duty was not acquired, the platform rejects the request, or the
     /// server does not lead within [`PROMOTION_TIMEOUT`].
@@ -527,8 +566,10 @@
     ) -> anyhow::Result<()> {
         let key = fleet::group_key(&group.id);
         let mut servers = self.recorded.clone();
-        if !servers.is_empty() {
-            servers.insert(leader.clone());
+        if !servers.is_empty()
+            && let Some(pool) = host.server(&leader)
+        {
+            servers.insert(leader.clone(), pool.listed.borrow().started_ms);
         }
         let steady = Leadership::Steady { leader, term, servers };
         let change = Change {
@@ -577,22 +618,6 @@
     busy: bool,
 }
 
-/// Combines a server's report with its entry in the list and its placement.
-fn standing(host: &Host, pool: &Pool, Report { status, busy }: Report) -> Standing {
-    let listed = pool.listed.borrow();
-    Standing {
-        id: listed.id.clone(),
-        leads: status.role == Role::Primary,
-        leaving: listed.leaving,
-        evacuated: placement::of(host, pool) != evacuation::Placement::Allowed,
-        served: placement::served(host, pool),
-        cold: pool.is_cold(host.now()),
-        term: status.term,
-        received: status.received,
-        busy,
-    }
-}
-
 /// Waits until a replica has received the leaving leader's log up to `last`, so that no
 /// acknowledged write is lost; returns false if that takes longer than [`CATCH_UP_TIMEOUT`].
 ///
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -397,9 +397,14 @@
 pub fn apply_view(host: &Rc<Host>, view: View, requested_at: Instant) {
     let until = host.leased_view.borrow().lease_expiry(host.now());
     let before = host.leased_view.borrow().view().groups.clone();
+    let members: Vec<_> = host.leased_view.borrow().view().members.keys().cloned().collect();
     if !host.leased_view.borrow_mut().replace(view, requested_at) {
         return;
     }
+    let is_lost = |id: &HostId| !host.leased_view.borrow().view().members.contains_key(id);
+    if members.iter().any(is_lost) {
+        host.member_lost.set(Some(host.now()));
+    }
     host.leased_view.borrow_mut().note_version(host.now());
     let after = host.leased_view.borrow().view().groups.clone();
     update_members(host);
--- a/components/proxy/src/gossip.rs
+++ b/components/proxy/src/gossip.rs
@@ -26,7 +26,7 @@
 use crate::{
     compression, fetch, fleet, follow, forward,
     host::{Host, PeerClock, Phase},
-    join, placement, positions, tokens,
+    join, placement, positions, release, tokens,
 };
 
 /// Interval of heartbeats, which carry demand and state versions: a fraction of the decay
@@ -118,8 +118,9 @@
         if !moving || group.released.get() >= newest.version {
             let version = newest.version;
             let confirmed = group.receipts.confirmed();
+            let statement = release::statement(&host, &group);
             return replier.reply(if wants_confirmed {
-                Answer::Released { version, confirmed }
+                Answer::Released { version, confirmed, statement }
             } else {
                 Answer::LeadershipApplied(version)
             });
--- a/components/proxy/src/group.rs
+++ b/components/proxy/src/group.rs
@@ -25,6 +25,8 @@
 pub struct Group {
     /// Id of the group.
     pub id: GroupId,
+    /// Time at which this state was created: at the first use, or after it was dropped for lack of use.
+    pub created: Instant,
     /// Time of the last use by a statement or a change of leadership.
     pub last_used: Cell<Instant>,
     /// Log positions of the leader, each with a time. Gives the age of data, and the position that
@@ -99,6 +101,7 @@
     pub fn new(id: GroupId, now: Instant) -> Rc<Self> {
         Rc::new(Self {
             id,
+            created: now,
             last_used: Cell::new(now),
             ages: RefCell::default(),
             seen: Cell::default(),
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -95,6 +95,8 @@
     pub clock: Rc<dyn Clock>,
     /// Start of the host; origin of the clock values sent to other hosts.
     pub started: Instant,
+    /// Time at which this host's view last lost a member; `None` since its start.
+    pub member_lost: Cell<Option<Instant>>,
     /// Latest clock value received from each host.
     pub peer_clocks: RefCell<HashMap<HostId, PeerClock>>,
     /// Random id of this process; differs after every restart of the host.
--- a/components/proxy/src/release.rs
+++ b/components/proxy/src/release.rs
@@ -2,18 +2,20 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bergamottrack_coordination::{
     GroupId, HostId, Point,
+    coverage::Statement,
     view::{Leadership, LeaseRelease, Versioned},
 };
 use bergamottrack_peer::{Answer, Question};
 use tracing::info;
 
-use crate::{host::Host, monitor};
+use crate::{group::Group, host::Host, monitor, servers::UNUSED_TTL};
 
 /// Timeout of a request to apply a group's row. The other host replies after its statements at
 /// the former leader have ended.
@@ -22,6 +24,19 @@
 /// Delay before a host whose link is not up is tried again.
 const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Returns what this host states about a group as it releases the leader; `None` before it has read the
+/// store's clock.
+pub fn statement(host: &Host, group: &Group) -> Option<Statement> {
+    host.leased_view.borrow().age(host.now())?;
+    let (now, clock) = (host.now(), monitor::store_now(host));
+    let store_time = |at: Instant| clock.saturating_sub(now.saturating_duration_since(at));
+    // An earlier state of the group was dropped after that time without use.
+    let known = group.created.checked_sub(UNUSED_TTL).unwrap_or(host.started);
+    let since = store_time(known.max(host.started));
+    let leader = group.ages.borrow().newest().map(|(at, point)| (store_time(at), point));
+    Some(Statement { confirmed: group.receipts.confirmed(), since, leader })
+}
+
 /// Sends a group's row to all hosts whose links are up, without waiting for their answers.
 pub fn notify_hosts(host: &Rc<Host>, id: &GroupId, row: &Versioned<Leadership>) {
     let links = host.mesh.links().into_iter().chain(host.mesh.temporary_links());
@@ -40,7 +55,7 @@
 
 /// Requests a host's release of the former leader until the host releases it, or until no host that
 /// has not released it can use it any more. Raises `confirmed` to the last record that a replica has
-/// confirmed to the host.
+/// confirmed to the host, and adds what the host states to `statements`.
 ///
 /// That the host cannot be reached, or refuses connections, does not show that it has stopped: a
 /// network can refuse connections to a host that still reaches the former leader.
@@ -51,6 +66,7 @@
     row: Versioned<Leadership>,
     release: Rc<RefCell<LeaseRelease>>,
     confirmed: Rc<Cell<Option<Point>>>,
+    statements: Rc<RefCell<BTreeMap<HostId, Statement>>>,
 ) {
     while !release.borrow().is_over(host.now()) {
         let Some(link) = host.reach(&id).filter(|link| link.is_up()) else {
@@ -65,8 +81,13 @@
         let answer = link.query(question, APPLY_TIMEOUT).await;
         let version = match answer {
             Ok(Answer::LeadershipApplied(version)) => Some(version),
-            Ok(Answer::Released { version, confirmed: newest }) => {
+            Ok(Answer::Released { version, confirmed: newest, statement }) => {
                 confirmed.set(confirmed.get().max(newest));
+                if version >= row.version
+                    && let Some(statement) = statement
+                {
+                    statements.borrow_mut().insert(id.clone(), statement);
+                }
                 Some(version)
             }
             _ => None,
--- a/components/proxy/src/replica_set.rs
+++ b/components/proxy/src/replica_set.rs
@@ -1,16 +1,16 @@
 //! Records the servers of a group in its row, for services that require complete successors.
 //!
 //! A failover must know every server that may have confirmed a commit, also one that is no longer listed,
-//! see `succession::ReplicaSet`. A server is added as soon as it is listed. It is removed, and a first set
-//! is written, only once a replica of the new set has received all that the leader had then.
+//! see `succession::ReplicaSet`. A server is added once it has received all that the leader had when it was
+//! asked. It is removed once it has no entry and another server of the set has received as much.
 
-use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
-use anyhow::ensure;
+use anyhow::{Context, ensure};
 use bergamottrack_adapter::store::{self, Change, TxOutcome};
 use bergamottrack_coordination::{
     ServerId, Term, evacuation, suspicion,
-    view::{Leadership, Versioned},
+    view::{Leadership, RecordedServers, Versioned},
 };
 use bergamottrack_model::Role;
 use bergamottrack_platform::http::Client;
@@ -25,7 +25,7 @@
 const HOST_DELAY: Duration = Duration::from_millis(1500);
 
 /// Interval between attempts to record a change.
-const RETRY_INTERVAL: Duration = Duration::from_millis(300);
+const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Returns whether no server of the group may be promoted that may lack an acknowledged commit.
 pub fn is_required(host: &Host, group: &Group) -> bool {
@@ -43,7 +43,9 @@
     let leased_view = host.leased_view.borrow();
     let Some(row) = leased_view.leadership(&group.id) else { return true };
     let servers = row.value.servers();
-    servers.is_empty() || servers.contains(server)
+    let catalog = host.backends.catalog.borrow();
+    let started = catalog.get(server).map(|listed| &listed.started_ms);
+    servers.is_empty() || (started.is_some() && servers.get(server) == started)
 }
 
 /// Starts to record the group's servers if the row does not name the listed ones, and this host is due
@@ -77,34 +79,34 @@
     });
 }
 
-/// Returns the servers of a group that have an entry or had one until a short time ago.
-fn listed(host: &Host, group: &Group) -> BTreeSet<ServerId> {
+/// Returns the servers of a group that have an entry.
+fn listed(host: &Host, group: &Group) -> RecordedServers {
     let catalog = host.backends.catalog.borrow();
-    catalog.group(&group.id).map(|listed| listed.id.clone()).collect()
+    let listed = catalog.group(&group.id).filter(|listed| catalog.is_present(&listed.id));
+    listed.map(|listed| (listed.id.clone(), listed.started_ms)).collect()
 }
 
+/// Writes the set: the leader, the listed servers that have received its log, and those listed ones that
+/// are recorded. Fails if no other server has received the leader's log.
 async fn record(
     host: &Host,
     group: &Group,
     leader: &Rc<Pool>,
     before: Option<Versioned<Leadership>>,
-    recorded: &BTreeSet<ServerId>,
+    recorded: &RecordedServers,
 ) -> anyhow::Result<()> {
+    let id = leader.listed.borrow().id.clone();
+    let known = before.as_ref().map(|row| row.value.term()).unwrap_or_default();
+    let (term, mut servers) = up_to_date(host, group, leader, known).await?;
+    // Two servers of the new set have each commit that a removed one may have confirmed.
+    ensure!(!servers.is_empty(), "no replica has received the leader's log");
     let listed = listed(host, group);
-    let mut servers: BTreeSet<_> = recorded.union(&listed).cloned().collect();
-    let mut term = before.as_ref().map(|row| row.value.term()).unwrap_or_default();
-    if recorded.is_empty() || servers != listed {
-        match received_term(host, group, leader, term).await {
-            Some(led) => (servers, term) = (listed, led),
-            // Without that evidence, servers are only added.
-            None => ensure!(
-                !recorded.is_empty() && servers != *recorded,
-                "no replica has received the leader's log"
-            ),
-        }
+    let kept = recorded.iter().filter(|(id, started)| listed.get(*id) == Some(*started));
+    servers.extend(kept.map(|(id, started)| (id.clone(), *started)));
+    servers.insert(id.clone(), leader.listed.borrow().started_ms);
+    if servers == *recorded {
+        return Ok(());
     }
-    let id = leader.listed.borrow().id.clone();
-    ensure!(servers.contains(&id), "the leader is not listed");
     let key = fleet::group_key(&group.id);
     let row = Leadership::Steady { leader: id, term, servers: servers.clone() };
     let change = Change {
@@ -121,23 +123,30 @@
     Ok(())
 }
 
-/// Returns the term of the leader if a listed replica has received all that the leader had when it was
-/// asked, so that two listed servers hold each commit that a server which is no longer listed has
-/// confirmed. `known` is the term of the row.
-async fn received_term(host: &Host, group: &Group, leader: &Rc<Pool>, known: Term) -> Option<Term> {
-    let led = monitor::status(host, leader, suspicion::PROBE_TIMEOUT).await.ok()?;
-    if led.role != Role::Primary || led.term < known {
-        return None;
-    }
+/// Returns the term of the leader, and the listed replicas that have received all that the leader had when it
+/// was asked. `known` is the term of the row.
+async fn up_to_date(
+    host: &Host,
+    group: &Group,
+    leader: &Rc<Pool>,
+    known: Term,
+) -> anyhow::Result<(Term, RecordedServers)> {
+    let led = monitor::status(host, leader, suspicion::PROBE_TIMEOUT).await.ok();
+    let led = led.filter(|led| led.role == Role::Primary && led.term >= known);
+    let led = led.context("the leader does not report that it leads")?;
     let mut replicas = host.servers(&group.id);
+    let present = listed(host, group);
     replicas.retain(|pool| {
         let allowed = placement::of(host, pool) == evacuation::Placement::Allowed;
-        allowed && !Rc::ptr_eq(pool, leader)
+        allowed && !Rc::ptr_eq(pool, leader) && present.contains_key(&pool.listed.borrow().id)
+    });
+    let requests = replicas.iter().map(async |pool| {
+        let status = monitor::status(host, pool, suspicion::PROBE_TIMEOUT).await.ok()?;
+        let follows = status.role == Role::Replica && status.term == led.term;
+        let listed = pool.listed.borrow();
+        let entry = || (listed.id.clone(), listed.started_ms);
+        (follows && status.received >= led.received).then(entry)
     });
-    let requests =
-        replicas.iter().map(|pool| monitor::status(host, pool, suspicion::PROBE_TIMEOUT));
-    let statuses = future::join_all(requests).await.into_iter().flatten();
-    let received = statuses.filter(|status| status.role == Role::Replica);
-    let mut received = received.filter(|status| status.term == led.term);
-    received.any(|status| status.received >= led.received).then_some(led.term)
+    let received = future::join_all(requests).await;
+    Ok((led.term, received.into_iter().flatten().collect()))
 }
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -125,6 +125,7 @@
         clock,
         run,
         started,
+        member_lost: Cell::default(),
         peer_clocks: RefCell::default(),
         plan: RefCell::default(),
         accounts_ahead: RefCell::new(Rc::new([])),
--- a/components/proxy/src/servers.rs
+++ b/components/proxy/src/servers.rs
@@ -28,7 +28,7 @@
 
 /// Time without use after which a group and the pools of its servers are dropped. Longer than any
 /// evidence about a server or leader stays valid.
-const UNUSED_TTL: Duration = Duration::from_secs(30);
+pub const UNUSED_TTL: Duration = Duration::from_secs(30);
 
 /// Interval between searches for unused groups, pools and links.
 const RETIRE_INTERVAL: Duration = Duration::from_secs(1);
