Failover: a second promotion closes the term of an unanswered first one

What callers would see: acknowledged commits are lost, or two servers lead. A promotion call gets no answer and takes effect, the next call promotes another server and gets no answer either; the leader of the first call's term reports, is adopted and acknowledges commits, which the second call has already ended.

The same by reading: a call closed the terms up to the newest reported or known one, and the term of the first call is neither.

Change: if that term is closed already, an earlier call may have begun the next one, so the call closes that one as well. A successor that this call promotes is taken by its answer or its report, as before; one that is found later is promoted again.

Test: `second_promotion_closes_the_term_of_an_unanswered_first_one` fails before with term 5 closed in place of 6.

--- a/components/coordination/src/succession.rs
+++ b/components/coordination/src/succession.rs
@@ -70,6 +70,12 @@
     pub fn allow(&self, term: Term) -> bool {
         term >= self.known && term > self.closed
     }
+
+    /// Returns the newest term to close before a promotion is requested, where `after` is the newest
+    /// reported or known term: also the term of an earlier call that may have taken effect unnoticed.
+    pub fn close(&self, after: Term) -> Term {
+        if self.closed < after { after } else { self.closed.next() }
+    }
 }
 
 /// Next step to give a group a leader.
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -452,7 +452,7 @@
     ) -> anyhow::Result<Option<(ServerId, Term)>> {
         let server = pool.listed.borrow().id.clone();
         let before = self.terms.get();
-        let closed = before.closed.max(after);
+        let closed = before.close(after);
         let Some((token, call_by)) = self.acquire_duty(host, group, closed).await? else {
             return Ok(None);
         };
--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -280,6 +280,22 @@
     drop(run);
 }
 
+/// Guards against two leaders: a promotion call gets no answer and takes effect, the next one promotes
+/// another server, and a failover adopts the leader of the term that the next one has ended.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn second_promotion_closes_the_term_of_an_unanswered_first_one() {
+    let reports = [Report::Silent, Report::Replica(60), Report::Replica(60)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    let failover = fleet.begin(false).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    until(|| fleet.platform.borrow().promoted.len() == 2).await;
+    assert_eq!(fleet.view().await.closed.get(&fleet.group.id), Some(&Term(TERM + 1)));
+    drop(run);
+}
+
 /// Guards against a server that is promoted long after its failover was replaced: the host is suspended
 /// while it connects to the platform, the clock of its timers stands still meanwhile, and the call is
 /// sent when it resumes, with a token of before the promotions of others.
