Failover: a duty whose acquisition was not answered is used by the host that acquired it

The write that acquires the duty was performed and its answer lost; the retries read the host's own row as that of another holder until it expired.

Cause: a failover did not know its own row again. The time in which a call may begin (1 s from the first request) is over when the request times out, so the first token cannot be used; but no call was made with it.

Change: a failover remembers the acquisition whose answer has not arrived, and acquires the duty anew over exactly that row, with a new token and its own time limit.

--- a/components/coordination/src/duty.rs
+++ b/components/coordination/src/duty.rs
@@ -23,7 +23,7 @@
 
 /// Time after its acquisition at which a duty that was not released expires. The time covers a
 /// promotion call that starts and times out as late as allowed, and 2 s for requests in flight.
-const DUTY_TTL: Duration = Duration::from_millis(4500);
+pub const DUTY_TTL: Duration = Duration::from_millis(4500);
 
 /// State of the duty in the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -77,6 +77,8 @@
     view: RefCell<View>,
     /// Servers that may have confirmed a commit, by the group's row; empty if they are not recorded.
     recorded: RecordedServers,
+    /// Acquisition of the duty whose answer has not arrived; `None` after an answer.
+    unanswered_duty: RefCell<Option<duty::Duty>>,
     /// Last selected step and the servers whose reports were missing, as logged.
     logged: RefCell<Option<(Next, Vec<ServerId>)>>,
     /// Time by which this host must finish; another host may take over some time later.
@@ -134,6 +136,7 @@
             statements: Rc::default(),
             view: RefCell::default(),
             recorded,
+            unanswered_duty: RefCell::default(),
             logged: RefCell::default(),
             deadline,
             replicas_until,
@@ -508,7 +511,10 @@
     ) -> anyhow::Result<Option<(u64, Instant)>> {
         let began = host.now();
         let view = fleet::read(&self.client).await?;
-        if view.duty.as_ref().is_some_and(|row| !row.value.is_free(view.clock)) {
+        // If the answer to an earlier acquisition was lost, no call was made with its token.
+        let unused = |duty: &duty::Duty| Some(duty) == self.unanswered_duty.borrow().as_ref();
+        let taken = |duty: &duty::Duty| !duty.is_free(view.clock) && !unused(duty);
+        if view.duty.as_ref().is_some_and(|row| taken(&row.value)) {
             return Ok(None);
         }
         let since = view.clock + (host.now() - began);
@@ -524,7 +530,9 @@
             ],
             remove: Vec::new(),
         };
+        *self.unanswered_duty.borrow_mut() = Some(acquired);
         let verdict = store::change(&self.client, &change, STORE_TIMEOUT).await?;
+        *self.unanswered_duty.borrow_mut() = None;
         let TxOutcome::Applied(token) = verdict else { return Ok(None) };
         info!(group = %group.id, token, %closed, "duty: acquired");
         Ok(Some((token, began + CALL_DEADLINE)))
--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -14,6 +14,7 @@
 use bergamottrack_coordination::{
     Clock, ManualClock, ServerId, SystemClock, Term,
     contact::CONTACT_TTL,
+    duty,
     view::{self, Leadership, RecordedServers, Versioned, View},
 };
 use bergamottrack_model::{
@@ -332,6 +333,24 @@
     drop(run);
 }
 
+/// Guards against a group without a leader for seconds: the answer to the acquisition of the duty is lost,
+/// and the host takes its own row for that of another holder until it expires.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn duty_whose_acquisition_is_not_answered_is_used() {
+    let reports = [Report::Silent, Report::Replica(60), Report::Replica(60)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.platform.borrow_mut().unanswered.push(fleet::DUTY_KEY.into());
+    let failover = fleet.begin(false).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    let began = Instant::now();
+    until(|| !fleet.platform.borrow().promoted.is_empty()).await;
+    assert!(began.elapsed() < duty::DUTY_TTL, "{:?}", began.elapsed());
+    drop(run);
+}
+
 /// Guards against promotions in the wrong order: a call is answered with a failure of which the platform
 /// may still perform the promotion, and the duty is released, so that another call overtakes it.
 #[monoio::test(driver = "legacy", enable_timer = true)]
--- a/components/proxy/tests/platform/mod.rs
+++ b/components/proxy/tests/platform/mod.rs
@@ -21,6 +21,8 @@
     rows: BTreeMap<Box<str>, (u64, Box<str>)>,
     /// Answers to the next promotion calls; none for a call that is not answered.
     pub answers: VecDeque<Option<StatusCode>>,
+    /// Keys whose next change is performed and not answered.
+    pub unanswered: Vec<Box<str>>,
     /// Servers whose promotion was requested.
     pub promoted: Vec<Box<str>>,
 }
@@ -32,6 +34,7 @@
         version: 1,
         rows: BTreeMap::new(),
         answers: VecDeque::new(),
+        unanswered: Vec::new(),
         promoted: Vec::new(),
     }));
     let listener = http::listen("127.0.0.1:0".parse().unwrap()).unwrap();
@@ -49,7 +52,13 @@
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     match &*request.path {
         "/-/rows-get" => platform.borrow().read(),
-        "/-/rows-tx" => platform.borrow_mut().change(&body),
+        "/-/rows-tx" => {
+            let reply = platform.borrow_mut().change(&body);
+            if platform.borrow_mut().loses_answer(&body) {
+                monoio::time::sleep(Duration::from_secs(3600)).await;
+            }
+            reply
+        }
         "/promotion" => {
             let server = body["instanceId"].as_str().unwrap().into();
             platform.borrow_mut().promoted.push(server);
@@ -80,6 +89,13 @@
         )
     }
 
+    fn loses_answer(&mut self, body: &Value) -> bool {
+        let entries = body["setKeys"].as_array().into_iter().flatten();
+        let keys: Vec<_> = entries.filter_map(|entry| entry["key"].as_str()).collect();
+        let lost = self.unanswered.iter().position(|key| keys.contains(&&**key));
+        lost.map(|index| self.unanswered.remove(index)).is_some()
+    }
+
     fn change(&mut self, body: &Value) -> Reply {
         let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
         let key = |entry: &Value| -> Box<str> { entry["key"].as_str().unwrap().into() };
