Backend: a connection with a pending statement is reset also if the process is killed

What callers saw (soak): a statement ran 1.27 to 3.3 s after its client had an answer, at a server that had been cut off, after its host was killed.

Hypotheses: (a) the holder sent it late; (b) the system delivered what a killed process had written. The host was dead before the cut ended, so (b): the option by which a close discards unsent bytes was set when a connection was dropped with a pending answer, and a killed process drops nothing.

Change: the option is set before a statement is written and taken back with its answer, so each close in between resets the connection. Two calls of the system for each exchange. Idle connections are still closed in order.

Test: `connection_is_reset_if_the_host_is_killed_during_a_statement` starts a process and kills it; before, the server reads the end of the stream in order.

--- a/components/proxy/src/backend.rs
+++ b/components/proxy/src/backend.rs
@@ -61,19 +61,6 @@
     pub server: ServerId,
     /// Session values and named statements that the connection holds.
     pub carried: ConnectionState,
-    /// Whether an exchange has begun and not ended.
-    exchanging: bool,
-}
-
-impl Drop for Backend {
-    /// Resets the connection if an answer is pending: the statement was given up.
-    fn drop(&mut self) {
-        if self.exchanging
-            && let Err(error) = bergamottrack_socket::reset_on_close(&self.io)
-        {
-            debug!(server = %self.server, %error, "backend: connection closed without a reset");
-        }
-    }
 }
 
 impl Backend {
@@ -104,7 +91,6 @@
             account: account.clone(),
             server: listed.id.clone(),
             carried: ConnectionState::default(),
-            exchanging: false,
         };
         wire::put_start(&listed.group, account, &listed.id, &mut backend.out);
         let started = monoio::time::timeout(SESSION_START_TIMEOUT, backend.exchange()).await;
@@ -138,10 +124,14 @@
 
     /// Sends the bytes in `out` and reads the answer to the last statement in them.
     ///
+    /// Until the answer has arrived, a close of the connection resets it, also if this process is killed: the
+    /// statement is given up then.
+    ///
     /// Fails if a session step before the statement failed: the statement may have run with other
     /// values than its session's, and the connection must be closed.
     pub async fn exchange(&mut self) -> anyhow::Result<ServerAnswer> {
-        self.exchanging = true;
+        bergamottrack_socket::reset_on_close(&self.io)
+            .with_context(|| format!("preparing a statement to {}", self.server))?;
         self.io
             .write_all(&self.out)
             .await
@@ -150,7 +140,9 @@
         loop {
             let answer = self.next().await?;
             if self.pending_steps == 0 {
-                self.exchanging = false;
+                if let Err(error) = bergamottrack_socket::send_on_close(&self.io) {
+                    debug!(server = %self.server, %error, "backend: an idle close will reset");
+                }
                 return Ok(answer);
             }
             self.pending_steps -= 1;
--- a/components/proxy/tests/backend.rs
+++ b/components/proxy/tests/backend.rs
@@ -2,7 +2,7 @@
 
 mod hosts;
 
-use std::{io, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use bergamottrack_adapter::wire;
 use bergamottrack_model::{ListedServer, Role};
@@ -12,20 +12,24 @@
     net::{TcpListener, TcpStream},
 };
 
-/// Opens a connection to a stand-in of a server, which accepts the session; returns both ends.
-async fn open() -> (Backend, TcpStream) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let listed = ListedServer {
+fn listed(address: SocketAddr) -> ListedServer {
+    ListedServer {
         id: hosts::server(),
         group: hosts::group(),
-        address: listener.local_addr().unwrap(),
+        address,
         domain: "d1".parse().unwrap(),
         slots: 1,
         leaving: false,
         role: Role::Primary,
         started_ms: 1,
         cold: Duration::ZERO,
-    };
+    }
+}
+
+/// Opens a connection to a stand-in of a server, which accepts the session; returns both ends.
+async fn open() -> (Backend, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listed = listed(listener.local_addr().unwrap());
     let accept = async {
         let (mut server, _) = listener.accept().await.unwrap();
         read(&mut server).await.unwrap();
@@ -58,6 +62,42 @@
     assert_eq!(error.kind(), io::ErrorKind::ConnectionReset);
 }
 
+/// Address of the server for the process that [`run_until_killed`] runs in.
+const SERVER_VARIABLE: &str = "BACKEND_TEST_SERVER";
+
+/// Guards against a statement that runs after a cut of the network, long after the host that sent it was
+/// killed: without a reset, the system goes on sending what a killed process has written.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn connection_is_reset_if_the_host_is_killed_during_a_statement() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let mut host = std::process::Command::new(std::env::current_exe().unwrap())
+        .args(["--exact", "run_until_killed"])
+        .env(SERVER_VARIABLE, address)
+        .stdout(std::process::Stdio::null())
+        .spawn()
+        .unwrap();
+    let (mut server, _) = listener.accept().await.unwrap();
+    read(&mut server).await.unwrap();
+    server.write_all(b"READY I -\r\n").await.0.unwrap();
+    assert!(read(&mut server).await.unwrap() > 0, "no statement arrived");
+    host.kill().unwrap();
+    host.wait().unwrap();
+    let error = read(&mut server).await.unwrap_err();
+    assert_eq!(error.kind(), io::ErrorKind::ConnectionReset);
+}
+
+/// Sends a statement and waits for its answer, in a process of its own; does nothing without the address
+/// of a server.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn run_until_killed() {
+    let Ok(address) = std::env::var(SERVER_VARIABLE) else { return };
+    let listed = listed(address.parse().unwrap());
+    let mut backend = Backend::open(&listed, &"a1".parse().unwrap()).await.unwrap();
+    wire::put_status(&mut backend.out);
+    let _ = backend.exchange().await;
+}
+
 /// Guards against resets of connections on which no statement is pending, which servers may count as
 /// failures.
 #[monoio::test(driver = "legacy", enable_timer = true)]
