Failover: a wait for a complete successor is in the metrics and has a warning

An operator whose service has `syncReplicas` must see that a group waits, for which servers, and may decide to accept the loss. `failovers_without_complete_successor` counts such failovers of a host, and a warning names the missing servers and the newest confirmed record. Another warning says that a successor was selected without evidence, for services that permit it.

--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -24,6 +24,7 @@
 use bergamottrack_model::{Role, Status};
 use bergamottrack_platform::http::Client;
 use futures_util::{StreamExt, stream::FuturesUnordered};
+use prometheus_client::metrics::gauge::Gauge;
 use tracing::{info, warn};
 
 use crate::{
@@ -79,6 +80,8 @@
     recorded: RecordedServers,
     /// Acquisition of the duty whose answer has not arrived; `None` after an answer.
     unanswered_duty: RefCell<Option<duty::Duty>>,
+    /// Entry in the metrics while no server is shown to be complete.
+    incomplete: RefCell<Option<Incomplete>>,
     /// Last selected step and the servers whose reports were missing, as logged.
     logged: RefCell<Option<(Next, Vec<ServerId>)>>,
     /// Time by which this host must finish; another host may take over some time later.
@@ -137,6 +140,7 @@
             view: RefCell::default(),
             recorded,
             unanswered_duty: RefCell::default(),
+            incomplete: RefCell::default(),
             logged: RefCell::default(),
             deadline,
             replicas_until,
@@ -358,6 +362,16 @@
         if next == Next::Nobody && !all {
             return next;
         }
+        let incomplete = next == Next::Nobody && evidence.completeness == Completeness::Required;
+        let entry = incomplete.then(|| Incomplete::new(&host.metrics.incomplete_failovers));
+        *self.incomplete.borrow_mut() = entry;
+        let unproven = match &next {
+            Next::Promote { successor, last: None, .. } => {
+                let state = standings.iter().find(|state| state.id == *successor);
+                !state.is_some_and(|state| evidence.shows_complete(state, standings))
+            }
+            _ => false,
+        };
         let step = Some((next.clone(), missing.clone()));
         if self.logged.replace(step.clone()) != step {
             let Evidence { terms, confirmed, coverage, completeness, replica_set } = evidence;
@@ -366,6 +380,17 @@
                 group = %group.id, intent = self.intent, ?terms, ?confirmed, ?coverage, ?completeness, recorded,
                 ?missing, told = ?standings, ?next, "leader: next step of the failover selected"
             );
+            if incomplete {
+                warn!(
+                    group = %group.id, ?missing, ?confirmed,
+                    "leader: no server is shown to have every acknowledged commit, waiting"
+                );
+            } else if unproven {
+                warn!(
+                    group = %group.id, ?missing, ?confirmed,
+                    "leader: selected without evidence that it has every acknowledged commit"
+                );
+            }
         }
         next
     }
@@ -618,6 +643,22 @@
     ids.filter(|id| catalog.is_present(id) && !is_evacuated(id)).collect()
 }
 
+/// Entry in the metrics of a failover without a complete successor; removed on drop.
+struct Incomplete(Gauge);
+
+impl Incomplete {
+    fn new(gauge: &Gauge) -> Self {
+        gauge.inc();
+        Self(gauge.clone())
+    }
+}
+
+impl Drop for Incomplete {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 /// Answer of a server to a request for its status.
 struct Report {
     /// Reported status; that of a busy server contains the position of its answer.
--- a/components/proxy/src/metrics.rs
+++ b/components/proxy/src/metrics.rs
@@ -74,6 +74,8 @@
     pub evacuated: Gauge,
     /// Number of hub candidates without contact.
     pub silent_candidates: Gauge,
+    /// Number of failovers of this host that wait, since no server is shown to be complete.
+    pub incomplete_failovers: Gauge,
     /// Number of requests for newer state that other hosts did not answer in time.
     pub unanswered: Counter,
 }
@@ -137,6 +139,12 @@
             "Failure domains whose servers are sent nothing",
             evacuated.clone(),
         );
+        let incomplete_failovers = Gauge::default();
+        registry.register(
+            "failovers_without_complete_successor",
+            "Failovers of this host that wait, since no server is shown to have every acknowledged commit",
+            incomplete_failovers.clone(),
+        );
         let silent_candidates = Gauge::default();
         registry.register(
             "silent_hub_candidates",
@@ -156,6 +164,7 @@
             received_bytes,
             evacuated,
             silent_candidates,
+            incomplete_failovers,
             unanswered,
         }
     }
--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -492,11 +492,13 @@
     });
     monoio::time::sleep(Duration::from_secs(5)).await;
     assert!(fleet.platform.borrow().promoted.is_empty());
+    assert_eq!(fleet.host.metrics.incomplete_failovers.get(), 1);
     fleet.platform.borrow_mut().answers = [Some(StatusCode::OK)].into();
     fleet.report(2, Report::Replica(60));
     until(|| fleet.platform.borrow().promoted == ["s2".into()]).await;
     fleet.report(2, Report::Primary(TERM + 1));
     run.await.unwrap();
+    assert_eq!(fleet.host.metrics.incomplete_failovers.get(), 0);
     let servers = recorded(&["s1", "s2", "s3"]);
     let successor = Leadership::Steady { leader: id("s2"), term: Term(TERM + 1), servers };
     assert_eq!(fleet.leadership().await, successor);
