--- a/lab/src/soak/group.rs
+++ b/lab/src/soak/group.rs
@@ -117,6 +117,9 @@
     not_kept: HashSet<Box<str>>,
     /// Promotions in progress: server index and time of completion.
     pending: Vec<(usize, Instant)>,
+    /// Replicas that must have a commit before it is acknowledged; if it is not 0, no promotion may discard
+    /// an acknowledged commit.
+    pub sync_replicas: usize,
     /// Ids of writes committed by a leader that had already been replaced.
     replaced_commits: HashSet<Box<str>>,
 }
@@ -192,7 +195,12 @@
         let acks = self.acks.entry(group).or_default();
         let before = acks.len();
         acks.retain(|ack| ack.required.number <= kept);
-        self.rolled_back += before - acks.len();
+        let lost = before - acks.len();
+        self.rolled_back += lost;
+        if self.sync_replicas > 0 && lost > 0 {
+            let id = &self.servers[i].id;
+            self.broken.push(format!("{lost} acknowledged commits are not in the log of {id}"));
+        }
         for sent in self.sent.values_mut().filter(|sent| sent.required.number > kept) {
             sent.required = Must::default();
         }
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -59,6 +59,9 @@
     /// hosts are paused and the store answers nothing, in place of drawn faults.
     #[arg(long)]
     pub refusals: bool,
+    /// Configure that a replica has each commit before it is acknowledged: no promotion may discard one.
+    #[arg(long)]
+    pub sync: bool,
     /// Make no faults: the load alone, to measure what a host uses for it.
     #[arg(long)]
     pub calm: bool,
@@ -147,6 +150,10 @@
 async fn run_steps(seed: u64, steps: &[Step], args: &SoakArgs) -> anyhow::Result<Outcome> {
     let large = if args.grow { world::LARGE_HOSTS } else { 0 };
     let world = Rc::new(RefCell::new(World::start_sized(args.hosts, large)?));
+    if args.sync {
+        world.borrow().groups.borrow_mut().sync_replicas = 1;
+        world.borrow().configure();
+    }
     monoio::spawn(World::maintain(world.clone()));
     let stop = Rc::new(Cell::new(false));
     let lateness = Lateness::start("");
--- a/lab/src/soak/world.rs
+++ b/lab/src/soak/world.rs
@@ -194,9 +194,12 @@
     /// Publishes a new version of the configuration.
     pub fn configure(&self) {
         self.version.set(self.version.get() + 1);
-        let services: Vec<_> = (0..GROUPS)
-            .map(|n| json!({"name": format!("g{n}"), "maxConnections": MAX_CONNECTIONS}))
-            .collect();
+        let sync_replicas = self.groups.borrow().sync_replicas;
+        let service = |n| {
+            json!({"name": format!("g{n}"), "maxConnections": MAX_CONNECTIONS,
+                "syncReplicas": sync_replicas})
+        };
+        let services: Vec<_> = (0..GROUPS).map(service).collect();
         let accounts: Vec<_> = ACCOUNTS
             .iter()
             .map(|(name, key, rate)| {
--- a/tests/hosts/mod.rs
+++ b/tests/hosts/mod.rs
@@ -35,8 +35,9 @@
 
 /// Arguments of a soak with seed 1; `secs` is the duration of its faults in seconds.
 pub fn soak_args(hosts: usize, callers: usize, secs: u64) -> SoakArgs {
-    let (dry, links, grow, refusals, calm, herd) = Default::default();
-    SoakArgs { seed: 1, seeds: 1, secs, hosts, callers, dry, links, grow, refusals, calm, herd }
+    let (dry, links, grow, refusals, sync, calm, herd) = Default::default();
+    let (seed, seeds) = (1, 1);
+    SoakArgs { seed, seeds, secs, hosts, callers, dry, links, grow, refusals, sync, calm, herd }
 }
 
 /// Sleeps for `ms` milliseconds.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -34,6 +34,17 @@
     }
 }
 
+/// Guards against acknowledged commits that a failover loses where the configuration requires that a
+/// replica has each.
+#[test]
+fn faults_lose_no_acknowledged_commit_of_a_service_with_synchronous_replicas() {
+    for (seed, links) in [(5, false), (11, true)] {
+        let soak_args = SoakArgs { sync: true, links, ..soak_args(3, 4, 6) };
+        let outcome = block_on(soak::soak(seed, &soak_args)).unwrap();
+        assert!(outcome.broken.is_empty(), "seed {seed}: {:#?}", outcome.broken);
+    }
+}
+
 /// A replaced leader comes back just when its successor dies. Guards against hosts that use it as
 /// leader again although its term is over, so that reads miss acknowledged writes.
 #[test]
