--- a/components/coordination/src/succession.rs
+++ b/components/coordination/src/succession.rs
@@ -114,6 +114,17 @@
     Stalled,
 }
 
+impl Order {
+    /// Returns a key by which the candidates are compared; the greatest one is first.
+    fn rank(self, server: &Standing) -> impl Ord + use<> {
+        let placement = (server.served, !server.cold);
+        match self {
+            Self::Placement => (Some(placement), server.received, placement),
+            Self::Log | Self::Stalled => (None, server.received, placement),
+        }
+    }
+}
+
 /// Servers of a group that may have confirmed a commit.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ReplicaSet {
@@ -184,6 +195,15 @@
         holders > 0 && received.get(holders - 1).is_some_and(|point| server.received >= *point)
     }
 
+    /// Returns the server that leads in `newest`, the newest reported term, if it may be adopted.
+    fn leader<'a>(&self, states: &'a [Standing], newest: Term) -> Option<&'a Standing> {
+        let leader = states.iter().find(|server| server.leads && server.term == newest);
+        let leader = leader.filter(|leader| self.terms.allow(leader.term));
+        // A server that has started again under its id may have lost its log.
+        let waived = self.completeness == Completeness::Waived;
+        leader.filter(|leader| waived || Some(leader.received) >= self.confirmed)
+    }
+
     /// Returns the servers of the replica set that have not reported their position.
     pub fn missing<'a>(&'a self, states: &'a [Standing]) -> impl Iterator<Item = &'a ServerId> {
         let reports = |id: &ServerId| {
@@ -204,12 +224,7 @@
     let Evidence { terms, confirmed, completeness, .. } = evidence;
     let newest = states.iter().map(|server| server.term).max().unwrap_or_default();
     let after = newest.max(terms.known);
-    let leader = states.iter().find(|server| server.leads && server.term == newest);
-    let leader = leader.filter(|leader| terms.allow(leader.term));
-    // A server that has started again under its id may have lost its log.
-    let leader = leader.filter(|leader| {
-        *completeness == Completeness::Waived || Some(leader.received) >= *confirmed
-    });
+    let leader = evidence.leader(states, newest);
     let adopt = |leader: &Standing| Next::Adopt(leader.id.clone(), leader.term);
     if let Some(leader) = leader
         && Some(&leader.id) != retiring
@@ -228,13 +243,7 @@
         has_term && (leader.is_none() || waits || has_confirmed)
     };
     let eligible = |server: &&Standing| !server.leads && !server.evacuated && may_follow(server);
-    let rank = |server: &&Standing| {
-        let placement = (server.served, !server.cold);
-        match order {
-            Order::Placement => (Some(placement), server.received, placement),
-            Order::Log | Order::Stalled => (None, server.received, placement),
-        }
-    };
+    let rank = |server: &&Standing| order.rank(server);
     let promote =
         |server: &Standing, last| Next::Promote { successor: server.id.clone(), after, last };
     let (leaving, staying): (Vec<_>, Vec<_>) =
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -1,23 +1,22 @@
 //! A failover run by this host, from the intent to the new leader.
 
+mod evidence;
+mod promotion;
+
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use anyhow::{Context, bail};
-use bergamottrack_adapter::{
-    promotion::{self, Outcome},
-    store::{self, Change, TxOutcome},
-};
+use bergamottrack_adapter::store::{self, Change, TxOutcome};
 use bergamottrack_coordination::{
     HostId, Point, ServerId, Term,
-    coverage::{self, Statement},
-    duty::{self, CALL_DEADLINE, CALL_TIMEOUT},
-    evacuation,
-    succession::{self, Completeness, Evidence, Next, Order, ReplicaSet, Standing, Terms},
+    coverage::Statement,
+    duty, evacuation,
+    succession::{self, Completeness, Evidence, Next, Order, Standing, Terms},
     suspicion,
     view::{FAILOVER_TTL, Leadership, LeaseRelease, RecordedServers, Versioned, View},
 };
@@ -36,12 +35,8 @@
     placement,
     pool::Pool,
     release::{self, WaitEnd},
-    replica_set,
 };
 
-/// Time for a promoted server to become leader before the promotion is requested again.
-const PROMOTION_TIMEOUT: Duration = Duration::from_millis(3000);
-
 /// Interval between status requests to the former leader while hosts may still hold leases on it.
 const RECOVERY_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -395,46 +390,6 @@
         next
     }
 
-    /// Returns the last record that a replica is known to have confirmed.
-    fn confirmed(&self, group: &Group) -> Option<Point> {
-        self.confirmed.get().max(group.receipts.confirmed())
-    }
-
-    /// Returns the evidence for the selection of a successor.
-    fn evidence(&self, host: &Host, group: &Group, standings: &[Standing], all: bool) -> Evidence {
-        let required = replica_set::is_required(host, group);
-        let completeness = match (required, all && host.now() >= self.replicas_until) {
-            (true, _) => Completeness::Required,
-            (false, false) => Completeness::Awaited,
-            (false, true) => Completeness::Waived,
-        };
-        let recorded = required && !self.recorded.is_empty();
-        let mut servers = if recorded {
-            self.recorded.keys().cloned().collect()
-        } else if required {
-            let catalog = host.backends.catalog.borrow();
-            catalog.group(&group.id).map(|listed| listed.id.clone()).collect()
-        } else {
-            listed_candidates(host, group, standings)
-        };
-        servers.extend(self.from.clone());
-        let replica_set = ReplicaSet { servers, closed: recorded || !required };
-        let terms = self.terms.get();
-        let (confirmed, coverage) = (self.confirmed(group), self.coverage(host, group));
-        Evidence { terms, replica_set, confirmed, coverage, completeness }
-    }
-
-    /// Returns the position that covers every acknowledged commit by the statements of all hosts; `None` if
-    /// they show none.
-    fn coverage(&self, host: &Host, group: &Group) -> Option<Point> {
-        let mut statements = self.statements.borrow().clone();
-        statements.insert(host.settings.host.clone(), release::statement(host, group)?);
-        let departed = host.member_lost.get().unwrap_or(host.started).max(host.started);
-        let elapsed = host.now().saturating_duration_since(departed);
-        let departed = monitor::store_now(host).saturating_sub(elapsed);
-        coverage::position(&self.view.borrow(), &statements, departed)
-    }
-
     /// Returns the status that counts for the selection of the next leader. That of a busy server is
     /// the position in its answer, a lower bound of what it has received; a busy former leader has
     /// none.
@@ -468,126 +423,6 @@
         }
     }
 
-    /// Requests the promotion of a server and waits until the server leads in a term after
-    /// `after`; `None` if the duty was not acquired, the platform rejects the request, or the
-    /// server does not lead within [`PROMOTION_TIMEOUT`].
-    async fn promote(
-        &self,
-        host: &Host,
-        group: &Group,
-        pool: &Pool,
-        after: Term,
-    ) -> anyhow::Result<Option<(ServerId, Term)>> {
-        let server = pool.listed.borrow().id.clone();
-        let before = self.terms.get();
-        let closed = before.close(after);
-        let Some((token, call_by)) = self.acquire_duty(host, group, closed).await? else {
-            return Ok(None);
-        };
-        // Also for the next selection of this failover: the call may take effect without an answer.
-        self.terms.set(Terms { closed, ..before });
-        // If this host was suspended after the acquisition, also while it connects to the platform,
-        // another host may have acquired the duty since.
-        let may_begin = || host.now() < call_by;
-        anyhow::ensure!(may_begin(), "promotion not requested: time to begin the call is over");
-        let may_send = || host.now() < call_by + CALL_TIMEOUT;
-        let duty = promotion::Duty { holder: &host.settings.host, token };
-        let (address, id) = (host.settings.promoter_address, &group.id);
-        let promoted = promotion::promote(address, duty, id, &server, CALL_TIMEOUT, may_send).await;
-        let error = promoted.as_ref().err().map(tracing::field::display);
-        let answer = promoted.as_ref().ok();
-        info!(group = %id, %server, token, ?answer, error, "promotion: requested");
-        let rejected = matches!(promoted, Ok(Outcome::Refused | Outcome::Unavailable));
-        if matches!(promoted, Ok(outcome) if outcome != Outcome::Unclear) {
-            if rejected {
-                self.terms.set(before);
-            }
-            // Not released without an outcome: the call may still be in progress.
-            self.release_duty(host, group, token, rejected).await;
-        }
-        if rejected {
-            return Ok(None);
-        }
-        let deadline = host.now() + PROMOTION_TIMEOUT;
-        while host.now() < deadline {
-            if let Ok(status) = monitor::status(host, pool, suspicion::PROBE_TIMEOUT).await
-                && status.role == Role::Primary
-                && status.term > after
-            {
-                return Ok(Some((server, status.term)));
-            }
-            monoio::time::sleep(STATUS_INTERVAL).await;
-        }
-        Ok(None)
-    }
-
-    /// Acquires the duty to call for promotions and closes the terms up to `closed`. Returns the
-    /// token and the time by which the call must begin; `None` while another host has the duty,
-    /// or if the store did not apply the change.
-    ///
-    /// The terms are closed before the call in case this host dies after the call and another
-    /// host takes the failover over: the former leader may not have been notified of the
-    /// promotion and still report that it leads, and the other host would adopt it again.
-    async fn acquire_duty(
-        &self,
-        host: &Host,
-        group: &Group,
-        closed: Term,
-    ) -> anyhow::Result<Option<(u64, Instant)>> {
-        let began = host.now();
-        let view = fleet::read(&self.client).await?;
-        // If the answer to an earlier acquisition was lost, no call was made with its token.
-        let unused = |duty: &duty::Duty| Some(duty) == self.unanswered_duty.borrow().as_ref();
-        let taken = |duty: &duty::Duty| !duty.is_free(view.clock) && !unused(duty);
-        if view.duty.as_ref().is_some_and(|row| taken(&row.value)) {
-            return Ok(None);
-        }
-        let since = view.clock + (host.now() - began);
-        let acquired = duty::Duty { holder: host.settings.host.clone(), since, free: false };
-        let change = Change {
-            expect: vec![
-                (fleet::DUTY_KEY.into(), view.duty.map_or(0, |row| row.version)),
-                (fleet::group_key(&group.id), self.intent),
-            ],
-            put: vec![
-                (fleet::DUTY_KEY.into(), serde_json::to_vec(&acquired)?),
-                (fleet::closed_key(&group.id), serde_json::to_vec(&closed)?),
-            ],
-            remove: Vec::new(),
-        };
-        *self.unanswered_duty.borrow_mut() = Some(acquired);
-        let verdict = store::change(&self.client, &change, STORE_TIMEOUT).await?;
-        *self.unanswered_duty.borrow_mut() = None;
-        let TxOutcome::Applied(token) = verdict else { return Ok(None) };
-        info!(group = %group.id, token, %closed, "duty: acquired");
-        Ok(Some((token, began + CALL_DEADLINE)))
-    }
-
-    /// Releases the duty acquired with `token`. If the call was `rejected`, also reopens the terms
-    /// that were closed for it.
-    async fn release_duty(&self, host: &Host, group: &Group, token: u64, rejected: bool) {
-        let holder = host.settings.host.clone();
-        let released = duty::Duty { holder, since: Duration::ZERO, free: true };
-        let mut put = vec![(
-            fleet::DUTY_KEY.into(),
-            serde_json::to_vec(&released).expect("writing to memory"),
-        )];
-        if rejected {
-            let closed = self.terms.get().closed;
-            let closed = serde_json::to_vec(&closed).expect("writing to memory");
-            put.push((fleet::closed_key(&group.id), closed));
-        }
-        let change =
-            Change { expect: vec![(fleet::DUTY_KEY.into(), token)], put, remove: Vec::new() };
-        if let Err(error) = store::change(&self.client, &change, STORE_TIMEOUT).await {
-            // The duty expires after a few seconds.
-            info!(
-                token, error = %format_args!("{error:#}"),
-                "duty: release not written, it will expire"
-            );
-        }
-    }
-
     /// Writes the leader to the store and notifies all hosts in reach. Retries until the group's
     /// row is no longer this failover's intent, at most until the deadline.
     async fn finish(
@@ -630,19 +465,6 @@
     }
 }
 
-/// Returns the servers of a group that have an entry and may be promoted, or may be once they report.
-fn listed_candidates(host: &Host, group: &Group, standings: &[Standing]) -> BTreeSet<ServerId> {
-    let is_evacuated = |id: &ServerId| {
-        let state = standings.iter().find(|state| state.id == *id);
-        state.is_some_and(|state| state.evacuated)
-    };
-    let mut pools = host.servers(&group.id);
-    pools.retain(|pool| !placement::is_forbidden(host, pool));
-    let ids = pools.iter().map(|pool| pool.listed.borrow().id.clone());
-    let catalog = host.backends.catalog.borrow();
-    ids.filter(|id| catalog.is_present(id) && !is_evacuated(id)).collect()
-}
-
 /// Entry in the metrics of a failover without a complete successor; removed on drop.
 struct Incomplete(Gauge);
 
