Memory: statements in progress have a share in a limit

What callers would see: a host is ended by the platform for its memory, with all of its sessions. The share of a message was given back when its line was complete, while the statement is held about four times as it waits and runs: many sessions with writes of 1 MB took a host to 284 MB of 256.

Change: statements in progress share 32 MB of each host, four times their length, beyond 16 KB each. A statement that does not fit is answered as not run, at once, with a time to come back. The holder of a server's connections charges the statements of other hosts as well and reports that it is full.

Test: `statements_in_progress_together_hold_a_bounded_size`; without the limit a statement in progress has no share.

--- a/components/proxy/src/caller.rs
+++ b/components/proxy/src/caller.rs
@@ -19,7 +19,7 @@
 use tracing::debug;
 
 use crate::{
-    host::{Host, Phase},
+    host::{Host, Phase, STATEMENT_COPIES},
     operation::Refusal,
     session::CallerSession,
 };
@@ -59,6 +59,8 @@
     buf: BytesMut,
     /// Memory of `buf`.
     memory: Charge,
+    /// Memory of the statement in progress, until its answer is written.
+    statement: Charge,
     lines: LineReader,
     out: BytesMut,
     phase: watch::Receiver<Phase>,
@@ -89,6 +91,7 @@
         io: configure(stream).context("configuring a caller's connection")?,
         buf: BytesMut::new(),
         memory: host.session_memory.charge(),
+        statement: host.statement_memory.charge(),
         lines: LineReader::default(),
         out: BytesMut::new(),
         phase: host.phase.subscribe(),
@@ -104,6 +107,12 @@
         let timeout = session.idle_timeout();
         match connection.next_event(session.state() == State::Idle, timeout).await? {
             Event::Line(line) => match wire::decode_caller(&line) {
+                Ok(CallerMessage::Query(_))
+                    if connection.statement.set(line.len() * STATEMENT_COPIES).is_err() =>
+                {
+                    let refusal = Refusal::busy("the statements in progress hold too much memory");
+                    session.refuse(&refusal, &mut connection.out);
+                }
                 Ok(CallerMessage::Query(request)) => {
                     let mut phase = host.phase.subscribe();
                     let answered = monoio::select! {
@@ -130,6 +139,8 @@
             Event::Closed | Event::Shutdown => return Ok(()),
         }
         connection.flush().await?;
+        // A charge that shrinks does not fail.
+        let _ = connection.statement.set(0);
     }
 }
 
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -28,7 +28,7 @@
 use crate::{
     conn,
     group::LeaderUse,
-    host::{Host, Phase},
+    host::{Host, Phase, STATEMENT_COPIES},
     monitor, placement,
     pool::{Leased, Permit, Pool},
 };
@@ -157,6 +157,10 @@
 
 /// Runs a forwarded statement and replies with the result.
 pub async fn serve(host: Rc<Host>, from: HostId, statement: ForwardedStatement, replier: Replier) {
+    let mut memory = host.statement_memory.charge();
+    if memory.set(statement.line.len() * STATEMENT_COPIES).is_err() {
+        return replier.reply(Answer::ForwardResult(ForwardResult::NotSent(NotSent::Full)));
+    }
     let arrival = Arrival::new(statement, replier.link_monitor());
     let relayed = match acquire(&host, &from, &arrival).await {
         Ok(acquired) => run(&host, from, arrival, acquired).await,
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -173,15 +173,33 @@
     pub sessions: Cell<usize>,
     /// Memory of all sessions, for their values, named statements and incomplete messages.
     pub session_memory: Rc<Budget>,
+    /// Memory of the statements in progress: those of this host's callers, and those of other hosts at
+    /// servers whose connections this host holds.
+    pub statement_memory: Rc<Budget>,
 }
 
 /// Maximum of [`Host::session_memory`] in bytes; hosts have 160 MB or more in all.
 const MAX_SESSION_MEMORY: usize = 32 << 20;
 
+/// Maximum of [`Host::statement_memory`] in bytes.
+const MAX_STATEMENT_MEMORY: usize = 32 << 20;
+
+/// Bytes of a statement in progress without a charge to that memory.
+const FREE_STATEMENT_MEMORY: usize = 16 << 10;
+
+/// Copies of a statement that are held while it waits and runs: as received, decoded, as written for the
+/// server or another host, and in the buffer of that connection.
+pub const STATEMENT_COPIES: usize = 4;
+
 /// Bytes of values and named statements, and of an incomplete message, that each session may hold
 /// without a charge to that memory.
 const FREE_SESSION_MEMORY: usize = 4 << 10;
 
+/// Returns the unused memory of all statements in progress.
+pub fn statement_memory() -> Rc<Budget> {
+    Budget::new(MAX_STATEMENT_MEMORY, FREE_STATEMENT_MEMORY)
+}
+
 /// Returns the unused memory of all sessions.
 pub fn session_memory() -> Rc<Budget> {
     Budget::new(MAX_SESSION_MEMORY, FREE_SESSION_MEMORY)
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -28,7 +28,7 @@
 
 use crate::{
     BootClock, caller, eviction, fleet, follow, gossip,
-    host::{Host, Phase, session_memory},
+    host::{Host, Phase, session_memory, statement_memory},
     join,
     metrics::Metrics,
     monitor,
@@ -162,6 +162,7 @@
         metrics: Metrics::default(),
         sessions: Cell::default(),
         session_memory: session_memory(),
+        statement_memory: statement_memory(),
     })
 }
 
--- a/components/proxy/src/session.rs
+++ b/components/proxy/src/session.rs
@@ -130,6 +130,11 @@
         self.fail(&refusal, out);
     }
 
+    /// Answers a statement that is not run.
+    pub fn refuse(&mut self, refusal: &Refusal, out: &mut BytesMut) {
+        self.fail(refusal, out);
+    }
+
     /// Answers a statement that has no answer yet as the host stops: it may have run. An open
     /// transaction is rolled back.
     pub fn abandon(&mut self, request: &Request, out: &mut BytesMut) {
--- a/components/proxy/tests/memory.rs
+++ b/components/proxy/tests/memory.rs
@@ -4,6 +4,8 @@
 mod hosts;
 mod server;
 
+use std::time::Duration;
+
 use callers::Caller;
 
 /// Length of a value: almost the greatest length of a message.
@@ -58,6 +60,32 @@
     assert!(answer.starts_with("DONE "), "{answer:?}");
 }
 
+/// Guards against statements in progress that take the host over its memory: many sessions have one of the
+/// greatest length each, which is held several times while it waits and runs.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn statements_in_progress_together_hold_a_bounded_size() {
+    let (host, server) = callers::start();
+    let large = format!("QUERY q1 WRITE k1 {}", "x".repeat(LARGE));
+    let is_free = |bytes: usize| host.statement_memory.charge().set(bytes).is_ok();
+    let mut running = Caller::start(&host, "bookings", "-").await;
+    running.write(&large).await;
+    let end = std::time::Instant::now() + Duration::from_secs(10);
+    while is_free(30 << 20) {
+        assert!(std::time::Instant::now() < end, "a statement in progress has no share");
+        monoio::time::sleep(Duration::from_millis(5)).await;
+    }
+    server.allow_all();
+    running.read().await;
+    // The share of an answered statement is free again.
+    let mut others = host.statement_memory.charge();
+    others.set(30 << 20).unwrap();
+    let mut refused = Caller::start(&host, "bookings", "-").await;
+    let answer = refused.send(&large).await;
+    assert!(answer.starts_with("ERROR BUSY not run; the statements in progress"), "{answer:?}");
+    let answer = refused.send("QUERY q2 WRITE k1 x").await;
+    assert!(!answer.contains("statements in progress"), "{answer:?}");
+}
+
 /// Guards against incomplete messages that take the host over its memory: each connection may hold one of
 /// the greatest length, and none of them ends.
 #[monoio::test(driver = "legacy", enable_timer = true)]
