Coverage: what a host has acknowledged, exhaustive replica sets, restarted servers by these names

A statement is what a caller sends, so the report of a host with its release is `Acknowledged`; `closed` is said of terms, so a replica set is `exhaustive`.

--- a/components/coordination/src/succession.rs
+++ b/components/coordination/src/succession.rs
@@ -51,7 +51,7 @@
     pub busy: bool,
     /// Whether the server has started again since its group's row named it, so that it may lack what the
     /// earlier process had confirmed.
-    pub reborn: bool,
+    pub restarted: bool,
 }
 
 /// Terms of a group in the store.
@@ -131,7 +131,7 @@
     /// Ids of the servers, among them the leader.
     pub servers: BTreeSet<ServerId>,
     /// Whether no server outside of `servers` can have confirmed a commit. If not, one may have.
-    pub closed: bool,
+    pub exhaustive: bool,
 }
 
 /// Whether a server may be promoted that is not shown to be complete.
@@ -155,7 +155,7 @@
     /// Last record that a replica is known to have confirmed; `None` if none is known. Later ones may
     /// have been confirmed.
     pub confirmed: Option<Point>,
-    /// Position that covers every acknowledged commit by the statements of all hosts, see the module
+    /// Position that covers every acknowledged commit by the reports of all hosts, see the module
     /// [`coverage`](crate::coverage); `None` if they show none.
     pub coverage: Option<Point>,
     /// Whether a server may be promoted that is not shown to be complete.
@@ -175,7 +175,7 @@
         // No other server leads in the known term, and no commit of a later one is acknowledged.
         let has_log_of = |leader: &Standing| {
             let known = leader.leads && leader.term == self.terms.known;
-            let known = known && !leader.busy && !leader.reborn;
+            let known = known && !leader.busy && !leader.restarted;
             known && server.term >= leader.term && server.received >= leader.received
         };
         if self.terms.known > Term(0) && states.iter().any(has_log_of) {
@@ -185,11 +185,11 @@
         let reported = states.iter().filter(|state| {
             // A busy server may have received more than it shows.
             let exact = !state.busy || state.id == server.id;
-            servers.contains(&state.id) && exact && !state.reborn && state.term > Term(0)
+            servers.contains(&state.id) && exact && !state.restarted && state.term > Term(0)
         });
         let mut received: Vec<Point> = reported.map(|state| state.received).collect();
         received.sort_unstable_by(|a, b| b.cmp(a));
-        let missing = servers.len() - received.len() + usize::from(!self.replica_set.closed);
+        let missing = servers.len() - received.len() + usize::from(!self.replica_set.exhaustive);
         // The servers that hold an acknowledged commit, less those that may be missing.
         let holders = servers.len().min(2).saturating_sub(missing);
         holders > 0 && received.get(holders - 1).is_some_and(|point| server.received >= *point)
@@ -207,7 +207,7 @@
     /// Returns the servers of the replica set that have not reported their position.
     pub fn missing<'a>(&'a self, states: &'a [Standing]) -> impl Iterator<Item = &'a ServerId> {
         let reports = |id: &ServerId| {
-            states.iter().any(|state| state.id == *id && !state.busy && !state.reborn)
+            states.iter().any(|state| state.id == *id && !state.busy && !state.restarted)
         };
         self.replica_set.servers.iter().filter(move |id| !reports(id))
     }
--- a/components/coordination/tests/succession.rs
+++ b/components/coordination/tests/succession.rs
@@ -23,7 +23,7 @@
         term: Term(term),
         received,
         busy: false,
-        reborn: false,
+        restarted: false,
     }
 }
 
@@ -34,7 +34,7 @@
     if !states.iter().any(|server| server.leads) {
         servers.insert(id("gone"));
     }
-    let replica_set = ReplicaSet { servers, closed: true };
+    let replica_set = ReplicaSet { servers, exhaustive: true };
     Evidence {
         terms,
         replica_set,
@@ -221,7 +221,7 @@
 fn unrecorded_replica_set_counts_as_one_with_a_further_missing_server() {
     let replicas = [server("ahead", false, 1, (1, 50)), server("behind", false, 1, (1, 40))];
     let mut open = evidence(&replicas, terms(1, 0));
-    open.replica_set.closed = false;
+    open.replica_set.exhaustive = false;
     assert_eq!(succession::next(&replicas, &open, None, Order::Log), Next::Nobody);
     // All listed servers report, and the newest log has what any two of them and the further one hold.
     let [ahead, behind] = replicas;
@@ -250,7 +250,7 @@
 /// reports that it leads.
 #[test]
 fn leader_without_acknowledged_commits_is_not_adopted() {
-    let states = [server("reborn", true, 1, (1, 0)), server("replica", false, 1, (1, 50))];
+    let states = [server("restarted", true, 1, (1, 0)), server("replica", false, 1, (1, 50))];
     let mut evidence = evidence(&states, terms(1, 0));
     evidence.confirmed = Some(Point::new(1, 50));
     let promote = Next::Promote { successor: id("replica"), after: Term(1), last: None };
--- a/components/coordination/tests/succession_walk.rs
+++ b/components/coordination/tests/succession_walk.rs
@@ -18,7 +18,7 @@
     up: bool,
     leads: bool,
     /// Whether it has lost its log since it was recorded.
-    reborn: bool,
+    restarted: bool,
     term: u8,
     /// Ids of its records.
     log: Vec<u8>,
@@ -98,7 +98,7 @@
 
 impl World {
     fn new() -> Self {
-        let server = |leads| Server { up: true, leads, reborn: false, term: 1, log: Vec::new() };
+        let server = |leads| Server { up: true, leads, restarted: false, term: 1, log: Vec::new() };
         Self {
             servers: [server(true), server(false), server(false)],
             hosts: Default::default(),
@@ -145,8 +145,8 @@
             if self.writes < MAX_WRITES {
                 events.push(Event::Append);
                 for replica in others() {
-                    let Server { up, reborn, .. } = self.servers[replica];
-                    if up && !reborn && self.recorded[replica] {
+                    let Server { up, restarted, .. } = self.servers[replica];
+                    if up && !restarted && self.recorded[replica] {
                         events.extend((0..HOSTS).map(|host| Event::Commit { host, replica }));
                     }
                 }
@@ -154,8 +154,9 @@
             let has_replica = |gone| others().any(|n| n != gone && self.is_up_to_date(n));
             let removable = |&n: &usize| self.recorded[n] && !self.servers[n].up && has_replica(n);
             events.extend(others().filter(removable).map(Event::Remove));
-            let joins =
-                |&n: &usize| (!self.recorded[n] || self.servers[n].reborn) && self.is_up_to_date(n);
+            let joins = |&n: &usize| {
+                (!self.recorded[n] || self.servers[n].restarted) && self.is_up_to_date(n)
+            };
             events.extend(others().filter(joins).map(Event::Add));
         }
         for n in 0..SERVERS {
@@ -185,7 +186,7 @@
     }
 
     fn standing(&self, n: usize) -> Standing {
-        let Server { leads, reborn, term, ref log, .. } = self.servers[n];
+        let Server { leads, restarted, term, ref log, .. } = self.servers[n];
         Standing {
             id: id(n),
             leads,
@@ -196,7 +197,7 @@
             term: Term(term.into()),
             received: Point::new(term.into(), log.len() as u64),
             busy: false,
-            reborn: reborn && self.recorded[n],
+            restarted: restarted && self.recorded[n],
         }
     }
 
@@ -210,7 +211,7 @@
         let remembered = self.hosts.iter().all(|host| !host.restarted);
         let evidence = Evidence {
             terms: Terms { known: Term(self.known.into()), closed: Term(self.closed.into()) },
-            replica_set: ReplicaSet { servers: recorded.map(id).collect(), closed: true },
+            replica_set: ReplicaSet { servers: recorded.map(id).collect(), exhaustive: true },
             confirmed,
             coverage: remembered.then_some(confirmed.unwrap_or_default()),
             completeness,
@@ -260,7 +261,7 @@
             }
             Event::ReturnEmpty(n) => {
                 self.servers[n] =
-                    Server { up: true, leads: false, reborn: true, term: 0, log: Vec::new() };
+                    Server { up: true, leads: false, restarted: true, term: 0, log: Vec::new() };
             }
             Event::HostRestarts(n) => {
                 self.hosts[n] = Host { confirmed: None, restarted: true };
@@ -268,7 +269,7 @@
             Event::Remove(n) => self.recorded[n] = false,
             Event::Add(n) => {
                 self.recorded[n] = true;
-                self.servers[n].reborn = false;
+                self.servers[n].restarted = false;
             }
             Event::Begin { planned } => (self.moving, self.planned) = (true, planned),
             Event::Choose { mask, call } => return self.run_step(mask, call, completeness),
@@ -315,12 +316,12 @@
     fn lead(&mut self, leader: usize, term: u8) {
         (self.leader, self.known, self.moving) = (leader, term, false);
         self.recorded[leader] = true;
-        self.servers[leader].reborn = false;
+        self.servers[leader].restarted = false;
     }
 
     /// Returns whether a failover finds no leader although all servers report with their logs.
     fn is_stuck(&self, completeness: Completeness) -> bool {
-        let all_report = self.servers.iter().all(|server| server.up && !server.reborn);
+        let all_report = self.servers.iter().all(|server| server.up && !server.restarted);
         let mask = (1 << SERVERS) - 1;
         self.moving && all_report && self.choose(mask, completeness) == Next::Nobody
     }
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -273,10 +273,10 @@
         /// Last record that a replica has confirmed to the host; `None` if it has requested no
         /// confirmation.
         confirmed: Option<Point>,
-        /// All that the host states about the group; `None` from hosts of earlier versions, or before the
+        /// What the host has acknowledged of the group; `None` from hosts of earlier versions, or before the
         /// host has read the store's clock.
         #[serde(default, skip_serializing_if = "Option::is_none")]
-        statement: Option<coverage::Statement>,
+        acknowledged: Option<coverage::Acknowledged>,
     },
     /// Heartbeat of the host.
     Heartbeat(Box<Heartbeat>),
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -14,7 +14,7 @@
 use bergamottrack_adapter::store::{self, Change, TxOutcome};
 use bergamottrack_coordination::{
     HostId, Point, ServerId, Term,
-    coverage::Statement,
+    coverage::Acknowledged,
     duty, evacuation,
     succession::{self, Completeness, Evidence, Next, Order, Standing, Terms},
     suspicion,
@@ -67,8 +67,8 @@
     /// Last record that a replica has confirmed to a host which has released the former leader; `None`
     /// if no host has named one.
     confirmed: Rc<Cell<Option<Point>>>,
-    /// Statements of the hosts that have released the former leader.
-    statements: Rc<RefCell<BTreeMap<HostId, Statement>>>,
+    /// What the hosts that have released the former leader have acknowledged.
+    acknowledged: Rc<RefCell<BTreeMap<HostId, Acknowledged>>>,
     /// View that contains the intent; empty before it is read.
     view: RefCell<View>,
     /// Servers that may have confirmed a commit, by the group's row; empty if they are not recorded.
@@ -131,7 +131,7 @@
             intent,
             terms,
             confirmed: Rc::default(),
-            statements: Rc::default(),
+            acknowledged: Rc::default(),
             view: RefCell::default(),
             recorded,
             unanswered_duty: RefCell::default(),
@@ -250,7 +250,7 @@
                 row,
                 release.clone(),
                 self.confirmed.clone(),
-                self.statements.clone(),
+                self.acknowledged.clone(),
             ));
         }
         let mut last_read = host.now();
@@ -370,7 +370,7 @@
         let step = Some((next.clone(), missing.clone()));
         if self.logged.replace(step.clone()) != step {
             let Evidence { terms, confirmed, coverage, completeness, replica_set } = evidence;
-            let recorded = replica_set.closed;
+            let recorded = replica_set.exhaustive;
             info!(
                 group = %group.id, intent = self.intent, ?terms, ?confirmed, ?coverage, ?completeness, recorded,
                 ?missing, told = ?standings, ?next, "leader: next step of the failover selected"
@@ -419,7 +419,7 @@
             term: status.term,
             received: status.received,
             busy,
-            reborn: started.is_some_and(|started| *started != listed.started_ms),
+            restarted: started.is_some_and(|started| *started != listed.started_ms),
         }
     }
 
--- a/components/proxy/src/failover/evidence.rs
+++ b/components/proxy/src/failover/evidence.rs
@@ -40,21 +40,21 @@
             listed_candidates(host, group, standings)
         };
         servers.extend(self.from.clone());
-        let replica_set = ReplicaSet { servers, closed: recorded || !required };
+        let replica_set = ReplicaSet { servers, exhaustive: recorded || !required };
         let terms = self.terms.get();
         let (confirmed, coverage) = (self.confirmed(group), self.coverage(host, group));
         Evidence { terms, replica_set, confirmed, coverage, completeness }
     }
 
-    /// Returns the position that covers every acknowledged commit by the statements of all hosts; `None` if
+    /// Returns the position that covers every acknowledged commit by the reports of all hosts; `None` if
     /// they show none.
     fn coverage(&self, host: &Host, group: &Group) -> Option<Point> {
-        let mut statements = self.statements.borrow().clone();
-        statements.insert(host.settings.host.clone(), release::statement(host, group)?);
+        let mut reports = self.acknowledged.borrow().clone();
+        reports.insert(host.settings.host.clone(), release::acknowledged(host, group)?);
         let departed = host.member_lost.get().unwrap_or(host.started).max(host.started);
         let elapsed = host.now().saturating_duration_since(departed);
         let departed = monitor::store_now(host).saturating_sub(elapsed);
-        coverage::position(&self.view.borrow(), &statements, departed)
+        coverage::position(&self.view.borrow(), &reports, departed)
     }
 }
 
--- a/components/proxy/src/gossip.rs
+++ b/components/proxy/src/gossip.rs
@@ -118,9 +118,9 @@
         if !moving || group.released.get() >= newest.version {
             let version = newest.version;
             let confirmed = group.receipts.confirmed();
-            let statement = release::statement(&host, &group);
+            let acknowledged = release::acknowledged(&host, &group);
             return replier.reply(if wants_confirmed {
-                Answer::Released { version, confirmed, statement }
+                Answer::Released { version, confirmed, acknowledged }
             } else {
                 Answer::LeadershipApplied(version)
             });
--- a/components/proxy/src/release.rs
+++ b/components/proxy/src/release.rs
@@ -9,7 +9,7 @@
 
 use bergamottrack_coordination::{
     GroupId, HostId, Point,
-    coverage::Statement,
+    coverage::Acknowledged,
     view::{Leadership, LeaseRelease, Versioned},
 };
 use bergamottrack_peer::{Answer, Question};
@@ -26,7 +26,7 @@
 
 /// Returns what this host states about a group as it releases the leader; `None` before it has read the
 /// store's clock.
-pub fn statement(host: &Host, group: &Group) -> Option<Statement> {
+pub fn acknowledged(host: &Host, group: &Group) -> Option<Acknowledged> {
     host.leased_view.borrow().age(host.now())?;
     let (now, clock) = (host.now(), monitor::store_now(host));
     let store_time = |at: Instant| clock.saturating_sub(now.saturating_duration_since(at));
@@ -34,7 +34,7 @@
     let known = group.created.checked_sub(UNUSED_TTL).unwrap_or(host.started);
     let since = store_time(known.max(host.started));
     let leader = group.ages.borrow().newest().map(|(at, point)| (store_time(at), point));
-    Some(Statement { confirmed: group.receipts.confirmed(), since, leader })
+    Some(Acknowledged { confirmed: group.receipts.confirmed(), since, leader })
 }
 
 /// Sends a group's row to all hosts whose links are up, without waiting for their answers.
@@ -55,7 +55,7 @@
 
 /// Requests a host's release of the former leader until the host releases it, or until no host that
 /// has not released it can use it any more. Raises `confirmed` to the last record that a replica has
-/// confirmed to the host, and adds what the host states to `statements`.
+/// confirmed to the host, and adds what the host has acknowledged to `reports`.
 ///
 /// That the host cannot be reached, or refuses connections, does not show that it has stopped: a
 /// network can refuse connections to a host that still reaches the former leader.
@@ -66,7 +66,7 @@
     row: Versioned<Leadership>,
     release: Rc<RefCell<LeaseRelease>>,
     confirmed: Rc<Cell<Option<Point>>>,
-    statements: Rc<RefCell<BTreeMap<HostId, Statement>>>,
+    reports: Rc<RefCell<BTreeMap<HostId, Acknowledged>>>,
 ) {
     while !release.borrow().is_over(host.now()) {
         let Some(link) = host.reach(&id).filter(|link| link.is_up()) else {
@@ -81,12 +81,12 @@
         let answer = link.query(question, APPLY_TIMEOUT).await;
         let version = match answer {
             Ok(Answer::LeadershipApplied(version)) => Some(version),
-            Ok(Answer::Released { version, confirmed: newest, statement }) => {
+            Ok(Answer::Released { version, confirmed: newest, acknowledged }) => {
                 confirmed.set(confirmed.get().max(newest));
                 if version >= row.version
-                    && let Some(statement) = statement
+                    && let Some(report) = acknowledged
                 {
-                    statements.borrow_mut().insert(id.clone(), statement);
+                    reports.borrow_mut().insert(id.clone(), report);
                 }
                 Some(version)
             }
