Tests: two checks of the selection ask for an exact step again

In a group of the two servers that report, the steps of before hold unchanged: a commit that one of two holds is not acknowledged.

--- a/components/coordination/tests/succession.rs
+++ b/components/coordination/tests/succession.rs
@@ -76,6 +76,10 @@
 #[test]
 fn former_leader_is_not_adopted_if_no_replica_has_its_successors_term() {
     let states = [server("old", true, 1, (1, 206)), server("deaf", false, 1, (1, 183))];
+    // In a group of these two, no commit that only the former leader holds is acknowledged.
+    let promote = |after| Next::Promote { successor: id("deaf"), after: Term(after), last: None };
+    assert_eq!(select(&states, terms(2, 1), None, Order::Log), promote(2));
+    assert_eq!(select(&states, terms(1, 1), None, Order::Log), promote(1));
     // The promotion may have taken effect although no host knows the new leader.
     for known in [1, 2] {
         for order in [Order::Log, Order::Stalled] {
@@ -138,6 +142,9 @@
     evidence.replica_set.servers.extend([id("silent"), id("replica")]);
     evidence.terms.known = Term(2);
     assert_eq!(succession::next(&states, &evidence, None, Order::Log), Next::Nobody);
+    // The only server of its group has every commit; it leads again in a new term.
+    let promote = Next::Promote { successor: id("old"), after: Term(1), last: None };
+    assert_eq!(select(&states, terms(1, 1), None, Order::Log), promote);
 }
 
 /// Guards against the loss of acknowledged commits that only a leaving replica has confirmed: it is left
