Replica set: an outdated set and a missing configuration are no evidence

What callers would lose, both found by reading: (1) an operator sets `syncReplicas` to 0 and back to 1; meanwhile any server confirms commits, and the set of before counts as exhaustive until it is recorded anew. (2) A host that has just started runs a failover before it has a configuration; the absent field was read as 0, so the newest log was promoted after 4 s.

Change: where servers are not recorded, the row's set is emptied and a failover takes none over. A host without a configuration requires a complete successor, and records nothing.

Two faults in one commit, as both are in one function.

--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -35,6 +35,7 @@
     placement,
     pool::Pool,
     release::{self, WaitEnd},
+    replica_set,
 };
 
 /// Interval between status requests to the former leader while hosts may still hold leases on it.
@@ -100,7 +101,9 @@
         let now = host.now();
         let (holder, since) = (host.settings.host.clone(), monitor::store_now(host));
         let term = before.as_ref().map(|row| row.value.term()).unwrap_or_default();
-        let recorded = before.as_ref().map(|row| row.value.servers().clone()).unwrap_or_default();
+        // A set of before is outdated where servers are not recorded any more.
+        let recorded = before.as_ref().filter(|_| replica_set::is_required(host, group));
+        let recorded = recorded.map(|row| row.value.servers().clone()).unwrap_or_default();
         let servers = recorded.clone();
         let moving =
             Leadership::Moving { from: from.clone(), holder, since, planned, term, servers };
--- a/components/proxy/src/replica_set.rs
+++ b/components/proxy/src/replica_set.rs
@@ -27,11 +27,11 @@
 /// Interval between attempts to record a change.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Returns whether no server of the group may be promoted that may lack an acknowledged commit.
+/// Returns whether no server of the group may be promoted that may lack an acknowledged commit. Assumed
+/// before this host has a configuration.
 pub fn is_required(host: &Host, group: &Group) -> bool {
-    let plan = host.plan();
-    let limits = plan.as_ref().and_then(|plan| plan.groups.get(&group.id));
-    limits.is_some_and(|limits| limits.sync_replicas > 0)
+    let Some(plan) = host.plan() else { return true };
+    plan.groups.get(&group.id).is_some_and(|limits| limits.sync_replicas > 0)
 }
 
 /// Returns whether a server's confirmation counts: a failover takes the server into account. Succeeds for
@@ -51,13 +51,14 @@
 /// Starts to record the group's servers if the row does not name the listed ones, and this host is due
 /// to do so: the holder of the leader's connections first. `leader` is the group's leader.
 pub fn check(host: &Rc<Host>, group: &Rc<Group>, leader: &Rc<Pool>) {
-    if !is_required(host, group) || !host.has_settled_list() {
+    if !host.has_settled_list() || host.plan().is_none() {
         return;
     }
     let row = host.leased_view.borrow().leadership(&group.id).cloned();
     let recorded = row.as_ref().map(|row| row.value.servers().clone()).unwrap_or_default();
     let now = host.now();
-    if recorded == listed(host, group) {
+    let required = is_required(host, group);
+    if recorded == if required { listed(host, group) } else { RecordedServers::new() } {
         group.unrecorded_since.set(None);
         return;
     }
@@ -97,6 +98,10 @@
 ) -> anyhow::Result<()> {
     let id = leader.listed.borrow().id.clone();
     let known = before.as_ref().map(|row| row.value.term()).unwrap_or_default();
+    if !is_required(host, group) {
+        // Any server confirms commits now, so the set would miss some if it were required again.
+        return write(host, group, before, id, known, RecordedServers::new()).await;
+    }
     let (term, mut servers) = up_to_date(host, group, leader, known).await?;
     // Two servers of the new set have each commit that a removed one may have confirmed.
     ensure!(!servers.is_empty(), "no replica has received the leader's log");
@@ -107,6 +112,18 @@
     if servers == *recorded {
         return Ok(());
     }
+    write(host, group, before, id, term, servers).await
+}
+
+/// Writes the group's row with the given servers, unless it has changed since `before`.
+async fn write(
+    host: &Host,
+    group: &Group,
+    before: Option<Versioned<Leadership>>,
+    id: ServerId,
+    term: Term,
+    servers: RecordedServers,
+) -> anyhow::Result<()> {
     let key = fleet::group_key(&group.id);
     let row = Leadership::Steady { leader: id, term, servers: servers.clone() };
     let change = Change {
--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -12,7 +12,7 @@
 
 use bergamottrack_adapter::store::{self, Change, TxOutcome};
 use bergamottrack_coordination::{
-    Clock, ManualClock, ServerId, SystemClock, Term,
+    Clock, ManualClock, Revision, ServerId, SystemClock, Term,
     contact::CONTACT_TTL,
     duty,
     view::{self, Leadership, RecordedServers, Versioned, View},
@@ -85,6 +85,7 @@
             ..hosts::settings("h2", hosts::NO_ADDRESS.parse().unwrap())
         };
         let host = serve::new_host(settings, 1, clock, "ours");
+        host.set_plan(Plan::default(), Bytes::new());
         let reports = reports.map(|report| Rc::new(RefCell::new(report)));
         for (report, name) in reports.iter().zip(["s1", "s2", "s3"]) {
             start_server(&host, name, report.clone());
@@ -107,7 +108,7 @@
     fn require_complete(&self) {
         let limits = Limits { connections: 10, cold: None, sync_replicas: 1 };
         let groups = [(hosts::group(), limits)].into();
-        self.host.set_plan(Plan { groups, ..Plan::default() }, Bytes::new());
+        self.host.set_plan(Plan { version: Revision(1), groups, ..Plan::default() }, Bytes::new());
     }
 
     /// Removes a server from the host's list.
@@ -504,6 +505,23 @@
     assert_eq!(fleet.leadership().await, successor);
 }
 
+/// Guards against the loss of acknowledged commits: a host that has just started takes a failover over before
+/// it has the configuration, and promotes the newest log after 4 s.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn incomplete_replica_is_not_promoted_by_a_host_without_a_configuration() {
+    let reports = [Report::Silent, Report::Silent, Report::Replica(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    *fleet.host.plan.borrow_mut() = None;
+    let failover = fleet.begin_with(false, &["s1", "s2", "s3"]).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    monoio::time::sleep(Duration::from_secs(5)).await;
+    assert!(fleet.platform.borrow().promoted.is_empty());
+    drop(run);
+}
+
 /// Guards against the loss of acknowledged commits: the entry of the replica that has them has lapsed,
 /// and the failover takes only listed servers into account.
 #[monoio::test(driver = "legacy", enable_timer = true)]
@@ -604,6 +622,9 @@
     assert_eq!(fleet.leadership().await, steady(recorded(&["s1", "s2"])));
     *joined.borrow_mut() = Report::Replica(60);
     until_recorded(&["s1", "s2", "s4"]).await;
+    // Without the requirement any server confirms commits, and an outdated set must not count later.
+    fleet.host.set_plan(Plan { version: Revision(2), ..Plan::default() }, Bytes::new());
+    until_recorded(&[]).await;
 }
 
 /// Guards against the loss of acknowledged commits: a server has started again under its id without its
