Tests: recorded servers in a file of their own

failover.rs had two jobs: the steps of a failover, and the servers that count for confirmations and for the choice. The stand-in of the group is now a module of both files; no check, bound or time is changed.

--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -2,238 +2,26 @@
 
 mod hosts;
 mod platform;
+mod replicas;
 
 use std::{
-    cell::RefCell,
-    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use bergamottrack_adapter::store::{self, Change, TxOutcome};
 use bergamottrack_coordination::{
-    Clock, ManualClock, Revision, ServerId, SystemClock, Term,
+    ManualClock, SystemClock, Term,
     contact::CONTACT_TTL,
     duty,
-    view::{self, Leadership, RecordedServers, Versioned, View},
+    view::{self, Leadership, RecordedServers, Versioned},
 };
-use bergamottrack_model::{
-    ListedServer, Role, Settings,
-    plan::{Limits, Plan},
-};
-use bergamottrack_platform::http::Client;
-use bergamottrack_proxy::{
-    Host, failover::Failover, fleet, group::Group, monitor, replica_set, serve,
-};
-use bytes::Bytes;
+use bergamottrack_proxy::{failover::Failover, fleet};
 use hyper::StatusCode;
 use monoio::{
-    io::{AsyncReadRent, AsyncWriteRentExt},
+    io::AsyncReadRent,
     net::{ListenerOpts, TcpListener, TcpStream},
 };
-use platform::Platform;
-use serde::Serialize;
-
-/// Time for which a test waits for a condition.
-const TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Start of the processes of the servers.
-const STARTED_MS: u64 = 1;
-
-/// Term of the former leader s1.
-const TERM: u64 = 5;
-
-/// Waits until a condition holds.
-async fn until(check: impl Fn() -> bool) {
-    let end = Instant::now() + TIMEOUT;
-    while !check() {
-        assert!(Instant::now() < end, "the condition does not hold in time");
-        monoio::time::sleep(Duration::from_millis(5)).await;
-    }
-}
-
-/// Answer of a server to a request for its status.
-#[derive(Clone, Copy, Debug)]
-enum Report {
-    /// The server does not answer.
-    Silent,
-    /// All slots of the server are in use; it answers with its position in the former leader's term.
-    Busy(u64),
-    /// Position in the former leader's term.
-    Replica(u64),
-    /// Position in the term before that of the former leader.
-    Behind(u64),
-    /// Term in which the server leads.
-    Primary(u64),
-}
-
-/// Servers s1 to s3 of the group, and the host h2 that runs the failover.
-struct Fleet {
-    host: Rc<Host>,
-    group: Rc<Group>,
-    platform: Rc<RefCell<Platform>>,
-    reports: [Rc<RefCell<Report>>; 3],
-}
-
-impl Fleet {
-    /// Starts a fleet whose leader is s1. Promotions are requested at `promoter`, or of the platform.
-    fn start(clock: Rc<dyn Clock>, promoter: Option<SocketAddr>, reports: [Report; 3]) -> Self {
-        let (platform, address) = platform::start();
-        let settings = Settings {
-            store_address: address,
-            promoter_address: promoter.unwrap_or(address),
-            ..hosts::settings("h2", hosts::NO_ADDRESS.parse().unwrap())
-        };
-        let host = serve::new_host(settings, 1, clock, "ours");
-        host.set_plan(Plan::default(), Bytes::new());
-        let reports = reports.map(|report| Rc::new(RefCell::new(report)));
-        for (report, name) in reports.iter().zip(["s1", "s2", "s3"]) {
-            start_server(&host, name, report.clone());
-        }
-        let group = host.group(&hosts::group());
-        Self { host, group, platform, reports }
-    }
-
-    fn report(&self, server: usize, report: Report) {
-        *self.reports[server - 1].borrow_mut() = report;
-    }
-
-    /// Marks a server as leaving.
-    fn set_leaving(&self, name: &str) {
-        let listed = self.host.server(&id(name)).unwrap().listed.borrow().clone();
-        assert!(self.host.upsert_server(ListedServer { leaving: true, ..listed }, 2));
-    }
-
-    /// Puts a configuration in force that requires a complete successor.
-    fn require_complete(&self) {
-        let limits = Limits { connections: 10, cold: None, sync_replicas: 1 };
-        let groups = [(hosts::group(), limits)].into();
-        self.host.set_plan(Plan { version: Revision(1), groups, ..Plan::default() }, Bytes::new());
-    }
-
-    /// Removes a server from the host's list.
-    fn remove(&self, name: &str) {
-        let occurrence = self.host.backends.catalog.borrow_mut().mark_missing(&id(name), 2);
-        assert!(self.host.remove_server(&id(name), occurrence.unwrap()));
-    }
-
-    /// Writes the host's row and that of the group, whose leader is s1, and starts the host's monitor.
-    async fn watch(&self) {
-        let host = &self.host;
-        let value = steady(RecordedServers::new());
-        self.write(fleet::group_key(&self.group.id), &value).await;
-        self.write(fleet::member_key(&host.settings.host), &fleet::own_row(&host.settings)).await;
-        fleet::apply_view(host, self.view().await, host.now());
-        assert!(host.leased());
-        monoio::spawn(monitor::watch(host.clone()));
-    }
-
-    /// Writes a row and returns its version.
-    async fn write(&self, key: Box<str>, value: &impl Serialize) -> u64 {
-        let put = vec![(key, serde_json::to_vec(value).unwrap())];
-        let change = Change { put, ..Change::default() };
-        let client = self.client();
-        // The stand-in may not listen yet.
-        loop {
-            if let Ok(TxOutcome::Applied(version)) = store::change(&client, &change, TIMEOUT).await
-            {
-                break version;
-            }
-        }
-    }
-
-    fn client(&self) -> Client {
-        Client::new(self.host.settings.store_address)
-    }
-
-    /// Writes the row of the group, and begins a failover of s1.
-    async fn begin(&self, planned: bool) -> Failover {
-        self.begin_with(planned, &[]).await
-    }
-
-    /// As [`Self::begin`], with the given recorded servers.
-    async fn begin_with(&self, planned: bool, servers: &[&str]) -> Failover {
-        let value = steady(recorded(servers));
-        let version = self.write(fleet::group_key(&self.group.id), &value).await;
-        let before = Some(Versioned { version, value });
-        let begun = Failover::begin(&self.host, &self.group, before, Some(id("s1")), planned).await;
-        begun.unwrap().expect("the intent is not written")
-    }
-
-    async fn view(&self) -> View {
-        fleet::read(&self.client()).await.unwrap()
-    }
-
-    /// Returns the leadership in the store.
-    async fn leadership(&self) -> Leadership {
-        self.view().await.groups[&self.group.id].value.clone()
-    }
-}
-
-/// Returns the servers of the given names, as started by [`start_server`].
-fn recorded(names: &[&str]) -> RecordedServers {
-    names.iter().map(|name| (id(name), STARTED_MS)).collect()
-}
-
-/// Returns a row with the leader s1 and the recorded servers.
-fn steady(servers: RecordedServers) -> Leadership {
-    Leadership::Steady { leader: id("s1"), term: Term(TERM), servers }
-}
-
-fn id(name: &str) -> ServerId {
-    name.parse().unwrap()
-}
-
-/// Starts a server that answers requests for its status, and adds it to the host's list.
-fn start_server(host: &Host, name: &str, report: Rc<RefCell<Report>>) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let listed = ListedServer {
-        id: id(name),
-        group: hosts::group(),
-        address: listener.local_addr().unwrap(),
-        domain: host.settings.domain.clone(),
-        slots: 1,
-        leaving: false,
-        role: Role::Replica,
-        started_ms: STARTED_MS,
-        cold: Duration::ZERO,
-    };
-    host.upsert_server(listed, 1);
-    monoio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            monoio::spawn(serve_statuses(stream, report.clone()));
-        }
-    });
-}
-
-async fn serve_statuses(mut stream: TcpStream, report: Rc<RefCell<Report>>) {
-    let mut pending = String::new();
-    loop {
-        let (read, chunk) = stream.read(vec![0; 1024]).await;
-        let Ok(1..) = read else { return };
-        pending.push_str(std::str::from_utf8(&chunk[..read.unwrap()]).unwrap());
-        while let Some((line, rest)) = pending.split_once("\r\n") {
-            let is_start = line.starts_with("START");
-            pending = rest.to_owned();
-            let report = *report.borrow();
-            let row = |role, term, number| {
-                let point = format!("{term}.{number}");
-                format!("ROW {role} {term} {point} {term} 0 0 0\r\nDONE -\r\nREADY I {point}\r\n")
-            };
-            let answer = match report {
-                Report::Silent => continue,
-                _ if is_start => "READY I -\r\n".to_owned(),
-                Report::Busy(number) => format!("ERROR BUSY s\r\nREADY I {TERM}.{number}\r\n"),
-                Report::Replica(number) => row("replica", TERM, number),
-                Report::Behind(number) => row("replica", TERM - 1, number),
-                Report::Primary(term) => row("primary", term, 60),
-            };
-            if stream.write_all(answer.into_bytes()).await.0.is_err() {
-                return;
-            }
-        }
-    }
-}
+use replicas::{Fleet, Report, TERM, id, recorded, steady, until};
 
 /// Guards against two leaders: a promotion call gets no answer and takes effect, the successor is out
 /// of reach for longer than the wait for it, and the former leader, which still reports that it leads,
@@ -522,24 +310,6 @@
     drop(run);
 }
 
-/// Guards against the loss of acknowledged commits: the entry of the replica that has them has lapsed,
-/// and the failover takes only listed servers into account.
-#[monoio::test(driver = "legacy", enable_timer = true)]
-async fn recorded_server_without_an_entry_is_not_passed_over() {
-    let reports = [Report::Silent, Report::Replica(60), Report::Replica(50)];
-    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
-    fleet.require_complete();
-    fleet.remove("s2");
-    let failover = fleet.begin_with(false, &["s1", "s2", "s3"]).await;
-    let run = monoio::spawn({
-        let (host, group) = (fleet.host.clone(), fleet.group.clone());
-        async move { failover.run(&host, &group).await }
-    });
-    monoio::time::sleep(Duration::from_secs(1)).await;
-    assert!(fleet.platform.borrow().promoted.is_empty());
-    drop(run);
-}
-
 /// Guards against the loss of acknowledged commits: the wait for a host that is gone outlasts the time for
 /// which positions are awaited, and the replica that has them is away for the second after it.
 #[monoio::test(driver = "legacy", enable_timer = true)]
@@ -588,80 +358,6 @@
     drop(run);
 }
 
-/// Guards against a set of servers that does not hold the acknowledged commits twice: it is recorded, or a
-/// server without an entry is removed from it, although no replica has received the leader's log.
-#[monoio::test(driver = "legacy", enable_timer = true)]
-async fn servers_are_recorded_and_removed_once_a_replica_has_the_leaders_log() {
-    let reports = [Report::Primary(TERM), Report::Replica(50), Report::Replica(50)];
-    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
-    fleet.require_complete();
-    fleet.watch().await;
-    monoio::spawn(fleet::follow(fleet.host.clone()));
-    let until_recorded = async |servers: &[&str]| {
-        let end = Instant::now() + TIMEOUT;
-        while fleet.leadership().await != steady(recorded(servers)) {
-            assert!(Instant::now() < end, "not recorded: {:?}", fleet.leadership().await);
-            monoio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    monoio::time::sleep(Duration::from_secs(4)).await;
-    assert_eq!(fleet.leadership().await, steady(RecordedServers::new()));
-    fleet.report(2, Report::Replica(60));
-    until_recorded(&["s1", "s2"]).await;
-    fleet.report(3, Report::Replica(60));
-    until_recorded(&["s1", "s2", "s3"]).await;
-    fleet.report(2, Report::Replica(50));
-    fleet.remove("s3");
-    monoio::time::sleep(Duration::from_secs(1)).await;
-    assert_eq!(fleet.leadership().await, steady(recorded(&["s1", "s2", "s3"])));
-    fleet.report(2, Report::Replica(60));
-    until_recorded(&["s1", "s2"]).await;
-    let joined = Rc::new(RefCell::new(Report::Replica(10)));
-    start_server(&fleet.host, "s4", joined.clone());
-    monoio::time::sleep(Duration::from_secs(1)).await;
-    assert_eq!(fleet.leadership().await, steady(recorded(&["s1", "s2"])));
-    *joined.borrow_mut() = Report::Replica(60);
-    until_recorded(&["s1", "s2", "s4"]).await;
-    // Without the requirement any server confirms commits, and an outdated set must not count later.
-    fleet.host.set_plan(Plan { version: Revision(2), ..Plan::default() }, Bytes::new());
-    until_recorded(&[]).await;
-}
-
-/// Guards against the loss of acknowledged commits: a server has started again under its id without its
-/// log, and its report counts as that of the process that confirmed them.
-#[monoio::test(driver = "legacy", enable_timer = true)]
-async fn report_of_a_server_that_has_started_again_does_not_count() {
-    let reports = [Report::Silent, Report::Replica(60), Report::Replica(50)];
-    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
-    fleet.require_complete();
-    let listed = fleet.host.server(&id("s2")).unwrap().listed.borrow().clone();
-    let started_ms = STARTED_MS + 1;
-    assert!(fleet.host.upsert_server(ListedServer { started_ms, ..listed }, 2));
-    let failover = fleet.begin_with(false, &["s1", "s2", "s3"]).await;
-    let run = monoio::spawn({
-        let (host, group) = (fleet.host.clone(), fleet.group.clone());
-        async move { failover.run(&host, &group).await }
-    });
-    monoio::time::sleep(Duration::from_secs(1)).await;
-    assert!(fleet.platform.borrow().promoted.is_empty());
-    drop(run);
-}
-
-/// Guards against the loss of acknowledged commits: a server confirms them of which a failover on another
-/// host does not know.
-#[monoio::test(driver = "legacy", enable_timer = true)]
-async fn confirmation_of_a_server_that_is_not_recorded_does_not_count() {
-    let reports = [Report::Primary(TERM), Report::Replica(60), Report::Replica(60)];
-    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
-    let key = fleet::group_key(&fleet.group.id);
-    fleet.write(key, &steady(recorded(&["s1", "s2"]))).await;
-    fleet::apply_view(&fleet.host, fleet.view().await, fleet.host.now());
-    let counts = |name| replica_set::counts(&fleet.host, &fleet.group, &id(name));
-    assert!(counts("s3"));
-    fleet.require_complete();
-    assert!(counts("s2") && !counts("s3"));
-}
-
 /// Guards against a failover that waits for a host's contact to expire, although the host has released
 /// the leader and reaches the store: the links are cut between the request for the release and the answer.
 #[monoio::test(driver = "legacy", enable_timer = true)]
--- /dev/null
+++ b/components/proxy/tests/replica_set.rs
@@ -0,0 +1,109 @@
+//! Servers that count for the confirmation of a commit and for the choice of a successor.
+
+mod hosts;
+mod platform;
+mod replicas;
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bergamottrack_coordination::{Revision, SystemClock, view::RecordedServers};
+use bergamottrack_model::{ListedServer, plan::Plan};
+use bergamottrack_proxy::{fleet, replica_set};
+use bytes::Bytes;
+use replicas::{Fleet, Report, STARTED_MS, TERM, TIMEOUT, id, recorded, start_server, steady};
+
+/// Guards against a set of servers that does not hold the acknowledged commits twice: it is recorded, or a
+/// server without an entry is removed from it, although no replica has received the leader's log.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn servers_are_recorded_and_removed_once_a_replica_has_the_leaders_log() {
+    let reports = [Report::Primary(TERM), Report::Replica(50), Report::Replica(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.require_complete();
+    fleet.watch().await;
+    monoio::spawn(fleet::follow(fleet.host.clone()));
+    let until_recorded = async |servers: &[&str]| {
+        let end = Instant::now() + TIMEOUT;
+        while fleet.leadership().await != steady(recorded(servers)) {
+            assert!(Instant::now() < end, "not recorded: {:?}", fleet.leadership().await);
+            monoio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    monoio::time::sleep(Duration::from_secs(4)).await;
+    assert_eq!(fleet.leadership().await, steady(RecordedServers::new()));
+    fleet.report(2, Report::Replica(60));
+    until_recorded(&["s1", "s2"]).await;
+    fleet.report(3, Report::Replica(60));
+    until_recorded(&["s1", "s2", "s3"]).await;
+    fleet.report(2, Report::Replica(50));
+    fleet.remove("s3");
+    monoio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(fleet.leadership().await, steady(recorded(&["s1", "s2", "s3"])));
+    fleet.report(2, Report::Replica(60));
+    until_recorded(&["s1", "s2"]).await;
+    let joined = Rc::new(RefCell::new(Report::Replica(10)));
+    start_server(&fleet.host, "s4", joined.clone());
+    monoio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(fleet.leadership().await, steady(recorded(&["s1", "s2"])));
+    *joined.borrow_mut() = Report::Replica(60);
+    until_recorded(&["s1", "s2", "s4"]).await;
+    // Without the requirement any server confirms commits, and an outdated set must not count later.
+    fleet.host.set_plan(Plan { version: Revision(2), ..Plan::default() }, Bytes::new());
+    until_recorded(&[]).await;
+}
+
+/// Guards against the loss of acknowledged commits: a server has started again under its id without its
+/// log, and its report counts as that of the process that confirmed them.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn report_of_a_server_that_has_started_again_does_not_count() {
+    let reports = [Report::Silent, Report::Replica(60), Report::Replica(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.require_complete();
+    let listed = fleet.host.server(&id("s2")).unwrap().listed.borrow().clone();
+    let started_ms = STARTED_MS + 1;
+    assert!(fleet.host.upsert_server(ListedServer { started_ms, ..listed }, 2));
+    let failover = fleet.begin_with(false, &["s1", "s2", "s3"]).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    monoio::time::sleep(Duration::from_secs(1)).await;
+    assert!(fleet.platform.borrow().promoted.is_empty());
+    drop(run);
+}
+
+/// Guards against the loss of acknowledged commits: a server confirms them of which a failover on another
+/// host does not know.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn confirmation_of_a_server_that_is_not_recorded_does_not_count() {
+    let reports = [Report::Primary(TERM), Report::Replica(60), Report::Replica(60)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    let key = fleet::group_key(&fleet.group.id);
+    fleet.write(key, &steady(recorded(&["s1", "s2"]))).await;
+    fleet::apply_view(&fleet.host, fleet.view().await, fleet.host.now());
+    let counts = |name| replica_set::counts(&fleet.host, &fleet.group, &id(name));
+    assert!(counts("s3"));
+    fleet.require_complete();
+    assert!(counts("s2") && !counts("s3"));
+}
+
+/// Guards against the loss of acknowledged commits: the entry of the replica that has them has lapsed,
+/// and the failover takes only listed servers into account.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn recorded_server_without_an_entry_is_not_passed_over() {
+    let reports = [Report::Silent, Report::Replica(60), Report::Replica(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.require_complete();
+    fleet.remove("s2");
+    let failover = fleet.begin_with(false, &["s1", "s2", "s3"]).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    monoio::time::sleep(Duration::from_secs(1)).await;
+    assert!(fleet.platform.borrow().promoted.is_empty());
+    drop(run);
+}
