Confirmation: a commit without a listed replica is not acknowledged where one is required

Callers of a service with `syncReplicas` were told that a commit was kept on the leader's word alone while no replica was listed whose confirmation counts. This is so not only after both replicas are gone: with the recorded servers s1 and s2, s2 without an entry and a new server s3 that is not recorded yet, each commit was acknowledged at once.

Cause: `Verdict::LeaderOnly` asks whether a listed server could replace the leader. For such a service the question is whether the second holder is one that a failover takes into account. The leader's answer shows a second holder, but not which: s3 counts for the leader and not for the recorded set, so that s2, back with its old log beside a crashed leader, is shown to be complete by counting and promoted without the commit, if the host that acknowledged it is gone too.

Now the commit is unknown after the usual wait, and a further write is refused as not run before it is sent. Services without `syncReplicas` are served as before.

Before the change commit_without_a_listed_replica_is_not_acknowledged_if_one_is_required failed at the second commit, which was acknowledged; acknowledgement_of_the_leader_does_not_suffice_if_a_confirmation_is_required is the rule on the state type.

--- a/components/coordination/src/confirm.rs
+++ b/components/coordination/src/confirm.rs
@@ -51,7 +51,8 @@
     Pending,
     /// A second server holds the commit.
     Confirmed,
-    /// The leader's acknowledgement is sufficient: no other server is listed that could replace it.
+    /// The leader's acknowledgement is sufficient: no other server is listed that could replace it, and
+    /// no confirmation is required.
     LeaderOnly,
     /// [`CONFIRM_TIMEOUT`] has passed, and a replica that could become the leader may lack the
     /// commit.
@@ -101,18 +102,21 @@
     }
 
     /// Returns the verdict on a commit that has been pending since `began`, where `replicas` are
-    /// the servers that could replace the leader.
+    /// the servers that could replace the leader. If a confirmation is `required`, the leader's
+    /// acknowledgement is not sufficient without replicas either: the server that received the commit
+    /// may be one that a failover does not take into account.
     pub fn verdict(
         &mut self,
         commit: Point,
         replicas: &[ServerId],
+        required: bool,
         began: Instant,
         now: Instant,
     ) -> Verdict {
         if self.covers(commit) {
             return Verdict::Confirmed;
         }
-        if replicas.is_empty() {
+        if replicas.is_empty() && !required {
             self.unconfirmed = None;
             return Verdict::LeaderOnly;
         }
@@ -128,11 +132,11 @@
         self.unconfirmed.is_some()
     }
 
-    /// Returns whether a commit was not confirmed in time and no replica has received it since,
-    /// where `replicas` are the servers that could replace the leader: the outcome of a write sent
-    /// now would be unknown.
-    pub fn is_stalled(&self, replicas: &[ServerId]) -> bool {
-        self.unconfirmed.is_some() && !replicas.is_empty()
+    /// Returns whether the outcome of a write sent now would be unknown, where `replicas` are the
+    /// servers that could replace the leader: a commit was not confirmed in time and no replica has
+    /// received it since, or a confirmation is `required` and there is no replica.
+    pub fn is_stalled(&self, replicas: &[ServerId], required: bool) -> bool {
+        if replicas.is_empty() { required } else { self.unconfirmed.is_some() }
     }
 
     /// Returns whether a leader that has led since `led_since` must be replaced because no
--- a/components/coordination/tests/confirm.rs
+++ b/components/coordination/tests/confirm.rs
@@ -25,13 +25,16 @@
 fn one_probe_confirms_all_commits_it_covers() {
     let (now, [near, _]) = (Instant::now(), replicas());
     let mut progress = ReplicaProgress::default();
-    assert_eq!(progress.verdict(point("3/7"), &replicas(), now, now), Verdict::Pending);
+    assert_eq!(progress.verdict(point("3/7"), &replicas(), false, now, now), Verdict::Pending);
     progress.record(&near, ProbeResult::Received(point("3/9")), now + ms(3));
     for commit in ["3/7", "3/8", "3/9"] {
-        let verdict = progress.verdict(point(commit), &replicas(), now, now + ms(3));
+        let verdict = progress.verdict(point(commit), &replicas(), false, now, now + ms(3));
         assert_eq!(verdict, Verdict::Confirmed);
     }
-    assert_eq!(progress.verdict(point("3/10"), &replicas(), now, now + ms(3)), Verdict::Pending);
+    assert_eq!(
+        progress.verdict(point("3/10"), &replicas(), false, now, now + ms(3)),
+        Verdict::Pending
+    );
 }
 
 /// Guards against lost bookings: a leader that was partitioned from its replicas acknowledged 51
@@ -46,8 +49,8 @@
     let late = start + CONFIRM_TIMEOUT;
     ids.iter()
         .for_each(|id| progress.record(id, ProbeResult::Received(point("3/9")), start + ms(200)));
-    assert_eq!(progress.verdict(point("3/10"), &ids, start, late), Verdict::Unknown);
-    assert!(progress.is_stalled(&ids));
+    assert_eq!(progress.verdict(point("3/10"), &ids, false, start, late), Verdict::Unknown);
+    assert!(progress.is_stalled(&ids, false));
     assert!(!progress.is_partitioned(led, late), "a stall of 300 ms does not replace the leader");
     let then = late + STALL_TIMEOUT;
     assert!(!progress.is_partitioned(led, then + ms(500)), "the replicas were not probed since");
@@ -55,7 +58,7 @@
     assert!(progress.is_partitioned(led, then));
     assert!(!progress.is_partitioned(then - ms(5000), then), "another leader would be no better");
     progress.record(&ids[0], ProbeResult::Received(point("3/10")), then);
-    assert!(!progress.is_stalled(&ids), "the replicas receive records again");
+    assert!(!progress.is_stalled(&ids, false), "the replicas receive records again");
 }
 
 /// Guards against lost bookings behind a network that refuses connections: the replicas run, lack
@@ -65,10 +68,10 @@
     let (start, ids) = (Instant::now(), replicas());
     let mut progress = ReplicaProgress::default();
     ids.iter().for_each(|id| progress.record(id, ProbeResult::Silent, start));
-    assert_eq!(progress.verdict(point("3/10"), &ids, start, start), Verdict::Pending);
+    assert_eq!(progress.verdict(point("3/10"), &ids, false, start, start), Verdict::Pending);
     let late = start + CONFIRM_TIMEOUT;
-    assert_eq!(progress.verdict(point("3/10"), &ids, start, late), Verdict::Unknown);
-    assert!(progress.is_stalled(&ids));
+    assert_eq!(progress.verdict(point("3/10"), &ids, false, start, late), Verdict::Unknown);
+    assert!(progress.is_stalled(&ids, false));
 }
 
 /// Guards against refusal of all bookings after both replicas of a group have crashed and the list
@@ -78,10 +81,26 @@
 fn acknowledgement_of_the_leader_suffices_without_listed_replicas() {
     let (start, ids) = (Instant::now(), replicas());
     let mut progress = ReplicaProgress::default();
-    assert_eq!(progress.verdict(point("3/10"), &[], start, start), Verdict::LeaderOnly);
+    assert_eq!(progress.verdict(point("3/10"), &[], false, start, start), Verdict::LeaderOnly);
     progress.record(&ids[1], ProbeResult::Silent, start);
     let late = start + CONFIRM_TIMEOUT;
-    assert_eq!(progress.verdict(point("3/10"), &ids[1..], start, late), Verdict::Unknown);
+    assert_eq!(progress.verdict(point("3/10"), &ids[1..], false, start, late), Verdict::Unknown);
+}
+
+/// Guards against the loss of acknowledged commits: no replica is listed, the leader acknowledges a commit
+/// that only a server outside of the recorded ones has received, and the next leader lacks it.
+#[test]
+fn acknowledgement_of_the_leader_does_not_suffice_if_a_confirmation_is_required() {
+    let start = Instant::now();
+    let mut progress = ReplicaProgress::default();
+    assert!(progress.is_stalled(&[], true));
+    assert_eq!(progress.verdict(point("3/10"), &[], true, start, start), Verdict::Pending);
+    let late = start + CONFIRM_TIMEOUT;
+    assert_eq!(progress.verdict(point("3/10"), &[], true, start, late), Verdict::Unknown);
+    assert!(progress.is_stalled(&[], true));
+    progress.note(point("3/10"));
+    assert_eq!(progress.verdict(point("3/10"), &[], true, start, late), Verdict::Confirmed);
+    assert!(!progress.is_stalled(&replicas(), true));
 }
 
 /// Guards against refusal of all bookings for as long as two crashed replicas stay away: a commit
@@ -91,11 +110,14 @@
     let (start, ids) = (Instant::now(), replicas());
     let mut progress = ReplicaProgress::default();
     let late = start + CONFIRM_TIMEOUT;
-    assert_eq!(progress.verdict(point("3/10"), &ids, start, late), Verdict::Unknown);
-    assert!(progress.is_stalled(&ids[..1]), "one replica is still in the list");
-    assert!(!progress.is_stalled(&[]));
-    assert_eq!(progress.verdict(point("3/11"), &[], late, late), Verdict::LeaderOnly);
-    assert!(!progress.is_stalled(&ids), "the replicas are back, and the next commit decides");
+    assert_eq!(progress.verdict(point("3/10"), &ids, false, start, late), Verdict::Unknown);
+    assert!(progress.is_stalled(&ids[..1], false), "one replica is still in the list");
+    assert!(!progress.is_stalled(&[], false));
+    assert_eq!(progress.verdict(point("3/11"), &[], false, late, late), Verdict::LeaderOnly);
+    assert!(
+        !progress.is_stalled(&ids, false),
+        "the replicas are back, and the next commit decides"
+    );
 }
 
 /// Guards against an unknown outcome of a booking that is kept: slow reads take all slots of the
@@ -106,9 +128,15 @@
     let mut progress = ReplicaProgress::default();
     progress.record(&ids[0], ProbeResult::Busy(Some(point("3/9"))), start + ms(50));
     progress.record(&ids[1], ProbeResult::Busy(None), start + ms(50));
-    assert_eq!(progress.verdict(point("3/10"), &ids, start, start + ms(60)), Verdict::Pending);
+    assert_eq!(
+        progress.verdict(point("3/10"), &ids, false, start, start + ms(60)),
+        Verdict::Pending
+    );
     progress.record(&ids[0], ProbeResult::Busy(Some(point("3/10"))), start + ms(70));
-    assert_eq!(progress.verdict(point("3/10"), &ids, start, start + ms(70)), Verdict::Confirmed);
+    assert_eq!(
+        progress.verdict(point("3/10"), &ids, false, start, start + ms(70)),
+        Verdict::Confirmed
+    );
 }
 
 /// Guards against lost bookings of a leader that is partitioned from its replicas while these have
@@ -121,11 +149,11 @@
     let late = start + CONFIRM_TIMEOUT;
     progress.record(&ids[0], ProbeResult::Busy(Some(point("3/9"))), late);
     progress.record(&ids[1], ProbeResult::Busy(None), late);
-    assert_eq!(progress.verdict(point("3/10"), &ids, start, late), Verdict::Unknown);
-    assert!(progress.is_stalled(&ids));
+    assert_eq!(progress.verdict(point("3/10"), &ids, false, start, late), Verdict::Unknown);
+    assert!(progress.is_stalled(&ids, false));
     assert!(!progress.is_partitioned(start - ms(60_000), late + STALL_TIMEOUT));
     progress.record(&ids[0], ProbeResult::Busy(Some(point("3/10"))), late + ms(50));
-    assert!(!progress.is_stalled(&ids));
+    assert!(!progress.is_stalled(&ids, false));
 }
 
 /// Guards against confirmation of a discarded commit: a replica was promoted and its position is
--- a/components/proxy/src/confirm.rs
+++ b/components/proxy/src/confirm.rs
@@ -81,7 +81,7 @@
 
 /// Waits until a second server holds a commit of the group's leader; fails with the reason for the
 /// caller if that is not shown within [`CONFIRM_TIMEOUT`]. Succeeds without a second server if no
-/// replica is listed.
+/// replica is listed and the configuration does not require one.
 ///
 /// A replica that refuses connections stays a possible leader until the list of servers has lost
 /// it: the platform drops the entry after three missed heartbeats, and `follow` keeps it for a time
@@ -93,7 +93,9 @@
     let verdict = loop {
         let replicas = replicas(host, group);
         let ids: Vec<_> = replicas.iter().map(|(id, _)| id.clone()).collect();
-        let verdict = receipts.state.borrow_mut().verdict(commit, &ids, began, host.now());
+        let required = replica_set::is_required(host, group);
+        let now = host.now();
+        let verdict = receipts.state.borrow_mut().verdict(commit, &ids, required, began, now);
         if verdict != Verdict::Pending {
             break verdict;
         }
@@ -126,16 +128,21 @@
 }
 
 /// Returns whether a write to the group's leader would have an unknown outcome, since no replica
-/// shows that it receives the leader's log. Polls the replicas until one does: one that was removed
-/// from the list and is back is no longer polled by a commit.
+/// shows that it receives the leader's log, or none is listed that could confirm the commit although
+/// the configuration requires it. Polls the replicas until one shows it: one that was removed from the
+/// list and is back is no longer polled by a commit.
 pub fn is_stalled(host: &Rc<Host>, group: &Rc<Group>) -> bool {
-    if !group.receipts.state.borrow().has_unconfirmed() {
+    let unconfirmed = group.receipts.state.borrow().has_unconfirmed();
+    let required = replica_set::is_required(host, group) && group.leader().is_some();
+    if !unconfirmed && !required {
         return false;
     }
     let replicas = replicas(host, group);
     let ids: Vec<_> = replicas.iter().map(|(id, _)| id.clone()).collect();
-    let stalled = group.receipts.state.borrow().is_stalled(&ids);
-    start_polls(host, group, replicas.into_iter());
+    let stalled = group.receipts.state.borrow().is_stalled(&ids, required);
+    if unconfirmed {
+        start_polls(host, group, replicas.into_iter());
+    }
     stalled
 }
 
--- a/components/proxy/tests/replica_set.rs
+++ b/components/proxy/tests/replica_set.rs
@@ -10,9 +10,9 @@
     time::{Duration, Instant},
 };
 
-use bergamottrack_coordination::{Revision, SystemClock, view::RecordedServers};
+use bergamottrack_coordination::{Point, Revision, SystemClock, view::RecordedServers};
 use bergamottrack_model::{ListedServer, plan::Plan};
-use bergamottrack_proxy::{fleet, replica_set};
+use bergamottrack_proxy::{confirm, fleet, replica_set};
 use bytes::Bytes;
 use replicas::{Fleet, Report, STARTED_MS, TERM, TIMEOUT, id, recorded, start_server, steady};
 
@@ -107,3 +107,22 @@
     assert!(fleet.platform.borrow().promoted.is_empty());
     drop(run);
 }
+
+/// Guards against the loss of acknowledged commits: the only recorded replica has no entry any more, and a
+/// commit that only a server outside of the recorded ones has received is acknowledged.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn commit_without_a_listed_replica_is_not_acknowledged_if_one_is_required() {
+    let reports = [Report::Primary(TERM), Report::Replica(60), Report::Replica(60)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.require_complete();
+    let key = fleet::group_key(&fleet.group.id);
+    fleet.write(key, &steady(recorded(&["s1", "s2"]))).await;
+    fleet::apply_view(&fleet.host, fleet.view().await, fleet.host.now());
+    let commit = Point::new(TERM, 60);
+    assert!(!confirm::is_stalled(&fleet.host, &fleet.group));
+    assert_eq!(confirm::wait(&fleet.host, &fleet.group, commit).await, Ok(()));
+    fleet.remove("s2");
+    let next = Point::new(TERM, 61);
+    assert!(confirm::wait(&fleet.host, &fleet.group, next).await.is_err());
+    assert!(confirm::is_stalled(&fleet.host, &fleet.group), "a write is sent");
+}
