Coverage: the leader's position is dated by a time that the store's clock had reached

A failover may promote a server that has the position by which the hosts' reports cover every acknowledged commit. A commit of an earlier process of a host, or of a host that has left, is covered by a position that the leader returned *later*. The time of that position was taken from the store's clock as this host estimates it for leases: counted from the moment before the request, so that it is at least the true time. By this estimate an older position passes for a later one: a host that is suspended for 5 s between the time it takes and the request that it sends dates positions 5 s late, and a slow answer up to the 1 s of the call's timeout, both beyond the margin of 500 ms between two hosts. A commit acknowledged in between by a process that has ended counts as covered by a log that lacks it.

`StoreClock` now keeps a bound for each direction: a store time that was read no earlier than a local time, for leases and for the begin of a host's memory, and one that was read no later, for positions.

Calls of `note` in tests state the time of the answer as well; their expectations are unchanged.

--- a/components/coordination/tests/evacuation.rs
+++ b/components/coordination/tests/evacuation.rs
@@ -23,7 +23,7 @@
 /// locally.
 fn initial_state(now: Instant) -> (evacuation::Set, store_clock::StoreClock) {
     let mut store = store_clock::StoreClock::default();
-    store.note(now, secs(100));
+    store.note(now, now, secs(100));
     let mut set = evacuation::Set::default();
     set.read(&[], true, 1, secs(100));
     (set, store)
@@ -49,7 +49,7 @@
 fn evacuation_of_unknown_age_forbids_all_statements() {
     let now = Instant::now();
     let mut store = store_clock::StoreClock::default();
-    store.note(now, secs(100));
+    store.note(now, now, secs(100));
     let mut set = evacuation::Set::default();
     assert!(!set.is_known());
     set.read(&[(domain("a"), Some(2))], true, 7, secs(100));
--- a/components/coordination/tests/view.rs
+++ b/components/coordination/tests/view.rs
@@ -183,12 +183,13 @@
     let mut clock = StoreClock::default();
     assert_eq!(clock.local(Duration::from_secs(50)), None);
     // The store's clock showed 50 s at some time between the call and its answer.
-    clock.note(start, Duration::from_secs(50));
+    clock.note(start, start, Duration::from_secs(50));
     let bound = clock.local(Duration::from_secs(52)).unwrap();
     assert!(bound <= start + Duration::from_secs(2));
     assert!(bound >= start + Duration::from_millis(1990));
     // A slower call gives a looser bound and is ignored.
-    clock.note(start + Duration::from_millis(400), Duration::from_millis(50_900));
+    let later = start + Duration::from_millis(400);
+    clock.note(later, later, Duration::from_millis(50_900));
     assert!(clock.local(Duration::from_secs(52)).unwrap() <= start + Duration::from_secs(2));
     assert!(clock.local(Duration::from_secs(49)).unwrap() <= start - Duration::from_secs(1));
 }
--- a/components/proxy/src/fleet.rs
+++ b/components/proxy/src/fleet.rs
@@ -178,7 +178,7 @@
             let ms = (clock.now() - requested_at).as_millis() as u64;
             info!(version = view.version, hosts = view.members.len(), ms, "start: view read");
             let mut store_clock = StoreClock::default();
-            store_clock.note(requested_at, view.clock);
+            store_clock.note(requested_at, clock.now(), view.clock);
             let state = Updates { view: Some(Changes::whole(view)), ..Updates::default() };
             return Membership { state, store_clock, secret };
         }
@@ -292,7 +292,8 @@
                 if std::mem::take(&mut last_read_failed) {
                     info!("fleet: view readable again");
                 }
-                host.store_clock.borrow_mut().note(requested_at, view.clock);
+                let received_at = host.now();
+                host.store_clock.borrow_mut().note(requested_at, received_at, view.clock);
                 apply_view(&host, view, requested_at);
                 join::publish_hubs(&host, &client).await;
                 let all_up = host.mesh.links().iter().all(|link| link.is_up());
--- a/components/proxy/src/follow.rs
+++ b/components/proxy/src/follow.rs
@@ -112,7 +112,7 @@
                     let ms = (host.now() - sent_at).as_millis() as u64;
                     info!(%table, ms, "store: table service reachable again");
                 }
-                host.store_clock.borrow_mut().note(sent_at, rows.clock);
+                host.store_clock.borrow_mut().note(sent_at, host.now(), rows.clock);
                 after = Some(rows.version);
                 apply(&rows, whole);
                 if table == Table::Servers && !rows.rows.is_empty() {
--- a/components/proxy/src/join.rs
+++ b/components/proxy/src/join.rs
@@ -143,7 +143,7 @@
         let requested_at = clock.now();
         match read_hubs(client).await {
             Ok((hubs, store_time)) => {
-                store_clock.note(requested_at, store_time);
+                store_clock.note(requested_at, clock.now(), store_time);
                 let time = (store_clock, store_time);
                 if let Some(entrance) = enter(settings, clock, client, &hubs, time, deadline).await
                 {
--- a/components/proxy/src/release.rs
+++ b/components/proxy/src/release.rs
@@ -33,7 +33,11 @@
     // An earlier state of the group was dropped after that time without use.
     let known = group.created.checked_sub(UNUSED_TTL).unwrap_or(host.started);
     let since = store_time(known.max(host.started));
-    let leader = group.ages.borrow().newest().map(|(at, point)| (store_time(at), point));
+    // A time that the store's clock had not reached yet would date the position after a commit that it
+    // does not contain.
+    let leader = group.ages.borrow().newest();
+    let leader =
+        leader.and_then(|(at, point)| Some((host.store_clock.borrow().reached(at)?, point)));
     Some(Acknowledged { confirmed: group.receipts.confirmed(), since, leader })
 }
 
--- a/components/proxy/tests/callers/mod.rs
+++ b/components/proxy/tests/callers/mod.rs
@@ -89,7 +89,7 @@
 pub fn start() -> (Rc<Host>, Rc<Server>) {
     let clock = Rc::new(SystemClock);
     let host = hosts::start(hosts::NO_ADDRESS.parse().unwrap(), clock.clone());
-    host.store_clock.borrow_mut().note(clock.now(), hosts::VIEW_CLOCK);
+    host.store_clock.borrow_mut().note(clock.now(), clock.now(), hosts::VIEW_CLOCK);
     placement::apply_rows(&host, &[], true, 1, hosts::VIEW_CLOCK);
     let plan = configuration::decode(CONFIGURATION.as_bytes()).unwrap();
     host.set_plan(plan, CONFIGURATION.as_bytes().into());
--- a/components/proxy/tests/platform/mod.rs
+++ b/components/proxy/tests/platform/mod.rs
@@ -23,6 +23,8 @@
     pub answers: VecDeque<Option<StatusCode>>,
     /// Keys whose next change is performed and not answered.
     pub unanswered: Vec<Box<str>>,
+    /// Delay of the answers to reads.
+    pub read_delay: Duration,
     /// Servers whose promotion was requested.
     pub promoted: Vec<Box<str>>,
 }
@@ -35,6 +37,7 @@
         rows: BTreeMap::new(),
         answers: VecDeque::new(),
         unanswered: Vec::new(),
+        read_delay: Duration::ZERO,
         promoted: Vec::new(),
     }));
     let listener = http::listen("127.0.0.1:0".parse().unwrap()).unwrap();
@@ -51,7 +54,11 @@
 async fn answer(platform: Rc<RefCell<Platform>>, request: Request) -> Reply {
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     match &*request.path {
-        "/-/rows-get" => platform.borrow().read(),
+        "/-/rows-get" => {
+            let (delay, reply) = (platform.borrow().read_delay, platform.borrow().read());
+            monoio::time::sleep(delay).await;
+            reply
+        }
         "/-/rows-tx" => {
             let reply = platform.borrow_mut().change(&body);
             if platform.borrow_mut().loses_answer(&body) {
@@ -73,7 +80,8 @@
 }
 
 impl Platform {
-    fn now_ms(&self) -> u64 {
+    /// Returns the time of the store's clock, in milliseconds.
+    pub fn now_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
     }
 
--- a/components/proxy/tests/replica_set.rs
+++ b/components/proxy/tests/replica_set.rs
@@ -10,11 +10,15 @@
     time::{Duration, Instant},
 };
 
-use bergamottrack_coordination::{Point, Revision, SystemClock, view::RecordedServers};
+use bergamottrack_coordination::{
+    ManualClock, Point, Revision, SystemClock, view::RecordedServers,
+};
 use bergamottrack_model::{ListedServer, plan::Plan};
-use bergamottrack_proxy::{confirm, fleet, replica_set};
+use bergamottrack_proxy::{confirm, fleet, release, replica_set};
 use bytes::Bytes;
-use replicas::{Fleet, Report, STARTED_MS, TERM, TIMEOUT, id, recorded, start_server, steady};
+use replicas::{
+    Fleet, Report, STARTED_MS, TERM, TIMEOUT, id, recorded, start_server, steady, until,
+};
 
 /// Guards against a set of servers that does not hold the acknowledged commits twice: it is recorded, or a
 /// server without an entry is removed from it, although no replica has received the leader's log.
@@ -126,3 +130,27 @@
     assert!(confirm::wait(&fleet.host, &fleet.group, next).await.is_err());
     assert!(confirm::is_stalled(&fleet.host, &fleet.group), "a write is sent");
 }
+
+/// Guards against the loss of acknowledged commits: a host is suspended during its read of the view, dates
+/// the leader's position by a time that the store's clock has not reached, and the position counts as one
+/// that contains the commits acknowledged until then.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn position_of_the_leader_is_not_reported_as_later_than_it_was_read() {
+    let clock = Rc::new(ManualClock::new());
+    let reports = [Report::Primary(TERM), Report::Replica(60), Report::Replica(60)];
+    let fleet = Fleet::start(clock.clone(), None, reports);
+    let host = &fleet.host;
+    let row = steady(recorded(&["s1", "s2"]));
+    fleet.write(fleet::group_key(&fleet.group.id), &row).await;
+    fleet.write(fleet::member_key(&host.settings.host), &fleet::own_row(&host.settings)).await;
+    fleet.platform.borrow_mut().read_delay = Duration::from_millis(300);
+    monoio::spawn(fleet::follow(host.clone()));
+    host.view_wakeup.notify_one();
+    monoio::time::sleep(Duration::from_millis(150)).await;
+    clock.advance(Duration::from_secs(5));
+    until(|| fleet.group.leader().is_some()).await;
+    fleet.group.ages.borrow_mut().note_point(host.now(), Point::new(TERM, 60));
+    let report = release::acknowledged(host, &fleet.group).unwrap();
+    let (at, _) = report.leader.unwrap();
+    assert!(at.as_millis() <= fleet.platform.borrow().now_ms().into(), "{at:?}");
+}
