Failover: a retiring leader of a closed term stays if no replica is complete

A planned failover whose promotion call was closed for and not performed left the group without a leader for as long as no replica received the leader's last record, although all servers reported: where a server outside of the recorded ones may have confirmed that record, no replica is shown to be complete, and the leader, which has every commit, was not considered because it retires.

In an open term such a leader is kept ("one that is being removed stays only if its commits would be lost"). Now the same holds in a closed one: the replica that receives its log goes first, and if none does, the leader is promoted again. Only where a complete successor is required.

--- a/components/coordination/src/succession.rs
+++ b/components/coordination/src/succession.rs
@@ -266,9 +266,11 @@
     {
         return promote(successor, None);
     }
-    let former = states
-        .iter()
-        .filter(|server| server.leads && !server.evacuated && Some(&server.id) != retiring);
+    // As in an open term, a retiring leader stays if its commits would be lost.
+    let may_stay = |server: &&Standing| {
+        Some(&server.id) != retiring || *completeness == Completeness::Required
+    };
+    let former = states.iter().filter(|server| server.leads && !server.evacuated).filter(may_stay);
     let former = former.filter(|_| leader.is_none()).filter(complete);
     if let Some(former) = former.max_by_key(rank) {
         // The platform may not have performed the promotion that closed the term: then it still takes
--- a/components/coordination/tests/succession.rs
+++ b/components/coordination/tests/succession.rs
@@ -104,6 +104,29 @@
     assert_eq!(next(Order::Stalled), promote("old", None));
 }
 
+/// Guards against a group without a leader: a planned failover has closed the term of the leader by a
+/// promotion that was not performed, the replicas lack its last record and receive nothing, and a server that
+/// is not recorded may have confirmed this record.
+#[test]
+fn retiring_leader_of_a_closed_term_stays_if_no_replica_is_complete() {
+    let states = [
+        server("old", true, 1, (1, 9)),
+        server("deaf", false, 1, (1, 8)),
+        server("other", false, 1, (1, 8)),
+    ];
+    let mut evidence = evidence(&states, terms(1, 1));
+    evidence.replica_set.exhaustive = false;
+    let old = id("old");
+    let next = |order| succession::next(&states, &evidence, Some(&old), order);
+    let last = Some(Point::new(1, 9));
+    let receives = Next::Promote { successor: id("other"), after: Term(1), last };
+    assert_eq!(next(Order::Placement), receives);
+    let stays = Next::Promote { successor: id("old"), after: Term(1), last: None };
+    assert_eq!(next(Order::Stalled), stays);
+    evidence.completeness = Completeness::Awaited;
+    assert_eq!(succession::next(&states, &evidence, Some(&old), Order::Stalled), Next::Nobody);
+}
+
 /// Guards against a group without a leader: the platform has not performed the promotion for which a
 /// term was closed, so it would change nothing to promote the former leader, and a replica has its log.
 #[test]
