Replica set: a set without a removed server is exhaustive once no host goes by an earlier row

A commit that callers had been told of could be lost beside a host that died: a server's entry lapses, although the server runs, and it leaves the group's recorded set; a host that has not read that row counts the server's confirmation and acknowledges a commit of which no other replica knows. If this host and the leader are gone then, a failover counts the remaining server as one of all that could confirm, and promotes it without the commit.

Cause: the evidence by counting is right only for the set by which *every* host counts, and the row of a new set is in force on the writer, not on all hosts. The same holds for a first set: by a row without servers a host counts every server.

The row now states whether its set is exhaustive. It is not when it is first written, or without a server of the row before; it becomes so once the leases of before the row have expired, since a host without the new row uses no leader any more then, and once a replica has received since then all that the leader has. While a set is not exhaustive, a failover assumes that one further server may hold a commit, as where no set is recorded. Servers that join leave it exhaustive. A poll that runs when its server is removed counts no more. Rows of earlier builds state nothing and count as not exhaustive; earlier builds ignore the field.

No messages, one write of the row more for each server that leaves.

Evidence: with each part of the change taken out, the test for it fails: server_is_not_promoted_by_reports_of_a_set_that_is_not_exhaustive (s2 promoted at once), confirmation_by_a_replica_that_was_removed_meanwhile_does_not_count (Ok), set_is_exhaustive_once_no_host_goes_by_an_earlier_row.

--- a/components/coordination/src/view.rs
+++ b/components/coordination/src/view.rs
@@ -23,7 +23,7 @@
 use xxhash_rust::xxh3;
 
 use crate::{
-    FailureDomain, GroupId, HostId, ServerId, Term,
+    FailureDomain, GroupId, HostId, Revision, ServerId, Term,
     changes::{Changes, RemovedHosts},
     contact::{self, CONTACT_TTL, Contact, Quorum, VersionHistory},
     duty::Duty,
@@ -81,6 +81,27 @@
 /// starts anew under the same id has nothing of the earlier one's log.
 pub type RecordedServers = BTreeMap<ServerId, u64>;
 
+/// Servers of a group that may have confirmed a commit, as recorded in the group's row; see the module
+/// [`succession`](crate::succession).
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RecordedSet {
+    /// The servers; empty if they are not recorded.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub servers: RecordedServers,
+    /// Whether each commit that another server has confirmed is held by two of `servers`: no host counts
+    /// confirmations by others any more, as one that has not read this row may do. Absent in
+    /// rows of earlier builds.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub exhaustive: bool,
+    /// Version of the configuration by which the servers are recorded or not; 0 if unknown.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub revision: Revision,
+}
+
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
 /// Leadership of a group.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Leadership {
@@ -91,10 +112,9 @@
         /// Term in which the leader leads; 0 until its status has been read.
         #[serde(default)]
         term: Term,
-        /// Servers of the group that may have confirmed a commit, see the module
-        /// `succession`; empty if they are not recorded.
-        #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-        servers: RecordedServers,
+        /// Servers of the group that may have confirmed a commit.
+        #[serde(flatten)]
+        recorded: RecordedSet,
     },
     /// A failover is in progress; no server may be used as the leader.
     Moving {
@@ -111,8 +131,8 @@
         #[serde(default)]
         term: Term,
         /// Servers of the group that may have confirmed a commit, as in [`Self::Steady`].
-        #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-        servers: RecordedServers,
+        #[serde(flatten)]
+        recorded: RecordedSet,
     },
 }
 
@@ -163,10 +183,10 @@
         }
     }
 
-    /// Servers of the group that may have confirmed a commit; empty if they are not recorded.
-    pub fn servers(&self) -> &RecordedServers {
+    /// Servers of the group that may have confirmed a commit.
+    pub fn recorded(&self) -> &RecordedSet {
         match self {
-            Self::Steady { servers, .. } | Self::Moving { servers, .. } => servers,
+            Self::Steady { recorded, .. } | Self::Moving { recorded, .. } => recorded,
         }
     }
 }
--- a/components/coordination/tests/changes.rs
+++ b/components/coordination/tests/changes.rs
@@ -1,13 +1,10 @@
 //! Differences between two views, which hosts exchange instead of whole views.
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use bergamottrack_coordination::{
     GroupId, HostId, Term,
-    view::{Leadership, LocalView, Member, Versioned, View},
+    view::{Leadership, LocalView, Member, RecordedSet, Versioned, View},
 };
 
 const HOSTS: u64 = 300;
@@ -26,7 +23,7 @@
         value: Leadership::Steady {
             leader: leader.parse().unwrap(),
             term: Term(1),
-            servers: BTreeMap::new(),
+            recorded: RecordedSet::default(),
         },
     }
 }
@@ -41,7 +38,7 @@
             since,
             planned: false,
             term: Term(1),
-            servers: BTreeMap::new(),
+            recorded: RecordedSet::default(),
         },
     }
 }
--- a/components/coordination/tests/contact.rs
+++ b/components/coordination/tests/contact.rs
@@ -8,7 +8,10 @@
 use bergamottrack_coordination::{
     GroupId, HostId, Term,
     contact::{self, CONTACT_TTL, Contact, MAX_ROWS},
-    view::{LEASE_MARGIN, LEASE_TTL, Leadership, LeaseRelease, LocalView, Member, Versioned, View},
+    view::{
+        LEASE_MARGIN, LEASE_TTL, Leadership, LeaseRelease, LocalView, Member, RecordedSet,
+        Versioned, View,
+    },
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -42,7 +45,7 @@
     Leadership::Steady {
         leader: format!("i-{term}").parse().unwrap(),
         term: Term(term),
-        servers: BTreeMap::new(),
+        recorded: RecordedSet::default(),
     }
 }
 
@@ -53,7 +56,7 @@
         since,
         planned: false,
         term: Term(1),
-        servers: BTreeMap::new(),
+        recorded: RecordedSet::default(),
     }
 }
 
--- a/components/coordination/tests/succession_walk.rs
+++ b/components/coordination/tests/succession_walk.rs
@@ -11,7 +11,7 @@
 const HOSTS: usize = 2;
 
 /// Maximum number of writes in one order of events.
-const MAX_WRITES: u8 = 3;
+const MAX_WRITES: usize = 3;
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct Server {
@@ -19,6 +19,8 @@
     leads: bool,
     /// Whether it has lost its log since it was recorded.
     restarted: bool,
+    /// Whether its entry in the list shows its last start.
+    registered: bool,
     term: u8,
     /// Ids of its records.
     log: Vec<u8>,
@@ -30,6 +32,8 @@
     confirmed: Option<(u8, u8)>,
     /// Whether it has started again and forgotten what it had acknowledged.
     restarted: bool,
+    /// Servers whose confirmations it counts: those recorded in the row that it has read.
+    counted: [bool; SERVERS],
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -45,9 +49,12 @@
     /// Newest term of any promotion.
     promoted: u8,
     recorded: [bool; SERVERS],
+    /// Whether no other server than the recorded ones counts.
+    exhaustive: bool,
     /// Ids of the acknowledged records.
     acknowledged: Vec<u8>,
-    writes: u8,
+    /// Term of each record, in the order of their ids.
+    terms: Vec<u8>,
 }
 
 /// Fate of a promotion call.
@@ -69,14 +76,22 @@
     Append,
     /// The server receives the log of the newest leader.
     Receive(usize),
+    /// The server receives the next record of the newest leader.
+    ReceiveRecord(usize),
     Crash(usize),
     /// The server is back with its log.
     Return(usize),
     /// The server is back under its id without its log.
     ReturnEmpty(usize),
+    /// The list shows the last start of the server.
+    Register(usize),
     HostRestarts(usize),
-    /// The server leaves the recorded set.
+    /// The host reads the group's row.
+    ReadRow(usize),
+    /// The entry of the server has lapsed, whether it runs or not, and it leaves the recorded set.
     Remove(usize),
+    /// The recorded set becomes exhaustive.
+    Complete,
     /// The server joins the recorded set.
     Add(usize),
     Begin {
@@ -98,10 +113,18 @@
 
 impl World {
     fn new() -> Self {
-        let server = |leads| Server { up: true, leads, restarted: false, term: 1, log: Vec::new() };
+        let server = |leads| Server {
+            up: true,
+            leads,
+            restarted: false,
+            registered: true,
+            term: 1,
+            log: Vec::new(),
+        };
+        let host = Host { counted: [true; SERVERS], ..Host::default() };
         Self {
             servers: [server(true), server(false), server(false)],
-            hosts: Default::default(),
+            hosts: [host.clone(), host],
             leader: 0,
             moving: false,
             planned: false,
@@ -109,8 +132,9 @@
             closed: 0,
             promoted: 1,
             recorded: [true; SERVERS],
+            exhaustive: true,
             acknowledged: Vec::new(),
-            writes: 0,
+            terms: Vec::new(),
         }
     }
 
@@ -132,6 +156,15 @@
         server != self.leader && other.up && other.term == leader.term && other.log == leader.log
     }
 
+    /// Writes a record at the leader and returns its id.
+    fn append(&mut self) -> u8 {
+        let leader = &mut self.servers[self.leader];
+        self.terms.push(leader.term);
+        let record = self.terms.len() as u8;
+        leader.log.push(record);
+        record
+    }
+
     fn copy_log(&mut self, from: usize, to: usize) {
         let Server { term, log, .. } = self.servers[from].clone();
         let target = &mut self.servers[to];
@@ -142,23 +175,31 @@
         let mut events = Vec::new();
         let others = || (0..SERVERS).filter(|&n| n != self.leader);
         if self.used_leader().is_some() {
-            if self.writes < MAX_WRITES {
+            if self.terms.len() < MAX_WRITES {
                 events.push(Event::Append);
-                for replica in others() {
-                    let Server { up, restarted, .. } = self.servers[replica];
-                    if up && !restarted && self.recorded[replica] {
-                        events.extend((0..HOSTS).map(|host| Event::Commit { host, replica }));
-                    }
+                for replica in others().filter(|&n| self.servers[n].up) {
+                    let counts = |&host: &usize| self.hosts[host].counted[replica];
+                    let hosts = (0..HOSTS).filter(counts);
+                    events.extend(hosts.map(|host| Event::Commit { host, replica }));
                 }
             }
-            let has_replica = |gone| others().any(|n| n != gone && self.is_up_to_date(n));
-            let removable = |&n: &usize| self.recorded[n] && !self.servers[n].up && has_replica(n);
+            let holds = |n: usize| self.recorded[n] && self.is_up_to_date(n);
+            let has_replica = |gone| others().any(|n| n != gone && holds(n));
+            let removable = |&n: &usize| self.recorded[n] && has_replica(n);
             events.extend(others().filter(removable).map(Event::Remove));
             let joins = |&n: &usize| {
-                (!self.recorded[n] || self.servers[n].restarted) && self.is_up_to_date(n)
+                let Server { restarted, registered, .. } = self.servers[n];
+                (!self.recorded[n] || restarted) && registered && self.is_up_to_date(n)
             };
             events.extend(others().filter(joins).map(Event::Add));
+            let outdated = |host: &Host| (0..SERVERS).any(|n| host.counted[n] && !self.recorded[n]);
+            if !self.exhaustive && others().any(holds) && !self.hosts.iter().any(outdated) {
+                events.push(Event::Complete);
+            }
         }
+        let behind = |&n: &usize| self.hosts[n].counted != self.recorded;
+        events.extend((0..HOSTS).filter(behind).map(Event::ReadRow));
+
         for n in 0..SERVERS {
             match self.servers[n].up {
                 true => events.push(Event::Crash(n)),
@@ -167,7 +208,10 @@
             let follows =
                 |leader: usize| leader != n && self.servers[leader].term >= self.servers[n].term;
             if self.servers[n].up && self.newest_leader().is_some_and(follows) {
-                events.push(Event::Receive(n));
+                events.extend([Event::Receive(n), Event::ReceiveRecord(n)]);
+            }
+            if !self.servers[n].registered {
+                events.push(Event::Register(n));
             }
         }
         let running = (0..HOSTS).filter(|&n| !self.hosts[n].restarted);
@@ -186,7 +230,7 @@
     }
 
     fn standing(&self, n: usize) -> Standing {
-        let Server { leads, restarted, term, ref log, .. } = self.servers[n];
+        let Server { leads, restarted, registered, term, ref log, .. } = self.servers[n];
         Standing {
             id: id(n),
             leads,
@@ -197,7 +241,7 @@
             term: Term(term.into()),
             received: Point::new(term.into(), log.len() as u64),
             busy: false,
-            restarted: restarted && self.recorded[n],
+            restarted: restarted && registered && self.recorded[n],
         }
     }
 
@@ -211,7 +255,10 @@
         let remembered = self.hosts.iter().all(|host| !host.restarted);
         let evidence = Evidence {
             terms: Terms { known: Term(self.known.into()), closed: Term(self.closed.into()) },
-            replica_set: ReplicaSet { servers: recorded.map(id).collect(), exhaustive: true },
+            replica_set: ReplicaSet {
+                servers: recorded.map(id).collect(),
+                exhaustive: self.exhaustive,
+            },
             confirmed,
             coverage: remembered.then_some(confirmed.unwrap_or_default()),
             completeness,
@@ -241,18 +288,27 @@
     fn apply(&mut self, event: Event, completeness: Completeness) -> Result<(), Fault> {
         match event {
             Event::Append => {
-                self.writes += 1;
-                self.servers[self.leader].log.push(self.writes);
+                self.append();
             }
             Event::Commit { host, replica } => {
-                self.writes += 1;
-                self.servers[self.leader].log.push(self.writes);
+                let record = self.append();
                 self.copy_log(self.leader, replica);
-                self.acknowledged.push(self.writes);
+                self.acknowledged.push(record);
                 let Server { term, ref log, .. } = self.servers[self.leader];
                 self.hosts[host].confirmed = Some((term, log.len() as u8));
             }
             Event::Receive(n) => self.copy_log(self.newest_leader().unwrap(), n),
+            Event::ReceiveRecord(n) => {
+                let leader = self.servers[self.newest_leader().unwrap()].clone();
+                let server = &mut self.servers[n];
+                let equal = |(own, sent): &(&u8, &u8)| own == sent;
+                let common = server.log.iter().zip(&leader.log).take_while(equal).count();
+                server.log = leader.log.iter().copied().take(common + 1).collect();
+                // A server has a term once it has received the log with which the term began.
+                let last = server.log.last().filter(|_| server.log != leader.log);
+                server.term = last.map_or(leader.term, |record| self.terms[*record as usize - 1]);
+                server.leads = false;
+            }
             Event::Crash(n) => self.servers[n].up = false,
             Event::Return(n) => {
                 let newest = self.servers.iter().map(|server| server.term).max().unwrap();
@@ -260,13 +316,22 @@
                 self.servers[n].leads &= self.servers[n].term == newest;
             }
             Event::ReturnEmpty(n) => {
-                self.servers[n] =
-                    Server { up: true, leads: false, restarted: true, term: 0, log: Vec::new() };
+                self.servers[n] = Server {
+                    up: true,
+                    leads: false,
+                    restarted: true,
+                    registered: false,
+                    term: 0,
+                    log: Vec::new(),
+                };
             }
+            Event::Register(n) => self.servers[n].registered = true,
             Event::HostRestarts(n) => {
-                self.hosts[n] = Host { confirmed: None, restarted: true };
+                self.hosts[n] = Host { confirmed: None, restarted: true, counted: self.recorded };
             }
-            Event::Remove(n) => self.recorded[n] = false,
+            Event::ReadRow(n) => self.hosts[n].counted = self.recorded,
+            Event::Remove(n) => (self.recorded[n], self.exhaustive) = (false, false),
+            Event::Complete => self.exhaustive = true,
             Event::Add(n) => {
                 self.recorded[n] = true;
                 self.servers[n].restarted = false;
@@ -317,6 +382,8 @@
         (self.leader, self.known, self.moving) = (leader, term, false);
         self.recorded[leader] = true;
         self.servers[leader].restarted = false;
+        // A host uses the next leader by its row.
+        self.hosts.iter_mut().for_each(|host| host.counted = self.recorded);
     }
 
     /// Returns whether a failover finds no leader although all servers report with their logs.
--- a/components/peer/tests/message.rs
+++ b/components/peer/tests/message.rs
@@ -1,12 +1,12 @@
 //! Encoding of messages between hosts.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use bergamottrack_coordination::{
     Burst, Rate, Term,
     claims::Claim,
     demand::{AccountReport, Report, Ruling},
-    view::{Leadership, Member, Versioned},
+    view::{Leadership, Member, RecordedSet, Versioned},
 };
 use bergamottrack_peer::{
     Answer, Question,
@@ -237,7 +237,7 @@
     let value = Leadership::Steady {
         leader: "s1".parse().unwrap(),
         term: Term(1),
-        servers: BTreeMap::new(),
+        recorded: RecordedSet::default(),
     };
     let row = Versioned { version: 2, value };
     let group = "g1".parse().unwrap();
--- a/components/proxy/src/confirm.rs
+++ b/components/proxy/src/confirm.rs
@@ -190,6 +190,11 @@
         }
         let before = receipts.state.borrow().clone();
         let reading = received_position(&host, &pool).await;
+        // A row without this server may have been read meanwhile, whose writer takes the release of the
+        // former row to mean that its confirmations do not count any more.
+        if !replica_set::counts(&host, &group, &id) {
+            break;
+        }
         receipts.state.borrow_mut().record(&id, reading, host.now());
         receipts.updated.notify_waiters();
         let advanced = matches!(reading, ProbeResult::Received(point) if !before.covers(point));
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -18,7 +18,7 @@
     duty, evacuation,
     succession::{self, Completeness, Evidence, Next, Order, Standing, Terms},
     suspicion,
-    view::{FAILOVER_TTL, Leadership, LeaseRelease, RecordedServers, Versioned, View},
+    view::{FAILOVER_TTL, Leadership, LeaseRelease, RecordedSet, Versioned, View},
 };
 use bergamottrack_model::{Role, Status};
 use bergamottrack_platform::http::Client;
@@ -72,8 +72,8 @@
     acknowledged: Rc<RefCell<BTreeMap<HostId, Acknowledged>>>,
     /// View that contains the intent; empty before it is read.
     view: RefCell<View>,
-    /// Servers that may have confirmed a commit, by the group's row; empty if they are not recorded.
-    recorded: RecordedServers,
+    /// Servers that may have confirmed a commit, by the group's row.
+    recorded: RecordedSet,
     /// Acquisition of the duty whose answer has not arrived; `None` after an answer.
     unanswered_duty: RefCell<Option<duty::Duty>>,
     /// Entry in the metrics while no server is shown to be complete.
@@ -101,12 +101,21 @@
         let now = host.now();
         let (holder, since) = (host.settings.host.clone(), monitor::store_now(host));
         let term = before.as_ref().map(|row| row.value.term()).unwrap_or_default();
-        // A set of before is outdated where servers are not recorded any more.
-        let recorded = before.as_ref().filter(|_| replica_set::is_required(host, group));
-        let recorded = recorded.map(|row| row.value.servers().clone()).unwrap_or_default();
-        let servers = recorded.clone();
-        let moving =
-            Leadership::Moving { from: from.clone(), holder, since, planned, term, servers };
+        let recorded = before.as_ref().map(|row| row.value.recorded().clone()).unwrap_or_default();
+        let recorded = if replica_set::is_required(host, group) {
+            recorded
+        } else {
+            // A set of before is outdated where servers are not recorded any more.
+            replica_set::unrecorded(host, &recorded)
+        };
+        let moving = Leadership::Moving {
+            from: from.clone(),
+            holder,
+            since,
+            planned,
+            term,
+            recorded: recorded.clone(),
+        };
         let change = Change {
             expect: vec![(key.clone(), before.map_or(0, |row| row.version))],
             put: vec![(key, serde_json::to_vec(&moving)?)],
@@ -411,7 +420,7 @@
     /// Combines a server's report with its entry in the list and its placement.
     fn standing(&self, host: &Host, pool: &Pool, Report { status, busy }: Report) -> Standing {
         let listed = pool.listed.borrow();
-        let started = self.recorded.get(&listed.id);
+        let started = self.recorded.servers.get(&listed.id);
         Standing {
             id: listed.id.clone(),
             leads: status.role == Role::Primary,
@@ -436,13 +445,13 @@
         term: Term,
     ) -> anyhow::Result<()> {
         let key = fleet::group_key(&group.id);
-        let mut servers = self.recorded.clone();
-        if !servers.is_empty()
+        let mut recorded = self.recorded.clone();
+        if !recorded.servers.is_empty()
             && let Some(pool) = host.server(&leader)
         {
-            servers.insert(leader.clone(), pool.listed.borrow().started_ms);
+            recorded.servers.insert(leader.clone(), pool.listed.borrow().started_ms);
         }
-        let steady = Leadership::Steady { leader, term, servers };
+        let steady = Leadership::Steady { leader, term, recorded };
         let change = Change {
             expect: vec![(key.clone(), self.intent)],
             put: vec![(key, serde_json::to_vec(&steady)?)],
--- a/components/proxy/src/failover/evidence.rs
+++ b/components/proxy/src/failover/evidence.rs
@@ -30,9 +30,9 @@
             (false, false) => Completeness::Awaited,
             (false, true) => Completeness::Waived,
         };
-        let recorded = required && !self.recorded.is_empty();
+        let recorded = required && !self.recorded.servers.is_empty();
         let mut servers = if recorded {
-            self.recorded.keys().cloned().collect()
+            self.recorded.servers.keys().cloned().collect()
         } else if required {
             let catalog = host.backends.catalog.borrow();
             catalog.group(&group.id).map(|listed| listed.id.clone()).collect()
@@ -40,7 +40,8 @@
             listed_candidates(host, group, standings)
         };
         servers.extend(self.from.clone());
-        let replica_set = ReplicaSet { servers, exhaustive: recorded || !required };
+        let exhaustive = !required || recorded && self.recorded.exhaustive;
+        let replica_set = ReplicaSet { servers, exhaustive };
         let terms = self.terms.get();
         let (confirmed, coverage) = (self.confirmed(group), self.coverage(host, group));
         Evidence { terms, replica_set, confirmed, coverage, completeness }
--- a/components/proxy/src/group.rs
+++ b/components/proxy/src/group.rs
@@ -43,7 +43,9 @@
     pub in_failover: Cell<bool>,
     /// Whether a task of this host records the servers of the group.
     pub recording: Cell<bool>,
-    /// Time since which the group's row does not name the listed servers; `None` while it does.
+    /// Version of the group's row, and the time since which this host has it.
+    pub row_since: Cell<Option<(u64, Instant)>>,
+    /// Time since which the servers of the group are to be recorded; `None` while the row is up to date.
     pub unrecorded_since: Cell<Option<Instant>>,
     /// Failover whose host cannot be reached: the store's time at its begin, and the time since which.
     pub lost_holder: Cell<Option<(Duration, Instant)>>,
@@ -109,6 +111,7 @@
             probing: Cell::default(),
             in_failover: Cell::default(),
             recording: Cell::default(),
+            row_since: Cell::default(),
             unrecorded_since: Cell::default(),
             lost_holder: Cell::default(),
             successor_retry_at: Cell::default(),
--- a/components/proxy/src/replica_set.rs
+++ b/components/proxy/src/replica_set.rs
@@ -3,6 +3,10 @@
 //! A failover must know every server that may have confirmed a commit, also one that is no longer listed,
 //! see `succession::ReplicaSet`. A server is added once it has received all that the leader had when it was
 //! asked. It is removed once it has no entry and another server of the set has received as much.
+//!
+//! A host that has not read the row without a removed server may still count its confirmations. The set is
+//! therefore not exhaustive until the leases of before the row have expired, and another server has received
+//! since then all that the leader had.
 
 use std::{rc::Rc, time::Duration};
 
@@ -10,7 +14,7 @@
 use bergamottrack_adapter::store::{self, Change, TxOutcome};
 use bergamottrack_coordination::{
     ServerId, Term, evacuation, suspicion,
-    view::{Leadership, RecordedServers, Versioned},
+    view::{LEASE_MARGIN, LEASE_TTL, Leadership, RecordedServers, RecordedSet, Versioned},
 };
 use bergamottrack_model::Role;
 use bergamottrack_platform::http::Client;
@@ -34,6 +38,15 @@
     plan.groups.get(&group.id).is_some_and(|limits| limits.sync_replicas > 0)
 }
 
+/// Returns the set of a row that follows one with the set `before`, where servers are not recorded any more.
+pub fn unrecorded(host: &Host, before: &RecordedSet) -> RecordedSet {
+    if *before == RecordedSet::default() {
+        return RecordedSet::default();
+    }
+    let revision = host.plan().map_or(before.revision, |plan| plan.version);
+    RecordedSet { revision, ..RecordedSet::default() }
+}
+
 /// Returns whether a server's confirmation counts: a failover takes the server into account. Succeeds for
 /// groups without recorded servers.
 pub fn counts(host: &Host, group: &Group, server: &ServerId) -> bool {
@@ -42,23 +55,33 @@
     }
     let leased_view = host.leased_view.borrow();
     let Some(row) = leased_view.leadership(&group.id) else { return true };
-    let servers = row.value.servers();
+    let servers = &row.value.recorded().servers;
     let catalog = host.backends.catalog.borrow();
     let started = catalog.get(server).map(|listed| &listed.started_ms);
     servers.is_empty() || (started.is_some() && servers.get(server) == started)
 }
 
-/// Starts to record the group's servers if the row does not name the listed ones, and this host is due
-/// to do so: the holder of the leader's connections first. `leader` is the group's leader.
+/// Starts to record the group's servers if the row does not name the listed ones, or is not known to be
+/// exhaustive, and this host is due to do so: the holder of the leader's connections first. `leader` is the
+/// group's leader.
 pub fn check(host: &Rc<Host>, group: &Rc<Group>, leader: &Rc<Pool>) {
     if !host.has_settled_list() || host.plan().is_none() {
         return;
     }
     let row = host.leased_view.borrow().leadership(&group.id).cloned();
-    let recorded = row.as_ref().map(|row| row.value.servers().clone()).unwrap_or_default();
+    let recorded = row.as_ref().map(|row| row.value.recorded().clone()).unwrap_or_default();
     let now = host.now();
+    let version = row.as_ref().map(|row| row.version);
+    let (_, since) = group
+        .row_since
+        .get()
+        .filter(|(known, _)| Some(*known) == version)
+        .unwrap_or_else(|| (version.unwrap_or_default(), now));
+    group.row_since.set(version.map(|version| (version, since)));
+    let is_sole = now >= since + LEASE_TTL + LEASE_MARGIN;
     let required = is_required(host, group);
-    if recorded == if required { listed(host, group) } else { RecordedServers::new() } {
+    let servers = if required { listed(host, group) } else { RecordedServers::new() };
+    if recorded.servers == servers && (recorded.exhaustive || !required || !is_sole) {
         group.unrecorded_since.set(None);
         return;
     }
@@ -71,7 +94,7 @@
     }
     let (host, group, leader) = (host.clone(), group.clone(), leader.clone());
     monoio::spawn(async move {
-        if let Err(error) = record(&host, &group, &leader, row, &recorded).await {
+        if let Err(error) = record(&host, &group, &leader, row, recorded, is_sole).await {
             let error = format_args!("{error:#}");
             debug!(group = %group.id, %error, "replica set: not recorded, retrying");
         }
@@ -88,44 +111,52 @@
 }
 
 /// Writes the set: the leader, the listed servers that have received its log, and those listed ones that
-/// are recorded. Fails if no other server has received the leader's log.
+/// are recorded. Fails if no other server has received the leader's log. `is_sole` if no host can use the
+/// leader by an earlier row than `before`.
 async fn record(
     host: &Host,
     group: &Group,
     leader: &Rc<Pool>,
     before: Option<Versioned<Leadership>>,
-    recorded: &RecordedServers,
+    recorded: RecordedSet,
+    is_sole: bool,
 ) -> anyhow::Result<()> {
     let id = leader.listed.borrow().id.clone();
     let known = before.as_ref().map(|row| row.value.term()).unwrap_or_default();
     if !is_required(host, group) {
         // Any server confirms commits now, so the set would miss some if it were required again.
-        return write(host, group, before, id, known, RecordedServers::new()).await;
+        let set = unrecorded(host, &recorded);
+        return write(host, group, before, id, known, set).await;
     }
     let (term, mut servers) = up_to_date(host, group, leader, known).await?;
     // Two servers of the new set have each commit that a removed one may have confirmed.
     ensure!(!servers.is_empty(), "no replica has received the leader's log");
     let listed = listed(host, group);
-    let kept = recorded.iter().filter(|(id, started)| listed.get(*id) == Some(*started));
+    let kept = recorded.servers.iter().filter(|(id, started)| listed.get(*id) == Some(*started));
     servers.extend(kept.map(|(id, started)| (id.clone(), *started)));
     servers.insert(id.clone(), leader.listed.borrow().started_ms);
-    if servers == *recorded {
+    // By a row without servers, hosts count all.
+    let keeps = recorded.servers.iter().all(|(id, started)| servers.get(id) == Some(started));
+    let keeps = keeps && !recorded.servers.is_empty();
+    let exhaustive = keeps && (recorded.exhaustive || is_sole);
+    if servers == recorded.servers && exhaustive == recorded.exhaustive {
         return Ok(());
     }
-    write(host, group, before, id, term, servers).await
+    let revision = host.plan().context("no configuration")?.version;
+    write(host, group, before, id, term, RecordedSet { servers, exhaustive, revision }).await
 }
 
-/// Writes the group's row with the given servers, unless it has changed since `before`.
+/// Writes the group's row with the given set, unless it has changed since `before`.
 async fn write(
     host: &Host,
     group: &Group,
     before: Option<Versioned<Leadership>>,
     id: ServerId,
     term: Term,
-    servers: RecordedServers,
+    recorded: RecordedSet,
 ) -> anyhow::Result<()> {
     let key = fleet::group_key(&group.id);
-    let row = Leadership::Steady { leader: id, term, servers: servers.clone() };
+    let row = Leadership::Steady { leader: id, term, recorded: recorded.clone() };
     let change = Change {
         expect: vec![(key.clone(), before.map_or(0, |row| row.version))],
         put: vec![(key, serde_json::to_vec(&row)?)],
@@ -135,7 +166,8 @@
     let outcome = store::change(&client, &change, STORE_TIMEOUT).await?;
     host.view_wakeup.notify_one();
     if let TxOutcome::Applied(version) = outcome {
-        info!(group = %group.id, version, ?servers, "replica set: recorded");
+        let RecordedSet { servers, exhaustive, revision } = recorded;
+        info!(group = %group.id, version, ?servers, exhaustive, %revision, "replica set: recorded");
     }
     Ok(())
 }
--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -13,15 +13,15 @@
     ManualClock, SystemClock, Term,
     contact::CONTACT_TTL,
     duty,
-    view::{self, Leadership, RecordedServers, Versioned},
+    view::{self, Leadership, RecordedSet, Versioned},
 };
-use bergamottrack_proxy::{failover::Failover, fleet};
+use bergamottrack_proxy::fleet;
 use hyper::StatusCode;
 use monoio::{
     io::AsyncReadRent,
     net::{ListenerOpts, TcpListener, TcpStream},
 };
-use replicas::{Fleet, Report, TERM, id, recorded, steady, until};
+use replicas::{Fleet, Report, TERM, id, recorded_set, steady, until};
 
 /// Guards against two leaders: a promotion call gets no answer and takes effect, the successor is out
 /// of reach for longer than the wait for it, and the former leader, which still reports that it leads,
@@ -44,7 +44,7 @@
     let successor = Leadership::Steady {
         leader: id("s3"),
         term: Term(TERM + 1),
-        servers: RecordedServers::new(),
+        recorded: RecordedSet::default(),
     };
     assert_eq!(fleet.leadership().await, successor);
 }
@@ -263,7 +263,7 @@
     monoio::time::sleep(Duration::from_millis(1500)).await;
     fleet.report(1, Report::Primary(TERM));
     run.await.unwrap();
-    assert_eq!(fleet.leadership().await, steady(RecordedServers::new()));
+    assert_eq!(fleet.leadership().await, steady(&[]));
     assert!(fleet.platform.borrow().promoted.is_empty());
 }
 
@@ -288,8 +288,8 @@
     fleet.report(2, Report::Primary(TERM + 1));
     run.await.unwrap();
     assert_eq!(fleet.host.metrics.incomplete_failovers.get(), 0);
-    let servers = recorded(&["s1", "s2", "s3"]);
-    let successor = Leadership::Steady { leader: id("s2"), term: Term(TERM + 1), servers };
+    let recorded = recorded_set(&["s1", "s2", "s3"]);
+    let successor = Leadership::Steady { leader: id("s2"), term: Term(TERM + 1), recorded };
     assert_eq!(fleet.leadership().await, successor);
 }
 
@@ -343,12 +343,9 @@
     let value = Leadership::Steady {
         leader: id("s2"),
         term: Term(TERM),
-        servers: recorded(&["s1", "s2", "s3"]),
+        recorded: recorded_set(&["s1", "s2", "s3"]),
     };
-    let version = fleet.write(fleet::group_key(&fleet.group.id), &value).await;
-    let before = Some(Versioned { version, value });
-    let failover = Failover::begin(&fleet.host, &fleet.group, before, Some(id("s2")), false).await;
-    let failover = failover.unwrap().unwrap();
+    let failover = fleet.begin_from(false, value).await;
     let run = monoio::spawn({
         let (host, group) = (fleet.host.clone(), fleet.group.clone());
         async move { failover.run(&host, &group).await }
@@ -374,7 +371,7 @@
         since: Duration::ZERO,
         planned: false,
         term: Term(TERM),
-        servers: RecordedServers::new(),
+        recorded: RecordedSet::default(),
     };
     let intent = fleet.write(fleet::group_key(&fleet.group.id), &value).await;
     // As a request of the host that runs the failover does.
--- a/components/proxy/tests/forward.rs
+++ b/components/proxy/tests/forward.rs
@@ -3,13 +3,13 @@
 mod hosts;
 mod server;
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bergamottrack_contract::{Host as Peer, Routes};
 use bergamottrack_coordination::{
     ManualClock, Point, SystemClock, Term,
     token::Secret,
-    view::{LEASE_TTL, Leadership, Versioned},
+    view::{LEASE_TTL, Leadership, RecordedSet, Versioned},
 };
 use bergamottrack_model::ListedServer;
 use bergamottrack_peer::{
@@ -125,8 +125,14 @@
     async fn request_release(&self, wants_confirmed: bool) -> Answer {
         let (from, holder) = (Some(hosts::server()), hosts::id("h1"));
         let (since, planned, term) = (hosts::VIEW_CLOCK, false, Term(1));
-        let value =
-            Leadership::Moving { from, holder, since, planned, term, servers: BTreeMap::new() };
+        let value = Leadership::Moving {
+            from,
+            holder,
+            since,
+            planned,
+            term,
+            recorded: RecordedSet::default(),
+        };
         let row = Versioned { version: INTENT, value };
         let question = Question::ApplyLeadership { group: hosts::group(), row, wants_confirmed };
         self.link.query(question, TIMEOUT).await.unwrap()
--- a/components/proxy/tests/hosts/mod.rs
+++ b/components/proxy/tests/hosts/mod.rs
@@ -3,16 +3,11 @@
 // Each test uses a part.
 #![allow(dead_code)]
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use bergamottrack_coordination::{
     Clock, GroupId, HostId, ServerId, Term, cold, demand,
-    view::{Leadership, Member, Versioned, View},
+    view::{Leadership, Member, RecordedSet, Versioned, View},
 };
 use bergamottrack_model::Settings;
 use bergamottrack_proxy::{Host, fleet, serve};
@@ -73,7 +68,7 @@
     let members = [(id("h1"), other), (id("h2"), fleet::own_row(&host.settings))];
     let row = |value: Member| Versioned { version: 1, value };
     let leadership =
-        Leadership::Steady { leader: server(), term: Term(1), servers: BTreeMap::new() };
+        Leadership::Steady { leader: server(), term: Term(1), recorded: RecordedSet::default() };
     let view = View {
         version: 2,
         clock: VIEW_CLOCK,
--- a/components/proxy/tests/replica_set.rs
+++ b/components/proxy/tests/replica_set.rs
@@ -11,13 +11,17 @@
 };
 
 use bergamottrack_coordination::{
-    ManualClock, Point, Revision, SystemClock, view::RecordedServers,
+    ManualClock, Point, Revision, SystemClock, Term,
+    view::{LEASE_MARGIN, LEASE_TTL, Leadership, RecordedSet, Versioned},
 };
 use bergamottrack_model::{ListedServer, plan::Plan};
-use bergamottrack_proxy::{confirm, fleet, release, replica_set};
+use bergamottrack_proxy::{
+    confirm, fleet, follow::MISSING_ENTRY_TTL, monitor, release, replica_set,
+};
 use bytes::Bytes;
 use replicas::{
-    Fleet, Report, STARTED_MS, TERM, TIMEOUT, id, recorded, start_server, steady, until,
+    Fleet, Report, STARTED_MS, TERM, TIMEOUT, id, recorded, recorded_set, start_server, steady,
+    until,
 };
 
 /// Guards against a set of servers that does not hold the acknowledged commits twice: it is recorded, or a
@@ -29,15 +33,25 @@
     fleet.require_complete();
     fleet.watch().await;
     monoio::spawn(fleet::follow(fleet.host.clone()));
-    let until_recorded = async |servers: &[&str]| {
+    let row = |servers: &[&str], version| Leadership::Steady {
+        leader: id("s1"),
+        term: Term(TERM),
+        recorded: RecordedSet {
+            servers: recorded(servers),
+            exhaustive: false,
+            revision: Revision(version),
+        },
+    };
+    let until_row = async |expected: Leadership| {
         let end = Instant::now() + TIMEOUT;
-        while fleet.leadership().await != steady(recorded(servers)) {
+        while fleet.leadership().await != expected {
             assert!(Instant::now() < end, "not recorded: {:?}", fleet.leadership().await);
             monoio::time::sleep(Duration::from_millis(20)).await;
         }
     };
+    let until_recorded = async |servers: &[&str]| until_row(row(servers, 1)).await;
     monoio::time::sleep(Duration::from_secs(4)).await;
-    assert_eq!(fleet.leadership().await, steady(RecordedServers::new()));
+    assert_eq!(fleet.leadership().await, steady(&[]));
     fleet.report(2, Report::Replica(60));
     until_recorded(&["s1", "s2"]).await;
     fleet.report(3, Report::Replica(60));
@@ -45,18 +59,18 @@
     fleet.report(2, Report::Replica(50));
     fleet.remove("s3");
     monoio::time::sleep(Duration::from_secs(1)).await;
-    assert_eq!(fleet.leadership().await, steady(recorded(&["s1", "s2", "s3"])));
+    assert_eq!(fleet.leadership().await, row(&["s1", "s2", "s3"], 1));
     fleet.report(2, Report::Replica(60));
     until_recorded(&["s1", "s2"]).await;
     let joined = Rc::new(RefCell::new(Report::Replica(10)));
     start_server(&fleet.host, "s4", joined.clone());
     monoio::time::sleep(Duration::from_secs(1)).await;
-    assert_eq!(fleet.leadership().await, steady(recorded(&["s1", "s2"])));
+    assert_eq!(fleet.leadership().await, row(&["s1", "s2"], 1));
     *joined.borrow_mut() = Report::Replica(60);
     until_recorded(&["s1", "s2", "s4"]).await;
     // Without the requirement any server confirms commits, and an outdated set must not count later.
     fleet.host.set_plan(Plan { version: Revision(2), ..Plan::default() }, Bytes::new());
-    until_recorded(&[]).await;
+    until_row(row(&[], 2)).await;
 }
 
 /// Guards against the loss of acknowledged commits: a server has started again under its id without its
@@ -86,7 +100,7 @@
     let reports = [Report::Primary(TERM), Report::Replica(60), Report::Replica(60)];
     let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
     let key = fleet::group_key(&fleet.group.id);
-    fleet.write(key, &steady(recorded(&["s1", "s2"]))).await;
+    fleet.write(key, &steady(&["s1", "s2"])).await;
     fleet::apply_view(&fleet.host, fleet.view().await, fleet.host.now());
     let counts = |name| replica_set::counts(&fleet.host, &fleet.group, &id(name));
     assert!(counts("s3"));
@@ -120,7 +134,7 @@
     let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
     fleet.require_complete();
     let key = fleet::group_key(&fleet.group.id);
-    fleet.write(key, &steady(recorded(&["s1", "s2"]))).await;
+    fleet.write(key, &steady(&["s1", "s2"])).await;
     fleet::apply_view(&fleet.host, fleet.view().await, fleet.host.now());
     let commit = Point::new(TERM, 60);
     assert!(!confirm::is_stalled(&fleet.host, &fleet.group));
@@ -140,8 +154,7 @@
     let reports = [Report::Primary(TERM), Report::Replica(60), Report::Replica(60)];
     let fleet = Fleet::start(clock.clone(), None, reports);
     let host = &fleet.host;
-    let row = steady(recorded(&["s1", "s2"]));
-    fleet.write(fleet::group_key(&fleet.group.id), &row).await;
+    fleet.write(fleet::group_key(&fleet.group.id), &steady(&["s1", "s2"])).await;
     fleet.write(fleet::member_key(&host.settings.host), &fleet::own_row(&host.settings)).await;
     fleet.platform.borrow_mut().read_delay = Duration::from_millis(300);
     monoio::spawn(fleet::follow(host.clone()));
@@ -154,3 +167,94 @@
     let (at, _) = report.leader.unwrap();
     assert!(at.as_millis() <= fleet.platform.borrow().now_ms().into(), "{at:?}");
 }
+
+/// Returns a row with the leader s1 and recorded servers that may not be all that confirm commits.
+fn partial(names: &[&str]) -> Leadership {
+    let recorded = RecordedSet { exhaustive: false, ..recorded_set(names) };
+    Leadership::Steady { leader: id("s1"), term: Term(TERM), recorded }
+}
+
+/// Guards against the loss of acknowledged commits: a host that has not read the row without a removed server
+/// counts its confirmation, and a failover of which this host is no part any more promotes another server
+/// by the reports of the remaining ones.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn server_is_not_promoted_by_reports_of_a_set_that_is_not_exhaustive() {
+    let reports = [Report::Silent, Report::Replica(50), Report::Silent];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.require_complete();
+    let failover = fleet.begin_from(false, partial(&["s1", "s2"])).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    monoio::time::sleep(Duration::from_secs(1)).await;
+    assert!(fleet.platform.borrow().promoted.is_empty());
+    fleet.report(1, Report::Primary(TERM));
+    run.await.unwrap();
+    assert_eq!(fleet.leadership().await, partial(&["s1", "s2"]));
+}
+
+/// Guards against the loss of acknowledged commits: a set without a removed server counts as exhaustive
+/// while a host may still count that server's confirmations, or before a replica has the commits.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn set_is_exhaustive_once_no_host_goes_by_an_earlier_row() {
+    let clock = Rc::new(ManualClock::new());
+    let reports = [Report::Primary(TERM), Report::Replica(60), Report::Replica(60)];
+    let fleet = Fleet::start(clock.clone(), None, reports);
+    fleet.require_complete();
+    fleet.watch_from(steady(&["s1", "s2", "s3"])).await;
+    monoio::spawn(fleet::follow(fleet.host.clone()));
+    let until_exhaustive = async |servers: &[&str], exhaustive| {
+        let end = Instant::now() + TIMEOUT;
+        loop {
+            let row = fleet.leadership().await;
+            let set = row.recorded();
+            let known = fleet.host.leased_view.borrow().leadership(&fleet.group.id).cloned();
+            let is_known = known.is_some_and(|known| known.value == row);
+            if set.servers == recorded(servers) && set.exhaustive == exhaustive && is_known {
+                // The monitor of the host has also found the row.
+                return monoio::time::sleep(monitor::CHECK_INTERVAL * 2).await;
+            }
+            assert!(Instant::now() < end, "not recorded: {row:?}");
+            monoio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    clock.advance(MISSING_ENTRY_TTL);
+    fleet.remove("s3");
+    until_exhaustive(&["s1", "s2"], false).await;
+    clock.advance(LEASE_TTL - Duration::from_secs(1));
+    fleet.host.view_wakeup.notify_one();
+    monoio::time::sleep(Duration::from_secs(1)).await;
+    until_exhaustive(&["s1", "s2"], false).await;
+    fleet.report(2, Report::Replica(50));
+    clock.advance(LEASE_MARGIN + Duration::from_secs(1));
+    fleet.host.view_wakeup.notify_one();
+    monoio::time::sleep(Duration::from_secs(1)).await;
+    until_exhaustive(&["s1", "s2"], false).await;
+    fleet.report(2, Report::Replica(60));
+    until_exhaustive(&["s1", "s2"], true).await;
+    start_server(&fleet.host, "s4", Rc::new(RefCell::new(Report::Replica(60))));
+    until_exhaustive(&["s1", "s2", "s4"], true).await;
+}
+
+/// Guards against the loss of acknowledged commits: a replica is removed from the recorded ones while this
+/// host polls it, and its confirmation counts.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn confirmation_by_a_replica_that_was_removed_meanwhile_does_not_count() {
+    let reports = [Report::Primary(TERM), Report::Replica(50), Report::Replica(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.require_complete();
+    let (host, group) = (&fleet.host, &fleet.group);
+    let key = fleet::group_key(&group.id);
+    fleet.write(key.clone(), &steady(&["s1", "s2", "s3"])).await;
+    fleet::apply_view(host, fleet.view().await, host.now());
+    let remove = async {
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        let value = steady(&["s1", "s2"]);
+        let version = fleet.write(key, &value).await;
+        fleet::apply_row(host, &group.id, Versioned { version, value });
+        fleet.report(3, Report::Replica(60));
+    };
+    let (confirmed, ()) = monoio::join!(confirm::wait(host, group, Point::new(TERM, 60)), remove);
+    assert!(confirmed.is_err());
+}
--- a/components/proxy/tests/replicas/mod.rs
+++ b/components/proxy/tests/replicas/mod.rs
@@ -13,7 +13,7 @@
 use bergamottrack_adapter::store::{self, Change, TxOutcome};
 use bergamottrack_coordination::{
     Clock, Revision, ServerId, Term,
-    view::{Leadership, RecordedServers, Versioned, View},
+    view::{Leadership, RecordedServers, RecordedSet, Versioned, View},
 };
 use bergamottrack_model::{
     ListedServer, Role, Settings,
@@ -118,8 +118,12 @@
 
     /// Writes the host's row and that of the group, whose leader is s1, and starts the host's monitor.
     pub async fn watch(&self) {
+        self.watch_from(steady(&[])).await;
+    }
+
+    /// As [`Self::watch`], with the given row of the group.
+    pub async fn watch_from(&self, value: Leadership) {
         let host = &self.host;
-        let value = steady(RecordedServers::new());
         self.write(fleet::group_key(&self.group.id), &value).await;
         self.write(fleet::member_key(&host.settings.host), &fleet::own_row(&host.settings)).await;
         fleet::apply_view(host, self.view().await, host.now());
@@ -152,10 +156,16 @@
 
     /// As [`Self::begin`], with the given recorded servers.
     pub async fn begin_with(&self, planned: bool, servers: &[&str]) -> Failover {
-        let value = steady(recorded(servers));
+        self.begin_from(planned, steady(servers)).await
+    }
+
+    /// As [`Self::begin`], of the leader in the given row.
+    pub async fn begin_from(&self, planned: bool, value: Leadership) -> Failover {
+        let Leadership::Steady { leader, .. } = &value else { panic!("no leader in {value:?}") };
+        let from = Some(leader.clone());
         let version = self.write(fleet::group_key(&self.group.id), &value).await;
         let before = Some(Versioned { version, value });
-        let begun = Failover::begin(&self.host, &self.group, before, Some(id("s1")), planned).await;
+        let begun = Failover::begin(&self.host, &self.group, before, from, planned).await;
         begun.unwrap().expect("the intent is not written")
     }
 
@@ -174,9 +184,15 @@
     names.iter().map(|name| (id(name), STARTED_MS)).collect()
 }
 
-/// Returns a row with the leader s1 and the recorded servers.
-pub fn steady(servers: RecordedServers) -> Leadership {
-    Leadership::Steady { leader: id("s1"), term: Term(TERM), servers }
+/// Returns an exhaustive set of the servers of the given names, or no set without names.
+pub fn recorded_set(names: &[&str]) -> RecordedSet {
+    let exhaustive = !names.is_empty();
+    RecordedSet { servers: recorded(names), exhaustive, revision: Revision(0) }
+}
+
+/// Returns a row with the leader s1 and the recorded servers of the given names.
+pub fn steady(names: &[&str]) -> Leadership {
+    Leadership::Steady { leader: id("s1"), term: Term(TERM), recorded: recorded_set(names) }
 }
 
 pub fn id(name: &str) -> ServerId {
