Failover: the row decides for a host whose configuration is older than the one that recorded the servers

For services that have just been given `syncReplicas` 1, a failover on a host to which the new version has not come yet went by the old one: it dropped the recorded servers from its intent, and promoted the newest log after 4 s, without evidence. The same host rewrote the row without the servers while it was the one that records them, against the hosts with the new version.

Cause: `is_required` reads the plan of this host alone. The set in the row shows that another host has a version which requires it, but not whether that version is newer or older than this host's own.

The row now names the version of the configuration by which its servers are recorded, or are recorded no more. A host with an older one goes by the row and leaves it as it is. A version that sets `syncReplicas` to 0 is in force where it has arrived: this is how an operator accepts a loss, also in the middle of a failover.

Before the change incomplete_replica_is_not_promoted_by_a_host_with_an_outdated_configuration failed: s3 was promoted after 4 s.

--- a/components/proxy/src/replica_set.rs
+++ b/components/proxy/src/replica_set.rs
@@ -32,9 +32,15 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Returns whether no server of the group may be promoted that may lack an acknowledged commit. Assumed
-/// before this host has a configuration.
+/// before this host has a configuration. The group's row decides if it was written by a later configuration
+/// than that of this host.
 pub fn is_required(host: &Host, group: &Group) -> bool {
     let Some(plan) = host.plan() else { return true };
+    if let Some(row) = host.leased_view.borrow().leadership(&group.id)
+        && row.value.recorded().revision > plan.version
+    {
+        return !row.value.recorded().servers.is_empty();
+    }
     plan.groups.get(&group.id).is_some_and(|limits| limits.sync_replicas > 0)
 }
 
@@ -65,11 +71,12 @@
 /// exhaustive, and this host is due to do so: the holder of the leader's connections first. `leader` is the
 /// group's leader.
 pub fn check(host: &Rc<Host>, group: &Rc<Group>, leader: &Rc<Pool>) {
-    if !host.has_settled_list() || host.plan().is_none() {
-        return;
-    }
+    let Some(plan) = host.plan().filter(|_| host.has_settled_list()) else { return };
     let row = host.leased_view.borrow().leadership(&group.id).cloned();
     let recorded = row.as_ref().map(|row| row.value.recorded().clone()).unwrap_or_default();
+    if recorded.revision > plan.version {
+        return;
+    }
     let now = host.now();
     let version = row.as_ref().map(|row| row.version);
     let (_, since) = group
--- a/components/proxy/tests/replica_set.rs
+++ b/components/proxy/tests/replica_set.rs
@@ -258,3 +258,27 @@
     let (confirmed, ()) = monoio::join!(confirm::wait(host, group, Point::new(TERM, 60)), remove);
     assert!(confirmed.is_err());
 }
+
+/// Guards against the loss of acknowledged commits: a host that does not have the configuration yet by which
+/// the servers are recorded promotes the newest log after 4 s.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn incomplete_replica_is_not_promoted_by_a_host_with_an_outdated_configuration() {
+    let reports = [Report::Silent, Report::Silent, Report::Replica(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    let recorded = RecordedSet { revision: Revision(3), ..recorded_set(&["s1", "s2", "s3"]) };
+    let row = Leadership::Steady { leader: id("s1"), term: Term(TERM), recorded };
+    fleet.write(fleet::group_key(&fleet.group.id), &row).await;
+    fleet::apply_view(&fleet.host, fleet.view().await, fleet.host.now());
+    assert!(replica_set::is_required(&fleet.host, &fleet.group));
+    let failover = fleet.begin_from(false, row).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    monoio::time::sleep(Duration::from_secs(5)).await;
+    assert!(fleet.platform.borrow().promoted.is_empty());
+    // An operator accepts the loss by a later configuration.
+    fleet.host.set_plan(Plan { version: Revision(4), ..Plan::default() }, Bytes::new());
+    until(|| fleet.platform.borrow().promoted == ["s3".into()]).await;
+    drop(run);
+}
