Failover: a report counts once it is shown to be of the recorded process

A commit that callers had been told of could be lost through a server that starts again under its id without its log and receives the leader's from the beginning. Until its new entry is read, its report counted as that of the process that had confirmed commits: beside a crashed leader and a host that died, a failover counts two reports of three, and promotes the newest of them, which has a part of the log only.

Shown by the walk over orders of events, with entries that show a restart late and logs that are received in part: Append, Commit, the replica crashes, is back empty, receives one record; the host that acknowledged starts again; Begin, Choose. Eight events; the shorter walk holds. That the entry is read again by then is not shown: the list of a host lags behind the store, and PROTOCOL.md lets the entry of the earlier process stay for "three heartbeat intervals of silence".

Two things that hold together are a proof, without a trust in either clock of the server or order of its start: a connection ends with the process that accepted it, and an entry that is still in the store once an earlier process would have lost it, by the time for which the connection has been open and the store has answered, was written by the process at its other end. So a failover of such a service keeps one connection to each server from its intent on, and reads the entry; it asks for positions on these connections. A server that is away answers the choice the moment it accepts a connection again, not at the next interval; requests to one that refuses do not take their timeout any more.

`heartbeatIntervalMs` of the settings is read for it; without it no process is shown, and the leader's own report, or all hosts', are needed.

Before the change both tests failed: s2, which had lost its log, was promoted at once, as listed with its earlier start, and with its entry about to lapse.

--- a/components/coordination/src/succession.rs
+++ b/components/coordination/src/succession.rs
@@ -49,9 +49,19 @@
     /// Whether the server had no capacity to report its position. `received` is then the last record
     /// that it has applied, and it may have received more.
     pub busy: bool,
-    /// Whether the server has started again since its group's row named it, so that it may lack what the
-    /// earlier process had confirmed.
-    pub restarted: bool,
+    /// Process that reports.
+    pub process: Process,
+}
+
+/// Process of a server whose report a [`Standing`] is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Process {
+    /// The one that the group's row names, or the row names none of the server.
+    Recorded,
+    /// Not shown to be the one that the row names.
+    Unknown,
+    /// A later one than the row names, which may lack what the earlier one had confirmed.
+    Restarted,
 }
 
 /// Terms of a group in the store.
@@ -175,7 +185,7 @@
         // No other server leads in the known term, and no commit of a later one is acknowledged.
         let has_log_of = |leader: &Standing| {
             let known = leader.leads && leader.term == self.terms.known;
-            let known = known && !leader.busy && !leader.restarted;
+            let known = known && !leader.busy && leader.process != Process::Restarted;
             known && server.term >= leader.term && server.received >= leader.received
         };
         if self.terms.known > Term(0) && states.iter().any(has_log_of) {
@@ -185,7 +195,8 @@
         let reported = states.iter().filter(|state| {
             // A busy server may have received more than it shows.
             let exact = !state.busy || state.id == server.id;
-            servers.contains(&state.id) && exact && !state.restarted && state.term > Term(0)
+            let recorded = state.process == Process::Recorded;
+            servers.contains(&state.id) && exact && recorded && state.term > Term(0)
         });
         let mut received: Vec<Point> = reported.map(|state| state.received).collect();
         received.sort_unstable_by(|a, b| b.cmp(a));
@@ -207,7 +218,8 @@
     /// Returns the servers of the replica set that have not reported their position.
     pub fn missing<'a>(&'a self, states: &'a [Standing]) -> impl Iterator<Item = &'a ServerId> {
         let reports = |id: &ServerId| {
-            states.iter().any(|state| state.id == *id && !state.busy && !state.restarted)
+            let reports = |state: &Standing| !state.busy && state.process == Process::Recorded;
+            states.iter().any(|state| state.id == *id && reports(state))
         };
         self.replica_set.servers.iter().filter(move |id| !reports(id))
     }
--- a/components/coordination/tests/succession.rs
+++ b/components/coordination/tests/succession.rs
@@ -4,7 +4,7 @@
 
 use bergamottrack_coordination::{
     Point, ServerId, Term,
-    succession::{self, Completeness, Evidence, Next, Order, ReplicaSet, Standing, Terms},
+    succession::{self, Completeness, Evidence, Next, Order, Process, ReplicaSet, Standing, Terms},
 };
 
 fn id(name: &str) -> ServerId {
@@ -23,7 +23,7 @@
         term: Term(term),
         received,
         busy: false,
-        restarted: false,
+        process: Process::Recorded,
     }
 }
 
--- a/components/coordination/tests/succession_walk.rs
+++ b/components/coordination/tests/succession_walk.rs
@@ -4,7 +4,7 @@
 
 use bergamottrack_coordination::{
     Point, ServerId, Term,
-    succession::{self, Completeness, Evidence, Next, Order, ReplicaSet, Standing, Terms},
+    succession::{self, Completeness, Evidence, Next, Order, Process, ReplicaSet, Standing, Terms},
 };
 
 const SERVERS: usize = 3;
@@ -231,6 +231,11 @@
 
     fn standing(&self, n: usize) -> Standing {
         let Server { leads, restarted, registered, term, ref log, .. } = self.servers[n];
+        let process = match (restarted && self.recorded[n], registered) {
+            (false, _) => Process::Recorded,
+            (true, true) => Process::Restarted,
+            (true, false) => Process::Unknown,
+        };
         Standing {
             id: id(n),
             leads,
@@ -241,7 +246,7 @@
             term: Term(term.into()),
             received: Point::new(term.into(), log.len() as u64),
             busy: false,
-            restarted: restarted && registered && self.recorded[n],
+            process,
         }
     }
 
--- a/components/model/src/settings.rs
+++ b/components/model/src/settings.rs
@@ -39,6 +39,9 @@
     /// Time after a backend server has reported that it is leaving within which the last statement may
     /// be sent to it, except in open transactions; `Duration::MAX` if there is no bound.
     pub drain_bound: Duration,
+    /// Time after a backend server's last write to its entry after which the entry is removed;
+    /// `Duration::MAX` if it is not known.
+    pub entry_ttl: Duration,
     /// Tolerance by which the rate limit for cold servers may be exceeded.
     pub cold_tolerance: cold::Tolerance,
     /// Time within which a revoked key must stop working even on isolated hosts; `None` if isolated
--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -1,6 +1,7 @@
 //! A failover run by this host, from the intent to the new leader.
 
 mod evidence;
+mod probe;
 mod promotion;
 
 use std::{
@@ -16,7 +17,7 @@
     HostId, Point, ServerId, Term,
     coverage::Acknowledged,
     duty, evacuation,
-    succession::{self, Completeness, Evidence, Next, Order, Standing, Terms},
+    succession::{self, Completeness, Evidence, Next, Order, Process, Standing, Terms},
     suspicion,
     view::{FAILOVER_TTL, Leadership, LeaseRelease, RecordedSet, Versioned, View},
 };
@@ -26,6 +27,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use tracing::{info, warn};
 
+use self::probe::Probes;
 use crate::{
     fleet,
     follow::STORE_TIMEOUT,
@@ -74,6 +76,8 @@
     view: RefCell<View>,
     /// Servers that may have confirmed a commit, by the group's row.
     recorded: RecordedSet,
+    /// Contact with the servers, if a complete successor is required.
+    probes: Probes,
     /// Acquisition of the duty whose answer has not arrived; `None` after an answer.
     unanswered_duty: RefCell<Option<duty::Duty>>,
     /// Entry in the metrics while no server is shown to be complete.
@@ -146,6 +150,7 @@
             acknowledged: Rc::default(),
             view: RefCell::default(),
             recorded,
+            probes: Probes::default(),
             unanswered_duty: RefCell::default(),
             incomplete: RefCell::default(),
             logged: RefCell::default(),
@@ -158,6 +163,9 @@
     /// if it recovers. Fails if no leader is found before the deadline.
     pub async fn run(self, host: &Rc<Host>, group: &Rc<Group>) -> anyhow::Result<()> {
         let (began, sent_at) = (host.now(), host.now());
+        if self.identifies(host, group) {
+            self.probes.start(host, &self.candidates(host, group), &self.recorded.servers);
+        }
         let view = self.read_view(host).await?;
         self.terms.set(view.terms(&group.id));
         *self.view.borrow_mut() = view.clone();
@@ -190,7 +198,7 @@
                     info!(group = %group.id, %error, "leader: failover step failed, retrying");
                 }
             }
-            monoio::time::sleep(monitor::CHECK_INTERVAL).await;
+            self.probes.wait_update(monitor::CHECK_INTERVAL).await;
         }
         bail!("failover not finished within its time limit")
     }
@@ -293,8 +301,7 @@
         host: &Rc<Host>,
         group: &Rc<Group>,
     ) -> anyhow::Result<Option<(ServerId, Term)>> {
-        let mut pools = host.servers(&group.id);
-        pools.retain(|pool| !placement::is_forbidden(host, pool));
+        let pools = self.candidates(host, group);
         let order = if self.planned { Order::Placement } else { Order::Log };
         let next = self.select_successor(host, group, &pools, order).await;
         let next = match next {
@@ -318,22 +325,47 @@
         }
     }
 
+    /// Returns the servers whose status is requested.
+    fn candidates(&self, host: &Host, group: &Group) -> Vec<Rc<Pool>> {
+        let mut pools = host.servers(&group.id);
+        pools.retain(|pool| !placement::is_forbidden(host, pool));
+        pools
+    }
+
+    /// Returns whether reports count only from processes that are shown to be the recorded ones.
+    fn identifies(&self, host: &Host, group: &Group) -> bool {
+        !self.recorded.servers.is_empty() && replica_set::is_required(host, group)
+    }
+
+    /// Requests a server's status.
+    async fn read_status(
+        &self,
+        host: &Rc<Host>,
+        group: &Group,
+        pool: &Rc<Pool>,
+    ) -> Result<Status, StatusError> {
+        if self.identifies(host, group) {
+            self.probes.status(host, pool).await
+        } else {
+            monitor::free_status(host, pool, suspicion::PROBE_TIMEOUT).await
+        }
+    }
+
     /// Requests the status of the servers and selects the next leader.
     ///
     /// In an unplanned failover, the report of the former leader is awaited only if the others show no
     /// complete successor: it would usually cost its timeout.
     async fn select_successor(
         &self,
-        host: &Host,
+        host: &Rc<Host>,
         group: &Group,
         pools: &[Rc<Pool>],
         order: Order,
     ) -> Next {
         let is_former =
             |pool: &Pool| !self.planned && Some(&pool.listed.borrow().id) == self.from.as_ref();
-        let requests = pools.iter().map(async |pool| {
-            (pool, monitor::free_status(host, pool, suspicion::PROBE_TIMEOUT).await)
-        });
+        let requests =
+            pools.iter().map(async |pool| (pool, self.read_status(host, group, pool).await));
         let mut requests: FuturesUnordered<_> = requests.collect();
         let mut others = pools.iter().filter(|pool| !is_former(pool)).count();
         let mut standings = Vec::new();
@@ -420,7 +452,13 @@
     /// Combines a server's report with its entry in the list and its placement.
     fn standing(&self, host: &Host, pool: &Pool, Report { status, busy }: Report) -> Standing {
         let listed = pool.listed.borrow();
-        let started = self.recorded.servers.get(&listed.id);
+        let recorded = self.recorded.servers.get(&listed.id);
+        let process = match (recorded, self.probes.started(&listed.id)) {
+            (Some(recorded), _) if *recorded != listed.started_ms => Process::Restarted,
+            (Some(recorded), Some(started)) if *recorded != started => Process::Restarted,
+            (Some(_), None) => Process::Unknown,
+            _ => Process::Recorded,
+        };
         Standing {
             id: listed.id.clone(),
             leads: status.role == Role::Primary,
@@ -431,7 +469,7 @@
             term: status.term,
             received: status.received,
             busy,
-            restarted: started.is_some_and(|started| *started != listed.started_ms),
+            process,
         }
     }
 
--- /dev/null
+++ b/components/proxy/src/failover/probe.rs
@@ -0,0 +1,252 @@
+//! Continuous contact with the servers of a group during a failover.
+//!
+//! A report shows what a server has confirmed only if the process that reports is the one that the group's
+//! row names: a server that has started again without its log receives the leader's log from the beginning,
+//! and its report would count for records that it does not have yet. The entry under which it registers may be
+//! that of the earlier process until that one has missed its heartbeats.
+//!
+//! A connection ends with the process that accepted it. An entry that is still there once an earlier process
+//! would have lost it was therefore written by the process at the other end of the connection.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bergamottrack_adapter::{
+    registry,
+    store::{self, Table},
+};
+use bergamottrack_coordination::{ServerId, suspicion, view::RecordedServers};
+use bergamottrack_model::Status;
+use bergamottrack_platform::http::Client;
+use tokio::sync::Notify;
+use tracing::info;
+
+use crate::{
+    backend::Backend,
+    follow::STORE_TIMEOUT,
+    host::Host,
+    monitor::{self, StatusError},
+    pool::Pool,
+};
+
+/// Delay before a connection is opened again.
+const REOPEN_DELAY: Duration = Duration::from_millis(50);
+
+/// Interval between reads of entries while a process is not identified.
+const ENTRY_READ_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Contact with the servers of a group; ends on drop.
+#[derive(Default)]
+pub struct Probes {
+    /// Whether the store is read for the entries of the servers.
+    reading: Cell<bool>,
+    shared: Rc<Shared>,
+}
+
+/// State that the tasks of all probes share.
+#[derive(Default)]
+struct Shared {
+    /// Empty once the failover has ended.
+    probes: RefCell<BTreeMap<ServerId, Rc<Probe>>>,
+    /// Whether the failover has ended.
+    ended: Cell<bool>,
+    /// Notified when a connection is opened, or a process identified.
+    updated: Notify,
+}
+
+/// Contact with one server.
+struct Probe {
+    pool: Rc<Pool>,
+    /// Time at which the connection was opened; `None` without a connection.
+    opened: Cell<Option<Instant>>,
+    /// Start of the process at the other end of the connection; `None` while it is not shown.
+    started: Cell<Option<u64>>,
+    /// Whether the last attempt to open a connection has failed.
+    failed: Cell<bool>,
+    /// Last answer, and the time at which it was requested.
+    answer: Cell<Option<(Instant, Result<Status, StatusError>)>>,
+    /// Time of the last request that awaits an answer.
+    requested: Cell<Option<Instant>>,
+    request: Notify,
+    answered: Notify,
+    shared: Rc<Shared>,
+}
+
+impl Probes {
+    /// Begins the contact with the servers that have none. `recorded` are the servers of the group's row.
+    pub fn start(&self, host: &Rc<Host>, pools: &[Rc<Pool>], recorded: &RecordedServers) {
+        for pool in pools {
+            self.probe(host, pool);
+        }
+        if !self.reading.replace(true) {
+            monoio::spawn(identify(host.clone(), recorded.clone(), self.shared.clone()));
+        }
+    }
+
+    /// Requests a server's status as [`monitor::free_status`] does, on the connection that is kept.
+    pub async fn status(&self, host: &Rc<Host>, pool: &Rc<Pool>) -> Result<Status, StatusError> {
+        self.probe(host, pool).status(host).await
+    }
+
+    /// Returns the start of the process that gave a server's last status; `None` if it is not shown.
+    pub fn started(&self, server: &ServerId) -> Option<u64> {
+        self.shared.probes.borrow().get(server)?.started.get()
+    }
+
+    /// Waits until a connection is opened or a process identified, for `limit` at most.
+    pub async fn wait_update(&self, limit: Duration) {
+        // The servers are asked again in either case.
+        let _ = monoio::time::timeout(limit, self.shared.updated.notified()).await;
+    }
+
+    fn probe(&self, host: &Rc<Host>, pool: &Rc<Pool>) -> Rc<Probe> {
+        let id = pool.listed.borrow().id.clone();
+        let mut probes = self.shared.probes.borrow_mut();
+        let probe = probes.entry(id).or_insert_with(|| {
+            let probe = Rc::new(Probe {
+                pool: pool.clone(),
+                opened: Cell::default(),
+                started: Cell::default(),
+                failed: Cell::default(),
+                answer: Cell::default(),
+                requested: Cell::default(),
+                request: Notify::new(),
+                answered: Notify::new(),
+                shared: self.shared.clone(),
+            });
+            monoio::spawn(probe.clone().run(host.clone()));
+            probe
+        });
+        probe.clone()
+    }
+}
+
+impl Drop for Probes {
+    fn drop(&mut self) {
+        self.shared.ended.set(true);
+        let probes = self.shared.probes.take();
+        probes.values().for_each(|probe| probe.request.notify_one());
+    }
+}
+
+impl Probe {
+    async fn status(&self, host: &Host) -> Result<Status, StatusError> {
+        let asked = host.now();
+        let deadline = monoio::time::Instant::now() + suspicion::PROBE_TIMEOUT;
+        let mut last = Err(StatusError::Silent);
+        loop {
+            if self.opened.get().is_none() && self.failed.get() {
+                return Err(StatusError::Silent);
+            }
+            if let Some((_, answer)) = self.answer.get().filter(|(sent, _)| *sent >= asked) {
+                if !matches!(answer, Err(StatusError::Busy(_))) {
+                    return answer;
+                }
+                last = answer;
+            }
+            self.requested.set(Some(host.now()));
+            self.request.notify_one();
+            let answered = monoio::time::timeout_at(deadline, self.answered.notified()).await;
+            if answered.is_err() {
+                return last;
+            }
+        }
+    }
+
+    /// Keeps a connection open and answers requests on it until the failover has ended.
+    async fn run(self: Rc<Self>, host: Rc<Host>) {
+        while !self.shared.ended.get() {
+            match monitor::open(&host, &self.pool).await {
+                Ok(backend) => {
+                    self.failed.set(false);
+                    self.started.set(None);
+                    self.opened.set(Some(host.now()));
+                    self.shared.updated.notify_one();
+                    self.answer_requests(&host, backend).await;
+                    self.opened.set(None);
+                    self.started.set(None);
+                }
+                Err(_) => {
+                    self.failed.set(true);
+                    self.answered.notify_waiters();
+                }
+            }
+            monoio::time::sleep(REOPEN_DELAY).await;
+        }
+    }
+
+    /// Answers requests until the connection or the failover ends.
+    async fn answer_requests(&self, host: &Host, mut backend: Backend) {
+        while !self.shared.ended.get() {
+            let answered = self.answer.get().map(|(sent, _)| sent);
+            if self.requested.get() <= answered {
+                self.request.notified().await;
+                continue;
+            }
+            let sent = host.now();
+            let answer = monitor::read_status(&mut backend);
+            let answer = monoio::time::timeout(suspicion::PROBE_TIMEOUT, answer).await;
+            let answer = answer.unwrap_or(Err(StatusError::Silent));
+            self.answer.set(Some((sent, answer)));
+            self.answered.notify_waiters();
+            match answer {
+                Ok(_) => {}
+                Err(StatusError::Busy(_)) => monoio::time::sleep(monitor::BUSY_INTERVAL).await,
+                Err(_) => return,
+            }
+        }
+    }
+}
+
+/// Reads the entries of the recorded servers until the process at the other end of each connection is known
+/// or the failover has ended.
+async fn identify(host: Rc<Host>, recorded: RecordedServers, shared: Rc<Shared>) {
+    let client = Client::new(host.settings.store_address);
+    // Time since which each read was answered: beside an outage of the store an entry may stay for longer.
+    let mut readable: Option<Instant> = None;
+    while !shared.ended.get() {
+        monoio::time::sleep(ENTRY_READ_INTERVAL).await;
+        let probes: Vec<_> = shared.probes.borrow().clone().into_iter().collect();
+        let is_unknown = |(id, probe): &(ServerId, Rc<Probe>)| {
+            recorded.contains_key(id)
+                && probe.opened.get().is_some()
+                && probe.started.get().is_none()
+        };
+        let unknown: Vec<_> = probes.into_iter().filter(is_unknown).collect();
+        if unknown.is_empty() {
+            readable = None;
+        }
+        for (id, probe) in unknown {
+            let (opened, sent) = (probe.opened.get(), host.now());
+            let Ok(started) = read_start(&client, &id).await else {
+                readable = None;
+                break;
+            };
+            let readable = *readable.get_or_insert(sent);
+            let Some(since) = opened.filter(|_| opened == probe.opened.get()) else { continue };
+            let other = started.is_some_and(|started| recorded.get(&id) != Some(&started));
+            let is_own =
+                sent.saturating_duration_since(since.max(readable)) >= host.settings.entry_ttl;
+            if other || started.is_some() && is_own {
+                info!(server = %id, started, other, "failover: process of the server identified");
+                probe.started.set(started);
+                shared.updated.notify_one();
+            }
+        }
+    }
+}
+
+/// Returns the start of a server's process by its entry; `None` without a valid entry.
+async fn read_start(client: &Client, server: &ServerId) -> anyhow::Result<Option<u64>> {
+    let end = format!("{server}%00");
+    let range = (server.as_str(), end.as_str());
+    let rows = store::read_range(client, Table::Servers, range, STORE_TIMEOUT).await?;
+    let row = rows.rows.iter().find(|row| &*row.key == server.as_str());
+    // An entry that cannot be decoded is that of another writer, as in the list of servers.
+    let listed = row.and_then(|row| registry::decode(&row.key, &row.value, rows.clock).ok());
+    Ok(listed.map(|listed| listed.started_ms))
+}
--- a/components/proxy/src/monitor.rs
+++ b/components/proxy/src/monitor.rs
@@ -39,7 +39,7 @@
 
 /// Interval between requests for the status of a server that has no capacity for them: a slot becomes
 /// free every few milliseconds.
-const BUSY_INTERVAL: Duration = Duration::from_millis(5);
+pub const BUSY_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Time without a known leader before a failover starts. After a start, the list of servers is
 /// complete within one heartbeat.
@@ -254,6 +254,7 @@
 }
 
 /// Reason why a server's status is not known.
+#[derive(Clone, Copy, Debug)]
 pub enum StatusError {
     /// The server answered, but has no capacity for the request. The point, if its answer contains
     /// one, is a lower bound of what it has received.
@@ -293,7 +294,7 @@
 }
 
 /// Opens a connection for requests for a server's status.
-async fn open(host: &Host, pool: &Pool) -> Result<Backend, StatusError> {
+pub async fn open(host: &Host, pool: &Pool) -> Result<Backend, StatusError> {
     let listed = pool.listed.borrow().clone();
     Backend::open(&listed, &any_account(host)).await.map_err(|error| match error {
         OpenError::Refused => StatusError::Refused,
@@ -301,7 +302,8 @@
     })
 }
 
-async fn read_status(backend: &mut Backend) -> Result<Status, StatusError> {
+/// Requests the status of the server at the other end of a connection.
+pub async fn read_status(backend: &mut Backend) -> Result<Status, StatusError> {
     wire::put_status(&mut backend.out);
     let answer = backend.exchange().await.map_err(|_| StatusError::Silent)?;
     wire::decode_status(&answer).ok_or(StatusError::Busy(answer.point))
--- a/components/proxy/tests/hosts/mod.rs
+++ b/components/proxy/tests/hosts/mod.rs
@@ -15,6 +15,9 @@
 /// Time of the store's clock at which the view was read.
 pub const VIEW_CLOCK: Duration = Duration::from_secs(100);
 
+/// Time after which the entry of a silent server is removed.
+pub const ENTRY_TTL: Duration = Duration::from_millis(300);
+
 /// Address of hosts that do not run.
 pub const NO_ADDRESS: &str = "127.0.0.1:9";
 
@@ -49,6 +52,7 @@
         apply_bound: Duration::from_secs(3),
         evacuation_bound: Duration::from_secs(3),
         drain_bound: Duration::from_secs(7),
+        entry_ttl: ENTRY_TTL,
         cold_tolerance: cold::Tolerance::default(),
         revocation_bound: None,
         rate_tolerance: demand::Tolerance {
--- a/components/proxy/tests/platform/mod.rs
+++ b/components/proxy/tests/platform/mod.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use base64::{Engine, engine::general_purpose::STANDARD};
 use bergamottrack_operator::serve::{self as http, Handler, Reply, Request};
 use hyper::StatusCode;
 use serde_json::{Value, json};
@@ -25,6 +26,8 @@
     pub unanswered: Vec<Box<str>>,
     /// Delay of the answers to reads.
     pub read_delay: Duration,
+    /// Entries of backend servers: start of the process by server.
+    pub entries: BTreeMap<Box<str>, u64>,
     /// Servers whose promotion was requested.
     pub promoted: Vec<Box<str>>,
 }
@@ -38,6 +41,7 @@
         answers: VecDeque::new(),
         unanswered: Vec::new(),
         read_delay: Duration::ZERO,
+        entries: BTreeMap::new(),
         promoted: Vec::new(),
     }));
     let listener = http::listen("127.0.0.1:0".parse().unwrap()).unwrap();
@@ -55,7 +59,12 @@
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     match &*request.path {
         "/-/rows-get" => {
-            let (delay, reply) = (platform.borrow().read_delay, platform.borrow().read());
+            let delay = platform.borrow().read_delay;
+            let reply = if request.query.contains("table=servers") {
+                platform.borrow().read_entries(&request.query)
+            } else {
+                platform.borrow().read()
+            };
             monoio::time::sleep(delay).await;
             reply
         }
@@ -97,6 +106,24 @@
         )
     }
 
+    /// Answers a read of the entries of one server.
+    fn read_entries(&self, query: &str) -> Reply {
+        let rows = self.entries.iter().filter(|(id, _)| query.contains(&format!("&from={id}&")));
+        let rows = rows.map(|(id, born)| {
+            let entry = json!({
+                "service": "g1", "address": "127.0.0.1:9", "zone": "d1", "slots": 1,
+                "state": "ready", "databaseRole": "replica", "born": born,
+            });
+            json!({"key": id, "value": STANDARD.encode(entry.to_string()), "versionNumber": 1})
+        });
+        let rows: Vec<_> = rows.collect();
+        let (version, now) = (self.version, self.now_ms());
+        Reply::json(
+            StatusCode::OK,
+            &json!({"rows": rows, "hasMore": false, "versionNumber": version, "nowMs": now}),
+        )
+    }
+
     fn loses_answer(&mut self, body: &Value) -> bool {
         let entries = body["setKeys"].as_array().into_iter().flatten();
         let keys: Vec<_> = entries.filter_map(|entry| entry["key"].as_str()).collect();
--- a/components/proxy/tests/replica_set.rs
+++ b/components/proxy/tests/replica_set.rs
@@ -282,3 +282,44 @@
     until(|| fleet.platform.borrow().promoted == ["s3".into()]).await;
     drop(run);
 }
+
+/// Guards against the loss of acknowledged commits: a server has started again without its log, has received a
+/// part of the leader's, and its report counts as that of the process that confirmed them, since the list of
+/// this host does not show the start yet.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn report_of_a_server_that_has_started_again_does_not_count_before_it_is_listed() {
+    let reports = [Report::Silent, Report::Replica(55), Report::Replica(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.require_complete();
+    fleet.platform.borrow_mut().entries.insert("s2".into(), STARTED_MS + 1);
+    let failover = fleet.begin_with(false, &["s1", "s2", "s3"]).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    monoio::time::sleep(hosts::ENTRY_TTL + Duration::from_secs(1)).await;
+    assert!(fleet.platform.borrow().promoted.is_empty());
+    fleet.report(1, Report::Primary(TERM));
+    run.await.unwrap();
+}
+
+/// Guards against the loss of acknowledged commits: as above, and the server cannot write its entry, so that
+/// that of the earlier process is there until it has missed its heartbeats.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn report_of_a_server_does_not_count_while_its_entry_may_be_of_an_earlier_process() {
+    let reports = [Report::Silent, Report::Replica(55), Report::Replica(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.require_complete();
+    let failover = fleet.begin_with(false, &["s1", "s2", "s3"]).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    monoio::time::sleep(hosts::ENTRY_TTL / 2).await;
+    fleet.platform.borrow_mut().entries.remove("s2");
+    monoio::time::sleep(hosts::ENTRY_TTL + Duration::from_secs(1)).await;
+    assert!(fleet.platform.borrow().promoted.is_empty());
+    fleet.platform.borrow_mut().entries.insert("s2".into(), STARTED_MS);
+    until(|| fleet.platform.borrow().promoted == ["s2".into()]).await;
+    drop(run);
+}
--- a/components/proxy/tests/replicas/mod.rs
+++ b/components/proxy/tests/replicas/mod.rs
@@ -36,6 +36,9 @@
 /// Time for which a test waits for a condition.
 pub const TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Names of the servers.
+pub const SERVERS: [&str; 3] = ["s1", "s2", "s3"];
+
 /// Start of the processes of the servers.
 pub const STARTED_MS: u64 = 1;
 
@@ -78,6 +81,7 @@
     /// Starts a fleet whose leader is s1. Promotions are requested at `promoter`, or of the platform.
     pub fn start(clock: Rc<dyn Clock>, promoter: Option<SocketAddr>, reports: [Report; 3]) -> Self {
         let (platform, address) = platform::start();
+        platform.borrow_mut().entries = SERVERS.map(|name| (name.into(), STARTED_MS)).into();
         let settings = Settings {
             store_address: address,
             promoter_address: promoter.unwrap_or(address),
@@ -86,7 +90,7 @@
         let host = serve::new_host(settings, 1, clock, "ours");
         host.set_plan(Plan::default(), Bytes::new());
         let reports = reports.map(|report| Rc::new(RefCell::new(report)));
-        for (report, name) in reports.iter().zip(["s1", "s2", "s3"]) {
+        for (report, name) in reports.iter().zip(SERVERS) {
             start_server(&host, name, report.clone());
         }
         let group = host.group(&hosts::group());
--- a/lab/src/soak/world.rs
+++ b/lab/src/soak/world.rs
@@ -40,8 +40,11 @@
 /// CPU share of a large host.
 const LARGE_CPU_SHARE: f64 = 0.5;
 
-/// Time after which the entry of a stopped server is removed: three heartbeats.
-const ENTRY_TTL: Duration = Duration::from_millis(1500);
+/// Interval of the servers' heartbeats in milliseconds, as the hosts' settings state it.
+const HEARTBEAT_MS: u64 = 500;
+
+/// Time after which the entry of a stopped server is removed.
+const ENTRY_TTL: Duration = Duration::from_millis(3 * HEARTBEAT_MS);
 
 /// Routes in JSON, separated by commas.
 #[derive(Default)]
@@ -173,7 +176,8 @@
             listenAddresses.front={callers}\nlistenAddresses.ready={readiness}\n\
             internalPortRange={},{}\nlimits.cpuShare={cpu_share}\nbounds.graceS=4\n\
             bounds.configurationApplyMs=3000\nbounds.drainMs=7000\nbounds.quotaOverage=0.1\n\
-            bounds.strictRevocation=false\nbounds.revocationMs=5000\nbounds.quotaSlack=20\nbounds.quotaWindowS=5\nplatform.address={store}\ncloud.address={platform}\n",
+            bounds.strictRevocation=false\nbounds.revocationMs=5000\nbounds.quotaSlack=20\nbounds.quotaWindowS=5\nplatform.address={store}\ncloud.address={platform}\n\
+            heartbeatIntervalMs={HEARTBEAT_MS}\n",
             number % 2,
             peers.port(),
             metrics.port(),
