Tests: rows and messages beside hosts of earlier builds

During a rolling restart a failover on a host of an earlier build writes rows without a set, or with one that states nothing of itself. What later hosts do with such rows was spread over the tests of the choice. One test now follows it: an intent of an earlier build that is taken over (no evidence beside a missing server), a row with servers (not exhaustive), and the set that is recorded anew once the leases of before have expired; another reads rows and messages of this build as the one that first recorded servers does.

--- a/components/peer/tests/message.rs
+++ b/components/peer/tests/message.rs
@@ -3,15 +3,16 @@
 use std::time::Duration;
 
 use bergamottrack_coordination::{
-    Burst, Rate, Term,
+    Burst, Rate, Revision, ServerId, Term,
     claims::Claim,
     demand::{AccountReport, Report, Ruling},
-    view::{Leadership, Member, RecordedSet, Versioned},
+    view::{Leadership, Member, RecordedServers, RecordedSet, Versioned},
 };
 use bergamottrack_peer::{
     Answer, Question,
     message::{ContactReply, Heartbeat, Hello, KnownVersions, Message, Registration, Updates},
 };
+use serde::Deserialize;
 
 /// Maximum number of bytes that an account with an id of eight characters may add to a heartbeat.
 const MAX_ACCOUNT_SIZE: usize = 24;
@@ -249,3 +250,32 @@
         assert_eq!(Message::decode(&bytes).unwrap().encode(), bytes);
     }
 }
+
+/// Guards against a fleet whose hosts of an earlier build cannot read the rows and messages of later ones during
+/// a rolling restart: such a host has no field for what a set of servers states of itself.
+#[test]
+fn set_of_servers_is_readable_by_the_build_that_first_recorded_servers() {
+    #[derive(Debug, Deserialize, PartialEq)]
+    enum Earlier {
+        Steady {
+            leader: ServerId,
+            #[serde(default)]
+            term: Term,
+            #[serde(default)]
+            servers: RecordedServers,
+        },
+    }
+    let (leader, term): (ServerId, _) = ("s1".parse().unwrap(), Term(5));
+    let servers = RecordedServers::from([(leader.clone(), 7)]);
+    let recorded =
+        RecordedSet { servers: servers.clone(), exhaustive: true, revision: Revision(3) };
+    let row = Leadership::Steady { leader: leader.clone(), term, recorded };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&row, &mut bytes).unwrap();
+    let earlier = Earlier::Steady { leader, term, servers };
+    assert_eq!(ciborium::from_reader::<Earlier, _>(&*bytes).unwrap(), earlier);
+    let text = serde_json::to_string(&row).unwrap();
+    assert_eq!(serde_json::from_str::<Earlier>(&text).unwrap(), earlier);
+    assert_eq!(serde_json::from_str::<Leadership>(&text).unwrap(), row);
+    assert_eq!(ciborium::from_reader::<Leadership, _>(&*bytes).unwrap(), row);
+}
--- a/components/proxy/tests/replica_set.rs
+++ b/components/proxy/tests/replica_set.rs
@@ -16,7 +16,7 @@
 };
 use bergamottrack_model::{ListedServer, plan::Plan};
 use bergamottrack_proxy::{
-    confirm, fleet, follow::MISSING_ENTRY_TTL, monitor, release, replica_set,
+    confirm, failover::Failover, fleet, follow::MISSING_ENTRY_TTL, monitor, release, replica_set,
 };
 use bytes::Bytes;
 use replicas::{
@@ -323,3 +323,57 @@
     until(|| fleet.platform.borrow().promoted == ["s2".into()]).await;
     drop(run);
 }
+
+/// Guards against the loss of acknowledged commits during a rolling restart: a failover on a host of an earlier
+/// build writes rows without a set, a later host takes them for a group without servers, or counts the set
+/// that it records itself before the earlier rows are out of use.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn rows_of_earlier_builds_are_no_evidence_until_the_servers_are_recorded_anew() {
+    let clock = Rc::new(ManualClock::new());
+    let reports = [Report::Silent, Report::Replica(60), Report::Replica(50)];
+    let fleet = Fleet::start(clock.clone(), None, reports);
+    fleet.require_complete();
+    let host = &fleet.host;
+    let decode = |text: &str| serde_json::from_str::<Leadership>(text).unwrap();
+    let intent = decode(
+        r#"{"Moving":{"from":"s1","holder":"h1","since":{"secs":1,"nanos":0},"planned":false,"term":5}}"#,
+    );
+    let key = fleet::group_key(&fleet.group.id);
+    let version = fleet.write(key.clone(), &intent).await;
+    let before = Some(Versioned { version, value: intent });
+    let taken_over = Failover::begin(host, &fleet.group, before, Some(id("s1")), false).await;
+    let run = monoio::spawn({
+        let (host, group) = (host.clone(), fleet.group.clone());
+        let failover = taken_over.unwrap().unwrap();
+        async move { failover.run(&host, &group).await }
+    });
+    monoio::time::sleep(Duration::from_secs(1)).await;
+    assert!(fleet.platform.borrow().promoted.is_empty(), "two of three reports are counted");
+    fleet.report(1, Report::Primary(TERM));
+    run.await.unwrap();
+    assert_eq!(fleet.leadership().await, steady(&[]));
+    // A row of the build that first recorded servers does not state whether they are all.
+    let row = decode(r#"{"Steady":{"leader":"s1","term":5,"servers":{"s1":1,"s2":1,"s3":1}}}"#);
+    fleet.report(1, Report::Silent);
+    let failover = fleet.begin_from(false, row.clone()).await;
+    let run = monoio::spawn({
+        let (host, group) = (host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    monoio::time::sleep(hosts::ENTRY_TTL + Duration::from_secs(1)).await;
+    assert!(fleet.platform.borrow().promoted.is_empty(), "the set counts as exhaustive");
+    fleet.report(1, Report::Primary(TERM));
+    run.await.unwrap();
+    assert_eq!(fleet.leadership().await, row);
+    fleet.watch_from(row).await;
+    monoio::spawn(fleet::follow(host.clone()));
+    clock.advance(MISSING_ENTRY_TTL);
+    monoio::time::sleep(monitor::CHECK_INTERVAL * 5).await;
+    clock.advance(LEASE_TTL + LEASE_MARGIN);
+    host.view_wakeup.notify_one();
+    let end = Instant::now() + TIMEOUT;
+    while !fleet.leadership().await.recorded().exhaustive {
+        assert!(Instant::now() < end, "not recorded: {:?}", fleet.leadership().await);
+        monoio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
