Failover: metrics of a wait beside an evacuated server, and of the phases of failovers

A group whose only complete server is in an evacuated failure domain has no leader until the evacuation is withdrawn, since that server may get no statements (EVAC) and no other one may be promoted (LOST). Operators could not see it: the warning named missing servers, and the metric counted the group like one whose servers are gone.

`failover_seconds` is a histogram of the three phases of completed failovers: until no host used the former leader, until a successor was shown to be complete, and until it led.

--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -27,7 +27,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use tracing::{info, warn};
 
-use self::probe::Probes;
+use self::{evidence::evacuated, probe::Probes};
 use crate::{
     fleet,
     follow::STORE_TIMEOUT,
@@ -80,8 +80,10 @@
     probes: Probes,
     /// Acquisition of the duty whose answer has not arrived; `None` after an answer.
     unanswered_duty: RefCell<Option<duty::Duty>>,
-    /// Entry in the metrics while no server is shown to be complete.
-    incomplete: RefCell<Option<Incomplete>>,
+    /// Entries in the metrics while no server is shown to be complete.
+    incomplete: RefCell<Vec<Entry>>,
+    /// Time of the last choice of a leader; `None` before the first one.
+    chosen: Cell<Option<Instant>>,
     /// Last selected step and the servers whose reports were missing, as logged.
     logged: RefCell<Option<(Next, Vec<ServerId>)>>,
     /// Time by which this host must finish; another host may take over some time later.
@@ -153,6 +155,7 @@
             probes: Probes::default(),
             unanswered_duty: RefCell::default(),
             incomplete: RefCell::default(),
+            chosen: Cell::default(),
             logged: RefCell::default(),
             deadline,
             replicas_until,
@@ -184,10 +187,19 @@
         while host.now() < self.deadline {
             match self.install_leader(host, group).await {
                 Ok(Some((leader, term))) => {
-                    let (release, total) = (released - began, host.now() - began);
+                    let chosen = self.chosen.get().unwrap_or(released);
+                    let phases = [
+                        ("release", began, released),
+                        ("choice", released, chosen),
+                        ("promotion", chosen, host.now()),
+                    ];
+                    for (phase, start, end) in phases {
+                        host.metrics.record_failover(self.planned, phase, end - start);
+                    }
+                    let ms = |end: Instant| (end - began).as_millis() as u64;
                     info!(
-                        group = %group.id, %leader, %term, intent = self.intent,
-                        released_ms = release.as_millis() as u64, ms = total.as_millis() as u64,
+                        group = %group.id, %leader, %term, intent = self.intent, planned = self.planned,
+                        released_ms = ms(released), chosen_ms = ms(chosen), ms = ms(host.now()),
                         "leader: replaced"
                     );
                     return self.finish(host, group, leader, term).await;
@@ -315,6 +327,9 @@
             }
             next => next,
         };
+        if next != Next::Nobody {
+            self.chosen.set(Some(host.now()));
+        }
         match next {
             Next::Adopt(leader, term) => Ok(Some((leader, term))),
             Next::Nobody => Ok(None),
@@ -402,8 +417,13 @@
             return next;
         }
         let incomplete = next == Next::Nobody && evidence.completeness == Completeness::Required;
-        let entry = incomplete.then(|| Incomplete::new(&host.metrics.incomplete_failovers));
-        *self.incomplete.borrow_mut() = entry;
+        let evacuated = if incomplete { evacuated(host, group, &evidence) } else { Vec::new() };
+        let metrics = &host.metrics;
+        let gauges = [
+            incomplete.then_some(&metrics.incomplete_failovers),
+            (!evacuated.is_empty()).then_some(&metrics.evacuated_failovers),
+        ];
+        *self.incomplete.borrow_mut() = gauges.into_iter().flatten().map(Entry::new).collect();
         let unproven = match &next {
             Next::Promote { successor, last: None, .. } => {
                 let state = standings.iter().find(|state| state.id == *successor);
@@ -421,7 +441,7 @@
             );
             if incomplete {
                 warn!(
-                    group = %group.id, ?missing, ?confirmed,
+                    group = %group.id, ?missing, ?evacuated, ?confirmed,
                     "leader: no server is shown to have every acknowledged commit, waiting"
                 );
             } else if unproven {
@@ -515,17 +535,17 @@
     }
 }
 
-/// Entry in the metrics of a failover without a complete successor; removed on drop.
-struct Incomplete(Gauge);
+/// Entry of a failover in a metric; removed on drop.
+struct Entry(Gauge);
 
-impl Incomplete {
+impl Entry {
     fn new(gauge: &Gauge) -> Self {
         gauge.inc();
         Self(gauge.clone())
     }
 }
 
-impl Drop for Incomplete {
+impl Drop for Entry {
     fn drop(&mut self) {
         self.0.dec();
     }
--- a/components/proxy/src/failover/evidence.rs
+++ b/components/proxy/src/failover/evidence.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use bergamottrack_coordination::{
-    Point, ServerId, coverage,
+    Point, ServerId, coverage, evacuation,
     succession::{Completeness, Evidence, ReplicaSet, Standing},
 };
 
@@ -59,6 +59,15 @@
     }
 }
 
+/// Returns the servers that may have confirmed a commit and may not lead, since their failure domain is
+/// evacuated.
+pub(super) fn evacuated(host: &Host, group: &Group, evidence: &Evidence) -> Vec<ServerId> {
+    let mut pools = host.servers(&group.id);
+    pools.retain(|pool| placement::of(host, pool) != evacuation::Placement::Allowed);
+    let ids = pools.iter().map(|pool| pool.listed.borrow().id.clone());
+    ids.filter(|id| evidence.replica_set.servers.contains(id)).collect()
+}
+
 /// Returns the servers of a group that have an entry and may be promoted, or may be once they report.
 fn listed_candidates(host: &Host, group: &Group, standings: &[Standing]) -> BTreeSet<ServerId> {
     let is_evacuated = |id: &ServerId| {
--- a/components/proxy/src/metrics.rs
+++ b/components/proxy/src/metrics.rs
@@ -55,6 +55,17 @@
     tokens: &'static str,
 }
 
+/// Returns a histogram of durations from 50 ms to 12.8 s, in buckets of doubling width.
+fn durations() -> Histogram {
+    Histogram::new(exponential_buckets(0.05, 2.0, 9))
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct FailoverLabel {
+    planned: String,
+    phase: &'static str,
+}
+
 /// Counters and histograms of one host.
 pub struct Metrics {
     registry: Registry,
@@ -64,6 +75,7 @@
     token_waits: Family<PriorityLabel, Histogram, fn() -> Histogram>,
     token_refusals: Family<TokenRefusalLabel, Counter>,
     wait_ends: Family<WaitEndLabel, Counter>,
+    failovers: Family<FailoverLabel, Histogram, fn() -> Histogram>,
     /// Number of statements sent to a server again.
     pub retries: Counter,
     /// Bytes of configurations sent to other hosts.
@@ -76,6 +88,9 @@
     pub silent_candidates: Gauge,
     /// Number of failovers of this host that wait, since no server is shown to be complete.
     pub incomplete_failovers: Gauge,
+    /// Number of these that wait beside a server of an evacuated failure domain, which may have the
+    /// commits.
+    pub evacuated_failovers: Gauge,
     /// Number of requests for newer state that other hosts did not answer in time.
     pub unanswered: Counter,
 }
@@ -145,6 +160,18 @@
             "Failovers of this host that wait, since no server is shown to have every acknowledged commit",
             incomplete_failovers.clone(),
         );
+        let evacuated_failovers = Gauge::default();
+        registry.register(
+            "failovers_beside_evacuated_server",
+            "Failovers of this host that wait beside a server of an evacuated failure domain, which may have the commits",
+            evacuated_failovers.clone(),
+        );
+        let failovers: Family<_, _, fn() -> Histogram> = Family::new_with_constructor(durations);
+        registry.register(
+            "failover_seconds",
+            "Time that completed failovers of this host spent in each phase",
+            failovers.clone(),
+        );
         let silent_candidates = Gauge::default();
         registry.register(
             "silent_hub_candidates",
@@ -159,12 +186,14 @@
             token_waits,
             token_refusals,
             wait_ends,
+            failovers,
             retries,
             sent_bytes,
             received_bytes,
             evacuated,
             silent_candidates,
             incomplete_failovers,
+            evacuated_failovers,
             unanswered,
         }
     }
@@ -206,6 +235,12 @@
         self.wait_ends.get_or_create(&WaitEndLabel { why }).inc();
     }
 
+    /// Records the time that a completed failover spent in a phase.
+    pub fn record_failover(&self, planned: bool, phase: &'static str, time: Duration) {
+        let label = FailoverLabel { planned: planned.to_string(), phase };
+        self.failovers.get_or_create(&label).observe(time.as_secs_f64());
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/components/proxy/tests/failover.rs
+++ b/components/proxy/tests/failover.rs
@@ -355,6 +355,32 @@
     drop(run);
 }
 
+/// Guards against an operator who is not informed that a group has no leader because of an evacuation: the
+/// only server that may have all commits is in the evacuated failure domain.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn failover_beside_an_evacuated_server_with_commits_is_in_the_metrics() {
+    let reports = [Report::Silent, Report::Replica(60), Report::Replica(50)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.require_complete();
+    fleet.evacuate("s2", true);
+    let failover = fleet.begin_with(false, &["s1", "s2", "s3"]).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    let metrics = &fleet.host.metrics;
+    until(|| metrics.evacuated_failovers.get() == 1 && metrics.incomplete_failovers.get() == 1)
+        .await;
+    assert!(fleet.platform.borrow().promoted.is_empty());
+    fleet.platform.borrow_mut().answers = [Some(StatusCode::OK)].into();
+    fleet.evacuate("s2", false);
+    until(|| fleet.platform.borrow().promoted == ["s2".into()]).await;
+    fleet.report(2, Report::Primary(TERM + 1));
+    run.await.unwrap();
+    assert_eq!((metrics.evacuated_failovers.get(), metrics.incomplete_failovers.get()), (0, 0));
+    assert!(metrics.encode().contains("failover_seconds"));
+}
+
 /// Guards against a failover that waits for a host's contact to expire, although the host has released
 /// the leader and reaches the store: the links are cut between the request for the release and the answer.
 #[monoio::test(driver = "legacy", enable_timer = true)]
--- a/components/proxy/tests/replicas/mod.rs
+++ b/components/proxy/tests/replicas/mod.rs
@@ -12,7 +12,7 @@
 
 use bergamottrack_adapter::store::{self, Change, TxOutcome};
 use bergamottrack_coordination::{
-    Clock, Revision, ServerId, Term,
+    Clock, FailureDomain, Revision, ServerId, Term,
     view::{Leadership, RecordedServers, RecordedSet, Versioned, View},
 };
 use bergamottrack_model::{
@@ -107,6 +107,17 @@
         assert!(self.host.upsert_server(ListedServer { leaving: true, ..listed }, 2));
     }
 
+    /// Moves a server to another failure domain, and evacuates this domain or withdraws the evacuation.
+    pub fn evacuate(&self, name: &str, evacuated: bool) {
+        let domain: FailureDomain = "d2".parse().unwrap();
+        let listed = self.host.server(&id(name)).unwrap().listed.borrow().clone();
+        self.host.upsert_server(ListedServer { domain: domain.clone(), ..listed }, 2);
+        let (version, clock) = if evacuated { (1, 1) } else { (2, 2) };
+        let row = (domain, evacuated.then_some(version));
+        let clock = Duration::from_secs(clock);
+        self.host.evacuations.borrow_mut().read(&[row], false, version, clock);
+    }
+
     /// Puts a configuration in force that requires a complete successor.
     pub fn require_complete(&self) {
         let limits = Limits { connections: 10, cold: None, sync_replicas: 1 };
