Coverage: the position of the leader before is kept until the next one returns one

Hypotheses and the lines that tell: a host did not report (`reports` of all eight are there); a host's memory began too late (`since` is 14 s before); no later position of the leader is known (`leader: None` in all eight reports). The last one: the history of positions, by which reads go, is discarded with a change of leader, and the reports took the position from it.

A commit of an earlier process is in the log of a leader that returned a position later, and so it is in every log of a later term, whose leader was shown to be complete. So the last position of any leader counts, and is kept beside the history.

Before the change position_of_the_leader_before_covers_commits_until_the_next_one_returns_a_position failed: no promotion in 10 s.

--- a/components/coordination/src/coverage.rs
+++ b/components/coordination/src/coverage.rs
@@ -3,7 +3,8 @@
 //!
 //! A host reports the last record confirmed to it, which covers the commits that it has acknowledged since its
 //! memory began. Commits acknowledged before, by an earlier process of the host or by a host that has left
-//! the fleet, are covered by a position that the leader returned later: its log contained them by then.
+//! the fleet, are covered by a position that the leader returned later: its log contained them by then. So does
+//! every log that has reached a later term, whose leader was shown to have them.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -25,8 +26,8 @@
     pub confirmed: Option<Point>,
     /// Time from which `confirmed` covers each commit that the host has acknowledged.
     pub since: Duration,
-    /// Newest known position of the leader, after the time at which it was requested; `None` if none is
-    /// known.
+    /// Newest known position of the leader, or of a former one if it has returned none, after the time at
+    /// which it was requested; `None` if none is known.
     pub leader: Option<(Duration, Point)>,
 }
 
--- a/components/proxy/src/group.rs
+++ b/components/proxy/src/group.rs
@@ -32,6 +32,9 @@
     /// Log positions of the leader, each with a time. Gives the age of data, and the position that
     /// data of a given maximum age must include.
     pub ages: RefCell<PositionHistory>,
+    /// Last known position of a leader, with the time at which it was requested; kept over a change of the
+    /// leader.
+    observed: Cell<Option<(Instant, Point)>>,
     /// Last position that the leader returned to this host and that this host has not yet sent to
     /// other hosts, with the time at which the statement was sent.
     pub seen: Cell<Option<(Instant, Point)>>,
@@ -106,6 +109,7 @@
             created: now,
             last_used: Cell::new(now),
             ages: RefCell::default(),
+            observed: Cell::default(),
             seen: Cell::default(),
             suspicion: RefCell::default(),
             probing: Cell::default(),
@@ -170,6 +174,20 @@
         self.led_since.get()
     }
 
+    /// Records a position that the leader had when it was requested at the time `at`.
+    pub fn note_position(&self, at: Instant, point: Point) {
+        self.ages.borrow_mut().note_point(at, point);
+        if self.observed.get().is_none_or(|(known, _)| known <= at) {
+            self.observed.set(Some((at, point)));
+        }
+    }
+
+    /// Returns the last known position of the leader or, before it has returned one, of a former leader,
+    /// with the time at which it was requested.
+    pub fn observed(&self) -> Option<(Instant, Point)> {
+        self.observed.get()
+    }
+
     /// Returns how long the group has had no leader; zero while it has one.
     pub fn leaderless_for(&self, now: Instant) -> Duration {
         self.leaderless_since
--- a/components/proxy/src/positions.rs
+++ b/components/proxy/src/positions.rs
@@ -101,7 +101,7 @@
         let known = self.known.get(&group.id);
         let known = known.filter(|known| group.leader().as_ref() == Some(&known.leader));
         if let Some(known) = known {
-            group.ages.borrow_mut().note_point(known.at, known.point);
+            group.note_position(known.at, known.point);
         }
     }
 }
@@ -179,7 +179,7 @@
         if let Some(group) = host.known_group(group)
             && group.leader().as_ref() == Some(leader)
         {
-            group.ages.borrow_mut().note_point(at, *point);
+            group.note_position(at, *point);
         }
     }
 }
--- a/components/proxy/src/release.rs
+++ b/components/proxy/src/release.rs
@@ -35,7 +35,7 @@
     let since = store_time(known.max(host.started));
     // A time that the store's clock had not reached yet would date the position after a commit that it
     // does not contain.
-    let leader = group.ages.borrow().newest();
+    let leader = group.observed();
     let leader =
         leader.and_then(|(at, point)| Some((host.store_clock.borrow().reached(at)?, point)));
     Some(Acknowledged { confirmed: group.receipts.confirmed(), since, leader })
--- a/components/proxy/src/target.rs
+++ b/components/proxy/src/target.rs
@@ -353,7 +353,7 @@
     {
         operation.group.suspicion.borrow_mut().answered();
         if let Some(point) = answer.point {
-            operation.group.ages.borrow_mut().note_point(sent_at, point);
+            operation.group.note_position(sent_at, point);
             operation.group.seen.set(Some((sent_at, point)));
         }
     }
--- a/components/proxy/tests/replica_set.rs
+++ b/components/proxy/tests/replica_set.rs
@@ -162,7 +162,7 @@
     monoio::time::sleep(Duration::from_millis(150)).await;
     clock.advance(Duration::from_secs(5));
     until(|| fleet.group.leader().is_some()).await;
-    fleet.group.ages.borrow_mut().note_point(host.now(), Point::new(TERM, 60));
+    fleet.group.note_position(host.now(), Point::new(TERM, 60));
     let report = release::acknowledged(host, &fleet.group).unwrap();
     let (at, _) = report.leader.unwrap();
     assert!(at.as_millis() <= fleet.platform.borrow().now_ms().into(), "{at:?}");
@@ -377,3 +377,39 @@
         monoio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Guards against a group without a leader for seconds although all hosts state what they have acknowledged: its
+/// leader fails before it has returned a position, and that of the leader before is forgotten.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn position_of_the_leader_before_covers_commits_until_the_next_one_returns_a_position() {
+    let clock = Rc::new(ManualClock::new());
+    let reports = [Report::Silent, Report::Behind(60), Report::Behind(50)];
+    let fleet = Fleet::start(clock.clone(), None, reports);
+    fleet.require_complete();
+    let (host, group) = (&fleet.host, &fleet.group);
+    let row = |leader: &str, term| Leadership::Steady {
+        leader: id(leader),
+        term: Term(term),
+        recorded: recorded_set(&["s1", "s2", "s3"]),
+    };
+    let key = fleet::group_key(&group.id);
+    fleet.write(fleet::member_key(&host.settings.host), &fleet::own_row(&host.settings)).await;
+    fleet.write(key.clone(), &row("s3", TERM - 1)).await;
+    monoio::spawn(fleet::follow(host.clone()));
+    host.view_wakeup.notify_one();
+    until(|| group.leader() == Some(id("s3"))).await;
+    clock.advance(Duration::from_secs(3));
+    group.note_position(host.now(), Point::new(TERM - 1, 60));
+    fleet.write(key, &row("s1", TERM)).await;
+    host.view_wakeup.notify_one();
+    until(|| group.leader() == Some(id("s1"))).await;
+    // The processes of the servers are not identified in this time.
+    fleet.platform.borrow_mut().entries.clear();
+    let failover = fleet.begin_from(false, row("s1", TERM)).await;
+    let run = monoio::spawn({
+        let (host, group) = (host.clone(), group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    until(|| fleet.platform.borrow().promoted == ["s2".into()]).await;
+    drop(run);
+}
