Relay: a statement is broken off if its link closes and the server does not answer

A server is cut off, the holder of its connections has sent it a statement of another host, and the links of that host are reset.

The holder now waits for the end of the link beside the answer. A server that runs the statement has 250 ms to complete it, as most do; then the connection is reset, by which a network loses what it holds up.

--- a/components/peer/src/accept.rs
+++ b/components/peer/src/accept.rs
@@ -95,6 +95,11 @@
         !self.outgoing.is_closed()
     }
 
+    /// Waits until the link has closed.
+    pub async fn closed(&self) {
+        self.outgoing.closed().await;
+    }
+
     /// Returns the greatest possible age of a message that was sent when the clock of this connection
     /// showed at least `sent`.
     pub fn age(&self, sent: Duration) -> Duration {
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -8,7 +8,8 @@
 //! ran it elsewhere: a network that was cut delivers what it held back, and this host may have been
 //! suspended. A statement is therefore sent to the server only while its timeout, counted from when it
 //! was sent to this host, is not over and its link is open: the sender closes the link with a reset when
-//! it gives up all that it sent on it.
+//! it gives up all that it sent on it. If the link closes while the server has the statement, the connection
+//! to the server is reset as well: a network that holds the statement up loses it then.
 
 use std::{
     cell::RefCell,
@@ -41,6 +42,10 @@
 /// first.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
 
+/// Time for a server to complete a statement whose link has closed. Most statements are shorter, and are
+/// not broken off.
+const LOST_LINK_GRACE: Duration = Duration::from_millis(250);
+
 /// A transaction of another host between two of its statements.
 struct IdleTransaction {
     leased: Leased,
@@ -295,8 +300,19 @@
     let sent_at = Instant::now();
     let pool = leased.pool().clone();
     pool.exchanges.borrow_mut().begin(host.now());
-    let answer = monoio::time::timeout_at(deadline, leased.backend().exchange()).await;
-    pool.exchanges.borrow_mut().end(matches!(answer, Ok(Ok(_))), host.now());
+    let given_up = async {
+        link.closed().await;
+        monoio::time::sleep(LOST_LINK_GRACE).await;
+    };
+    let answer = monoio::select! {
+        answer = monoio::time::timeout_at(deadline, leased.backend().exchange()) => Some(answer),
+        _ = given_up => None,
+    };
+    pool.exchanges.borrow_mut().end(matches!(answer, Some(Ok(Ok(_)))), host.now());
+    let Some(answer) = answer else {
+        info!(server = %statement.server, %from, "relay: statement broken off, its link has closed");
+        return ForwardResult::Lost;
+    };
     match answer {
         Ok(Ok(answer)) => {
             if let Some(permit) = permit {
--- a/components/proxy/tests/forward.rs
+++ b/components/proxy/tests/forward.rs
@@ -344,6 +344,22 @@
     assert_eq!(holder.server.received(), ["READ k1"]);
 }
 
+/// Guards against a statement that runs over a second after its caller had the answer: the server is cut off
+/// when it is sent, its link is reset, the caller is told that the outcome is unknown, and the network
+/// delivers it once the server can be reached.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn statement_at_a_server_that_does_not_answer_is_broken_off_after_its_link_has_closed() {
+    let holder = Holder::start().await;
+    holder.send(statement("READ k1"));
+    until(|| holder.server.received().len() == 1).await;
+    holder.link.close();
+    let end = monoio::time::Instant::now() + Duration::from_secs(1);
+    while holder.server.broken_off.get() == 0 {
+        assert!(monoio::time::Instant::now() < end, "the statement is not broken off");
+        monoio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// Guards against refusals of statements that need no leader, such as reads at replicas, while a
 /// group has none.
 #[monoio::test(driver = "legacy", enable_timer = true)]
--- a/components/proxy/tests/server/mod.rs
+++ b/components/proxy/tests/server/mod.rs
@@ -3,7 +3,11 @@
 // Each test uses a part.
 #![allow(dead_code)]
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use bergamottrack_model::{ListedServer, Role};
 use bergamottrack_proxy::Host;
@@ -21,6 +25,8 @@
     received: RefCell<Vec<String>>,
     /// Number of statements that may be answered.
     allowed: RefCell<usize>,
+    /// Number of connections that ended while a statement was not answered.
+    pub broken_off: Cell<usize>,
 }
 
 impl Server {
@@ -75,7 +81,13 @@
                     self.received.borrow_mut().push(text.clone());
                     answered += 1;
                     while *self.allowed.borrow() < answered {
-                        monoio::time::sleep(Duration::from_millis(5)).await;
+                        let wait = Duration::from_millis(5);
+                        // Nothing is sent before the answer, so only the end of the connection is read.
+                        let end = monoio::time::timeout(wait, stream.readable(false)).await;
+                        if end.is_ok() {
+                            self.broken_off.set(self.broken_off.get() + 1);
+                            return;
+                        }
                     }
                 }
                 let state = if text.starts_with("BEGIN") { 'T' } else { 'I' };
