Failover: holders of the servers' connections know the processes before a failover

The identification of processes took a failover 3.9 s where a host starts again with the failure of the leader: its process answers at once, so no host is waited for, and its memory begins after the leader's last position, so the hosts' reports show nothing.

The proof needs a connection that is older than an entry can outlive its process, not a failover. The hosts that hold connections of a group's servers are the first to notice that its leader fails, so they keep contact with the servers all the time: one connection to each, one request in 15 s, and reads of its entry until the process is known. A failover on another host begins the contact itself, as before. Only for groups that require a complete successor.

--- a/components/proxy/src/failover.rs
+++ b/components/proxy/src/failover.rs
@@ -1,7 +1,6 @@
 //! A failover run by this host, from the intent to the new leader.
 
 mod evidence;
-mod probe;
 mod promotion;
 
 use std::{
@@ -27,7 +26,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use tracing::{info, warn};
 
-use self::{evidence::evacuated, probe::Probes};
+use self::evidence::evacuated;
 use crate::{
     fleet,
     follow::STORE_TIMEOUT,
@@ -36,6 +35,7 @@
     monitor::{self, StatusError},
     placement,
     pool::Pool,
+    probe::Probes,
     release::{self, WaitEnd},
     replica_set,
 };
@@ -76,8 +76,8 @@
     view: RefCell<View>,
     /// Servers that may have confirmed a commit, by the group's row.
     recorded: RecordedSet,
-    /// Contact with the servers, if a complete successor is required.
-    probes: Probes,
+    /// Contact with the servers; used if a complete successor is required.
+    probes: Rc<Probes>,
     /// Acquisition of the duty whose answer has not arrived; `None` after an answer.
     unanswered_duty: RefCell<Option<duty::Duty>>,
     /// Entries in the metrics while no server is shown to be complete.
@@ -152,7 +152,7 @@
             acknowledged: Rc::default(),
             view: RefCell::default(),
             recorded,
-            probes: Probes::default(),
+            probes: group.probes(),
             unanswered_duty: RefCell::default(),
             incomplete: RefCell::default(),
             chosen: Cell::default(),
@@ -167,7 +167,8 @@
     pub async fn run(self, host: &Rc<Host>, group: &Rc<Group>) -> anyhow::Result<()> {
         let (began, sent_at) = (host.now(), host.now());
         if self.identifies(host, group) {
-            self.probes.start(host, &self.candidates(host, group), &self.recorded.servers);
+            self.probes.keep(host, &self.candidates(host, group));
+            self.probes.set_urgent(true);
         }
         let view = self.read_view(host).await?;
         self.terms.set(view.terms(&group.id));
@@ -535,6 +536,12 @@
     }
 }
 
+impl Drop for Failover {
+    fn drop(&mut self) {
+        self.probes.set_urgent(false);
+    }
+}
+
 /// Entry of a failover in a metric; removed on drop.
 struct Entry(Gauge);
 
--- a/components/proxy/src/group.rs
+++ b/components/proxy/src/group.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    rc::Rc,
+    rc::{Rc, Weak},
     time::{Duration, Instant},
 };
 
@@ -12,7 +12,7 @@
 use bergamottrack_model::Consistency;
 use tokio::sync::Notify;
 
-use crate::confirm::Receipts;
+use crate::{confirm::Receipts, probe::Probes};
 
 /// Subtracted from the age that a read allows, for the read's transit to the server and
 /// its wait there until the server has capacity for it.
@@ -65,6 +65,10 @@
     /// The row of an intent requests the release of the former leader; an intent whose version is
     /// at most this one needs no release through the store.
     pub release_requested: Cell<u64>,
+    /// Contact with the servers; `None` while this host keeps none.
+    probes: RefCell<Weak<Probes>>,
+    /// Keeps the contact outside of failovers.
+    kept_probes: RefCell<Option<Rc<Probes>>>,
     /// Received positions of the replicas, and the commits that wait for them.
     pub receipts: Receipts,
     /// Leader that new work may use.
@@ -122,6 +126,8 @@
             began_failover: Cell::default(),
             released: Cell::default(),
             release_requested: Cell::default(),
+            probes: RefCell::default(),
+            kept_probes: RefCell::default(),
             receipts: Receipts::default(),
             led_since: Cell::default(),
             leader: RefCell::default(),
@@ -188,6 +194,24 @@
         self.observed.get()
     }
 
+    /// Returns the contact with the servers, which lasts until the returned references are dropped and
+    /// [`Self::keep_probes`] was last called with false.
+    pub fn probes(&self) -> Rc<Probes> {
+        let known = self.probes.borrow().upgrade();
+        known.unwrap_or_else(|| {
+            let probes = Rc::new(Probes::default());
+            *self.probes.borrow_mut() = Rc::downgrade(&probes);
+            probes
+        })
+    }
+
+    /// Sets whether this host keeps contact with the servers outside of failovers; returns the contact.
+    pub fn keep_probes(&self, keep: bool) -> Option<Rc<Probes>> {
+        let kept = keep.then(|| self.probes());
+        self.kept_probes.borrow_mut().clone_from(&kept);
+        kept
+    }
+
     /// Returns how long the group has had no leader; zero while it has one.
     pub fn leaderless_for(&self, now: Instant) -> Duration {
         self.leaderless_since
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod placement;
 pub mod pool;
 pub mod positions;
+pub mod probe;
 pub mod release;
 pub mod replica_set;
 pub mod serve;
--- a/components/proxy/src/monitor.rs
+++ b/components/proxy/src/monitor.rs
@@ -111,6 +111,7 @@
         );
     };
     replica_set::check(host, group, &pool);
+    keep_probes(host, group);
     let may_plan = group.successor_retry_at.get().is_none_or(|at| now >= at);
     if may_plan && let Some(why) = planned_failover_reason(host, group, &pool) {
         return start_failover(host, group, Some(leader), true, why);
@@ -149,6 +150,21 @@
     }
 }
 
+/// Keeps contact with the servers of a group that requires a complete successor, if this host holds the
+/// connections of one of them: it notices a failure of the leader first.
+fn keep_probes(host: &Rc<Host>, group: &Group) {
+    if !replica_set::is_required(host, group) {
+        group.keep_probes(false);
+        return;
+    }
+    let mut pools = host.servers(&group.id);
+    pools.retain(|pool| !placement::is_forbidden(host, pool));
+    let holds = |pool: &Rc<Pool>| pool.holders.borrow().contains(&host.settings.host);
+    if let Some(probes) = group.keep_probes(pools.iter().any(holds)) {
+        probes.keep(host, &pools);
+    }
+}
+
 /// Returns the reason to replace a healthy leader; `None` if there is no reason or no other server
 /// may lead.
 fn planned_failover_reason(host: &Host, group: &Group, leader: &Rc<Pool>) -> Option<&'static str> {
--- a/components/proxy/src/failover/probe.rs
+++ b/components/proxy/src/probe.rs
@@ -1,4 +1,4 @@
-//! Continuous contact with the servers of a group during a failover.
+//! Continuous contact with the servers of a group.
 //!
 //! A report shows what a server has confirmed only if the process that reports is the one that the group's
 //! row names: a server that has started again without its log receives the leader's log from the beginning,
@@ -6,7 +6,8 @@
 //! that of the earlier process until that one has missed its heartbeats.
 //!
 //! A connection ends with the process that accepted it. An entry that is still there once an earlier process
-//! would have lost it was therefore written by the process at the other end of the connection.
+//! would have lost it was therefore written by the process at the other end of the connection. The holders of
+//! the servers' connections keep contact all the time, so that a failover does not have to wait for this.
 
 use std::{
     cell::{Cell, RefCell},
@@ -19,11 +20,11 @@
     registry,
     store::{self, Table},
 };
-use bergamottrack_coordination::{ServerId, suspicion, view::RecordedServers};
+use bergamottrack_coordination::{ServerId, suspicion};
 use bergamottrack_model::Status;
 use bergamottrack_platform::http::Client;
 use tokio::sync::Notify;
-use tracing::info;
+use tracing::debug;
 
 use crate::{
     backend::Backend,
@@ -36,24 +37,31 @@
 /// Delay before a connection is opened again.
 const REOPEN_DELAY: Duration = Duration::from_millis(50);
 
-/// Interval between reads of entries while a process is not identified.
-const ENTRY_READ_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between reads of entries while a process is not identified, during a failover.
+const FAILOVER_READ_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Interval between reads of entries while a process is not identified, and no failover waits for it.
+const ENTRY_READ_INTERVAL: Duration = Duration::from_millis(1500);
+
+/// Interval between requests on an idle connection, which a server may close.
+const IDLE_INTERVAL: Duration = Duration::from_secs(15);
 
 /// Contact with the servers of a group; ends on drop.
 #[derive(Default)]
 pub struct Probes {
-    /// Whether the store is read for the entries of the servers.
-    reading: Cell<bool>,
     shared: Rc<Shared>,
 }
 
 /// State that the tasks of all probes share.
 #[derive(Default)]
 struct Shared {
-    /// Empty once the failover has ended.
+    /// Empty once the contact has ended.
     probes: RefCell<BTreeMap<ServerId, Rc<Probe>>>,
-    /// Whether the failover has ended.
     ended: Cell<bool>,
+    /// Whether the store is read for the entries of the servers.
+    reading: Cell<bool>,
+    /// Whether a failover waits for the processes to be identified.
+    urgent: Cell<bool>,
     /// Notified when a connection is opened, or a process identified.
     updated: Notify,
 }
@@ -73,20 +81,34 @@
     requested: Cell<Option<Instant>>,
     request: Notify,
     answered: Notify,
+    ended: Cell<bool>,
     shared: Rc<Shared>,
 }
 
 impl Probes {
-    /// Begins the contact with the servers that have none. `recorded` are the servers of the group's row.
-    pub fn start(&self, host: &Rc<Host>, pools: &[Rc<Pool>], recorded: &RecordedServers) {
+    /// Begins the contact with the servers that have none, and ends that with servers that are not in
+    /// `pools`.
+    pub fn keep(&self, host: &Rc<Host>, pools: &[Rc<Pool>]) {
+        self.shared.probes.borrow_mut().retain(|_, probe| {
+            let kept = pools.iter().any(|pool| Rc::ptr_eq(pool, &probe.pool));
+            if !kept {
+                probe.end();
+            }
+            kept
+        });
         for pool in pools {
             self.probe(host, pool);
         }
-        if !self.reading.replace(true) {
-            monoio::spawn(identify(host.clone(), recorded.clone(), self.shared.clone()));
+        if !self.shared.reading.replace(true) {
+            monoio::spawn(identify(host.clone(), self.shared.clone()));
         }
     }
 
+    /// Sets whether a failover waits for the processes to be identified.
+    pub fn set_urgent(&self, urgent: bool) {
+        self.shared.urgent.set(urgent);
+    }
+
     /// Requests a server's status as [`monitor::free_status`] does, on the connection that is kept.
     pub async fn status(&self, host: &Rc<Host>, pool: &Rc<Pool>) -> Result<Status, StatusError> {
         self.probe(host, pool).status(host).await
@@ -116,6 +138,7 @@
                 requested: Cell::default(),
                 request: Notify::new(),
                 answered: Notify::new(),
+                ended: Cell::default(),
                 shared: self.shared.clone(),
             });
             monoio::spawn(probe.clone().run(host.clone()));
@@ -128,12 +151,17 @@
 impl Drop for Probes {
     fn drop(&mut self) {
         self.shared.ended.set(true);
-        let probes = self.shared.probes.take();
-        probes.values().for_each(|probe| probe.request.notify_one());
+        self.shared.probes.take().values().for_each(|probe| probe.end());
     }
 }
 
 impl Probe {
+    /// Ends the contact.
+    fn end(&self) {
+        self.ended.set(true);
+        self.request.notify_one();
+    }
+
     async fn status(&self, host: &Host) -> Result<Status, StatusError> {
         let asked = host.now();
         let deadline = monoio::time::Instant::now() + suspicion::PROBE_TIMEOUT;
@@ -157,9 +185,9 @@
         }
     }
 
-    /// Keeps a connection open and answers requests on it until the failover has ended.
+    /// Keeps a connection open and answers requests on it until the contact ends.
     async fn run(self: Rc<Self>, host: Rc<Host>) {
-        while !self.shared.ended.get() {
+        while !self.ended.get() {
             match monitor::open(&host, &self.pool).await {
                 Ok(backend) => {
                     self.failed.set(false);
@@ -179,12 +207,13 @@
         }
     }
 
-    /// Answers requests until the connection or the failover ends.
+    /// Answers requests until the connection or the contact ends.
     async fn answer_requests(&self, host: &Host, mut backend: Backend) {
-        while !self.shared.ended.get() {
+        while !self.ended.get() {
             let answered = self.answer.get().map(|(sent, _)| sent);
-            if self.requested.get() <= answered {
-                self.request.notified().await;
+            if self.requested.get() <= answered
+                && monoio::time::timeout(IDLE_INTERVAL, self.request.notified()).await.is_ok()
+            {
                 continue;
             }
             let sent = host.now();
@@ -202,24 +231,29 @@
     }
 }
 
-/// Reads the entries of the recorded servers until the process at the other end of each connection is known
-/// or the failover has ended.
-async fn identify(host: Rc<Host>, recorded: RecordedServers, shared: Rc<Shared>) {
+/// Reads the entries of the servers while the process at the other end of a connection is not known, until
+/// the contact ends.
+async fn identify(host: Rc<Host>, shared: Rc<Shared>) {
     let client = Client::new(host.settings.store_address);
     // Time since which each read was answered: beside an outage of the store an entry may stay for longer.
     let mut readable: Option<Instant> = None;
+    let mut last: Option<Instant> = None;
     while !shared.ended.get() {
-        monoio::time::sleep(ENTRY_READ_INTERVAL).await;
-        let probes: Vec<_> = shared.probes.borrow().clone().into_iter().collect();
-        let is_unknown = |(id, probe): &(ServerId, Rc<Probe>)| {
-            recorded.contains_key(id)
-                && probe.opened.get().is_some()
-                && probe.started.get().is_none()
-        };
-        let unknown: Vec<_> = probes.into_iter().filter(is_unknown).collect();
+        monoio::time::sleep(FAILOVER_READ_INTERVAL).await;
+        let is_unknown =
+            |probe: &Probe| probe.opened.get().is_some() && probe.started.get().is_none();
+        let probes = shared.probes.borrow().clone().into_iter();
+        let unknown: Vec<_> = probes.filter(|(_, probe)| is_unknown(probe)).collect();
         if unknown.is_empty() {
-            readable = None;
+            (readable, last) = (None, None);
+            continue;
+        }
+        let interval =
+            if shared.urgent.get() { FAILOVER_READ_INTERVAL } else { ENTRY_READ_INTERVAL };
+        if last.is_some_and(|last| host.now().saturating_duration_since(last) < interval) {
+            continue;
         }
+        last = Some(host.now());
         for (id, probe) in unknown {
             let (opened, sent) = (probe.opened.get(), host.now());
             let Ok(started) = read_start(&client, &id).await else {
@@ -228,11 +262,10 @@
             };
             let readable = *readable.get_or_insert(sent);
             let Some(since) = opened.filter(|_| opened == probe.opened.get()) else { continue };
-            let other = started.is_some_and(|started| recorded.get(&id) != Some(&started));
-            let is_own =
+            let shown =
                 sent.saturating_duration_since(since.max(readable)) >= host.settings.entry_ttl;
-            if other || started.is_some() && is_own {
-                info!(server = %id, started, other, "failover: process of the server identified");
+            if shown && started.is_some() {
+                debug!(server = %id, started, "probe: process of the server identified");
                 probe.started.set(started);
                 shared.updated.notify_one();
             }
--- a/components/proxy/tests/replica_set.rs
+++ b/components/proxy/tests/replica_set.rs
@@ -413,3 +413,26 @@
     until(|| fleet.platform.borrow().promoted == ["s2".into()]).await;
     drop(run);
 }
+
+/// Guards against a group without a leader for as long as an entry outlives its process, beside a host that has
+/// started again with the failure of the leader: the holder of the servers' connections has known the
+/// processes before.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn processes_are_identified_before_a_failover_by_the_holder_of_their_connections() {
+    let reports = [Report::Primary(TERM), Report::Replica(60), Report::Replica(60)];
+    let fleet = Fleet::start(Rc::new(SystemClock), None, reports);
+    fleet.require_complete();
+    fleet.watch_from(steady(&["s1", "s2", "s3"])).await;
+    monoio::spawn(fleet::follow(fleet.host.clone()));
+    until(|| fleet.group.probes().started(&id("s2")) == Some(STARTED_MS)).await;
+    until(|| fleet.group.probes().started(&id("s3")) == Some(STARTED_MS)).await;
+    fleet.report(1, Report::Silent);
+    fleet.platform.borrow_mut().entries.clear();
+    let failover = fleet.begin_with(false, &["s1", "s2", "s3"]).await;
+    let run = monoio::spawn({
+        let (host, group) = (fleet.host.clone(), fleet.group.clone());
+        async move { failover.run(&host, &group).await }
+    });
+    until(|| !fleet.platform.borrow().promoted.is_empty()).await;
+    drop(run);
+}
