Probe: connections to servers that do not accept them are opened each second outside of failovers

Found by reading: a holder that keeps contact tried to open a connection to a crashed server twenty times a second, which the platform charges. It does so once a second now, and each 50 ms while a failover waits.

--- a/components/proxy/src/confirm.rs
+++ b/components/proxy/src/confirm.rs
@@ -190,8 +190,7 @@
         }
         let before = receipts.state.borrow().clone();
         let reading = received_position(&host, &pool).await;
-        // A row without this server may have been read meanwhile, whose writer takes the release of the
-        // former row to mean that its confirmations do not count any more.
+        // By a row that was read since the request, the server may count no more.
         if !replica_set::counts(&host, &group, &id) {
             break;
         }
--- a/components/proxy/src/probe.rs
+++ b/components/proxy/src/probe.rs
@@ -34,8 +34,11 @@
     pool::Pool,
 };
 
-/// Delay before a connection is opened again.
-const REOPEN_DELAY: Duration = Duration::from_millis(50);
+/// Delay before a connection is opened again, during a failover.
+const FAILOVER_REOPEN_DELAY: Duration = Duration::from_millis(50);
+
+/// Delay before a connection is opened again while no failover waits for it.
+const REOPEN_DELAY: Duration = Duration::from_millis(1000);
 
 /// Interval between reads of entries while a process is not identified, during a failover.
 const FAILOVER_READ_INTERVAL: Duration = Duration::from_millis(250);
@@ -77,7 +80,7 @@
     failed: Cell<bool>,
     /// Last answer, and the time at which it was requested.
     answer: Cell<Option<(Instant, Result<Status, StatusError>)>>,
-    /// Time of the last request that awaits an answer.
+    /// Time of the last request; an answer requested before does not count for it.
     requested: Cell<Option<Instant>>,
     request: Notify,
     answered: Notify,
@@ -203,7 +206,14 @@
                     self.answered.notify_waiters();
                 }
             }
-            monoio::time::sleep(REOPEN_DELAY).await;
+            let since = host.now();
+            let is_over = || host.now().saturating_duration_since(since) >= REOPEN_DELAY;
+            loop {
+                monoio::time::sleep(FAILOVER_REOPEN_DELAY).await;
+                if self.shared.urgent.get() || self.ended.get() || is_over() {
+                    break;
+                }
+            }
         }
     }
 
--- a/components/proxy/src/replica_set.rs
+++ b/components/proxy/src/replica_set.rs
@@ -79,16 +79,13 @@
     }
     let now = host.now();
     let version = row.as_ref().map(|row| row.version);
-    let (_, since) = group
-        .row_since
-        .get()
-        .filter(|(known, _)| Some(*known) == version)
-        .unwrap_or_else(|| (version.unwrap_or_default(), now));
+    let known = group.row_since.get().filter(|(known, _)| Some(*known) == version);
+    let since = known.map_or(now, |(_, since)| since);
     group.row_since.set(version.map(|version| (version, since)));
-    let is_sole = now >= since + LEASE_TTL + LEASE_MARGIN;
+    let leases_expired = now >= since + LEASE_TTL + LEASE_MARGIN;
     let required = is_required(host, group);
     let servers = if required { listed(host, group) } else { RecordedServers::new() };
-    if recorded.servers == servers && (recorded.exhaustive || !required || !is_sole) {
+    if recorded.servers == servers && (recorded.exhaustive || !required || !leases_expired) {
         group.unrecorded_since.set(None);
         return;
     }
@@ -101,7 +98,7 @@
     }
     let (host, group, leader) = (host.clone(), group.clone(), leader.clone());
     monoio::spawn(async move {
-        if let Err(error) = record(&host, &group, &leader, row, recorded, is_sole).await {
+        if let Err(error) = record(&host, &group, &leader, row, recorded, leases_expired).await {
             let error = format_args!("{error:#}");
             debug!(group = %group.id, %error, "replica set: not recorded, retrying");
         }
@@ -118,15 +115,15 @@
 }
 
 /// Writes the set: the leader, the listed servers that have received its log, and those listed ones that
-/// are recorded. Fails if no other server has received the leader's log. `is_sole` if no host can use the
-/// leader by an earlier row than `before`.
+/// are recorded. Fails if no other server has received the leader's log. `leases_expired` if no host can use
+/// the leader by an earlier row than `before`.
 async fn record(
     host: &Host,
     group: &Group,
     leader: &Rc<Pool>,
     before: Option<Versioned<Leadership>>,
     recorded: RecordedSet,
-    is_sole: bool,
+    leases_expired: bool,
 ) -> anyhow::Result<()> {
     let id = leader.listed.borrow().id.clone();
     let known = before.as_ref().map(|row| row.value.term()).unwrap_or_default();
@@ -143,9 +140,9 @@
     servers.extend(kept.map(|(id, started)| (id.clone(), *started)));
     servers.insert(id.clone(), leader.listed.borrow().started_ms);
     // By a row without servers, hosts count all.
-    let keeps = recorded.servers.iter().all(|(id, started)| servers.get(id) == Some(started));
-    let keeps = keeps && !recorded.servers.is_empty();
-    let exhaustive = keeps && (recorded.exhaustive || is_sole);
+    let counted = !recorded.servers.is_empty()
+        && recorded.servers.iter().all(|(id, started)| servers.get(id) == Some(started));
+    let exhaustive = counted && (recorded.exhaustive || leases_expired);
     if servers == recorded.servers && exhaustive == recorded.exhaustive {
         return Ok(());
     }
