Tests: wording of the comment on statements that are broken off

Found by the reading of the whole diff: a person's verb in the comment of statement_at_a_server_that_does_not_answer_is_broken_off_after_its_link_has_closed.

--- a/components/proxy/tests/forward.rs
+++ b/components/proxy/tests/forward.rs
@@ -345,8 +345,8 @@
 }
 
 /// Guards against a statement that runs over a second after its caller had the answer: the server is cut off
-/// when it is sent, its link is reset, the caller is told that the outcome is unknown, and the network
-/// delivers it once the server can be reached.
+/// when it is sent, its link is reset, the answer to the caller is that the outcome is unknown, and the
+/// network delivers the statement once the server can be reached.
 #[monoio::test(driver = "legacy", enable_timer = true)]
 async fn statement_at_a_server_that_does_not_answer_is_broken_off_after_its_link_has_closed() {
     let holder = Holder::start().await;
