Addresses for probes and operators: limits of connections, bodies and time

What callers saw: 3,000 clients that send requests of 3 MB without their ends to the readiness and metrics addresses of a host took its process to 1,205 MB, on a machine of 160 MB; it was stopped, and 100 of 125 requests of an ordinary caller failed.

Cause: a connection had no limit but that of one body (4 MB), whose receipt had no time limit, and any number of connections were served. The addresses for probes need no body at all.

Change: at most 64 connections for probes and 256 for operators, of which the oldest is closed for the next, so that a probe of the platform is served beside a crowd; no bodies for probes, 16 MB in all for operators; a time limit for the body as for the head; 64 KiB of buffers; other tasks run after 16 accepted connections.

--- a/components/operator/src/serve.rs
+++ b/components/operator/src/serve.rs
@@ -1,13 +1,20 @@
 //! HTTP/1.1 server for operators, with one task per connection.
 
-use std::{future::Future, io, net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell, collections::BTreeMap, future::Future, io, net::SocketAddr, pin::Pin, rc::Rc,
+    time::Duration,
+};
 
 use anyhow::Context;
+use bergamottrack_coordination::budget::Budget;
 use bergamottrack_peer::accept;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
-    HeaderMap, Method, Response, StatusCode, body::Incoming, header, server::conn::http1,
+    HeaderMap, Method, Response, StatusCode,
+    body::{Body, Incoming},
+    header,
+    server::conn::http1,
     service::service_fn,
 };
 use monoio::{
@@ -15,15 +22,46 @@
     net::{ListenerOpts, TcpListener, TcpStream},
 };
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
+use tokio::sync::oneshot;
 use tracing::{debug, info};
 
 use crate::api::{ErrorPage, Verdict};
 
-/// Maximum size of a request body.
-const MAX_BODY_BYTES: usize = 4 << 20;
+/// Maximum memory of the buffers of one connection in bytes.
+const MAX_BUFFER: usize = 64 << 10;
+
+/// Connections that are accepted before the other tasks have their turns.
+const MAX_ACCEPTED: usize = 16;
+
+/// Time for these.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
+
+/// Limits of the requests at one address.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Maximum number of connections. The oldest one is closed for the next.
+    pub connections: usize,
+    /// Maximum size of a request body in bytes.
+    pub body: usize,
+    /// Maximum size of all request bodies that are being received, in bytes.
+    pub bodies: usize,
+    /// Time within which a connection must send a complete request head, and then the body.
+    pub timeout: Duration,
+}
 
-/// Time within which a connection must send a complete request head.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+impl Limits {
+    /// Limits for operators.
+    pub const OPERATORS: Self = Self {
+        connections: 256,
+        body: 4 << 20,
+        bodies: 16 << 20,
+        timeout: Duration::from_secs(30),
+    };
+
+    /// Limits for probes, which have no body.
+    pub const PROBES: Self =
+        Self { connections: 64, body: 0, bodies: 0, timeout: Duration::from_secs(5) };
+}
 
 /// A completely received request.
 pub struct Request {
@@ -91,25 +129,79 @@
 
 /// Serves operators without end. Returns an error if it cannot listen on the address.
 pub async fn serve(address: SocketAddr, handler: Rc<Handler>) -> anyhow::Result<()> {
+    serve_limited(address, handler, Limits::OPERATORS).await
+}
+
+/// Serves requests without end, within `limits`. Returns an error if it cannot listen on the address.
+pub async fn serve_limited(
+    address: SocketAddr,
+    handler: Rc<Handler>,
+    limits: Limits,
+) -> anyhow::Result<()> {
     let listener =
         listen(address).with_context(|| format!("cannot listen for operators on {address}"))?;
     info!("operator: listening on {}.", listener.local_addr()?);
-    serve_on(listener, handler).await
+    serve_connections(listener, handler, limits).await
 }
 
 /// Serves the connections of a listener without end.
 pub async fn serve_on(listener: TcpListener, handler: Rc<Handler>) -> ! {
+    serve_connections(listener, handler, Limits::OPERATORS).await
+}
+
+async fn serve_connections(listener: TcpListener, handler: Rc<Handler>, limits: Limits) -> ! {
+    let service = Rc::new(Service {
+        handler,
+        limits,
+        bodies: Budget::new(limits.bodies, 0),
+        open: RefCell::default(),
+    });
+    let mut numbers = 0..;
     loop {
-        let stream = accept::stream(&listener, "operators").await;
-        monoio::spawn(connection(stream, handler.clone()));
+        for number in numbers.by_ref().take(MAX_ACCEPTED) {
+            let stream = accept::stream(&listener, "operators").await;
+            let closed = service.enter(number);
+            let service = service.clone();
+            monoio::spawn(async move {
+                monoio::select! {
+                    () = connection(stream, service.clone()) => {}
+                    _ = closed => debug!("operator: the oldest connection was closed for another."),
+                }
+                service.open.borrow_mut().remove(&number);
+            });
+        }
+        monoio::time::sleep(ACCEPT_PAUSE).await;
+    }
+}
+
+/// Handler and connections of one address.
+struct Service {
+    handler: Rc<Handler>,
+    limits: Limits,
+    /// Memory of the request bodies that are being received.
+    bodies: Rc<Budget>,
+    /// Open connections by number, which grows with each; a connection ends when its sender is dropped.
+    open: RefCell<BTreeMap<u64, oneshot::Sender<()>>>,
+}
+
+impl Service {
+    /// Adds a connection, and closes the oldest one if there are too many.
+    fn enter(&self, number: u64) -> oneshot::Receiver<()> {
+        let (sender, closed) = oneshot::channel();
+        let mut open = self.open.borrow_mut();
+        open.insert(number, sender);
+        if open.len() > self.limits.connections {
+            open.pop_first();
+        }
+        closed
     }
 }
 
-async fn connection(stream: TcpStream, handler: Rc<Handler>) {
+async fn connection(stream: TcpStream, service: Rc<Service>) {
     let Ok(io) = stream.into_poll_io() else { return };
-    let service = service_fn(move |request| answer(request, handler.clone()));
     let mut builder = http1::Builder::new();
-    builder.timer(MonoioTimer).header_read_timeout(HEADER_TIMEOUT);
+    builder.timer(MonoioTimer).header_read_timeout(service.limits.timeout).max_buf_size(MAX_BUFFER);
+    let service = service_fn(move |request| answer(request, service.clone()));
     if let Err(error) = builder.serve_connection(MonoioIo::new(io), service).await {
         debug!("operator: connection failed: {error}.");
     }
@@ -117,11 +209,12 @@
 
 async fn answer(
     request: hyper::Request<Incoming>,
-    handler: Rc<Handler>,
+    service: Rc<Service>,
 ) -> anyhow::Result<Response<Full<Bytes>>> {
-    let reply = match read(request).await {
-        Ok(request) => handler(request).await,
-        Err(error) => Reply::text(StatusCode::BAD_REQUEST, format!("{error:#}\n")),
+    let reply = match monoio::time::timeout(service.limits.timeout, read(request, &service)).await {
+        Ok(Ok(request)) => (service.handler)(request).await,
+        Ok(Err(error)) => Reply::text(StatusCode::BAD_REQUEST, format!("{error:#}\n")),
+        Err(_) => Reply::text(StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time\n"),
     };
     Ok(Response::builder()
         .status(reply.status)
@@ -129,11 +222,20 @@
         .body(Full::new(reply.body))?)
 }
 
-async fn read(request: hyper::Request<Incoming>) -> anyhow::Result<Request> {
+async fn read(request: hyper::Request<Incoming>, service: &Service) -> anyhow::Result<Request> {
     let (parts, body) = request.into_parts();
     let key = parts.headers.get(header::AUTHORIZATION).and_then(|v| v.to_str().ok());
     let key = key.and_then(|v| v.strip_prefix("Bearer ")).map(Into::into);
-    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+    let limits = service.limits;
+    let announced = body.size_hint().upper().unwrap_or(limits.body as u64);
+    anyhow::ensure!(
+        announced <= limits.body as u64,
+        "the body is larger than {} bytes",
+        limits.body
+    );
+    let mut memory = service.bodies.charge();
+    memory.set(announced as usize).context("too many bodies at the same time")?;
+    let body = Limited::new(body, limits.body).collect().await;
     let body = body.map_err(|error| anyhow::anyhow!("reading the request: {error}"))?;
     Ok(Request {
         method: parts.method,
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -71,8 +71,10 @@
     let peers = listen(settings.peer_address).context("listening for other hosts")?;
     let callers = listen(settings.caller_address).context("listening for callers")?;
     let state: Rc<RefCell<Option<Rc<Host>>>> = Rc::default();
-    monoio::spawn(http::serve(settings.readiness_address, readiness(state.clone())));
-    monoio::spawn(http::serve(settings.metrics_address, metrics(state.clone())));
+    let probes = http::Limits::PROBES;
+    let (ready, counters) = (readiness(state.clone()), metrics(state.clone()));
+    monoio::spawn(http::serve_limited(settings.readiness_address, ready, probes));
+    monoio::spawn(http::serve_limited(settings.metrics_address, counters, probes));
     let client = Client::new(settings.store_address);
     let (run, clock): (_, Rc<dyn Clock>) = (rand::random(), Rc::new(BootClock::new()));
     let membership = monoio::select! {
--- a/lab/src/soak/world.rs
+++ b/lab/src/soak/world.rs
@@ -40,6 +40,12 @@
 /// CPU share of a large host.
 const LARGE_CPU_SHARE: f64 = 0.5;
 
+/// Memory of each host's machine in MB: that of the smallest machine in use.
+pub const MEMORY_MB: u64 = 160;
+
+/// File descriptors that each host's process may have, as on the smallest machine in use.
+pub const FILE_DESCRIPTORS: usize = 4300;
+
 /// Interval of the servers' heartbeats in milliseconds, as the hosts' settings state it.
 const HEARTBEAT_MS: u64 = 500;
 
@@ -177,7 +183,8 @@
             internalPortRange={},{}\nlimits.cpuShare={cpu_share}\nbounds.graceS=4\n\
             bounds.configurationApplyMs=3000\nbounds.drainMs=7000\nbounds.quotaOverage=0.1\n\
             bounds.strictRevocation=false\nbounds.revocationMs=5000\nbounds.quotaSlack=20\nbounds.quotaWindowS=5\nplatform.address={store}\ncloud.address={platform}\n\
-            heartbeatIntervalMs={HEARTBEAT_MS}\n",
+            heartbeatIntervalMs={HEARTBEAT_MS}\n\
+            limits.memoryMb={MEMORY_MB}\nlimits.fileDescriptors={FILE_DESCRIPTORS}\n",
             number % 2,
             peers.port(),
             metrics.port(),
--- /dev/null
+++ b/tests/clients.rs
@@ -0,0 +1,241 @@
+//! Callers that send too much, too fast or too slowly, and never read or end what they began, beside
+//! ordinary ones. No process may end, hang or exceed the memory of its machine, and ordinary callers are
+//! served.
+
+mod crowd;
+mod hosts;
+
+use std::{
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use crowd::{Crowd, Ordinary, Peak, Requests, Session, Task, Watch, repeated, statement};
+use hosts::{Connection, WAIT_TIMEOUT, block_on, sleep_ms, start_system};
+use lab::soak::world::{FILE_DESCRIPTORS, MEMORY_MB};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+
+/// Length of a large value: almost the greatest length of a message.
+const LARGE: usize = 1_000_000;
+
+/// Length of a value above the usual size, which ordinary callers send and read.
+const MEDIUM: usize = 20_000;
+
+/// Greatest length of a message, with its end.
+const MAX_MESSAGE: usize = 1 << 20;
+
+/// Time for which a crowd plays.
+const PLAY: Duration = Duration::from_secs(6);
+
+/// Time of ordinary requests before the crowd comes, and after it has gone.
+const CALM: Duration = Duration::from_millis(1500);
+
+/// Time within which a route is to answer, and its timeout, as in the configuration of the system.
+const TARGET_LATENCY: Duration = Duration::from_millis(300);
+const ROUTE_TIMEOUT: Duration = Duration::from_millis(2000);
+
+/// Crowds play one after the other: each one uses the machine that another is measured on.
+fn turn() -> MutexGuard<'static, ()> {
+    static TURN: Mutex<()> = Mutex::new(());
+    TURN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// What processes used and how ordinary requests fared beside a crowd.
+struct Play {
+    /// Greatest use of each host; the crowd connects to the first.
+    peaks: Vec<Peak>,
+    /// Caller of another account with a session at the same host.
+    other: Requests,
+    /// The same with a new session for each request.
+    fresh: Requests,
+    /// Caller of the crowd's account at the same host.
+    same: Requests,
+    /// Caller of another account at another host.
+    elsewhere: Requests,
+}
+
+/// Plays a crowd against the first of three hosts.
+fn play(name: &str, crowd: impl FnOnce(Addresses) -> Vec<Task>) -> Play {
+    let _turn = turn();
+    block_on(async {
+        let world = start_system(3).await;
+        let (pids, addresses) = {
+            let world = world.borrow();
+            world.groups.borrow_mut().unrecorded = true;
+            let pids: Vec<u32> = world.hosts.iter().map(|host| host.pid().unwrap()).collect();
+            let (callers, readiness) = (world.callers[0], world.readiness[0]);
+            (pids, Addresses { callers, readiness, metrics: world.metrics[0] })
+        };
+        let other_host = world.borrow().callers[1];
+        let mut setup = Connection::start(addresses.callers, "db0", "key-b").await.unwrap();
+        for (item, len) in [("row-large", LARGE), ("row-medium", MEDIUM)] {
+            let answer = setup.query(&format!("WRITE {item} {}", "x".repeat(len))).await.unwrap();
+            assert!(answer[0].starts_with("DONE"), "{answer:?}");
+        }
+        drop(setup);
+        let watch = Watch::start(pids, MEMORY_MB * 1_000_000);
+        let ordinary = |address, key, is_fresh| Ordinary::start(address, key, MEDIUM, is_fresh);
+        let other = ordinary(addresses.callers, "key-h", false);
+        let fresh = ordinary(addresses.callers, "key-h", true);
+        let same = ordinary(addresses.callers, "key-b", false);
+        let elsewhere = ordinary(other_host, "key-h", false);
+        sleep_ms(CALM.as_millis() as u64).await;
+        let crowd = Crowd::start(crowd(addresses));
+        sleep_ms(PLAY.as_millis() as u64).await;
+        // Ends the connections of the crowd on another thread.
+        let ending = std::thread::spawn(move || drop(crowd));
+        sleep_ms(CALM.as_millis() as u64).await;
+        // This thread serves the stand-ins until the last request has its answer.
+        let callers = [&other, &fresh, &same, &elsewhere];
+        callers.into_iter().for_each(Ordinary::stop);
+        while !callers.into_iter().all(Ordinary::has_ended) || !ending.is_finished() {
+            sleep_ms(10).await;
+        }
+        let (other, fresh) = (other.requests(), fresh.requests());
+        let (same, elsewhere) = (same.requests(), elsewhere.requests());
+        let play = Play { peaks: watch.end(), other, fresh, same, elsewhere };
+        play.report(name);
+        for (number, host) in world.borrow_mut().hosts.iter_mut().enumerate() {
+            assert!(host.is_running(), "{name}: host {number} has ended\n{}", tail(&host.log()));
+        }
+        play
+    })
+}
+
+fn tail(log: &str) -> String {
+    let lines: Vec<&str> = log.lines().rev().take(5).collect();
+    lines.join("\n")
+}
+
+/// Addresses of the host that a crowd connects to.
+#[derive(Clone, Copy)]
+struct Addresses {
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    metrics: SocketAddr,
+}
+
+impl Play {
+    fn report(&self, name: &str) {
+        let mb = |bytes: u64| bytes / 1_000_000;
+        let peaks = self.peaks.iter().map(|peak| {
+            format!("{} MB ({} unread), {} fds", mb(peak.memory), mb(peak.unread), peak.descriptors)
+        });
+        eprintln!("{name}: {}", peaks.collect::<Vec<_>>().join("; "));
+        let callers = [
+            ("other", &self.other),
+            ("fresh", &self.fresh),
+            ("same", &self.same),
+            ("elsewhere", &self.elsewhere),
+        ];
+        for (caller, requests) in callers {
+            let all = requests.served.len() + requests.failed.len();
+            eprintln!(
+                "  {caller}: {} of {all}, median {} ms, 95 % {} ms, longest {} ms; {:?}",
+                requests.served.len(),
+                requests.quantile(0.5).as_millis(),
+                requests.quantile(0.95).as_millis(),
+                requests.quantile(1.0).as_millis(),
+                requests.failed.iter().take(3).collect::<Vec<_>>(),
+            );
+        }
+    }
+
+    /// Checks the memory and the descriptors of the hosts, and the requests of ordinary callers: at most
+    /// one in twenty is not served, half of them within the latency that the route aims at. Those of the
+    /// crowd's own account may be over its rate, but are answered in time.
+    fn check(&self) {
+        for (number, peak) in self.peaks.iter().enumerate() {
+            assert!(peak.memory <= MEMORY_MB * 1_000_000, "host {number}: {peak:?}");
+            assert!(peak.descriptors < FILE_DESCRIPTORS - 200, "host {number}: {peak:?}");
+        }
+        let others =
+            [("other", &self.other), ("fresh", &self.fresh), ("elsewhere", &self.elsewhere)];
+        for (name, requests) in others {
+            assert!(requests.share() >= 0.95, "{name}: {:?}", requests.failed);
+            assert!(requests.quantile(0.5) <= TARGET_LATENCY, "{name}");
+        }
+        let unanswered =
+            self.same.failed.iter().filter(|text| !text.contains("ERROR BUSY not run"));
+        let (unanswered, all) =
+            (unanswered.count(), self.same.served.len() + self.same.failed.len());
+        assert!(unanswered * 20 <= all, "same: {:?}", self.same.failed);
+    }
+}
+
+/// Guards against limits that ordinary callers meet.
+#[test]
+fn ordinary_callers_alone() {
+    let play = play("calm", |_| Vec::new());
+    play.check();
+}
+
+/// Guards against callers that connect and close without a pause.
+#[test]
+fn connections_that_are_closed_at_once() {
+    let play = play("connect and close", |addresses| {
+        repeated(200, move |_| async move {
+            drop(Session::connect(addresses.callers).await?);
+            Ok(())
+        })
+    });
+    play.check();
+}
+
+/// Guards against a readiness address that a crowd keeps from the platform, which then sends no callers
+/// to the host.
+#[test]
+fn incomplete_requests_to_the_readiness_and_metrics_addresses() {
+    let play = play("readiness and metrics", |addresses| {
+        repeated(3_000, move |number| async move {
+            let address = if number % 2 == 0 { addresses.readiness } else { addresses.metrics };
+            let mut stream = TcpStream::connect(address).await?;
+            stream.write_all(b"POST /-/readiness HTTP/1.1\r\nHost: h\r\n").await?;
+            if number % 3 == 0 {
+                stream.write_all(b"Content-Length: 4000000\r\n\r\n").await?;
+                stream.write_all(&vec![b'x'; 3_000_000]).await?;
+            }
+            loop {
+                stream.write_all(b"X: y\r\n").await?;
+                tokio::time::sleep(Duration::from_millis(300)).await;
+            }
+        })
+    });
+    play.check();
+}
+
+/// Guards against limits that refuse what the protocol allows: single messages of exactly the greatest
+/// length are served, and one byte more is not.
+#[test]
+fn single_message_of_the_greatest_length_is_served_in_calm() {
+    let _turn = turn();
+    block_on(async {
+        let world = start_system(2).await;
+        world.borrow().groups.borrow_mut().unrecorded = true;
+        let address = world.borrow().callers[0];
+        let mut session = Connection::start(address, "db0", "key-h").await.unwrap();
+        let fill = |text: &str, len: usize| {
+            let message = statement(text);
+            let fill = "x".repeat(len - message.len());
+            message.replace("\r\n", &format!("{fill}\r\n"))
+        };
+        for text in ["WRITE row ", "SET v "] {
+            let message = fill(text, MAX_MESSAGE);
+            assert_eq!(message.len(), MAX_MESSAGE);
+            let began = Instant::now();
+            session.send(&message).await.unwrap();
+            let answer = session.answer().await.unwrap();
+            assert!(answer[0].starts_with("DONE "), "{text}: {answer:?}");
+            assert!(began.elapsed() < ROUTE_TIMEOUT, "{text}: {:?}", began.elapsed());
+        }
+        let mut session = Connection::start(address, "db0", "key-h").await.unwrap();
+        let began = Instant::now();
+        let answer = session.query("READ row").await.unwrap();
+        assert!(answer[0].starts_with("ROW xxx") && answer[1].starts_with("DONE "));
+        assert!(began.elapsed() < WAIT_TIMEOUT);
+        session.send(&fill("WRITE row ", MAX_MESSAGE + 1)).await.unwrap();
+        let answer = session.next().await.unwrap();
+        assert!(answer.starts_with("ERROR TOOBIG "), "{answer:?}");
+    });
+}
