Callers: messages are processed in turns

What callers saw: beside 30 clients that send short reads ahead and read no answer, an ordinary caller of another account had no answer for 3 s and then "this host cannot show who leads" and "the account is over its rate" for an account that was within it: 51 of 54 requests, 54 where 147 are sent in that time. Beside lines of 64 MB nobody had an answer for as long as they came, and other hosts took the servers whose connections the host holds for lost. A host beside a mixed crowd did not end in its grace period.

Cause: the task of a connection that finds a line in its buffer, answers it without waiting and writes into a socket with room never suspends, and neither does one that reads a long message. Nothing else runs meanwhile. Suspending alone does not help: the runtime processes timers only when no task is ready, so tasks that are ready all the time keep the heartbeats, leases and timeouts of the host from it.

Change: each message, and each 16 KiB of one, costs work in bytes, answers included. An account whose work of the last second is below a quarter of what the machine's part of a core can do is not limited. Beyond that, and after 8 messages in a row, a message waits for its turn, which a timer grants: the account and then the client with the least work come first, and the work of all is bounded by the machine. So timers run each millisecond, and a crowd waits for its own messages.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -95,6 +95,7 @@
 pub mod succession;
 pub mod suspicion;
 pub mod token;
+pub mod turns;
 pub mod units;
 pub mod view;
 
--- a/components/proxy/src/caller.rs
+++ b/components/proxy/src/caller.rs
@@ -4,7 +4,11 @@
 
 use anyhow::Context;
 use bergamottrack_adapter::wire::{self, CallerMessage, LineReader, WireError};
-use bergamottrack_coordination::budget::Charge;
+use bergamottrack_coordination::{
+    AccountId,
+    budget::Charge,
+    turns::{self, Usage},
+};
 use bergamottrack_model::{Failure, State};
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
@@ -41,6 +45,9 @@
 /// Minimum free space of the read buffer, in bytes.
 const READ_CHUNK: usize = 2 * 1024;
 
+/// Bytes of a message that are read without a turn.
+const UNPAID_BYTES: usize = 16 << 10;
+
 /// Result of waiting for a caller's next line.
 enum Event {
     Line(Bytes),
@@ -55,7 +62,13 @@
 }
 
 struct Connection {
+    host: Rc<Host>,
     io: TcpStreamPoll,
+    /// Account of the session; `None` before it begins and for a caller without one.
+    account: Option<AccountId>,
+    usage: Usage,
+    /// Bytes read and written since the last turn.
+    unpaid: usize,
     buf: BytesMut,
     /// Memory of `buf`.
     memory: Charge,
@@ -88,6 +101,10 @@
 
 async fn run(host: &Rc<Host>, stream: TcpStream) -> anyhow::Result<()> {
     let mut connection = Connection {
+        host: host.clone(),
+        account: None,
+        usage: Usage::new(host.now()),
+        unpaid: 0,
         io: configure(stream).context("configuring a caller's connection")?,
         buf: BytesMut::new(),
         memory: host.session_memory.charge(),
@@ -98,8 +115,9 @@
     };
     let Some((database, key)) = connection.read_start().await? else { return Ok(()) };
     let mut session = CallerSession::new(host.clone(), database, key);
-    if let Err(refusal) = session.check_access() {
-        return connection.close_with(&refusal).await;
+    match session.check_access() {
+        Ok(account) => connection.account = account,
+        Err(refusal) => return connection.close_with(&refusal).await,
     }
     wire::put_ready(State::Idle, &mut connection.out);
     connection.flush().await?;
@@ -177,6 +195,7 @@
                 Ok(Some(line)) => {
                     // A charge that shrinks does not fail.
                     let _ = self.memory.set(self.buf.len());
+                    self.wait_for_turn(turns::MESSAGE_COST).await;
                     return Ok(Event::Line(line));
                 }
                 // The memory of a long line is not kept for the next ones.
@@ -186,6 +205,9 @@
                 Ok(None) => {}
                 Err(WireError::TooLong | WireError::Unknown) => return Ok(Event::TooLong),
             }
+            if self.unpaid >= UNPAID_BYTES {
+                self.wait_for_turn(0).await;
+            }
             let interruptible = idle && self.buf.is_empty();
             let (io, buf, phase) = (&mut self.io, &mut self.buf, &mut self.phase);
             buf.reserve(READ_CHUNK);
@@ -217,13 +239,20 @@
                 Some(Ok(_)) if self.memory.set(self.buf.len()).is_err() => {
                     return Ok(Event::NoMemory);
                 }
-                Some(Ok(_)) => {}
+                Some(Ok(len)) => self.unpaid += len,
                 Some(Err(error)) => return Err(error).context("reading from a caller"),
             }
         }
     }
 
+    /// Waits for a turn to process what was read, and `more` bytes of work.
+    async fn wait_for_turn(&mut self, more: usize) {
+        let cost = std::mem::take(&mut self.unpaid) + more;
+        self.host.turns.wait(self.account.as_ref(), &mut self.usage, cost).await;
+    }
+
     async fn flush(&mut self) -> anyhow::Result<()> {
+        self.unpaid += self.out.len();
         let write = self.io.write_all(&self.out);
         monoio::time::timeout(WRITE_TIMEOUT, write)
             .await
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -38,6 +38,7 @@
     positions,
     servers::Servers,
     timing::LeaseInfo,
+    turns::TurnQueue,
 };
 
 /// Validity of the hub's last report that it has contact with a majority of the fleet.
@@ -176,6 +177,8 @@
     /// Memory of the statements in progress: those of this host's callers, and those of other hosts at
     /// servers whose connections this host holds.
     pub statement_memory: Rc<Budget>,
+    /// Turns of the callers' messages.
+    pub turns: Rc<TurnQueue>,
 }
 
 /// Maximum of [`Host::session_memory`] in bytes; hosts have 160 MB or more in all.
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod group;
 pub mod host;
 pub mod join;
+pub mod limits;
 pub mod metrics;
 pub mod monitor;
 pub mod operation;
@@ -32,6 +33,7 @@
 pub mod target;
 pub mod timing;
 pub mod tokens;
+pub mod turns;
 
 pub use clock::BootClock;
 pub use host::Host;
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -30,8 +30,10 @@
     BootClock, caller, eviction, fleet, follow, gossip,
     host::{Host, Phase, session_memory, statement_memory},
     join,
+    limits::Limits,
     metrics::Metrics,
     monitor,
+    turns::TurnQueue,
 };
 
 /// Poll interval of signal flags and, during shutdown, of the number of open sessions.
@@ -51,6 +53,12 @@
 /// Maximum number of connections waiting to be accepted, per listener.
 const BACKLOG: i32 = 1024;
 
+/// Connections of callers that are accepted before the other tasks have their turns.
+const MAX_ACCEPTED: usize = 16;
+
+/// Time for these.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
+
 /// Flags that the process's signal handlers set.
 #[derive(Clone, Debug, Default)]
 pub struct Signals {
@@ -116,6 +124,7 @@
     let started = clock.now();
     let routes = contract::Routes::new(&[]);
     let mesh = Mesh::with_keepalive(me, secret, clock.clone(), routes, fleet::LINK_KEEPALIVE);
+    let limits = Limits::new(&settings);
     let mut demand = Demand::new(settings.rate_tolerance, run, started);
     demand.set_host(&settings.host);
     Rc::new(Host {
@@ -124,7 +133,7 @@
             fleet::member_hash(&settings),
         )),
         settings,
-        clock,
+        clock: clock.clone(),
         run,
         started,
         member_lost: Cell::default(),
@@ -165,6 +174,7 @@
         sessions: Cell::default(),
         session_memory: session_memory(),
         statement_memory: statement_memory(),
+        turns: TurnQueue::new(limits.work, clock),
     })
 }
 
@@ -174,8 +184,11 @@
 
 async fn accept_callers(listener: TcpListener, host: Rc<Host>) {
     loop {
-        let stream = accept::stream(&listener, "callers").await;
-        monoio::spawn(caller::serve(host.clone(), stream));
+        for _ in 0..MAX_ACCEPTED {
+            let stream = accept::stream(&listener, "callers").await;
+            monoio::spawn(caller::serve(host.clone(), stream));
+        }
+        monoio::time::sleep(ACCEPT_PAUSE).await;
     }
 }
 
--- a/components/proxy/src/session.rs
+++ b/components/proxy/src/session.rs
@@ -3,7 +3,9 @@
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use bergamottrack_adapter::wire;
-use bergamottrack_coordination::{GroupId, Point, budget::Charge, demand::Ruling, homes};
+use bergamottrack_coordination::{
+    AccountId, GroupId, Point, budget::Charge, demand::Ruling, homes,
+};
 use bergamottrack_model::{
     Access, Account, Failure, Request, Route, ServerAnswer, Session, State, Statement,
 };
@@ -106,9 +108,10 @@
     }
 
     /// Checks that this host may serve, that the database exists, and that it is public or the key
-    /// belongs to a client account.
-    pub fn check_access(&self) -> Result<(), Refusal> {
-        self.authorize().map(|_| ())
+    /// belongs to a client account, which is returned if there is one.
+    pub fn check_access(&self) -> Result<Option<AccountId>, Refusal> {
+        let (_, account) = self.authorize()?;
+        Ok(account.map(|account| account.id.clone()))
     }
 
     /// Rolls back a transaction whose caller exceeded the idle timeout: the transaction holds a
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -35,6 +35,12 @@
 const TARGET_LATENCY: Duration = Duration::from_millis(300);
 const ROUTE_TIMEOUT: Duration = Duration::from_millis(2000);
 
+/// Time for which a caller of a crowd keeps a connection that it does not use.
+const HOLD: Duration = Duration::from_secs(120);
+
+/// Grace period of a stopping host, as in its settings.
+const GRACE: Duration = Duration::from_secs(4);
+
 /// Crowds play one after the other: each one uses the machine that another is measured on.
 fn turn() -> MutexGuard<'static, ()> {
     static TURN: Mutex<()> = Mutex::new(());
@@ -164,6 +170,31 @@
     }
 }
 
+async fn hold(session: Session) -> std::io::Result<()> {
+    tokio::time::sleep(HOLD).await;
+    drop(session);
+    Ok(())
+}
+
+/// Sends statements ahead on a session without reading an answer.
+fn ahead(
+    address: SocketAddr,
+    callers: usize,
+    statements: usize,
+    text: impl Fn(usize) -> String + Clone + Send + 'static,
+) -> Vec<Task> {
+    repeated(callers, move |number| {
+        let text = text(number);
+        async move {
+            let mut session = Session::start(address, "db0", "key-b").await?;
+            for _ in 0..statements {
+                session.send(statement(&text).as_bytes()).await?;
+            }
+            hold(session).await
+        }
+    })
+}
+
 /// Guards against limits that ordinary callers meet.
 #[test]
 fn ordinary_callers_alone() {
@@ -171,6 +202,45 @@
     play.check();
 }
 
+/// Guards against one caller's statements that are answered one after the other before anyone else's and
+/// before the host's own messages, so that it loses its leases and tokens.
+#[test]
+fn short_statements_sent_ahead_without_reading() {
+    let play = play("short reads ahead", |addresses| {
+        ahead(addresses.callers, 300, 100_000, |_| "READ k1".into())
+    });
+    play.check();
+}
+
+/// Guards against the same from few callers, whose statements arrive faster.
+#[test]
+fn short_statements_sent_ahead_by_few() {
+    let play = play("short reads ahead by 30", |addresses| {
+        ahead(addresses.callers, 30, 1_000_000, |_| "READ k1".into())
+    });
+    play.check();
+}
+
+/// Guards against messages far over the limit that are held, in place of closing the connection.
+#[test]
+fn messages_far_over_the_limit() {
+    let play = play("64 MB lines", |addresses| {
+        repeated(300, move |number| async move {
+            let mut session = match number % 3 {
+                0 => Session::connect(addresses.callers).await?,
+                _ => Session::start(addresses.callers, "db0", "key-b").await?,
+            };
+            let piece = if number % 3 == 1 { vec![b'\n'; 1 << 16] } else { vec![b'x'; 1 << 16] };
+            session.send(b"START ").await?;
+            for _ in 0..1024 {
+                session.send(&piece).await?;
+            }
+            hold(session).await
+        })
+    });
+    play.check();
+}
+
 /// Guards against callers that connect and close without a pause.
 #[test]
 fn connections_that_are_closed_at_once() {
@@ -183,6 +253,30 @@
     play.check();
 }
 
+/// The kinds of clients that hold most, together.
+fn mixed(address: SocketAddr, callers: usize) -> Vec<Task> {
+    repeated(callers, move |number| async move {
+        let mut session = Session::start(address, "db0", "key-b").await?;
+        let large = "x".repeat(LARGE);
+        match number % 5 {
+            0 => {
+                session
+                    .send(&statement(&format!("WRITE k {large}")).as_bytes()[..LARGE / 2])
+                    .await?;
+            }
+            1 => drop(session.query(&format!("SET v {large}")).await?),
+            2 => session.send(statement("READ row-large").repeat(20).as_bytes()).await?,
+            3 => loop {
+                session.query(&format!("WRITE k{number} {large}")).await?;
+            },
+            _ => loop {
+                session.send(statement("READ k1").as_bytes()).await?;
+            },
+        }
+        hold(session).await
+    })
+}
+
 /// Guards against a readiness address that a crowd keeps from the platform, which then sends no callers
 /// to the host.
 #[test]
@@ -205,6 +299,28 @@
     play.check();
 }
 
+/// Guards against a host that a crowd keeps from stopping in time.
+#[test]
+fn host_beside_a_crowd_stops_in_time() {
+    let _turn = turn();
+    block_on(async {
+        let world = start_system(2).await;
+        world.borrow().groups.borrow_mut().unrecorded = true;
+        let address = world.borrow().callers[0];
+        let crowd = Crowd::start(mixed(address, 300));
+        sleep_ms(2000).await;
+        world.borrow().hosts[0].signal(libc::SIGTERM).unwrap();
+        let began = Instant::now();
+        while world.borrow_mut().hosts[0].is_running() {
+            assert!(began.elapsed() < GRACE, "the host has not ended in its grace period");
+            sleep_ms(20).await;
+        }
+        eprintln!("stop beside a crowd: {} ms", began.elapsed().as_millis());
+        assert_eq!(world.borrow_mut().hosts[0].wait().unwrap(), Some(0));
+        std::thread::spawn(move || drop(crowd)).join().unwrap();
+    });
+}
+
 /// Guards against limits that refuse what the protocol allows: single messages of exactly the greatest
 /// length are served, and one byte more is not.
 #[test]
