Callers: one account of the memory, by the machine's limit

Cause: limits.memoryMb was not read. Two budgets of 32 MB charged the length of some buffers; answers that a caller does not read, capacities and what the system has received were charged to nobody, and the system's receive buffers grow to megabytes each. When a budget was used up, whoever came next was refused, not who held most. The time limits of a start message and of a message began anew with each byte, and one within a session had none.

Change: one budget, a fifth of the machine's memory, for messages, values of sessions, statements in progress and answers, by the capacity of buffers. If memory is short, the connection with the largest product of bytes and time for which the host has waited for it is closed, if it has waited for a second. A quarter is kept for accounts that hold little. The limits of time are absolute: 10 s and the time of the bytes at 16 KiB a second, for messages and answers. So a caller that sends or reads at that rate is not cut off. Closed connections are counted by limit, and one log line a second names the last one. Places of connections are part of the same module; their number is not limited yet.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod changes;
 pub mod choice;
 pub mod claims;
+pub mod clients;
 pub mod clock;
 pub mod cold;
 pub mod confirm;
--- a/components/model/src/session.rs
+++ b/components/model/src/session.rs
@@ -16,11 +16,15 @@
 }
 
 impl Session {
+    /// Returns the size of all values in bytes.
+    pub fn values_size(&self) -> usize {
+        self.values.iter().map(|(name, value)| name.len() + value.len()).sum()
+    }
+
     /// Returns the size in bytes of all names, values and prepared statements after a statement that
     /// changes them.
     pub fn size_after(&self, statement: &Statement) -> usize {
-        let mut size: usize =
-            self.values.iter().map(|(name, value)| name.len() + value.len()).sum();
+        let mut size = self.values_size();
         size +=
             self.prepared.iter().map(|(name, shape)| name.len() + shape.text.len()).sum::<usize>();
         let value_size =
--- a/components/model/src/settings.rs
+++ b/components/model/src/settings.rs
@@ -15,6 +15,10 @@
     pub regions: HashMap<FailureDomain, Region>,
     /// CPU share of this host in thousandths of a core.
     pub cpu_millicores: u32,
+    /// Memory of this host's machine in bytes; the process is killed beyond it.
+    pub memory: usize,
+    /// File descriptors that this process may use for connections.
+    pub descriptors: usize,
     /// Address to which callers connect.
     pub caller_address: SocketAddr,
     /// Address of the readiness endpoint.
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -162,7 +162,7 @@
 
 /// Runs a forwarded statement and replies with the result.
 pub async fn serve(host: Rc<Host>, from: HostId, statement: ForwardedStatement, replier: Replier) {
-    let mut memory = host.statement_memory.charge();
+    let mut memory = host.memory.charge();
     if memory.set(statement.line.len() * STATEMENT_COPIES).is_err() {
         return replier.reply(Answer::ForwardResult(ForwardResult::NotSent(NotSent::Full)));
     }
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -13,6 +13,7 @@
     AccountId, Clock, GroupId, HostId, Revision, StoreClock,
     budget::Budget,
     claims::HeldClaims,
+    clients::Clients,
     connections,
     demand::Demand,
     evacuation,
@@ -31,6 +32,7 @@
 use tracing::info;
 
 use crate::{
+    closing::ClosingLog,
     forward::RemoteTransactions,
     group::{Group, LeaderUse},
     metrics::Metrics,
@@ -172,42 +174,21 @@
     pub metrics: Metrics,
     /// Number of open sessions.
     pub sessions: Cell<usize>,
-    /// Memory of all sessions, for their values, named statements and incomplete messages.
-    pub session_memory: Rc<Budget>,
-    /// Memory of the statements in progress: those of this host's callers, and those of other hosts at
-    /// servers whose connections this host holds.
-    pub statement_memory: Rc<Budget>,
+    /// Connections of callers.
+    pub clients: Rc<Clients>,
+    /// Memory of what callers and statements hold: messages, values of sessions, statements in progress,
+    /// those of other hosts included, and answers.
+    pub memory: Rc<Budget>,
     /// Turns of the callers' messages.
     pub turns: Rc<TurnQueue>,
+    /// Lines of the log on connections that limits close.
+    pub closing_log: ClosingLog,
 }
 
-/// Maximum of [`Host::session_memory`] in bytes; hosts have 160 MB or more in all.
-const MAX_SESSION_MEMORY: usize = 32 << 20;
-
-/// Maximum of [`Host::statement_memory`] in bytes.
-const MAX_STATEMENT_MEMORY: usize = 32 << 20;
-
-/// Bytes of a statement in progress without a charge to that memory.
-const FREE_STATEMENT_MEMORY: usize = 16 << 10;
-
 /// Copies of a statement that are held while it waits and runs: as received, decoded, as written for the
 /// server or another host, and in the buffer of that connection.
 pub const STATEMENT_COPIES: usize = 4;
 
-/// Bytes of values and named statements, and of an incomplete message, that each session may hold
-/// without a charge to that memory.
-const FREE_SESSION_MEMORY: usize = 4 << 10;
-
-/// Returns the unused memory of all statements in progress.
-pub fn statement_memory() -> Rc<Budget> {
-    Budget::new(MAX_STATEMENT_MEMORY, FREE_STATEMENT_MEMORY)
-}
-
-/// Returns the unused memory of all sessions.
-pub fn session_memory() -> Rc<Budget> {
-    Budget::new(MAX_SESSION_MEMORY, FREE_SESSION_MEMORY)
-}
-
 /// Returns whether statements may be sent over the link to a holder.
 fn is_usable(link: &Rc<Link>) -> bool {
     link.is_responsive(HOLDER_TIMEOUT) && !link.is_draining()
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod catalog;
 pub mod clock;
+pub mod closing;
 pub mod compression;
 pub mod confirm;
 pub mod conn;
--- a/components/proxy/src/limits.rs
+++ b/components/proxy/src/limits.rs
@@ -1,7 +1,22 @@
-//! Division of the machine's processor among the uses of a process.
+//! Division of the machine's memory and processor among the uses of a process.
+//!
+//! The parts of the memory add up to less than the whole: see `docs/design/limits-of-a-process.md`.
 
 use bergamottrack_model::Settings;
 
+/// Part of the memory for what clients and statements hold beyond [`FREE_MEMORY`] each, in one account.
+const SHARED_SHARE: f64 = 0.20;
+
+/// Size of the system's receive buffer of a connection in bytes. A message of the usual size fits.
+pub const RECEIVE_BUFFER: usize = 4 << 10;
+
+/// Size of the system's send buffer of a connection in bytes.
+pub const SEND_BUFFER: usize = 64 << 10;
+
+/// Bytes that each connection, and each statement in progress, may hold without a charge to the shared
+/// memory.
+pub const FREE_MEMORY: usize = 4 << 10;
+
 /// Work on messages of clients that a whole core does in a second, in bytes, if it leaves half of its time
 /// to everything else.
 const WORK_PER_CORE: f64 = 200e6;
@@ -9,6 +24,8 @@
 /// Limits of a process.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
+    /// Shared memory in bytes.
+    pub memory: usize,
     /// Work on messages of clients in a second, in bytes.
     pub work: f64,
 }
@@ -16,6 +33,8 @@
 impl Limits {
     /// Returns the limits on a machine.
     pub fn new(settings: &Settings) -> Self {
-        Self { work: WORK_PER_CORE * f64::from(settings.cpu_millicores) / 1000.0 }
+        let part = |share: f64| (settings.memory as f64 * share) as usize;
+        let memory = part(SHARED_SHARE);
+        Self { memory, work: WORK_PER_CORE * f64::from(settings.cpu_millicores) / 1000.0 }
     }
 }
--- a/components/proxy/src/metrics.rs
+++ b/components/proxy/src/metrics.rs
@@ -55,6 +55,11 @@
     tokens: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ClosingLabel {
+    limit: &'static str,
+}
+
 /// Returns a histogram of durations from 50 ms to 12.8 s, in buckets of doubling width.
 fn durations() -> Histogram {
     Histogram::new(exponential_buckets(0.05, 2.0, 9))
@@ -76,6 +81,7 @@
     token_refusals: Family<TokenRefusalLabel, Counter>,
     wait_ends: Family<WaitEndLabel, Counter>,
     failovers: Family<FailoverLabel, Histogram, fn() -> Histogram>,
+    closings: Family<ClosingLabel, Counter>,
     /// Number of statements sent to a server again.
     pub retries: Counter,
     /// Bytes of configurations sent to other hosts.
@@ -172,6 +178,12 @@
             "Time that completed failovers of this host spent in each phase",
             failovers.clone(),
         );
+        let closings = Family::default();
+        registry.register(
+            "client_closings",
+            "Connections of clients refused or closed by a limit",
+            closings.clone(),
+        );
         let silent_candidates = Gauge::default();
         registry.register(
             "silent_hub_candidates",
@@ -187,6 +199,7 @@
             token_refusals,
             wait_ends,
             failovers,
+            closings,
             retries,
             sent_bytes,
             received_bytes,
@@ -241,6 +254,11 @@
         self.failovers.get_or_create(&label).observe(time.as_secs_f64());
     }
 
+    /// Records that a connection of a client was refused or closed by a limit.
+    pub fn record_closing(&self, limit: &'static str) {
+        self.closings.get_or_create(&ClosingLabel { limit }).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -13,7 +13,9 @@
 use anyhow::Context;
 use bergamottrack_adapter::probes;
 use bergamottrack_contract as contract;
-use bergamottrack_coordination::{Clock, demand::Demand, token::Secret, view::LocalView};
+use bergamottrack_coordination::{
+    Clock, budget::Budget, clients::Clients, demand::Demand, token::Secret, view::LocalView,
+};
 use bergamottrack_model::Settings;
 use bergamottrack_operator::serve::{self as http, Handler, Reply};
 use bergamottrack_peer::{
@@ -28,9 +30,9 @@
 
 use crate::{
     BootClock, caller, eviction, fleet, follow, gossip,
-    host::{Host, Phase, session_memory, statement_memory},
+    host::{Host, Phase},
     join,
-    limits::Limits,
+    limits::{self, Limits},
     metrics::Metrics,
     monitor,
     turns::TurnQueue,
@@ -77,7 +79,7 @@
     // The listeners are opened first: a failover may request a release as soon as the view lists this
     // host.
     let peers = listen(settings.peer_address).context("listening for other hosts")?;
-    let callers = listen(settings.caller_address).context("listening for callers")?;
+    let callers = listen_for_callers(settings.caller_address).context("listening for callers")?;
     let state: Rc<RefCell<Option<Rc<Host>>>> = Rc::default();
     let probes = http::Limits::PROBES;
     let (ready, counters) = (readiness(state.clone()), metrics(state.clone()));
@@ -125,6 +127,7 @@
     let routes = contract::Routes::new(&[]);
     let mesh = Mesh::with_keepalive(me, secret, clock.clone(), routes, fleet::LINK_KEEPALIVE);
     let limits = Limits::new(&settings);
+    let clients = Clients::new(usize::MAX, clock.clone());
     let mut demand = Demand::new(settings.rate_tolerance, run, started);
     demand.set_host(&settings.host);
     Rc::new(Host {
@@ -172,9 +175,10 @@
         view_wakeup: Notify::new(),
         metrics: Metrics::default(),
         sessions: Cell::default(),
-        session_memory: session_memory(),
-        statement_memory: statement_memory(),
-        turns: TurnQueue::new(limits.work, clock),
+        memory: Budget::of_clients(limits.memory, limits::FREE_MEMORY, clients.clone()),
+        clients,
+        turns: TurnQueue::new(limits.work, clock.clone()),
+        closing_log: Default::default(),
     })
 }
 
@@ -182,6 +186,14 @@
     TcpListener::bind_with_config(address, &ListenerOpts::new().reuse_port(false).backlog(BACKLOG))
 }
 
+/// Binds the listener for callers. Its connections have small buffers of the system: what they hold counts
+/// as memory of the process, and grows with each connection otherwise.
+fn listen_for_callers(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
+    let options = ListenerOpts::new().reuse_port(false).backlog(BACKLOG);
+    let options = options.recv_buf_size(limits::RECEIVE_BUFFER).send_buf_size(limits::SEND_BUFFER);
+    TcpListener::bind_with_config(address, &options)
+}
+
 async fn accept_callers(listener: TcpListener, host: Rc<Host>) {
     loop {
         for _ in 0..MAX_ACCEPTED {
--- a/components/proxy/src/session.rs
+++ b/components/proxy/src/session.rs
@@ -4,7 +4,7 @@
 
 use bergamottrack_adapter::wire;
 use bergamottrack_coordination::{
-    AccountId, GroupId, Point, budget::Charge, demand::Ruling, homes,
+    AccountId, GroupId, Point, budget::Charge, clients::Client, demand::Ruling, homes,
 };
 use bergamottrack_model::{
     Access, Account, Failure, Request, Route, ServerAnswer, Session, State, Statement,
@@ -81,9 +81,9 @@
 
 impl CallerSession {
     /// Creates a session without a transaction.
-    pub fn new(host: Rc<Host>, database: Box<str>, key: Box<str>) -> Self {
+    pub fn new(host: Rc<Host>, client: Rc<Client>, database: Box<str>, key: Box<str>) -> Self {
         Self {
-            memory: host.session_memory.charge(),
+            memory: host.memory.client_charge(client),
             host,
             database,
             key,
@@ -100,6 +100,11 @@
         self.state
     }
 
+    /// Returns the size of the session's values in bytes.
+    pub fn values_size(&self) -> usize {
+        self.session.values_size()
+    }
+
     /// Returns the idle timeout of the open transaction; `None` without a transaction or if the
     /// configuration sets no timeout.
     pub fn idle_timeout(&self) -> Option<Duration> {
--- a/components/proxy/tests/hosts/mod.rs
+++ b/components/proxy/tests/hosts/mod.rs
@@ -41,6 +41,8 @@
         domain: "d1".parse().unwrap(),
         regions: HashMap::new(),
         cpu_millicores: 1000,
+        memory: 160_000_000,
+        descriptors: 4000,
         caller_address: unused,
         readiness_address: unused,
         peer_address,
--- a/components/proxy/tests/memory.rs
+++ b/components/proxy/tests/memory.rs
@@ -66,19 +66,21 @@
 async fn statements_in_progress_together_hold_a_bounded_size() {
     let (host, server) = callers::start();
     let large = format!("QUERY q1 WRITE k1 {}", "x".repeat(LARGE));
-    let is_free = |bytes: usize| host.statement_memory.charge().set(bytes).is_ok();
+    // A quarter is kept for messages of the usual size.
+    let limit = host.memory.limit() / 4 * 3;
+    let is_free = |bytes: usize| host.memory.charge().set(bytes).is_ok();
     let mut running = Caller::start(&host, "bookings", "-").await;
     running.write(&large).await;
     let end = std::time::Instant::now() + Duration::from_secs(10);
-    while is_free(30 << 20) {
+    while is_free(limit - 3 * LARGE) {
         assert!(std::time::Instant::now() < end, "a statement in progress has no share");
         monoio::time::sleep(Duration::from_millis(5)).await;
     }
     server.allow_all();
     running.read().await;
     // The share of an answered statement is free again.
-    let mut others = host.statement_memory.charge();
-    others.set(30 << 20).unwrap();
+    let mut others = host.memory.charge();
+    others.set(limit - 3 * LARGE).unwrap();
     let mut refused = Caller::start(&host, "bookings", "-").await;
     let answer = refused.send(&large).await;
     assert!(answer.starts_with("ERROR BUSY not run; the statements in progress"), "{answer:?}");
@@ -94,13 +96,12 @@
     let mut open = Vec::new();
     for _ in 0..100 {
         let mut caller = Caller::connect(&host).await;
-        if !caller.try_write(&"x".repeat(LARGE)).await {
-            return;
-        }
+        // Fails if the host closes the connection meanwhile.
+        caller.try_write(&"x".repeat(LARGE)).await;
         open.push(caller);
-        if host.session_memory.charge().set(LARGE + 8192).is_err() {
-            return;
-        }
+        monoio::time::sleep(Duration::from_millis(2)).await;
+        assert!(host.memory.used() <= host.memory.limit(), "{} bytes are held", host.memory.used());
     }
-    panic!("100 connections hold a large incomplete message each");
+    let held = host.clients.count();
+    assert!(held * LARGE <= host.memory.limit(), "{held} connections hold a large message each");
 }
--- a/components/socket/src/lib.rs
+++ b/components/socket/src/lib.rs
@@ -25,9 +25,20 @@
     set_linger(stream, None)
 }
 
+/// Sets the size of the system's receive buffer in bytes. The system doubles it for its own use, and holds
+/// up to one and a half times the size of bytes that are not read yet.
+pub fn set_receive_buffer(stream: &impl AsRawFd, size: usize) -> io::Result<()> {
+    Ok(sockopt::set_socket_recv_buffer_size(borrow(stream), size)?)
+}
+
 fn set_linger(stream: &impl AsRawFd, linger: Option<Duration>) -> io::Result<()> {
-    // SAFETY: the stream keeps the descriptor open for the duration of the call.
+    Ok(sockopt::set_socket_linger(borrow(stream), linger)?)
+}
+
+fn borrow(stream: &impl AsRawFd) -> BorrowedFd<'_> {
+    // SAFETY: the stream, which keeps the descriptor open, is borrowed for as long.
     #[allow(unsafe_code)]
-    let socket = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
-    Ok(sockopt::set_socket_linger(socket, linger)?)
+    unsafe {
+        BorrowedFd::borrow_raw(stream.as_raw_fd())
+    }
 }
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -202,6 +202,27 @@
     play.check();
 }
 
+/// Guards against statements that were sent ahead and fill the system's receive buffers, which count as
+/// memory of the process.
+#[test]
+fn large_statements_sent_ahead_without_reading() {
+    let play = play("200 KB ahead", |addresses| {
+        ahead(addresses.callers, 300, 100, |number| {
+            format!("WRITE k{number} {}", "x".repeat(200_000))
+        })
+    });
+    play.check();
+}
+
+/// Guards against large answers that nobody reads: each is held until it is written.
+#[test]
+fn large_rows_that_are_not_read() {
+    let play = play("rows of 1 MB, unread", |addresses| {
+        ahead(addresses.callers, 1_000, 20, |_| "READ row-large".into())
+    });
+    play.check();
+}
+
 /// Guards against one caller's statements that are answered one after the other before anyone else's and
 /// before the host's own messages, so that it loses its leases and tokens.
 #[test]
@@ -221,6 +242,40 @@
     play.check();
 }
 
+/// Guards against refusals that cost more than the work that they save: each is received as a whole.
+#[test]
+fn large_writes_one_after_the_other() {
+    let play = play("writes of 1 MB in turn", |addresses| {
+        repeated(200, move |number| async move {
+            let mut session = Session::start(addresses.callers, "db0", "key-b").await?;
+            let text = format!("WRITE k{number} {}", "x".repeat(LARGE));
+            loop {
+                session.query(&text).await?;
+            }
+        })
+    });
+    play.check();
+}
+
+/// Guards against messages of a legal size that arrive in many small pieces.
+#[test]
+fn large_writes_in_small_pieces() {
+    let play = play("writes of 1 MB in pieces of 1 KB", |addresses| {
+        repeated(300, move |number| async move {
+            let mut session = Session::start(addresses.callers, "db0", "key-b").await?;
+            loop {
+                let message = statement(&format!("WRITE k{number} {}", "x".repeat(LARGE)));
+                for piece in message.as_bytes().chunks(1000) {
+                    session.send(piece).await?;
+                    tokio::task::yield_now().await;
+                }
+                session.answer().await?;
+            }
+        })
+    });
+    play.check();
+}
+
 /// Guards against messages far over the limit that are held, in place of closing the connection.
 #[test]
 fn messages_far_over_the_limit() {
@@ -241,6 +296,71 @@
     play.check();
 }
 
+/// Guards against incomplete messages that occupy the memory for messages above the usual size.
+#[test]
+fn messages_that_stop_half_way() {
+    let play = play("stopped half-way in 1 MB", |addresses| {
+        repeated(1_000, move |number| async move {
+            let mut session = Session::start(addresses.callers, "db0", "key-b").await?;
+            let message = statement(&format!("WRITE k{number} {}", "x".repeat(LARGE)));
+            session.send(&message.as_bytes()[..LARGE / 2]).await?;
+            hold(session).await
+        })
+    });
+    play.check();
+}
+
+/// Guards against a timeout of a message that begins anew with each byte.
+#[test]
+fn messages_that_arrive_very_slowly() {
+    let play = play("slow senders", |addresses| {
+        repeated(600, move |number| async move {
+            let mut session = match number % 2 {
+                0 => Session::connect(addresses.callers).await?,
+                _ => Session::start(addresses.callers, "db0", "key-b").await?,
+            };
+            session.send(b"QUERY q WRITE k ").await?;
+            loop {
+                session.send(&[b'x'; 500]).await?;
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+        })
+    });
+    play.check();
+}
+
+/// Guards against answers that are read very slowly, which occupy memory for as long.
+#[test]
+fn large_rows_that_are_read_very_slowly() {
+    let play = play("slow readers", |addresses| {
+        repeated(400, move |_| async move {
+            let mut session = Session::start(addresses.callers, "db0", "key-b").await?;
+            session.send(statement("READ row-large").repeat(20).as_bytes()).await?;
+            loop {
+                session.read(1000).await?;
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        })
+    });
+    play.check();
+}
+
+/// Guards against session values that occupy the memory for those of other callers.
+#[test]
+fn session_values_of_the_greatest_length() {
+    let play = play("values of 1 MB", |addresses| {
+        repeated(300, move |number| async move {
+            let mut session = Session::start(addresses.callers, "db0", "key-b").await?;
+            session.query(&format!("SET v{number} {}", "x".repeat(LARGE))).await?;
+            loop {
+                session.query("READ k1").await?;
+                tokio::time::sleep(Duration::from_millis(500)).await;
+            }
+        })
+    });
+    play.check();
+}
+
 /// Guards against callers that connect and close without a pause.
 #[test]
 fn connections_that_are_closed_at_once() {
@@ -277,6 +397,12 @@
     })
 }
 
+/// Guards against kinds of clients that are harmless alone and not together.
+#[test]
+fn mixed_crowd() {
+    play("mixed", |addresses| mixed(addresses.callers, 800)).check();
+}
+
 /// Guards against a readiness address that a crowd keeps from the platform, which then sends no callers
 /// to the host.
 #[test]
