Callers: as many connections as the machine has memory and descriptors for

What callers saw: 4,600 clients that connect and stop within the start message, or stay idle, hold 4,631 of the 4,300 descriptors of the smallest machine. There none would be left for servers, the platform and other hosts.

Cause: limits.fileDescriptors was not read, and connections of callers had no limit.

For a new connection the one that has been without a session for the longest time is closed; if all have one, idle sessions of the account with most of them, which is no failure for their callers. Transactions are left to their timeouts. A connection for which there is no place gets a refusal at once.

--- a/components/coordination/tests/clients.rs
+++ b/components/coordination/tests/clients.rs
@@ -20,6 +20,42 @@
     place
 }
 
+/// Guards against connections that never begin a session and keep others out.
+#[test]
+fn oldest_connection_without_a_session_is_closed_for_a_new_one() {
+    let clock = Rc::new(ManualClock::new());
+    let clients = Clients::new(3, clock.clone());
+    let idle = session(&clients, &clock, "church");
+    let first = clients.enter().unwrap();
+    clock.advance(Duration::from_millis(1));
+    let second = clients.enter().unwrap();
+    let third = clients.enter().unwrap();
+    assert_eq!(first.client.closing(), Some(Shortage::Places));
+    assert_eq!((idle.client.closing(), second.client.closing()), (None, None));
+    drop((first, third));
+    assert_eq!(clients.count(), 2);
+}
+
+/// Guards against an account whose idle sessions take all places, and against sessions in use or within a
+/// transaction that are closed for others.
+#[test]
+fn idle_session_of_the_account_with_most_sessions_is_closed() {
+    let clock = Rc::new(ManualClock::new());
+    let clients = Clients::new(4, clock.clone());
+    let other = session(&clients, &clock, "church");
+    let open = session(&clients, &clock, "crowd");
+    open.client.wait(Wait::Transaction, clock.now());
+    let busy = session(&clients, &clock, "crowd");
+    busy.client.work();
+    let idle = session(&clients, &clock, "crowd");
+    assert!(clients.enter().is_err(), "no session has waited for long");
+    clock.advance(Duration::from_secs(2));
+    let _next = clients.enter().unwrap();
+    assert_eq!(idle.client.closing(), Some(Shortage::Places));
+    let kept = [&other, &open, &busy].map(|place| place.client.closing());
+    assert_eq!(kept, [None; 3]);
+}
+
 /// Guards against a limit on memory that refuses whoever comes next, in place of closing who holds most for
 /// the longest time.
 #[test]
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -127,7 +127,7 @@
     let routes = contract::Routes::new(&[]);
     let mesh = Mesh::with_keepalive(me, secret, clock.clone(), routes, fleet::LINK_KEEPALIVE);
     let limits = Limits::new(&settings);
-    let clients = Clients::new(usize::MAX, clock.clone());
+    let clients = Clients::new(limits.clients, clock.clone());
     let mut demand = Demand::new(settings.rate_tolerance, run, started);
     demand.set_host(&settings.host);
     Rc::new(Host {
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -296,6 +296,31 @@
     play.check();
 }
 
+/// Guards against connections without a session that leave no descriptor for servers, the platform and
+/// other hosts.
+#[test]
+fn connections_that_stop_within_the_start_message() {
+    let play = play("stopped within START", |addresses| {
+        repeated(4_600, move |_| async move {
+            let mut session = Session::connect(addresses.callers).await?;
+            session.send(b"START d").await?;
+            hold(session).await
+        })
+    });
+    play.check();
+}
+
+/// Guards against sessions that occupy all places of a host for good: new callers are served.
+#[test]
+fn sessions_that_stay_idle() {
+    let play = play("idle sessions", |addresses| {
+        repeated(4_600, move |_| async move {
+            hold(Session::start(addresses.callers, "db0", "key-b").await?).await
+        })
+    });
+    play.check();
+}
+
 /// Guards against incomplete messages that occupy the memory for messages above the usual size.
 #[test]
 fn messages_that_stop_half_way() {
