Transactions: one account leaves connections to the statements of others

What callers saw: beside 300 clients of one account that open a transaction and leave it, a fifth of the requests of another account were refused (98 of 121, "too many statements wait for the server"), one after 1.5 s, at other hosts too (99 of 107).

Cause: a transaction keeps its connection to the server until its idle timeout (3 s here). The open ones of one account took all 34 connections; statements that had entered the queue of the server waited for one, and the queue refused what came after them.

Change: transactions of an account hold at most three quarters of a host's connections to a server.

--- a/components/coordination/src/connections.rs
+++ b/components/coordination/src/connections.rs
@@ -24,6 +24,10 @@
 /// together at one host.
 const MIN_CAP: usize = 4;
 
+/// Fraction of a host's connections to a server, as a divisor, that one account leaves to the statements and
+/// transactions of others.
+const TRANSACTION_RESERVE_DIVISOR: usize = 4;
+
 /// Time after which an unused connection beyond `kept` is closed: longer than the usual
 /// pause between two statements of an account.
 const IDLE_TTL: Duration = Duration::from_millis(800);
@@ -133,6 +137,11 @@
     pub waiting: usize,
 }
 
+/// Returns how many of `cap` connections to a server one account may hold in transactions.
+pub fn max_transactions(cap: usize) -> usize {
+    (cap - cap / TRANSACTION_RESERVE_DIVISOR).max(1)
+}
+
 /// Returns the account for which to open a connection before its first statement: the first
 /// of `accounts` without a connection. `None` if all have one, if `bounds.ahead` connections
 /// are open, if statements wait, or if the running statements leave fewer than two slots free
--- a/components/proxy/src/conn.rs
+++ b/components/proxy/src/conn.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     backend::OpenError,
-    pool::{Leased, NoConnection, Permit, Pool},
+    pool::{Leased, NoConnection, Permit, Pool, TransactionPlace},
 };
 
 /// Time beyond a statement's timeout for the holder's answer to arrive: a round trip, and the
@@ -36,6 +36,8 @@
     pub queue_timeout: Duration,
     /// Time until which the request may wait for a connection.
     pub deadline: Instant,
+    /// Whether the request opens a transaction.
+    pub opens: bool,
 }
 
 /// Reason why an exchange ended without an answer of the server.
@@ -93,10 +95,13 @@
         queue: QueueParams,
         now: StdInstant,
     ) -> Result<Self, NotSent> {
+        let transaction =
+            transaction_place(pool, account, queue.opens, queue.queue_timeout).await?;
         let permit = pool.enter(queue.priority, queue.queue_timeout, now).await;
         let permit = permit.map_err(queue_full)?;
-        let leased =
+        let mut leased =
             pool.lease(account, &session.values, queue.deadline).await.map_err(not_sent)?;
+        leased.transaction = transaction;
         Ok(Self::Own(Box::new(Own { leased, permit: Some(permit) })))
     }
 
@@ -328,6 +333,20 @@
     forward(link, statement).await
 }
 
+/// Waits for the account's part of the connections in transactions, if the request opens one.
+pub async fn transaction_place(
+    pool: &Rc<Pool>,
+    account: &AccountId,
+    opens: bool,
+    queue_timeout: Duration,
+) -> Result<Option<TransactionPlace>, NotSent> {
+    if !opens {
+        return Ok(None);
+    }
+    let place = pool.enter_transaction(account, Instant::now() + queue_timeout).await;
+    place.map(Some).ok_or(NotSent::Full)
+}
+
 /// Returns the reason for a statement refused because a server's queue is full; the queue may
 /// have room after `wait`.
 pub fn queue_full(wait: Duration) -> NotSent {
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -264,9 +264,16 @@
     let (leased, permit) = match &statement.account {
         Some(account) => {
             let (priority, queue_timeout) = (statement.priority, arrival.queue_timeout());
+            let opens = statement.opens;
+            let transaction = conn::transaction_place(&pool, account, opens, queue_timeout).await?;
+            let queue_timeout = arrival.queue_timeout();
             let permit = pool.enter(priority, queue_timeout, host.now()).await;
             let permit = permit.map_err(conn::queue_full)?;
-            (pool.lease(account, &statement.values, deadline).await, Some(permit))
+            let mut leased = pool.lease(account, &statement.values, deadline).await;
+            if let Ok(leased) = &mut leased {
+                leased.transaction = transaction;
+            }
+            (leased, Some(permit))
         }
         None => (pool.lease_any(&monitor::any_account(host), deadline).await, None),
     };
--- a/components/proxy/src/operation.rs
+++ b/components/proxy/src/operation.rs
@@ -190,7 +190,7 @@
     target: Target,
     last: bool,
 ) -> Attempt {
-    let mut execution = match target::connect(host, operation, session, target).await {
+    let mut execution = match target::connect(host, operation, session, target, false).await {
         Ok(execution) => execution,
         Err(refusal) => return Attempt::Retryable(refusal),
     };
@@ -382,7 +382,7 @@
     session: &Session,
     target: Target,
 ) -> Result<Execution, Refusal> {
-    let mut execution = target::connect(host, operation, session, target).await?;
+    let mut execution = target::connect(host, operation, session, target, true).await?;
     let pool = execution.conn.pool().clone();
     let required_position = execution.required_position;
     execution.conn.begin_transaction();
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -86,6 +86,10 @@
     /// Earliest start of the next [`Pool::open_ahead`]; `None` unless a run is in progress or has
     /// failed.
     next_open_ahead: Cell<Option<Instant>>,
+    /// Connections in transactions, by account.
+    transactions: RefCell<HashMap<AccountId, usize>>,
+    /// Notified when a transaction has ended.
+    transaction_ended: Notify,
 }
 
 /// Reason why no connection was leased.
@@ -97,10 +101,31 @@
     Open(OpenError),
 }
 
+/// Part of an account in the connections that may be in transactions; released on drop.
+pub struct TransactionPlace {
+    pool: Rc<Pool>,
+    account: AccountId,
+}
+
+impl Drop for TransactionPlace {
+    fn drop(&mut self) {
+        let mut transactions = self.pool.transactions.borrow_mut();
+        if let Some(count) = transactions.get_mut(&self.account) {
+            *count -= 1;
+            if *count == 0 {
+                transactions.remove(&self.account);
+            }
+        }
+        self.pool.transaction_ended.notify_one();
+    }
+}
+
 /// A leased connection; closed on drop unless it was given back.
 pub struct Leased {
     backend: Option<Backend>,
     pool: Rc<Pool>,
+    /// Place of the transaction for which the connection is leased; `None` for a single statement.
+    pub transaction: Option<TransactionPlace>,
     /// Whether the connection went back to the pool.
     returned: bool,
 }
@@ -142,6 +167,8 @@
             observed_limit: Cell::default(),
             freed: Notify::new(),
             next_open_ahead: Cell::default(),
+            transactions: RefCell::default(),
+            transaction_ended: Notify::new(),
         })
     }
 
@@ -263,6 +290,24 @@
         Ok(Permit { pool: self.clone(), latency: Cell::default() })
     }
 
+    /// Waits until `deadline` for a part of the connections that the account may hold in transactions.
+    ///
+    /// Guards against an account whose transactions are left open: with all connections in use, the
+    /// statements of all others would wait for them.
+    pub async fn enter_transaction(
+        self: &Rc<Self>,
+        account: &AccountId,
+        deadline: Instant,
+    ) -> Option<TransactionPlace> {
+        let count = || self.transactions.borrow().get(account).copied().unwrap_or_default();
+        while count() >= connections::max_transactions(self.bounds.get().cap) {
+            let ended = self.transaction_ended.notified();
+            monoio::time::timeout_at(deadline, ended).await.ok()?;
+        }
+        *self.transactions.borrow_mut().entry(account.clone()).or_default() += 1;
+        Some(TransactionPlace { pool: self.clone(), account: account.clone() })
+    }
+
     /// Admits queued statements as far as the limiter allows.
     fn wake(&self, now: StdInstant) {
         let next = || self.gate.borrow_mut().next(now);
@@ -412,7 +457,7 @@
     }
 
     fn leased(self: &Rc<Self>, backend: Backend) -> Leased {
-        Leased { backend: Some(backend), pool: self.clone(), returned: false }
+        Leased { backend: Some(backend), pool: self.clone(), transaction: None, returned: false }
     }
 
     fn take_idle(&self, account: &AccountId, values: &Values) -> Option<Backend> {
@@ -431,7 +476,8 @@
     async fn open_connection(self: &Rc<Self>, account: &AccountId) -> Result<Leased, NoConnection> {
         // Counted before it is open; on failure the drop of `leased` decrements the count.
         self.open.set(self.open.get() + 1);
-        let mut leased = Leased { backend: None, pool: self.clone(), returned: false };
+        let mut leased =
+            Leased { backend: None, pool: self.clone(), transaction: None, returned: false };
         let listed = self.listed.borrow().clone();
         match Backend::open(&listed, account).await {
             Ok(backend) => {
--- a/components/proxy/src/target.rs
+++ b/components/proxy/src/target.rs
@@ -179,12 +179,14 @@
 }
 
 /// Acquires a connection to the target: through the host that holds the server's connections, if
-/// statements may be forwarded to it, otherwise from this host's pool.
+/// statements may be forwarded to it, otherwise from this host's pool. `opens` is whether it is for a
+/// transaction.
 pub async fn connect(
     host: &Host,
     operation: &Operation,
     session: &Session,
     target: Target,
+    opens: bool,
 ) -> Result<Execution, Refusal> {
     let Target { pool, required_position, usage } = target;
     let until = operation.deadline.min(Instant::now() + CONNECTION_TIMEOUT);
@@ -192,6 +194,7 @@
         priority: operation.priority,
         queue_timeout: operation.queue_timeout,
         deadline: until,
+        opens,
     };
     let now = host.now();
     let conn = match placement::holder_link(host, &pool, &operation.account, &operation.homes).await
--- a/components/proxy/tests/pool.rs
+++ b/components/proxy/tests/pool.rs
@@ -11,6 +11,9 @@
 /// Slots of the server.
 const SLOTS: usize = 5;
 
+/// Connections that the server accepts.
+const MAX_CONNECTIONS: usize = 34;
+
 fn pool() -> Rc<Pool> {
     let listed = ListedServer {
         id: hosts::server(),
@@ -53,3 +56,26 @@
     set_bounds(false);
     assert!(fill(&pool).await.len() > SLOTS);
 }
+
+/// Guards against an account whose open transactions hold all connections to a server, so that the
+/// statements of others wait for them.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn transactions_of_one_account_leave_connections_to_others() {
+    let pool = pool();
+    pool.set_bounds(MAX_CONNECTIONS, 3, connections::Role::Holder, false);
+    let cap = connections::bounds(MAX_CONNECTIONS, SLOTS, 3, connections::Role::Holder).cap;
+    let (crowd, other) = ("crowd".parse().unwrap(), "church".parse().unwrap());
+    let soon = || monoio::time::Instant::now() + Duration::from_millis(20);
+    let mut open = Vec::new();
+    while let Some(place) = pool.enter_transaction(&crowd, soon()).await {
+        open.push(place);
+        assert!(open.len() < cap, "one account holds all connections");
+    }
+    assert!(open.len() * 2 > cap, "{} of {cap}", open.len());
+    assert!(pool.enter_transaction(&other, soon()).await.is_some());
+    // A transaction that ends makes room for the next one of its account.
+    let waiting = pool.enter_transaction(&crowd, soon());
+    let end = async { open.pop() };
+    let (next, _) = monoio::join!(waiting, end);
+    assert!(next.is_some());
+}
--- a/components/proxy/tests/target.rs
+++ b/components/proxy/tests/target.rs
@@ -46,7 +46,8 @@
     let usage = host.begin(&group);
     assert!(usage.is_some(), "the host has no lease");
     let target = Target { pool: pool.clone(), required_position: None, usage };
-    let mut execution = target::connect(&host, &operation, &session, target).await.ok().unwrap();
+    let mut execution =
+        target::connect(&host, &operation, &session, target, false).await.ok().unwrap();
     let put = |execution: &mut target::Execution, text: &str| {
         let line = format!("QUERY q1 {text}\r\n");
         execution.conn.put(&session, None, |out| out.extend_from_slice(line.as_bytes()));
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -386,6 +386,20 @@
     play.check();
 }
 
+/// Guards against transactions that hold connections to servers.
+#[test]
+fn transactions_that_are_left_open() {
+    let play = play("open transactions", |addresses| {
+        repeated(300, move |_| async move {
+            let mut session = Session::start(addresses.callers, "db0", "key-b").await?;
+            session.query("BEGIN").await?;
+            session.query("READ k1").await?;
+            hold(session).await
+        })
+    });
+    play.check();
+}
+
 /// Guards against callers that connect and close without a pause.
 #[test]
 fn connections_that_are_closed_at_once() {
