Servers' answers, values of idle connections and links: charged to the same account of the memory

What callers could see: a host that is stopped for its memory. By reading: an answer of a server was charged to nobody while it arrived, so one whose rows never end grows until the memory is used up; each idle connection to a server keeps the values of its last session, up to 1 MB each, and a name for each statement that was ever prepared on it; the answers to other hosts wait in the queue of a link without a limit. Their sum for a holder of nine servers with 34 connections each is 306 MB of values alone.

Change: a connection charges what it has received of an answer. Without memory it does not read on, so the server waits, until other clients are closed or the statement's timeout is over. An answer has at most a quarter of the account (8 MB on the smallest machine; the protocol's greatest row is 1 MiB). A connection is given back with values only if there is memory for them. Beyond 1,024 prepared statements a connection is reset. An answer to another host is charged until it is written to the link. Values of the session count with a forwarded statement. The receive buffers of connections to servers are 32 KiB.

answer_longer_than_its_part_of_the_memory_is_broken_off, connection_keeps_values_only_if_there_is_memory and connection_drops_its_prepared_statements_at_a_limit test what did not exist before. The queue of a link has no test of its own.

--- a/components/model/src/session.rs
+++ b/components/model/src/session.rs
@@ -75,7 +75,16 @@
     format!("{kind}{:016x}", xxh3::xxh3_64(shape.text.as_bytes())).into()
 }
 
+/// Maximum number of prepared statements of a connection, beyond which all are dropped: sessions may
+/// prepare a new one for each statement.
+const MAX_PREPARED: usize = 1024;
+
 impl ConnectionState {
+    /// Returns the size of all values in bytes.
+    pub fn size(&self) -> usize {
+        self.values.iter().map(|(name, value)| name.len() + value.len()).sum()
+    }
+
     /// Returns an estimate of the steps needed to give the connection these values; 0 if it has
     /// them already.
     pub fn distance(&self, values: &BTreeMap<Box<str>, Box<str>>) -> usize {
@@ -94,7 +103,8 @@
         shape: Option<&Shape>,
     ) -> Vec<Step> {
         let mut steps = Vec::new();
-        if self.values.keys().any(|name| !values.contains_key(name)) {
+        let is_full = self.prepared.len() >= MAX_PREPARED;
+        if is_full || self.values.keys().any(|name| !values.contains_key(name)) {
             *self = Self::default();
             steps.push(Step::Reset);
         }
--- a/components/model/tests/session.rs
+++ b/components/model/tests/session.rs
@@ -47,3 +47,19 @@
     assert_ne!(shared_name(&shape("q1")), shared_name(&shape("q2")));
     assert_ne!(shared_name(&shape("q1")), shared_name(&write));
 }
+
+/// Guards against a connection that keeps a prepared statement for each one that sessions have used, without
+/// a limit: a session may prepare a new one for each statement.
+#[test]
+fn connection_drops_its_prepared_statements_at_a_limit() {
+    let mut connection = ConnectionState::default();
+    let mut resets = 0;
+    for number in 0..5_000 {
+        let shape = Shape { access: Access::Read, text: format!("q{number}").into() };
+        let steps = connection.reconcile(&BTreeMap::new(), Some(&shape));
+        resets += steps.iter().filter(|step| **step == Step::Reset).count();
+        assert!(matches!(steps.last(), Some(Step::Prepare(..))));
+        assert!(connection.prepared.len() <= 1024, "{} are kept", connection.prepared.len());
+    }
+    assert_eq!(resets, 4);
+}
--- a/components/peer/src/accept.rs
+++ b/components/peer/src/accept.rs
@@ -8,7 +8,7 @@
 };
 
 use anyhow::{Context, bail};
-use bergamottrack_coordination::{Clock, token::Secret};
+use bergamottrack_coordination::{Clock, budget::Charge, token::Secret};
 use futures_util::StreamExt;
 use monoio::{
     io::IntoPollIo,
@@ -21,7 +21,7 @@
     activity::ActivityStream,
     exchange::HomeSide,
     message::{Answer, End, Hello, Message, Open, Proof, Question, RequestNo, ToHome},
-    socket,
+    socket::{self, Outgoing},
 };
 
 /// Minimum size of the exchange table of a link at which ended exchanges are removed from it.
@@ -58,7 +58,7 @@
 #[derive(Debug)]
 pub struct Replier {
     number: RequestNo,
-    outgoing: UnboundedSender<Message>,
+    outgoing: UnboundedSender<Outgoing>,
     clock: ConnectionClock,
     /// Whether the answer must contain a reading of the clock.
     with_clock: bool,
@@ -67,13 +67,24 @@
 impl Replier {
     /// Sends the answer to the peer. The answer is dropped if the link has closed meanwhile.
     pub fn reply(self, answer: Answer) {
+        let message = self.message(answer);
+        let _ = self.outgoing.send(message.into());
+    }
+
+    /// Sends the answer to the peer as [`Self::reply`] does. Its memory is charged until it is written.
+    pub fn reply_charged(self, answer: Answer, charge: Charge) {
+        let message = self.message(answer);
+        let _ = self.outgoing.send(Outgoing::charged(message, charge));
+    }
+
+    fn message(&self, answer: Answer) -> Message {
         let answer = if self.with_clock {
             let draining = matches!(answer, Answer::Draining);
             Answer::Clock { elapsed: self.clock.elapsed(), draining }
         } else {
             answer
         };
-        let _ = self.outgoing.send(Message::Answer(self.number, answer));
+        Message::Answer(self.number, answer)
     }
 
     /// Returns a monitor of the link on which the question was received.
@@ -85,7 +96,7 @@
 /// Handle for checking whether a peer's link is still open, and how old its messages are.
 #[derive(Clone, Debug)]
 pub struct LinkMonitor {
-    outgoing: UnboundedSender<Message>,
+    outgoing: UnboundedSender<Outgoing>,
     clock: ConnectionClock,
 }
 
@@ -175,7 +186,7 @@
 async fn dispatch(
     reader: &mut socket::Reader,
     peer: &Hello,
-    outgoing: UnboundedSender<Message>,
+    outgoing: UnboundedSender<Outgoing>,
     service: &Service,
     clock: &ConnectionClock,
 ) -> anyhow::Result<()> {
--- a/components/peer/src/exchange.rs
+++ b/components/peer/src/exchange.rs
@@ -3,20 +3,23 @@
 
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 
-use crate::message::{Message, Open, RequestNo, ToEntry, ToHome};
+use crate::{
+    message::{Message, Open, RequestNo, ToEntry, ToHome},
+    socket::Outgoing,
+};
 
 /// Channel to the other end of an exchange.
 #[derive(Debug)]
 enum Sender<T> {
     Local(UnboundedSender<T>),
-    Link { number: RequestNo, out: UnboundedSender<Message>, wrap: fn(RequestNo, T) -> Message },
+    Link { number: RequestNo, out: UnboundedSender<Outgoing>, wrap: fn(RequestNo, T) -> Message },
 }
 
 impl<T> Sender<T> {
     fn send(&self, item: T) -> bool {
         match self {
             Self::Local(tx) => tx.send(item).is_ok(),
-            Self::Link { number, out, wrap } => out.send(wrap(*number, item)).is_ok(),
+            Self::Link { number, out, wrap } => out.send(wrap(*number, item).into()).is_ok(),
         }
     }
 }
@@ -34,7 +37,7 @@
 impl Exchange {
     pub(crate) fn on_link(
         number: RequestNo,
-        out: UnboundedSender<Message>,
+        out: UnboundedSender<Outgoing>,
         rx: UnboundedReceiver<ToEntry>,
     ) -> Self {
         Self { sender: Sender::Link { number, out, wrap: Message::ToHome }, rx, ended: false }
@@ -71,7 +74,7 @@
 impl HomeSide {
     pub(crate) fn on_link(
         number: RequestNo,
-        out: UnboundedSender<Message>,
+        out: UnboundedSender<Outgoing>,
         rx: UnboundedReceiver<ToHome>,
     ) -> Self {
         Self { sender: Sender::Link { number, out, wrap: Message::ToEntry }, rx }
--- a/components/peer/src/link.rs
+++ b/components/peer/src/link.rs
@@ -25,7 +25,7 @@
     exchange::Exchange,
     message::{Answer, End, Hello, Message, Open, Proof, Question, RequestNo, ToEntry},
     peer_clock::PeerClock,
-    socket,
+    socket::{self, Outgoing},
 };
 
 /// Timeout for connecting to a peer.
@@ -71,7 +71,7 @@
     pub host: HostId,
     clock: Rc<dyn Clock>,
     /// Queue of messages to be sent; `None` while the link is down.
-    outgoing: RefCell<Option<UnboundedSender<Message>>>,
+    outgoing: RefCell<Option<UnboundedSender<Outgoing>>>,
     /// Open exchanges and questions by number; cleared when the link goes down.
     waiters: RefCell<HashMap<RequestNo, Waiter>>,
     next_number: Cell<RequestNo>,
@@ -175,7 +175,7 @@
         let outgoing = self.outgoing.borrow().clone()?;
         let (tx, rx) = mpsc::unbounded_channel();
         let number = self.register(Waiter::Exchange(tx));
-        outgoing.send(Message::Open(number, Box::new(open))).ok()?;
+        outgoing.send(Message::Open(number, Box::new(open)).into()).ok()?;
         Some(Exchange::on_link(number, outgoing, rx))
     }
 
@@ -187,7 +187,7 @@
         let (tx, rx) = oneshot::channel();
         let number = self.register(Waiter::Question(tx));
         self.pending_since.set(self.pending_since.get().or_else(|| Some(self.clock.now())));
-        let sent = outgoing.send(Message::Question(number, question));
+        let sent = outgoing.send(Message::Question(number, question).into());
         let answer = monoio::time::timeout(timeout, rx).await;
         self.waiters.borrow_mut().remove(&number);
         sent.ok().with_context(|| format!("the link to {} is down", self.host))?;
--- a/components/peer/src/socket.rs
+++ b/components/peer/src/socket.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, bail};
+use bergamottrack_coordination::budget::Charge;
 use futures_util::{
     SinkExt, StreamExt,
     stream::{SplitSink, SplitStream},
@@ -48,22 +49,40 @@
     writer.send(frame).await.context("writing to a link")
 }
 
+/// A message that waits to be written.
+#[derive(Debug)]
+pub struct Outgoing {
+    message: Message,
+    /// Memory of the message until it is written.
+    _charge: Option<Charge>,
+}
+
+impl Outgoing {
+    /// Returns a message whose memory is charged until it is written.
+    pub fn charged(message: Message, charge: Charge) -> Self {
+        Self { message, _charge: Some(charge) }
+    }
+}
+
+impl From<Message> for Outgoing {
+    fn from(message: Message) -> Self {
+        Self { message, _charge: None }
+    }
+}
+
 /// Writes queued messages, several per flush, until all senders are dropped.
 pub async fn write_messages(
     writer: &mut Writer,
-    rx: &mut UnboundedReceiver<Message>,
+    rx: &mut UnboundedReceiver<Outgoing>,
 ) -> anyhow::Result<()> {
-    while let Some(message) = rx.recv().await {
-        let mut next = Some(message);
-        for _ in 0..MAX_BATCH {
-            let Some(message) = next else { break };
-            let frame = tungstenite::Message::Binary(message.encode());
-            writer.feed(frame).await.context("writing to a link")?;
-            next = rx.try_recv().ok();
-        }
-        if let Some(message) = next {
-            let frame = tungstenite::Message::Binary(message.encode());
+    while let Some(first) = rx.recv().await {
+        let mut written = Vec::new();
+        let mut next = Some(first);
+        while let Some(outgoing) = next {
+            let frame = tungstenite::Message::Binary(outgoing.message.encode());
             writer.feed(frame).await.context("writing to a link")?;
+            written.push(outgoing);
+            next = if written.len() <= MAX_BATCH { rx.try_recv().ok() } else { None };
         }
         writer.flush().await.context("writing to a link")?;
     }
--- a/components/proxy/src/backend.rs
+++ b/components/proxy/src/backend.rs
@@ -1,10 +1,13 @@
 //! A connection to a backend server.
 
-use std::{collections::BTreeMap, io, time::Duration};
+use std::{collections::BTreeMap, io, rc::Rc, time::Duration};
 
 use anyhow::Context;
 use bergamottrack_adapter::wire::{self, AnswerReader};
-use bergamottrack_coordination::{AccountId, ServerId};
+use bergamottrack_coordination::{
+    AccountId, ServerId,
+    budget::{Budget, Charge},
+};
 use bergamottrack_model::{
     Failure, ListedServer, ServerAnswer, State, session::ConnectionState, statement::Shape,
 };
@@ -33,6 +36,19 @@
 /// Buffer space reserved before each read, in bytes.
 const READ_CHUNK: usize = 4 * 1024;
 
+/// Maximum capacity in bytes of an empty buffer that a connection keeps for its next answer.
+const MAX_KEPT_BUFFER: usize = 16 << 10;
+
+/// Part of the shared memory that one answer may hold. An answer whose rows never end would hold all.
+const ANSWER_DIVISOR: usize = 4;
+
+/// Interval at which a connection that has no memory for the rest of an answer tries to get some. The
+/// server waits meanwhile.
+const MEMORY_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Size of the system's receive buffer in bytes. What it holds counts as memory of the process.
+const RECEIVE_BUFFER: usize = 32 << 10;
+
 /// Reason why no connection was opened.
 #[derive(Debug)]
 pub enum OpenError {
@@ -61,11 +77,22 @@
     pub server: ServerId,
     /// Session values and named statements that the connection holds.
     pub carried: ConnectionState,
+    /// Memory of `buf`.
+    memory: Charge,
+    /// Memory of `carried` while the connection is idle.
+    carried_memory: Charge,
+    /// Maximum size of an answer in bytes.
+    max_answer: usize,
 }
 
 impl Backend {
-    /// Connects and starts a session of the account.
-    pub async fn open(listed: &ListedServer, account: &AccountId) -> Result<Self, OpenError> {
+    /// Connects and starts a session of the account. Answers and the values of sessions are charged to
+    /// `memory`.
+    pub async fn open(
+        listed: &ListedServer,
+        account: &AccountId,
+        memory: &Rc<Budget>,
+    ) -> Result<Self, OpenError> {
         let io = match monoio::time::timeout(CONNECT_TIMEOUT, connect(listed)).await {
             Ok(Ok(io)) => io,
             Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
@@ -91,6 +118,9 @@
             account: account.clone(),
             server: listed.id.clone(),
             carried: ConnectionState::default(),
+            memory: memory.charge(),
+            carried_memory: memory.charge(),
+            max_answer: memory.limit() / ANSWER_DIVISOR,
         };
         wire::put_start(&listed.group, account, &listed.id, &mut backend.out);
         let started = monoio::time::timeout(SESSION_START_TIMEOUT, backend.exchange()).await;
@@ -156,15 +186,35 @@
         loop {
             let answer = self.answers.take(&mut self.buf);
             if let Some(answer) = answer.with_context(|| format!("reading from {}", self.server))? {
+                if self.buf.is_empty() && self.buf.capacity() > MAX_KEPT_BUFFER {
+                    self.buf = BytesMut::new();
+                }
+                // A charge that shrinks does not fail.
+                let _ = self.memory.set(self.buf.capacity());
                 return Ok(answer);
             }
+            anyhow::ensure!(
+                self.buf.len() <= self.max_answer,
+                "an answer of {} is longer than {} bytes",
+                self.server,
+                self.max_answer
+            );
             self.buf.reserve(READ_CHUNK);
+            while self.memory.set(self.buf.capacity()).is_err() {
+                monoio::time::sleep(MEMORY_INTERVAL).await;
+            }
             let read = self.io.read_buf(&mut self.buf).await;
             let read = read.with_context(|| format!("reading from {}", self.server))?;
             anyhow::ensure!(read > 0, "{} closed the connection", self.server);
         }
     }
 
+    /// Charges the values that the connection keeps while it is idle; returns whether there is memory for
+    /// them.
+    pub fn keep_values(&mut self) -> bool {
+        self.carried_memory.set(self.carried.size()).is_ok()
+    }
+
     /// Returns whether nothing has arrived since the last answer, not even the end of the stream.
     ///
     /// Guards against a connection that the server closed while it was idle: a write sent on it
@@ -184,5 +234,6 @@
     stream.set_nodelay(true)?;
     let (time, interval, tries) = KEEP_ALIVE;
     stream.set_tcp_keepalive(Some(time), Some(interval), Some(tries))?;
+    bergamottrack_socket::set_receive_buffer(&stream, RECEIVE_BUFFER)?;
     stream.into_poll_io()
 }
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -46,6 +46,9 @@
 /// not broken off.
 const LOST_LINK_GRACE: Duration = Duration::from_millis(250);
 
+/// Copies of an answer that are held until it is written: as received, and as a message.
+const ANSWER_COPIES: usize = 2;
+
 /// A transaction of another host between two of its statements.
 struct IdleTransaction {
     leased: Leased,
@@ -163,12 +166,14 @@
 /// Runs a forwarded statement and replies with the result.
 pub async fn serve(host: Rc<Host>, from: HostId, statement: ForwardedStatement, replier: Replier) {
     let mut memory = host.memory.charge();
-    if memory.set(statement.line.len() * STATEMENT_COPIES).is_err() {
+    let values = statement.values.iter().map(|(name, value)| name.len() + value.len());
+    let size = statement.line.len() + values.sum::<usize>();
+    if memory.set(size * STATEMENT_COPIES).is_err() {
         return replier.reply(Answer::ForwardResult(ForwardResult::NotSent(NotSent::Full)));
     }
     let arrival = Arrival::new(statement, replier.link_monitor());
     let relayed = match acquire(&host, &from, &arrival).await {
-        Ok(acquired) => run(&host, from, arrival, acquired).await,
+        Ok(acquired) => run(&host, from.clone(), arrival, acquired).await,
         Err(NotSent::Unreachable) => {
             info!(
                 server = %arrival.statement.server, %from,
@@ -183,7 +188,13 @@
             ForwardResult::NotSent(reason)
         }
     };
-    replier.reply(Answer::ForwardResult(relayed));
+    // The answer is held until it is written to the link.
+    if let ForwardResult::Answered(answer) = &relayed
+        && memory.set(answer.raw.len() * ANSWER_COPIES).is_err()
+    {
+        info!(%from, bytes = answer.raw.len(), "relay: an answer exceeds the memory limit");
+    }
+    replier.reply_charged(Answer::ForwardResult(relayed), memory);
 }
 
 /// Records a failed connection to a leader with the group's failure detector.
--- a/components/proxy/src/monitor.rs
+++ b/components/proxy/src/monitor.rs
@@ -312,7 +312,7 @@
 /// Opens a connection for requests for a server's status.
 pub async fn open(host: &Host, pool: &Pool) -> Result<Backend, StatusError> {
     let listed = pool.listed.borrow().clone();
-    Backend::open(&listed, &any_account(host)).await.map_err(|error| match error {
+    Backend::open(&listed, &any_account(host), &host.memory).await.map_err(|error| match error {
         OpenError::Refused => StatusError::Refused,
         _ => StatusError::Silent,
     })
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -9,6 +9,7 @@
 
 use bergamottrack_coordination::{
     AccountId, HostId,
+    budget::Budget,
     choice::Health,
     cold, congestion,
     connections::{self, Bounds, Role, Usage},
@@ -86,6 +87,8 @@
     /// Earliest start of the next [`Pool::open_ahead`]; `None` unless a run is in progress or has
     /// failed.
     next_open_ahead: Cell<Option<Instant>>,
+    /// Memory of answers, and of the values that idle connections keep.
+    memory: Rc<Budget>,
     /// Connections in transactions, by account.
     transactions: RefCell<HashMap<AccountId, usize>>,
     /// Notified when a transaction has ended.
@@ -146,8 +149,8 @@
 
 impl Pool {
     /// Returns a pool without connections. `now` is the time from which requests to the server
-    /// count against this host's share of a cold server's limit.
-    pub fn new(listed: ListedServer, now: StdInstant) -> Rc<Self> {
+    /// count against this host's share of a cold server's limit. Answers are charged to `memory`.
+    pub fn new(listed: ListedServer, now: StdInstant, memory: Rc<Budget>) -> Rc<Self> {
         Rc::new(Self {
             listed: RefCell::new(listed),
             health: RefCell::default(),
@@ -167,6 +170,7 @@
             observed_limit: Cell::default(),
             freed: Notify::new(),
             next_open_ahead: Cell::default(),
+            memory,
             transactions: RefCell::default(),
             transaction_ended: Notify::new(),
         })
@@ -479,7 +483,7 @@
         let mut leased =
             Leased { backend: None, pool: self.clone(), transaction: None, returned: false };
         let listed = self.listed.borrow().clone();
-        match Backend::open(&listed, account).await {
+        match Backend::open(&listed, account, &self.memory).await {
             Ok(backend) => {
                 leased.backend = Some(backend);
                 Ok(leased)
@@ -520,9 +524,13 @@
     }
 
     /// Gives the connection back to the pool for the next statement; closes it instead on a host
-    /// that is not the holder while the server is at its connection limit.
+    /// that is not the holder while the server is at its connection limit, and if there is no memory for
+    /// the values that it holds.
     pub fn give_back(mut self) {
-        if let Some(backend) = self.backend.take() {
+        if let Some(mut backend) = self.backend.take() {
+            if !backend.keep_values() {
+                return;
+            }
             // While the server is at its limit, a host that is not the holder closes the
             // connection to make room for others. The holder keeps its connections, since they
             // serve all hosts.
--- a/components/proxy/src/servers.rs
+++ b/components/proxy/src/servers.rs
@@ -93,7 +93,7 @@
         let pool = pools.entry(listed.id.clone()).or_insert_with(|| {
             // The share of a cold server's limit may have been used by an earlier process of this
             // host only, so it is withheld from the start of the host.
-            let pool = Pool::new(listed.clone(), self.started);
+            let pool = Pool::new(listed.clone(), self.started, self.memory.clone());
             pool.warmth.borrow_mut().report(self.cold_until(listed), true);
             pool
         });
--- a/components/proxy/tests/backend.rs
+++ b/components/proxy/tests/backend.rs
@@ -2,9 +2,10 @@
 
 mod hosts;
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bergamottrack_adapter::wire;
+use bergamottrack_coordination::budget::Budget;
 use bergamottrack_model::{ListedServer, Role};
 use bergamottrack_proxy::backend::Backend;
 use monoio::{
@@ -26,6 +27,14 @@
     }
 }
 
+/// Memory for answers in bytes.
+const MEMORY: usize = 1 << 20;
+
+/// Returns memory for answers.
+fn memory() -> Rc<Budget> {
+    Budget::new(MEMORY, 0)
+}
+
 /// Opens a connection to a stand-in of a server, which accepts the session; returns both ends.
 async fn open() -> (Backend, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -36,8 +45,8 @@
         server.write_all(b"READY I -\r\n").await.0.unwrap();
         server
     };
-    let account = "a1".parse().unwrap();
-    let (backend, server) = monoio::join!(Backend::open(&listed, &account), accept);
+    let (account, memory) = ("a1".parse().unwrap(), memory());
+    let (backend, server) = monoio::join!(Backend::open(&listed, &account, &memory), accept);
     (backend.unwrap(), server)
 }
 
@@ -93,7 +102,7 @@
 async fn run_until_killed() {
     let Ok(address) = std::env::var(SERVER_VARIABLE) else { return };
     let listed = listed(address.parse().unwrap());
-    let mut backend = Backend::open(&listed, &"a1".parse().unwrap()).await.unwrap();
+    let mut backend = Backend::open(&listed, &"a1".parse().unwrap(), &memory()).await.unwrap();
     wire::put_status(&mut backend.out);
     let _ = backend.exchange().await;
 }
@@ -106,3 +115,39 @@
     drop(backend);
     assert_eq!(read(&mut server).await.unwrap(), 0);
 }
+
+/// Guards against a host that holds an answer whose rows never end until its memory is used up.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn answer_longer_than_its_part_of_the_memory_is_broken_off() {
+    let (mut backend, mut server) = open().await;
+    wire::put_status(&mut backend.out);
+    let rows = async {
+        read(&mut server).await.unwrap();
+        let row = format!("ROW {}\r\n", "x".repeat(10_000)).into_bytes();
+        let mut sent = 0;
+        // Fails once the host has closed the connection.
+        while sent < 4 * MEMORY && server.write_all(row.clone()).await.0.is_ok() {
+            sent += row.len();
+        }
+    };
+    let exchange = async {
+        let error = backend.exchange().await.unwrap_err();
+        drop(backend);
+        error
+    };
+    let (error, ()) = monoio::join!(exchange, rows);
+    assert!(format!("{error:#}").contains("longer than"), "{error:#}");
+}
+
+/// Guards against idle connections that each hold the values of the last session, of which a session may have
+/// as many as one message.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn connection_keeps_values_only_if_there_is_memory() {
+    let (mut backend, _server) = open().await;
+    let values = [("v".into(), "x".repeat(MEMORY / 2).into())].into();
+    backend.carried.reconcile(&values, None);
+    assert!(backend.keep_values());
+    let values = [("v".into(), "x".repeat(2 * MEMORY).into())].into();
+    backend.carried.reconcile(&values, None);
+    assert!(!backend.keep_values());
+}
--- a/components/proxy/tests/pool.rs
+++ b/components/proxy/tests/pool.rs
@@ -4,7 +4,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bergamottrack_coordination::connections;
+use bergamottrack_coordination::{budget::Budget, connections};
 use bergamottrack_model::{ListedServer, Role};
 use bergamottrack_proxy::pool::{Permit, Pool};
 
@@ -26,7 +26,7 @@
         started_ms: 1,
         cold: Duration::ZERO,
     };
-    Pool::new(listed, std::time::Instant::now())
+    Pool::new(listed, std::time::Instant::now(), Budget::new(1 << 20, 0))
 }
 
 /// Returns permits for as many statements as may be in flight.
