Allocator: large blocks are returned to the system when they are freed

What operators saw: a process keeps the memory of a crowd long after it has gone, and uses more than its account of the memory shows: 104, 81 and 77 MB beside crowds that hold at most 32 MB in the account.

Cause: the allocator takes blocks of up to 32 MB from its heap once blocks of that size were freed; buffers of large messages and answers leave holes in it.

--- a/src/main.rs
+++ b/src/main.rs
@@ -7,6 +7,7 @@
 mod cli;
 mod cmd;
 mod failure;
+mod heap;
 mod log;
 mod settings;
 mod table;
@@ -15,6 +16,7 @@
 use failure::Failure;
 
 fn main() -> ExitCode {
+    heap::return_large_blocks();
     match run(cli::Cli::parse().command) {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
