Links: clients without the secret hold a bounded number of connections and bytes

What could happen, by reading: any client that reaches the address for other hosts holds a descriptor for up to 4 s and could send messages of up to 64 MiB before it proves the secret, as often as it connects. The buffers of the system for links grow to megabytes each.

Change: at most 256 connections without a proof, of which the oldest is closed for the next; 16 KiB until the proof; receive buffers of 64 KiB.

crowd_without_the_secret_does_not_keep_a_host_out fails without the change: the first of 600 connections stays open.

--- a/components/operator/src/serve.rs
+++ b/components/operator/src/serve.rs
@@ -1,13 +1,10 @@
 //! HTTP/1.1 server for operators, with one task per connection.
 
-use std::{
-    cell::RefCell, collections::BTreeMap, future::Future, io, net::SocketAddr, pin::Pin, rc::Rc,
-    time::Duration,
-};
+use std::{future::Future, io, net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
 
 use anyhow::Context;
 use bergamottrack_coordination::budget::Budget;
-use bergamottrack_peer::accept;
+use bergamottrack_peer::{accept, newest::Newest};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -22,7 +19,6 @@
     net::{ListenerOpts, TcpListener, TcpStream},
 };
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
-use tokio::sync::oneshot;
 use tracing::{debug, info};
 
 use crate::api::{ErrorPage, Verdict};
@@ -150,51 +146,29 @@
 }
 
 async fn serve_connections(listener: TcpListener, handler: Rc<Handler>, limits: Limits) -> ! {
-    let service = Rc::new(Service {
-        handler,
-        limits,
-        bodies: Budget::new(limits.bodies, 0),
-        open: RefCell::default(),
-    });
-    let mut numbers = 0..;
+    let service = Rc::new(Service { handler, limits, bodies: Budget::new(limits.bodies, 0) });
+    let newest = Newest::new(limits.connections);
     loop {
-        for number in numbers.by_ref().take(MAX_ACCEPTED) {
+        for _ in 0..MAX_ACCEPTED {
             let stream = accept::stream(&listener, "operators").await;
-            let closed = service.enter(number);
-            let service = service.clone();
+            let (mut place, service) = (newest.enter(), service.clone());
             monoio::spawn(async move {
                 monoio::select! {
-                    () = connection(stream, service.clone()) => {}
-                    _ = closed => debug!("operator: the oldest connection was closed for another."),
+                    () = connection(stream, service) => {}
+                    () = place.ended() => debug!("operator: oldest connection closed for another."),
                 }
-                service.open.borrow_mut().remove(&number);
             });
         }
         monoio::time::sleep(ACCEPT_PAUSE).await;
     }
 }
 
-/// Handler and connections of one address.
+/// Handler and memory of one address.
 struct Service {
     handler: Rc<Handler>,
     limits: Limits,
     /// Memory of the request bodies that are being received.
     bodies: Rc<Budget>,
-    /// Open connections by number, which grows with each; a connection ends when its sender is dropped.
-    open: RefCell<BTreeMap<u64, oneshot::Sender<()>>>,
-}
-
-impl Service {
-    /// Adds a connection, and closes the oldest one if there are too many.
-    fn enter(&self, number: u64) -> oneshot::Receiver<()> {
-        let (sender, closed) = oneshot::channel();
-        let mut open = self.open.borrow_mut();
-        open.insert(number, sender);
-        if open.len() > self.limits.connections {
-            open.pop_first();
-        }
-        closed
-    }
 }
 
 async fn connection(stream: TcpStream, service: Rc<Service>) {
--- a/components/peer/src/accept.rs
+++ b/components/peer/src/accept.rs
@@ -1,6 +1,7 @@
 //! Accepting end of a link, with one task per peer.
 
 use std::{
+    cell::Cell,
     collections::HashMap,
     fmt,
     rc::Rc,
@@ -21,6 +22,7 @@
     activity::ActivityStream,
     exchange::HomeSide,
     message::{Answer, End, Hello, Message, Open, Proof, Question, RequestNo, ToHome},
+    newest::Newest,
     socket::{self, Outgoing},
 };
 
@@ -32,6 +34,18 @@
 /// Delay before accepting is retried after a failure.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Maximum number of connections that have not proven the secret.
+const MAX_HANDSHAKES: usize = 256;
+
+/// Maximum number of bytes of a peer until it has proven the secret.
+const MAX_HANDSHAKE_BYTES: usize = 16 << 10;
+
+/// Bytes that a peer may send afterwards: no limit that a link reaches.
+const UNLIMITED: usize = usize::MAX;
+
+/// Size of the system's receive buffer of a link in bytes. What it holds counts as memory of the process.
+pub const RECEIVE_BUFFER: usize = 64 << 10;
+
 /// Handler for questions of peers. The answer may be sent after the handler has returned.
 pub type Responder = dyn Fn(&Hello, Question, Replier);
 
@@ -130,6 +144,13 @@
     pub serve: Box<dyn Fn(Open, HomeSide)>,
     /// Handler for questions.
     pub answer: Box<Responder>,
+    /// Connections that have not proven the secret.
+    pub handshakes: Rc<Newest>,
+}
+
+/// Returns an empty set of connections that have not proven the secret.
+pub fn handshakes() -> Rc<Newest> {
+    Newest::new(MAX_HANDSHAKES)
 }
 
 /// Serves one peer until its link ends.
@@ -143,20 +164,37 @@
     stream.set_nodelay(true)?;
     let clock = ConnectionClock { clock: service.clock.clone(), accepted: service.clock.now() };
     // Only the dialling end monitors activity and closes links to unresponsive peers.
-    let io = ActivityStream::new(stream.into_poll_io()?, || {});
+    let allowance = Rc::new(Cell::new(MAX_HANDSHAKE_BYTES));
+    let io = ActivityStream::limited(stream.into_poll_io()?, || {}, allowance.clone());
+    let mut place = service.handshakes.enter();
+    let (peer, mut reader, mut writer) = monoio::select! {
+        authenticated = handshake(io, service, &clock) => authenticated?,
+        () = place.ended() => bail!("too many peers have not proven the shared secret"),
+    };
+    drop(place);
+    allowance.set(UNLIMITED);
+    let (outgoing, mut rx) = mpsc::unbounded_channel();
+    monoio::select! {
+        result = socket::write_messages(&mut writer, &mut rx) => result,
+        result = dispatch(&mut reader, &peer, outgoing, service, &clock) => result,
+    }
+}
+
+/// Accepts the WebSocket of a peer and authenticates both ends.
+async fn handshake(
+    io: ActivityStream,
+    service: &Service,
+    clock: &ConnectionClock,
+) -> anyhow::Result<(Hello, socket::Reader, socket::Writer)> {
     let handshake = tokio_tungstenite::accept_async_with_config(io, Some(socket::config()));
     let ws = monoio::time::timeout(socket::HELLO_TIMEOUT, handshake)
         .await
         .context("the peer did not complete the WebSocket handshake in time")??;
     let (mut writer, mut reader) = ws.split();
     let hello = (service.hello)();
-    let authenticate = authenticate(&hello, &service.secret, &clock, &mut reader, &mut writer);
+    let authenticate = authenticate(&hello, &service.secret, clock, &mut reader, &mut writer);
     let peer = monoio::time::timeout(socket::HELLO_TIMEOUT, authenticate).await??;
-    let (outgoing, mut rx) = mpsc::unbounded_channel();
-    monoio::select! {
-        result = socket::write_messages(&mut writer, &mut rx) => result,
-        result = dispatch(&mut reader, &peer, outgoing, service, &clock) => result,
-    }
+    Ok((peer, reader, writer))
 }
 
 /// Authenticates this host to the peer and the peer to this host. Returns the peer's hello.
--- a/components/peer/src/activity.rs
+++ b/components/peer/src/activity.rs
@@ -1,8 +1,10 @@
 //! TCP stream that reports received bytes.
 
 use std::{
+    cell::Cell,
     io,
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll},
 };
 
@@ -13,12 +15,23 @@
 pub struct ActivityStream {
     io: TcpStreamPoll,
     on_read: Box<dyn Fn()>,
+    /// Bytes that may still be read.
+    allowance: Rc<Cell<usize>>,
 }
 
 impl ActivityStream {
     /// Wraps a stream so that it calls `on_read`.
     pub fn new(io: TcpStreamPoll, on_read: impl Fn() + 'static) -> Self {
-        Self { io, on_read: Box::new(on_read) }
+        Self::limited(io, on_read, Rc::new(Cell::new(usize::MAX)))
+    }
+
+    /// Wraps a stream as [`Self::new`] does. Reading fails once more bytes than the allowance have arrived.
+    pub fn limited(
+        io: TcpStreamPoll,
+        on_read: impl Fn() + 'static,
+        allowance: Rc<Cell<usize>>,
+    ) -> Self {
+        Self { io, on_read: Box::new(on_read), allowance }
     }
 }
 
@@ -30,7 +43,12 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let read = Pin::new(&mut self.io).poll_read(cx, buf);
-        if buf.filled().len() > before {
+        let len = buf.filled().len() - before;
+        if len > 0 {
+            let Some(left) = self.allowance.get().checked_sub(len) else {
+                return Poll::Ready(Err(io::Error::other("more bytes than allowed")));
+            };
+            self.allowance.set(left);
             (self.on_read)();
         }
         read
--- a/components/peer/src/lib.rs
+++ b/components/peer/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod link;
 pub mod mesh;
 pub mod message;
+pub mod newest;
 pub mod peer_clock;
 mod socket;
 
--- a/components/peer/src/link.rs
+++ b/components/peer/src/link.rs
@@ -21,6 +21,7 @@
 use tracing::{debug, info};
 
 use crate::{
+    accept,
     activity::ActivityStream,
     exchange::Exchange,
     message::{Answer, End, Hello, Message, Open, Proof, Question, RequestNo, ToEntry},
@@ -214,6 +215,7 @@
         let stream =
             monoio::time::timeout(CONNECT_TIMEOUT, connect).await.context("connecting")??;
         stream.set_nodelay(true)?;
+        bergamottrack_socket::set_receive_buffer(&stream, accept::RECEIVE_BUFFER)?;
         if self.keepalive.resets {
             bergamottrack_socket::reset_on_close(&stream)?;
         }
--- a/components/peer/tests/authentication.rs
+++ b/components/peer/tests/authentication.rs
@@ -11,7 +11,7 @@
 };
 use futures_util::{SinkExt, StreamExt};
 use monoio::{
-    io::IntoPollIo,
+    io::{AsyncReadRent, IntoPollIo},
     net::{TcpListener, TcpStream, tcp::stream_poll::TcpStreamPoll},
 };
 use tokio_tungstenite::{WebSocketStream, tungstenite};
@@ -33,6 +33,7 @@
     let mesh = mesh(me.clone(), secret);
     let service = Rc::new(Service {
         secret: mesh.secret.clone(),
+        handshakes: accept::handshakes(),
         hello: Box::new(move || mesh.hello()),
         clock: Rc::new(SystemClock),
         serve: Box::new(|_, _| {}),
@@ -129,3 +130,31 @@
     let received = receive(&mut socket).await;
     assert!(received.is_none(), "the server without the secret received {received:?}");
 }
+
+/// Guards against clients without the secret that occupy the memory and descriptors of a host: many connect and
+/// send no hello, and one sends more than a hello. Another host still connects.
+#[monoio::test(driver = "legacy", enable_timer = true)]
+async fn crowd_without_the_secret_does_not_keep_a_host_out() {
+    let right = listen("right");
+    let mut crowd = Vec::new();
+    for _ in 0..600 {
+        crowd.push(TcpStream::connect(right.peer).await.unwrap());
+    }
+    let first = crowd.remove(0);
+    let (read, _) = monoio::time::timeout(Duration::from_secs(1), async {
+        let mut first = first;
+        first.read(vec![0; 1]).await
+    })
+    .await
+    .expect("the oldest connection is kept");
+    assert!(!matches!(read, Ok(1..)), "{read:?}");
+    let stream = TcpStream::connect(right.peer).await.unwrap().into_poll_io().unwrap();
+    let url = format!("ws://{}/", right.peer);
+    let (mut socket, _) = tokio_tungstenite::client_async(url, stream).await.unwrap();
+    let large = tungstenite::Message::Binary(vec![0; 1 << 20].into());
+    // Fails once the host has closed the connection.
+    let _ = socket.send(large).await;
+    assert!(receive(&mut socket).await.is_none(), "a message of 1 MiB was read before a proof");
+    let me = host("h2", "127.0.0.1:9".parse().unwrap());
+    wait_until_responds(&mesh(me, "right"), &right).await;
+}
--- a/components/peer/tests/slow_link.rs
+++ b/components/peer/tests/slow_link.rs
@@ -52,6 +52,7 @@
     let mesh = mesh(host("h1", address));
     let service = Rc::new(Service {
         secret: mesh.secret.clone(),
+        handshakes: accept::handshakes(),
         hello: Box::new(move || mesh.hello()),
         clock: Rc::new(SystemClock),
         serve: Box::new(|_, _| {}),
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -78,7 +78,7 @@
 ) -> anyhow::Result<()> {
     // The listeners are opened first: a failover may request a release as soon as the view lists this
     // host.
-    let peers = listen(settings.peer_address).context("listening for other hosts")?;
+    let peers = listen_for_peers(settings.peer_address).context("listening for other hosts")?;
     let callers = listen_for_callers(settings.caller_address).context("listening for callers")?;
     let state: Rc<RefCell<Option<Rc<Host>>>> = Rc::default();
     let probes = http::Limits::PROBES;
@@ -182,8 +182,10 @@
     })
 }
 
-fn listen(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
-    TcpListener::bind_with_config(address, &ListenerOpts::new().reuse_port(false).backlog(BACKLOG))
+/// Binds the listener for other hosts.
+fn listen_for_peers(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
+    let options = ListenerOpts::new().reuse_port(false).backlog(BACKLOG);
+    TcpListener::bind_with_config(address, &options.recv_buf_size(accept::RECEIVE_BUFFER))
 }
 
 /// Binds the listener for callers. Its connections have small buffers of the system: what they hold counts
@@ -209,6 +211,7 @@
     let (mesh, host) = (host.mesh.clone(), host.clone());
     Rc::new(Service {
         secret: mesh.secret.clone(),
+        handshakes: accept::handshakes(),
         hello: Box::new(move || mesh.hello()),
         clock,
         serve: Box::new(|_, _| {}),
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -140,6 +140,7 @@
     let report = move || Answer::Report(Box::new(operator.report()));
     let service = Rc::new(Service {
         secret: mesh.secret.clone(),
+        handshakes: accept::handshakes(),
         hello: Box::new(move || mesh.hello()),
         clock: Rc::new(SystemClock),
         serve: Box::new(move |open, side| {
