serve: memory by the machine's limit, messages in turns, places that logins cannot take

What callers saw (tests/clients_serve.rs, before): the process passed 160 MB beside 300 callers that send queries of 200 KB ahead (224 MB, 161 of them received and not read) and beside 200 that do not read rows of 1 MB (183 MB); 156 MB beside messages of the extended protocol without an end. Beside short queries sent ahead and the extended ones an ordinary caller had 54 and 51 answers of about 148, one request none within 3 s. 4,500 connections that stop within the login take all 4,000 places.

Causes: receive buffers of the system that grow; 64 KiB of each connection and all copies of a query, a batch or prepared statements uncharged; charges by length, not by capacity; a task that finds a message in its buffer does not suspend; no limit for connections without a caller but the places of all; answers of the host itself are written without a time limit; the lexer takes characters one at a time, and 16 million semicolons become 400 MB of tokens.

Change: receive buffers of 8 KiB, 8 KiB free a connection, charges by capacity, three copies of a query, four of a batch, two of prepared statements; buffers of large messages grow to their announced length only. Messages wait for their turns as those of entry do, in a crate of its own; a pass grants work of 4 ms at most, so that a machine slower than its limits state serves others in between. At most a quarter of the places, 64 at least, is without an authenticated caller; the oldest is closed for the next. 10 s and the time at 16 KiB a second for what the host writes itself. A query string has at most 500,000 tokens; 16 MB of text in quotes is one.

--- a/components/coordination/src/budget.rs
+++ b/components/coordination/src/budget.rs
@@ -13,6 +13,8 @@
     /// Bytes that each charge may hold without counting.
     free: usize,
     used: Cell<usize>,
+    /// Bytes kept for small charges in a budget without clients.
+    small_reserve: usize,
     /// Clients of which some are closed when the budget is exhausted; `None` if none are.
     clients: Option<Rc<Clients>>,
 }
@@ -24,6 +26,10 @@
 /// Part of the limit up to which an account holds little.
 const LITTLE_DIVISOR: usize = 8;
 
+/// Part of a limit without clients that is kept for small charges, and part of it up to which one is small.
+const SMALL_RESERVE_DIVISOR: usize = 8;
+const SMALL_DIVISOR: usize = 512;
+
 /// Part of the limit by which the budget may be exceeded until the clients that are closed for it end.
 const OVERSHOOT_DIVISOR: usize = 4;
 
@@ -52,13 +58,20 @@
     /// Creates an unused budget of `limit` bytes, from which each connection has `free` bytes without a
     /// charge.
     pub fn new(limit: usize, free: usize) -> Rc<Self> {
-        Rc::new(Self { limit, free, used: Cell::default(), clients: None })
+        Rc::new(Self { limit, free, used: Cell::default(), small_reserve: 0, clients: None })
+    }
+
+    /// Creates an unused budget as [`Self::new`] does, a part of which is kept for small charges.
+    pub fn with_reserve(limit: usize, free: usize) -> Rc<Self> {
+        let small_reserve = limit / SMALL_RESERVE_DIVISOR;
+        Rc::new(Self { limit, free, used: Cell::default(), small_reserve, clients: None })
     }
 
     /// Creates an unused budget as [`Self::new`] does. When it is exhausted, the clients that hold most for
     /// the longest time are closed.
     pub fn of_clients(limit: usize, free: usize, clients: Rc<Clients>) -> Rc<Self> {
-        Rc::new(Self { limit, free, used: Cell::default(), clients: Some(clients) })
+        let clients = Some(clients);
+        Rc::new(Self { limit, free, used: Cell::default(), small_reserve: 0, clients })
     }
 
     /// Creates the charge of a connection that holds nothing.
@@ -81,9 +94,13 @@
         self.limit
     }
 
-    /// Returns whether `used` bytes may be charged in all, `growth` of them for the client.
-    fn admits(&self, used: usize, growth: usize, client: Option<&Rc<Client>>) -> bool {
-        let Some(clients) = &self.clients else { return used <= self.limit };
+    /// Returns whether `used` bytes may be charged in all, `own` of them by this charge and `growth` of
+    /// these in addition, for the client.
+    fn admits(&self, used: usize, own: usize, growth: usize, client: Option<&Rc<Client>>) -> bool {
+        let Some(clients) = &self.clients else {
+            let is_small = own <= self.limit / SMALL_DIVISOR;
+            return used <= self.limit - if is_small { 0 } else { self.small_reserve };
+        };
         let account = client.map_or(0, |client| clients.account_bytes(client));
         let holds_little = account + growth <= self.limit / LITTLE_DIVISOR;
         let reserve = if holds_little { 0 } else { self.limit / RESERVE_DIVISOR };
@@ -102,7 +119,7 @@
         let bytes = bytes.saturating_sub(self.budget.free);
         let used = self.budget.used.get() - self.bytes + bytes;
         let growth = bytes.saturating_sub(self.bytes);
-        if growth > 0 && !self.budget.admits(used, growth, self.client.as_ref()) {
+        if growth > 0 && !self.budget.admits(used, bytes, growth, self.client.as_ref()) {
             return Err(BudgetExhausted);
         }
         self.budget.used.set(used);
--- a/components/coordination/src/turns.rs
+++ b/components/coordination/src/turns.rs
@@ -33,6 +33,10 @@
 /// Work that was done without a turn or in excess of one, and that is made up for, as such a time.
 const MAX_DEBT: Duration = Duration::from_millis(500);
 
+/// Work for which turns are granted before all other tasks run, as such a time. A machine that is slower than
+/// its limits state would otherwise do all waiting work first.
+const PASS: Duration = Duration::from_millis(4);
+
 /// Number of accounts at which those without recent work are removed.
 const MIN_SWEEP_SIZE: usize = 64;
 
@@ -90,6 +94,8 @@
     /// Work that may be done now; negative if more was done than allowed.
     left: f64,
     updated: Instant,
+    /// Work for which turns may be granted in the current pass.
+    pass: f64,
     /// Work by account; `None` stands for clients without one.
     accounts: HashMap<Option<AccountId>, Work>,
     sweep_size: usize,
@@ -105,6 +111,7 @@
             rate,
             left: rate * BURST.as_secs_f64(),
             updated: now,
+            pass: rate * PASS.as_secs_f64(),
             accounts: HashMap::new(),
             sweep_size: MIN_SWEEP_SIZE,
             waiting: BTreeMap::new(),
@@ -152,13 +159,19 @@
         work.cost
     }
 
+    /// Begins a pass: all other tasks have run since the last one.
+    pub fn begin_pass(&mut self) {
+        self.pass = self.rate * PASS.as_secs_f64();
+    }
+
     /// Returns the next client whose turn has come; `None` if no client waits or no work may be done now.
     pub fn next(&mut self, now: Instant) -> Option<TurnKey> {
         self.refill(now);
-        if self.left <= 0.0 {
+        if self.left <= 0.0 || self.pass <= 0.0 {
             return None;
         }
         let (key, cost) = self.waiting.pop_first()?;
+        self.pass -= cost as f64;
         self.left -= cost as f64;
         Some(key)
     }
--- a/components/coordination/tests/budget.rs
+++ b/components/coordination/tests/budget.rs
@@ -17,3 +17,15 @@
     assert!(second.set(110).is_ok());
     assert!(second.set(111).is_err());
 }
+
+/// Guards against large charges that leave no room for those of the usual size.
+#[test]
+fn part_of_a_budget_is_kept_for_small_charges() {
+    let budget = Budget::with_reserve(8192, 0);
+    let (mut large, mut small) = (budget.charge(), budget.charge());
+    assert!(large.set(8000).is_err());
+    assert!(large.set(7000).is_ok());
+    let mut other = budget.charge();
+    assert!(other.set(500).is_err());
+    assert!(small.set(16).is_ok());
+}
--- a/components/coordination/tests/turns.rs
+++ b/components/coordination/tests/turns.rs
@@ -43,6 +43,7 @@
                 Turn::Queued(_) => waiting += 1,
             }
         }
+        turns.begin_pass();
         while turns.next(now).is_some() {
             waiting -= 1;
             done += 1;
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -55,14 +55,12 @@
     };
     stream.set_nodelay(true)?;
     let stream: Stream = Box::new(stream.into_poll_io()?);
-    let (mut reader, mut writer) = stream::split(stream, MAX_LOGIN_LEN);
-    let deadline = Instant::now() + if permit.over_limit { REFUSAL_TIMEOUT } else { LOGIN_TIMEOUT };
-    let mut result = handshake(entry, &permit, &mut reader, &mut writer, false, deadline).await?;
-    if let (Handshake::StartTls, Some(tls)) = (&result, &entry.tls) {
-        let encrypted = tls.accept(reader, writer, MAX_LOGIN_LEN);
-        (reader, writer) = monoio::time::timeout_at(deadline, encrypted).await??;
-        result = handshake(entry, &permit, &mut reader, &mut writer, true, deadline).await?;
-    }
+    let mut login = entry.callers.logins.enter();
+    let (result, mut reader, writer) = monoio::select! {
+        begun = begin(entry, &permit, stream) => begun?,
+        () = login.ended() => bail!("too many callers have not authenticated"),
+    };
+    drop(login);
     let Handshake::Caller(caller) = result else { return Ok(()) };
     let _counted = entry.metrics.caller();
     reader.set_max(MAX_MESSAGE_LEN);
@@ -79,6 +77,23 @@
     result
 }
 
+/// Performs the handshake of a connection, within TLS if the caller requests it.
+async fn begin(
+    entry: &Entry,
+    permit: &Permit,
+    stream: Stream,
+) -> anyhow::Result<(Handshake, Reader, Writer)> {
+    let (mut reader, mut writer) = stream::split(stream, MAX_LOGIN_LEN);
+    let deadline = Instant::now() + if permit.over_limit { REFUSAL_TIMEOUT } else { LOGIN_TIMEOUT };
+    let mut result = handshake(entry, permit, &mut reader, &mut writer, false, deadline).await?;
+    if let (Handshake::StartTls, Some(tls)) = (&result, &entry.tls) {
+        let encrypted = tls.accept(reader, writer, MAX_LOGIN_LEN);
+        (reader, writer) = monoio::time::timeout_at(deadline, encrypted).await??;
+        result = handshake(entry, permit, &mut reader, &mut writer, true, deadline).await?;
+    }
+    Ok((result, reader, writer))
+}
+
 /// Result of the handshake of a connection.
 enum Handshake {
     /// The caller is authenticated.
--- a/components/entry/src/callers.rs
+++ b/components/entry/src/callers.rs
@@ -3,6 +3,7 @@
 use std::{cell::Cell, io, net::SocketAddr, rc::Rc};
 
 use bergamottrack_coordination::budget::Budget;
+use bergamottrack_peer::newest::Newest;
 use monoio::net::{ListenerOpts, TcpListener};
 use tokio::sync::Notify;
 
@@ -16,23 +17,42 @@
 /// time. Any further ones are closed without an answer.
 const MAX_REFUSED: usize = 64;
 
+/// Size of the socket receive buffer of each caller, in bytes. What it holds counts as memory of the
+/// process; by default it grows to megabytes.
+const RECEIVE_BUFFER: usize = 8 << 10;
+
 /// Binds the listener for callers.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     // With SO_REUSEPORT, two hosts on one port would share the callers without an error.
     let options = ListenerOpts::new().send_buf_size(SEND_BUFFER).reuse_port(false);
-    TcpListener::bind_with_config(address, &options)
+    TcpListener::bind_with_config(address, &options.recv_buf_size(RECEIVE_BUFFER))
 }
 
 /// Maximum memory for large messages that a host is receiving from callers, in bytes.
 const MAX_INPUT: usize = 64 << 20;
 
+/// Part of the machine's memory for these messages, if that is less.
+const INPUT_SHARE: f64 = 0.4;
+
 /// Bytes of a message that each connection may receive without a charge to that memory.
-const FREE_INPUT: usize = 64 << 10;
+const FREE_INPUT: usize = 8 << 10;
+
+/// Part of the machine's memory for the connections, and memory of one in bytes: its task, its buffers and
+/// what the system has received for it.
+const CONNECTIONS_SHARE: f64 = 0.35;
+const CONNECTION_MEMORY: usize = 32 << 10;
+
+/// Part of the connections, as a divisor, that may be without an authenticated caller, and its minimum. The
+/// oldest of them is closed for the next.
+const LOGINS_DIVISOR: usize = 4;
+const MIN_LOGINS: usize = 64;
 
 /// Callers connected to a host.
 pub struct Callers {
     /// Memory budget for messages received from callers.
     pub input: Rc<Budget>,
+    /// Connections without an authenticated caller.
+    pub logins: Rc<Newest>,
     /// Maximum number of connections, without those above the limit that are being refused.
     limit: usize,
     connected: Cell<usize>,
@@ -52,10 +72,14 @@
 }
 
 impl Callers {
-    /// Creates an empty set of callers with a maximum number of connections.
-    pub fn new(limit: usize) -> Rc<Self> {
+    /// Creates an empty set of callers with a maximum number of connections, on a machine with `memory` bytes,
+    /// which may allow fewer.
+    pub fn new(limit: usize, memory: usize) -> Rc<Self> {
+        let part = |share: f64| (memory as f64 * share) as usize;
+        let limit = limit.min(part(CONNECTIONS_SHARE) / CONNECTION_MEMORY).max(1);
         Rc::new(Self {
-            input: Budget::new(MAX_INPUT, FREE_INPUT),
+            input: Budget::with_reserve(MAX_INPUT.min(part(INPUT_SHARE)), FREE_INPUT),
+            logins: Newest::new((limit / LOGINS_DIVISOR).max(MIN_LOGINS)),
             limit,
             connected: Cell::default(),
             over_limit: Cell::default(),
--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -15,6 +15,7 @@
 use bergamottrack_home::Homes;
 use bergamottrack_metrics::Metrics;
 use bergamottrack_peer::{Exchange, Mesh, Open, open_local};
+use bergamottrack_turns::TurnQueue;
 use tokio::sync::Notify;
 
 use crate::{callers::Callers, tls::Tls};
@@ -46,6 +47,8 @@
     pub cancels: RefCell<HashMap<i32, Rc<CancelHandle>>>,
     /// Counter from which the last process number was derived.
     pub last_pid: Cell<u32>,
+    /// Turns of the callers' messages.
+    pub turns: Rc<TurnQueue>,
 }
 
 /// Handle through which the running request of a connection is cancelled.
--- a/components/entry/src/extended.rs
+++ b/components/entry/src/extended.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 
 use anyhow::Context;
+use bergamottrack_coordination::budget::BudgetExhausted;
 use bergamottrack_pg::{Frame, answer::Severity, frame};
 use bytes::{Bytes, BytesMut};
 use pgwire::messages::{
@@ -26,6 +27,12 @@
     statements::Statement,
 };
 
+/// Copies of the messages of a batch that are held: as received, decoded, and as prepared for a server.
+const BATCH_COPIES: usize = 4;
+
+/// Copies of a prepared statement that are held: its text and its message.
+const STATEMENT_COPIES: usize = 2;
+
 /// Maximum size of a batch of messages, in bytes.
 const MAX_BATCH: usize = 16 << 20;
 
@@ -57,6 +64,11 @@
 }
 
 impl Batch {
+    /// Returns whether the batch has no messages.
+    pub fn is_empty(&self) -> bool {
+        self.size == 0
+    }
+
     fn send(&mut self, message: &impl Message, reply: ExpectedReply) {
         frame::put(&mut self.frames, message);
         self.replies.push(reply);
@@ -90,7 +102,7 @@
         self.batch.size += frame.raw.len();
         let taken = if self.batch.size > MAX_BATCH {
             Err(Fault::new("54000", format!("a batch has at most {MAX_BATCH} bytes")))
-        } else if let Err(full) = self.charge.set(self.batch.size) {
+        } else if let Err(full) = self.charge_work(self.batch.size * BATCH_COPIES) {
             Err(Fault::new("53300", full.to_string()))
         } else {
             self.take(frame)
@@ -101,6 +113,11 @@
         }
     }
 
+    /// Charges the memory of the work in progress, and of the prepared statements.
+    pub(crate) fn charge_work(&mut self, bytes: usize) -> Result<(), BudgetExhausted> {
+        self.charge.set(bytes + self.statements.bytes() * STATEMENT_COPIES)
+    }
+
     fn take(&mut self, frame: &Frame) -> Result<(), Fault> {
         let message = frame.frontend().map_err(|e| Fault::new("08P01", format!("{e:#}")))?;
         match message {
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -22,7 +22,7 @@
 const HOME_GRACE: Duration = Duration::from_millis(200);
 
 /// Maximum number of bytes read ahead from a caller while its request runs.
-const READ_AHEAD: usize = 64 << 10;
+const READ_AHEAD: usize = 16 << 10;
 
 /// Last part of an answer.
 pub struct Completion {
--- a/components/entry/src/session.rs
+++ b/components/entry/src/session.rs
@@ -10,6 +10,7 @@
 use bergamottrack_coordination::{
     Reason, Refusal,
     budget::{BudgetExhausted, Charge},
+    turns::{MESSAGE_COST, Usage},
 };
 use bergamottrack_peer::{Exchange, Intent, Open, ToHome, message::TransactionState};
 use bergamottrack_pg::{
@@ -42,6 +43,19 @@
 /// Maximum time between the first and the last byte of a caller's message.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Work of a byte that is parsed, in bytes whose work is that of being received.
+const PARSE_COST: usize = 8;
+
+/// Copies of a query that are held while it runs: as received, decoded, and as sent to the server.
+const QUERY_COPIES: usize = 3;
+
+/// Time in which what a host sends of its own must be written, besides that of the bytes at
+/// [`MIN_RATE`]. What is not read occupies memory.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Minimum rate at which callers read, in bytes per second.
+const MIN_RATE: f64 = 16.0 * 1024.0;
+
 /// Time for which a draining host still accepts requests that were already in transit.
 const DRAIN_GRACE: Duration = Duration::from_millis(100);
 
@@ -117,6 +131,7 @@
     pub(crate) charge: Charge,
     /// Whether messages are skipped until the next `Sync`, after an error.
     pub(crate) skipping: bool,
+    usage: Usage,
 }
 
 impl Session {
@@ -130,6 +145,7 @@
     ) -> Self {
         Self {
             charge: entry.callers.input.charge(),
+            usage: Usage::new(entry.clock.now()),
             entry,
             caller,
             settings: Settings::default(),
@@ -156,6 +172,10 @@
         self.send_startup(pid, &notices).await?;
         loop {
             self.permit.set_busy(self.exchange.is_some());
+            if self.batch.is_empty() {
+                // A charge that shrinks does not fail.
+                let _ = self.charge_work(0);
+            }
             let frame = match self.next().await {
                 Ok(Some(frame)) => frame,
                 Ok(None) => return Ok(()),
@@ -170,6 +190,8 @@
                 Err(error) => return self.fatal(&Fault::new("08P01", format!("{error:#}"))).await,
             };
             self.permit.set_busy(true);
+            let cost = MESSAGE_COST + frame.raw.len() * PARSE_COST;
+            self.entry.turns.wait(Some(&self.caller.account), &mut self.usage, cost).await;
             match frame.tag {
                 b'Q' => self.query(&frame).await?,
                 b'P' | b'B' | b'D' | b'E' | b'C' => self.collect(&frame),
@@ -272,7 +294,9 @@
     }
 
     pub(crate) async fn send(&mut self, bytes: &[u8]) -> anyhow::Result<()> {
-        self.writer.send(bytes).await
+        let limit = WRITE_TIMEOUT + Duration::from_secs_f64(bytes.len() as f64 / MIN_RATE);
+        let sent = monoio::time::timeout(limit, self.writer.send(bytes)).await;
+        sent.context("the caller did not read in time")?
     }
 
     pub(crate) fn ready(&self) -> Bytes {
@@ -304,6 +328,12 @@
     }
 
     async fn query(&mut self, frame: &Frame) -> anyhow::Result<()> {
+        if self.charge_work(frame.raw.len() * QUERY_COPIES).is_err() {
+            self.batch = Batch::default();
+            self.abort(false);
+            let refusal = answer::refusal(Severity::Error, &caller::memory_refusal());
+            return self.send(&answer::join([&refusal, &self.ready()])).await;
+        }
         let query = match frame.frontend() {
             Ok(PgWireFrontendMessage::Query(query)) => query,
             Ok(_) => bail!("received another message in place of a query"),
--- a/components/entry/src/sql.rs
+++ b/components/entry/src/sql.rs
@@ -1,6 +1,6 @@
 //! Classification of SQL statements for routing and session settings.
 
-use crate::tokens::{self, Token};
+use crate::tokens::{self, SplitError, Token};
 
 /// Class of a statement.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -43,9 +43,12 @@
 /// a single write.
 pub fn parse(sql: &str) -> Vec<Command> {
     match tokens::split_statements(sql) {
-        Some(all) if all.is_empty() => vec![Command::Empty],
-        Some(all) => all.iter().map(|tokens| parse_tokens(tokens)).collect(),
-        None => vec![Command::Write],
+        Ok(all) if all.is_empty() => vec![Command::Empty],
+        Ok(all) => all.iter().map(|tokens| parse_tokens(tokens)).collect(),
+        Err(SplitError::Unterminated) => vec![Command::Write],
+        Err(SplitError::TooLong) => {
+            vec![Command::Unsupported("a query of more than 500,000 tokens")]
+        }
     }
 }
 
--- a/components/entry/src/statements.rs
+++ b/components/entry/src/statements.rs
@@ -53,6 +53,11 @@
         self.by_name.get(name).cloned()
     }
 
+    /// Returns the size of all statements in bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Fails if another statement would exceed the limits, given `added` statements that are not
     /// inserted yet.
     pub fn check_capacity(&self, added: usize) -> Result<(), Fault> {
--- a/components/entry/src/tokens.rs
+++ b/components/entry/src/tokens.rs
@@ -23,20 +23,38 @@
     }
 }
 
+/// Maximum number of tokens of a query string. Each occupies up to 60 times the memory of its character.
+pub const MAX_TOKENS: usize = 500_000;
+
+/// Reason why a query string is not split.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SplitError {
+    /// A quote or comment is not terminated; the server refuses such a string.
+    Unterminated,
+    /// The string has more than [`MAX_TOKENS`] tokens.
+    TooLong,
+}
+
 /// Splits a query string into the tokens of each statement, without empty statements.
-///
-/// Returns `None` if a quote or comment is not terminated; the server refuses such a string.
-pub fn split_statements(sql: &str) -> Option<Vec<Vec<Token>>> {
+pub fn split_statements(sql: &str) -> Result<Vec<Vec<Token>>, SplitError> {
     let mut lexer = Lexer { rest: sql };
-    let mut all = vec![Vec::new()];
-    while let Some(token) = lexer.next()? {
+    let (mut all, mut statement) = (Vec::new(), Vec::new());
+    let mut count = 0;
+    while let Some(token) = lexer.next().ok_or(SplitError::Unterminated)? {
+        count += 1;
+        if count > MAX_TOKENS {
+            return Err(SplitError::TooLong);
+        }
         match token {
-            Token::Symbol(';') => all.push(Vec::new()),
-            token => all.last_mut()?.push(token),
+            Token::Symbol(';') if statement.is_empty() => {}
+            Token::Symbol(';') => all.push(std::mem::take(&mut statement)),
+            token => statement.push(token),
         }
     }
-    all.retain(|tokens| !tokens.is_empty());
-    Some(all)
+    if !statement.is_empty() {
+        all.push(statement);
+    }
+    Ok(all)
 }
 
 struct Lexer<'a> {
@@ -100,20 +118,21 @@
 
     fn quoted(&mut self, quote: char, escapes: bool) -> Option<Box<str>> {
         let mut text = String::new();
-        let mut chars = self.rest[1..].char_indices();
-        while let Some((at, c)) = chars.next() {
-            if escapes && c == '\\' {
-                text.push(chars.next()?.1);
-            } else if c != quote {
-                text.push(c);
-            } else if self.rest[at + 2..].starts_with(quote) {
-                text.push(chars.next()?.1);
+        let mut rest = &self.rest[1..];
+        loop {
+            let escape = if escapes { b'\\' } else { quote as u8 };
+            let at = memchr::memchr2(quote as u8, escape, rest.as_bytes())?;
+            text.push_str(&rest[..at]);
+            let (special, after) = rest[at..].split_at(1);
+            let next = after.chars().next();
+            if special == "\\" || next == Some(quote) {
+                text.push(next?);
+                rest = &after[next?.len_utf8()..];
             } else {
-                self.rest = &self.rest[at + 2..];
+                self.rest = after;
                 return Some(text.into());
             }
         }
-        None
     }
 
     /// Reads a parameter such as `$1`, or a dollar-quoted constant such as `$tag$text$tag$`.
--- a/components/entry/tests/sql.rs
+++ b/components/entry/tests/sql.rs
@@ -103,3 +103,31 @@
     assert_eq!(parse_single("COMMIT AND NO CHAIN"), Command::End("COMMIT"));
     assert_eq!(parse_single("SELECT pg_advisory_xact_lock(1)"), Command::Write);
 }
+
+/// Guards against a query string of the greatest length whose tokens occupy many times its memory: each of 16
+/// million semicolons or one-letter words.
+#[test]
+fn query_of_very_many_tokens_is_refused() {
+    for text in [";", "a ", "("] {
+        let sql = text.repeat((16 << 20) / text.len());
+        let commands = parse(&sql);
+        assert!(matches!(commands[..], [Command::Unsupported(_)]), "{text}");
+    }
+}
+
+/// Guards against quoted texts that are read otherwise than by the server: escapes and doubled quotes.
+#[test]
+fn quotes_and_escapes_end_where_the_server_ends_them() {
+    let texts = [
+        ("SELECT 'a''b'; COMMIT", 2),
+        (r"SELECT E'a\'b'; COMMIT", 2),
+        (r"SELECT E'a\\'; COMMIT", 2),
+        ("SELECT 'é;'';'; COMMIT", 2),
+        ("SELECT \"a;\"\"b\"; COMMIT", 2),
+        ("SELECT 'open; COMMIT", 1),
+        (r"SELECT E'open\'; COMMIT", 1),
+    ];
+    for (text, count) in texts {
+        assert_eq!(parse(text).len(), count, "{text}");
+    }
+}
--- a/components/pg/src/frame.rs
+++ b/components/pg/src/frame.rs
@@ -22,6 +22,13 @@
 }
 
 impl Frame {
+    /// Returns the length in bytes of the message at the start of a buffer; `None` if its header is
+    /// incomplete.
+    pub fn announced(buf: &[u8]) -> Option<usize> {
+        let [_, length @ ..] = *buf.first_chunk::<HEADER_LEN>()?;
+        Some(u32::from_be_bytes(length) as usize + 1)
+    }
+
     /// Splits the first message off `buf`; `None` while it is incomplete.
     ///
     /// A length below 4, or of `max` or more, is an error, so no peer can make this process buffer
--- a/components/pg/src/stream.rs
+++ b/components/pg/src/stream.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use bergamottrack_coordination::budget::Charge;
+use bergamottrack_coordination::budget::{BudgetExhausted, Charge};
 use bytes::BytesMut;
 use pgwire::messages::{DecodeContext, PgWireFrontendMessage, SslNegotiationMetaMessage};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadHalf, WriteHalf};
@@ -16,6 +16,9 @@
 /// Minimum buffer space reserved for each read, in bytes.
 const READ_CHUNK: usize = 8 * 1024;
 
+/// Maximum capacity in bytes of an empty buffer that is kept for the next message.
+const MAX_KEPT_BUFFER: usize = 16 << 10;
+
 /// Connection, encrypted or plain.
 pub type Stream = Box<dyn ReadWrite>;
 
@@ -97,7 +100,10 @@
     /// Guards against a sender that occupies memory with a message that it never completes.
     pub async fn next_timeout(&mut self, limit: Duration) -> anyhow::Result<Option<Frame>> {
         // Until this call the previous message was in use.
-        self.update_charge(self.buf.len())?;
+        if self.buf.is_empty() && self.buf.capacity() > MAX_KEPT_BUFFER {
+            self.buf = BytesMut::new();
+        }
+        self.update_charge(self.buf.capacity())?;
         if self.buf.is_empty() && !self.fill().await? {
             return Ok(None);
         }
@@ -118,12 +124,17 @@
         Frame::split_from(&mut self.buf, self.max)
     }
 
-    /// Reads into the buffer while it holds fewer than `limit` bytes, then waits forever.
+    /// Reads into the buffer while it holds fewer than `limit` bytes and there is memory for more, then
+    /// waits forever.
     ///
     /// Returns only with an error, when reading fails or the stream has ended. Cancel safe.
     pub async fn read_ahead(&mut self, limit: usize) -> anyhow::Result<()> {
         while self.buf.len() < limit {
-            anyhow::ensure!(self.fill().await?, "the stream ended");
+            match self.fill().await {
+                Ok(more) => anyhow::ensure!(more, "the stream ended"),
+                Err(error) if error.is::<BudgetExhausted>() => break,
+                Err(error) => return Err(error),
+            }
         }
         std::future::pending().await
     }
@@ -156,10 +167,21 @@
         Ok(self.charge.as_mut().map_or(Ok(()), |charge| charge.set(bytes))?)
     }
 
+    /// Makes room for the next read: as much as the buffer holds, but no more than the message needs.
+    fn grow(&mut self) {
+        let needed = Frame::announced(&self.buf).unwrap_or(0).min(2 * self.buf.len());
+        let capacity = needed.max(self.buf.len() + READ_CHUNK);
+        if self.buf.capacity() - self.buf.len() < READ_CHUNK.min(capacity - self.buf.len()) {
+            let mut larger = BytesMut::with_capacity(capacity);
+            larger.extend_from_slice(&self.buf);
+            self.buf = larger;
+        }
+    }
+
     /// Reads once into the buffer; `false` at the end of the stream.
     async fn fill(&mut self) -> anyhow::Result<bool> {
-        self.update_charge(self.buf.len() + READ_CHUNK)?;
-        self.buf.reserve(READ_CHUNK);
+        self.grow();
+        self.update_charge(self.buf.capacity())?;
         let n = self.io.read_buf(&mut self.buf).await.context("reading from the stream")?;
         Ok(n > 0)
     }
--- a/components/proxy/src/host.rs
+++ b/components/proxy/src/host.rs
@@ -27,6 +27,7 @@
     Link, Mesh,
     message::{ClockReading, KnownVersions},
 };
+use bergamottrack_turns::TurnQueue;
 use bytes::Bytes;
 use tokio::sync::{Notify, watch};
 use tracing::info;
@@ -40,7 +41,6 @@
     positions,
     servers::Servers,
     timing::LeaseInfo,
-    turns::TurnQueue,
 };
 
 /// Validity of the hub's last report that it has contact with a majority of the fleet.
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -34,7 +34,6 @@
 pub mod target;
 pub mod timing;
 pub mod tokens;
-pub mod turns;
 
 pub use clock::BootClock;
 pub use host::Host;
--- a/components/proxy/src/limits.rs
+++ b/components/proxy/src/limits.rs
@@ -3,6 +3,7 @@
 //! The parts of the memory add up to less than the whole: see `docs/design/limits-of-a-process.md`.
 
 use bergamottrack_model::Settings;
+use bergamottrack_turns::WORK_PER_CORE;
 
 /// Part of the memory for the connections of clients, at [`CONNECTION_MEMORY`] each.
 const CONNECTIONS_SHARE: f64 = 0.35;
@@ -30,10 +31,6 @@
 /// Minimum of that part.
 const MIN_RESERVED_DESCRIPTORS: usize = 256;
 
-/// Work on messages of clients that a whole core does in a second, in bytes, if it leaves half of its time
-/// to everything else.
-const WORK_PER_CORE: f64 = 200e6;
-
 /// Limits of a process.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -23,6 +23,7 @@
     accept::{self, Service},
 };
 use bergamottrack_platform::http::Client;
+use bergamottrack_turns::TurnQueue;
 use hyper::StatusCode;
 use monoio::net::{ListenerOpts, TcpListener};
 use tokio::sync::{Notify, watch};
@@ -35,7 +36,6 @@
     limits::{self, Limits},
     metrics::Metrics,
     monitor,
-    turns::TurnQueue,
 };
 
 /// Poll interval of signal flags and, during shutdown, of the number of open sessions.
--- a/components/proxy/src/turns.rs
+++ b/components/turns/src/lib.rs
@@ -1,4 +1,4 @@
-//! Waiting for the turn of a client's message.
+//! Turns of clients' messages on the event loop of a host.
 
 use std::{
     cell::{Cell, RefCell},
@@ -13,6 +13,10 @@
 };
 use tokio::sync::oneshot;
 
+/// Work on messages of clients that a whole core does in a second, in bytes, if it leaves half of its time
+/// to everything else.
+pub const WORK_PER_CORE: f64 = 200e6;
+
 /// Interval at which turns are granted while messages wait. Timers and arrived data are processed in
 /// between.
 const GRANT_INTERVAL: Duration = Duration::from_millis(1);
@@ -59,6 +63,7 @@
     async fn grant(self: Rc<Self>) {
         while !self.turns.borrow().is_idle() {
             monoio::time::sleep(GRANT_INTERVAL).await;
+            self.turns.borrow_mut().begin_pass();
             let next = || self.turns.borrow_mut().next(self.clock.now());
             while let Some(key) = next() {
                 if let Some(sender) = self.waiters.borrow_mut().remove(&key) {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -148,6 +148,9 @@
     /// Callers that may be connected at once.
     #[arg(long, env = "BERGAMOTTRACK_CALLERS", value_name = "NUMBER", default_value = "4000")]
     pub callers: String,
+    /// Memory of this process in MB, by which connections and messages are limited [default: the machine's].
+    #[arg(long, env = "BERGAMOTTRACK_MEMORY_MB", value_name = "NUMBER")]
+    pub memory_mb: Option<String>,
     /// Seconds that a planned stop waits for requests and transactions to end.
     #[arg(long, env = "BERGAMOTTRACK_STOP_SECS", value_name = "SECONDS", default_value = "30")]
     pub stop_secs: String,
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -18,6 +18,7 @@
     accept::{self, Service},
 };
 use bergamottrack_platform::{Chain, Platform};
+use bergamottrack_turns::{TurnQueue, WORK_PER_CORE};
 use monoio::net::TcpListener;
 use tracing::info;
 use tracing_subscriber::EnvFilter;
@@ -80,6 +81,7 @@
     });
     let entry = Rc::new(Entry {
         limits: fleet.limits.clone(),
+        turns: TurnQueue::new(WORK_PER_CORE, clock.clone()),
         clock,
         current: current.clone(),
         mesh: mesh.clone(),
@@ -87,7 +89,7 @@
         secret,
         metrics,
         tls: args.tls.clone(),
-        callers: Callers::new(args.callers),
+        callers: Callers::new(args.callers, args.memory),
         cancels: Default::default(),
         last_pid: Cell::default(),
     });
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -36,6 +36,8 @@
     pub tls: Option<Rc<Tls>>,
     /// Maximum number of connected callers.
     pub callers: usize,
+    /// Memory of this process in bytes.
+    pub memory: usize,
     /// Maximum duration that a planned stop waits for requests and transactions to end.
     pub stop_timeout: Duration,
     /// Filter of log lines by level and module.
@@ -57,6 +59,17 @@
 #[derive(Debug, Default, thiserror::Error)]
 pub struct SettingFaults(Vec<SettingFault>);
 
+/// Memory in bytes of a machine that does not report its own.
+const DEFAULT_MEMORY: usize = 512_000_000;
+
+/// Returns the memory of this machine in bytes.
+fn machine_memory() -> usize {
+    let text = std::fs::read_to_string("/proc/meminfo").unwrap_or_default();
+    let total = text.lines().find_map(|line| line.strip_prefix("MemTotal:"));
+    let kib = total.and_then(|rest| rest.trim().strip_suffix("kB")?.trim().parse::<usize>().ok());
+    kib.map_or(DEFAULT_MEMORY, |kib| kib * 1024)
+}
+
 impl fmt::Display for SettingFaults {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "faults in the settings ({}):", self.0.len())?;
@@ -190,6 +203,12 @@
             args.via.iter().filter_map(|text| faults.parse("via", Some(text), route)).collect();
         let tls = faults.read_tls(args.tls_cert.as_deref(), args.tls_key.as_deref());
         let callers = faults.parse("callers", Some(&args.callers), "a number of connections");
+        let memory = match args.memory_mb.as_deref() {
+            Some(text) => faults
+                .parse::<usize>("memory-mb", Some(text), "a number of megabytes")
+                .map(|megabytes| megabytes.saturating_mul(1_000_000)),
+            None => Some(machine_memory()),
+        };
         let stop = faults.parse("stop-secs", Some(&args.stop_secs), "a number of seconds");
         let log = EnvFilter::try_new(&args.log).ok();
         if log.is_none() {
@@ -208,6 +227,7 @@
                 via,
                 tls,
                 callers: callers?,
+                memory: memory?,
                 stop_timeout: Duration::from_secs(stop?),
                 log: log?,
                 log_format: args.log_format,
