serve: callers above the limit are refused as before

A connection above the limit of callers, which is only accepted to be refused, counted among those without an authenticated caller, so a crowd of them closed connections that hold places. connection_flood_does_not_affect_connected_callers failed by it.

--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -55,12 +55,15 @@
     };
     stream.set_nodelay(true)?;
     let stream: Stream = Box::new(stream.into_poll_io()?);
-    let mut login = entry.callers.logins.enter();
-    let (result, mut reader, writer) = monoio::select! {
-        begun = begin(entry, &permit, stream) => begun?,
-        () = login.ended() => bail!("too many callers have not authenticated"),
+    let (result, mut reader, writer) = if permit.over_limit {
+        begin(entry, &permit, stream).await?
+    } else {
+        let mut login = entry.callers.logins.enter();
+        monoio::select! {
+            begun = begin(entry, &permit, stream) => begun?,
+            () = login.ended() => bail!("too many callers have not authenticated"),
+        }
     };
-    drop(login);
     let Handshake::Caller(caller) = result else { return Ok(()) };
     let _counted = entry.metrics.caller();
     reader.set_max(MAX_MESSAGE_LEN);
