--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -13,6 +13,7 @@
 use clap::Args;
 
 pub mod caller;
+mod crowd;
 pub mod gaps;
 pub mod group;
 pub mod schedule;
@@ -59,6 +60,9 @@
     /// hosts are paused and the store answers nothing, in place of drawn faults.
     #[arg(long)]
     pub refusals: bool,
+    /// Have crowds of callers that do not behave connect to hosts too. Drawn apart, as with `--links`.
+    #[arg(long)]
+    pub crowds: bool,
     /// Configure that a replica has each commit before it is acknowledged: no promotion may discard one.
     #[arg(long)]
     pub sync: bool,
@@ -141,8 +145,11 @@
     };
     if args.links {
         steps.extend(schedule::generate_link_faults(seed, length, args.hosts, servers));
-        steps.sort_by_key(|step| step.at);
     }
+    if args.crowds {
+        steps.extend(schedule::generate_crowds(seed, length, args.hosts));
+    }
+    steps.sort_by_key(|step| step.at);
     steps
 }
 
@@ -212,6 +219,7 @@
         active.retain(|(at, _)| *at > now);
         due.iter().try_for_each(|step| step.revert(&mut world))?;
         world.restart_ended()?;
+        world.check_memory();
         check_withdrawn(&world, &mut withdrawn_at);
     }
     Ok(())
--- a/lab/src/soak/schedule.rs
+++ b/lab/src/soak/schedule.rs
@@ -76,6 +76,8 @@
     Leave(usize),
     /// Add this number of databases to the configuration.
     Grow(usize),
+    /// Have a crowd of callers that do not behave connect to a host.
+    Crowd(usize),
     /// Throttle all traffic between hosts, and between the store and hosts of the usual size.
     SlowLinks,
 }
@@ -187,6 +189,20 @@
     steps
 }
 
+/// Generates the steps for a seed in which crowds of callers connect to hosts.
+pub fn generate_crowds(seed: u64, length: Duration, hosts: usize) -> Vec<Step> {
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(32));
+    let mut at = Duration::from_millis(random.random_range(STEP_INTERVAL_MS));
+    let mut steps = Vec::new();
+    while at < length {
+        let duration = Duration::from_millis(random.random_range(500..4000));
+        let action = Action::Crowd(random.random_range(0..hosts));
+        steps.push(Step { at, duration, action });
+        at += duration + Duration::from_millis(random.random_range(STEP_INTERVAL_MS));
+    }
+    steps
+}
+
 /// Generates the steps for a seed in which links refuse and reset connections, while hosts are
 /// paused and the store answers no request.
 pub fn generate_refusals(seed: u64, length: Duration, hosts: usize, servers: usize) -> Vec<Step> {
@@ -260,6 +276,7 @@
             Action::StopHost(host) => drop(world.hosts[host].signal(libc::SIGTERM)),
             Action::Reload(host) => drop(world.hosts[host].signal(libc::SIGHUP)),
             Action::KillServer(server) => world.standins[server].stop(),
+            Action::Crowd(host) => world.start_crowd(host),
             Action::KillLeader(group) => world.stop_leader(group),
             Action::CutServer(server) => world.links.set(&link(server), &cut()),
             Action::SilenceServer(server) => world.links.set(&link(server), &silence()),
@@ -307,6 +324,7 @@
             Action::PauseHost(host) => drop(world.hosts[host].signal(libc::SIGCONT)),
             Action::StopHost(_) => {}
             Action::KillServer(server) => world.groups.borrow_mut().servers[server].up = true,
+            Action::Crowd(_) => world.stop_crowd(),
             Action::KillLeader(group) => world.start_group(group),
             Action::CutServer(server)
             | Action::SilenceServer(server)
--- a/lab/src/soak/world.rs
+++ b/lab/src/soak/world.rs
@@ -13,6 +13,7 @@
 
 use super::{
     caller::{Caller, Database},
+    crowd,
     group::{Groups, Server},
     server::{MAX_CONNECTIONS, SLOTS, Standin},
     store::{self, Store},
@@ -21,7 +22,7 @@
     link::{AddLink, Links},
     ports::Ports,
     process::Process,
-    system,
+    system, usage,
 };
 
 /// Number of database groups; each has three servers.
@@ -91,6 +92,8 @@
     routes: RefCell<RouteList>,
     /// Whether the key of `hartwell` is withdrawn.
     withdrawn: Cell<bool>,
+    /// Ends the current crowd of callers when it is set.
+    crowd: RefCell<Rc<Cell<bool>>>,
     /// Whether entries of stopped servers remain in the store.
     pub retain_entries: Cell<bool>,
     dir: tempfile::TempDir,
@@ -145,6 +148,7 @@
             extra_databases: Cell::default(),
             routes: RefCell::default(),
             withdrawn: Cell::default(),
+            crowd: RefCell::default(),
             retain_entries: Cell::default(),
             dir,
             _ports: ports,
@@ -326,6 +330,28 @@
         self.publish_entry(index);
     }
 
+    /// Starts a crowd of callers against a host.
+    pub fn start_crowd(&self, host: usize) {
+        self.stop_crowd();
+        crowd::start(self.callers[host], &self.crowd.borrow());
+    }
+
+    /// Ends the crowd, if there is one.
+    pub fn stop_crowd(&self) {
+        self.crowd.replace(Rc::default()).set(true);
+    }
+
+    /// Checks that no host uses more than the memory of its machine.
+    pub fn check_memory(&self) {
+        for host in &self.hosts {
+            let memory = host.pid().map_or(0, usage::memory);
+            if memory > MEMORY_MB * 1_000_000 {
+                let story = format!("{} uses {memory} bytes", host.name);
+                self.groups.borrow_mut().broken.push(story);
+            }
+        }
+    }
+
     /// Returns the number of callers' statements that a server has executed.
     pub fn statements_run(&self, index: usize) -> usize {
         self.groups.borrow().servers[index].statements_run
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -12,8 +12,11 @@
 };
 
 use crowd::{Crowd, Ordinary, Peak, Requests, Session, Task, Watch, repeated, statement};
-use hosts::{Connection, WAIT_TIMEOUT, block_on, sleep_ms, start_system};
-use lab::soak::world::{FILE_DESCRIPTORS, MEMORY_MB};
+use hosts::{Connection, WAIT_TIMEOUT, block_on, sleep_ms, soak_args, start_system};
+use lab::soak::{
+    self,
+    world::{FILE_DESCRIPTORS, MEMORY_MB},
+};
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 /// Length of a large value: almost the greatest length of a message.
@@ -520,3 +523,14 @@
         assert!(answer.starts_with("ERROR TOOBIG "), "{answer:?}");
     });
 }
+
+/// Guards against crowds that break a guarantee while hosts die, stop and lose the store or servers.
+#[test]
+fn crowds_beside_faults_break_no_guarantee() {
+    let _turn = turn();
+    block_on(async {
+        let args = soak::SoakArgs { crowds: true, ..soak_args(3, 4, 8) };
+        let outcome = soak::soak(7, &args).await.unwrap();
+        assert!(outcome.broken.is_empty(), "{:#?}", outcome.broken);
+    });
+}
--- a/tests/hosts/mod.rs
+++ b/tests/hosts/mod.rs
@@ -35,9 +35,23 @@
 
 /// Arguments of a soak with seed 1; `secs` is the duration of its faults in seconds.
 pub fn soak_args(hosts: usize, callers: usize, secs: u64) -> SoakArgs {
-    let (dry, links, grow, refusals, sync, calm, herd) = Default::default();
+    let (dry, links, grow, refusals, sync, calm, herd, crowds) = Default::default();
     let (seed, seeds) = (1, 1);
-    SoakArgs { seed, seeds, secs, hosts, callers, dry, links, grow, refusals, sync, calm, herd }
+    SoakArgs {
+        seed,
+        seeds,
+        secs,
+        hosts,
+        callers,
+        dry,
+        links,
+        grow,
+        refusals,
+        sync,
+        calm,
+        herd,
+        crowds,
+    }
 }
 
 /// Sleeps for `ms` milliseconds.
