--- a/components/proxy/tests/pool.rs
+++ b/components/proxy/tests/pool.rs
@@ -72,10 +72,11 @@
         assert!(open.len() < cap, "one account holds all connections");
     }
     assert!(open.len() * 2 > cap, "{} of {cap}", open.len());
-    assert!(pool.enter_transaction(&other, soon()).await.is_some());
+    let later = || monoio::time::Instant::now() + Duration::from_secs(10);
+    assert!(pool.enter_transaction(&other, later()).await.is_some());
     // A transaction that ends makes room for the next one of its account.
-    let waiting = pool.enter_transaction(&crowd, soon());
-    let end = async { open.pop() };
+    let waiting = pool.enter_transaction(&crowd, later());
+    let end = async { drop(open.pop()) };
     let (next, _) = monoio::join!(waiting, end);
     assert!(next.is_some());
 }
