--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -44,7 +44,7 @@
 /// Grace period of a stopping host, as in its settings.
 const GRACE: Duration = Duration::from_secs(4);
 
-/// Crowds play one after the other: each one uses the machine that another is measured on.
+/// Serialises the crowds: each uses the processors on which another is measured.
 fn turn() -> MutexGuard<'static, ()> {
     static TURN: Mutex<()> = Mutex::new(());
     TURN.lock().unwrap_or_else(PoisonError::into_inner)
--- a/tests/clients_serve.rs
+++ b/tests/clients_serve.rs
@@ -40,7 +40,7 @@
 /// Time for which a caller of a crowd keeps a connection that it does not use.
 const HOLD: Duration = Duration::from_secs(120);
 
-/// Crowds play one after the other: each one uses the machine that another is measured on.
+/// Serialises the crowds: each uses the processors on which another is measured.
 static TURN: Mutex<()> = Mutex::const_new(());
 
 type Task = Pin<Box<dyn Future<Output = ()>>>;
